--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,31 @@
+// Package logging builds the structured log of a process. Lines are for changes of state only;
+// what happens per request is counted in metrics.
+package logging
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// New returns a JSON log on standard error for the named program on the VM.
+func New(program, vm string, s settings.Log) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.Level)
+	if err != nil {
+		return nil, eris.Wrap(err, "logging: parse level")
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(level)
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.EncoderConfig.TimeKey = "time"
+	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, eris.Wrap(err, "logging: build")
+	}
+	return log.With(zap.String("program", program), zap.String("vm", vm)), nil
+}
--- /dev/null
+++ b/internal/rpc/rpc.go
@@ -0,0 +1,60 @@
+// Package rpc builds the HTTP clients and servers of the traffic between the system's own
+// processes: HTTP/2 without TLS, bound to the process's own address, with pings that find
+// connections gone silent.
+package rpc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// pingAfter is how long a connection may be silent before it is pinged.
+	pingAfter = 300 * time.Millisecond
+	// pingTimeout is how long a ping may stay without an answer.
+	pingTimeout = 500 * time.Millisecond
+	// dialTimeout bounds opening a connection.
+	dialTimeout = time.Second
+	// readHeaderTimeout bounds half a request.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Dialer returns a dialer that binds outgoing connections to the given IP number, or leaves the
+// choice to the system where it is empty.
+func Dialer(bind string) *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	if ip := net.ParseIP(bind); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d
+}
+
+// NewClient returns a client for the traffic between processes.
+func NewClient(bind string) *http.Client {
+	d := Dialer(bind)
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		Protocols: &protocols,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return d.DialContext(ctx, network, addr)
+		},
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
+}
+
+// NewServer returns a server that takes HTTP/1.1 and HTTP/2 without TLS. The caller sets limits of
+// the handler; half a request ends after a few seconds.
+func NewServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         &protocols,
+		ReadHeaderTimeout: readHeaderTimeout,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 5 * time.Second, MaxConcurrentStreams: 1000},
+	}
+}
