--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,7 +43,11 @@
 	// ConnectionLost is true where the connection broke while the call was in flight, as it does
 	// when the leaf crashes.
 	ConnectionLost bool
-	Err            error
+	// ConnectionSilent is true where the connection gave no sign of life while the call was in
+	// flight and was taken out of use. It says nothing about the leaf: a search may be sent again
+	// at once, to the same leaf as well.
+	ConnectionSilent bool
+	Err              error
 }
 
 // Error implements error.
