Give order tickets a strict text form and a MAC of their incarnation

Cause: callers and entries carry tickets as text, and only the gather that minted one may trust it. Weighed: protobuf inside base64 (several encodings of one message), JSON (long), a random number with all state at the gather (an entry could not route it). Chosen: one fixed layout with a version prefix, lengths bounded, so each ticket has exactly one text.

--- /dev/null
+++ b/internal/ticket/text.go
@@ -0,0 +1,187 @@
+package ticket
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+const (
+	// prefix names the version of the text form; a new layout takes a new prefix.
+	prefix = "bp1."
+	// MaxText is the longest text taken, in bytes.
+	MaxText = 512
+	// MACSize is the length of a MAC in bytes.
+	MACSize = 16
+	// maxName is the longest VM, caller, service or kind, in bytes.
+	maxName = 63
+	// minExpires and maxExpires bound the expiry, in Unix milliseconds: the years 2000 to 2200.
+	minExpires = 946_684_800_000
+	maxExpires = 7_258_118_400_000
+)
+
+// encoding is base64 for URLs, without padding; Strict refuses stray trailing bits.
+var encoding = base64.RawURLEncoding.Strict()
+
+// ParseError says which part of a ticket's text can't be used. It never holds the text.
+type ParseError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *ParseError) Error() string {
+	return fmt.Sprintf("ticket: %s: %s", e.Field, e.Reason)
+}
+
+// Text returns the URL-safe text of the ticket, at most MaxText bytes.
+func (t *Ticket) Text() string {
+	return prefix + encoding.EncodeToString(append(t.body(), t.MAC...))
+}
+
+// Identity names the ticket across the fleet for logs and dumps; it holds no MAC.
+func (t *Ticket) Identity() string {
+	return fmt.Sprintf("%s/%016x/%016x", t.VM, t.Incarnation, t.Sequence)
+}
+
+// HasWitness tells whether a witness must note the intent of the order.
+func (t *Ticket) HasWitness() bool { return t.WitnessVM != "" }
+
+// body encodes all fields but the MAC. Names are prefixed by a length byte, numbers are fixed
+// width, so each ticket has one encoding only.
+func (t *Ticket) body() []byte {
+	b := make([]byte, 0, MaxText/2)
+	b = appendName(b, t.VM)
+	b = binary.BigEndian.AppendUint64(b, t.Incarnation)
+	b = binary.BigEndian.AppendUint64(b, t.Sequence)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.Expires.UnixMilli()))
+	b = appendName(b, t.Caller)
+	b = appendName(b, t.Service)
+	b = appendName(b, t.Kind)
+	b = appendName(b, t.WitnessVM)
+	if t.HasWitness() {
+		b = binary.BigEndian.AppendUint64(b, t.WitnessIncarnation)
+	}
+	return b
+}
+
+func appendName(b []byte, s string) []byte {
+	return append(append(b, byte(len(s))), s...)
+}
+
+// Parse reads a ticket's text. It is strict: any text it takes is the very text that the ticket
+// gives back. The error is a *ParseError. The MAC is not checked.
+func Parse(text string) (*Ticket, error) {
+	if len(text) > MaxText {
+		return nil, &ParseError{"text", "too long"}
+	}
+	rest, ok := strings.CutPrefix(text, prefix)
+	if !ok {
+		return nil, &ParseError{"text", "not a ticket of this version"}
+	}
+	if strings.ContainsAny(rest, "\r\n") {
+		return nil, &ParseError{"text", "line break"}
+	}
+	raw, err := encoding.DecodeString(rest)
+	if err != nil {
+		return nil, &ParseError{"text", "not base64"}
+	}
+	r := &reader{rest: raw}
+	t := r.ticket()
+	if r.err != nil {
+		return nil, r.err
+	}
+	return t, nil
+}
+
+// reader takes fields off rest; after the first error it gives zero values.
+type reader struct {
+	rest []byte
+	err  *ParseError
+}
+
+func (r *reader) ticket() *Ticket {
+	t := &Ticket{
+		VM:          r.name("vm"),
+		Incarnation: r.positive("incarnation"),
+		Sequence:    r.positive("sequence"),
+		Expires:     r.expires(),
+		Caller:      r.name("caller"),
+		Service:     r.name("service"),
+		Kind:        r.name("kind"),
+	}
+	t.WitnessVM = r.optionalName("witness")
+	if t.HasWitness() {
+		t.WitnessIncarnation = r.positive("witness_incarnation")
+	}
+	t.MAC = r.take("mac", MACSize)
+	if len(r.rest) != 0 {
+		r.fail("text", "bytes after the end")
+	}
+	return t
+}
+
+func (r *reader) fail(field, reason string) {
+	if r.err == nil {
+		r.err = &ParseError{field, reason}
+	}
+}
+
+func (r *reader) take(field string, n int) []byte {
+	if r.err != nil || len(r.rest) < n {
+		r.fail(field, "cut short")
+		return nil
+	}
+	b := r.rest[:n]
+	r.rest = r.rest[n:]
+	return b
+}
+
+func (r *reader) optionalName(field string) string {
+	length := r.take(field, 1)
+	if length == nil {
+		return ""
+	}
+	if length[0] > maxName {
+		r.fail(field, "too long")
+		return ""
+	}
+	s := string(r.take(field, int(length[0])))
+	if s != "" && !settings.ValidName(s) {
+		r.fail(field, "not a name")
+	}
+	return s
+}
+
+func (r *reader) name(field string) string {
+	s := r.optionalName(field)
+	if s == "" {
+		r.fail(field, "empty")
+	}
+	return s
+}
+
+func (r *reader) positive(field string) uint64 {
+	b := r.take(field, 8)
+	if b == nil {
+		return 0
+	}
+	n := binary.BigEndian.Uint64(b)
+	if n == 0 {
+		r.fail(field, "zero")
+	}
+	return n
+}
+
+func (r *reader) expires() time.Time {
+	ms := r.positive("expires")
+	if ms < minExpires || ms > maxExpires {
+		r.fail("expires", "out of range")
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(ms)).UTC()
+}
