--- /dev/null
+++ b/internal/search/coverage.go
@@ -0,0 +1,43 @@
+package search
+
+import (
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// shardEnd is how one shard of a run stands: merged, or missing for a reason.
+type shardEnd struct {
+	id        uint32
+	documents uint64
+	// answer is nil while nothing that can be merged has come.
+	answer *pb.LeafSearchResponse
+	reason pb.Reason
+	// peer is the last leaf asked.
+	peer string
+}
+
+// coverageOf counts only shards whose answer is merged; all others are listed as missing.
+func coverageOf(ends []shardEnd) *pb.Coverage {
+	c := &pb.Coverage{ShardsTotal: uint32(len(ends))}
+	for i := range ends {
+		e := &ends[i]
+		c.DocumentsTotal += e.documents
+		if e.answer == nil {
+			c.Missing = append(c.Missing, &pb.MissingShard{Shard: e.id, Reason: e.reason, Peer: e.peer})
+			continue
+		}
+		c.ShardsCovered++
+		c.DocumentsCovered += e.documents
+	}
+	return c
+}
+
+// share is the covered share of the documents, 0 to 1; of the shards where no document is listed.
+func share(c *pb.Coverage) float64 {
+	if c.GetDocumentsTotal() > 0 {
+		return float64(c.GetDocumentsCovered()) / float64(c.GetDocumentsTotal())
+	}
+	if c.GetShardsTotal() > 0 {
+		return float64(c.GetShardsCovered()) / float64(c.GetShardsTotal())
+	}
+	return 0
+}
