Watch the view of the sync and report to it

Entry and gather need the bundle, the VMs and the evidence from the sync of their VM, and must know when what they hold is too old for new work.

The client keeps one stream open. It ends a stream that is silent for 2 s, or that was asked for before a pause of the process, because what waits in its buffers is from before the pause; taking the arrival time of such a view as proof of freshness was ruled out.

A view without changes may leave out the lists: at fleet size they are the bulk of it.

--- /dev/null
+++ b/internal/feed/client.go
@@ -0,0 +1,256 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/process"
+)
+
+const (
+	// FreshFor is how long after the newest message of the sync new work is still taken.
+	FreshFor = 2 * time.Second
+	// guardTick is how often a stream is checked for silence and for a pause of the process.
+	guardTick = 100 * time.Millisecond
+	// reconnectMin and reconnectMax bound the random wait before the next stream.
+	reconnectMin = 20 * time.Millisecond
+	reconnectMax = 250 * time.Millisecond
+)
+
+// Config says for which process the feed is, and where its sync listens.
+type Config struct {
+	VM, Zone    string
+	Role        pb.ProcessRole
+	Incarnation uint64
+	// Sync is HOST:PORT of the sync of the same VM.
+	Sync   string
+	Client *http.Client
+	// Pause notices pauses of this process; nil leaves pauses out of Fresh.
+	Pause *process.PauseDetector
+	// Parse reads a bundle's text; bundle.Parse outside tests.
+	Parse    func(text []byte) (*bundle.Bundle, error)
+	Log      *zap.Logger
+	Registry prometheus.Registerer
+}
+
+// Manager is the client of the sync: it watches the view and reports what the process saw. It
+// implements Source and Reporter.
+type Manager struct {
+	cfg     Config
+	service burdockv1connect.FeedServiceClient
+	metrics *clientMetrics
+	reports *reportQueue
+
+	mu sync.Mutex
+	// view is the newest; changed is closed when its lists or bundle change. streamStarted is when
+	// the stream that brought view was asked for. All are guarded by mu.
+	view          *View
+	changed       chan struct{}
+	streamStarted time.Time
+}
+
+var (
+	_ Source   = (*Manager)(nil)
+	_ Reporter = (*Manager)(nil)
+)
+
+// New returns a manager with an empty view. Run fills it.
+func New(cfg Config) *Manager {
+	return &Manager{
+		cfg:     cfg,
+		service: burdockv1connect.NewFeedServiceClient(cfg.Client, "http://"+cfg.Sync),
+		metrics: newClientMetrics(cfg.Registry),
+		reports: newReportQueue(),
+		view:    &View{VM: cfg.VM, Zone: cfg.Zone},
+		changed: make(chan struct{}),
+	}
+}
+
+// Current implements Source.
+func (m *Manager) Current() *View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view
+}
+
+// Changed implements Source.
+func (m *Manager) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// Fresh implements Source. It is false when the sync was not heard for FreshFor, and from a pause
+// of the process on until a view came on a stream that was asked for after the pause.
+func (m *Manager) Fresh() bool {
+	now := time.Now()
+	m.mu.Lock()
+	heard, started := m.view.Heard, m.streamStarted
+	m.mu.Unlock()
+	if heard.IsZero() || now.Sub(heard) > FreshFor {
+		return false
+	}
+	return !m.pausedSince(started, now)
+}
+
+// pausedSince tells whether a pause of the process ended after t.
+func (m *Manager) pausedSince(t, now time.Time) bool {
+	return m.cfg.Pause != nil && m.cfg.Pause.LastPause(now).After(t)
+}
+
+// Run watches and reports until ctx ends. What was reported before the end is still sent.
+func (m *Manager) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { m.runReports(ctx) })
+	wg.Go(func() { m.runWatch(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// runWatch keeps one stream open.
+func (m *Manager) runWatch(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := m.watchOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		m.metrics.streamEnds.WithLabelValues(endReason(err)).Inc()
+		m.cfg.Log.Debug("feed stream ended", zap.Error(err))
+		if !sleep(ctx, reconnectMin+rand.N(reconnectMax-reconnectMin)) {
+			return
+		}
+	}
+}
+
+// errPaused and errSilent end a stream from this side.
+var (
+	errPaused = errors.New("process was paused")
+	errSilent = errors.New("sync is silent")
+)
+
+// watchOnce reads one stream to its end.
+func (m *Manager) watchOnce(ctx context.Context) error {
+	started := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	heard := newStamp(started)
+	go m.guard(ctx, cancel, started, heard)
+	stream, err := m.service.Watch(ctx, m.watchRequest())
+	if err != nil {
+		return eris.Wrap(cause(ctx, err), "feed: watch")
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		now := time.Now()
+		if m.pausedSince(started, now) {
+			return errPaused
+		}
+		heard.set(now)
+		m.apply(stream.Msg(), started, now)
+	}
+	return eris.Wrap(cause(ctx, stream.Err()), "feed: receive")
+}
+
+// guard ends a stream that is silent, or that was asked for before a pause: what waits in it is
+// from before the pause.
+func (m *Manager) guard(ctx context.Context, cancel context.CancelCauseFunc, started time.Time, heard *stamp) {
+	t := time.NewTicker(guardTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		switch {
+		case m.pausedSince(started, now):
+			cancel(errPaused)
+		case now.Sub(heard.get()) > FreshFor:
+			cancel(errSilent)
+		}
+	}
+}
+
+func (m *Manager) watchRequest() *pb.WatchRequest {
+	req := &pb.WatchRequest{Process: m.process()}
+	if b := m.Current().Bundle; b != nil {
+		req.BundleVersion, req.BundleDigest = b.Version, b.Digest[:]
+	}
+	return req
+}
+
+// process describes this process as it stands.
+func (m *Manager) process() *pb.Process {
+	p := &pb.Process{Role: m.cfg.Role, Incarnation: m.cfg.Incarnation, State: m.reports.currentState()}
+	if b := m.Current().Bundle; b != nil {
+		p.BundleVersion = b.Version
+	}
+	return p
+}
+
+// cause returns why ctx was cancelled from this side, or else err.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); c != nil && !errors.Is(c, context.Canceled) {
+		return c
+	}
+	return err
+}
+
+// endReason names the end of a stream in metrics.
+func endReason(err error) string {
+	switch {
+	case err == nil:
+		return "closed"
+	case errors.Is(err, errPaused):
+		return "paused"
+	case errors.Is(err, errSilent):
+		return "silent"
+	}
+	return connect.CodeOf(err).String()
+}
+
+// sleep waits for d and tells whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// stamp is a time shared by the reader and the guard of a stream.
+type stamp struct {
+	mu sync.Mutex
+	// t is guarded by mu.
+	t time.Time
+}
+
+func newStamp(t time.Time) *stamp { return &stamp{t: t} }
+
+func (s *stamp) set(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.t = t
+}
+
+func (s *stamp) get() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.t
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -21,9 +21,13 @@
 	Upstreams      []*pb.Upstream
 	Departures     []*pb.Departure
 	Crashes        []*pb.Crash
-	// Received is the local time at which the view came; ages in it count from here.
+	// Received is the local time at which the lists came; ages of departures and crashes count from
+	// here.
 	Received time.Time
-	// PlatformAge is the age of the last platform contact when the view came.
+	// Heard is the local time of the newest message of the sync, which may have left the lists as
+	// they were.
+	Heard time.Time
+	// PlatformAge is the age of the last platform contact at the time Heard.
 	PlatformAge time.Duration
 }
 
--- /dev/null
+++ b/internal/feed/report.go
@@ -0,0 +1,227 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+const (
+	// reportPeriod is how often the process's state is reported without news.
+	reportPeriod = time.Second
+	// reportTimeout bounds one report.
+	reportTimeout = time.Second
+	// reportRetry is the wait after a report that failed.
+	reportRetry = 100 * time.Millisecond
+	// lastReportTimeout bounds the report at the end of the process.
+	lastReportTimeout = 300 * time.Millisecond
+	// maxPending bounds what waits for a sync that can't be reached.
+	maxPending = 1024
+)
+
+// ReportDeparture implements Reporter.
+func (m *Manager) ReportDeparture(d *pb.Departure) {
+	d = proto.Clone(d).(*pb.Departure)
+	d.Vm = m.cfg.VM
+	if !m.reports.addDeparture(d, time.Now()) {
+		m.metrics.dropped.Inc()
+	}
+}
+
+// ReportCrash implements Reporter.
+func (m *Manager) ReportCrash(c *pb.Crash) {
+	if !m.reports.addCrash(proto.Clone(c).(*pb.Crash), time.Now()) {
+		m.metrics.dropped.Inc()
+	}
+}
+
+// SetState implements Reporter.
+func (m *Manager) SetState(s pb.ProcessState) { m.reports.setState(s) }
+
+// runReports sends what is queued, at once where there is news.
+func (m *Manager) runReports(ctx context.Context) {
+	t := time.NewTicker(reportPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.lastReport(ctx)
+			return
+		case <-t.C:
+		case <-m.reports.woken:
+		}
+		if err := m.report(ctx, reportTimeout); err != nil && sleep(ctx, reportRetry) {
+			m.reports.wake()
+		}
+	}
+}
+
+// lastReport sends what the process said just before its end.
+func (m *Manager) lastReport(ctx context.Context) {
+	_ = m.report(context.WithoutCancel(ctx), lastReportTimeout)
+}
+
+// report sends the queue, and puts it back where that fails.
+func (m *Manager) report(ctx context.Context, limit time.Duration) error {
+	departures, crashes := m.reports.take()
+	now := time.Now()
+	req := &pb.ReportRequest{Process: m.process()}
+	for _, d := range departures {
+		req.Departures = append(req.Departures, d.aged(now))
+	}
+	for _, c := range crashes {
+		req.Crashes = append(req.Crashes, c.aged(now))
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_, err := m.service.Report(ctx, req)
+	if err != nil {
+		m.metrics.reports.WithLabelValues("failed").Inc()
+		m.reports.putBack(departures, crashes)
+		return err
+	}
+	m.metrics.reports.WithLabelValues("sent").Inc()
+	return nil
+}
+
+// queuedDeparture is a departure with the time at which its age was right.
+type queuedDeparture struct {
+	d  *pb.Departure
+	at time.Time
+}
+
+func (q queuedDeparture) aged(now time.Time) *pb.Departure {
+	d := proto.Clone(q.d).(*pb.Departure)
+	d.Age = durationpb.New(q.d.GetAge().AsDuration() + now.Sub(q.at))
+	return d
+}
+
+// queuedCrash is a crash with the time at which its age was right.
+type queuedCrash struct {
+	c  *pb.Crash
+	at time.Time
+}
+
+func (q queuedCrash) aged(now time.Time) *pb.Crash {
+	c := proto.Clone(q.c).(*pb.Crash)
+	c.Age = durationpb.New(q.c.GetAge().AsDuration() + now.Sub(q.at))
+	return c
+}
+
+// departureKey names evidence of which the newest is enough.
+type departureKey struct {
+	leaf        string
+	incarnation uint64
+	source      pb.DepartureSource
+}
+
+// crashKey names one crash of one request.
+type crashKey struct {
+	digest      uint64
+	leaf        string
+	incarnation uint64
+}
+
+// reportQueue holds what the sync has not taken yet.
+type reportQueue struct {
+	// woken holds a value while a report is due at once.
+	woken chan struct{}
+
+	mu sync.Mutex
+	// state, departures and crashes are guarded by mu.
+	state      pb.ProcessState
+	departures map[departureKey]queuedDeparture
+	crashes    map[crashKey]queuedCrash
+}
+
+func newReportQueue() *reportQueue {
+	return &reportQueue{
+		woken:      make(chan struct{}, 1),
+		state:      pb.ProcessState_PROCESS_STATE_STARTING,
+		departures: make(map[departureKey]queuedDeparture),
+		crashes:    make(map[crashKey]queuedCrash),
+	}
+}
+
+// wake makes a report due at once.
+func (q *reportQueue) wake() {
+	select {
+	case q.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (q *reportQueue) currentState() pb.ProcessState {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.state
+}
+
+func (q *reportQueue) setState(s pb.ProcessState) {
+	q.mu.Lock()
+	changed := q.state != s
+	q.state = s
+	q.mu.Unlock()
+	if changed {
+		q.wake()
+	}
+}
+
+// addDeparture queues d; false where the queue is full.
+func (q *reportQueue) addDeparture(d *pb.Departure, now time.Time) bool {
+	key := departureKey{d.GetLeaf(), d.GetIncarnation(), d.GetSource()}
+	q.mu.Lock()
+	_, held := q.departures[key]
+	full := !held && len(q.departures) >= maxPending
+	if !full {
+		q.departures[key] = queuedDeparture{d, now}
+	}
+	q.mu.Unlock()
+	q.wake()
+	return !full
+}
+
+// addCrash queues c; false where the queue is full.
+func (q *reportQueue) addCrash(c *pb.Crash, now time.Time) bool {
+	key := crashKey{c.GetRequestDigest(), c.GetLeaf(), c.GetIncarnation()}
+	q.mu.Lock()
+	_, held := q.crashes[key]
+	full := !held && len(q.crashes) >= maxPending
+	if !full {
+		q.crashes[key] = queuedCrash{c, now}
+	}
+	q.mu.Unlock()
+	q.wake()
+	return !full
+}
+
+// take empties the queue.
+func (q *reportQueue) take() (map[departureKey]queuedDeparture, map[crashKey]queuedCrash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	departures, crashes := q.departures, q.crashes
+	q.departures = make(map[departureKey]queuedDeparture)
+	q.crashes = make(map[crashKey]queuedCrash)
+	return departures, crashes
+}
+
+// putBack queues again what could not be sent; newer evidence of the same key stays.
+func (q *reportQueue) putBack(departures map[departureKey]queuedDeparture, crashes map[crashKey]queuedCrash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for k, d := range departures {
+		if _, newer := q.departures[k]; !newer {
+			q.departures[k] = d
+		}
+	}
+	for k, c := range crashes {
+		if _, newer := q.crashes[k]; !newer {
+			q.crashes[k] = c
+		}
+	}
+}
