bundle: strict parsing, signatures and the store that never goes back

Need: sync, entry and gather all wait for one way to read, verify and hold a bundle.

Weighed: checking inside the TOML decode (no indices, so no line for the third leaf of the second service) against a second pass over the decoded form; the second pass names the exact line. Parents don't gate a bundle: a store that missed the parent would otherwise differ from one that saw it; a mismatch is counted instead.

--- /dev/null
+++ b/internal/bundle/check.go
@@ -0,0 +1,108 @@
+package bundle
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// The bounds of values in a bundle.
+const (
+	maxQueryBytes = 1 << 20
+	maxTopK       = 10_000
+	maxTimeout    = 10 * time.Minute
+	maxWeight     = 1000
+	maxShare      = 1000
+	maxRate       = 1e9
+	// maxHedgeBudget and maxRetryBudget bound the extra load that a kind may put on upstreams.
+	maxHedgeBudget = 0.05
+	maxRetryBudget = 0.10
+)
+
+// path is the place of a table in the text. It is written out only for an error.
+type path struct {
+	parent *path
+	name   string
+	// index in an array of tables, or -1 for a plain table.
+	index int
+}
+
+// at returns the path of element i of the array of tables name inside p.
+func (p *path) at(name string, i int) *path { return &path{parent: p, name: name, index: i} }
+
+// key returns the dotted path of a key inside p; p may be nil for the top of the text.
+func (p *path) key(name string) string {
+	if p == nil {
+		return name
+	}
+	self := p.parent.key(p.name)
+	if p.index >= 0 {
+		self += "[" + strconv.Itoa(p.index) + "]"
+	}
+	if name == "" {
+		return self
+	}
+	return self + "." + name
+}
+
+// checker builds a bundle from its raw form and keeps the first fault found.
+type checker struct {
+	err *ParseError
+	// leafIDs and addresses are those of all services, for their uniqueness.
+	leafIDs, addresses map[string]bool
+}
+
+// require notes a fault at the key inside p unless ok holds.
+func (c *checker) require(ok bool, p *path, key, reason string, args ...any) {
+	if ok || c.err != nil {
+		return
+	}
+	c.err = &ParseError{Key: p.key(key), Reason: fmt.Sprintf(reason, args...), Unworkable: true}
+}
+
+// name requires a usable name that is not yet in use.
+func (c *checker) name(p *path, key, name string, taken bool) {
+	c.require(settings.ValidName(name), p, key, "want a name of a-z, 0-9, '.' and '-', got %q", name)
+	c.require(!taken, p, key, "%q stands twice", name)
+}
+
+// within requires lo <= v <= hi; it refuses NaN.
+func (c *checker) within(p *path, key string, v, lo, hi float64) {
+	c.require(v >= lo && v <= hi, p, key, "want a number from %v to %v, got %v", lo, hi, v)
+}
+
+// bundle checks and builds the whole bundle. The result is of use only where c.err is nil.
+func (c *checker) bundle(raw *rawBundle) *Bundle {
+	c.leafIDs, c.addresses = make(map[string]bool), make(map[string]bool)
+	b := &Bundle{
+		Version:        raw.Version,
+		Limits:         raw.Limits.resolve(),
+		Callers:        make(map[string]*Caller, len(raw.Callers)),
+		Services:       make(map[string]*Service, len(raw.Services)),
+		callersByToken: make(map[Digest]*Caller, len(raw.Callers)),
+	}
+	c.require(b.Version >= 1, nil, "version", "want a version of 1 or more")
+	c.limits(b.Limits)
+	c.require(len(raw.Services) > 0, nil, "service", "no service")
+	c.require(len(raw.Callers) > 0, nil, "caller", "no caller")
+	for i := range raw.Services {
+		c.service(b, (*path)(nil).at("service", i), &raw.Services[i])
+	}
+	for i := range raw.Callers {
+		c.caller(b, (*path)(nil).at("caller", i), &raw.Callers[i])
+	}
+	return b
+}
+
+func (c *checker) limits(l Limits) {
+	p := &path{name: "limits", index: -1}
+	c.within(p, "max_query_bytes", float64(l.MaxQueryBytes), 1, maxQueryBytes)
+	c.within(p, "max_top_k", float64(l.MaxTopK), 1, maxTopK)
+	c.timeout(p, "max_timeout", l.MaxTimeout, maxTimeout)
+}
+
+func (c *checker) timeout(p *path, key string, d, limit time.Duration) {
+	c.require(d >= time.Millisecond && d <= limit, p, key, "want a duration from 1ms to %v, got %v", limit, d)
+}
--- /dev/null
+++ b/internal/bundle/dump.go
@@ -0,0 +1,80 @@
+package bundle
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// StoreDump is the state of a store as the operators' dump shows it.
+type StoreDump struct {
+	// Version is 0 where no bundle is in force.
+	Version  uint64        `json:"version"`
+	Digest   string        `json:"digest,omitempty"`
+	Parent   string        `json:"parent,omitempty"`
+	Signers  []string      `json:"signers,omitempty"`
+	Since    *time.Time    `json:"since,omitempty"`
+	Bytes    int           `json:"text_bytes"`
+	Races    []RaceDump    `json:"races,omitempty"`
+	Refusals []RefusalDump `json:"refusals,omitempty"`
+}
+
+// RaceDump names the different bundles that were seen of one version.
+type RaceDump struct {
+	Version uint64   `json:"version"`
+	Digests []string `json:"digests"`
+}
+
+// RefusalDump is the newest refusal of one reason.
+type RefusalDump struct {
+	Reason  RefusalReason `json:"reason"`
+	Version uint64        `json:"version"`
+	Digest  string        `json:"digest"`
+	Message string        `json:"message"`
+	At      time.Time     `json:"at"`
+}
+
+// Dump implements operator.Dumper. Signers are the key ids that the manifest carries, whether or
+// not each of them is a trusted reviewer's.
+func (s *Store) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var d StoreDump
+	if a := s.inForce; a != nil {
+		d.Version, d.Digest, d.Bytes = a.bundle.Version, a.bundle.Digest.String(), len(a.text)
+		if !a.parent.IsZero() {
+			d.Parent = a.parent.String()
+		}
+		for _, sig := range a.signed.GetSignatures() {
+			d.Signers = append(d.Signers, sig.GetKeyId())
+		}
+		since := a.since
+		d.Since = &since
+	}
+	for _, v := range s.seen.races() {
+		d.Races = append(d.Races, raceDump(v))
+	}
+	d.Refusals = s.refusalDumps()
+	return d
+}
+
+func raceDump(v versionDigests) RaceDump {
+	r := RaceDump{Version: v.version}
+	for _, digest := range v.digests {
+		r.Digests = append(r.Digests, digest.String())
+	}
+	slices.Sort(r.Digests)
+	return r
+}
+
+// refusalDumps returns the refusals by reason; the caller holds mu.
+func (s *Store) refusalDumps() []RefusalDump {
+	var out []RefusalDump
+	for _, r := range s.refusals {
+		out = append(out, RefusalDump{
+			Reason: r.Reason, Version: r.Version, Digest: r.Digest.String(), Message: r.Message, At: r.At,
+		})
+	}
+	slices.SortFunc(out, func(a, b RefusalDump) int { return strings.Compare(string(a.Reason), string(b.Reason)) })
+	return out
+}
--- /dev/null
+++ b/internal/bundle/history.go
@@ -0,0 +1,58 @@
+package bundle
+
+import "slices"
+
+const (
+	// historyVersions is how many versions a store remembers to notice races.
+	historyVersions = 64
+	// historyDigests is how many bundles of one version it remembers.
+	historyDigests = 16
+)
+
+// history remembers the verified bundles of recent versions, each once. Its owner guards it.
+type history struct {
+	// byVersion is ordered by version, lowest first.
+	byVersion []versionDigests
+}
+
+type versionDigests struct {
+	version uint64
+	digests []Digest
+}
+
+// add remembers a bundle and tells whether it is new and shares its version with another one.
+func (h *history) add(version uint64, d Digest) (race bool) {
+	i, found := slices.BinarySearchFunc(h.byVersion, version, func(v versionDigests, want uint64) int {
+		switch {
+		case v.version < want:
+			return -1
+		case v.version > want:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		h.byVersion = slices.Insert(h.byVersion, i, versionDigests{version, []Digest{d}})
+		if len(h.byVersion) > historyVersions {
+			h.byVersion = h.byVersion[1:]
+		}
+		return false
+	}
+	v := &h.byVersion[i]
+	if slices.Contains(v.digests, d) || len(v.digests) >= historyDigests {
+		return false
+	}
+	v.digests = append(v.digests, d)
+	return true
+}
+
+// races returns the versions that more than one bundle has, lowest first.
+func (h *history) races() []versionDigests {
+	var out []versionDigests
+	for _, v := range h.byVersion {
+		if len(v.digests) > 1 {
+			out = append(out, versionDigests{v.version, slices.Clone(v.digests)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bundle/raw.go
@@ -0,0 +1,141 @@
+package bundle
+
+import (
+	"math"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// The defaults of keys that a bundle's text may leave out.
+const (
+	defaultMaxQueryBytes = 4096
+	defaultMaxTopK       = 100
+	defaultMaxTimeout    = 10 * time.Second
+	defaultShare         = 1
+	defaultWeight        = 1
+	defaultTopK          = 10
+	defaultPartial       = PartialCoverage
+	defaultMinCoverage   = 0
+	defaultEarlyCoverage = 0.9
+	defaultEarlyAfter    = 3.0
+	defaultHedgeBudget   = 0.05
+	defaultRetryBudget   = 0.10
+)
+
+// rawBundle is a bundle's text as decoded. Pointers tell a key left out from a zero.
+type rawBundle struct {
+	Version  uint64       `toml:"version"`
+	Limits   rawLimits    `toml:"limits"`
+	Callers  []rawCaller  `toml:"caller"`
+	Services []rawService `toml:"service"`
+}
+
+// Check does nothing: the rules are checked in check.go, which knows indices.
+func (*rawBundle) Check(*settings.Checker) {}
+
+type rawLimits struct {
+	MaxQueryBytes *int               `toml:"max_query_bytes"`
+	MaxTopK       *int               `toml:"max_top_k"`
+	MaxTimeout    *settings.Duration `toml:"max_timeout"`
+}
+
+type rawCaller struct {
+	Name        string   `toml:"name"`
+	TokenSHA256 string   `toml:"token_sha256"`
+	Services    []string `toml:"services"`
+	Rate        float64  `toml:"rate"`
+	Burst       *int     `toml:"burst"`
+	Share       *int     `toml:"share"`
+}
+
+type rawService struct {
+	Name      string        `toml:"name"`
+	Kinds     []rawKind     `toml:"kind"`
+	Leaves    []rawLeaf     `toml:"leaf"`
+	Snapshots []rawSnapshot `toml:"snapshot"`
+}
+
+type rawKind struct {
+	Name          string             `toml:"name"`
+	Mode          string             `toml:"mode"`
+	Weight        *int               `toml:"weight"`
+	Timeout       *settings.Duration `toml:"timeout"`
+	TopK          *int               `toml:"top_k"`
+	Partial       *string            `toml:"partial"`
+	MinCoverage   *float64           `toml:"min_coverage"`
+	EarlyCoverage *float64           `toml:"early_coverage"`
+	EarlyAfter    *float64           `toml:"early_after"`
+	HedgeBudget   *float64           `toml:"hedge_budget"`
+	RetryBudget   *float64           `toml:"retry_budget"`
+}
+
+type rawLeaf struct {
+	ID          string `toml:"id"`
+	Zone        string `toml:"zone"`
+	Address     string `toml:"address"`
+	Slots       int    `toml:"slots"`
+	Connections int    `toml:"connections"`
+}
+
+type rawSnapshot struct {
+	Version uint64     `toml:"version"`
+	Shards  []rawShard `toml:"shard"`
+}
+
+type rawShard struct {
+	ID        *uint32  `toml:"id"`
+	Documents uint64   `toml:"documents"`
+	Leaves    []string `toml:"leaves"`
+}
+
+// or returns *p, or the default where the key was left out.
+func or[T any](p *T, def T) T {
+	if p == nil {
+		return def
+	}
+	return *p
+}
+
+func (r *rawLimits) resolve() Limits {
+	return Limits{
+		MaxQueryBytes: or(r.MaxQueryBytes, defaultMaxQueryBytes),
+		MaxTopK:       or(r.MaxTopK, defaultMaxTopK),
+		MaxTimeout:    or(r.MaxTimeout, settings.Duration(defaultMaxTimeout)).D(),
+	}
+}
+
+// resolve leaves the token to the check, which must name its line.
+func (r *rawCaller) resolve() *Caller {
+	return &Caller{
+		Name:     r.Name,
+		Services: r.Services,
+		Rate:     r.Rate,
+		Burst:    or(r.Burst, max(1, int(math.Ceil(min(r.Rate, math.MaxInt32))))),
+		Share:    or(r.Share, defaultShare),
+	}
+}
+
+func (r *rawKind) resolve() *Kind {
+	k := &Kind{
+		Name:    r.Name,
+		Mode:    Mode(r.Mode),
+		Weight:  or(r.Weight, defaultWeight),
+		Timeout: or(r.Timeout, 0).D(),
+	}
+	if k.Mode == ModeOrder {
+		return k
+	}
+	k.TopK = or(r.TopK, defaultTopK)
+	k.Partial = Partial(or(r.Partial, string(defaultPartial)))
+	k.MinCoverage = or(r.MinCoverage, defaultMinCoverage)
+	k.EarlyCoverage = or(r.EarlyCoverage, max(defaultEarlyCoverage, k.MinCoverage))
+	k.EarlyAfter = or(r.EarlyAfter, defaultEarlyAfter)
+	k.HedgeBudget = or(r.HedgeBudget, defaultHedgeBudget)
+	k.RetryBudget = or(r.RetryBudget, defaultRetryBudget)
+	return k
+}
+
+func (r *rawLeaf) resolve() *Leaf {
+	return &Leaf{ID: r.ID, Zone: r.Zone, Address: r.Address, Slots: r.Slots, Connections: r.Connections}
+}
--- /dev/null
+++ b/internal/bundle/store.go
@@ -0,0 +1,216 @@
+package bundle
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// Store holds the bundle in force. Bundles are ordered by version, then digest; the store only
+// ever moves up that order, so all stores that saw the same bundles hold the same one, whatever the
+// order of arrival. It is safe for concurrent use.
+type Store struct {
+	metrics *metrics
+	now     func() time.Time
+	// verify checks a manifest; it is set at the start.
+	verify func(*pb.SignedManifest) (*pb.Manifest, Digest, error)
+
+	// applying serializes Apply, so that parsing doesn't hold mu.
+	applying sync.Mutex
+
+	mu sync.Mutex
+	// inForce is nil until the first bundle; guarded by mu.
+	inForce *accepted
+	// changed is closed and replaced at each change; guarded by mu.
+	changed chan struct{}
+	// seen remembers the bundles of recent versions; guarded by mu.
+	seen history
+	// refusals holds the newest refusal of each reason; guarded by mu.
+	refusals map[RefusalReason]Refusal
+	// last is the reason of the newest refusal, empty for none; guarded by mu.
+	last RefusalReason
+}
+
+// accepted is a bundle in force with what it came from. It is immutable.
+type accepted struct {
+	bundle *Bundle
+	signed *pb.SignedManifest
+	parent Digest
+	text   []byte
+	since  time.Time
+}
+
+// Refusal is a bundle that was not applied.
+type Refusal struct {
+	Reason  RefusalReason
+	Version uint64
+	Digest  Digest
+	Message string
+	At      time.Time
+}
+
+// NewStore returns an empty store that applies only what the trust verifies. Its metrics go to reg
+// unless that is nil.
+func NewStore(trust Trust, reg prometheus.Registerer) *Store {
+	return newStore(reg, func(s *pb.SignedManifest) (*pb.Manifest, Digest, error) { return Verify(s, trust) })
+}
+
+// NewFollowerStore returns an empty store for a process that takes its bundles from the
+// burdock-sync of its own VM, which has verified the signatures.
+func NewFollowerStore(reg prometheus.Registerer) *Store {
+	return newStore(reg, func(s *pb.SignedManifest) (*pb.Manifest, Digest, error) {
+		d := ManifestDigest(s.GetManifest())
+		m, err := decodeManifest(s.GetManifest())
+		if err != nil {
+			err.Digest = d
+			return nil, d, err
+		}
+		return m, d, nil
+	})
+}
+
+func newStore(reg prometheus.Registerer, verify func(*pb.SignedManifest) (*pb.Manifest, Digest, error)) *Store {
+	return &Store{
+		metrics:  newMetrics(reg),
+		now:      time.Now,
+		verify:   verify,
+		changed:  make(chan struct{}),
+		refusals: make(map[RefusalReason]Refusal),
+	}
+}
+
+// Apply verifies and checks a bundle and puts it in force if it is higher than the one in force.
+// It returns nil for the bundle that is in force already, else a *RefusedError, with the bundle in
+// force left as it was.
+func (s *Store) Apply(signed *pb.SignedManifest, text []byte) error {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	err := s.apply(signed, text)
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		s.note(refused)
+	}
+	return err
+}
+
+func (s *Store) apply(signed *pb.SignedManifest, text []byte) error {
+	m, d, err := s.verify(signed)
+	if err != nil {
+		return err
+	}
+	s.noteRace(m.GetVersion(), d)
+	if known, err := s.compare(m.GetVersion(), d); known || err != nil {
+		return err
+	}
+	b, err := open(m, d, text)
+	if err != nil {
+		return err
+	}
+	var parent Digest
+	copy(parent[:], m.GetParent())
+	s.put(&accepted{bundle: b, signed: signed, parent: parent, text: text, since: s.now()})
+	return nil
+}
+
+// compare tells whether the bundle is the one in force, and refuses one that is lower.
+func (s *Store) compare(version uint64, d Digest) (known bool, err error) {
+	cur := s.Current()
+	switch {
+	case cur == nil || version > cur.Version:
+		return false, nil
+	case version < cur.Version:
+		err = fmt.Errorf("version %d is in force", cur.Version)
+		return false, &RefusedError{Reason: RefusedOlder, Version: version, Digest: d, cause: err}
+	}
+	switch bytes.Compare(d[:], cur.Digest[:]) {
+	case 0:
+		return true, nil
+	case 1:
+		return false, nil
+	}
+	err = fmt.Errorf("another bundle of the version, with the higher digest %s, is in force", cur.Digest)
+	return false, &RefusedError{Reason: RefusedRace, Version: version, Digest: d, cause: err}
+}
+
+// put puts a bundle in force and wakes those who wait for a change.
+func (s *Store) put(a *accepted) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.inForce; p != nil && p.bundle.Version+1 == a.bundle.Version && p.bundle.Digest != a.parent {
+		s.metrics.orphaned.Inc()
+	}
+	s.inForce = a
+	s.metrics.version.Set(float64(a.bundle.Version))
+	s.metrics.applied.Inc()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// noteRace remembers a verified bundle and counts it if another one has its version.
+func (s *Store) noteRace(version uint64, d Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen.add(version, d) {
+		s.metrics.races.Inc()
+	}
+}
+
+// note keeps a refusal for the dump.
+func (s *Store) note(e *RefusedError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.metrics.refused.WithLabelValues(string(e.Reason)).Inc()
+	s.refusals[e.Reason] = Refusal{Reason: e.Reason, Version: e.Version, Digest: e.Digest, Message: e.cause.Error(), At: s.now()}
+	s.last = e.Reason
+}
+
+// Current returns the bundle in force, or nil.
+func (s *Store) Current() *Bundle {
+	if a := s.accepted(); a != nil {
+		return a.bundle
+	}
+	return nil
+}
+
+// Manifest returns the signed manifest of the bundle in force, or nil. It must not be changed.
+func (s *Store) Manifest() *pb.SignedManifest {
+	if a := s.accepted(); a != nil {
+		return a.signed
+	}
+	return nil
+}
+
+// Text returns the text of the bundle in force, or nil. It must not be changed.
+func (s *Store) Text() []byte {
+	if a := s.accepted(); a != nil {
+		return a.text
+	}
+	return nil
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// LastRefusal returns the newest refusal and whether there was one.
+func (s *Store) LastRefusal() (Refusal, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.refusals[s.last]
+	return r, ok
+}
+
+func (s *Store) accepted() *accepted {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inForce
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,7 +80,7 @@
 	if c.key == "" {
 		return nil
 	}
-	return &Error{File: file, Line: lineOf(data, c.key), Key: c.key, Reason: c.reason}
+	return &Error{File: file, Line: LineOf(data, c.key), Key: c.key, Reason: c.reason}
 }
 
 // decodeError finds line and key in the errors of the TOML library.
