--- /dev/null
+++ b/internal/gather/balancers.go
@@ -0,0 +1,91 @@
+package gather
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/subset"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// refreshEvery is how often the leaves' incarnations are told to the balancers.
+const refreshEvery = 100 * time.Millisecond
+
+// Balancers keeps one balancer for each service.
+type Balancers struct {
+	clock  balance.Clock
+	random balance.Random
+	states func(leaf string) (upstream.State, bool)
+
+	mu sync.Mutex
+	// byService is guarded by mu.
+	byService map[string]balance.Replicas
+}
+
+// NewBalancers returns an empty set.
+func NewBalancers(clock balance.Clock, random balance.Random, states func(string) (upstream.State, bool)) *Balancers {
+	return &Balancers{clock: clock, random: random, states: states, byService: make(map[string]balance.Replicas)}
+}
+
+// For returns the balancer of a service, made at the first use.
+func (b *Balancers) For(service string) balance.Replicas {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.byService[service]
+	if r == nil {
+		r = balance.New(b.clock, b.random)
+		b.byService[service] = r
+	}
+	return r
+}
+
+// Run tells the balancers of slots, sharers and incarnations until ctx ends.
+func (b *Balancers) Run(ctx context.Context, source feed.Source) error {
+	t := time.NewTicker(refreshEvery)
+	defer t.Stop()
+	for {
+		changed := source.Changed()
+		v := source.Current()
+		b.capacities(v)
+		for wait := true; wait; {
+			b.incarnations(v)
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+				wait = false
+			case <-t.C:
+			}
+		}
+	}
+}
+
+func (b *Balancers) capacities(v *feed.View) {
+	if v.Bundle == nil {
+		return
+	}
+	for _, s := range v.Bundle.Services {
+		plan := subset.For(s, v.Zone, v.VMs)
+		r := b.For(s.Name)
+		for id, l := range s.Leaves {
+			r.SetCapacity(id, l.Slots, max(plan.Sharers, 1))
+		}
+	}
+}
+
+func (b *Balancers) incarnations(v *feed.View) {
+	if v.Bundle == nil {
+		return
+	}
+	for _, s := range v.Bundle.Services {
+		r := b.For(s.Name)
+		for id := range s.Leaves {
+			if st, ok := b.states(id); ok && st.Incarnation != 0 {
+				r.SetIncarnation(id, st.Incarnation)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/gather/door.go
@@ -0,0 +1,152 @@
+package gather
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+const (
+	// drainRetry is told to requests refused while draining: another gather takes them at once.
+	drainRetry = 50 * time.Millisecond
+	// pausedRetry is told to requests refused before fresh news came.
+	pausedRetry = 250 * time.Millisecond
+	// maxRequestID bounds the length of a request id in bytes.
+	maxRequestID = 128
+)
+
+// Door decides which requests come in, and counts those that run. It is safe for concurrent use.
+type Door struct {
+	source     feed.Source
+	bundleWait time.Duration
+
+	mu sync.Mutex
+	// draining is true once no new work is taken; running counts the requests inside; idle is
+	// closed when draining finds none running. All are guarded by mu.
+	draining bool
+	running  int
+	idle     chan struct{}
+}
+
+// NewDoor returns an open door.
+func NewDoor(source feed.Source, bundleWait time.Duration) *Door {
+	return &Door{source: source, bundleWait: bundleWait, idle: make(chan struct{})}
+}
+
+// Enter lets a request for new work in, or says why not; nothing has been sent then. The function
+// returned must be called at the request's end.
+func (d *Door) Enter(ctx context.Context, id *pb.Identity, service string) (leave func(), err error) {
+	return d.enter(ctx, id, service, false)
+}
+
+// EnterOrder is Enter for an order, which may be the resend of one whose outcome is recorded. While
+// draining it is let in; the keeper of orders refuses what has not run.
+func (d *Door) EnterOrder(ctx context.Context, id *pb.Identity, service string) (leave func(), err error) {
+	return d.enter(ctx, id, service, true)
+}
+
+func (d *Door) enter(ctx context.Context, id *pb.Identity, service string, order bool) (func(), error) {
+	if !d.begin(order) {
+		return nil, outcome.NotRun(pb.Reason_REASON_DRAINING, Step, "the gather is draining").After(drainRetry)
+	}
+	if err := d.check(ctx, id, service, order); err != nil {
+		d.end()
+		return nil, err
+	}
+	var once sync.Once
+	return func() { once.Do(d.end) }, nil
+}
+
+func (d *Door) begin(order bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining && !order {
+		return false
+	}
+	d.running++
+	return true
+}
+
+func (d *Door) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running--
+	d.closeIdle()
+}
+
+func (d *Door) closeIdle() {
+	if !d.draining || d.running > 0 {
+		return
+	}
+	select {
+	case <-d.idle:
+	default:
+		close(d.idle)
+	}
+}
+
+// check identifies the request by the bundle in force.
+func (d *Door) check(ctx context.Context, id *pb.Identity, service string, order bool) error {
+	if n := len(id.GetRequestId()); n == 0 || n > maxRequestID {
+		return outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, Step, "want a request id of 1 to %d bytes", maxRequestID)
+	}
+	if !order && !d.source.Fresh() {
+		return outcome.NotRun(pb.Reason_REASON_PAUSED, Step, "no fresh news of the fleet").After(pausedRetry)
+	}
+	b, err := d.bundle(ctx, id.GetBundleVersion())
+	if err != nil {
+		return err
+	}
+	caller := b.Callers[id.GetCaller()]
+	if caller == nil {
+		return outcome.NotRun(pb.Reason_REASON_UNAUTHENTICATED, Step, "no such caller in bundle %d", b.Version)
+	}
+	if !caller.MayUse(service) {
+		return outcome.NotRun(pb.Reason_REASON_UNKNOWN_SERVICE, Step, "no such service for the caller")
+	}
+	return nil
+}
+
+// bundle returns the bundle in force once it is at least as new as the entry's. An entry with an
+// older bundle is served by this gather's newer one.
+func (d *Door) bundle(ctx context.Context, version uint64) (*bundle.Bundle, error) {
+	wait := time.NewTimer(d.bundleWait)
+	defer wait.Stop()
+	for {
+		changed := d.source.Changed()
+		b := d.source.Current().Bundle
+		if b != nil && b.Version >= version {
+			return b, nil
+		}
+		select {
+		case <-changed:
+		case <-wait.C:
+			return nil, outcome.NotRun(pb.Reason_REASON_NO_BUNDLE, Step, "bundle %d isn't in force here yet", version).After(pausedRetry)
+		case <-ctx.Done():
+			return nil, outcome.Classify(ctx.Err(), pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, Step)
+		}
+	}
+}
+
+// Close lets no new work in.
+func (d *Door) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = true
+	d.closeIdle()
+}
+
+// Idle is closed when the door is closed and no request is inside.
+func (d *Door) Idle() <-chan struct{} { return d.idle }
+
+// state returns what the dump shows.
+func (d *Door) state() (draining bool, running int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining, d.running
+}
--- /dev/null
+++ b/internal/gather/service.go
@@ -0,0 +1,93 @@
+package gather
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// Step names this duty in outcomes.
+const Step = "gather.service"
+
+// Searcher answers searches; *search.Engine does.
+type Searcher interface {
+	Search(ctx context.Context, identity *pb.Identity, req *pb.SearchRequest) (*pb.SearchResponse, error)
+}
+
+// Orders issues tickets and executes orders.
+type Orders interface {
+	IssueTicket(context.Context, *pb.GatherIssueTicketRequest) (*pb.GatherIssueTicketResponse, error)
+	Order(context.Context, *pb.GatherOrderRequest) (*pb.GatherOrderResponse, error)
+}
+
+// Service implements GatherService. Each request passes the door first.
+type Service struct {
+	door    *Door
+	search  Searcher
+	orders  Orders
+	metrics *Metrics
+}
+
+var _ burdockv1connect.GatherServiceHandler = (*Service)(nil)
+
+// NewService returns a service that takes requests as its door allows.
+func NewService(door *Door, s Searcher, o Orders, m *Metrics) *Service {
+	return &Service{door: door, search: s, orders: o, metrics: m}
+}
+
+// Search implements GatherService.
+func (s *Service) Search(ctx context.Context, req *pb.GatherSearchRequest) (*pb.GatherSearchResponse, error) {
+	id := req.GetIdentity()
+	leave, err := s.door.Enter(ctx, id, req.GetSearch().GetService())
+	if err != nil {
+		return nil, s.refuse(err, id)
+	}
+	defer leave()
+	a, err := s.search.Search(ctx, id, req.GetSearch())
+	if err != nil {
+		return nil, s.refuse(err, id)
+	}
+	return &pb.GatherSearchResponse{Identity: id, Search: a}, nil
+}
+
+// IssueTicket implements GatherService.
+func (s *Service) IssueTicket(ctx context.Context, req *pb.GatherIssueTicketRequest) (*pb.GatherIssueTicketResponse, error) {
+	id := req.GetIdentity()
+	leave, err := s.door.Enter(ctx, id, req.GetTicket().GetService())
+	if err != nil {
+		return nil, s.refuse(err, id)
+	}
+	defer leave()
+	res, err := s.orders.IssueTicket(ctx, req)
+	if err != nil {
+		return nil, s.refuse(err, id)
+	}
+	return res, nil
+}
+
+// Order implements GatherService. A resend whose outcome is recorded is answered while draining
+// too, so the door only checks who asks; whether the order may run is up to its keeper.
+func (s *Service) Order(ctx context.Context, req *pb.GatherOrderRequest) (*pb.GatherOrderResponse, error) {
+	id := req.GetIdentity()
+	leave, err := s.door.EnterOrder(ctx, id, req.GetOrder().GetService())
+	if err != nil {
+		return nil, s.refuse(err, id)
+	}
+	defer leave()
+	res, err := s.orders.Order(ctx, req)
+	if err != nil {
+		return nil, s.refuse(err, id)
+	}
+	return res, nil
+}
+
+// refuse makes the connect error of an outcome.
+func (s *Service) refuse(err error, id *pb.Identity) *connect.Error {
+	e := outcome.Classify(err, pb.OutcomeKind_OUTCOME_KIND_FAILED, Step)
+	s.metrics.refused.WithLabelValues(outcome.KindName(e.Kind), outcome.ReasonName(e.Reason)).Inc()
+	return outcome.ToConnect(e, id.GetRequestId())
+}
--- /dev/null
+++ b/internal/gather/settings.go
@@ -0,0 +1,90 @@
+// Package gather is the duty of burdock-gather towards the entries: it identifies requests, hands
+// searches to the engine and orders to their keeper, and drains in order.
+package gather
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/quarantine"
+	"github.com/burdockplank/burdockplank/internal/search"
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// Settings of burdock-gather.
+type Settings struct {
+	VM         settings.VM         `toml:"vm"`
+	Operator   settings.Operator   `toml:"operator"`
+	Log        settings.Log        `toml:"log"`
+	Gather     Listen              `toml:"gather"`
+	Sync       Sync                `toml:"sync"`
+	Drain      Drain               `toml:"drain"`
+	Search     search.Settings     `toml:"search"`
+	Quarantine quarantine.Settings `toml:"quarantine"`
+}
+
+// Listen is the table [gather].
+type Listen struct {
+	// Port on vm.bind for entries and other gathers.
+	Port int `toml:"port"`
+	// BundleWait is how long a request waits for a bundle that its entry holds and this gather
+	// doesn't yet.
+	BundleWait settings.Duration `toml:"bundle_wait"`
+}
+
+// Sync is the table [sync].
+type Sync struct {
+	// Address of the VM's own sync; vm.bind and the default port where it is empty.
+	Address string `toml:"address"`
+}
+
+// Drain is the table [drain].
+type Drain struct {
+	// Notice is how long after the other VMs were told a draining gather still listens for the
+	// requests of entries that haven't heard it yet; it refuses them as not run.
+	Notice settings.Duration `toml:"notice"`
+	// Limit bounds the drain.
+	Limit settings.Duration `toml:"limit"`
+}
+
+// DefaultSettings returns the defaults. VM id, zone and bind have none.
+func DefaultSettings() Settings {
+	return Settings{
+		Operator:   settings.Operator{Listen: net.JoinHostPort("127.0.0.1", strconv.Itoa(settings.DefaultGatherOperatorPort))},
+		Log:        settings.Log{Level: "info"},
+		Gather:     Listen{Port: settings.DefaultGatherPort, BundleWait: settings.Duration(200 * time.Millisecond)},
+		Drain:      Drain{Notice: settings.Duration(2 * time.Second), Limit: settings.Duration(30 * time.Second)},
+		Search:     search.DefaultSettings(),
+		Quarantine: quarantine.DefaultSettings(),
+	}
+}
+
+// Check implements settings.Checked.
+func (s *Settings) Check(c *settings.Checker) {
+	s.VM.Check(c)
+	s.Operator.Check(c)
+	s.Log.Check(c)
+	settings.CheckPort(c, "gather.port", s.Gather.Port)
+	c.Require(s.Gather.BundleWait.D() >= 0 && s.Gather.BundleWait.D() <= 10*time.Second, "gather.bundle_wait", "want 0s to 10s, got %s", s.Gather.BundleWait.D())
+	if s.Sync.Address != "" {
+		settings.CheckHostPort(c, "sync.address", s.Sync.Address)
+	}
+	c.Require(s.Drain.Notice.D() >= 0, "drain.notice", "want 0s or more, got %s", s.Drain.Notice.D())
+	c.Require(s.Drain.Limit.D() > s.Drain.Notice.D(), "drain.limit", "want more than drain.notice, got %s", s.Drain.Limit.D())
+	s.Search.Check(c)
+	s.Quarantine.Check(c)
+}
+
+// SyncAddress returns where the VM's own sync listens.
+func (s *Settings) SyncAddress() string {
+	if s.Sync.Address != "" {
+		return s.Sync.Address
+	}
+	return net.JoinHostPort(s.VM.Bind, strconv.Itoa(settings.DefaultSyncPort))
+}
+
+// ListenAddress returns where entries and other gathers connect.
+func (s *Settings) ListenAddress() string {
+	return net.JoinHostPort(s.VM.Bind, strconv.Itoa(s.Gather.Port))
+}
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,70 @@
+package quarantine
+
+import (
+	"time"
+)
+
+// crashID names one crash; the same crash seen by several VMs counts once.
+type crashID struct {
+	leaf        string
+	incarnation uint64
+}
+
+// crash is evidence that a request was in flight at a crash.
+type crash struct {
+	crashID
+	// at is when it arose, by the local clock.
+	at time.Time
+	// alone is true where no other unproven request was in flight there from the VM that saw it.
+	alone bool
+}
+
+// suspect is what is known against one request.
+type suspect struct {
+	digest  uint64
+	crashes []crash
+	// renewed is when evidence was last told to the other VMs again because the request came again.
+	renewed time.Time
+}
+
+// add takes in a crash and tells whether it is news. Of one crash the youngest age counts.
+func (s *suspect) add(c crash) bool {
+	for i := range s.crashes {
+		if s.crashes[i].crashID == c.crashID {
+			if c.at.After(s.crashes[i].at) {
+				s.crashes[i].at = c.at
+			}
+			return false
+		}
+	}
+	if len(s.crashes) >= maxEvidence {
+		return false
+	}
+	s.crashes = append(s.crashes, c)
+	return true
+}
+
+// latest returns when the youngest evidence arose.
+func (s *suspect) latest() time.Time {
+	var t time.Time
+	for i := range s.crashes {
+		if s.crashes[i].at.After(t) {
+			t = s.crashes[i].at
+		}
+	}
+	return t
+}
+
+// quarantined tells whether the request is to be refused.
+func (s *suspect) quarantined() bool { return len(s.crashes) >= crashesToQuarantine }
+
+// drop removes a crash that proved to be none.
+func (s *suspect) drop(id crashID) {
+	kept := s.crashes[:0]
+	for _, c := range s.crashes {
+		if c.crashID != id {
+			kept = append(kept, c)
+		}
+	}
+	s.crashes = kept
+}
--- /dev/null
+++ b/internal/quarantine/registry.go
@@ -0,0 +1,197 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// Standing says how a request may run.
+type Standing int
+
+// The standings of a request, from the freest on.
+const (
+	// Proven: a leaf has answered it; it may run on all shards at once.
+	Proven Standing = iota
+	// Unproven: no leaf has answered it yet, and by the settings it may run on all shards at once.
+	Unproven
+	// FirstRun: it runs on one leaf first.
+	FirstRun
+	// Suspect: it was in flight at one crash; it runs on one leaf first, beside no other unproven
+	// request, and is not hedged.
+	Suspect
+	// Quarantined: it is refused.
+	Quarantined
+)
+
+var standingNames = [...]string{"proven", "unproven", "first_run", "suspect", "quarantined"}
+
+// String returns the name used in metrics.
+func (s Standing) String() string { return standingNames[s] }
+
+// States returns what is known of a leaf; upstream.Caller has it.
+type States func(leaf string) (upstream.State, bool)
+
+// Registry holds the evidence of one gather and what it has heard of others'. It is safe for
+// concurrent use.
+type Registry struct {
+	settings Settings
+	reporter feed.Reporter
+	states   States
+	clock    func() time.Time
+	metrics  *Metrics
+
+	mu sync.Mutex
+	// suspects by digest, proven, lost and the leaves of the gate are guarded by mu.
+	suspects map[uint64]*suspect
+	proven   *proven
+	// unsure holds losses of connections of which it isn't known yet whether the leaf crashed.
+	unsure []loss
+	leaves map[string]*leaf
+}
+
+// loss is a connection lost with an unproven request in flight.
+type loss struct {
+	digest uint64
+	crash
+	seen time.Time
+}
+
+// New returns a registry without evidence.
+func New(s Settings, reporter feed.Reporter, states States, clock func() time.Time, m *Metrics) *Registry {
+	return &Registry{
+		settings: s, reporter: reporter, states: states, clock: clock, metrics: m,
+		suspects: make(map[uint64]*suspect), proven: newProven(s.Remembered),
+		leaves: make(map[string]*leaf),
+	}
+}
+
+// Standing says how the request may run now. For a quarantined one it also says when to come back;
+// asking renews its evidence.
+func (r *Registry) Standing(k Key) (Standing, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	s := r.suspects[k.Digest]
+	if s != nil && r.agedOut(s, now) {
+		delete(r.suspects, k.Digest)
+		s = nil
+	}
+	if s != nil && s.quarantined() {
+		r.renew(s, now)
+		return Quarantined, r.settings.Age.D()
+	}
+	at, answered := r.proven.since(k.Proof)
+	switch {
+	case s != nil && len(s.crashes) > 0 && !(answered && at.After(s.latest())):
+		return Suspect, 0
+	case answered:
+		return Proven, 0
+	case r.settings.FirstRun == ModeAlways, r.settings.FirstRun == ModeEvidence && len(r.suspects) > 0:
+		return FirstRun, 0
+	}
+	return Unproven, 0
+}
+
+func (r *Registry) agedOut(s *suspect, now time.Time) bool {
+	return now.Sub(s.latest()) > r.settings.Age.D()
+}
+
+// renew makes the evidence young again, here at once and at the other VMs now and then, so that a
+// request that keeps coming stays refused.
+func (r *Registry) renew(s *suspect, now time.Time) {
+	for i := range s.crashes {
+		s.crashes[i].at = now
+	}
+	if now.Sub(s.renewed) < r.settings.Age.D()/renewals {
+		return
+	}
+	s.renewed = now
+	for _, c := range s.crashes {
+		r.tell(s.digest, c, now)
+	}
+}
+
+// renewals is how often in the age of evidence it is told again.
+const renewals = 4
+
+func (r *Registry) tell(digest uint64, c crash, now time.Time) {
+	r.reporter.ReportCrash(crashMessage(digest, c, now))
+}
+
+// Prove notes that a leaf has answered the request and so outlived it.
+func (r *Registry) Prove(k Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.proven.add(k.Proof, r.clock())
+}
+
+// LostProven notes that a proven request was in flight when a connection was lost. That is no
+// evidence against it, but its next run is on one leaf first.
+func (r *Registry) LostProven(k Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.proven.forget(k.Proof)
+}
+
+// LostUnproven notes that a request which no leaf has answered was in flight when the connection to
+// a leaf was lost. It counts against the request at once; where the leaf turns out to have lived on
+// it is taken back.
+func (r *Registry) LostUnproven(digest uint64, leaf string, incarnation uint64, alone bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	r.lose(leaf, now)
+	c := crash{crashID: crashID{leaf, incarnation}, at: now, alone: alone}
+	if !r.suspect(digest, now).add(c) {
+		return
+	}
+	r.metrics.suspicions.WithLabelValues("own").Inc()
+	r.unsure = append(r.unsure, loss{digest: digest, crash: c, seen: now})
+	r.settle(now)
+}
+
+// LostLeaf notes that a connection to the leaf broke.
+func (r *Registry) LostLeaf(leaf string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lose(leaf, r.clock())
+}
+
+// suspect returns the entry of a digest, made where there is none.
+func (r *Registry) suspect(digest uint64, now time.Time) *suspect {
+	s := r.suspects[digest]
+	if s != nil && !r.agedOut(s, now) {
+		return s
+	}
+	if len(r.suspects) >= maxSuspects {
+		r.dropOldest()
+	}
+	s = &suspect{digest: digest}
+	r.suspects[digest] = s
+	return s
+}
+
+func (r *Registry) dropOldest() {
+	var oldest *suspect
+	for _, s := range r.suspects {
+		if oldest == nil || s.latest().Before(oldest.latest()) {
+			oldest = s
+		}
+	}
+	if oldest != nil {
+		delete(r.suspects, oldest.digest)
+	}
+}
+
+func crashMessage(digest uint64, c crash, now time.Time) *pb.Crash {
+	return &pb.Crash{
+		RequestDigest: digest, Leaf: c.leaf, Incarnation: c.incarnation,
+		Age: durationpb.New(now.Sub(c.at)), Alone: c.alone,
+	}
+}
--- /dev/null
+++ b/internal/search/calls.go
@@ -0,0 +1,256 @@
+package search
+
+import (
+	"errors"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// event is the end of one call.
+type event struct {
+	shard  int
+	leaf   string
+	answer *pb.LeafSearchResponse
+	// failure is set where answer is nil.
+	failure failure
+	// wrote is true where a byte may have reached the leaf.
+	wrote bool
+	// trial is true for a call of the first run.
+	trial bool
+}
+
+// launch sends a call for the shard. gate names the leaf whose gate the call has to leave.
+func (r *run) launch(i int, call balance.Call, gate string) {
+	s := &r.shards[i]
+	s.active++
+	s.tries++
+	s.peer = call.Leaf()
+	s.tried = append(s.tried, call.Leaf())
+	s.hedgeAt = time.Now().Add(r.q.replicas.HedgeAfter(s.replicas))
+	r.active++
+	r.e.metrics.calls.WithLabelValues(r.q.service.Name).Inc()
+	r.e.calls.Add(1)
+	go r.call(i, s.asked, call, gate)
+}
+
+// call asks a leaf and hands the end to the run, or drops it where the run has ended.
+func (r *run) call(i int, asked *pb.LeafSearchRequest, call balance.Call, gate string) {
+	defer r.e.calls.Done()
+	leaf := call.Leaf()
+	got, err := r.e.caller.Search(r.ctx, leaf, asked)
+	ev := r.judge(asked, leaf, got, err)
+	ev.shard, ev.trial = i, gate != ""
+	result := balance.ResultOK
+	if ev.answer == nil {
+		result = failures[ev.failure].result
+	} else {
+		r.q.replicas.Report(leaf, got.GetLoad())
+	}
+	call.Done(result)
+	r.noteLoss(ev.failure, leaf, err, gate)
+	r.q.state.waiting.freed(leaf)
+	select {
+	case r.events <- ev:
+	case <-r.over:
+		if ev.answer != nil {
+			r.e.metrics.late.WithLabelValues(r.q.service.Name, r.q.kind.Name).Inc()
+		}
+	}
+}
+
+// judge turns the end of a call into an event; only an answer that matches its question counts.
+func (r *run) judge(asked *pb.LeafSearchRequest, leaf string, got *pb.LeafSearchResponse, err error) event {
+	if err != nil {
+		f := classify(r.ctx, err)
+		var ce *upstream.CallError
+		wrote := !errors.As(err, &ce) || ce.Wrote
+		return event{leaf: leaf, failure: f, wrote: wrote}
+	}
+	if m := check(asked, r.q.digest, got); m != MismatchNone {
+		r.e.metrics.mismatches.WithLabelValues(r.q.service.Name, string(m)).Inc()
+		return event{leaf: leaf, failure: failMismatch, wrote: true}
+	}
+	return event{leaf: leaf, answer: got, wrote: true}
+}
+
+// noteLoss tells the guard of a lost connection, and leaves the gate.
+func (r *run) noteLoss(f failure, leaf string, err error, gate string) {
+	alone := false
+	if gate != "" {
+		alone = r.e.guard.Leave(gate)
+	}
+	if f != failLost || err == nil {
+		return
+	}
+	if r.outlived.Load() {
+		r.e.guard.LostProven(r.key)
+		r.e.guard.LostLeaf(leaf)
+		return
+	}
+	var ce *upstream.CallError
+	incarnation := uint64(0)
+	if errors.As(err, &ce) {
+		incarnation = ce.Incarnation
+	}
+	r.e.guard.LostUnproven(r.key.Digest, leaf, incarnation, alone)
+}
+
+// take takes in the end of a call.
+func (r *run) take(ev event) {
+	s := &r.shards[ev.shard]
+	s.active--
+	r.active--
+	r.sent = r.sent || ev.wrote
+	if ev.answer != nil {
+		r.takeAnswer(ev)
+		return
+	}
+	r.e.metrics.failures.WithLabelValues(r.q.service.Name, failures[ev.failure].name).Inc()
+	r.takeFailure(ev)
+}
+
+func (r *run) takeAnswer(ev event) {
+	if s := &r.shards[ev.shard]; s.answer == nil {
+		s.answer, s.settled, s.parked, s.placing = ev.answer, true, false, false
+		r.lastAnswer = time.Now()
+	}
+	r.release()
+}
+
+func (r *run) takeFailure(ev event) {
+	s := &r.shards[ev.shard]
+	if s.settled {
+		return
+	}
+	s.reason = failures[ev.failure].reason
+	if ev.failure == failShed {
+		s.shed++
+	}
+	if ev.failure == failSnapshot && r.dropped(ev.leaf) {
+		return
+	}
+	if failures[ev.failure].survived {
+		r.release()
+	}
+	r.react(ev)
+	if r.trial != nil && ev.trial {
+		r.trial.failed(ev)
+	}
+}
+
+// dropped notes that a leaf has dropped the snapshot; true where the query has to run again.
+func (r *run) dropped(leaf string) bool {
+	r.e.noteLacking(leaf, r.plan.snapshot.Version)
+	now := time.Now()
+	if !mayRerun(r.reruns, r.q.deadline.Sub(now), r.q.state.usual.get(), now.Sub(r.started)) {
+		return false
+	}
+	p := choose(r.q.service, r.fleet)
+	if p == nil || p.snapshot.Version == r.plan.snapshot.Version {
+		return false
+	}
+	r.again = p
+	return true
+}
+
+// react applies the rule for a failed call.
+func (r *run) react(ev event) {
+	s := &r.shards[ev.shard]
+	switch next := afterFailure(ev.failure, r.facts(s)); next {
+	case stepWait:
+	case stepGiveUp:
+		r.settle(ev.shard, s.reason, "")
+	case stepPark:
+		s.parked = true
+	default:
+		r.retry(ev.shard, next)
+	}
+}
+
+func (r *run) facts(s *shard) shardFacts {
+	return shardFacts{
+		active: s.active, tries: s.tries, sheds: s.shed, hedged: s.hedged,
+		others: len(r.candidates(s, false)), usable: len(r.candidates(s, true)),
+		outlived: r.outlived.Load(),
+	}
+}
+
+// retry asks another replica of the shard within the budget; the shard is missing otherwise.
+func (r *run) retry(i int, how step) {
+	s := &r.shards[i]
+	candidates := r.candidates(s, how == stepRetryAny)
+	if how != stepRetryFree && (len(candidates) == 0 || !r.q.replicas.AllowRetry(r.q.kind.RetryBudget)) {
+		r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
+		r.settle(i, s.reason, "")
+		return
+	}
+	call, ok := r.q.replicas.Pick(candidates)
+	if !ok {
+		r.settle(i, s.reason, "")
+		return
+	}
+	r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
+	r.launch(i, call, "")
+}
+
+// tick does what is due: hedges, and another look for slots.
+func (r *run) tick() {
+	now := time.Now()
+	for i := range r.shards {
+		if s := &r.shards[i]; !s.settled && s.active == 1 && r.outlived.Load() && !now.Before(s.hedgeAt) {
+			r.hedge(i, now)
+		}
+	}
+	r.place()
+}
+
+// hedge sends a second call beside a slow one where rule and budget allow, or looks again later.
+func (r *run) hedge(i int, now time.Time) {
+	s := &r.shards[i]
+	s.hedgeAt = now.Add(r.q.replicas.HedgeAfter(s.replicas))
+	if !mayHedge(r.facts(s)) {
+		s.hedged = true
+		return
+	}
+	if !r.q.replicas.AllowHedge(r.q.kind.HedgeBudget) {
+		r.e.metrics.hedges.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
+		return
+	}
+	call, ok := r.q.replicas.Pick(r.candidates(s, false))
+	if !ok {
+		return
+	}
+	s.hedged = true
+	r.e.metrics.hedges.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
+	r.launch(i, call, "")
+}
+
+// untilDue returns how long nothing is due.
+func (r *run) untilDue() time.Duration {
+	now := time.Now()
+	due := r.q.deadline
+	sooner := func(t time.Time) {
+		if t.Before(due) {
+			due = t
+		}
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		if !s.settled && s.active == 1 && !s.hedged && r.outlived.Load() {
+			sooner(s.hedgeAt)
+		}
+	}
+	if r.waits {
+		sooner(now.Add(placePoll))
+	}
+	if at, may := r.policy().earlyAt(); may && now.Before(r.started.Add(at)) {
+		sooner(r.started.Add(at))
+	}
+	if r.trial != nil {
+		r.trial.due(sooner)
+	}
+	return due.Sub(now)
+}
--- /dev/null
+++ b/internal/search/failure.go
@@ -0,0 +1,107 @@
+package search
+
+import (
+	"context"
+	"errors"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// failure says how a call to a leaf ended without an answer to merge.
+type failure int
+
+const (
+	// failNotSent: no byte reached the leaf.
+	failNotSent failure = iota
+	// failLost: the connection broke, as it does when the leaf crashes.
+	failLost
+	// failSilent: the connection went silent, which says nothing about the leaf.
+	failSilent
+	// failShed: the leaf refused for load.
+	failShed
+	// failDraining: the leaf is leaving.
+	failDraining
+	// failSnapshot: the leaf doesn't hold the snapshot.
+	failSnapshot
+	// failShard: the leaf doesn't hold the shard.
+	failShard
+	// failDeadline: the time ran out, here or at the leaf.
+	failDeadline
+	// failCancelled: the call was given up here.
+	failCancelled
+	// failAnswered: the leaf answered with an error.
+	failAnswered
+	// failMismatch: the answer was to another question.
+	failMismatch
+	// failOther is anything else.
+	failOther
+)
+
+// refusals maps the refusals of a leaf that didn't start the work.
+var refusals = map[pb.LeafRefusalReason]failure{
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED:          failShed,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING:      failDraining,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE: failSnapshot,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD:   failShard,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE:      failDeadline,
+}
+
+// classify sorts the error of a call; ctx is the call's own.
+func classify(ctx context.Context, err error) failure {
+	var ce *upstream.CallError
+	if !errors.As(err, &ce) {
+		ce = &upstream.CallError{Wrote: true, Err: err}
+	}
+	if f, ok := refusals[ce.Refusal]; ok {
+		return f
+	}
+	switch {
+	case ce.ConnectionSilent:
+		return failSilent
+	case ce.ConnectionLost && ctx.Err() == nil:
+		return failLost
+	case errors.Is(ctx.Err(), context.Canceled):
+		return failCancelled
+	case ctx.Err() != nil, errors.Is(ce.Err, context.DeadlineExceeded):
+		return failDeadline
+	case !ce.Wrote:
+		return failNotSent
+	case connect.IsWireError(ce.Err):
+		return failAnswered
+	}
+	return failOther
+}
+
+// failureFacts is what the rest of the system needs to know of a failure.
+type failureFacts struct {
+	name string
+	// reason stands in the coverage where the shard stays missing.
+	reason pb.Reason
+	// result goes to the balancer.
+	result balance.Result
+	// again is true where another replica may be asked.
+	again bool
+	// free is true where asking another replica costs upstreams nothing, so no budget is needed.
+	free bool
+	// survived is true where the leaf has surely run the request and lived on.
+	survived bool
+}
+
+var failures = map[failure]failureFacts{
+	failNotSent:   {name: "not_sent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true, free: true},
+	failLost:      {name: "lost", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true},
+	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultCancelled, again: true},
+	failShed:      {name: "shed", reason: pb.Reason_REASON_OVERLOAD, result: balance.ResultShed, again: true},
+	failDraining:  {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultCancelled, again: true},
+	failSnapshot:  {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultCancelled, again: true},
+	failShard:     {name: "wrong_shard", reason: pb.Reason_REASON_UPSTREAM_REFUSED, result: balance.ResultError, again: true},
+	failDeadline:  {name: "deadline", reason: pb.Reason_REASON_DEADLINE, result: balance.ResultTimeout},
+	failCancelled: {name: "cancelled", reason: pb.Reason_REASON_CANCELLED, result: balance.ResultCancelled},
+	failAnswered:  {name: "error", reason: pb.Reason_REASON_UPSTREAM_ERROR, result: balance.ResultError, again: true, survived: true},
+	failMismatch:  {name: "mismatch", reason: pb.Reason_REASON_ANSWER_MISMATCH, result: balance.ResultError, again: true},
+	failOther:     {name: "other", reason: pb.Reason_REASON_UPSTREAM_ERROR, result: balance.ResultError, again: true},
+}
--- /dev/null
+++ b/internal/search/run.go
@@ -0,0 +1,332 @@
+package search
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/quarantine"
+)
+
+// run is one scatter of a query over the shards of one snapshot. All fields but outlived belong to
+// the goroutine of loop; calls hand it their ends over the channel events.
+type run struct {
+	e       *Engine
+	q       *question
+	plan    *plan
+	fleet   fleet
+	ctx     context.Context
+	cancel  context.CancelFunc
+	started time.Time
+	reruns  int
+
+	key    quarantine.Key
+	shards []shard
+	// trial is the first run on one leaf; nil once the request may run anywhere.
+	trial *trial
+	// outlived is true once a leaf has answered the request; calls read it when they end.
+	outlived atomic.Bool
+	// released is true once all shards may be asked.
+	released bool
+
+	events chan event
+	// over is closed at the end; calls that end later are counted and dropped.
+	over chan struct{}
+	wake chan struct{}
+	// active calls in flight over all shards.
+	active int
+	// waits is true while the run is counted as waiting for a slot.
+	waits bool
+	// sent is true where a byte of the request may have reached a leaf.
+	sent bool
+	// again is the plan of another snapshot by which the query has to run again.
+	again *plan
+	// refused ends the run without an answer.
+	refused *outcome.Error
+	// early is true where the policy ended the run before its stragglers.
+	early bool
+	// lastAnswer is when the latest answer was merged.
+	lastAnswer time.Time
+}
+
+// shard is how one shard of a run stands.
+type shard struct {
+	target
+	asked  *pb.LeafSearchRequest
+	answer *pb.LeafSearchResponse
+	// settled is true once no further call will be made for it.
+	settled bool
+	reason  pb.Reason
+	peer    string
+	// parked is true where it is to be asked again once a leaf has answered the request.
+	parked bool
+	// placing is true while it waits for a slot.
+	placing             bool
+	active, tries, shed int
+	hedged              bool
+	tried               []string
+	hedgeAt             time.Time
+}
+
+func newRun(ctx context.Context, e *Engine, q *question, p *plan, reruns int) *run {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &run{
+		e: e, q: q, plan: p, fleet: e.fleet(), ctx: ctx, cancel: cancel, started: time.Now(), reruns: reruns,
+		key:    quarantine.SearchKey(q.service.Name, q.kind.Name, q.text, p.snapshot.Version, q.topK),
+		shards: make([]shard, len(p.shards)),
+		events: make(chan event), over: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
+	for i := range p.shards {
+		r.shards[i] = shard{target: p.shards[i], asked: r.ask(p.shards[i].id)}
+	}
+	return r
+}
+
+func (r *run) ask(id uint32) *pb.LeafSearchRequest {
+	return &pb.LeafSearchRequest{
+		RequestId: r.q.identity.GetRequestId(), Service: r.q.service.Name, Shard: id,
+		Snapshot: r.plan.snapshot.Version, Query: r.q.text, TopK: int32(r.q.topK),
+	}
+}
+
+// admit refuses a quarantined request, and sets whether the rest runs on one leaf first.
+func (r *run) admit() *outcome.Error {
+	standing, after := r.e.guard.Standing(r.key)
+	r.e.metrics.standings.WithLabelValues(r.q.service.Name, standing.String()).Inc()
+	switch standing {
+	case quarantine.Quarantined:
+		r.cancel()
+		return outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").After(after)
+	case quarantine.Proven:
+		r.outlived.Store(true)
+		r.released = true
+	case quarantine.Unproven:
+		r.released = true
+	default:
+		r.trial = newTrial(r, standing == quarantine.Suspect)
+	}
+	return nil
+}
+
+// loop runs the query to its end.
+func (r *run) loop() {
+	defer r.finish()
+	r.begin()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !r.ended() {
+		timer.Reset(r.untilDue())
+		select {
+		case ev := <-r.events:
+			r.take(ev)
+		case <-r.wake:
+			r.place()
+		case <-timer.C:
+			r.tick()
+		case <-r.ctx.Done():
+			r.timeUp()
+			return
+		}
+	}
+}
+
+// finish gives up what is still in flight. Its ends are taken by nobody.
+func (r *run) finish() {
+	close(r.over)
+	r.cancel()
+	r.stopWaiting()
+	r.sent = r.sent || r.active > 0
+	if !r.lastAnswer.IsZero() && r.again == nil {
+		r.q.state.usual.add(r.lastAnswer.Sub(r.started))
+	}
+}
+
+func (r *run) begin() {
+	for i := range r.shards {
+		if len(r.shards[i].replicas) == 0 {
+			r.settle(i, pb.Reason_REASON_NO_UPSTREAM, r.shards[i].known)
+		}
+	}
+	if r.released {
+		r.startAll()
+		return
+	}
+	r.trial.advance()
+}
+
+// startAll asks each shard that wasn't asked yet, and those parked once more.
+func (r *run) startAll() {
+	for i := range r.shards {
+		s := &r.shards[i]
+		switch {
+		case s.settled || s.active > 0 || s.placing:
+		case s.parked:
+			s.parked = false
+			r.retry(i, stepRetry)
+		default:
+			r.start(i)
+		}
+	}
+}
+
+// release lets the request run on all shards, for a leaf has answered it.
+func (r *run) release() {
+	if r.outlived.Swap(true) {
+		return
+	}
+	r.e.guard.Prove(r.key)
+	r.trial = nil
+	r.released = true
+	r.startAll()
+}
+
+// start places the first call of a shard, or waits for a slot.
+func (r *run) start(i int) {
+	s := &r.shards[i]
+	s.placing = false
+	candidates := r.candidates(s, false)
+	if len(candidates) == 0 {
+		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known)
+		return
+	}
+	if call, ok := r.q.replicas.Pick(candidates); ok {
+		r.launch(i, call, "")
+		return
+	}
+	if !r.wait(candidates) {
+		r.settle(i, pb.Reason_REASON_OVERLOAD, "")
+		return
+	}
+	s.placing = true
+}
+
+// candidates returns the replicas of the shard that may be asked now; those asked before too where
+// any is set.
+func (r *run) candidates(s *shard, any bool) []string {
+	list := make([]string, 0, len(s.replicas))
+	for _, l := range s.replicas {
+		if (any || !slices.Contains(s.tried, l)) && r.fleet.usable(l, r.plan.snapshot.Version) {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// wait registers for a slot of the leaves; false where too many searches wait already.
+func (r *run) wait(leaves []string) bool {
+	if !r.waits {
+		if !r.q.state.waiting.enter(r.e.settings.MaxWaiting) {
+			return false
+		}
+		r.waits = true
+	}
+	r.q.state.waiting.add(r.wake, leaves)
+	return true
+}
+
+func (r *run) stopWaiting() {
+	if !r.waits {
+		return
+	}
+	r.waits = false
+	w := r.q.state.waiting
+	w.leave()
+	for i := range r.shards {
+		w.remove(r.wake, r.shards[i].replicas)
+	}
+}
+
+// place tries again for all that waits for a slot.
+func (r *run) place() {
+	for i := range r.shards {
+		if r.shards[i].placing {
+			r.start(i)
+		}
+	}
+	if r.trial != nil {
+		r.trial.advance()
+	}
+}
+
+// settle ends a shard without an answer.
+func (r *run) settle(i int, reason pb.Reason, peer string) {
+	s := &r.shards[i]
+	s.settled, s.placing, s.parked, s.reason = true, false, false, reason
+	if peer != "" {
+		s.peer = peer
+	}
+}
+
+// ended tells whether nothing more is to be waited for.
+func (r *run) ended() bool {
+	if r.refused != nil || r.again != nil {
+		return true
+	}
+	open := false
+	for i := range r.shards {
+		open = open || !r.shards[i].settled
+	}
+	if !open {
+		return true
+	}
+	if r.stuck() {
+		return true
+	}
+	r.early = r.policy().early(time.Since(r.started), share(coverageOf(r.ends())))
+	return r.early
+}
+
+// stuck tells whether only parked shards are left, which no answer can free any more.
+func (r *run) stuck() bool {
+	if r.active > 0 || r.trial != nil {
+		return false
+	}
+	for i := range r.shards {
+		if s := &r.shards[i]; !s.settled && !s.parked {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) policy() policy {
+	k := r.q.kind
+	return policy{partial: k.Partial, earlyCoverage: k.EarlyCoverage, earlyAfter: k.EarlyAfter, usual: r.q.state.usual.get()}
+}
+
+// timeUp settles what is late when the time has run out or the caller has gone.
+func (r *run) timeUp() {
+	reason := pb.Reason_REASON_DEADLINE
+	if r.ctx.Err() == context.Canceled {
+		reason = pb.Reason_REASON_CANCELLED
+	}
+	for i := range r.shards {
+		s := &r.shards[i]
+		switch {
+		case s.settled:
+		case s.placing:
+			r.settle(i, pb.Reason_REASON_OVERLOAD, "")
+		case s.parked:
+			r.settle(i, s.reason, "")
+		default:
+			r.settle(i, reason, "")
+		}
+	}
+}
+
+// ends shows how the shards stand.
+func (r *run) ends() []shardEnd {
+	ends := make([]shardEnd, len(r.shards))
+	for i := range r.shards {
+		s := &r.shards[i]
+		reason := s.reason
+		if reason == pb.Reason_REASON_UNSPECIFIED {
+			reason = pb.Reason_REASON_DEADLINE
+		}
+		ends[i] = shardEnd{id: s.id, documents: s.documents, answer: s.answer, reason: reason, peer: s.peer}
+	}
+	return ends
+}
--- /dev/null
+++ b/internal/search/settings.go
@@ -0,0 +1,47 @@
+// Package search answers one search: it picks a snapshot, asks one replica of each shard, hedges
+// and retries within budgets, merges the best hits and says how much of the data they cover.
+package search
+
+import (
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// Settings is the table [search] of burdock-gather.
+type Settings struct {
+	// AnswerMargin is kept of the caller's time so that the answer gets back before the deadline.
+	AnswerMargin settings.Duration `toml:"answer_margin"`
+	// MaxWaiting is how many searches of a service may wait for a free slot of a leaf; more are
+	// refused.
+	MaxWaiting int `toml:"max_waiting"`
+	// RetryAfter is told to callers whose search ended for load or a lost upstream.
+	RetryAfter settings.Duration `toml:"retry_after"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		AnswerMargin: settings.Duration(15 * time.Millisecond),
+		MaxWaiting:   256,
+		RetryAfter:   settings.Duration(500 * time.Millisecond),
+	}
+}
+
+// Check refuses values out of range.
+func (s Settings) Check(c *settings.Checker) {
+	c.Require(s.AnswerMargin.D() >= 0 && s.AnswerMargin.D() <= time.Second, "search.answer_margin", "want 0s to 1s, got %s", s.AnswerMargin.D())
+	c.Require(s.MaxWaiting >= 1 && s.MaxWaiting <= 100000, "search.max_waiting", "want 1 to 100000, got %d", s.MaxWaiting)
+	c.Require(s.RetryAfter.D() >= 10*time.Millisecond && s.RetryAfter.D() <= time.Minute, "search.retry_after", "want 10ms to 1m, got %s", s.RetryAfter.D())
+}
+
+const (
+	// marginShare bounds the margin to a part of the time left, for short deadlines.
+	marginShare = 4
+	// maxTries is how often one shard is asked in one run, hedge and retries included.
+	maxTries = 4
+	// placePoll is how often a search that waits for a slot looks again by itself.
+	placePoll = 20 * time.Millisecond
+	// lacksFor is how long a leaf's refusal of a snapshot is remembered beside what it says.
+	lacksFor = 2 * time.Second
+)
--- /dev/null
+++ b/internal/search/trial.go
@@ -0,0 +1,207 @@
+package search
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/quarantine"
+)
+
+// maxFirst is how many leaves in the whole fleet may be asked first for one request, and so the
+// most that it can crash: every gather ranks the leaves alike.
+const maxFirst = 3
+
+// trial is the first run of a request that no leaf has answered yet: one leaf at a time, chosen by
+// rank among few, until one answers.
+type trial struct {
+	r *run
+	// steps are the leaves in the order in which they are asked.
+	steps []firstStep
+	// solo is true for a suspect: it runs beside no other unproven request and isn't hedged.
+	solo    bool
+	active  int
+	hedgeAt time.Time
+	// last is the end of the latest call that failed.
+	last failure
+	peer string
+}
+
+// firstStep is one leaf that may be asked first, with a shard that it holds.
+type firstStep struct {
+	leaf  string
+	shard int
+	used  bool
+}
+
+func newTrial(r *run, solo bool) *trial {
+	return &trial{r: r, solo: solo, steps: firstSteps(r)}
+}
+
+// firstSteps ranks the leaves of the snapshot and takes the best of each availability zone, the own
+// zone first.
+func firstSteps(r *run) []firstStep {
+	shardOf := make(map[string]int)
+	for i := range r.shards {
+		for _, l := range r.shards[i].replicas {
+			if _, ok := shardOf[l]; !ok {
+				shardOf[l] = i
+			}
+		}
+	}
+	zone := r.e.source.Current().Zone
+	var steps []firstStep
+	for _, l := range firstLeaves(r, zone) {
+		if i, ok := shardOf[l]; ok {
+			steps = append(steps, firstStep{leaf: l, shard: i})
+		}
+	}
+	return steps
+}
+
+// firstLeaves returns at most maxFirst leaves, those of the own availability zone in front.
+func firstLeaves(r *run, own string) []string {
+	byZone := make(map[string][]string)
+	for i := range r.shards {
+		for _, l := range r.shards[i].replicas {
+			if leaf := r.q.service.Leaves[l]; leaf != nil && !slices.Contains(byZone[leaf.Zone], l) {
+				byZone[leaf.Zone] = append(byZone[leaf.Zone], l)
+			}
+		}
+	}
+	return rankLeaves(r.key.Digest, byZone, own, r.e.guard.Held)
+}
+
+// rankLeaves takes the highest ranked leaves zone by zone. A leaf that is held keeps its place but
+// isn't asked, so that the next one in rank isn't crashed in its stead.
+func rankLeaves(digest uint64, byZone map[string][]string, own string, held func(string) bool) []string {
+	zones := make([]string, 0, len(byZone))
+	for z := range byZone {
+		zones = append(zones, z)
+	}
+	byRank := func(a, b string) int {
+		if c := cmp.Compare(quarantine.Rank(digest, b), quarantine.Rank(digest, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	}
+	slices.SortFunc(zones, byRank)
+	for _, leaves := range byZone {
+		slices.SortFunc(leaves, byRank)
+	}
+	var first, others []string
+	taken := 0
+	for place := 0; taken < maxFirst; place++ {
+		before := taken
+		for _, z := range zones {
+			if place >= len(byZone[z]) || taken >= maxFirst {
+				continue
+			}
+			taken++
+			l := byZone[z][place]
+			if held(l) {
+				continue
+			}
+			if z == own {
+				first = append(first, l)
+			} else {
+				others = append(others, l)
+			}
+		}
+		if taken == before {
+			break
+		}
+	}
+	return append(first, others...)
+}
+
+// advance asks the next leaf where it is time to, and ends the run where none is left.
+func (t *trial) advance() {
+	now := time.Now()
+	if t.active > 0 && (t.solo || now.Before(t.hedgeAt)) {
+		return
+	}
+	blocked := false
+	for i := range t.steps {
+		s := &t.steps[i]
+		if s.used || !t.r.fleet.usable(s.leaf, t.r.plan.snapshot.Version) || !t.affordable(s) {
+			continue
+		}
+		if t.ask(s) {
+			return
+		}
+		blocked = true
+	}
+	t.hedgeAt = now.Add(t.r.q.replicas.HedgeAfter(t.leaves()))
+	if t.active == 0 && !(blocked && t.r.wait(t.leaves())) {
+		t.fail(blocked)
+	}
+}
+
+// affordable tells whether asking the step costs no extra call, or the hedge budget has one: beside
+// a call in flight a step of another shard is a call that the query needs anyway.
+func (t *trial) affordable(s *firstStep) bool {
+	return t.r.shards[s.shard].active == 0 || t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget)
+}
+
+// ask sends the first call to the leaf of the step; false where there is no room for it now.
+func (t *trial) ask(s *firstStep) bool {
+	guard := t.r.e.guard
+	if !guard.Enter(s.leaf, t.solo) {
+		return false
+	}
+	call, ok := t.r.q.replicas.Pick([]string{s.leaf})
+	if !ok {
+		guard.Leave(s.leaf)
+		return false
+	}
+	s.used = true
+	t.active++
+	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter([]string{s.leaf}))
+	t.r.launch(s.shard, call, s.leaf)
+	return true
+}
+
+func (t *trial) leaves() []string {
+	list := make([]string, 0, len(t.steps))
+	for i := range t.steps {
+		list = append(list, t.steps[i].leaf)
+	}
+	return list
+}
+
+// failed goes on after a call of the first run failed.
+func (t *trial) failed(ev event) {
+	t.active--
+	t.last, t.peer = ev.failure, ev.leaf
+	if ev.failure == failLost {
+		t.solo = true
+		if standing, after := t.r.e.guard.Standing(t.r.key); standing == quarantine.Quarantined {
+			t.r.refused = outcome.Failed(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").
+				At(ev.leaf).After(after)
+			return
+		}
+	}
+	t.advance()
+}
+
+// fail ends the run where no leaf is left to be asked first.
+func (t *trial) fail(blocked bool) {
+	reason := pb.Reason_REASON_NO_UPSTREAM
+	switch {
+	case blocked:
+		reason = pb.Reason_REASON_OVERLOAD
+	case t.peer != "":
+		reason = failures[t.last].reason
+	}
+	t.r.refused = outcome.NotRun(reason, Step, "no leaf answered the first run of the request").
+		At(t.peer).After(t.r.e.settings.RetryAfter.D())
+}
+
+func (t *trial) due(sooner func(time.Time)) {
+	if t.active > 0 && !t.solo {
+		sooner(t.hedgeAt)
+	}
+}
