Take bundles from the sync through the follower store

The feed parsed bundles itself while the store was being written. Two places that decide which of two bundles is higher would drift apart, so the feed now applies them to bundle.NewFollowerStore.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -1,13 +1,10 @@
 package feed
 
 import (
-	"bytes"
-	"crypto/sha256"
+	"errors"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
@@ -16,34 +13,41 @@
 // apply makes msg the current view. A bundle that is not higher than the one held is left out, so
 // that a sync which starts anew never takes the process back.
 func (m *Manager) apply(msg *pb.View, started, now time.Time) {
+	m.applyBundle(msg)
 	old := m.Current()
 	next := *old
+	next.Bundle = m.cfg.Bundles.Current()
 	next.Heard, next.PlatformAge = now, msg.GetPlatformAge().AsDuration()
 	next.HighestVersion = max(old.HighestVersion, msg.GetHighestVersion(), msg.GetBundleVersion())
-	changed := false
 	if !msg.GetUnchanged() {
 		next.Received = now
 		next.VMs, next.Upstreams = msg.GetVms(), msg.GetUpstreams()
 		next.Departures, next.Crashes = msg.GetDepartures(), msg.GetCrashes()
-		changed = true
-	}
-	if msg.GetManifest() != nil {
-		if b, err := m.readBundle(msg); err != nil {
-			m.metrics.bundles.WithLabelValues("refused").Inc()
-			m.cfg.Log.Error("bundle of the sync refused", zap.Error(err))
-		} else if higher(b, old.Bundle) {
-			m.metrics.bundles.WithLabelValues("applied").Inc()
-			m.cfg.Log.Info("bundle in force", zap.Uint64("version", b.Version))
-			next.Bundle, changed = b, true
-		}
 	}
 	m.metrics.views.WithLabelValues(viewKind(msg)).Inc()
-	m.publish(&next, started, changed)
+	m.publish(&next, started, !msg.GetUnchanged() || next.Bundle != old.Bundle)
 	if next.Bundle != old.Bundle {
 		m.reports.wake()
 	}
 }
 
+// applyBundle puts the bundle in msg in force if it is higher than the one held.
+func (m *Manager) applyBundle(msg *pb.View) {
+	if msg.GetManifest() == nil {
+		return
+	}
+	err := m.cfg.Bundles.Apply(msg.GetManifest(), msg.GetBundleText())
+	var refused *bundle.RefusedError
+	switch {
+	case err == nil:
+		m.cfg.Log.Info("bundle in force", zap.Uint64("version", m.cfg.Bundles.Current().Version))
+	case errors.As(err, &refused) && (refused.Reason == bundle.RefusedOlder || refused.Reason == bundle.RefusedRace):
+		// A sync that started anew may still be behind this process.
+	default:
+		m.cfg.Log.Error("bundle of the sync refused", zap.Error(err))
+	}
+}
+
 // publish replaces the view and wakes those who wait for a change.
 func (m *Manager) publish(v *View, started time.Time, changed bool) {
 	m.mu.Lock()
@@ -55,32 +59,6 @@
 	}
 }
 
-// readBundle parses the bundle in msg. The sync has verified its signatures.
-func (m *Manager) readBundle(msg *pb.View) (*bundle.Bundle, error) {
-	var manifest pb.Manifest
-	raw := msg.GetManifest().GetManifest()
-	if err := proto.Unmarshal(raw, &manifest); err != nil {
-		return nil, eris.Wrap(err, "feed: read manifest")
-	}
-	b, err := m.cfg.Parse(msg.GetBundleText())
-	if err != nil {
-		return nil, eris.Wrap(err, "feed: parse bundle")
-	}
-	if b.Version != manifest.GetVersion() {
-		return nil, eris.Errorf("feed: bundle text of version %d under manifest of version %d", b.Version, manifest.GetVersion())
-	}
-	b.Digest = sha256.Sum256(raw)
-	return b, nil
-}
-
-// higher orders bundles by version, then by digest, as all processes do.
-func higher(a, b *bundle.Bundle) bool {
-	if b == nil || a.Version != b.Version {
-		return b == nil || a.Version > b.Version
-	}
-	return bytes.Compare(a.Digest[:], b.Digest[:]) > 0
-}
-
 func viewKind(msg *pb.View) string {
 	if msg.GetUnchanged() {
 		return "unchanged"
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -39,8 +39,8 @@
 	Client *http.Client
 	// Pause notices pauses of this process; nil leaves pauses out of Fresh.
 	Pause *process.PauseDetector
-	// Parse reads a bundle's text; bundle.Parse outside tests.
-	Parse    func(text []byte) (*bundle.Bundle, error)
+	// Bundles holds the bundle in force; made by bundle.NewFollowerStore for this feed alone.
+	Bundles  *bundle.Store
 	Log      *zap.Logger
 	Registry prometheus.Registerer
 }
--- a/internal/feed/metrics.go
+++ b/internal/feed/metrics.go
@@ -6,7 +6,6 @@
 type clientMetrics struct {
 	views      *prometheus.CounterVec
 	streamEnds *prometheus.CounterVec
-	bundles    *prometheus.CounterVec
 	reports    *prometheus.CounterVec
 	dropped    prometheus.Counter
 }
@@ -17,13 +16,11 @@
 			Name: "burdock_feed_views_total", Help: "Views received from the sync of the VM."}, []string{"kind"}),
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_feed_stream_ends_total", Help: "Ends of the stream from the sync of the VM."}, []string{"reason"}),
-		bundles: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "burdock_feed_bundles_total", Help: "Bundles received from the sync of the VM."}, []string{"outcome"}),
 		reports: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_feed_reports_total", Help: "Reports to the sync of the VM."}, []string{"outcome"}),
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "burdock_feed_reports_dropped_total", Help: "Evidence dropped while the sync could not be reached."}),
 	}
-	reg.MustRegister(m.views, m.streamEnds, m.bundles, m.reports, m.dropped)
+	reg.MustRegister(m.views, m.streamEnds, m.reports, m.dropped)
 	return m
 }
