--- /dev/null
+++ b/internal/bundle/fixture_test.go
@@ -0,0 +1,59 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"strings"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// reviewer returns the n-th key of a fixed set.
+func reviewer(n byte) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	seed[0] = n
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+// trustOf returns the trust in the given reviewers.
+func trustOf(threshold int, keys ...ed25519.PrivateKey) Trust {
+	t := Trust{Threshold: threshold, Reviewers: make(map[string]ed25519.PublicKey)}
+	for _, k := range keys {
+		public := k.Public().(ed25519.PublicKey)
+		t.Reviewers[KeyID(public)] = public
+	}
+	return t
+}
+
+// candidate is a bundle on offer.
+type candidate struct {
+	version uint64
+	digest  Digest
+	signed  *pb.SignedManifest
+	text    []byte
+}
+
+// offer signs the text whether or not it could work.
+func offer(version uint64, parent Digest, text string, keys ...ed25519.PrivateKey) candidate {
+	manifest, err := encodeManifest(version, parent, []byte(text))
+	if err != nil {
+		panic(err)
+	}
+	signed := &pb.SignedManifest{Manifest: manifest}
+	for _, k := range keys {
+		if err := AddSignature(signed, k); err != nil {
+			panic(err)
+		}
+	}
+	return candidate{version, ManifestDigest(manifest), signed, []byte(text)}
+}
+
+// variant returns a text of the version that works and differs by its mark.
+func variant(version uint64, mark int) string {
+	return strings.Replace(sample, "version = 3", fmt.Sprintf("version = %d # %d", version, mark), 1)
+}
+
+// unworkable returns a text of the version that parses but can't work.
+func unworkable(version uint64) string {
+	return strings.Replace(variant(version, 0), `leaves = ["teachers-0-b"]`, "leaves = []", 1)
+}
--- a/internal/bundle/sign.go
+++ b/internal/bundle/sign.go
@@ -38,7 +38,22 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &pb.Manifest{Version: b.Version}
+	encoded, err := encodeManifest(b.Version, parent, text)
+	if err != nil {
+		return nil, err
+	}
+	signed := &pb.SignedManifest{Manifest: encoded}
+	for _, k := range keys {
+		if err := AddSignature(signed, k); err != nil {
+			return nil, err
+		}
+	}
+	return signed, nil
+}
+
+// encodeManifest makes the manifest of a text that was parsed before.
+func encodeManifest(version uint64, parent Digest, text []byte) ([]byte, error) {
+	m := &pb.Manifest{Version: version}
 	if !parent.IsZero() {
 		m.Parent = parent[:]
 	}
@@ -49,17 +64,7 @@
 		d := SectionDigest(s)
 		m.Sections = append(m.Sections, d[:])
 	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
-	if err != nil {
-		return nil, fmt.Errorf("encode manifest: %w", err)
-	}
-	signed := &pb.SignedManifest{Manifest: encoded}
-	for _, k := range keys {
-		if err := AddSignature(signed, k); err != nil {
-			return nil, err
-		}
-	}
-	return signed, nil
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
 
 // AddSignature adds the key's signature to a signed manifest, in place of an earlier one of the key.
--- /dev/null
+++ b/internal/bundle/store_test.go
@@ -0,0 +1,225 @@
+package bundle
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"pgregory.net/rapid"
+)
+
+// above tells whether a is higher than b in the order of bundles.
+func above(a, b candidate) bool {
+	return a.version > b.version || a.version == b.version && bytes.Compare(a.digest[:], b.digest[:]) > 0
+}
+
+// pool is a set of bundles on offer, of which some must never be applied.
+type pool struct {
+	offers []candidate
+	bad    map[Digest]bool
+}
+
+// drawPool draws bundles of few versions, so that versions collide.
+func drawPool(t *rapid.T) pool {
+	p := pool{bad: make(map[Digest]bool)}
+	n := rapid.IntRange(1, 8).Draw(t, "offers")
+	for mark := range n {
+		version := uint64(rapid.IntRange(1, 4).Draw(t, "version"))
+		var c candidate
+		fault := rapid.SampledFrom([]string{"none", "none", "none", "unsigned", "unworkable", "text", "version"}).Draw(t, "fault")
+		switch fault {
+		case "none":
+			c = offer(version, Digest{}, variant(version, mark), reviewer(1))
+		case "unsigned":
+			c = offer(version, Digest{}, variant(version, mark), reviewer(9))
+		case "unworkable":
+			c = offer(version, Digest{}, unworkable(version), reviewer(1))
+		case "text":
+			c = offer(version, Digest{}, variant(version, mark), reviewer(1))
+			c.text = append([]byte(nil), c.text...)
+			c.text[len(c.text)-2] ^= 1
+		case "version":
+			c = offer(version, Digest{}, variant(version+1, mark), reviewer(1))
+		}
+		p.bad[c.digest] = fault != "none"
+		p.offers = append(p.offers, c)
+	}
+	return p
+}
+
+func TestStoresOfOneSetSettleOnOneBundleAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPool(t)
+		var ends []Digest
+		var races []float64
+		for range 3 {
+			s := NewStore(trustOf(1, reviewer(1)), nil)
+			order := rapid.Permutation(append(p.offers, p.offers[0])).Draw(t, "order")
+			applyAll(t, s, p, order)
+			if b := s.Current(); b != nil {
+				ends = append(ends, b.Digest)
+			} else {
+				ends = append(ends, Digest{})
+			}
+			races = append(races, testutil.ToFloat64(s.metrics.races))
+		}
+		if ends[0] != ends[1] || ends[1] != ends[2] {
+			t.Fatalf("stores differ: %v", ends)
+		}
+		if races[0] != races[1] || races[1] != races[2] {
+			t.Fatalf("races counted differ: %v", races)
+		}
+	})
+}
+
+// applyAll offers the bundles in order and checks after each that the highest good one is in force.
+func applyAll(t *rapid.T, s *Store, p pool, order []candidate) {
+	var best candidate
+	for _, c := range order {
+		changed := s.Changed()
+		err := s.Apply(c.signed, c.text)
+		want := !p.bad[c.digest] && above(c, best)
+		if want {
+			best = c
+		}
+		if want && err != nil {
+			t.Fatalf("version %d refused: %v", c.version, err)
+		}
+		if !want && err == nil && c.digest != best.digest {
+			t.Fatalf("version %d, %s: not refused", c.version, c.digest)
+		}
+		if closed := isClosed(changed); closed != want {
+			t.Fatalf("change announced %v, want %v", closed, want)
+		}
+		checkHolds(t, s, best)
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
+func checkHolds(t *rapid.T, s *Store, best candidate) {
+	b := s.Current()
+	if best.version == 0 {
+		if b != nil || s.Manifest() != nil || s.Text() != nil {
+			t.Fatal("a refused bundle is in force")
+		}
+		return
+	}
+	if b == nil || b.Digest != best.digest || b.Version != best.version {
+		t.Fatalf("in force is not version %d, %s", best.version, best.digest)
+	}
+	if ManifestDigest(s.Manifest().GetManifest()) != best.digest || !bytes.Equal(s.Text(), best.text) {
+		t.Fatal("manifest or text are not those of the bundle in force")
+	}
+}
+
+func TestStoreNamesWhyItRefused(t *testing.T) {
+	good := offer(2, Digest{}, variant(2, 0), reviewer(1), reviewer(2))
+	rival := offer(2, Digest{}, variant(2, 1), reviewer(1), reviewer(2))
+	if above(rival, good) {
+		good, rival = rival, good
+	}
+	otherText := offer(5, Digest{}, variant(5, 0), reviewer(1), reviewer(2))
+	otherText.text = good.text
+	empty := offer(5, Digest{}, variant(5, 0), reviewer(1), reviewer(2))
+	empty.signed.Manifest = nil
+	tests := []struct {
+		name   string
+		c      candidate
+		reason RefusalReason
+	}{
+		{"one signature of two", offer(5, Digest{}, variant(5, 0), reviewer(1)), RefusedSignatures},
+		{"no manifest", empty, RefusedSignatures},
+		{"no version", offer(0, Digest{}, variant(5, 0), reviewer(1), reviewer(2)), RefusedManifest},
+		{"text of another version", offer(6, Digest{}, variant(5, 0), reviewer(1), reviewer(2)), RefusedManifest},
+		{"text of another bundle", otherText, RefusedSections},
+		{"no TOML", offer(5, Digest{}, "version = ", reviewer(1), reviewer(2)), RefusedSyntax},
+		{"can't work", offer(5, Digest{}, unworkable(5), reviewer(1), reviewer(2)), RefusedUnworkable},
+		{"older", offer(1, Digest{}, variant(1, 0), reviewer(1), reviewer(2)), RefusedOlder},
+		{"lower digest", rival, RefusedRace},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewStore(trustOf(2, reviewer(1), reviewer(2)), prometheus.NewRegistry())
+			is.NoErr(s.Apply(good.signed, good.text))
+			var refused *RefusedError
+			is.True(errors.As(s.Apply(tt.c.signed, tt.c.text), &refused))
+			t.Log(refused)
+			is.Equal(refused.Reason, tt.reason)
+			is.Equal(refused.Digest, ManifestDigest(tt.c.signed.GetManifest()))
+			is.Equal(s.Current().Digest, good.digest) // the one in force stays
+			last, ok := s.LastRefusal()
+			is.True(ok)
+			is.Equal(last.Reason, tt.reason)
+			is.Equal(testutil.ToFloat64(s.metrics.refused.WithLabelValues(string(tt.reason))), 1.0)
+			dump := s.Dump().(StoreDump)
+			is.Equal(dump.Version, uint64(2))
+			is.Equal(len(dump.Refusals), 1)
+			is.Equal(dump.Refusals[0].Message, last.Message)
+		})
+	}
+}
+
+func TestStoreShowsRacesAndForeignParents(t *testing.T) {
+	is := is.New(t)
+	a, b := offer(2, Digest{}, variant(2, 0), reviewer(1)), offer(2, Digest{}, variant(2, 1), reviewer(1))
+	if above(a, b) {
+		a, b = b, a
+	}
+	s := NewStore(trustOf(1, reviewer(1)), nil)
+	is.NoErr(s.Apply(a.signed, a.text))
+	is.NoErr(s.Apply(b.signed, b.text)) // the higher digest wins
+	is.NoErr(s.Apply(b.signed, b.text)) // again, no news
+	is.Equal(testutil.ToFloat64(s.metrics.races), 1.0)
+	is.Equal(testutil.ToFloat64(s.metrics.applied), 2.0)
+	is.Equal(s.Dump().(StoreDump).Races[0].Version, uint64(2))
+	is.Equal(len(s.Dump().(StoreDump).Races[0].Digests), 2)
+
+	orphan := offer(3, a.digest, variant(3, 0), reviewer(1))
+	is.NoErr(s.Apply(orphan.signed, orphan.text)) // applied, for stores must agree whatever they missed
+	is.Equal(testutil.ToFloat64(s.metrics.orphaned), 1.0)
+}
+
+func TestStoreUnderConcurrentArrivals(t *testing.T) {
+	is := is.New(t)
+	var offers []candidate
+	var best candidate
+	for i := range 24 {
+		c := offer(uint64(1+i/2), Digest{}, variant(uint64(1+i/2), i), reviewer(1))
+		if above(c, best) {
+			best = c
+		}
+		offers = append(offers, c)
+	}
+	s := NewFollowerStore(nil)
+	var wg sync.WaitGroup
+	for seed := range uint64(4) {
+		order := rand.New(rand.NewPCG(seed, 0)).Perm(len(offers))
+		wg.Go(func() {
+			var last uint64
+			for _, i := range order {
+				_ = s.Apply(offers[i].signed, offers[i].text)
+				if v := s.Current().Version; v < last {
+					t.Errorf("version %d after %d", v, last)
+				} else {
+					last = v
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(s.Current().Digest, best.digest)
+}
