Run the order of a ticket once and replay its record to every send

Need: the path's orders need tickets, one execution and a resend that gets the recorded outcome, before witness and handover are added. Weighed: state made at the first send only (a record may then lack a place when memory is full) against a place made when the ticket is issued; the second is taken: the entry of a ticket is what allows its order to start, so no clock and no eviction can start one twice. Not yet there: the witness is named in tickets but not asked.

--- /dev/null
+++ b/internal/order/issue.go
@@ -0,0 +1,80 @@
+package order
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+)
+
+const stepIssue = "order.issue"
+
+// IssueTicket mints a ticket for the caller. Errors are *outcome.Error, all not_run.
+func (m *Manager) IssueTicket(_ context.Context, req *pb.GatherIssueTicketRequest) (*pb.GatherIssueTicketResponse, error) {
+	want, who := req.GetTicket(), req.GetIdentity()
+	t, end := m.issue(want, who.GetCaller())
+	m.metrics.issued(want, end)
+	if end != nil {
+		return nil, end
+	}
+	return &pb.GatherIssueTicketResponse{
+		Identity: who,
+		Ticket: &pb.IssueTicketResponse{
+			Ticket: t.Text(), Expires: timestamppb.New(t.Expires), RequestId: who.GetRequestId(),
+		},
+	}, nil
+}
+
+func (m *Manager) issue(want *pb.IssueTicketRequest, caller string) (*ticket.Ticket, *outcome.Error) {
+	view := m.source.Current()
+	if _, end := orderKind(view, want.GetService(), want.GetKind(), stepIssue); end != nil {
+		return nil, end
+	}
+	if !m.source.Fresh() {
+		return nil, outcome.NotRun(pb.Reason_REASON_PAUSED, stepIssue, "no fresh news of the fleet").After(m.cfg.RetryAfter)
+	}
+	if m.draining.Load() {
+		return nil, outcome.NotRun(pb.Reason_REASON_DRAINING, stepIssue, "this gather is leaving").After(m.cfg.RetryAfter)
+	}
+	if !m.table.hasRoom() {
+		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, stepIssue, "too many tickets held").After(m.cfg.TTL)
+	}
+	return m.mint(view, want, caller)
+}
+
+func (m *Manager) mint(view *feed.View, want *pb.IssueTicketRequest, caller string) (*ticket.Ticket, *outcome.Error) {
+	expires := m.table.clock.Since() + m.cfg.TTL
+	g := ticket.Grant{
+		Expires: m.table.clock.Wall(expires),
+		Caller:  caller, Service: want.GetService(), Kind: want.GetKind(),
+	}
+	if w := m.witnesses.Pick(view); w != nil {
+		g.WitnessVM, g.WitnessIncarnation = w.GetId(), gatherOf(w).GetIncarnation()
+	}
+	t, ok := m.minter.Mint(g)
+	if !ok || !m.table.add(t.Sequence, caller, expires) {
+		return nil, outcome.NotRun(pb.Reason_REASON_DRAINING, stepIssue, "this gather issues no more tickets").After(m.cfg.RetryAfter)
+	}
+	return t, nil
+}
+
+// orderKind finds the kind in the bundle in force; it must be one of orders.
+func orderKind(view *feed.View, service, kind, step string) (*bundle.Kind, *outcome.Error) {
+	if view.Bundle == nil {
+		return nil, outcome.NotRun(pb.Reason_REASON_NO_BUNDLE, step, "no bundle in force yet")
+	}
+	svc := view.Bundle.Services[service]
+	if svc == nil {
+		return nil, outcome.NotRun(pb.Reason_REASON_UNKNOWN_SERVICE, step, "service is not in the bundle")
+	}
+	k := svc.Kinds[kind]
+	if k == nil || k.Mode != bundle.ModeOrder {
+		return nil, outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, step, "kind is not one of orders")
+	}
+	return k, nil
+}
--- /dev/null
+++ b/internal/order/metrics.go
@@ -0,0 +1,90 @@
+package order
+
+import (
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+)
+
+var endLabels = []string{"service", "kind", "outcome", "reason"}
+
+// metrics counts sends, final records and tickets. Service and kind are labels only once they are
+// known to be the bundle's.
+type metrics struct {
+	tickets *prometheus.CounterVec
+	sends   *prometheus.CounterVec
+	records *prometheus.CounterVec
+	// all and unknown count final records for the share of unknown ones.
+	all, unknown atomic.Uint64
+}
+
+func newMetrics(reg prometheus.Registerer, m *Manager) *metrics {
+	x := &metrics{
+		tickets: counter("burdock_gather_tickets_total", "Requests for a ticket by their end."),
+		sends:   counter("burdock_gather_order_sends_total", "Sends of orders by what the send got."),
+		records: counter("burdock_gather_order_records_total", "Tickets by their final record."),
+	}
+	reg.MustRegister(x.tickets, x.sends, x.records,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_tickets_held", Help: "Tickets of this incarnation held in memory."},
+			func() float64 { return float64(m.table.counts().Held) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_orders_running", Help: "Orders running now."},
+			func() float64 { return float64(m.table.counts().Running) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_order_unknown_share", Help: "Share of final records since start that are unknown, 0 to 1."},
+			x.unknownShare),
+	)
+	return x
+}
+
+func counter(name, help string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, endLabels)
+}
+
+func (x *metrics) unknownShare() float64 {
+	all := x.all.Load()
+	if all == 0 {
+		return 0
+	}
+	return float64(x.unknown.Load()) / float64(all)
+}
+
+func (x *metrics) issued(want *pb.IssueTicketRequest, end *outcome.Error) {
+	if end == nil {
+		count(x.tickets, want.GetService(), want.GetKind(), &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE})
+		return
+	}
+	switch end.Reason {
+	case pb.Reason_REASON_UNKNOWN_SERVICE, pb.Reason_REASON_INVALID_REQUEST, pb.Reason_REASON_NO_BUNDLE:
+		count(x.tickets, "", "", end.Proto(""))
+	default:
+		count(x.tickets, want.GetService(), want.GetKind(), end.Proto(""))
+	}
+}
+
+// sent counts one send; t is nil where the ticket could not be used.
+func (x *metrics) sent(t *ticket.Ticket, resp *pb.OrderResponse, err error) {
+	var service, kind string
+	if t != nil {
+		service, kind = t.Service, t.Kind
+	}
+	o := resp.GetOutcome()
+	if e, ok := outcome.As(err); ok {
+		o = e.Proto("")
+	}
+	count(x.sends, service, kind, o)
+}
+
+func (x *metrics) recorded(t *ticket.Ticket, r *pb.TicketRecord) {
+	x.all.Add(1)
+	if r.GetOutcome().GetKind() == pb.OutcomeKind_OUTCOME_KIND_UNKNOWN {
+		x.unknown.Add(1)
+	}
+	count(x.records, t.Service, t.Kind, r.GetOutcome())
+}
+
+func count(c *prometheus.CounterVec, service, kind string, o *pb.Outcome) {
+	c.WithLabelValues(service, kind, outcome.KindName(o.GetKind()), outcome.ReasonName(o.GetReason())).Inc()
+}
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,139 @@
+// Package order runs non-idempotent orders at most once without shared state. A ticket is pinned to
+// the gather incarnation that minted it. Only that incarnation runs the ticket's order, with one
+// attempt after the first byte is written, and a second gather, the witness, notes the intent
+// before. Each ticket ends in one final record, which every later send gets.
+package order
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// MaxTTL is the longest lifetime of a ticket that any gather may set. Witnesses and peers keep
+// what they know for longer than this, counted from when they received it.
+const MaxTTL = 2 * time.Minute
+
+// Config bounds times and memory of orders. Defaults are in DefaultConfig.
+type Config struct {
+	// TTL is how long a ticket may be used for its first send, at most MaxTTL.
+	TTL time.Duration
+	// KeepAfter is how long the record of a ticket is kept after its expiry.
+	KeepAfter time.Duration
+	// TicketLimit is how many tickets are held; each issued one has a place until its record is
+	// dropped, so that a record never lacks a place.
+	TicketLimit int
+	// ResultLimit is how many bytes of results are held before no more tickets are issued.
+	ResultLimit int
+	// NoteTimeout bounds the round trip to the witness before the first byte.
+	NoteTimeout time.Duration
+	// PickWait is how long an order waits for a free slot at a leaf, and PickEvery how often it
+	// looks.
+	PickWait, PickEvery time.Duration
+	// AvoidWitness is how long a witness that failed is not picked for new tickets.
+	AvoidWitness time.Duration
+	// RetryAfter is when a caller should come back for an order that is still running, or after a
+	// refusal that may pass soon.
+	RetryAfter time.Duration
+	// NoteLimit is how many tickets of other gathers are held as their witness.
+	NoteLimit int
+	// ArchiveLimit is how many records of retired incarnations are held.
+	ArchiveLimit int
+	// PeerKeep is how long a witness or peer keeps what it received.
+	PeerKeep time.Duration
+	// DrainGrace is how long a gather that leaves waits for tickets not used yet.
+	DrainGrace time.Duration
+	// PeerTimeout bounds one call that spreads, hands over or resolves.
+	PeerTimeout time.Duration
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{
+		TTL:          30 * time.Second,
+		KeepAfter:    2 * time.Minute,
+		TicketLimit:  50_000,
+		ResultLimit:  32 << 20,
+		NoteTimeout:  250 * time.Millisecond,
+		PickWait:     100 * time.Millisecond,
+		PickEvery:    2 * time.Millisecond,
+		AvoidWitness: 5 * time.Second,
+		RetryAfter:   200 * time.Millisecond,
+		NoteLimit:    100_000,
+		ArchiveLimit: 100_000,
+		PeerKeep:     2*MaxTTL + time.Minute,
+		DrainGrace:   2 * time.Second,
+		PeerTimeout:  500 * time.Millisecond,
+	}
+}
+
+// Pauses tells when the process last woke from a pause; *process.PauseDetector implements it.
+type Pauses interface {
+	LastPause(now time.Time) time.Time
+}
+
+// Options are what a Manager works with.
+type Options struct {
+	Config      Config
+	VM          string
+	Incarnation uint64
+	Source      feed.Source
+	// Replicas returns the chooser of replicas of a service.
+	Replicas func(service string) balance.Replicas
+	Leaves   upstream.Caller
+	Peers    Peers
+	Pauses   Pauses
+	Registry prometheus.Registerer
+	Log      *zap.Logger
+	// Now and Random are time.Now and math/rand/v2.Float64 in the running process.
+	Now    balance.Clock
+	Random balance.Random
+}
+
+// Manager owns the tickets of one gather incarnation and everything that runs for them. It is safe
+// for concurrent use.
+type Manager struct {
+	cfg      Config
+	vm       string
+	source   feed.Source
+	replicas func(string) balance.Replicas
+	leaves   upstream.Caller
+	peers    Peers
+	pauses   Pauses
+	log      *zap.Logger
+	now      balance.Clock
+	metrics  *metrics
+
+	minter    *ticket.Minter
+	table     *table
+	witnesses *witnesses
+	// draining is set once this gather leaves; no ticket is issued any more.
+	draining atomic.Bool
+}
+
+// New returns a Manager with a new ticket key.
+func New(o Options) *Manager {
+	m := &Manager{
+		cfg: o.Config, vm: o.VM, source: o.Source, replicas: o.Replicas, leaves: o.Leaves,
+		peers: o.Peers, pauses: o.Pauses, log: o.Log, now: o.Now,
+		minter:    ticket.NewMinter(o.VM, o.Incarnation),
+		table:     newTable(o.Config, newElapsed(o.Now), identity{vm: o.VM, incarnation: o.Incarnation}),
+		witnesses: newWitnesses(o.Config.AvoidWitness, o.Now, o.Random),
+	}
+	m.metrics = newMetrics(o.Registry, m)
+	return m
+}
+
+// Run spreads outcomes to witnesses until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/order/peers.go
@@ -0,0 +1,134 @@
+package order
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/feed"
+)
+
+// peerCache is how many clients are kept before the cache starts anew.
+const peerCache = 2048
+
+// Peers reaches the TicketPeerService of other gathers.
+type Peers interface {
+	Peer(vm *pb.Vm) burdockv1connect.TicketPeerServiceClient
+}
+
+// HTTPPeers makes clients over one HTTP client. It is safe for concurrent use.
+type HTTPPeers struct {
+	client *http.Client
+
+	mu sync.Mutex
+	// byAddress is guarded by mu.
+	byAddress map[string]burdockv1connect.TicketPeerServiceClient
+}
+
+// NewHTTPPeers returns Peers over the client, which is bound to the VM's own address.
+func NewHTTPPeers(client *http.Client) *HTTPPeers {
+	return &HTTPPeers{client: client, byAddress: make(map[string]burdockv1connect.TicketPeerServiceClient)}
+}
+
+// Peer implements Peers.
+func (p *HTTPPeers) Peer(vm *pb.Vm) burdockv1connect.TicketPeerServiceClient {
+	addr := net.JoinHostPort(vm.GetAddress(), strconv.Itoa(int(vm.GetGatherPort())))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.byAddress[addr]; ok {
+		return c
+	}
+	if len(p.byAddress) >= peerCache {
+		clear(p.byAddress)
+	}
+	c := burdockv1connect.NewTicketPeerServiceClient(p.client, "http://"+addr)
+	p.byAddress[addr] = c
+	return c
+}
+
+// gatherOf returns the gather process that the VM reports, or nil.
+func gatherOf(vm *pb.Vm) *pb.Process {
+	for _, p := range vm.GetProcesses() {
+		if p.GetRole() == pb.ProcessRole_PROCESS_ROLE_GATHER {
+			return p
+		}
+	}
+	return nil
+}
+
+// findVM returns the VM of the id in the view, or nil.
+func findVM(v *feed.View, id string) *pb.Vm {
+	for _, vm := range v.VMs {
+		if vm.GetId() == id {
+			return vm
+		}
+	}
+	return nil
+}
+
+// readyGather tells whether the VM is live and its gather takes new work.
+func readyGather(vm *pb.Vm) bool {
+	return vm.GetState() == pb.VmState_VM_STATE_LIVE &&
+		gatherOf(vm).GetState() == pb.ProcessState_PROCESS_STATE_READY
+}
+
+// witnesses picks the witness of each new ticket and avoids those that failed lately.
+type witnesses struct {
+	avoid  time.Duration
+	now    balance.Clock
+	random balance.Random
+
+	mu sync.Mutex
+	// failed holds when a VM failed as a witness; guarded by mu.
+	failed map[string]time.Time
+}
+
+func newWitnesses(avoid time.Duration, now balance.Clock, random balance.Random) *witnesses {
+	return &witnesses{avoid: avoid, now: now, random: random, failed: make(map[string]time.Time)}
+}
+
+// Pick returns a ready gather of another VM, one of the own availability zone where there is any,
+// or nil.
+func (w *witnesses) Pick(v *feed.View) *pb.Vm {
+	var near, far []*pb.Vm
+	for _, vm := range v.VMs {
+		switch {
+		case vm.GetId() == v.VM || !readyGather(vm) || w.avoided(vm.GetId()):
+		case vm.GetZone() == v.Zone:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[int(w.random()*float64(len(near)))]
+}
+
+// Failed notes that the VM failed as a witness.
+func (w *witnesses) Failed(vm string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failed[vm] = w.now()
+}
+
+// avoided tells whether the VM failed lately; it drops what is old.
+func (w *witnesses) avoided(vm string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.failed[vm]
+	if ok && w.now().Sub(at) >= w.avoid {
+		delete(w.failed, vm)
+		return false
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/order/record.go
@@ -0,0 +1,56 @@
+package order
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// Digest returns the digest that tells the orders of one ticket apart: xxhash64 over service, kind,
+// key and payload, each prefixed by its length; never 0.
+func Digest(o *pb.OrderRequest) uint64 {
+	h := xxhash.New()
+	var length [8]byte
+	for _, s := range []string{o.GetService(), o.GetKind(), o.GetKey(), o.GetPayload()} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(s)))
+		_, _ = h.Write(length[:])
+		_, _ = h.WriteString(s)
+	}
+	return max(h.Sum64(), 1)
+}
+
+// answeredRecord is the final record of an order that a leaf executed.
+func answeredRecord(id *pb.TicketId, e *entry, resp *pb.OrderResponse) *pb.TicketRecord {
+	r := endedRecord(id, e, nil)
+	r.Response = resp
+	r.Outcome = resp.GetOutcome()
+	return r
+}
+
+// endedRecord is the final record of an order that ended with the error.
+func endedRecord(id *pb.TicketId, e *entry, end *outcome.Error) *pb.TicketRecord {
+	r := &pb.TicketRecord{
+		Ticket: id, State: pb.TicketState_TICKET_STATE_DONE,
+		Caller: e.caller, OrderDigest: e.digest,
+	}
+	if end != nil {
+		r.Outcome = end.Proto("")
+	}
+	return r
+}
+
+// Replay turns a final record into what a send of the ticket gets.
+func Replay(r *pb.TicketRecord, requestID string, replayed bool) (*pb.OrderResponse, error) {
+	if end := outcome.FromProto(r.GetOutcome()); end != nil {
+		return nil, end
+	}
+	resp, _ := proto.Clone(r.GetResponse()).(*pb.OrderResponse)
+	resp.Replayed = replayed
+	resp.RequestId = requestID
+	resp.Outcome.RequestId = requestID
+	return resp, nil
+}
--- /dev/null
+++ b/internal/order/send.go
@@ -0,0 +1,122 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+)
+
+const (
+	stepTicket = "order.ticket"
+	stepWait   = "order.wait"
+	// answerShare is the part of the time left that is kept for the way back of an answer, and
+	// answerMost the most that is kept.
+	answerShare = 10
+	answerMost  = 20 * time.Millisecond
+)
+
+// Order runs the order of a ticket, or gives the outcome that it had. Errors are *outcome.Error.
+func (m *Manager) Order(ctx context.Context, req *pb.GatherOrderRequest) (*pb.GatherOrderResponse, error) {
+	order, who := req.GetOrder(), req.GetIdentity()
+	t, end := m.accept(order, who.GetCaller())
+	if end != nil {
+		m.metrics.sent(t, nil, end)
+		return nil, end
+	}
+	resp, err := m.send(ctx, t, order, who)
+	m.metrics.sent(t, resp, err)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.GatherOrderResponse{Identity: who, Order: resp}, nil
+}
+
+// accept checks that the ticket is this gather's and for this caller, service and kind. It says the
+// same for all mismatches, so that nothing is learned about another caller's ticket. The ticket is
+// returned only where its MAC is right.
+func (m *Manager) accept(order *pb.OrderRequest, caller string) (*ticket.Ticket, *outcome.Error) {
+	if order.GetTicket() == "" {
+		return nil, outcome.NotRun(pb.Reason_REASON_NO_TICKET, stepTicket, "an order needs a ticket")
+	}
+	t, err := ticket.Parse(order.GetTicket())
+	if err != nil {
+		return nil, invalidTicket()
+	}
+	if t.VM != m.table.self.vm || t.Incarnation != m.table.self.incarnation {
+		return nil, outcome.Unknown(pb.Reason_REASON_INCARNATION_GONE, stepTicket, "the ticket is of another incarnation")
+	}
+	same := t.Caller == caller && t.Service == order.GetService() && t.Kind == order.GetKind()
+	if !m.minter.Check(t) || !same {
+		return nil, invalidTicket()
+	}
+	return t, nil
+}
+
+func invalidTicket() *outcome.Error {
+	return outcome.NotRun(pb.Reason_REASON_TICKET_INVALID, stepTicket, "the ticket can't be used for this order")
+}
+
+func (m *Manager) send(ctx context.Context, t *ticket.Ticket, order *pb.OrderRequest, who *pb.Identity) (*pb.OrderResponse, error) {
+	e, v := m.table.begin(t.Sequence, Digest(order))
+	switch v {
+	case verdictForgotten:
+		return nil, outcome.Unknown(pb.Reason_REASON_TICKET_EXPIRED, stepTicket, "the ticket's record is no longer held")
+	case verdictReused:
+		return nil, outcome.NotRun(pb.Reason_REASON_TICKET_REUSED, stepTicket, "the ticket is taken by another order")
+	case verdictExpired:
+		m.end(t, e, outcome.NotRun(pb.Reason_REASON_TICKET_EXPIRED, stepTicket, "take a new ticket"))
+	case verdictSealed:
+		m.end(t, e, outcome.NotRun(pb.Reason_REASON_SEALED, stepTicket, "this gather is leaving, take a new ticket").After(m.cfg.RetryAfter))
+	case verdictStart:
+		go m.run(t, e, order, who)
+	}
+	return m.await(ctx, e, who.GetRequestId(), v == verdictJoin)
+}
+
+// await returns the final record of the entry, or that it is still running once the time of this
+// send is nearly up.
+func (m *Manager) await(ctx context.Context, e *entry, requestID string, replayed bool) (*pb.OrderResponse, error) {
+	ctx, cancel := leaveForAnswer(ctx)
+	defer cancel()
+	select {
+	case <-e.done:
+	default:
+		select {
+		case <-e.done:
+		case <-ctx.Done():
+			return nil, m.stillRunning(ctx)
+		}
+	}
+	return Replay(m.table.recordOf(e), requestID, replayed)
+}
+
+// leaveForAnswer ends the context early enough for an answer to reach the caller in time.
+func leaveForAnswer(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(time.Until(deadline)/answerShare, answerMost)))
+}
+
+func (m *Manager) stillRunning(ctx context.Context) *outcome.Error {
+	reason := pb.Reason_REASON_DEADLINE
+	if errors.Is(ctx.Err(), context.Canceled) {
+		reason = pb.Reason_REASON_CANCELLED
+	}
+	return outcome.Unknown(reason, stepWait, "still running, come back with the same ticket").After(m.cfg.RetryAfter)
+}
+
+// end makes the error the final record of a ticket whose order won't run.
+func (m *Manager) end(t *ticket.Ticket, e *entry, end *outcome.Error) {
+	m.finish(t, e, endedRecord(m.table.id(t.Sequence), e, end))
+}
+
+func (m *Manager) finish(t *ticket.Ticket, e *entry, r *pb.TicketRecord) {
+	m.metrics.recorded(t, r)
+	m.table.finish(e, r)
+}
--- /dev/null
+++ b/internal/order/table.go
@@ -0,0 +1,205 @@
+package order
+
+import (
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// identity names a gather incarnation.
+type identity struct {
+	vm          string
+	incarnation uint64
+}
+
+// state is how far the order of a ticket has come. It only moves forward.
+type state int
+
+const (
+	// stateMinted: no order came with the ticket yet.
+	stateMinted state = iota
+	// stateRunning: one goroutine works on the order.
+	stateRunning
+	// stateDone: the record is final.
+	stateDone
+)
+
+// entry is a ticket of this incarnation. All fields but id and expires are guarded by table.mu.
+type entry struct {
+	sequence uint64
+	// expires is the time since boot up to which the order may start.
+	expires time.Duration
+	state   state
+	caller  string
+	// digest is of the one order of the ticket; 0 until it came.
+	digest uint64
+	// done is closed when the record is final; nil before the first send.
+	done   chan struct{}
+	record *pb.TicketRecord
+}
+
+// table holds the tickets of this incarnation, oldest first, until a while after their expiry. The
+// presence of a minted entry is what allows an order to run, so no clock can make one run twice.
+type table struct {
+	cfg   Config
+	clock *elapsed
+	self  identity
+
+	mu sync.Mutex
+	// All below is guarded by mu. queue holds the entries in the order of minting.
+	entries     map[uint64]*entry
+	queue       []*entry
+	resultBytes int
+	// forgottenTo is the highest sequence number whose entry was dropped.
+	forgottenTo uint64
+	// sealed is true from when no order may start any more.
+	sealed  bool
+	running int
+	minted  int
+	// quiet is closed and replaced when running or minted falls.
+	quiet chan struct{}
+}
+
+func newTable(cfg Config, clock *elapsed, self identity) *table {
+	return &table{cfg: cfg, clock: clock, self: self, entries: make(map[uint64]*entry), quiet: make(chan struct{})}
+}
+
+// hasRoom tells whether one more ticket can be held, after dropping what is old.
+func (t *table) hasRoom() bool {
+	now := t.clock.Since()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	return len(t.entries) < t.cfg.TicketLimit && t.resultBytes < t.cfg.ResultLimit && !t.sealed
+}
+
+// add makes the place of a new ticket; false where the table was sealed meanwhile.
+func (t *table) add(sequence uint64, caller string, expires time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sealed {
+		return false
+	}
+	e := &entry{sequence: sequence, expires: expires, caller: caller}
+	t.entries[sequence] = e
+	t.queue = append(t.queue, e)
+	t.minted++
+	return true
+}
+
+// forget drops entries that expired long ago. Needs mu.
+func (t *table) forget(now time.Duration) {
+	n := 0
+	for _, e := range t.queue {
+		if e.state == stateRunning || now < e.expires+t.cfg.KeepAfter {
+			break
+		}
+		if e.state == stateMinted {
+			t.minted--
+		}
+		t.resultBytes -= len(e.record.GetResponse().GetResult())
+		t.forgottenTo = max(t.forgottenTo, e.sequence)
+		delete(t.entries, e.sequence)
+		t.queue[n] = nil
+		n++
+	}
+	t.queue = t.queue[n:]
+	if n > 0 {
+		t.signal()
+	}
+}
+
+// verdict is what a send of a ticket has to do.
+type verdict int
+
+const (
+	// verdictForgotten: the ticket's record was dropped for age.
+	verdictForgotten verdict = iota
+	// verdictReused: the ticket's order is another one.
+	verdictReused
+	// verdictStart: this send starts the order.
+	verdictStart
+	// verdictJoin: the order is running or done.
+	verdictJoin
+	// verdictExpired and verdictSealed: this send may not start, and a record says so from now on.
+	verdictExpired
+	verdictSealed
+)
+
+// begin takes the ticket for an order; exactly one send of all gets verdictStart.
+func (t *table) begin(sequence, digest uint64) (*entry, verdict) {
+	now := t.clock.Since()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[sequence]
+	switch {
+	case e == nil:
+		return nil, verdictForgotten
+	case e.digest != 0 && e.digest != digest:
+		return nil, verdictReused
+	case e.state != stateMinted:
+		return e, verdictJoin
+	}
+	e.state, e.digest, e.done = stateRunning, digest, make(chan struct{})
+	t.minted--
+	t.running++
+	switch {
+	case now >= e.expires:
+		return e, verdictExpired
+	case t.sealed:
+		return e, verdictSealed
+	}
+	return e, verdictStart
+}
+
+// finish makes the record of a running entry final.
+func (t *table) finish(e *entry, record *pb.TicketRecord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.record, e.state = record, stateDone
+	t.resultBytes += len(record.GetResponse().GetResult())
+	t.running--
+	close(e.done)
+	t.signal()
+}
+
+// expired tells whether an entry may not start any more.
+func (t *table) expired(e *entry) bool { return t.clock.Since() >= e.expires }
+
+// recordOf returns the record of a done entry.
+func (t *table) recordOf(e *entry) *pb.TicketRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.record
+}
+
+// signal wakes those who wait for quiet. Needs mu.
+func (t *table) signal() {
+	close(t.quiet)
+	t.quiet = make(chan struct{})
+}
+
+// id returns the ticket's name in the fleet.
+func (t *table) id(sequence uint64) *pb.TicketId {
+	return &pb.TicketId{Vm: t.self.vm, Incarnation: t.self.incarnation, Sequence: sequence}
+}
+
+// counts are the numbers of tickets held by their state.
+type counts struct {
+	Held        int    `json:"held"`
+	Minted      int    `json:"minted"`
+	Running     int    `json:"running"`
+	ResultBytes int    `json:"result_bytes"`
+	ForgottenTo uint64 `json:"forgotten_to"`
+	Sealed      bool   `json:"sealed"`
+}
+
+func (t *table) counts() counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return counts{
+		Held: len(t.entries), Minted: t.minted, Running: t.running,
+		ResultBytes: t.resultBytes, ForgottenTo: t.forgottenTo, Sealed: t.sealed,
+	}
+}
