Serve callers and bring their requests to a gather

Need: the first half of the path, callers to gather. An entry has to end every request with a typed outcome, also those that the RPC library refuses by itself.

Weighed: typing the library's errors by custom codecs or interceptors. Codecs can't attach an outcome and interceptors run after the body is decoded, so a response writer holds errors back that no handler has typed and writes the outcome in their place. The body is read whole before the library sees it, which bounds half a request in time and size. Only connect's unary protocol is taken: gRPC errors of the library go in trailers with status 200 and could not be typed the same way.

Not yet: admission, and the peers of a ticket whose gather can't be asked.

--- /dev/null
+++ b/cmd/burdock-entry/daemon.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/entry"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/logging"
+	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/route"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+)
+
+const (
+	program = "burdock-entry"
+	// pauseTick and pauseBound say how late a tick may come before the process counts as paused.
+	pauseTick  = 50 * time.Millisecond
+	pauseBound = 500 * time.Millisecond
+	// operatorHeaderTimeout bounds half a request to the operators' listener.
+	operatorHeaderTimeout = 5 * time.Second
+)
+
+// incarnation names this start of the process.
+type incarnation uint64
+
+func newIncarnation() incarnation { return incarnation(process.NewIncarnation()) }
+
+func newLog(s *entry.Settings) (*zap.Logger, error) { return logging.New(program, s.VM.ID, s.Log) }
+
+func newPause() *process.PauseDetector { return process.NewPauseDetector(pauseTick, pauseBound) }
+
+func newClient(s *entry.Settings) *http.Client { return rpc.NewClient(s.VM.Bind) }
+
+func newFeed(s *entry.Settings, inc incarnation, c *http.Client, p *process.PauseDetector, bundles *bundle.Store, log *zap.Logger, reg prometheus.Registerer) *feed.Manager {
+	return feed.New(feed.Config{
+		VM: s.VM.ID, Zone: s.VM.Zone, Role: pb.ProcessRole_PROCESS_ROLE_ENTRY, Incarnation: uint64(inc),
+		Sync: s.SyncAddress(), Client: c, Pause: p, Bundles: bundles, Log: log, Registry: reg,
+	})
+}
+
+func newRouter(s *entry.Settings, c *http.Client, reg prometheus.Registerer) *route.Router {
+	return route.New(reg, route.Options{
+		Dial: route.NewDial(c), Parse: ticket.Parse, Resolver: route.NoPeers{},
+		Clock: time.Now, Random: rand.IntN, ReplyMargin: s.Entry.ReplyMargin.D(),
+	})
+}
+
+// daemon is the process with all its duties.
+type daemon struct {
+	settings *entry.Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+	inc      incarnation
+	pause    *process.PauseDetector
+	bundles  *bundle.Store
+	feed     *feed.Manager
+	entry    *entry.Manager
+}
+
+// run runs the duties until a signal comes.
+func (d *daemon) run(ctx context.Context) error {
+	defer func() { _ = d.log.Sync() }()
+	r := process.Runner{
+		Log: d.log, DrainLimit: d.settings.Drain.Limit.D(), Drain: d.entry.Drain,
+		Duties: []process.Duty{
+			{Name: "operator", Run: d.serveOperators},
+			{Name: "pause", Run: d.pause.Run},
+			{Name: "feed", Run: d.feed.Run},
+			{Name: "entry", Run: d.entry.Run},
+		},
+	}
+	return r.Run(ctx)
+}
+
+// serveOperators serves probes, metrics and dump until ctx ends.
+func (d *daemon) serveOperators(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", d.settings.Operator.Listen)
+	if err != nil {
+		return eris.Wrap(err, "operator: listen")
+	}
+	srv := &http.Server{Handler: operator.Handler(d.registry, d.dumps(), d.entry.Ready), ReadHeaderTimeout: operatorHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "operator: serve")
+	}
+	return nil
+}
+
+// dumps collects the state of all duties.
+func (d *daemon) dumps() *operator.Dumps {
+	dumps := operator.NewDumps()
+	dumps.Add(process.InfoDuty, operator.DumpFunc(func() any { return d.info() }))
+	dumps.Add("bundle", d.bundles)
+	dumps.Add("entry", d.entry)
+	return dumps
+}
+
+// info is what the process says of itself.
+func (d *daemon) info() process.Info {
+	return d.entry.Info(process.Info{Program: program, Incarnation: uint64(d.inc)})
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// HeaderRequestID is the response header that names the request.
+const HeaderRequestID = "Burdock-Request-Id"
+
+// unknownLabel is the metric label of a service or kind that the bundle doesn't declare.
+const unknownLabel = "unknown"
+
+// call is what the entry knows of one request. It belongs to the request's goroutine.
+type call struct {
+	id    string
+	start time.Time
+	// view is the one that was current when the request came; it is used to the end.
+	view   *feed.View
+	caller *bundle.Caller
+	// service and kind are metric labels: declared names, or unknownLabel.
+	service, kind string
+	// outcome and reason say how the request ended; ended tells whether they are set.
+	outcome pb.OutcomeKind
+	reason  pb.Reason
+	ended   bool
+}
+
+type callKey struct{}
+
+// callOf returns the record of the request, which the outermost middleware has put into ctx.
+func callOf(ctx context.Context) *call {
+	c, _ := ctx.Value(callKey{}).(*call)
+	return c
+}
+
+func withCall(r *http.Request, c *call) *http.Request {
+	return r.WithContext(context.WithValue(r.Context(), callKey{}, c))
+}
+
+// end notes how the request ended; the first end counts.
+func (c *call) end(kind pb.OutcomeKind, reason pb.Reason) {
+	if c.ended {
+		return
+	}
+	c.outcome, c.reason, c.ended = kind, reason, true
+}
+
+// fail notes the error as the request's end.
+func (c *call) fail(e *outcome.Error) { c.end(e.Kind, e.Reason) }
+
+// identity is what the gather is told of the request.
+func (c *call) identity() *pb.Identity {
+	return &pb.Identity{RequestId: c.id, Caller: c.caller.Name, BundleVersion: c.view.Bundle.Version}
+}
+
+// requestIDBytes is the length of the random part of a request's id.
+const requestIDBytes = 12
+
+// newRequestID draws the id of a request. A caller can't choose it, so that no two are the same.
+func newRequestID(vm string) string {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:])
+	return vm + "-" + hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/entry/door.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/auth"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+const doorStep = "entry.door"
+
+// HeaderTimeout is how a caller gives its deadline, in milliseconds.
+const HeaderTimeout = "Connect-Timeout-Ms"
+
+// maxTimeoutDigits bounds the header, so that no number overflows.
+const maxTimeoutDigits = 10
+
+// count is the outermost middleware: it names the request and counts how it ended.
+func (m *Manager) count(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	c := &call{
+		id: newRequestID(m.settings.VM.ID), start: m.now(), view: m.source.Current(),
+		service: unknownLabel, kind: unknownLabel,
+	}
+	w.Header().Set(HeaderRequestID, c.id)
+	m.drainer.mark(w)
+	m.metrics.inFlight.Inc()
+	defer func() {
+		m.metrics.inFlight.Dec()
+		m.metrics.observe(c, m.now().Sub(c.start))
+	}()
+	next(w, withCall(r, c))
+}
+
+// door refuses what can't be a request before the library reads it: a wrong content type, a stranger,
+// an absurd deadline, a body that is too large or ends early.
+func (m *Manager) door(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	c := callOf(r.Context())
+	if e := m.enter(w, r, c); e != nil {
+		writeError(w, r, e)
+		return
+	}
+	tw := &typedWriter{ResponseWriter: w, call: c}
+	next(tw, r)
+	tw.finish(r)
+}
+
+// enter returns why the request is refused, or nil.
+func (m *Manager) enter(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
+	if e := m.takesWork(c); e != nil {
+		return e
+	}
+	caller, e := auth.Authenticate(c.view.Bundle, r.Header)
+	if e != nil {
+		return e
+	}
+	c.caller = caller
+	if r.Method != http.MethodPost {
+		return nil
+	}
+	if e := checkContentType(r.Header); e != nil {
+		return e
+	}
+	if e := checkTimeout(r.Header, c.view.Bundle.Limits.MaxTimeout); e != nil {
+		return e
+	}
+	return m.readBody(w, r, c.view.Bundle.Limits)
+}
+
+// checkContentType refuses other protocols than connect's unary one, whose errors would not be typed.
+func checkContentType(h http.Header) *outcome.Error {
+	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err == nil && (t == "application/json" || t == "application/proto") {
+		return nil
+	}
+	return outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, doorStep, "%s", statusMessages[http.StatusUnsupportedMediaType])
+}
+
+// checkTimeout refuses a deadline that is no number, not above 0, or longer than the bundle allows.
+func checkTimeout(h http.Header, longest time.Duration) *outcome.Error {
+	values := h.Values(HeaderTimeout)
+	if len(values) == 0 {
+		return nil
+	}
+	ms, err := strconv.ParseUint(values[0], 10, 63)
+	if err != nil || len(values) > 1 || len(values[0]) > maxTimeoutDigits {
+		return deadlineInvalid("%s must be one whole number of milliseconds", HeaderTimeout)
+	}
+	if ms == 0 {
+		return deadlineInvalid("%s must be above 0", HeaderTimeout)
+	}
+	if d := time.Duration(ms) * time.Millisecond; d > longest {
+		return deadlineInvalid("the deadline %s is longer than the longest allowed, %s", d, longest)
+	}
+	return nil
+}
+
+func deadlineInvalid(format string, args ...any) *outcome.Error {
+	return outcome.NotRun(pb.Reason_REASON_DEADLINE_INVALID, doorStep, format, args...)
+}
+
+const (
+	// jsonExpansion is how many bytes JSON may need for one of a text, as \u escapes do.
+	jsonExpansion = 6
+	// bodyOverhead is room for the other fields.
+	bodyOverhead = 4 << 10
+)
+
+// bodyLimit returns the longest body that can hold a query within the bundle's limits.
+func bodyLimit(l bundle.Limits, hardCap int) int64 {
+	return int64(min(hardCap, jsonExpansion*l.MaxQueryBytes+bodyOverhead))
+}
+
+// readBody reads the whole body within limits of size and time, so that half a request holds nothing
+// up and never reaches a handler.
+func (m *Manager) readBody(w http.ResponseWriter, r *http.Request, l bundle.Limits) *outcome.Error {
+	limit := bodyLimit(l, m.settings.Entry.MaxBodyBytes)
+	if r.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	rc := http.NewResponseController(w)
+	// A connection that takes no deadline is bounded by the caller's own.
+	_ = rc.SetReadDeadline(time.Now().Add(m.settings.Entry.BodyTimeout.D()))
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, doorStep, "the body did not arrive within %s", m.settings.Entry.BodyTimeout.D())
+	case err != nil:
+		return outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, doorStep, "the body ended early")
+	case int64(len(body)) > limit:
+		return tooLarge(limit)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
+func tooLarge(limit int64) *outcome.Error {
+	return outcome.NotRun(pb.Reason_REASON_TOO_LARGE, doorStep, "the body is longer than %d bytes", limit)
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// drainRetryAfter is when a caller may come back after a refusal for shutdown: at once, for the
+// balancer brings it to another VM.
+const drainRetryAfter = 100 * time.Millisecond
+
+// phase is how far a shutdown has come.
+type phase int32
+
+const (
+	phaseServing phase = iota
+	// phaseLeaving is after the signal: not ready, but still serving what the balancer sends.
+	phaseLeaving
+	// phaseRefusing is after the balancer's lag: running work ends, new work is refused.
+	phaseRefusing
+)
+
+var phaseNames = map[phase]string{phaseServing: "serving", phaseLeaving: "leaving", phaseRefusing: "refusing"}
+
+// drainer holds the phase of the shutdown.
+type drainer struct{ phase atomic.Int32 }
+
+func (d *drainer) at() phase      { return phase(d.phase.Load()) }
+func (d *drainer) enter(p phase)  { d.phase.Store(int32(p)) }
+func (d *drainer) refuses() bool  { return d.at() == phaseRefusing }
+func (d *drainer) draining() bool { return d.at() != phaseServing }
+
+// mark asks the caller to open its next connection anew, through the balancer. Over HTTP/2 the
+// header becomes a GOAWAY that lets running streams end.
+func (d *drainer) mark(w http.ResponseWriter) {
+	if d.draining() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// Drain ends the callers' listener in order: it serves on for the balancer's lag, then refuses new
+// work, lets running work end, and closes connections. It returns when that is done or ctx ends.
+func (m *Manager) Drain(ctx context.Context) {
+	m.drainer.enter(phaseLeaving)
+	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_DRAINING)
+	m.log.Info("not ready, serving on for the balancer's lag", zap.Duration("lag", m.settings.Drain.BalancerLag.D()))
+	lag := time.NewTimer(m.settings.Drain.BalancerLag.D())
+	defer lag.Stop()
+	select {
+	case <-lag.C:
+	case <-ctx.Done():
+	}
+	m.drainer.enter(phaseRefusing)
+	m.log.Info("refusing new work, ending running work")
+	if err := m.server.Shutdown(ctx); err != nil {
+		m.log.Warn("running work did not end within the limit", zap.Error(err))
+	}
+	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_GONE)
+}
--- /dev/null
+++ b/internal/entry/manager.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/negroni/v3"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/route"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+	"github.com/burdockplank/burdockplank/internal/version"
+)
+
+// maxHeaderBytes bounds a request's header.
+const maxHeaderBytes = 16 << 10
+
+// compressFrom is the size from which answers are compressed for callers that ask for it.
+const compressFrom = 4 << 10
+
+// Manager owns the callers' listener and its goroutines.
+type Manager struct {
+	settings *Settings
+	log      *zap.Logger
+	source   feed.Source
+	reporter feed.Reporter
+	router   *route.Router
+	metrics  *metrics
+	drainer  *drainer
+	server   *http.Server
+	now      func() time.Time
+}
+
+// NewManager returns a manager that doesn't listen yet.
+func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter,
+	router *route.Router) *Manager {
+	m := &Manager{
+		settings: s, log: log, source: source, reporter: reporter, router: router,
+		metrics: newMetrics(reg), drainer: &drainer{}, now: time.Now,
+	}
+	m.server = rpc.NewServer(m.Handler())
+	m.server.IdleTimeout = s.Entry.IdleTimeout.D()
+	m.server.MaxHeaderBytes = maxHeaderBytes
+	return m
+}
+
+// Handler returns what serves callers.
+func (m *Manager) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(burdockv1connect.NewQueryServiceHandler(service{m},
+		connect.WithReadMaxBytes(m.settings.Entry.MaxBodyBytes), connect.WithCompressMinBytes(compressFrom)))
+	n := negroni.New(negroni.HandlerFunc(m.count), m.recovery(), negroni.HandlerFunc(m.door))
+	n.UseHandler(mux)
+	return n
+}
+
+// recovery answers a request whose handler panicked with a typed outcome, and logs the stack.
+func (m *Manager) recovery() *negroni.Recovery {
+	r := negroni.NewRecovery()
+	r.LogStack = false
+	r.Formatter = panicFormatter{}
+	r.PanicHandlerFunc = func(p *negroni.PanicInformation) {
+		m.metrics.panics.Inc()
+		m.log.Error("a handler panicked", zap.Any("panic", p.RecoveredPanic), zap.ByteString("stack", p.Stack))
+	}
+	return r
+}
+
+// panicFormatter writes the typed outcome of a panic.
+type panicFormatter struct{}
+
+// FormatPanicError implements negroni.PanicFormatter. An order may have run before the panic.
+func (panicFormatter) FormatPanicError(w http.ResponseWriter, r *http.Request, _ *negroni.PanicInformation) {
+	e := outcome.Failed(pb.Reason_REASON_INTERNAL, doorStep, "the entry failed on this request")
+	if r.URL.Path == burdockv1connect.QueryServiceOrderProcedure {
+		e.Kind = pb.OutcomeKind_OUTCOME_KIND_UNKNOWN
+	}
+	writeError(w, r, e)
+}
+
+// Run serves callers until ctx ends. After Drain there is nothing left to end.
+func (m *Manager) Run(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", m.settings.Listen())
+	if err != nil {
+		return eris.Wrap(err, "entry: listen for callers")
+	}
+	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_READY)
+	m.log.Info("listening for callers", zap.String("address", l.Addr().String()))
+	stopped := context.AfterFunc(ctx, func() { _ = m.server.Close() })
+	defer stopped()
+	if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "entry: serve callers")
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Ready tells whether the process takes new work, and why not.
+func (m *Manager) Ready() (bool, string) {
+	if m.drainer.draining() {
+		return false, "draining"
+	}
+	v := m.source.Current()
+	if e := m.takesWork(&call{view: v, start: m.now()}); e != nil {
+		return false, outcome.ReasonName(e.Reason) + ": " + e.Message
+	}
+	return true, ""
+}
+
+// state is what the dump shows of this duty.
+type state struct {
+	Phase         string `json:"phase"`
+	Ready         bool   `json:"ready"`
+	Why           string `json:"why,omitempty"`
+	BundleVersion uint64 `json:"bundle_version"`
+	VMs           int    `json:"vms"`
+	// ViewAge is the time since the sync was last heard of, "never" before the first time.
+	ViewAge string `json:"view_age"`
+}
+
+// Dump implements operator.Dumper.
+func (m *Manager) Dump() any {
+	v := m.source.Current()
+	s := state{Phase: phaseNames[m.drainer.at()], VMs: len(v.VMs), ViewAge: "never"}
+	if !v.Heard.IsZero() {
+		s.ViewAge = m.now().Sub(v.Heard).Round(time.Millisecond).String()
+	}
+	s.Ready, s.Why = m.Ready()
+	if v.Bundle != nil {
+		s.BundleVersion = v.Bundle.Version
+	}
+	return s
+}
+
+// Info fills in what the entry knows of the process.
+func (m *Manager) Info(i process.Info) process.Info {
+	v := m.source.Current()
+	i.VM, i.Zone, i.Role, i.Version = m.settings.VM.ID, m.settings.VM.Zone, "entry", version.Version
+	i.State = process.StateStarting
+	if ready, _ := m.Ready(); ready {
+		i.State = process.StateReady
+	}
+	if m.drainer.draining() {
+		i.State = process.StateDraining
+	}
+	if v.Bundle != nil {
+		i.BundleVersion = v.Bundle.Version
+	}
+	i.PlatformAgeSeconds = -1
+	if !v.Heard.IsZero() && v.PlatformAge >= 0 {
+		i.PlatformAgeSeconds = (v.PlatformAge + m.now().Sub(v.Heard)).Seconds()
+	}
+	return i
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// latencyBuckets span a refusal at the door to the longest deadline, in seconds.
+var latencyBuckets = []float64{.0005, .001, .002, .005, .01, .02, .035, .05, .075, .1, .15, .25, .5, 1, 2.5, 5, 10}
+
+// metrics of the callers' listener.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	inFlight prometheus.Gauge
+	panics   prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_entry_requests_total",
+			Help: "Requests of callers by how they ended.",
+		}, []string{"service", "kind", "outcome", "reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "burdock_entry_request_seconds",
+			Help:    "Time from a request's header to its end.",
+			Buckets: latencyBuckets,
+		}, []string{"service", "kind", "outcome"}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "burdock_entry_requests_in_flight",
+			Help: "Requests of callers that have not ended.",
+		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_entry_panics_total",
+			Help: "Requests ended by a panic of a handler.",
+		}),
+	}
+	reg.MustRegister(m.requests, m.latency, m.inFlight, m.panics)
+	return m
+}
+
+// observe counts one request at its end.
+func (m *metrics) observe(c *call, took time.Duration) {
+	kind, reason := outcome.KindName(c.outcome), outcome.ReasonName(c.reason)
+	m.requests.WithLabelValues(c.service, c.kind, kind, reason).Inc()
+	m.latency.WithLabelValues(c.service, c.kind, kind).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,203 @@
+package entry
+
+import (
+	"context"
+	"time"
+	"unicode/utf8"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/route"
+)
+
+const checkStep = "entry.check"
+
+// service implements burdockv1connect.QueryServiceHandler.
+type service struct{ m *Manager }
+
+// Search implements burdockv1connect.QueryServiceHandler.
+func (s service) Search(ctx context.Context, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	c := callOf(ctx)
+	var res *pb.SearchResponse
+	err := s.m.run(ctx, work{
+		service: req.GetService(), kind: req.GetKind(), mode: bundle.ModeSearch, lost: pb.OutcomeKind_OUTCOME_KIND_FAILED,
+		check: func(l bundle.Limits) *outcome.Error { return checkSearch(l, req) },
+		do: func(ctx context.Context, q route.Request) (err error) {
+			res, err = s.m.router.Search(ctx, q, req)
+			return err
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	res.RequestId = c.id
+	c.answered(res)
+	return res, nil
+}
+
+// IssueTicket implements burdockv1connect.QueryServiceHandler.
+func (s service) IssueTicket(ctx context.Context, req *pb.IssueTicketRequest) (*pb.IssueTicketResponse, error) {
+	c := callOf(ctx)
+	var res *pb.IssueTicketResponse
+	err := s.m.run(ctx, work{
+		service: req.GetService(), kind: req.GetKind(), mode: bundle.ModeOrder, lost: pb.OutcomeKind_OUTCOME_KIND_NOT_RUN,
+		do: func(ctx context.Context, q route.Request) (err error) {
+			res, err = s.m.router.IssueTicket(ctx, q, req)
+			return err
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	res.RequestId = c.id
+	c.end(pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE, pb.Reason_REASON_UNSPECIFIED)
+	return res, nil
+}
+
+// Order implements burdockv1connect.QueryServiceHandler.
+func (s service) Order(ctx context.Context, req *pb.OrderRequest) (*pb.OrderResponse, error) {
+	c := callOf(ctx)
+	var res *pb.OrderResponse
+	err := s.m.run(ctx, work{
+		service: req.GetService(), kind: req.GetKind(), mode: bundle.ModeOrder, lost: pb.OutcomeKind_OUTCOME_KIND_UNKNOWN,
+		check: func(l bundle.Limits) *outcome.Error { return checkOrder(l, req) },
+		do: func(ctx context.Context, q route.Request) (err error) {
+			res, err = s.m.router.Order(ctx, q, req)
+			return err
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	res.RequestId = c.id
+	c.answered(res)
+	return res, nil
+}
+
+// answered notes the outcome of an answer as the request's end and names the request in it.
+func (c *call) answered(a interface{ GetOutcome() *pb.Outcome }) {
+	o := a.GetOutcome()
+	if o != nil {
+		o.RequestId = c.id
+	}
+	c.end(o.GetKind(), o.GetReason())
+}
+
+// work is one request that has been read.
+type work struct {
+	service, kind string
+	mode          bundle.Mode
+	// lost is the outcome of a request whose end the entry doesn't know.
+	lost pb.OutcomeKind
+	// check refuses values out of the bundle's limits; nil where there is nothing to check.
+	check func(bundle.Limits) *outcome.Error
+	// do brings it to a gather.
+	do func(context.Context, route.Request) error
+}
+
+// run checks, admits and forwards one request. The error is a connect error with the outcome.
+func (m *Manager) run(ctx context.Context, w work) error {
+	c := callOf(ctx)
+	e := m.try(ctx, c, w)
+	if e == nil {
+		return nil
+	}
+	c.fail(e)
+	return outcome.ToConnect(e, c.id)
+}
+
+func (m *Manager) try(ctx context.Context, c *call, w work) *outcome.Error {
+	svc, kind, e := find(c, w)
+	if e != nil {
+		return e
+	}
+	c.service, c.kind = svc.Name, kind.Name
+	if w.check != nil {
+		if e := w.check(c.view.Bundle.Limits); e != nil {
+			return e
+		}
+	}
+	ctx, cancel := withDeadline(ctx, c, kind)
+	defer cancel()
+	err := w.do(ctx, route.Request{Identity: c.identity(), Service: svc, View: c.view})
+	if err != nil {
+		return outcome.Classify(err, w.lost, route.Step)
+	}
+	return nil
+}
+
+// find returns the service and kind of the request. A service that the caller may not use looks like
+// one that doesn't exist.
+func find(c *call, w work) (*bundle.Service, *bundle.Kind, *outcome.Error) {
+	svc := c.view.Bundle.Services[w.service]
+	if svc == nil || !c.caller.MayUse(w.service) {
+		return nil, nil, outcome.NotRun(pb.Reason_REASON_UNKNOWN_SERVICE, checkStep, "no such service for this caller")
+	}
+	kind := svc.Kinds[w.kind]
+	if kind == nil || kind.Mode != w.mode {
+		return nil, nil, outcome.NotRun(pb.Reason_REASON_UNKNOWN_SERVICE, checkStep, "the service has no such %s kind", w.mode)
+	}
+	return svc, kind, nil
+}
+
+// withDeadline gives the request its kind's timeout where the caller gave none, counted from its
+// arrival.
+func withDeadline(ctx context.Context, c *call, kind *bundle.Kind) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	timeout := kind.Timeout
+	if longest := c.view.Bundle.Limits.MaxTimeout; longest > 0 {
+		timeout = min(timeout, longest)
+	}
+	return context.WithDeadline(ctx, c.start.Add(timeout))
+}
+
+// checkSearch refuses a search out of the limits.
+func checkSearch(l bundle.Limits, req *pb.SearchRequest) *outcome.Error {
+	if req.GetTopK() < 0 || int(req.GetTopK()) > l.MaxTopK {
+		return invalid("top_k must be 0 to %d", l.MaxTopK)
+	}
+	return checkText(l, "query", req.GetQuery())
+}
+
+// checkOrder refuses an order out of the limits.
+func checkOrder(l bundle.Limits, req *pb.OrderRequest) *outcome.Error {
+	if e := checkText(l, "key", req.GetKey()); e != nil {
+		return e
+	}
+	return checkText(l, "payload", req.GetPayload())
+}
+
+// checkText refuses text that is too long or no UTF-8.
+func checkText(l bundle.Limits, field, text string) *outcome.Error {
+	if len(text) > l.MaxQueryBytes {
+		return outcome.NotRun(pb.Reason_REASON_TOO_LARGE, checkStep, "%s is longer than %d bytes", field, l.MaxQueryBytes)
+	}
+	if !utf8.ValidString(text) {
+		return invalid("%s is not UTF-8", field)
+	}
+	return nil
+}
+
+func invalid(format string, args ...any) *outcome.Error {
+	return outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, checkStep, format, args...)
+}
+
+// pausedRetryAfter is when a caller may come back to a process that waits for news.
+const pausedRetryAfter = time.Second
+
+// takesWork refuses every request while the process drains, has no bundle, or has not heard from its
+// sync lately or since a pause: what it believes may be old.
+func (m *Manager) takesWork(c *call) *outcome.Error {
+	switch {
+	case m.drainer.refuses():
+		return outcome.NotRun(pb.Reason_REASON_DRAINING, doorStep, "this entry is shutting down").After(drainRetryAfter)
+	case c.view.Bundle == nil:
+		return outcome.NotRun(pb.Reason_REASON_NO_BUNDLE, doorStep, "no bundle has been accepted yet").After(pausedRetryAfter)
+	case !m.source.Fresh():
+		return outcome.NotRun(pb.Reason_REASON_PAUSED, doorStep, "this entry waits for news of the fleet").After(pausedRetryAfter)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/writer.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// errorWriter writes connect errors as JSON.
+var errorWriter = connect.NewErrorWriter()
+
+// writeError answers with the typed outcome and notes it as the request's end.
+func writeError(w http.ResponseWriter, r *http.Request, e *outcome.Error) {
+	c := callOf(r.Context())
+	c.fail(e)
+	// An error of writing means that the caller went away: nobody is left to tell.
+	_ = errorWriter.Write(w, r, outcome.ToConnect(e, c.id))
+}
+
+// maxForeignError bounds what is read of an error that this package did not write.
+const maxForeignError = 4 << 10
+
+// typedWriter holds back errors that the library writes by itself, such as one for a body that can't
+// be decoded, so that they can be written as typed outcomes. Answers and the handler's own errors
+// pass through.
+type typedWriter struct {
+	http.ResponseWriter
+	call   *call
+	status int
+	body   []byte
+}
+
+// foreign tells whether the response is an error that no handler has typed.
+func (w *typedWriter) foreign() bool { return w.status >= http.StatusBadRequest && !w.call.ended }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *typedWriter) WriteHeader(status int) {
+	if w.status != 0 {
+		return
+	}
+	w.status = status
+	if !w.foreign() {
+		w.ResponseWriter.WriteHeader(status)
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *typedWriter) Write(b []byte) (int, error) {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if !w.foreign() {
+		return w.ResponseWriter.Write(b)
+	}
+	if room := maxForeignError - len(w.body); room > 0 {
+		w.body = append(w.body, b[:min(room, len(b))]...)
+	}
+	return len(b), nil
+}
+
+// Unwrap lets http.ResponseController find the connection.
+func (w *typedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// finish writes the typed outcome in place of an error that was held back. The status stays.
+func (w *typedWriter) finish(r *http.Request) {
+	if !w.foreign() {
+		return
+	}
+	w.Header().Del("Content-Length")
+	w.Header().Del("Content-Encoding")
+	writeError(statusWriter{ResponseWriter: w.ResponseWriter, status: w.status}, r, w.foreignOutcome())
+}
+
+// foreignOutcome reads what the library said.
+func (w *typedWriter) foreignOutcome() *outcome.Error {
+	var wire struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+	}
+	_ = json.Unmarshal(w.body, &wire)
+	reason := pb.Reason_REASON_INVALID_REQUEST
+	switch {
+	case wire.Code == connect.CodeResourceExhausted.String() || w.status == http.StatusRequestEntityTooLarge:
+		reason = pb.Reason_REASON_TOO_LARGE
+	case w.status >= http.StatusInternalServerError && wire.Code != connect.CodeUnimplemented.String():
+		reason = pb.Reason_REASON_INTERNAL
+	case wire.Message == "":
+		wire.Message = statusMessages[w.status]
+	}
+	return outcome.NotRun(reason, doorStep, "%s", wire.Message)
+}
+
+// statusMessages say what is wrong where the library writes a bare status.
+var statusMessages = map[int]string{
+	http.StatusNotFound:             "no such procedure",
+	http.StatusMethodNotAllowed:     "a procedure is called with POST",
+	http.StatusUnsupportedMediaType: "the content type must be application/json or application/proto",
+}
+
+// statusWriter answers with its own status in place of the one that follows from the code.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w statusWriter) WriteHeader(int) { w.ResponseWriter.WriteHeader(w.status) }
--- /dev/null
+++ b/internal/route/errors.go
@@ -0,0 +1,78 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// Step names the duty in outcomes.
+const Step = "entry.route"
+
+// The waits told to callers when a gather can't be reached; jitter is added.
+const (
+	unreachableRetryAfter = 500 * time.Millisecond
+	unreachableSpread     = time.Second
+)
+
+// callError is how a call to a gather ended. Exactly one of taken and typed decides what may follow.
+type callError struct {
+	// notTaken is true where the gather surely did not take the request.
+	notTaken bool
+	// typed is the gather's own outcome, nil where it gave none.
+	typed *outcome.Error
+	err   error
+}
+
+// classify reads the error of a call to a gather.
+func classify(err error) *callError {
+	if err == nil {
+		return nil
+	}
+	ce := &callError{err: err}
+	if o, ok := outcome.FromConnect(err); ok && o != nil {
+		ce.typed = o
+		ce.notTaken = o.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN &&
+			(o.Reason == pb.Reason_REASON_DRAINING || o.Reason == pb.Reason_REASON_PAUSED)
+		return ce
+	}
+	ce.notTaken = neverConnected(err)
+	return ce
+}
+
+// neverConnected tells whether err arose while the connection was being opened, before any byte of
+// the request was written.
+func neverConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// ended returns the reason where the request's own context ended, or unspecified.
+func ended(ctx context.Context, err error) pb.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), connect.CodeOf(err) == connect.CodeDeadlineExceeded:
+		return pb.Reason_REASON_DEADLINE
+	case errors.Is(ctx.Err(), context.Canceled):
+		return pb.Reason_REASON_CANCELLED
+	}
+	return pb.Reason_REASON_UNSPECIFIED
+}
+
+// resultOf says what the end of a call tells about the gather.
+func resultOf(ctx context.Context, ce *callError) result {
+	switch {
+	case ce == nil:
+		return resultOK
+	case ce.typed != nil && !ce.notTaken:
+		return resultOK
+	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
+		return resultGivenUp
+	}
+	return resultFailed
+}
--- /dev/null
+++ b/internal/route/gather.go
@@ -0,0 +1,67 @@
+// Package route decides which gather a request goes to and brings it there. A search or the minting
+// of a ticket goes to one gather of the service's subset, chosen by two random choices; an order goes
+// only to the gather incarnation that its ticket names.
+package route
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+)
+
+// Gather is one gather process as the view shows it. It is a copy.
+type Gather struct {
+	VM          string
+	Zone        string
+	Incarnation uint64
+	State       pb.ProcessState
+	// Address is HOST:PORT, host an IP number.
+	Address string
+}
+
+// Dial returns the client of the gather at HOST:PORT. It opens no connection by itself.
+type Dial func(address string) burdockv1connect.GatherServiceClient
+
+// NewDial returns a Dial that keeps one client for each address, over the given HTTP client.
+// Answers are asked for uncompressed: between VMs of one zone the CPU costs more than the bytes.
+func NewDial(c *http.Client) Dial {
+	var clients sync.Map
+	return func(address string) burdockv1connect.GatherServiceClient {
+		if cl, ok := clients.Load(address); ok {
+			return cl.(burdockv1connect.GatherServiceClient)
+		}
+		cl, _ := clients.LoadOrStore(address, burdockv1connect.NewGatherServiceClient(
+			c, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)))
+		return cl.(burdockv1connect.GatherServiceClient)
+	}
+}
+
+// gatherOf returns the gather of the VM, and whether the VM has said that it runs one.
+func gatherOf(vm *pb.Vm) (Gather, bool) {
+	for _, p := range vm.GetProcesses() {
+		if p.GetRole() != pb.ProcessRole_PROCESS_ROLE_GATHER {
+			continue
+		}
+		return Gather{
+			VM: vm.GetId(), Zone: vm.GetZone(), Incarnation: p.GetIncarnation(), State: p.GetState(),
+			Address: net.JoinHostPort(vm.GetAddress(), strconv.Itoa(int(vm.GetGatherPort()))),
+		}, true
+	}
+	return Gather{}, false
+}
+
+// findVM returns the VM of the id, or nil.
+func findVM(vms []*pb.Vm, id string) *pb.Vm {
+	for _, vm := range vms {
+		if vm.GetId() == id {
+			return vm
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,221 @@
+package route
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// Request is what every hop knows of a request besides its message.
+type Request struct {
+	Identity *pb.Identity
+	Service  *bundle.Service
+	// View is the one by which the request was authenticated; it is used to the end.
+	View *feed.View
+}
+
+// Options are the parts of a Router that tests replace.
+type Options struct {
+	Dial     Dial
+	Parse    ParseTicket
+	Resolver TicketResolver
+	Clock    Clock
+	Random   Random
+	// ReplyMargin is kept back from the deadline given to a gather, so that its answer arrives before
+	// the caller's own deadline.
+	ReplyMargin time.Duration
+}
+
+// Router brings requests to gathers. It is safe for concurrent use.
+type Router struct {
+	o       Options
+	table   *table
+	budget  *budget
+	metrics *metrics
+	// pruned is the view by which the table was last pruned.
+	pruned atomic.Pointer[feed.View]
+}
+
+// New returns a router that has seen no gather yet.
+func New(reg prometheus.Registerer, o Options) *Router {
+	return &Router{o: o, table: newTable(), budget: newBudget(), metrics: newMetrics(reg)}
+}
+
+// Search brings a search to one gather of the service's subset. Errors are *outcome.Error.
+func (r *Router) Search(ctx context.Context, q Request, req *pb.SearchRequest) (*pb.SearchResponse, error) {
+	var res *pb.GatherSearchResponse
+	g, err := r.forward(ctx, q, pb.OutcomeKind_OUTCOME_KIND_FAILED, func(ctx context.Context, c burdockv1connect.GatherServiceClient) (err error) {
+		res, err = c.Search(ctx, &pb.GatherSearchRequest{Identity: q.Identity, Search: req})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !r.echoed(q, res.GetIdentity(), res.GetSearch().GetRequestId()) {
+		return nil, mismatch(pb.OutcomeKind_OUTCOME_KIND_FAILED, g)
+	}
+	return res.GetSearch(), nil
+}
+
+// IssueTicket has any ready gather of the subset mint a ticket. Errors are *outcome.Error.
+func (r *Router) IssueTicket(ctx context.Context, q Request, req *pb.IssueTicketRequest) (*pb.IssueTicketResponse, error) {
+	var res *pb.GatherIssueTicketResponse
+	g, err := r.forward(ctx, q, pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, func(ctx context.Context, c burdockv1connect.GatherServiceClient) (err error) {
+		res, err = c.IssueTicket(ctx, &pb.GatherIssueTicketRequest{Identity: q.Identity, Ticket: req})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !r.echoed(q, res.GetIdentity(), res.GetTicket().GetRequestId()) {
+		return nil, mismatch(pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, g)
+	}
+	return res.GetTicket(), nil
+}
+
+// call is one call to a gather's client.
+type call func(ctx context.Context, c burdockv1connect.GatherServiceClient) error
+
+// forward makes the call at a chosen gather, and once more at another where the first surely did
+// not take it and the budget allows. The kind is that of a call that was taken and brought nothing.
+func (r *Router) forward(ctx context.Context, q Request, lost pb.OutcomeKind, fn call) (Gather, error) {
+	r.budget.earn()
+	r.prune(q.View)
+	among := candidates(q.Service, q.View.Zone, q.View.VMs)
+	g, ok := choose(r.table, q.Service.Name, among, "", r.o.Clock(), r.o.Random)
+	if !ok {
+		return g, r.unreachable(pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, "", "no gather is ready")
+	}
+	ce := r.at(ctx, q, g, fn)
+	if ce == nil {
+		return g, nil
+	}
+	if ce.notTaken && ctx.Err() == nil {
+		if second, ok := r.second(q, among, g); ok {
+			g = second
+			if ce = r.at(ctx, q, g, fn); ce == nil {
+				return g, nil
+			}
+		}
+	}
+	return g, r.final(ctx, g, ce, lost)
+}
+
+// prune drops what is known of VMs that have left, once for each view.
+func (r *Router) prune(v *feed.View) {
+	if r.pruned.Swap(v) == v {
+		return
+	}
+	ids := make(map[string]bool, len(v.VMs))
+	for _, vm := range v.VMs {
+		ids[vm.GetId()] = true
+	}
+	r.table.prune(ids)
+}
+
+// second returns another gather for the one re-route that is allowed. Where the zone's subset has no
+// other, other zones are asked.
+func (r *Router) second(q Request, among []Gather, first Gather) (Gather, bool) {
+	g, ok := choose(r.table, q.Service.Name, among, first.VM, r.o.Clock(), r.o.Random)
+	if !ok {
+		g, ok = choose(r.table, q.Service.Name, elsewhere(q, first), first.VM, r.o.Clock(), r.o.Random)
+	}
+	if !ok {
+		return g, false
+	}
+	if !r.budget.take() {
+		r.metrics.reroutes.WithLabelValues(q.Service.Name, "no_budget").Inc()
+		return g, false
+	}
+	r.metrics.reroutes.WithLabelValues(q.Service.Name, "sent").Inc()
+	return g, true
+}
+
+// elsewhere returns the ready gathers of the zones other than that of the first.
+func elsewhere(q Request, first Gather) []Gather {
+	var vms []*pb.Vm
+	for _, vm := range q.View.VMs {
+		if vm.GetZone() != first.Zone {
+			vms = append(vms, vm)
+		}
+	}
+	return candidates(q.Service, first.Zone, vms)
+}
+
+// at makes the call at one gather and counts it.
+func (r *Router) at(ctx context.Context, q Request, g Gather, fn call) *callError {
+	s := r.table.of(q.Service.Name, g)
+	s.begin()
+	start := r.o.Clock()
+	cctx, cancel := r.margin(ctx)
+	defer cancel()
+	ce := classify(fn(cctx, r.o.Dial(g.Address)))
+	now := r.o.Clock()
+	s.end(now, now.Sub(start), resultOf(ctx, ce))
+	return ce
+}
+
+// marginShare bounds the reply margin to a share of the time left.
+const marginShare = 10
+
+// margin shortens the deadline by the reply margin.
+func (r *Router) margin(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	left := deadline.Sub(r.o.Clock())
+	return context.WithDeadline(ctx, deadline.Add(-min(r.o.ReplyMargin, left/marginShare)))
+}
+
+// final turns the end of a call into the outcome for the caller.
+func (r *Router) final(ctx context.Context, g Gather, ce *callError, lost pb.OutcomeKind) *outcome.Error {
+	if ce.typed != nil {
+		return ce.typed
+	}
+	kind := lost
+	if ce.notTaken {
+		kind = pb.OutcomeKind_OUTCOME_KIND_NOT_RUN
+	}
+	if reason := ended(ctx, ce.err); reason != pb.Reason_REASON_UNSPECIFIED {
+		return (&outcome.Error{Kind: kind, Reason: reason, Step: Step}).At(g.VM).Because(ce.err)
+	}
+	return r.unreachable(kind, g.VM, "the gather can't be reached").Because(ce.err)
+}
+
+// unreachable says that a gather can't be reached now, and when to come back.
+func (r *Router) unreachable(kind pb.OutcomeKind, vm, message string) *outcome.Error {
+	e := &outcome.Error{Kind: kind, Reason: pb.Reason_REASON_UNREACHABLE, Step: Step, Message: message}
+	return e.At(vm).After(r.comeBack())
+}
+
+// comeBack returns a wait with jitter.
+func (r *Router) comeBack() time.Duration {
+	return unreachableRetryAfter + time.Duration(r.o.Random(int(unreachableSpread/time.Millisecond)))*time.Millisecond
+}
+
+// echoed tells whether an answer is the one to the request: the gather has to repeat who asked.
+func (r *Router) echoed(q Request, got *pb.Identity, inner string) bool {
+	ok := got.GetRequestId() == q.Identity.GetRequestId() && got.GetCaller() == q.Identity.GetCaller()
+	ok = ok && (inner == "" || inner == q.Identity.GetRequestId())
+	if !ok {
+		r.metrics.mismatches.WithLabelValues(q.Service.Name).Inc()
+	}
+	return ok
+}
+
+// mismatch is the outcome of a call whose answer belongs to another request.
+func mismatch(kind pb.OutcomeKind, g Gather) *outcome.Error {
+	return &outcome.Error{
+		Kind: kind, Reason: pb.Reason_REASON_ANSWER_MISMATCH, Step: Step, Peer: g.VM,
+		Message: "the gather's answer belongs to another request and was dropped",
+	}
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"regexp"
+	"strconv"
 )
 
 // Log says how a program logs.
@@ -84,3 +85,6 @@
 	DefaultGatherOperatorPort = 7411
 	DefaultSyncOperatorPort   = 7412
 )
+
+// HostPort returns IP:PORT.
+func HostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
