--- /dev/null
+++ b/cmd/burdock-gather/daemon.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/gather"
+	"github.com/burdockplank/burdockplank/internal/logging"
+	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/order"
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/quarantine"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+	"github.com/burdockplank/burdockplank/internal/search"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+const (
+	program = "burdock-gather"
+	// pauseTick and pauseBound say how late a tick may come before the process counts as paused.
+	pauseTick  = 50 * time.Millisecond
+	pauseBound = 500 * time.Millisecond
+	// operatorHeaderTimeout bounds half a request to the operators' listener.
+	operatorHeaderTimeout = 5 * time.Second
+)
+
+// incarnation names this start of the process.
+type incarnation uint64
+
+func newIncarnation() incarnation { return incarnation(process.NewIncarnation()) }
+
+func newLog(s *gather.Settings) (*zap.Logger, error) { return logging.New(program, s.VM.ID, s.Log) }
+
+func newPause() *process.PauseDetector { return process.NewPauseDetector(pauseTick, pauseBound) }
+
+func newClient(s *gather.Settings) *http.Client { return rpc.NewClient(s.VM.Bind) }
+
+func newFeed(s *gather.Settings, inc incarnation, c *http.Client, p *process.PauseDetector, bundles *bundle.Store, log *zap.Logger, reg prometheus.Registerer) *feed.Manager {
+	return feed.New(feed.Config{
+		VM: s.VM.ID, Zone: s.VM.Zone, Role: pb.ProcessRole_PROCESS_ROLE_GATHER, Incarnation: uint64(inc),
+		Sync: s.SyncAddress(), Client: c, Pause: p, Bundles: bundles, Log: log, Registry: reg,
+	})
+}
+
+func newPool(s *gather.Settings, source feed.Source, reporter feed.Reporter, log *zap.Logger, reg prometheus.Registerer) *upstream.Pool {
+	return upstream.NewPool(upstream.Config{VM: s.VM.ID, Bind: s.VM.Bind}, source, reporter, log, reg)
+}
+
+func newBalancers(pool *upstream.Pool) *gather.Balancers {
+	return gather.NewBalancers(time.Now, rand.Float64, pool.State)
+}
+
+func newGuard(s *gather.Settings, reporter feed.Reporter, pool *upstream.Pool, reg prometheus.Registerer) *quarantine.Registry {
+	return quarantine.New(s.Quarantine, reporter, pool.State, time.Now, quarantine.NewMetrics(reg))
+}
+
+func newEngine(s *gather.Settings, source feed.Source, pool *upstream.Pool, b *gather.Balancers, guard *quarantine.Registry, reg prometheus.Registerer) *search.Engine {
+	return search.New(s.Search, source, pool, b, guard, search.NewMetrics(reg))
+}
+
+func newKeeper(s *gather.Settings, inc incarnation, source feed.Source, pool *upstream.Pool, b *gather.Balancers, c *http.Client, p *process.PauseDetector, log *zap.Logger, reg prometheus.Registerer) keeper {
+	m := order.New(order.Options{
+		Config: order.DefaultConfig(), VM: s.VM.ID, Incarnation: uint64(inc), Source: source,
+		Replicas: b.For, Leaves: pool, Peers: order.NewHTTPPeers(c), Pauses: p,
+		Registry: reg, Log: log, Now: time.Now, Random: rand.Float64,
+	})
+	return keeper{Manager: m}
+}
+
+// daemon is the process with all its duties.
+type daemon struct {
+	settings  *gather.Settings
+	log       *zap.Logger
+	registry  *prometheus.Registry
+	inc       incarnation
+	pause     *process.PauseDetector
+	bundles   *bundle.Store
+	feed      *feed.Manager
+	pool      *upstream.Pool
+	balancers *gather.Balancers
+	guard     *quarantine.Registry
+	keeper    keeper
+	gather    *gather.Manager
+}
+
+// run runs the duties until a signal comes. They end in reverse order, so that the connections to
+// the leaves are closed after the last request has ended.
+func (d *daemon) run(ctx context.Context) error {
+	defer func() { _ = d.log.Sync() }()
+	r := process.Runner{
+		Log: d.log, DrainLimit: d.settings.Drain.Limit.D(), Drain: d.gather.Drain,
+		Duties: []process.Duty{
+			{Name: "operator", Run: d.serveOperators},
+			{Name: "pause", Run: d.pause.Run},
+			{Name: "feed", Run: d.feed.Run},
+			{Name: "upstream", Run: d.pool.Run},
+			{Name: "balancers", Run: func(ctx context.Context) error { return d.balancers.Run(ctx, d.feed) }},
+			{Name: "quarantine", Run: func(ctx context.Context) error { return d.guard.Run(ctx, d.feed) }},
+			{Name: "order", Run: d.keeper.Run},
+			{Name: "gather", Run: d.gather.Run},
+		},
+	}
+	return r.Run(ctx)
+}
+
+// serveOperators serves probes, metrics and dump until ctx ends.
+func (d *daemon) serveOperators(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", d.settings.Operator.Listen)
+	if err != nil {
+		return eris.Wrap(err, "operator: listen")
+	}
+	srv := &http.Server{Handler: operator.Handler(d.registry, d.dumps(), d.gather.Ready), ReadHeaderTimeout: operatorHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "operator: serve")
+	}
+	return nil
+}
+
+// dumps collects the state of all duties.
+func (d *daemon) dumps() *operator.Dumps {
+	dumps := operator.NewDumps()
+	dumps.Add(process.InfoDuty, operator.DumpFunc(func() any { return d.info() }))
+	dumps.Add("bundle", d.bundles)
+	dumps.Add("gather", d.gather)
+	dumps.Add("upstream", d.pool)
+	dumps.Add("quarantine", d.guard)
+	return dumps
+}
+
+// info is what the process says of itself.
+func (d *daemon) info() process.Info {
+	return d.gather.Info(process.Info{Program: program, Incarnation: uint64(d.inc)})
+}
--- /dev/null
+++ b/cmd/burdock-gather/wire.go
@@ -0,0 +1,29 @@
+//go:build wireinject
+
+package main
+
+import (
+	"github.com/google/wire"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/gather"
+	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/search"
+)
+
+// initialize builds the process from its settings; nothing runs yet.
+func initialize(s *gather.Settings) (*daemon, error) {
+	wire.Build(
+		newLog, newPause, newClient, newIncarnation, newFeed, newPool, newBalancers, newGuard, newEngine, newKeeper,
+		operator.NewRegistry, bundle.NewFollowerStore, gather.NewManager,
+		wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
+		wire.Bind(new(feed.Source), new(*feed.Manager)),
+		wire.Bind(new(feed.Reporter), new(*feed.Manager)),
+		wire.Bind(new(gather.Searcher), new(*search.Engine)),
+		wire.Bind(new(gather.Keeper), new(keeper)),
+		wire.Struct(new(daemon), "*"),
+	)
+	return nil, nil
+}
--- a/internal/gather/door.go
+++ b/internal/gather/door.go
@@ -41,25 +41,21 @@
 // Enter lets a request for new work in, or says why not; nothing has been sent then. The function
 // returned must be called at the request's end.
 func (d *Door) Enter(ctx context.Context, id *pb.Identity, service string) (leave func(), err error) {
-	return d.enter(ctx, id, service, false)
-}
-
-// EnterOrder is Enter for an order, which may be the resend of one whose outcome is recorded. While
-// draining it is let in; the keeper of orders refuses what has not run.
-func (d *Door) EnterOrder(ctx context.Context, id *pb.Identity, service string) (leave func(), err error) {
-	return d.enter(ctx, id, service, true)
-}
-
-func (d *Door) enter(ctx context.Context, id *pb.Identity, service string, order bool) (func(), error) {
-	if !d.begin(order) {
+	if !d.begin(false) {
 		return nil, outcome.NotRun(pb.Reason_REASON_DRAINING, Step, "the gather is draining").After(drainRetry)
 	}
-	if err := d.check(ctx, id, service, order); err != nil {
+	if err := d.check(ctx, id, service); err != nil {
 		d.end()
 		return nil, err
 	}
-	var once sync.Once
-	return func() { once.Do(d.end) }, nil
+	return sync.OnceFunc(d.end), nil
+}
+
+// EnterOrder counts an order in, while draining too. It may be a resend of one that has run, so
+// only the keeper of tickets, who knows, may say that it was not run.
+func (d *Door) EnterOrder() (leave func()) {
+	d.begin(true)
+	return sync.OnceFunc(d.end)
 }
 
 func (d *Door) begin(order bool) bool {
@@ -91,11 +87,11 @@
 }
 
 // check identifies the request by the bundle in force.
-func (d *Door) check(ctx context.Context, id *pb.Identity, service string, order bool) error {
+func (d *Door) check(ctx context.Context, id *pb.Identity, service string) error {
 	if n := len(id.GetRequestId()); n == 0 || n > maxRequestID {
 		return outcome.NotRun(pb.Reason_REASON_INVALID_REQUEST, Step, "want a request id of 1 to %d bytes", maxRequestID)
 	}
-	if !order && !d.source.Fresh() {
+	if !d.source.Fresh() {
 		return outcome.NotRun(pb.Reason_REASON_PAUSED, Step, "no fresh news of the fleet").After(pausedRetry)
 	}
 	b, err := d.bundle(ctx, id.GetBundleVersion())
--- /dev/null
+++ b/internal/gather/manager.go
@@ -0,0 +1,185 @@
+package gather
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/negroni/v3"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+	"github.com/burdockplank/burdockplank/internal/version"
+)
+
+// maxMessageBytes bounds one message from another process: a handover of many records is the largest.
+const maxMessageBytes = 16 << 20
+
+// Keeper keeps the tickets and runs the orders; *order.Manager does.
+type Keeper interface {
+	Orders
+	burdockv1connect.TicketPeerServiceHandler
+	// Drain issues no more tickets, ends running orders and hands the records to other gathers.
+	Drain(ctx context.Context)
+}
+
+// Manager owns the listener for entries and other gathers, and the drain of the process.
+type Manager struct {
+	settings *Settings
+	log      *zap.Logger
+	source   feed.Source
+	reporter feed.Reporter
+	door     *Door
+	keeper   Keeper
+	server   *http.Server
+	// listening is true once requests are taken; draining from the signal on.
+	listening, draining atomic.Bool
+}
+
+// NewManager returns a manager that doesn't listen yet.
+func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter, searcher Searcher, keeper Keeper) *Manager {
+	m := &Manager{
+		settings: s, log: log, source: source, reporter: reporter, keeper: keeper,
+		door: NewDoor(source, s.Gather.BundleWait.D()),
+	}
+	m.server = rpc.NewServer(m.handler(NewService(m.door, searcher, keeper, NewMetrics(reg)), keeper))
+	return m
+}
+
+func (m *Manager) handler(s *Service, keeper Keeper) http.Handler {
+	mux := http.NewServeMux()
+	limit := connect.WithReadMaxBytes(maxMessageBytes)
+	mux.Handle(burdockv1connect.NewGatherServiceHandler(s, limit))
+	mux.Handle(burdockv1connect.NewTicketPeerServiceHandler(keeper, limit))
+	n := negroni.New(negroni.NewRecovery())
+	n.UseHandler(mux)
+	return n
+}
+
+// Run serves entries and other gathers until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", m.settings.ListenAddress())
+	if err != nil {
+		return eris.Wrap(err, "gather: listen")
+	}
+	return m.serve(ctx, l)
+}
+
+func (m *Manager) serve(ctx context.Context, l net.Listener) error {
+	m.listening.Store(true)
+	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_READY)
+	m.log.Info("listening for entries", zap.String("address", l.Addr().String()))
+	stopped := context.AfterFunc(ctx, func() { _ = m.server.Close() })
+	defer stopped()
+	if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "gather: serve")
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Drain ends the process's work in order. It refuses new work at once, tells the other VMs, ends
+// what runs, hands the tickets' records over, and listens on for a while, so that an entry that
+// hasn't heard yet gets an answer rather than a refused connection.
+func (m *Manager) Drain(ctx context.Context) {
+	m.draining.Store(true)
+	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_DRAINING)
+	m.door.Close()
+	notice := time.NewTimer(m.settings.Drain.Notice.D())
+	defer notice.Stop()
+	m.keeper.Drain(ctx)
+	if !wait(ctx, m.door.Idle()) {
+		m.log.Warn("running work did not end within the limit")
+	}
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	if err := m.server.Shutdown(ctx); err != nil {
+		m.log.Warn("connections did not close within the limit", zap.Error(err))
+	}
+	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_GONE)
+}
+
+// wait returns true when done is closed, false when ctx ends first.
+func wait(ctx context.Context, done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Ready tells whether the process takes new work, and why not.
+func (m *Manager) Ready() (bool, string) {
+	switch {
+	case m.draining.Load():
+		return false, "draining"
+	case !m.listening.Load():
+		return false, "not listening yet"
+	case m.source.Current().Bundle == nil:
+		return false, "no bundle in force"
+	case !m.source.Fresh():
+		return false, "no fresh news of the fleet"
+	}
+	return true, ""
+}
+
+// state is what the dump shows of this duty.
+type state struct {
+	Ready         bool   `json:"ready"`
+	Why           string `json:"why,omitempty"`
+	Draining      bool   `json:"draining"`
+	Running       int    `json:"running"`
+	BundleVersion uint64 `json:"bundle_version"`
+	// ViewAge is the time since the sync was last heard of, "never" before the first time.
+	ViewAge string `json:"view_age"`
+}
+
+// Dump implements operator.Dumper.
+func (m *Manager) Dump() any {
+	s := state{ViewAge: "never"}
+	s.Ready, s.Why = m.Ready()
+	s.Draining, s.Running = m.door.state()
+	v := m.source.Current()
+	if !v.Heard.IsZero() {
+		s.ViewAge = time.Since(v.Heard).Round(time.Millisecond).String()
+	}
+	if v.Bundle != nil {
+		s.BundleVersion = v.Bundle.Version
+	}
+	return s
+}
+
+// Info fills in what the gather knows of the process.
+func (m *Manager) Info(i process.Info) process.Info {
+	v := m.source.Current()
+	i.VM, i.Zone, i.Role, i.Version = m.settings.VM.ID, m.settings.VM.Zone, "gather", version.Version
+	i.State = process.StateStarting
+	if ready, _ := m.Ready(); ready {
+		i.State = process.StateReady
+	}
+	if m.draining.Load() {
+		i.State = process.StateDraining
+	}
+	if v.Bundle != nil {
+		i.BundleVersion = v.Bundle.Version
+	}
+	i.PlatformAgeSeconds = -1
+	if !v.Heard.IsZero() && v.PlatformAge >= 0 {
+		i.PlatformAgeSeconds = (v.PlatformAge + time.Since(v.Heard)).Seconds()
+	}
+	return i
+}
--- a/internal/gather/service.go
+++ b/internal/gather/service.go
@@ -44,12 +44,12 @@
 	id := req.GetIdentity()
 	leave, err := s.door.Enter(ctx, id, req.GetSearch().GetService())
 	if err != nil {
-		return nil, s.refuse(err, id)
+		return nil, s.refuse(err, pb.OutcomeKind_OUTCOME_KIND_FAILED, id)
 	}
 	defer leave()
 	a, err := s.search.Search(ctx, id, req.GetSearch())
 	if err != nil {
-		return nil, s.refuse(err, id)
+		return nil, s.refuse(err, pb.OutcomeKind_OUTCOME_KIND_FAILED, id)
 	}
 	return &pb.GatherSearchResponse{Identity: id, Search: a}, nil
 }
@@ -59,35 +59,32 @@
 	id := req.GetIdentity()
 	leave, err := s.door.Enter(ctx, id, req.GetTicket().GetService())
 	if err != nil {
-		return nil, s.refuse(err, id)
+		return nil, s.refuse(err, pb.OutcomeKind_OUTCOME_KIND_FAILED, id)
 	}
 	defer leave()
 	res, err := s.orders.IssueTicket(ctx, req)
 	if err != nil {
-		return nil, s.refuse(err, id)
+		return nil, s.refuse(err, pb.OutcomeKind_OUTCOME_KIND_FAILED, id)
 	}
 	return res, nil
 }
 
-// Order implements GatherService. A resend whose outcome is recorded is answered while draining
-// too, so the door only checks who asks; whether the order may run is up to its keeper.
+// Order implements GatherService. Resends are answered while draining too; whether the order may
+// run, and whether it has, is known to the keeper of its ticket alone.
 func (s *Service) Order(ctx context.Context, req *pb.GatherOrderRequest) (*pb.GatherOrderResponse, error) {
-	id := req.GetIdentity()
-	leave, err := s.door.EnterOrder(ctx, id, req.GetOrder().GetService())
-	if err != nil {
-		return nil, s.refuse(err, id)
-	}
+	leave := s.door.EnterOrder()
 	defer leave()
 	res, err := s.orders.Order(ctx, req)
 	if err != nil {
-		return nil, s.refuse(err, id)
+		return nil, s.refuse(err, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN, req.GetIdentity())
 	}
 	return res, nil
 }
 
-// refuse makes the connect error of an outcome.
-func (s *Service) refuse(err error, id *pb.Identity) *connect.Error {
-	e := outcome.Classify(err, pb.OutcomeKind_OUTCOME_KIND_FAILED, Step)
+// refuse makes the connect error of an outcome. An error without one gets the kind, which must
+// claim no more than is known.
+func (s *Service) refuse(err error, kind pb.OutcomeKind, id *pb.Identity) *connect.Error {
+	e := outcome.Classify(err, kind, Step)
 	s.metrics.refused.WithLabelValues(outcome.KindName(e.Kind), outcome.ReasonName(e.Reason)).Inc()
 	return outcome.ToConnect(e, id.GetRequestId())
 }
--- a/internal/gather/settings.go
+++ b/internal/gather/settings.go
@@ -3,8 +3,6 @@
 package gather
 
 import (
-	"net"
-	"strconv"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/quarantine"
@@ -49,9 +47,9 @@
 }
 
 // DefaultSettings returns the defaults. VM id, zone and bind have none.
-func DefaultSettings() Settings {
-	return Settings{
-		Operator:   settings.Operator{Listen: net.JoinHostPort("127.0.0.1", strconv.Itoa(settings.DefaultGatherOperatorPort))},
+func DefaultSettings() *Settings {
+	return &Settings{
+		Operator:   settings.Operator{Listen: settings.HostPort("127.0.0.1", settings.DefaultGatherOperatorPort)},
 		Log:        settings.Log{Level: "info"},
 		Gather:     Listen{Port: settings.DefaultGatherPort, BundleWait: settings.Duration(200 * time.Millisecond)},
 		Drain:      Drain{Notice: settings.Duration(2 * time.Second), Limit: settings.Duration(30 * time.Second)},
@@ -81,10 +79,10 @@
 	if s.Sync.Address != "" {
 		return s.Sync.Address
 	}
-	return net.JoinHostPort(s.VM.Bind, strconv.Itoa(settings.DefaultSyncPort))
+	return settings.HostPort(s.VM.Bind, settings.DefaultSyncPort)
 }
 
 // ListenAddress returns where entries and other gathers connect.
 func (s *Settings) ListenAddress() string {
-	return net.JoinHostPort(s.VM.Bind, strconv.Itoa(s.Gather.Port))
+	return settings.HostPort(s.VM.Bind, s.Gather.Port)
 }
