Bound the leaf crashes of one request over all gathers, and test searches under faults

A text that crashes each leaf that runs it would end one leaf a shard at its first scatter. It now runs on at most three leaves, ranked alike by every gather, until one answers. A leaf lost lately keeps its place among the three, so that the next in rank isn't crashed in its stead.

--- a/internal/quarantine/dump.go
+++ b/internal/quarantine/dump.go
@@ -38,7 +38,7 @@
 	}
 	sort.Slice(d.Suspects, func(i, j int) bool { return d.Suspects[i].Digest < d.Suspects[j].Digest })
 	for id, l := range r.leaves {
-		if !l.lostAt.IsZero() && now.Sub(l.lostAt) < r.settings.Hold.D() {
+		if r.lostLately(l, now) {
 			d.Held = append(d.Held, id)
 		}
 	}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 )
 
@@ -44,6 +45,11 @@
 	return true
 }
 
+// has tells whether the request was in flight at the crash.
+func (s *suspect) has(id crashID) bool {
+	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.crashID == id })
+}
+
 // latest returns when the youngest evidence arose.
 func (s *suspect) latest() time.Time {
 	var t time.Time
--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -8,6 +8,10 @@
 	// unsureFor is how long a lost connection may be that of a crash before the leaf's unchanged
 	// incarnation clears the request.
 	unsureFor = time.Second
+	// abandonedFor is how long a request that was given up unanswered may still bring its leaf down.
+	abandonedFor = time.Second
+	// maxAbandoned bounds what is remembered of one leaf.
+	maxAbandoned = 64
 )
 
 // leaf is what the registry knows of one leaf.
@@ -15,12 +19,25 @@
 	// incarnation last seen, 0 before the first; connected as last seen.
 	incarnation uint64
 	connected   bool
+	// leaving as last seen.
+	leaving bool
 	// lostAt is when it was last lost without having said that it leaves.
 	lostAt time.Time
+	// lostIncarnation is the one that was lost.
+	lostIncarnation uint64
 	// unproven counts the unproven requests in flight there from this gather; solo is true where
 	// the one in flight must stay alone.
 	unproven int
 	solo     bool
+	// abandoned are the unproven requests given up lately, oldest first.
+	abandoned []abandoned
+}
+
+// abandoned is an unproven request that was given up before the leaf answered, and may run on there.
+type abandoned struct {
+	digest      uint64
+	incarnation uint64
+	at          time.Time
 }
 
 func (r *Registry) leaf(id string) *leaf {
@@ -32,21 +49,63 @@
 	return l
 }
 
-func (r *Registry) lose(id string, now time.Time) { r.leaf(id).lostAt = now }
+// lose notes that a leaf was lost. Requests that may still have run there become suspects.
+func (r *Registry) lose(id string, incarnation uint64, now time.Time) {
+	l := r.leaf(id)
+	l.lostAt, l.lostIncarnation = now, incarnation
+	left := l.abandoned
+	l.abandoned = nil
+	for _, a := range left {
+		if now.Sub(a.at) <= abandonedFor {
+			r.accuse(a.digest, crash{crashID: crashID{id, a.incarnation}, at: now}, now)
+		}
+	}
+}
+
+// Abandoned notes that an unproven request was given up before the leaf answered it.
+func (r *Registry) Abandoned(digest uint64, id string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.leaf(id)
+	if incarnation == 0 {
+		incarnation = l.incarnation
+	}
+	if len(l.abandoned) >= maxAbandoned {
+		l.abandoned = l.abandoned[1:]
+	}
+	l.abandoned = append(l.abandoned, abandoned{digest: digest, incarnation: incarnation, at: r.clock()})
+}
 
-// Held tells whether the leaf was lost so lately that evidence of the crash may not be everywhere
-// yet; it takes no first run then.
-func (r *Registry) Held(id string) bool {
+// Held tells whether the leaf was lost so lately that the request may be the cause and evidence of
+// it is still on its way; it takes no first run of the request then. A loss that a quarantined
+// request explains doesn't hold the leaf back from others.
+func (r *Registry) Held(id string, digest uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
 	r.sample(id, now)
 	l := r.leaf(id)
+	return r.lostLately(l, now) && !r.explained(crashID{id, l.lostIncarnation}, digest)
+}
+
+func (r *Registry) lostLately(l *leaf, now time.Time) bool {
 	return !l.lostAt.IsZero() && now.Sub(l.lostAt) < r.settings.Hold.D()
 }
 
+// explained tells whether a quarantined request other than that of the digest was in flight at the
+// crash.
+func (r *Registry) explained(id crashID, digest uint64) bool {
+	for _, s := range r.suspects {
+		if s.digest != digest && s.quarantined() && s.has(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // sample compares a leaf's state with the one seen before. One that went away or came back as
-// another incarnation, and wasn't leaving, was lost.
+// another incarnation, and had not said before that it leaves, was lost. What is said after the loss
+// doesn't count: a refused connection is taken for leaving, too.
 func (r *Registry) sample(id string, now time.Time) {
 	s, known := r.states(id)
 	if !known {
@@ -54,17 +113,14 @@
 	}
 	l := r.leaf(id)
 	replaced := l.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != l.incarnation
-	gone := l.connected && !s.Connected
+	lost := l.connected && !l.leaving && (!s.Connected || replaced)
+	l.connected, l.leaving = s.Connected, s.Leaving
+	before := l.incarnation
 	if s.Incarnation != 0 {
 		l.incarnation = s.Incarnation
 	}
-	wasConnected := l.connected
-	l.connected = s.Connected
-	if s.Leaving {
-		return
-	}
-	if gone || replaced && wasConnected {
-		l.lostAt = now
+	if lost {
+		r.lose(id, before, now)
 	}
 }
 
--- a/internal/quarantine/manager.go
+++ b/internal/quarantine/manager.go
@@ -8,12 +8,17 @@
 	"github.com/burdockplank/burdockplank/internal/feed"
 )
 
-// sampleEvery is how often the leaves' states are compared with those seen before.
-const sampleEvery = 20 * time.Millisecond
+const (
+	// settleEvery is how often lost connections are judged.
+	settleEvery = 20 * time.Millisecond
+	// sampleEvery is how many settles apart the states of all leaves are compared with those seen
+	// before.
+	sampleEvery = 5
+)
 
 // Run takes in the evidence of the source's views and settles lost connections until ctx ends.
 func (r *Registry) Run(ctx context.Context, source feed.Source) error {
-	t := time.NewTicker(sampleEvery)
+	t := time.NewTicker(settleEvery)
 	defer t.Stop()
 	for {
 		changed := source.Changed()
@@ -26,18 +31,29 @@
 
 // sampleUntil looks at the leaves at each tick until changed is closed; false where ctx ended.
 func (r *Registry) sampleUntil(ctx context.Context, tick <-chan time.Time, changed <-chan struct{}) bool {
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return false
 		case <-changed:
 			return true
 		case <-tick:
+		}
+		if n%sampleEvery == 0 {
 			r.Look()
+		} else {
+			r.Settle()
 		}
 	}
 }
 
+// Settle judges the lost connections of which it isn't known yet whether the leaf crashed.
+func (r *Registry) Settle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle(r.clock())
+}
+
 // Look compares the leaves' states with those seen before, settles lost connections and drops what
 // has aged out.
 func (r *Registry) Look() {
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -146,8 +146,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
-	r.lose(leaf, now)
-	c := crash{crashID: crashID{leaf, incarnation}, at: now, alone: alone}
+	r.lose(leaf, incarnation, now)
+	r.accuse(digest, crash{crashID: crashID{leaf, incarnation}, at: now, alone: alone}, now)
+}
+
+// accuse counts a loss against a request until it is known whether the leaf crashed.
+func (r *Registry) accuse(digest uint64, c crash, now time.Time) {
 	if !r.suspect(digest, now).add(c) {
 		return
 	}
@@ -157,10 +161,10 @@
 }
 
 // LostLeaf notes that a connection to the leaf broke.
-func (r *Registry) LostLeaf(leaf string) {
+func (r *Registry) LostLeaf(leaf string, incarnation uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lose(leaf, r.clock())
+	r.lose(leaf, incarnation, r.clock())
 }
 
 // suspect returns the entry of a digest, made where there is none.
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -1,6 +1,7 @@
 package search
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -33,15 +34,18 @@
 	r.active++
 	r.e.metrics.calls.WithLabelValues(r.q.service.Name).Inc()
 	r.e.calls.Add(1)
-	go r.call(i, s.asked, call, gate)
+	if s.cancel == nil {
+		s.ctx, s.cancel = context.WithCancel(r.ctx)
+	}
+	go r.call(s.ctx, i, s.asked, call, gate)
 }
 
 // call asks a leaf and hands the end to the run, or drops it where the run has ended.
-func (r *run) call(i int, asked *pb.LeafSearchRequest, call balance.Call, gate string) {
+func (r *run) call(ctx context.Context, i int, asked *pb.LeafSearchRequest, call balance.Call, gate string) {
 	defer r.e.calls.Done()
 	leaf := call.Leaf()
-	got, err := r.e.caller.Search(r.ctx, leaf, asked)
-	ev := r.judge(asked, leaf, got, err)
+	got, err := r.e.caller.Search(ctx, leaf, asked)
+	ev := r.judge(ctx, asked, leaf, got, err)
 	ev.shard, ev.trial = i, gate != ""
 	result := balance.ResultOK
 	if ev.answer == nil {
@@ -50,7 +54,7 @@
 		r.q.replicas.Report(leaf, got.GetLoad())
 	}
 	call.Done(result)
-	r.noteLoss(ev.failure, leaf, err, gate)
+	r.note(ev, err, gate)
 	r.q.state.waiting.freed(leaf)
 	select {
 	case r.events <- ev:
@@ -62,9 +66,9 @@
 }
 
 // judge turns the end of a call into an event; only an answer that matches its question counts.
-func (r *run) judge(asked *pb.LeafSearchRequest, leaf string, got *pb.LeafSearchResponse, err error) event {
+func (r *run) judge(ctx context.Context, asked *pb.LeafSearchRequest, leaf string, got *pb.LeafSearchResponse, err error) event {
 	if err != nil {
-		f := classify(r.ctx, err)
+		f := classify(ctx, err)
 		var ce *upstream.CallError
 		wrote := !errors.As(err, &ce) || ce.Wrote
 		return event{leaf: leaf, failure: f, wrote: wrote}
@@ -76,18 +80,13 @@
 	return event{leaf: leaf, answer: got, wrote: true}
 }
 
-// noteLoss tells the guard of a lost connection, and leaves the gate.
-func (r *run) noteLoss(f failure, leaf string, err error, gate string) {
+// note tells the guard how the leaf and the request fared, and leaves the gate.
+func (r *run) note(ev event, err error, gate string) {
 	alone := false
 	if gate != "" {
 		alone = r.e.guard.Leave(gate)
 	}
-	if f != failLost || err == nil {
-		return
-	}
-	if r.outlived.Load() {
-		r.e.guard.LostProven(r.key)
-		r.e.guard.LostLeaf(leaf)
+	if ev.answer != nil || err == nil {
 		return
 	}
 	var ce *upstream.CallError
@@ -95,7 +94,16 @@
 	if errors.As(err, &ce) {
 		incarnation = ce.Incarnation
 	}
-	r.e.guard.LostUnproven(r.key.Digest, leaf, incarnation, alone)
+	guard, outlived := r.e.guard, r.outlived.Load()
+	switch {
+	case ev.failure == failLost && outlived:
+		guard.LostProven(r.key)
+		guard.LostLeaf(ev.leaf, incarnation)
+	case ev.failure == failLost:
+		guard.LostUnproven(r.key.Digest, ev.leaf, incarnation, alone)
+	case (ev.failure == failDeadline || ev.failure == failCancelled) && !outlived && ev.wrote:
+		guard.Abandoned(r.key.Digest, ev.leaf, incarnation)
+	}
 }
 
 // take takes in the end of a call.
@@ -115,6 +123,7 @@
 func (r *run) takeAnswer(ev event) {
 	if s := &r.shards[ev.shard]; s.answer == nil {
 		s.answer, s.settled, s.parked, s.placing = ev.answer, true, false, false
+		s.cancel() // the loser of a hedge
 		r.lastAnswer = time.Now()
 	}
 	r.release()
@@ -129,6 +138,9 @@
 	if ev.failure == failShed {
 		s.shed++
 	}
+	if ev.failure == failLost {
+		r.losses++
+	}
 	if ev.failure == failSnapshot && r.dropped(ev.leaf) {
 		return
 	}
@@ -174,10 +186,14 @@
 	return shardFacts{
 		active: s.active, tries: s.tries, sheds: s.shed, hedged: s.hedged,
 		others: len(r.candidates(s, false)), usable: len(r.candidates(s, true)),
-		outlived: r.outlived.Load(),
+		mayAsk: r.mayAsk(),
 	}
 }
 
+// mayAsk tells whether the request may go to further leaves: one has answered it, or by the
+// settings it runs anywhere and no connection was lost with it.
+func (r *run) mayAsk() bool { return r.outlived.Load() || r.released && r.losses == 0 }
+
 // retry asks another replica of the shard within the budget; the shard is missing otherwise.
 func (r *run) retry(i int, how step) {
 	s := &r.shards[i]
@@ -200,7 +216,7 @@
 func (r *run) tick() {
 	now := time.Now()
 	for i := range r.shards {
-		if s := &r.shards[i]; !s.settled && s.active == 1 && r.outlived.Load() && !now.Before(s.hedgeAt) {
+		if s := &r.shards[i]; !s.settled && s.active == 1 && !s.hedged && r.mayAsk() && !now.Before(s.hedgeAt) {
 			r.hedge(i, now)
 		}
 	}
@@ -239,11 +255,11 @@
 	}
 	for i := range r.shards {
 		s := &r.shards[i]
-		if !s.settled && s.active == 1 && !s.hedged && r.outlived.Load() {
+		if !s.settled && s.active == 1 && !s.hedged && r.mayAsk() {
 			sooner(s.hedgeAt)
 		}
 	}
-	if r.waits {
+	if r.waiter != nil {
 		sooner(now.Add(placePoll))
 	}
 	if at, may := r.policy().earlyAt(); may && now.Before(r.started.Add(at)) {
--- /dev/null
+++ b/internal/search/crashing_test.go
@@ -0,0 +1,157 @@
+package search
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// maxCrashes is the promise: the most leaves that one crashing request may end in the whole fleet.
+const maxCrashes = 3
+
+// spread runs n gathers in each of three availability zones over one fleet. What one reports
+// reaches each other gather after the delay, or never where cut says so.
+func spread(ctx context.Context, zones []string, n int, delay time.Duration, cut func(from, to *rig) bool) ([]*rig, *fakeFleet) {
+	service, fleet := groups(5)
+	var rigs []*rig
+	for _, z := range zones {
+		for range n {
+			rigs = append(rigs, newRig(z, service, fleet, nil))
+		}
+	}
+	for _, from := range rigs {
+		from.feed.hear = func(c *pb.Crash) {
+			for _, to := range rigs {
+				if to != from && !cut(from, to) {
+					time.AfterFunc(delay, func() { to.guard.Take(&feed.View{Crashes: []*pb.Crash{c}, Received: time.Now().Add(-delay)}) })
+				}
+			}
+		}
+		go func() { _ = from.guard.Run(ctx, from.feed) }()
+	}
+	return rigs, fleet
+}
+
+func neverCut(_, _ *rig) bool { return false }
+
+// TestCrashingRequestIsBoundInTheWholeFleet sends one crashing text again and again through every
+// gather, at once and one after another, while leaves restart and evidence takes its time.
+func TestCrashingRequestIsBoundInTheWholeFleet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		restart := time.Duration(rapid.IntRange(1, 5000).Draw(rt, "restart ms")) * time.Millisecond
+		delay := time.Duration(rapid.IntRange(0, 2500).Draw(rt, "spread ms")) * time.Millisecond
+		pause := time.Duration(rapid.IntRange(10, 300).Draw(rt, "pause ms")) * time.Millisecond
+		limit := time.Duration(rapid.IntRange(1, 400).Draw(rt, "caller's limit ms")) * time.Millisecond
+		senders := rapid.IntRange(1, 2).Draw(rt, "senders at each gather")
+		crashes := 0
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			rigs, fleet := spread(ctx, []string{"az-a", "az-b", "az-c"}, 2, delay, neverCut)
+			fleet.restart = restart
+			time.Sleep(time.Second) // the leaves are seen up
+			var wg sync.WaitGroup
+			end := time.Now().Add(7 * time.Second)
+			for i, r := range rigs {
+				for range senders {
+					wg.Go(func() {
+						time.Sleep(time.Duration(i) * pause)
+						for time.Now().Before(end) {
+							if _, err := r.ask("bad", "claim", crashMark, limit); err == nil {
+								t.Error("a crashing request was answered")
+							}
+							time.Sleep(pause)
+						}
+					})
+				}
+			}
+			wg.Wait()
+			cancel()
+			synctest.Wait()
+			crashes = fleet.crashes
+		})
+		if crashes > maxCrashes {
+			rt.Fatalf("%d leaves crashed", crashes)
+		}
+	})
+}
+
+// TestInnocentRequestsAreAnsweredBesideACrashingOne sends first-seen texts all along. One that was
+// sent to a leaf is always answered whole; one refused as not run, for all leaves that it could be
+// tried on have just gone, is answered when it comes back as told.
+func TestInnocentRequestsAreAnsweredBesideACrashingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		rigs, fleet := spread(ctx, []string{"az-a", "az-b", "az-c"}, 2, 50*time.Millisecond, neverCut)
+		fleet.restart = 500 * time.Millisecond
+		time.Sleep(time.Second)
+		var wg sync.WaitGroup
+		var refused atomic.Int32
+		for i, r := range rigs {
+			wg.Go(func() {
+				for n := range 2000 {
+					wg.Go(func() {
+						text := fmt.Sprintf("innocent %d %d", i, n)
+						a, err := r.ask(text, "claim", text, time.Second)
+						if e, ok := outcome.As(err); ok && e.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN {
+							refused.Add(1)
+							is.Equal(fleet.runs(text), 0)
+							time.Sleep(e.RetryAfter)
+							a, err = r.ask(text, "claim", text, time.Second)
+						}
+						is.NoErr(err)
+						is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+					})
+					time.Sleep(time.Millisecond)
+				}
+			})
+			wg.Go(func() {
+				for range 50 {
+					_, err := r.ask("bad", "claim", crashMark, time.Second)
+					is.True(err != nil)
+					time.Sleep(40 * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		cancel()
+		synctest.Wait()
+		is.True(fleet.crashes > 0 && fleet.crashes <= maxCrashes)
+		is.True(refused.Load() < 20) // of 12,000
+	})
+}
+
+func TestQuarantinedRequestIsRefusedNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(3)
+		r := newRig("az-a", service, fleet, nil)
+		_, err := r.ask("r1", "claim", crashMark, time.Second)
+		e, _ := outcome.As(err)
+		is.Equal(e.Kind, pb.OutcomeKind_OUTCOME_KIND_FAILED) // it did run
+		is.Equal(e.Reason, pb.Reason_REASON_QUARANTINED)
+		is.Equal(fleet.crashes, 2)
+		ran := fleet.ran[crashMark]
+		_, err = r.ask("r2", "claim", crashMark, time.Second)
+		e, _ = outcome.As(err)
+		is.Equal(e.Kind, pb.OutcomeKind_OUTCOME_KIND_NOT_RUN)
+		is.Equal(e.Reason, pb.Reason_REASON_QUARANTINED)
+		is.True(e.RetryAfter > 0)
+		is.Equal(fleet.ran[crashMark], ran)
+		time.Sleep(e.RetryAfter + time.Second) // it ages out when it stays away
+		_, err = r.ask("r3", "claim", crashMark, time.Second)
+		e, _ = outcome.As(err)
+		is.Equal(e.Kind, pb.OutcomeKind_OUTCOME_KIND_FAILED)
+	})
+}
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -18,8 +18,8 @@
 	usable int
 	// hedged is true where a hedge was sent.
 	hedged bool
-	// outlived is true once any leaf has answered this request, so that it may run anywhere.
-	outlived bool
+	// mayAsk is false while the request may crash the leaf that it is sent to.
+	mayAsk bool
 }
 
 // step is what to do about a shard whose call failed.
@@ -30,7 +30,7 @@
 	stepGiveUp step = iota
 	// stepWait: another call of the shard is still in flight.
 	stepWait
-	// stepPark: asking again waits until a leaf has answered the request.
+	// stepPark: asking again waits until some leaf has answered the request.
 	stepPark
 	// stepRetry: ask another replica where the budget allows.
 	stepRetry
@@ -50,7 +50,7 @@
 		return stepGiveUp
 	case f == failShed && s.sheds > 1:
 		return stepGiveUp // the group is overloaded
-	case !s.outlived:
+	case !s.mayAsk:
 		return stepPark
 	case f == failSilent && s.others == 0 && s.usable > 0:
 		return stepRetryAny
@@ -65,7 +65,7 @@
 // mayHedge is the rule for a second call beside one that takes long. The budget is asked only
 // where it says yes.
 func mayHedge(s shardFacts) bool {
-	return s.active == 1 && !s.hedged && s.sheds == 0 && s.others > 0 && s.outlived && s.tries < maxTries
+	return s.active == 1 && !s.hedged && s.sheds == 0 && s.others > 0 && s.mayAsk && s.tries < maxTries
 }
 
 // policy is what the kind says of late shards, with the service's usual time.
--- a/internal/search/plan.go
+++ b/internal/search/plan.go
@@ -22,8 +22,8 @@
 	documents uint64
 	// replicas that may be asked now, in the order of the bundle.
 	replicas []string
-	// known is the first replica of the bundle, named where none can be asked.
-	known string
+	// listed are all replicas of the bundle.
+	listed []string
 }
 
 // fleet says what is known of the leaves when a plan is made.
@@ -100,15 +100,24 @@
 
 func (t *target) add(leaves []string, version uint64, f fleet) {
 	for _, l := range leaves {
-		if t.known == "" {
-			t.known = l
+		if slices.Contains(t.listed, l) {
+			continue
 		}
-		if f.usable(l, version) && !slices.Contains(t.replicas, l) {
+		t.listed = append(t.listed, l)
+		if f.usable(l, version) {
 			t.replicas = append(t.replicas, l)
 		}
 	}
 }
 
+// known names a replica where none can be asked.
+func (t *target) known() string {
+	if len(t.listed) == 0 {
+		return ""
+	}
+	return t.listed[0]
+}
+
 // reach returns the documents and the number of shards that have a usable replica.
 func (p *plan) reach() (documents uint64, shards int) {
 	for i := range p.shards {
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -35,11 +35,12 @@
 	events chan event
 	// over is closed at the end; calls that end later are counted and dropped.
 	over chan struct{}
-	wake chan struct{}
+	// waiter is set from the first wait for a slot on.
+	waiter *waiter
 	// active calls in flight over all shards.
 	active int
-	// waits is true while the run is counted as waiting for a slot.
-	waits bool
+	// losses counts connections lost with calls of this run.
+	losses int
 	// sent is true where a byte of the request may have reached a leaf.
 	sent bool
 	// again is the plan of another snapshot by which the query has to run again.
@@ -69,6 +70,9 @@
 	hedged              bool
 	tried               []string
 	hedgeAt             time.Time
+	// ctx is of the shard's calls, set at the first.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func newRun(ctx context.Context, e *Engine, q *question, p *plan, reruns int) *run {
@@ -77,7 +81,7 @@
 		e: e, q: q, plan: p, fleet: e.fleet(), ctx: ctx, cancel: cancel, started: time.Now(), reruns: reruns,
 		key:    quarantine.SearchKey(q.service.Name, q.kind.Name, q.text, p.snapshot.Version, q.topK),
 		shards: make([]shard, len(p.shards)),
-		events: make(chan event), over: make(chan struct{}), wake: make(chan struct{}, 1),
+		events: make(chan event), over: make(chan struct{}),
 	}
 	for i := range p.shards {
 		r.shards[i] = shard{target: p.shards[i], asked: r.ask(p.shards[i].id)}
@@ -122,8 +126,8 @@
 		select {
 		case ev := <-r.events:
 			r.take(ev)
-		case <-r.wake:
-			r.place()
+		case leaf := <-r.wake():
+			r.woken(leaf)
 		case <-timer.C:
 			r.tick()
 		case <-r.ctx.Done():
@@ -147,7 +151,7 @@
 func (r *run) begin() {
 	for i := range r.shards {
 		if len(r.shards[i].replicas) == 0 {
-			r.settle(i, pb.Reason_REASON_NO_UPSTREAM, r.shards[i].known)
+			r.settle(i, pb.Reason_REASON_NO_UPSTREAM, r.shards[i].known())
 		}
 	}
 	if r.released {
@@ -189,7 +193,7 @@
 	s.placing = false
 	candidates := r.candidates(s, false)
 	if len(candidates) == 0 {
-		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known)
+		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known())
 		return
 	}
 	if call, ok := r.q.replicas.Pick(candidates); ok {
@@ -217,25 +221,47 @@
 
 // wait registers for a slot of the leaves; false where too many searches wait already.
 func (r *run) wait(leaves []string) bool {
-	if !r.waits {
-		if !r.q.state.waiting.enter(r.e.settings.MaxWaiting) {
-			return false
-		}
-		r.waits = true
+	if r.waiter == nil {
+		r.waiter = r.q.state.waiting.enter(r.e.settings.MaxWaiting)
 	}
-	r.q.state.waiting.add(r.wake, leaves)
+	if r.waiter == nil {
+		return false
+	}
+	r.q.state.waiting.register(r.waiter, leaves)
 	return true
 }
 
-func (r *run) stopWaiting() {
-	if !r.waits {
-		return
+// wake returns the channel that tells of free slots, nil while the run never waited.
+func (r *run) wake() <-chan string {
+	if r.waiter == nil {
+		return nil
+	}
+	return r.waiter.wake
+}
+
+// woken takes the slot of the leaf, or passes it on where nothing of the run waits for it.
+func (r *run) woken(leaf string) {
+	if !r.wants(leaf) {
+		r.q.state.waiting.freed(leaf)
+	}
+	r.place()
+}
+
+func (r *run) wants(leaf string) bool {
+	if r.trial != nil {
+		return true
 	}
-	r.waits = false
-	w := r.q.state.waiting
-	w.leave()
 	for i := range r.shards {
-		w.remove(r.wake, r.shards[i].replicas)
+		if s := &r.shards[i]; s.placing && slices.Contains(s.replicas, leaf) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) stopWaiting() {
+	if r.waiter != nil {
+		r.q.state.waiting.leave(r.waiter)
 	}
 }
 
@@ -307,7 +333,7 @@
 		s := &r.shards[i]
 		switch {
 		case s.settled:
-		case s.placing:
+		case s.placing, r.trial != nil && r.trial.active == 0:
 			r.settle(i, pb.Reason_REASON_OVERLOAD, "")
 		case s.parked:
 			r.settle(i, s.reason, "")
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,81 +41,90 @@
 	return &trial{r: r, solo: solo, steps: firstSteps(r)}
 }
 
-// firstSteps ranks the leaves of the snapshot and takes the best of each availability zone, the own
-// zone first.
+// firstSteps ranks the leaves of the snapshot, takes the best of each availability zone, and finds
+// a shard for each.
 func firstSteps(r *run) []firstStep {
+	version := r.plan.snapshot.Version
 	shardOf := make(map[string]int)
+	byZone := make(map[string][]string)
 	for i := range r.shards {
-		for _, l := range r.shards[i].replicas {
-			if _, ok := shardOf[l]; !ok {
-				shardOf[l] = i
+		for _, l := range r.shards[i].listed {
+			if _, seen := shardOf[l]; seen {
+				continue
+			}
+			shardOf[l] = i
+			if leaf := r.q.service.Leaves[l]; leaf != nil {
+				byZone[leaf.Zone] = append(byZone[leaf.Zone], l)
 			}
 		}
 	}
-	zone := r.e.source.Current().Zone
-	var steps []firstStep
-	for _, l := range firstLeaves(r, zone) {
-		if i, ok := shardOf[l]; ok {
-			steps = append(steps, firstStep{leaf: l, shard: i})
+	stand := func(leaf string) firstStanding {
+		switch {
+		case r.e.guard.Held(leaf, r.key.Digest):
+			return firstHeld
+		case r.fleet.usable(leaf, version):
+			return firstFree
 		}
+		return firstAbsent
+	}
+	var steps []firstStep
+	for _, l := range rankLeaves(r.key.Digest, byZone, r.e.source.Current().Zone, stand) {
+		steps = append(steps, firstStep{leaf: l, shard: shardOf[l]})
 	}
 	return steps
 }
 
-// firstLeaves returns at most maxFirst leaves, those of the own availability zone in front.
-func firstLeaves(r *run, own string) []string {
-	byZone := make(map[string][]string)
-	for i := range r.shards {
-		for _, l := range r.shards[i].replicas {
-			if leaf := r.q.service.Leaves[l]; leaf != nil && !slices.Contains(byZone[leaf.Zone], l) {
-				byZone[leaf.Zone] = append(byZone[leaf.Zone], l)
-			}
-		}
-	}
-	return rankLeaves(r.key.Digest, byZone, own, r.e.guard.Held)
-}
+// firstStanding says whether a leaf may be asked first.
+type firstStanding int
+
+const (
+	// firstFree: it may be asked.
+	firstFree firstStanding = iota
+	// firstHeld: it was lost so lately that the request may be why. It keeps its place, so that the
+	// next in rank isn't crashed in its stead.
+	firstHeld
+	// firstAbsent: it is out of use for longer, or leaves; the next in rank takes its place.
+	firstAbsent
+)
 
-// rankLeaves takes the highest ranked leaves zone by zone. A leaf that is held keeps its place but
-// isn't asked, so that the next one in rank isn't crashed in its stead.
-func rankLeaves(digest uint64, byZone map[string][]string, own string, held func(string) bool) []string {
-	zones := make([]string, 0, len(byZone))
-	for z := range byZone {
-		zones = append(zones, z)
-	}
+// rankLeaves gives maxFirst places to the highest ranked leaves zone by zone, and returns those
+// that may be asked, of the own availability zone in front. Every gather gives the same places.
+func rankLeaves(digest uint64, byZone map[string][]string, own string, stand func(string) firstStanding) []string {
 	byRank := func(a, b string) int {
 		if c := cmp.Compare(quarantine.Rank(digest, b), quarantine.Rank(digest, a)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a, b)
 	}
-	slices.SortFunc(zones, byRank)
-	for _, leaves := range byZone {
-		slices.SortFunc(leaves, byRank)
-	}
-	var first, others []string
-	taken := 0
-	for place := 0; taken < maxFirst; place++ {
-		before := taken
-		for _, z := range zones {
-			if place >= len(byZone[z]) || taken >= maxFirst {
-				continue
-			}
-			taken++
-			l := byZone[z][place]
-			if held(l) {
-				continue
-			}
-			if z == own {
-				first = append(first, l)
-			} else {
-				others = append(others, l)
+	var present [][]string
+	for _, z := range slices.SortedFunc(maps.Keys(byZone), byRank) {
+		leaves := slices.DeleteFunc(slices.SortedFunc(slices.Values(byZone[z]), byRank), func(l string) bool { return stand(l) == firstAbsent })
+		present = append(present, leaves)
+	}
+	var places []string
+	for rank := 0; len(places) < maxFirst; rank++ {
+		before := len(places)
+		for _, leaves := range present {
+			if rank < len(leaves) && len(places) < maxFirst {
+				places = append(places, leaves[rank])
 			}
 		}
-		if taken == before {
+		if len(places) == before {
 			break
 		}
 	}
-	return append(first, others...)
+	near := func(l string) bool { return slices.Contains(byZone[own], l) }
+	places = slices.DeleteFunc(places, func(l string) bool { return stand(l) == firstHeld })
+	slices.SortStableFunc(places, func(a, b string) int {
+		switch {
+		case near(a) && !near(b):
+			return -1
+		case near(b) && !near(a):
+			return 1
+		}
+		return 0
+	})
+	return places
 }
 
 // advance asks the next leaf where it is time to, and ends the run where none is left.
--- a/internal/search/waiting.go
+++ b/internal/search/waiting.go
@@ -1,85 +1,101 @@
 package search
 
-import "sync"
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
 
 // waiting wakes searches that wait for a slot of a leaf, the longest waiting first.
 type waiting struct {
 	mu sync.Mutex
-	// byLeaf holds the wake channels of waiting runs, oldest first; guarded by mu.
-	byLeaf map[string][]chan struct{}
-	// runs counts the runs that wait; guarded by mu.
-	runs int
+	// byLeaf holds the waiters of each leaf in order of arrival, arrivals the number of the latest
+	// waiter, and count how many there are. All are guarded by mu.
+	byLeaf   map[string][]*waiter
+	arrivals uint64
+	count    int
 }
 
-func newWaiting() *waiting { return &waiting{byLeaf: make(map[string][]chan struct{})} }
+// waiter is one search that waits.
+type waiter struct {
+	arrival uint64
+	// wake gets the leaf whose slot is free.
+	wake chan string
+	// at lists the leaves where it is registered; guarded by the mutex of waiting.
+	at []string
+}
+
+func newWaiting() *waiting { return &waiting{byLeaf: make(map[string][]*waiter)} }
 
-// add registers wake at the leaves.
-func (w *waiting) add(wake chan struct{}, leaves []string) {
+// enter returns a new waiter, or nil where n wait already.
+func (w *waiting) enter(n int) *waiter {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, l := range leaves {
-		if !contains(w.byLeaf[l], wake) {
-			w.byLeaf[l] = append(w.byLeaf[l], wake)
-		}
+	if w.count >= n {
+		return nil
 	}
+	w.count++
+	w.arrivals++
+	return &waiter{arrival: w.arrivals, wake: make(chan string, 1)}
 }
 
-func contains(list []chan struct{}, c chan struct{}) bool {
-	for _, o := range list {
-		if o == c {
-			return true
-		}
+// leave ends the waiting. A wake that it hasn't taken goes to the next.
+func (w *waiting) leave(who *waiter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.count--
+	w.withdraw(who)
+	select {
+	case leaf := <-who.wake:
+		w.wakeNext(leaf)
+	default:
 	}
-	return false
 }
 
-// remove drops wake from the leaves.
-func (w *waiting) remove(wake chan struct{}, leaves []string) {
+// register adds the waiter at the leaves, in order of its arrival.
+func (w *waiting) register(who *waiter, leaves []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, l := range leaves {
 		list := w.byLeaf[l]
-		for i, o := range list {
-			if o == wake {
-				w.byLeaf[l] = append(list[:i:i], list[i+1:]...)
-				break
-			}
-		}
-		if len(w.byLeaf[l]) == 0 {
-			delete(w.byLeaf, l)
+		i, found := slices.BinarySearchFunc(list, who.arrival, func(o *waiter, a uint64) int { return cmp.Compare(o.arrival, a) })
+		if !found {
+			w.byLeaf[l] = slices.Insert(list, i, who)
+			who.at = append(who.at, l)
 		}
 	}
 }
 
-// freed wakes the run that has waited longest for the leaf.
+// freed wakes the search that has waited longest for the leaf.
 func (w *waiting) freed(leaf string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.wakeNext(leaf)
+}
+
+// wakeNext wakes the first waiter of the leaf. It is registered nowhere then, so that the slots of
+// several leaves wake several waiters.
+func (w *waiting) wakeNext(leaf string) {
 	list := w.byLeaf[leaf]
 	if len(list) == 0 {
 		return
 	}
 	first := list[0]
-	w.byLeaf[leaf] = list[1:]
+	w.withdraw(first)
 	select {
-	case first <- struct{}{}:
+	case first.wake <- leaf:
 	default:
 	}
 }
 
-// enter counts a run that begins to wait; false where n wait already.
-func (w *waiting) enter(n int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.runs >= n {
-		return false
+func (w *waiting) withdraw(who *waiter) {
+	for _, l := range who.at {
+		list := slices.DeleteFunc(w.byLeaf[l], func(o *waiter) bool { return o == who })
+		if len(list) == 0 {
+			delete(w.byLeaf, l)
+			continue
+		}
+		w.byLeaf[l] = list
 	}
-	w.runs++
-	return true
-}
-
-func (w *waiting) leave() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.runs--
+	who.at = who.at[:0]
 }
