--- /dev/null
+++ b/internal/evidence/departure.go
@@ -0,0 +1,111 @@
+package evidence
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// DepartureKey names the evidence that one incarnation of an upstream leaves. A departure is never
+// withdrawn: another incarnation of the upstream has another key.
+type DepartureKey struct {
+	Leaf string
+	// Incarnation is 0 where the source can't tell it.
+	Incarnation uint64
+}
+
+// departure is the newest sight of it.
+type departure struct {
+	// seen is the local time at which its age was 0.
+	seen   time.Time
+	source pb.DepartureSource
+	vm     string
+}
+
+// KeyOfDeparture returns the key of d.
+func KeyOfDeparture(d *pb.Departure) DepartureKey {
+	return DepartureKey{Leaf: d.GetLeaf(), Incarnation: d.GetIncarnation()}
+}
+
+func (k DepartureKey) ttl() time.Duration {
+	if k.Incarnation == 0 {
+		return RefusalTTL
+	}
+	return DepartureTTL
+}
+
+func (k DepartureKey) less(o DepartureKey) bool {
+	if k.Leaf != o.Leaf {
+		return k.Leaf < o.Leaf
+	}
+	return k.Incarnation < o.Incarnation
+}
+
+func (k DepartureKey) hash() uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte("d"+k.Leaf), k.Incarnation))
+}
+
+func departureOf(d *pb.Departure, now time.Time) departure {
+	return departure{seen: now.Add(-max(d.GetAge().AsDuration(), 0)), source: d.GetSource(), vm: d.GetVm()}
+}
+
+// compare orders sights of one departure: the newer holds, and any total order decides a tie.
+func (d departure) compare(o departure) int {
+	return cmp.Or(d.seen.Compare(o.seen), cmp.Compare(d.source, o.source), cmp.Compare(d.vm, o.vm))
+}
+
+// mergeDeparture takes d if it is newer, and tells whether that is news; mu is held.
+func (s *Set) mergeDeparture(key DepartureKey, d departure, now time.Time) (news bool) {
+	if key.Leaf == "" || now.Sub(d.seen) >= key.ttl() {
+		return false
+	}
+	held, ok := s.departures[key]
+	if ok && d.compare(held) <= 0 {
+		return false
+	}
+	s.departures[key] = d
+	return !ok || key.Incarnation == 0 && d.seen.Sub(held.seen) >= confirmAfter
+}
+
+// Departure returns one departure with its age as it is sent, or nil.
+func (s *Set) Departure(key DepartureKey, now time.Time) *pb.Departure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.departures[key]
+	if !ok {
+		return nil
+	}
+	return d.proto(key, now)
+}
+
+// Departures returns all with their ages, by leaf and incarnation.
+func (s *Set) Departures(now time.Time) []*pb.Departure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*pb.Departure, 0, len(s.departures))
+	for k, d := range s.departures {
+		out = append(out, d.proto(k, now))
+	}
+	slices.SortFunc(out, func(a, b *pb.Departure) int {
+		return cmp.Or(cmp.Compare(a.GetLeaf(), b.GetLeaf()), cmp.Compare(a.GetIncarnation(), b.GetIncarnation()))
+	})
+	return out
+}
+
+func (d departure) proto(key DepartureKey, now time.Time) *pb.Departure {
+	return &pb.Departure{
+		Leaf: key.Leaf, Incarnation: key.Incarnation, Source: d.source, Vm: d.vm,
+		Age: durationpb.New(roundAge(now.Sub(d.seen))),
+	}
+}
+
+// roundAge shortens the encoded form; it never makes an age shorter.
+func roundAge(age time.Duration) time.Duration {
+	return max(age+time.Millisecond-1, 0).Truncate(time.Millisecond)
+}
--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -17,7 +17,7 @@
 	old := m.Current()
 	next := *old
 	next.Bundle = m.cfg.Bundles.Current()
-	next.Heard, next.PlatformAge = now, msg.GetPlatformAge().AsDuration()
+	next.Heard, next.PlatformAge = now, platformAge(msg)
 	next.HighestVersion = max(old.HighestVersion, msg.GetHighestVersion(), msg.GetBundleVersion())
 	if !msg.GetUnchanged() {
 		next.Received = now
@@ -31,6 +31,14 @@
 	}
 }
 
+// platformAge returns the age in msg, or NeverReached.
+func platformAge(msg *pb.View) time.Duration {
+	if msg.GetPlatformAge() == nil {
+		return NeverReached
+	}
+	return msg.GetPlatformAge().AsDuration()
+}
+
 // applyBundle puts the bundle in msg in force if it is higher than the one held.
 func (m *Manager) applyBundle(msg *pb.View) {
 	if msg.GetManifest() == nil {
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -66,11 +66,14 @@
 	_ Reporter = (*Manager)(nil)
 )
 
+// withoutCompression spares the processor: the sync is on the same VM.
+var withoutCompression = connect.WithAcceptCompression("gzip", nil, nil)
+
 // New returns a manager with an empty view. Run fills it.
 func New(cfg Config) *Manager {
 	return &Manager{
 		cfg:     cfg,
-		service: burdockv1connect.NewFeedServiceClient(cfg.Client, "http://"+cfg.Sync),
+		service: burdockv1connect.NewFeedServiceClient(cfg.Client, "http://"+cfg.Sync, withoutCompression),
 		metrics: newClientMetrics(cfg.Registry),
 		reports: newReportQueue(),
 		view:    &View{VM: cfg.VM, Zone: cfg.Zone},
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -27,10 +27,13 @@
 	// Heard is the local time of the newest message of the sync, which may have left the lists as
 	// they were.
 	Heard time.Time
-	// PlatformAge is the age of the last platform contact at the time Heard.
+	// PlatformAge is the age of the last platform contact at the time Heard, or NeverReached.
 	PlatformAge time.Duration
 }
 
+// NeverReached is the PlatformAge where no VM that was heard of reached the platform.
+const NeverReached time.Duration = -1
+
 // Source gives the current view. Implementations are safe for concurrent use.
 type Source interface {
 	// Current returns the newest view; never nil, empty before the first.
--- /dev/null
+++ b/internal/listing/sections.go
@@ -0,0 +1,87 @@
+package listing
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+)
+
+const (
+	// entriesPerSection is about how many entries share a section: fewer make the manifest longer,
+	// more make a change of one entry move more.
+	entriesPerSection = 32
+	// maxSections bounds a manifest to 8 KiB.
+	maxSections = 256
+)
+
+// sectionCount returns the power of two that suits the number of entries.
+func sectionCount(entries int) int {
+	wanted := uint(entries / entriesPerSection)
+	return min(1<<bits.Len(wanted), maxSections)
+}
+
+// cut fills in the sections. An entry's section depends on its id alone, so a change of one entry
+// changes one section.
+func (l *List) cut() {
+	n := sectionCount(len(l.VMs) + len(l.Upstreams))
+	parts := make([]pb.ListSection, n)
+	for _, vm := range l.VMs {
+		p := &parts[xxhash.Sum64String(vm.GetId())%uint64(n)]
+		p.Vms = append(p.Vms, vm)
+	}
+	for _, u := range l.Upstreams {
+		p := &parts[xxhash.Sum64String(u.GetId())%uint64(n)]
+		p.Upstreams = append(p.Upstreams, u)
+	}
+	l.Manifest = &pb.ListManifest{Revision: l.Revision}
+	l.Sections = make(map[bundle.Digest][]byte, n)
+	for i := range parts {
+		l.addSection(&parts[i])
+	}
+}
+
+func (l *List) addSection(p *pb.ListSection) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(p)
+	if err != nil {
+		panic(err) // only text that isn't UTF-8 can't be encoded, and names are checked
+	}
+	d := bundle.SectionDigest(encoded)
+	l.Sections[d] = encoded
+	l.Manifest.Sections = append(l.Manifest.Sections, d[:])
+}
+
+// Assemble puts a list together from its manifest and sections; sections holds at least those that
+// the manifest names.
+func Assemble(m *pb.ListManifest, sections map[bundle.Digest][]byte) (*List, error) {
+	if len(m.GetSections()) > maxSections {
+		return nil, eris.Errorf("sync.listing: manifest names %d sections", len(m.GetSections()))
+	}
+	l := &List{Revision: m.GetRevision(), Manifest: m, Sections: make(map[bundle.Digest][]byte)}
+	for i, raw := range m.GetSections() {
+		d, ok := digestOf(raw)
+		encoded, held := sections[d]
+		if !ok || !held {
+			return nil, eris.Errorf("sync.listing: section %d is missing", i)
+		}
+		var p pb.ListSection
+		if err := proto.Unmarshal(encoded, &p); err != nil {
+			return nil, eris.Wrapf(err, "sync.listing: section %d", i)
+		}
+		l.Sections[d] = encoded
+		l.VMs = append(l.VMs, p.GetVms()...)
+		l.Upstreams = append(l.Upstreams, p.GetUpstreams()...)
+	}
+	l.VMs, l.Upstreams = sortedByID(l.VMs), sortedByID(l.Upstreams)
+	return l, nil
+}
+
+func digestOf(raw []byte) (d bundle.Digest, ok bool) {
+	ok = len(raw) == len(d)
+	copy(d[:], raw)
+	return d, ok
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,284 @@
+// Package membership knows the VMs of the fleet: the platform's lagging list joined with evidence
+// between VMs. There is no leader, no quorum and no shared write; each VM holds its own table, and
+// tables that heard the same records are equal. It is pure: the clock is an argument.
+package membership
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+const (
+	// SuspectFor is how long a suspected VM has to raise its heartbeat before it counts as gone.
+	SuspectFor = 3 * time.Second
+	// ForgetAfter is how long a VM that is gone and not on the list is remembered.
+	ForgetAfter = 10 * time.Minute
+)
+
+// Table is one VM's knowledge of all. It is safe for concurrent use.
+type Table struct {
+	// selfID doesn't change.
+	selfID string
+
+	mu sync.Mutex
+	// entries by VM id, one of them the VM's own; guarded by mu.
+	entries map[string]*entry
+	// listed is the platform's list by id; guarded by mu.
+	listed map[string]*pb.Vm
+	// conflicts counts records of this VM's id by another incarnation; guarded by mu.
+	conflicts uint64
+}
+
+// entry is what is known of one VM. Its owner is the table.
+type entry struct {
+	// record is replaced, never changed.
+	record *pb.Vm
+	// since is the local time from which the record's state counts.
+	since time.Time
+}
+
+// Result says what a merge changed.
+type Result struct {
+	// News are the VMs of which something other than the heartbeat is new.
+	News []string
+	// Outdated are the VMs of which the sender held a lower record that misjudges them.
+	Outdated []string
+	// Refuted is true where this VM raised its own heartbeat against a record of itself.
+	Refuted bool
+}
+
+// New returns a table that knows its own VM alone. self names id, zone, address, ports and
+// incarnation.
+func New(self *pb.Vm, now time.Time) *Table {
+	own := proto.Clone(self).(*pb.Vm)
+	own.State, own.Heartbeat, own.Version = live, 1, 1
+	return &Table{
+		selfID:  self.GetId(),
+		entries: map[string]*entry{self.GetId(): {record: own, since: now}},
+		listed:  make(map[string]*pb.Vm),
+	}
+}
+
+// SetList takes the VMs of the platform's list.
+func (t *Table) SetList(vms []*pb.Vm) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listed = make(map[string]*pb.Vm, len(vms))
+	for _, vm := range vms {
+		t.listed[vm.GetId()] = vm
+	}
+}
+
+// Beat raises the VM's own heartbeat.
+func (t *Table) Beat(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.raise(now, func(*pb.Vm) {})
+}
+
+// SetOwn changes the VM's own processes and whether it leaves, and tells whether that is news.
+func (t *Table) SetOwn(processes []*pb.Process, leaves bool, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := live
+	if leaves {
+		state = leaving
+	}
+	own := t.entries[t.selfID].record
+	news := own.GetState() != state || !sameProcesses(own.GetProcesses(), processes)
+	t.raise(now, func(r *pb.Vm) {
+		r.Processes, r.State = processes, state
+		if news {
+			r.Version++
+		}
+	})
+	return news
+}
+
+// raise makes a new record of the VM itself, with a higher heartbeat; mu is held.
+func (t *Table) raise(now time.Time, change func(*pb.Vm)) {
+	e := t.entries[t.selfID]
+	next := proto.Clone(e.record).(*pb.Vm)
+	next.Heartbeat++
+	change(next)
+	e.record, e.since = next, now
+}
+
+// Self returns the VM's own record.
+func (t *Table) Self() *pb.Vm {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[t.selfID].record
+}
+
+// Record returns what is known of a VM between VMs, or nil.
+func (t *Table) Record(id string) *pb.Vm {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		return e.record
+	}
+	return nil
+}
+
+// Conflicts returns how often another incarnation claimed this VM's id.
+func (t *Table) Conflicts() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conflicts
+}
+
+// Merge takes records from another VM.
+func (t *Table) Merge(records []*pb.Vm, now time.Time) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var res Result
+	for _, r := range records {
+		switch {
+		case r.GetId() == t.selfID:
+			t.mergeSelf(r, now, &res)
+		case r.GetId() != "" && (r.GetHeartbeat() > 0 || judged(r)):
+			t.mergeOther(r, now, &res)
+		}
+	}
+	return res
+}
+
+// mergeSelf answers a record of this VM that is not its newest word: the VM raises its heartbeat
+// above one that would hold against its own. mu is held.
+func (t *Table) mergeSelf(r *pb.Vm, now time.Time, res *Result) {
+	own := t.entries[t.selfID].record
+	if Compare(r, own) <= 0 {
+		if r.GetVersion() != own.GetVersion() || r.GetIncarnation() != own.GetIncarnation() || judged(r) {
+			res.Outdated = append(res.Outdated, t.selfID)
+		}
+		return
+	}
+	if r.GetIncarnation() != own.GetIncarnation() {
+		t.conflicts++
+	}
+	t.raise(now, func(next *pb.Vm) { next.Heartbeat = r.GetHeartbeat() + 1 })
+	res.News, res.Refuted = append(res.News, t.selfID), true
+}
+
+// mergeOther takes a record of another VM if it is higher than the one held; mu is held.
+func (t *Table) mergeOther(r *pb.Vm, now time.Time, res *Result) {
+	e := t.entries[r.GetId()]
+	if e == nil {
+		t.insert(r, now, res)
+		return
+	}
+	c := Compare(r, e.record)
+	if c < 0 && judged(r) && !judged(e.record) {
+		res.Outdated = append(res.Outdated, r.GetId())
+	}
+	if c <= 0 {
+		return
+	}
+	t.replace(e, r, now, res)
+}
+
+// insert takes the first record of a VM. A judgement of a VM that is not even on the list says
+// nothing; mu is held.
+func (t *Table) insert(r *pb.Vm, now time.Time, res *Result) {
+	if judged(r) {
+		listed := t.listed[r.GetId()]
+		if listed == nil {
+			return
+		}
+		r = withIdentity(r, listed)
+	}
+	t.entries[r.GetId()] = &entry{record: r, since: now}
+	res.News = append(res.News, r.GetId())
+}
+
+// replace puts a higher record in place; mu is held.
+func (t *Table) replace(e *entry, r *pb.Vm, now time.Time, res *Result) {
+	before := e.record
+	if judged(r) {
+		r = withIdentity(r, before)
+	}
+	e.record = r
+	if before.GetState() != r.GetState() || before.GetIncarnation() != r.GetIncarnation() || judged(r) {
+		e.since = now
+	}
+	if newsworthy(before, r) {
+		res.News = append(res.News, r.GetId())
+	}
+}
+
+// Heard notes a packet that came from the VM itself, with its incarnation, heartbeat and version.
+// known is false where its whole record is needed, because another version of it is held.
+func (t *Table) Heard(from *pb.Vm, now time.Time) (known bool, res Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[from.GetId()]
+	if e == nil || e.record.GetIncarnation() != from.GetIncarnation() || e.record.GetVersion() != from.GetVersion() {
+		return false, res
+	}
+	if from.GetHeartbeat() <= e.record.GetHeartbeat() {
+		return !judged(e.record), res
+	}
+	if judged(e.record) {
+		// The judgement hides whether the VM leaves.
+		return false, res
+	}
+	next := proto.Clone(e.record).(*pb.Vm)
+	next.Heartbeat = from.GetHeartbeat()
+	t.replace(e, next, now, &res)
+	return true, res
+}
+
+// Suspect notes that nobody got an answer from a VM whose record had the heartbeat. It tells
+// whether that is news.
+func (t *Table) Suspect(id string, heartbeat uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, listed := t.entries[id], t.listed[id]
+	switch {
+	case id == t.selfID:
+		return false
+	case e == nil && listed != nil:
+		t.entries[id] = &entry{record: withIdentity(&pb.Vm{State: suspect}, listed), since: now}
+		return true
+	case e == nil || judged(e.record) || e.record.GetHeartbeat() > heartbeat:
+		return false
+	}
+	e.record = withIdentity(judgement(e.record, suspect), e.record)
+	e.since = now
+	return true
+}
+
+// Tick turns suspicions that were not withdrawn in time into gone, and forgets VMs that are long
+// gone. It returns the VMs that are gone now.
+func (t *Table) Tick(now time.Time) (goneNow []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.entries {
+		age := now.Sub(e.since)
+		switch state := e.record.GetState(); {
+		case state == suspect && age >= SuspectFor:
+			e.record, e.since = withIdentity(judgement(e.record, gone), e.record), now
+			goneNow = append(goneNow, id)
+		case state == gone && age >= ForgetAfter && t.listed[id] == nil:
+			delete(t.entries, id)
+		}
+	}
+	return goneNow
+}
+
+// Paused starts the time of all suspicions anew: silence while this process did not run says
+// nothing of others.
+func (t *Table) Paused(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if e.record.GetState() == suspect {
+			e.since = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/spread/catchup.go
@@ -0,0 +1,117 @@
+package spread
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// catchUpPeers is how many peers are asked at once to catch up.
+const catchUpPeers = 4
+
+// CaughtUp tells whether peers or the platform were heard since the start and the newest pause.
+func (m *Manager) CaughtUp() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.caughtUp
+}
+
+// SetCaughtUp ends the catching up.
+func (m *Manager) SetCaughtUp() {
+	m.mu.Lock()
+	m.caughtUp = true
+	m.mu.Unlock()
+	m.cfg.Changed.Fire()
+}
+
+// Paused follows a pause of the process: what it knew and what waits in its buffers may be old.
+func (m *Manager) Paused(now time.Time) {
+	m.mu.Lock()
+	m.caughtUp = false
+	m.probes.drop()
+	m.differ = differ{}
+	m.mu.Unlock()
+	m.cfg.Members.Paused(now)
+	m.metrics.pauses.Inc()
+	m.cfg.Changed.Fire()
+}
+
+// AskPeers asks a few random peers, or the seeds where none is known, for all they hold. asked is
+// how many were asked, answered how many answered with all.
+func (m *Manager) AskPeers(ctx context.Context) (asked, answered int) {
+	addresses := m.addressesToAsk()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, a := range addresses {
+		wg.Go(func() {
+			if m.exchange(ctx, a) != nil || m.fetch(ctx, a) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered++
+		})
+	}
+	wg.Wait()
+	return len(addresses), answered
+}
+
+func (m *Manager) addressesToAsk() []string {
+	peers := m.present()
+	if len(peers) == 0 {
+		peers = m.cfg.Members.Peers()
+	}
+	if len(peers) == 0 {
+		return m.cfg.Seeds
+	}
+	var out []string
+	for _, p := range m.pickSome(peers, catchUpPeers) {
+		out = append(out, p.Address)
+	}
+	return out
+}
+
+// NoteContact notes that this VM reached the platform.
+func (m *Manager) NoteContact(now time.Time) { m.noteContact(now) }
+
+func (m *Manager) noteContact(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.contact) {
+		m.contact = at
+	}
+}
+
+// PlatformAge returns the time since any VM that was heard of reached the platform; known is false
+// for never.
+func (m *Manager) PlatformAge(now time.Time) (age time.Duration, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.contact), !m.contact.IsZero()
+}
+
+// SetOwn spreads the states of the VM's own processes, and whether the VM leaves.
+func (m *Manager) SetOwn(processes []*pb.Process, leaves bool, now time.Time) {
+	if !m.cfg.Members.SetOwn(processes, leaves, now) {
+		return
+	}
+	m.mu.Lock()
+	m.news.addVMs([]string{m.cfg.Self})
+	m.mu.Unlock()
+	m.cfg.Changed.Fire()
+	m.Push()
+}
+
+// TakeEvidence takes what a process of this VM saw, and spreads what is new.
+func (m *Manager) TakeEvidence(departures []*pb.Departure, crashes []*pb.Crash, now time.Time) {
+	m.mergeWhole(nil, departures, crashes, now)
+}
+
+// PushNow pushes news without regard to the bounded rate, at the end of the process.
+func (m *Manager) PushNow(now time.Time) {
+	for _, p := range m.pickSome(m.present(), pushFanout) {
+		m.send(p, message{}, now)
+	}
+}
--- /dev/null
+++ b/internal/spread/dump.go
@@ -0,0 +1,30 @@
+package spread
+
+import "time"
+
+// Dump is the state of the spread as operators see it.
+type Dump struct {
+	CaughtUp bool `json:"caught_up"`
+	// News still to be passed on.
+	News int `json:"news"`
+	// OpenProbes are contacts without an answer so far.
+	OpenProbes int `json:"open_probes"`
+	// Peers that are not judged gone.
+	Peers int `json:"peers"`
+	// DifferingSeconds is how long the hashes have differed from those of peers; 0 for not at all.
+	DifferingSeconds float64 `json:"differing_seconds"`
+	// Conflicts counts records by which another incarnation claimed this VM's id.
+	Conflicts uint64 `json:"conflicts"`
+}
+
+// Dump implements operator.Dumper.
+func (m *Manager) Dump() any {
+	d := Dump{Peers: len(m.present()), Conflicts: m.cfg.Members.Conflicts()}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d.CaughtUp, d.News, d.OpenProbes = m.caughtUp, len(m.news.items), len(m.probes.open)
+	if !m.differ.since.IsZero() {
+		d.DifferingSeconds = time.Since(m.differ.since).Seconds()
+	}
+	return d
+}
--- /dev/null
+++ b/internal/spread/handle.go
@@ -0,0 +1,171 @@
+package spread
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/membership"
+)
+
+// handle takes one packet.
+func (m *Manager) handle(packet []byte, now time.Time) {
+	var d pb.Digest
+	if err := proto.Unmarshal(packet, &d); err != nil {
+		m.metrics.packets.WithLabelValues("unreadable").Inc()
+		return
+	}
+	if d.GetFleet() != m.cfg.Fleet || d.GetFrom() == m.cfg.Self || d.GetFrom() == "" {
+		m.metrics.packets.WithLabelValues("not_ours").Inc()
+		return
+	}
+	if !m.CaughtUp() {
+		m.metrics.packets.WithLabelValues("ignored").Inc()
+		return
+	}
+	m.metrics.packets.WithLabelValues("received").Inc()
+	answer := m.take(&d, now)
+	m.answer(&d, answer, now)
+	m.compare(&d, now)
+}
+
+// take merges what a packet carries and returns the VMs to name in the answer.
+func (m *Manager) take(d *pb.Digest, now time.Time) (about []string) {
+	if age := d.GetPlatformAge(); age != nil {
+		m.noteContact(now.Add(-age.AsDuration() - hopAllowance))
+	}
+	merged := m.cfg.Members.Merge(d.GetNews(), now)
+	known, heard := m.cfg.Members.Heard(&pb.Vm{
+		Id: d.GetFrom(), Incarnation: d.GetIncarnation(), Heartbeat: d.GetHeartbeat(), Version: d.GetVersion(),
+	}, now)
+	evidence := m.cfg.Evidence.Merge(d.GetDepartures(), d.GetCrashes(), now)
+	if merged.Refuted {
+		m.metrics.refutations.Inc()
+	}
+	m.mu.Lock()
+	m.probes.answered(d.GetFrom())
+	m.news.addVMs(merged.News)
+	m.news.addVMs(heard.News)
+	m.news.addEvidence(evidence)
+	m.mu.Unlock()
+	if len(merged.News)+len(heard.News) > 0 || !evidence.Empty() {
+		m.cfg.Changed.Fire()
+		m.Push()
+	}
+	about = merged.Outdated
+	if !known {
+		about = append(about, d.GetFrom())
+	}
+	return about
+}
+
+// answer replies where the sender asked or held something outdated, and passes probes on.
+func (m *Manager) answer(d *pb.Digest, about []string, now time.Time) {
+	from, known := m.cfg.Members.Peer(d.GetFrom())
+	if d.GetProbe() == m.cfg.Self {
+		// The sender was asked to see whether this VM is there: show it by a higher heartbeat.
+		m.cfg.Members.Beat(now)
+	}
+	if !known {
+		return
+	}
+	if d.GetReplyWanted() || len(about) > 0 {
+		m.send(from, message{about: about}, now)
+	}
+	m.mu.Lock()
+	waiting := m.probes.relayed(d.GetFrom(), now)
+	if d.GetProbe() != "" && d.GetProbe() != m.cfg.Self {
+		m.probes.relay(d.GetProbe(), d.GetFrom(), now)
+	}
+	m.mu.Unlock()
+	if d.GetProbe() != "" && d.GetProbe() != m.cfg.Self {
+		m.contactFor(d.GetProbe(), now)
+	}
+	for _, id := range waiting {
+		if p, ok := m.cfg.Members.Peer(id); ok {
+			m.send(p, message{about: []string{d.GetFrom()}}, now)
+		}
+	}
+}
+
+// contactFor contacts a VM that another one gets no answer from.
+func (m *Manager) contactFor(target string, now time.Time) {
+	if p, ok := m.cfg.Members.Peer(target); ok {
+		m.send(p, message{replyWanted: true, probe: target}, now)
+	}
+}
+
+// compare starts what is needed where the sender holds more, or other things.
+func (m *Manager) compare(d *pb.Digest, now time.Time) {
+	from, known := m.cfg.Members.Peer(d.GetFrom())
+	if !known {
+		return
+	}
+	if m.wantsBundle(d, now) || m.cfg.Content.ListHigher(d.GetListRevision()) {
+		replace(m.fetches, from)
+	}
+	same := d.GetMembersHash() == m.cfg.Members.Hash() && d.GetEvidenceHash() == m.cfg.Evidence.Hash(now)
+	m.mu.Lock()
+	due := m.differ.observe(same, now)
+	m.mu.Unlock()
+	if due {
+		replace(m.exchanges, from)
+	}
+}
+
+// wantsBundle tells whether the sender's bundle is higher and was not refused lately.
+func (m *Manager) wantsBundle(d *pb.Digest, now time.Time) bool {
+	if !m.cfg.Content.BundleHigher(d.GetBundleVersion(), d.GetBundleDigest()) {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, refused := m.refused[refusedKeyOf(d.GetBundleVersion(), d.GetBundleDigest())]
+	return !refused || now.Sub(at) >= refusedFor
+}
+
+// replace puts p into a channel that holds one, in place of what waits there.
+func replace(ch chan membership.Peer, p membership.Peer) {
+	for {
+		select {
+		case ch <- p:
+			return
+		default:
+		}
+		select {
+		case <-ch:
+		default:
+		}
+	}
+}
+
+const (
+	// differMin is how long hashes must differ before a whole exchange: news in flight settles
+	// most differences by itself. differMax bounds the wait, which doubles while they go on
+	// differing, as they do while many VMs come and go.
+	differMin = 2 * time.Second
+	differMax = 16 * time.Second
+)
+
+// differ decides when hashes that differ call for an exchange. Its owner guards it.
+type differ struct {
+	since time.Time
+	wait  time.Duration
+}
+
+// observe takes one comparison and tells whether an exchange is due.
+func (d *differ) observe(same bool, now time.Time) bool {
+	if same {
+		*d = differ{}
+		return false
+	}
+	if d.since.IsZero() {
+		d.since, d.wait = now, differMin
+	}
+	if now.Sub(d.since) < d.wait {
+		return false
+	}
+	d.since, d.wait = now, min(2*d.wait, differMax)
+	return true
+}
--- /dev/null
+++ b/internal/spread/manager.go
@@ -0,0 +1,273 @@
+// Package spread carries bundles, the platform's list, membership and evidence between the syncs of
+// all VMs: small UDP packets to a few random peers several times a second, biased to the own
+// availability zone, at once where there is news; bodies by connect, and of bundles and lists only
+// the sections that changed.
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/burdockplank/burdockplank/internal/content"
+	"github.com/burdockplank/burdockplank/internal/evidence"
+	"github.com/burdockplank/burdockplank/internal/membership"
+	"github.com/burdockplank/burdockplank/internal/notify"
+)
+
+const (
+	// contactPeriod is how often a random peer is contacted.
+	contactPeriod = 250 * time.Millisecond
+	// beatPeriod is how often the VM raises its heartbeat, and contacts one VM judged gone.
+	beatPeriod = time.Second
+	// ownZoneShare is the share of contacts that stay in the own availability zone.
+	ownZoneShare = 0.75
+	// pushRate and pushBurst bound how often news is pushed at once; pushFanout is to how many
+	// peers.
+	pushRate   = 2
+	pushBurst  = 6
+	pushFanout = 3
+)
+
+// Config is what the spread of one VM works on.
+type Config struct {
+	// Fleet keeps the packets of two fleets apart.
+	Fleet string
+	// Self and Zone are the VM's own.
+	Self, Zone string
+	// Seeds are addresses (HOST:PORT) of syncs to ask while no list is known.
+	Seeds     []string
+	Members   *membership.Table
+	Evidence  *evidence.Set
+	Content   *content.Store
+	Transport Transport
+	Dial      Dial
+	// Changed is fired when the view of the fleet changes.
+	Changed  *notify.Notifier
+	Log      *zap.Logger
+	Registry prometheus.Registerer
+}
+
+// Manager owns the goroutines of the spread. It implements the PeerService for other syncs.
+type Manager struct {
+	cfg     Config
+	metrics *metrics
+	push    chan struct{}
+	pushes  *rate.Limiter
+	// fetches and exchanges hold the peer that is next, newest wins.
+	fetches, exchanges chan membership.Peer
+
+	mu sync.Mutex
+	// What follows is guarded by mu.
+	news   news
+	probes probes
+	// contact is the local time of the newest platform contact, of any VM; zero for never.
+	contact time.Time
+	// caughtUp is false from the start, and from each pause on, until peers or the platform were
+	// asked again; packets are ignored meanwhile, for they may have waited through the pause.
+	caughtUp bool
+	// refused remembers bundles that were not accepted, by version and digest prefix.
+	refused map[refusedKey]time.Time
+	differ  differ
+}
+
+// refusedKey names a bundle as packets do.
+type refusedKey struct {
+	version uint64
+	prefix  [digestPrefix]byte
+}
+
+// New returns a manager that has yet to catch up.
+func New(cfg Config) *Manager {
+	return &Manager{
+		cfg:       cfg,
+		metrics:   newMetrics(cfg.Registry),
+		push:      make(chan struct{}, 1),
+		pushes:    rate.NewLimiter(pushRate, pushBurst),
+		fetches:   make(chan membership.Peer, 1),
+		exchanges: make(chan membership.Peer, 1),
+		news:      newNews(),
+		probes:    newProbes(),
+		refused:   make(map[refusedKey]time.Time),
+	}
+}
+
+// Run works until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { m.runReceive(ctx) })
+	wg.Go(func() { m.runContacts(ctx) })
+	wg.Go(func() { m.runPushes(ctx) })
+	wg.Go(func() { m.runFetches(ctx) })
+	wg.Go(func() { m.runExchanges(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// runReceive handles packets one by one.
+func (m *Manager) runReceive(ctx context.Context) {
+	for ctx.Err() == nil {
+		packet, err := m.cfg.Transport.Receive(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				// Such as a port unreachable answered to an earlier packet.
+				m.metrics.packets.WithLabelValues("receive_failed").Inc()
+			}
+			continue
+		}
+		m.handle(packet, time.Now())
+	}
+}
+
+// runContacts does what is due by time.
+func (m *Manager) runContacts(ctx context.Context) {
+	var beats time.Duration
+	for {
+		wait := contactPeriod - contactPeriod/10 + rand.N(contactPeriod/5)
+		if !sleep(ctx, wait) {
+			return
+		}
+		now := time.Now()
+		beats += wait
+		if beats >= beatPeriod {
+			beats = 0
+			m.beat(now)
+		}
+		if m.CaughtUp() {
+			m.contactOne(now)
+			m.checkProbes(now)
+		}
+	}
+}
+
+// beat raises the heartbeat and lets time pass over what is known of others.
+func (m *Manager) beat(now time.Time) {
+	m.cfg.Members.Beat(now)
+	if !m.CaughtUp() {
+		return
+	}
+	gone := m.cfg.Members.Tick(now)
+	m.metrics.gone.Add(float64(len(gone)))
+	if expired := m.cfg.Evidence.Expire(now); expired || len(gone) > 0 {
+		m.cfg.Changed.Fire()
+	}
+	m.contactGone(now)
+}
+
+// contactOne sends a digest to one random peer that is not gone and expects an answer.
+func (m *Manager) contactOne(now time.Time) {
+	peers := m.present()
+	if len(peers) == 0 {
+		return
+	}
+	peer := m.pick(peers)
+	m.mu.Lock()
+	m.probes.start(peer.ID, peer.Heartbeat, now)
+	m.mu.Unlock()
+	m.send(peer, message{replyWanted: true}, now)
+}
+
+// contactGone sends a digest to one VM judged gone, to see whether it is back.
+func (m *Manager) contactGone(now time.Time) {
+	var gone []membership.Peer
+	for _, p := range m.cfg.Members.Peers() {
+		if p.Gone {
+			gone = append(gone, p)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	p := gone[rand.N(len(gone))]
+	m.send(p, message{replyWanted: true, about: []string{p.ID}}, now)
+}
+
+// present returns the peers that are not judged gone.
+func (m *Manager) present() []membership.Peer {
+	var out []membership.Peer
+	for _, p := range m.cfg.Members.Peers() {
+		if !p.Gone {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// pick chooses a peer at random, mostly from the own zone.
+func (m *Manager) pick(peers []membership.Peer) membership.Peer {
+	var own, other []membership.Peer
+	for _, p := range peers {
+		if p.Zone == m.cfg.Zone {
+			own = append(own, p)
+		} else {
+			other = append(other, p)
+		}
+	}
+	if len(other) == 0 || len(own) > 0 && rand.Float64() < ownZoneShare {
+		return own[rand.N(len(own))]
+	}
+	return other[rand.N(len(other))]
+}
+
+// pickSome chooses up to n distinct peers as pick does.
+func (m *Manager) pickSome(peers []membership.Peer, n int) []membership.Peer {
+	left := append([]membership.Peer(nil), peers...)
+	var out []membership.Peer
+	for len(out) < n && len(left) > 0 {
+		p := m.pick(left)
+		out = append(out, p)
+		for i := range left {
+			if left[i].ID == p.ID {
+				left = append(left[:i], left[i+1:]...)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// Push makes news go out at once, within the bounded rate.
+func (m *Manager) Push() {
+	select {
+	case m.push <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) runPushes(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.push:
+		}
+		if m.pushes.Wait(ctx) != nil {
+			return
+		}
+		if !m.CaughtUp() {
+			continue
+		}
+		m.metrics.pushes.Inc()
+		now := time.Now()
+		for _, p := range m.pickSome(m.present(), pushFanout) {
+			m.send(p, message{}, now)
+		}
+	}
+}
+
+// sleep waits for d and tells whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/spread/packet.go
@@ -0,0 +1,125 @@
+package spread
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/membership"
+)
+
+const (
+	// MaxPacket is the longest packet sent, so that it fits any path without fragments.
+	MaxPacket = 1150
+	// digestPrefix is how much of a bundle's digest a packet carries.
+	digestPrefix = 8
+	// hopAllowance is added to an age that came from another VM, for the way: without it an age
+	// that goes round and round would grow too slowly.
+	hopAllowance = 2 * time.Millisecond
+	// itemOverhead is what the framing adds to an item.
+	itemOverhead = 4
+)
+
+// message is what a packet carries besides this VM's state and news.
+type message struct {
+	replyWanted bool
+	// probe names the VM that the receiver should contact.
+	probe string
+	// about are VMs whose records go first.
+	about []string
+}
+
+// send sends one packet to a peer. A packet that can't be sent counts as lost.
+func (m *Manager) send(to membership.Peer, msg message, now time.Time) {
+	packet, err := proto.Marshal(m.digest(msg, now))
+	if err == nil {
+		err = m.cfg.Transport.Send(to.Address, packet)
+	}
+	outcome := "sent"
+	if err != nil {
+		outcome = "send_failed"
+	}
+	m.metrics.packets.WithLabelValues(outcome).Inc()
+}
+
+// digest builds a packet with as much news as fits.
+func (m *Manager) digest(msg message, now time.Time) *pb.Digest {
+	self := m.cfg.Members.Self()
+	d := &pb.Digest{
+		Fleet: m.cfg.Fleet, From: self.GetId(), Incarnation: self.GetIncarnation(),
+		Heartbeat: self.GetHeartbeat(), Version: self.GetVersion(),
+		ReplyWanted: msg.replyWanted, Probe: msg.probe,
+		MembersHash: m.cfg.Members.Hash(), EvidenceHash: m.cfg.Evidence.Hash(now),
+	}
+	if b := m.cfg.Content.Bundle(); b != nil {
+		d.BundleVersion, d.BundleDigest = b.Version, b.Digest[:digestPrefix]
+	}
+	if l := m.cfg.Content.List(); l != nil {
+		d.ListRevision = l.Revision
+	}
+	if age, known := m.PlatformAge(now); known {
+		d.PlatformAge = durationpb.New(age.Truncate(time.Millisecond))
+	}
+	for _, id := range msg.about {
+		if r := m.cfg.Members.Record(id); r != nil {
+			d.News = append(d.News, membership.ForTravel(r))
+		} else {
+			d.News = append(d.News, &pb.Vm{Id: id})
+		}
+	}
+	m.addNews(d, now)
+	return d
+}
+
+// addNews fills a packet with what has been sent least.
+func (m *Manager) addNews(d *pb.Digest, now time.Time) {
+	fleet := len(m.cfg.Members.Peers())
+	left := MaxPacket - proto.Size(d)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.news.items) == 0 {
+		return
+	}
+	for _, it := range m.news.sorted() {
+		size, add := m.item(d, it.key, now)
+		if add == nil {
+			delete(m.news.items, it.key)
+			continue
+		}
+		if size > left {
+			return
+		}
+		add()
+		left -= size
+		m.news.sent(it, fleet)
+	}
+}
+
+// item returns the size of an item of news and what adds it to d; nil where it is no more.
+func (m *Manager) item(d *pb.Digest, key newsKey, now time.Time) (size int, add func()) {
+	switch {
+	case key.vm != "":
+		r := m.cfg.Members.Record(key.vm)
+		if r == nil {
+			return 0, nil
+		}
+		r = membership.ForTravel(r)
+		return itemSize(r), func() { d.News = append(d.News, r) }
+	case key.crash.Leaf != "":
+		c := m.cfg.Evidence.Crash(key.crash, now)
+		if c == nil {
+			return 0, nil
+		}
+		return itemSize(c), func() { d.Crashes = append(d.Crashes, c) }
+	}
+	dep := m.cfg.Evidence.Departure(key.departure, now)
+	if dep == nil {
+		return 0, nil
+	}
+	return itemSize(dep), func() { d.Departures = append(d.Departures, dep) }
+}
+
+func itemSize(item proto.Message) int { return protowire.SizeBytes(proto.Size(item)) + itemOverhead }
--- /dev/null
+++ b/internal/spread/service.go
@@ -0,0 +1,74 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+)
+
+var _ burdockv1connect.PeerServiceHandler = (*Manager)(nil)
+
+// errOtherFleet refuses a sync that belongs to another fleet.
+func errOtherFleet(fleet string) error {
+	return connect.NewError(connect.CodeFailedPrecondition, eris.Errorf("sync.spread: fleet %q is another one", fleet))
+}
+
+// Manifest implements the PeerService.
+func (m *Manager) Manifest(_ context.Context, req *pb.ManifestRequest) (*pb.ManifestResponse, error) {
+	if f := req.GetFleet(); f != "" && f != m.cfg.Fleet {
+		return nil, errOtherFleet(f)
+	}
+	resp := new(pb.ManifestResponse)
+	if b := m.cfg.Content.Bundle(); b != nil {
+		resp.Manifest = b.Signed
+	}
+	if l := m.cfg.Content.List(); l != nil {
+		resp.List = l.Manifest
+	}
+	return resp, nil
+}
+
+// Sections implements the PeerService. Sections that are not held are left out.
+func (m *Manager) Sections(_ context.Context, req *pb.SectionsRequest) (*pb.SectionsResponse, error) {
+	if n := len(req.GetDigests()); n > sectionsPerCall {
+		return nil, connect.NewError(connect.CodeInvalidArgument, eris.Errorf("sync.spread: %d sections asked for at once, at most %d", n, sectionsPerCall))
+	}
+	resp := new(pb.SectionsResponse)
+	for _, raw := range req.GetDigests() {
+		if len(raw) != len(bundle.Digest{}) {
+			continue
+		}
+		if sec, held := m.cfg.Content.Section(bundle.Digest(raw)); held {
+			resp.Sections = append(resp.Sections, sec)
+		}
+	}
+	return resp, nil
+}
+
+// Exchange implements the PeerService.
+func (m *Manager) Exchange(_ context.Context, req *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	if f := req.GetFleet(); f != m.cfg.Fleet {
+		return nil, errOtherFleet(f)
+	}
+	now := time.Now()
+	resp := &pb.ExchangeResponse{Vms: m.cfg.Members.Newer(req.GetVms())}
+	resp.Departures, resp.Crashes = m.lacking(req, now)
+	m.mergeWhole(req.GetVms(), req.GetDepartures(), req.GetCrashes(), now)
+	return resp, nil
+}
+
+// versionOf returns the version a manifest claims, 0 where it can't be read.
+func versionOf(signed *pb.SignedManifest) uint64 {
+	var manifest pb.Manifest
+	if proto.Unmarshal(signed.GetManifest(), &manifest) != nil {
+		return 0
+	}
+	return manifest.GetVersion()
+}
--- /dev/null
+++ b/internal/spread/transport.go
@@ -0,0 +1,112 @@
+package spread
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+)
+
+// Transport carries packets between syncs. Packets may be lost, and may come late or twice.
+type Transport interface {
+	// Send sends a packet to HOST:PORT. It doesn't block.
+	Send(to string, packet []byte) error
+	// Receive waits for the next packet, until ctx ends.
+	Receive(ctx context.Context) ([]byte, error)
+}
+
+// Dial returns the client of the sync at HOST:PORT.
+type Dial func(address string) burdockv1connect.PeerServiceClient
+
+const (
+	// packetOverhead is what the headers of IPv4 and UDP add to a packet.
+	packetOverhead = 28
+	// receiveBuffer holds the packets that come while the process is busy.
+	receiveBuffer = 1 << 20
+	// maxPacketRead is more than any sync sends.
+	maxPacketRead = 2048
+)
+
+// UDP is the Transport over a UDP socket.
+type UDP struct {
+	conn  *net.UDPConn
+	bytes *Bytes
+}
+
+// ListenUDP binds the socket to HOST:PORT.
+func ListenUDP(address string, bytes *Bytes) (*UDP, error) {
+	addr, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "sync.spread: listen on %s", address)
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "sync.spread: listen on %s", address)
+	}
+	_ = conn.SetReadBuffer(receiveBuffer) // the system's limit may be lower
+	return &UDP{conn: conn, bytes: bytes}, nil
+}
+
+// Send implements Transport.
+func (u *UDP) Send(to string, packet []byte) error {
+	addr, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return eris.Wrapf(err, "sync.spread: send to %q", to)
+	}
+	n, err := u.conn.WriteToUDPAddrPort(packet, addr)
+	u.bytes.udpSent(n + packetOverhead)
+	return eris.Wrapf(err, "sync.spread: send to %s", to)
+}
+
+// Receive implements Transport.
+func (u *UDP) Receive(ctx context.Context) ([]byte, error) {
+	stop := context.AfterFunc(ctx, func() { _ = u.conn.SetReadDeadline(time.Now()) })
+	defer stop()
+	buf := make([]byte, maxPacketRead)
+	n, _, err := u.conn.ReadFromUDPAddrPort(buf)
+	if err != nil {
+		return nil, err
+	}
+	u.bytes.udpReceived(n + packetOverhead)
+	return buf[:n], nil
+}
+
+// Close frees the socket.
+func (u *UDP) Close() error { return u.conn.Close() }
+
+const (
+	// peerIdle is how long a connection to a peer stays open without use: peers are chosen at
+	// random, so most are not used again soon, and an idle connection costs both ends.
+	peerIdle = 2 * time.Second
+	// maxIdlePeers bounds the idle connections.
+	maxIdlePeers = 4
+	// dialPeerTimeout bounds opening a connection to a peer.
+	dialPeerTimeout = time.Second
+)
+
+// NewDial returns a Dial whose connections come from bind and are counted in bytes.
+func NewDial(bind string, bytes *Bytes) Dial {
+	d := rpc.Dialer(bind)
+	d.Timeout = dialPeerTimeout
+	client := &http.Client{Transport: &http.Transport{
+		IdleConnTimeout: peerIdle,
+		MaxIdleConns:    maxIdlePeers,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return bytes.Count(conn), nil
+		},
+	}}
+	return func(address string) burdockv1connect.PeerServiceClient {
+		return burdockv1connect.NewPeerServiceClient(client, "http://"+address, connect.WithSendGzip())
+	}
+}
--- /dev/null
+++ b/internal/syncd/drain.go
@@ -0,0 +1,50 @@
+package syncd
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+const (
+	// drainTick is how often the drain looks at the VM's processes.
+	drainTick = 100 * time.Millisecond
+	// restartGrace is how long the drain waits for a process of the VM to drain as well. Where none
+	// does, the sync alone is restarted.
+	restartGrace = 2 * time.Second
+)
+
+// Drain stays as long as a process of the VM drains, for it needs the sync until its end, and tells
+// the other VMs that this one leaves once none of its processes is ready.
+func (m *Manager) Drain(ctx context.Context) {
+	m.mu.Lock()
+	m.draining = true
+	m.mu.Unlock()
+	started := time.Now()
+	for {
+		now := time.Now()
+		m.publishOwn(now)
+		busy := m.processes.any(now, pb.ProcessState_PROCESS_STATE_DRAINING)
+		ready := m.processes.any(now, pb.ProcessState_PROCESS_STATE_READY, pb.ProcessState_PROCESS_STATE_STARTING)
+		if !busy && (!ready || now.Sub(started) >= restartGrace) {
+			break
+		}
+		if !sleep(ctx, drainTick) {
+			break
+		}
+	}
+	m.spread.PushNow(time.Now())
+}
+
+// sleep waits for d and tells whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/syncd/manager.go
@@ -0,0 +1,189 @@
+package syncd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/content"
+	"github.com/burdockplank/burdockplank/internal/evidence"
+	"github.com/burdockplank/burdockplank/internal/membership"
+	"github.com/burdockplank/burdockplank/internal/notify"
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/spread"
+)
+
+const (
+	// pauseTick is how often pauses are looked for, PauseBound how late that may be.
+	pauseTick  = 100 * time.Millisecond
+	pauseBound = 900 * time.Millisecond
+	// upkeepPeriod is how often the states of the VM's processes are looked at.
+	upkeepPeriod = 250 * time.Millisecond
+)
+
+// Config is what a sync works on.
+type Config struct {
+	Settings    *Settings
+	Incarnation uint64
+	Platform    Platform
+	Transport   spread.Transport
+	Dial        spread.Dial
+	Log         *zap.Logger
+	Registry    prometheus.Registerer
+}
+
+// Manager owns the duties of a sync.
+type Manager struct {
+	cfg       Config
+	pause     *process.PauseDetector
+	changed   *notify.Notifier
+	bundles   *bundle.Store
+	content   *content.Store
+	members   *membership.Table
+	evidence  *evidence.Set
+	spread    *spread.Manager
+	processes *processes
+	reader    *reader
+	views     *viewCache
+	metrics   *metrics
+	started   time.Time
+
+	mu sync.Mutex
+	// handledPause is the end of the newest pause that was seen to; draining is true from SIGTERM
+	// on. Both are guarded by mu.
+	handledPause time.Time
+	draining     bool
+	// wake holds a value while catching up is due.
+	wake chan struct{}
+}
+
+// New returns a sync that has yet to catch up.
+func New(cfg Config) *Manager {
+	s, now := cfg.Settings, time.Now()
+	m := &Manager{
+		cfg: cfg, changed: notify.New(), evidence: evidence.New(), processes: newProcesses(),
+		pause: process.NewPauseDetector(pauseTick, pauseBound), started: now, wake: make(chan struct{}, 1),
+	}
+	trust := s.Trust.Trust()
+	m.bundles = bundle.NewStore(trust, cfg.Registry)
+	m.content = content.New(m.bundles, trust, m.changed)
+	m.members = membership.New(&pb.Vm{
+		Id: s.VM.ID, Zone: s.VM.Zone, Address: s.VM.Advertised(), SyncPort: uint32(s.Sync.Port),
+		Incarnation: cfg.Incarnation,
+	}, now)
+	m.spread = spread.New(spread.Config{
+		Fleet: s.Sync.Fleet, Self: s.VM.ID, Zone: s.VM.Zone, Seeds: s.Sync.Seeds,
+		Members: m.members, Evidence: m.evidence, Content: m.content,
+		Transport: cfg.Transport, Dial: cfg.Dial, Changed: m.changed, Log: cfg.Log, Registry: cfg.Registry,
+	})
+	m.reader = newReader(m)
+	m.views = newViewCache(m)
+	m.metrics = newMetrics(m, cfg.Registry)
+	return m
+}
+
+// Spread returns the duty that other syncs speak to.
+func (m *Manager) Spread() *spread.Manager { return m.spread }
+
+// Run works until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	m.wake <- struct{}{}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = m.pause.Run(ctx) })
+	wg.Go(func() { _ = m.spread.Run(ctx) })
+	wg.Go(func() { m.runUpkeep(ctx) })
+	wg.Go(func() { m.runCatchUp(ctx) })
+	wg.Go(func() { m.reader.run(ctx) })
+	wg.Wait()
+	return nil
+}
+
+// runUpkeep looks for pauses and at the VM's processes.
+func (m *Manager) runUpkeep(ctx context.Context) {
+	t := time.NewTicker(upkeepPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		m.checkPause(now)
+		m.publishOwn(now)
+	}
+}
+
+// checkPause notices a pause of the process. It is called before anything that would show what the
+// process knew before.
+func (m *Manager) checkPause(now time.Time) {
+	ended := m.pause.LastPause(now)
+	m.mu.Lock()
+	seen := !ended.After(m.handledPause)
+	m.handledPause = ended
+	m.mu.Unlock()
+	if seen {
+		return
+	}
+	m.Paused(now)
+}
+
+// Paused follows a pause of the process that ended now.
+func (m *Manager) Paused(now time.Time) {
+	m.cfg.Log.Warn("process was paused")
+	m.processes.paused(now)
+	m.spread.Paused(now)
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// publishOwn spreads the states of the VM's processes where they changed.
+func (m *Manager) publishOwn(now time.Time) {
+	m.mu.Lock()
+	draining := m.draining
+	m.mu.Unlock()
+	list := append(m.processes.list(now), m.ownProcess(draining))
+	leaves := draining && !m.processes.any(now, pb.ProcessState_PROCESS_STATE_READY)
+	m.spread.SetOwn(list, leaves, now)
+}
+
+// ownProcess describes the sync itself.
+func (m *Manager) ownProcess(draining bool) *pb.Process {
+	p := &pb.Process{
+		Role: pb.ProcessRole_PROCESS_ROLE_SYNC, Incarnation: m.cfg.Incarnation,
+		State: pb.ProcessState_PROCESS_STATE_STARTING,
+	}
+	if b := m.content.Bundle(); b != nil {
+		p.BundleVersion = b.Version
+	}
+	if ready, _ := m.Ready(); ready {
+		p.State = pb.ProcessState_PROCESS_STATE_READY
+	}
+	if draining {
+		p.State = pb.ProcessState_PROCESS_STATE_DRAINING
+	}
+	return p
+}
+
+// Ready tells whether the sync has what its VM needs, and why not.
+func (m *Manager) Ready() (bool, string) {
+	m.mu.Lock()
+	draining := m.draining
+	m.mu.Unlock()
+	switch {
+	case draining:
+		return false, "draining"
+	case !m.spread.CaughtUp():
+		return false, "peers and platform are being asked"
+	case m.content.Bundle() == nil:
+		return false, "no bundle yet"
+	}
+	return true, ""
+}
