Add the stand-ins for the platform and the leaves

One small program serves them. The listener is shared: it counts all connections, resets those beyond the limit, and closes its socket when it is to be down, so that clients see a refused connection and not only a reset one. GOAWAY on connections that carry no call can't be had from one http.Server without closing its listener; a chain of servers behind one accept loop was taken in place of a second HTTP/2 library.

settings.ValidHostPort is split out of CheckHostPort for settings that hold many addresses.

Tried by hand: search, order, status, drain over HTTP/1.1 and HTTP/2, publish and reads.

--- /dev/null
+++ b/cmd/burdock-standin/commands.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/logging"
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/burdockplank/burdockplank/internal/standin/leaf"
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
+	"github.com/burdockplank/burdockplank/internal/standin/publish"
+)
+
+// drainLimit bounds the drain of leaves at SIGTERM.
+const drainLimit = 10 * time.Second
+
+// newLog returns the log of a stand-in.
+func (c *cli) newLog() (*zap.Logger, error) {
+	return logging.New("burdock-standin", "", settings.Log{Level: c.LogLevel})
+}
+
+type platformCmd struct {
+	Listen  string `required:"" placeholder:"IP:PORT" help:"Where the system reads."`
+	Control string `required:"" placeholder:"IP:PORT" help:"Where operators publish and tests set faults."`
+}
+
+// Run serves the platform until a signal.
+func (cmd *platformCmd) Run(c *cli) error {
+	log, err := c.newLog()
+	if err != nil {
+		return err
+	}
+	r, err := initPlatform(platform.Options{Listen: cmd.Listen, Control: cmd.Control}, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(context.Background())
+}
+
+// settingsFlags are the flags of each subcommand with a settings file.
+type settingsFlags struct {
+	Settings string `required:"" placeholder:"FILE" help:"TOML settings."`
+	Check    bool   `help:"Load and check the settings, print ok and end."`
+}
+
+// load reads the settings; done is true where only a check was asked for.
+func (f *settingsFlags) load(dst settings.Checked) (done bool, err error) {
+	if err := settings.Load(f.Settings, dst); err != nil {
+		return true, err
+	}
+	if f.Check {
+		fmt.Println("ok")
+	}
+	return f.Check, nil
+}
+
+type leafCmd struct{ settingsFlags }
+
+// Run serves one leaf until a signal or a marked request.
+func (cmd *leafCmd) Run(c *cli) error {
+	var s leaf.Settings
+	if done, err := cmd.load(&s); done {
+		return err
+	}
+	return runLeaves(c, []leaf.Settings{s}, leaf.ExitProcess)
+}
+
+type leavesCmd struct{ settingsFlags }
+
+// Run serves many leaves until a signal.
+func (cmd *leavesCmd) Run(c *cli) error {
+	var s leaf.GroupSettings
+	if done, err := cmd.load(&s); done {
+		return err
+	}
+	return runLeaves(c, s.Leaves, leaf.Restart)
+}
+
+func runLeaves(c *cli, s []leaf.Settings, crash leaf.Crash) error {
+	log, err := c.newLog()
+	if err != nil {
+		return err
+	}
+	r, err := initLeaves(s, log, crash)
+	if err != nil {
+		return err
+	}
+	return r.Run(context.Background())
+}
+
+type publishCmd struct {
+	Control string `required:"" placeholder:"IP:PORT" help:"Control listener of the stand-in platform."`
+	Dir     string `placeholder:"DIR" help:"Directory made by burdockctl bundle sign: sections first, manifest last."`
+	List    string `placeholder:"FILE" help:"JSON list of VMs and leaves, uploaded before the bundle."`
+}
+
+// Run uploads what is named.
+func (cmd *publishCmd) Run() error {
+	if cmd.Dir == "" && cmd.List == "" {
+		return eris.New("publish: want --dir, --list or both")
+	}
+	client := publish.NewClient(cmd.Control)
+	ctx := context.Background()
+	if cmd.List != "" {
+		if err := client.List(ctx, cmd.List); err != nil {
+			return err
+		}
+	}
+	if cmd.Dir == "" {
+		return nil
+	}
+	return client.Bundle(ctx, cmd.Dir)
+}
+
+// platformRunner runs the platform.
+func platformRunner(p *platform.Platform, log *zap.Logger) *process.Runner {
+	return &process.Runner{Log: log, Duties: []process.Duty{{Name: "platform", Run: p.Run}}}
+}
+
+// leavesRunner runs leaves and drains them at SIGTERM.
+func leavesRunner(g *leaf.Group, log *zap.Logger) *process.Runner {
+	return &process.Runner{
+		Log: log, DrainLimit: drainLimit, Drain: g.Drain,
+		Duties: []process.Duty{{Name: "leaves", Run: g.Run}},
+	}
+}
--- /dev/null
+++ b/cmd/burdock-standin/wire.go
@@ -0,0 +1,24 @@
+//go:build wireinject
+
+package main
+
+import (
+	"github.com/google/wire"
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/standin/leaf"
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
+)
+
+// initPlatform builds the process of a platform.
+func initPlatform(o platform.Options, log *zap.Logger) (*process.Runner, error) {
+	wire.Build(platform.New, platformRunner)
+	return nil, nil
+}
+
+// initLeaves builds the process of one or many leaves.
+func initLeaves(s []leaf.Settings, log *zap.Logger, crash leaf.Crash) (*process.Runner, error) {
+	wire.Build(leaf.NewGroup, leavesRunner)
+	return nil, nil
+}
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -64,9 +64,13 @@
 
 // CheckHostPort refuses an address that isn't IP:PORT.
 func CheckHostPort(c *Checker, key, addr string) {
+	c.Require(ValidHostPort(addr), key, "want IP:PORT, got %q", addr)
+}
+
+// ValidHostPort tells whether addr is IP:PORT.
+func ValidHostPort(addr string) bool {
 	host, port, err := net.SplitHostPort(addr)
-	ok := err == nil && net.ParseIP(host) != nil && port != ""
-	c.Require(ok, key, "want IP:PORT, got %q", addr)
+	return err == nil && net.ParseIP(host) != nil && port != ""
 }
 
 // CheckPort refuses a port out of range.
--- /dev/null
+++ b/internal/standin/control/control.go
@@ -0,0 +1,67 @@
+// Package control holds what the control listeners of the stand-ins share: strict JSON bodies, JSON
+// answers and a server that ends with its context.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// MaxBody is the longest body that a control request may carry, in bytes.
+	MaxBody = 1 << 20
+	// readHeaderTimeout bounds half a request.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// ReadJSON decodes the body of r into v, unknown fields refused. Where it fails it answers 400 and
+// returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(v)
+	if err == nil && dec.More() {
+		err = errors.New("more than one JSON value")
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// ReadAll returns the body of r. Where it is longer than MaxBody it answers 413 and returns false.
+func ReadAll(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	return body, true
+}
+
+// WriteJSON answers 200 with v.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v)
+}
+
+// Serve serves h on l until ctx ends, then closes all connections.
+func Serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "standin.control: serve")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/leaf/hits.go
@@ -0,0 +1,65 @@
+package leaf
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+const (
+	// defaultTopK is used where a search asks for no number of hits.
+	defaultTopK = 10
+	// scoreSpread sets how fast scores fall with the rank; a higher one falls slower.
+	scoreSpread = 8
+)
+
+// QueryDigest is the digest by which an answer proves which query it ran.
+func QueryDigest(query string) uint64 { return xxhash.Sum64String(query) }
+
+// Hits returns what a leaf finds in a shard: the same for each replica, highest score first, a
+// shorter list a prefix of a longer one. The text of each hit contains the query's digest.
+func Hits(shard uint32, snapshot uint64, query string, topK int, documents uint64) []*pb.Hit {
+	if topK <= 0 {
+		topK = defaultTopK
+	}
+	n := min(uint64(topK), documents)
+	digest := QueryDigest(query)
+	first := draw(digest, shard, snapshot, math.MaxUint64)
+	hits := make([]*pb.Hit, 0, n)
+	score := 1.0
+	for rank := range n {
+		uniform := (float64(draw(digest, shard, snapshot, rank)>>11) + 1) / (1 << 53)
+		score *= math.Pow(uniform, 1.0/scoreSpread)
+		hits = append(hits, &pb.Hit{
+			Document: fmt.Sprintf("doc-%d-%d", shard, (first+rank)%documents),
+			Score:    score,
+			Shard:    shard,
+			Text:     fmt.Sprintf("snapshot %d shard %d rank %d query %016x", snapshot, shard, rank, digest),
+		})
+	}
+	return hits
+}
+
+// draw returns a number that depends on all its arguments.
+func draw(digest uint64, shard uint32, snapshot, rank uint64) uint64 {
+	var b [28]byte
+	binary.LittleEndian.PutUint64(b[0:], digest)
+	binary.LittleEndian.PutUint64(b[8:], snapshot)
+	binary.LittleEndian.PutUint64(b[16:], rank)
+	binary.LittleEndian.PutUint32(b[24:], shard)
+	return xxhash.Sum64(b[:])
+}
+
+// pad lengthens the text of each hit to size bytes.
+func pad(hits []*pb.Hit, size int) {
+	for _, h := range hits {
+		if missing := size - len(h.Text); missing > 0 {
+			h.Text += strings.Repeat(".", missing)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/leaf/journal.go
@@ -0,0 +1,213 @@
+package leaf
+
+import (
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// SearchState is how far a search came.
+type SearchState string
+
+// The states of a search. Delivered is set before the answer is written, so that no answer that
+// was received is missing; failed is an error made by a fault.
+const (
+	SearchStarted   SearchState = "started"
+	SearchDelivered SearchState = "delivered"
+	SearchCancelled SearchState = "cancelled"
+	SearchFailed    SearchState = "failed"
+)
+
+// Search is one search that took a slot, or that stalled.
+type Search struct {
+	RequestID string      `json:"request_id"`
+	Shard     uint32      `json:"shard"`
+	Snapshot  uint64      `json:"snapshot"`
+	Query     string      `json:"query"`
+	State     SearchState `json:"state"`
+	At        time.Time   `json:"at"`
+}
+
+// Execution is one order whose effect started. Refused orders never appear.
+type Execution struct {
+	Ticket    string    `json:"ticket"`
+	RequestID string    `json:"request_id"`
+	Key       string    `json:"key"`
+	Payload   string    `json:"payload"`
+	At        time.Time `json:"at"`
+}
+
+// Refusals counts calls that were refused before they started, by reason.
+type Refusals struct {
+	Shed         uint64 `json:"shed"`
+	Draining     uint64 `json:"draining"`
+	SnapshotGone uint64 `json:"snapshot_gone"`
+	WrongShard   uint64 `json:"wrong_shard"`
+	Deadline     uint64 `json:"deadline"`
+}
+
+// Counts are since the start or the last DELETE /log.
+type Counts struct {
+	// Searches counts all that started, logged or not.
+	Searches           uint64   `json:"searches"`
+	Executions         uint64   `json:"executions"`
+	Refused            Refusals `json:"refused"`
+	Crashes            uint64   `json:"crashes"`
+	ConnectionsNow     int      `json:"connections_now"`
+	ConnectionsMax     int      `json:"connections_max"`
+	ConnectionsRefused uint64   `json:"connections_refused"`
+	// InFlightMax is the most calls at once, running and queued together; QueuedMax the queued.
+	InFlightMax int `json:"in_flight_max"`
+	QueuedMax   int `json:"queued_max"`
+	// LastArrival is when the newest search or order arrived, refused ones too.
+	LastArrival time.Time `json:"last_arrival"`
+}
+
+// Log is what GET /log shows.
+type Log struct {
+	Leaf        string      `json:"leaf"`
+	Incarnation uint64      `json:"incarnation"`
+	Searches    []Search    `json:"searches"`
+	Executions  []Execution `json:"executions"`
+	Counts      Counts      `json:"counts"`
+}
+
+// journal keeps the logs of one leaf.
+type journal struct {
+	limit int
+	file  *os.File
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	searches   []*Search
+	executions []Execution
+	counts     Counts
+}
+
+// newJournal returns an empty journal. Where path is not empty lines are appended to that file.
+func newJournal(limit int, path string) (*journal, error) {
+	j := &journal{limit: limit}
+	if path == "" {
+		return j, nil
+	}
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, eris.Wrap(err, "standin.leaf: log file")
+	}
+	j.file = f
+	return j, nil
+}
+
+// arrived notes a call before anything is decided about it.
+func (j *journal) arrived(now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.LastArrival = now
+}
+
+// searchStarted logs a search; the result goes to searchEnded.
+func (j *journal) searchStarted(req *pb.LeafSearchRequest, now time.Time) *Search {
+	s := &Search{
+		RequestID: req.GetRequestId(), Shard: req.GetShard(), Snapshot: req.GetSnapshot(),
+		Query: req.GetQuery(), State: SearchStarted, At: now,
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Searches++
+	if len(j.searches) < j.limit {
+		j.searches = append(j.searches, s)
+	}
+	j.write(fileLine{Search: s})
+	return s
+}
+
+func (j *journal) searchEnded(s *Search, state SearchState) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s.State = state
+}
+
+// executed logs an order at the moment that its effect starts.
+func (j *journal) executed(req *pb.LeafExecuteRequest, now time.Time) {
+	e := Execution{
+		Ticket: req.GetTicket(), RequestID: req.GetRequestId(), Key: req.GetKey(),
+		Payload: req.GetPayload(), At: now,
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Executions++
+	j.executions = append(j.executions, e)
+	j.write(fileLine{Execution: &e})
+}
+
+func (j *journal) refused(reason pb.LeafRefusalReason) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := &j.counts.Refused
+	switch reason {
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED:
+		r.Shed++
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING:
+		r.Draining++
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE:
+		r.SnapshotGone++
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD:
+		r.WrongShard++
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE:
+		r.Deadline++
+	}
+}
+
+func (j *journal) crashed() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Crashes++
+}
+
+// snapshot returns a copy of the logs and of the journal's own counts.
+func (j *journal) snapshot() Log {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	l := Log{Searches: make([]Search, 0, len(j.searches)), Counts: j.counts}
+	for _, s := range j.searches {
+		l.Searches = append(l.Searches, *s)
+	}
+	l.Executions = append([]Execution{}, j.executions...)
+	return l
+}
+
+// clear empties logs and counts.
+func (j *journal) clear() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.searches, j.executions, j.counts = nil, nil, Counts{}
+}
+
+func (j *journal) close() {
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+}
+
+// fileLine is one line of the log file; one field is set.
+type fileLine struct {
+	Search    *Search    `json:"search,omitempty"`
+	Execution *Execution `json:"execution,omitempty"`
+}
+
+// write appends a line to the file. j.mu is held.
+func (j *journal) write(line fileLine) {
+	if j.file == nil {
+		return
+	}
+	text, err := json.Marshal(line)
+	if err != nil {
+		return
+	}
+	_, _ = j.file.Write(append(text, '\n'))
+}
--- /dev/null
+++ b/internal/standin/leaf/service.go
@@ -0,0 +1,204 @@
+package leaf
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// refusalCodes maps the reasons of a refusal to connect codes.
+var refusalCodes = map[pb.LeafRefusalReason]connect.Code{
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED:          connect.CodeResourceExhausted,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING:      connect.CodeUnavailable,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE: connect.CodeFailedPrecondition,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD:   connect.CodeInvalidArgument,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE:      connect.CodeDeadlineExceeded,
+}
+
+// refuse returns the error of a call that did not start.
+func (l *Leaf) refuse(reason pb.LeafRefusalReason) error {
+	l.journal.refused(reason)
+	name := strings.ToLower(strings.TrimPrefix(reason.String(), "LEAF_REFUSAL_REASON_"))
+	ce := connect.NewError(refusalCodes[reason], errors.New("refused: "+name))
+	d, err := connect.NewErrorDetail(&pb.LeafRefusal{Reason: reason, Incarnation: l.incarnation()})
+	if err == nil {
+		ce.AddDetail(d)
+	}
+	return ce
+}
+
+// contextError returns the error of a call whose context ended while it was worked on.
+func contextError(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	return connect.NewError(connect.CodeCanceled, err)
+}
+
+// Search implements LeafService.
+func (l *Leaf) Search(ctx context.Context, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	now := time.Now()
+	l.journal.arrived(now)
+	f := l.Faults()
+	if f.Stall {
+		return nil, l.stallSearch(ctx, req, now)
+	}
+	if err := l.refuseSearch(req, &f); err != nil {
+		return nil, err
+	}
+	if err := l.takeSlot(ctx); err != nil {
+		return nil, err
+	}
+	defer l.slots.release()
+	entry := l.journal.searchStarted(req, time.Now())
+	l.crashIfMarked(&f, req.GetQuery())
+	if err := sleep(ctx, l.serviceTime(&f)); err != nil {
+		l.journal.searchEnded(entry, SearchCancelled)
+		return nil, contextError(err)
+	}
+	if l.random.chance(f.ErrorShare) {
+		l.journal.searchEnded(entry, SearchFailed)
+		return nil, errInjected()
+	}
+	res := l.answer(req, &f)
+	l.journal.searchEnded(entry, SearchDelivered)
+	return res, nil
+}
+
+// stallSearch logs the search and waits until its caller gives up.
+func (l *Leaf) stallSearch(ctx context.Context, req *pb.LeafSearchRequest, now time.Time) error {
+	entry := l.journal.searchStarted(req, now)
+	<-ctx.Done()
+	l.journal.searchEnded(entry, SearchCancelled)
+	return contextError(ctx.Err())
+}
+
+// refuseSearch returns the refusal of a search that must not start, or nil.
+func (l *Leaf) refuseSearch(req *pb.LeafSearchRequest, f *Faults) error {
+	switch {
+	case f.Drain:
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING)
+	case f.Shed:
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
+	case req.GetService() != l.settings.Service || !l.holdsShard(req.GetShard()):
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD)
+	case f.RefuseSnapshot || !l.holdsSnapshot(req.GetSnapshot()):
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE)
+	}
+	return nil
+}
+
+// takeSlot waits for a slot. A call that finds no place or whose context ends first is refused,
+// since it has not started.
+func (l *Leaf) takeSlot(ctx context.Context) error {
+	err := l.slots.acquire(ctx)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errQueueFull):
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
+	}
+	return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE)
+}
+
+// answer builds the response of a search, wrong where a fault says so.
+func (l *Leaf) answer(req *pb.LeafSearchRequest, f *Faults) *pb.LeafSearchResponse {
+	shard, snapshot := req.GetShard(), req.GetSnapshot()
+	if f.WrongShard {
+		shard++
+	}
+	if f.WrongSnapshot {
+		snapshot++
+	}
+	res := &pb.LeafSearchResponse{
+		RequestId: req.GetRequestId(), Service: req.GetService(), Shard: shard, Snapshot: snapshot,
+		QueryDigest: QueryDigest(req.GetQuery()), Load: l.load(f),
+	}
+	if f.Empty {
+		return res
+	}
+	res.Hits = Hits(shard, snapshot, req.GetQuery(), int(req.GetTopK()), l.settings.Documents)
+	pad(res.Hits, l.settings.HitBytes)
+	return res
+}
+
+// Execute implements LeafService. It does not deduplicate: each call that starts is one effect.
+func (l *Leaf) Execute(ctx context.Context, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
+	l.journal.arrived(time.Now())
+	f := l.Faults()
+	if f.Stall {
+		<-ctx.Done()
+		return nil, contextError(ctx.Err())
+	}
+	if err := l.refuseOrder(req, &f); err != nil {
+		return nil, err
+	}
+	if err := l.takeSlot(ctx); err != nil {
+		return nil, err
+	}
+	defer l.slots.release()
+	if l.random.chance(f.ErrorShare) {
+		return nil, errInjected()
+	}
+	l.journal.executed(req, time.Now())
+	l.crashIfMarked(&f, req.GetPayload())
+	if err := sleep(ctx, l.serviceTime(&f)+f.HoldExecute.D()); err != nil {
+		return nil, contextError(err)
+	}
+	if f.ErrorAfterExecute {
+		return nil, errInjected()
+	}
+	return &pb.LeafExecuteResponse{
+		RequestId: req.GetRequestId(), Ticket: req.GetTicket(),
+		Result: "done:" + req.GetTicket(), Load: l.load(&f),
+	}, nil
+}
+
+// refuseOrder returns the refusal of an order that must not start, or nil.
+func (l *Leaf) refuseOrder(req *pb.LeafExecuteRequest, f *Faults) error {
+	switch {
+	case f.Drain:
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING)
+	case f.Shed:
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
+	case req.GetService() != l.settings.Service:
+		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD)
+	}
+	return nil
+}
+
+// Status implements LeafService. It takes no slot.
+func (l *Leaf) Status(ctx context.Context, _ *pb.LeafStatusRequest) (*pb.LeafStatusResponse, error) {
+	f := l.Faults()
+	if f.Stall {
+		<-ctx.Done()
+		return nil, contextError(ctx.Err())
+	}
+	return &pb.LeafStatusResponse{
+		Leaf: l.settings.ID, Incarnation: l.incarnation(), Service: l.settings.Service,
+		Draining: f.Drain, Slots: uint32(l.settings.Slots), ConnectionLimit: uint32(l.settings.Connections),
+		Snapshots: l.Snapshots(), Load: l.load(&f),
+	}, nil
+}
+
+// load returns the load as this leaf tells it.
+func (l *Leaf) load(f *Faults) *pb.LeafLoad {
+	if f.Report != nil {
+		return &pb.LeafLoad{InFlight: f.Report.InFlight, Utilisation: f.Report.Utilisation}
+	}
+	return l.report.report(time.Now(), l.slots)
+}
+
+func (l *Leaf) crashIfMarked(f *Faults, text string) {
+	if f.CrashMark != "" && strings.Contains(text, f.CrashMark) {
+		l.journal.crashed()
+		l.crash(l)
+	}
+}
+
+func errInjected() error { return connect.NewError(connect.CodeInternal, errors.New("injected fault")) }
--- /dev/null
+++ b/internal/standin/listener/conn.go
@@ -0,0 +1,53 @@
+package listener
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// conn is one counted connection. It counts until it is closed by this end.
+type conn struct {
+	net.Conn
+	listener *Listener
+	// readable is when the connection is first read.
+	readable time.Time
+	remove   sync.Once
+}
+
+// Read waits for the connect delay to pass and then reads.
+func (c *conn) Read(p []byte) (int, error) {
+	if wait := time.Until(c.readable); wait > 0 {
+		time.Sleep(wait)
+	}
+	return c.Conn.Read(p)
+}
+
+// Close closes the connection and counts it out.
+func (c *conn) Close() error {
+	c.remove.Do(func() { c.listener.remove(c) })
+	return c.Conn.Close()
+}
+
+// reset closes the connection so that the other end sees a reset, and counts it out.
+func (c *conn) reset() {
+	c.remove.Do(func() { c.listener.remove(c) })
+	reset(c.Conn)
+}
+
+// reset closes a TCP connection with a reset and without its buffered bytes.
+func reset(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = nc.Close()
+}
+
+// host returns the IP number of the other end.
+func host(nc net.Conn) string {
+	h, _, err := net.SplitHostPort(nc.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return h
+}
--- /dev/null
+++ b/internal/standin/listener/listener.go
@@ -0,0 +1,213 @@
+// Package listener is the network side of the stand-ins: a TCP listener that counts all its
+// connections, refuses those beyond a limit or from cut sources, and can go down and come back on
+// its address; and a server on it that tells open connections to go away.
+package listener
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Options are fixed for the life of a Listener.
+type Options struct {
+	// Limit is how many connections may be open at once, whatever they are used for; 0 is no limit.
+	Limit int
+	// Delay is how long a new connection stays without being read, in place of a slow handshake.
+	Delay time.Duration
+}
+
+// Stats counts connections. Max and Refused are since the last ResetStats.
+type Stats struct {
+	Now     int
+	Max     int
+	Refused uint64
+}
+
+// Listener accepts TCP connections under faults. It implements net.Listener.
+type Listener struct {
+	addr net.Addr
+	opts Options
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. inner is nil while the listener is down; change is closed
+	// and replaced when it comes back or is closed.
+	inner  net.Listener
+	change chan struct{}
+	closed bool
+	cut    map[string]bool
+	open   map[*conn]struct{}
+	stats  Stats
+}
+
+// Listen opens a listener on addr, IP:PORT.
+func Listen(addr string, opts Options) (*Listener, error) {
+	inner, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "standin.listener: listen on %s", addr)
+	}
+	return &Listener{
+		addr: inner.Addr(), opts: opts, inner: inner,
+		change: make(chan struct{}), open: make(map[*conn]struct{}),
+	}, nil
+}
+
+// Addr returns the address, which stays the same while the listener is down.
+func (l *Listener) Addr() net.Addr { return l.addr }
+
+// Accept returns the next connection that is not refused. While the listener is down it waits.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.awaitUp()
+		if err != nil {
+			return nil, err
+		}
+		nc, err := inner.Accept()
+		if err != nil {
+			if l.isCurrent(inner) {
+				return nil, err
+			}
+			continue
+		}
+		if c := l.admit(nc); c != nil {
+			return c, nil
+		}
+		reset(nc)
+	}
+}
+
+// awaitUp returns the listening socket, or net.ErrClosed after Close.
+func (l *Listener) awaitUp() (net.Listener, error) {
+	for {
+		l.mu.Lock()
+		inner, change, closed := l.inner, l.change, l.closed
+		l.mu.Unlock()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		if inner != nil {
+			return inner, nil
+		}
+		<-change
+	}
+}
+
+func (l *Listener) isCurrent(inner net.Listener) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inner == inner
+}
+
+// admit counts the connection in, or returns nil where it has to be refused.
+func (l *Listener) admit(nc net.Conn) *conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	full := l.opts.Limit > 0 && len(l.open) >= l.opts.Limit
+	if l.inner == nil || full || l.cut[host(nc)] {
+		l.stats.Refused++
+		return nil
+	}
+	c := &conn{Conn: nc, listener: l, readable: time.Now().Add(l.opts.Delay)}
+	l.open[c] = struct{}{}
+	l.stats.Max = max(l.stats.Max, len(l.open))
+	return c
+}
+
+// SetDown closes the listening socket, so that new connections are refused, or opens it again.
+// Open connections stay.
+func (l *Listener) SetDown(down bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || down == (l.inner == nil) {
+		return nil
+	}
+	if down {
+		err := l.inner.Close()
+		l.inner = nil
+		return err
+	}
+	inner, err := net.Listen("tcp", l.addr.String())
+	if err != nil {
+		return eris.Wrapf(err, "standin.listener: listen again on %s", l.addr)
+	}
+	l.inner = inner
+	l.wake()
+	return nil
+}
+
+// SetCut refuses connections from the given source IP numbers and resets those that are open.
+func (l *Listener) SetCut(sources []string) {
+	cut := make(map[string]bool, len(sources))
+	for _, s := range sources {
+		cut[s] = true
+	}
+	l.mu.Lock()
+	l.cut = cut
+	l.mu.Unlock()
+	l.resetWhere(func(c *conn) bool { return cut[host(c)] })
+}
+
+// ResetConns resets all open connections.
+func (l *Listener) ResetConns() { l.resetWhere(func(*conn) bool { return true }) }
+
+func (l *Listener) resetWhere(matches func(*conn) bool) {
+	l.mu.Lock()
+	var found []*conn
+	for c := range l.open {
+		if matches(c) {
+			found = append(found, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range found {
+		c.reset()
+	}
+}
+
+// Stats returns the counts.
+func (l *Listener) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stats
+	s.Now = len(l.open)
+	return s
+}
+
+// ResetStats starts the counts again; connections that are open go on counting.
+func (l *Listener) ResetStats() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats = Stats{Max: len(l.open)}
+}
+
+// Close ends Accept for good. Open connections stay.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	l.wake()
+	if l.inner == nil {
+		return nil
+	}
+	err := l.inner.Close()
+	l.inner = nil
+	return err
+}
+
+// wake lets awaitUp look again. l.mu is held.
+func (l *Listener) wake() {
+	close(l.change)
+	l.change = make(chan struct{})
+}
+
+// remove counts the connection out.
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
--- /dev/null
+++ b/internal/standin/platform/reads.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// pathKind is the kind of thing that a read asks for.
+type pathKind int
+
+const (
+	kindKey pathKind = iota
+	kindManifest
+	kindSection
+	kindList
+)
+
+// kindOfKey returns the kind of a key's path.
+func kindOfKey(key string) pathKind {
+	switch {
+	case key == "bundle/manifest":
+		return kindManifest
+	case strings.HasPrefix(key, "bundle/section/"):
+		return kindSection
+	}
+	return kindKey
+}
+
+// readCounter counts reads.
+type readCounter struct {
+	mu sync.Mutex
+	// reads is guarded by mu.
+	reads Reads
+}
+
+func newReadCounter() *readCounter {
+	return &readCounter{reads: Reads{BySource: make(map[string]uint64)}}
+}
+
+// arrived counts one read.
+func (c *readCounter) arrived(kind pathKind, r *http.Request, watch bool) {
+	source, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		source = r.RemoteAddr
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads.Total++
+	c.reads.BySource[source]++
+	if watch {
+		c.reads.Watches++
+	}
+	switch kind {
+	case kindManifest:
+		c.reads.Manifest++
+	case kindSection:
+		c.reads.Section++
+	case kindList:
+		c.reads.List++
+	default:
+		c.reads.Key++
+	}
+}
+
+// waiting changes the number of watches that wait.
+func (c *readCounter) waiting(delta int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads.WaitingNow += delta
+}
+
+// snapshot returns a copy of the counts.
+func (c *readCounter) snapshot() Reads {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.reads
+	r.BySource = maps.Clone(r.BySource)
+	return r
+}
