Test the stand-ins' rules and faults

Time is fake (testing/synctest) wherever no socket is needed.

Found on the way and changed: faults set during a crash brought a leaf back early; the refusing state now has one place.

--- a/internal/standin/leaf/group.go
+++ b/internal/standin/leaf/group.go
@@ -20,7 +20,10 @@
 // after a while it is back as another incarnation.
 func Restart(l *Leaf) {
 	l.log.Info("crashed")
-	_ = l.listener.SetDown(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashed = true
+	_ = l.setDown()
 	l.listener.ResetConns()
 	time.AfterFunc(l.settings.RestartAfter.D(), l.comeBack)
 }
@@ -28,10 +31,10 @@
 // comeBack ends the absence that a crash began, unless a fault keeps the leaf away.
 func (l *Leaf) comeBack() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashed = false
 	l.renewInstance()
-	down := l.faults.Down || l.faults.RefuseConnections
-	l.mu.Unlock()
-	if err := l.listener.SetDown(down); err != nil {
+	if err := l.setDown(); err != nil {
 		l.log.Error("not back after a crash", zap.Error(err))
 	}
 }
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -42,9 +42,10 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu. instance names the present start of the leaf, started is
-	// its time.
+	// its time; crashed is true from a crash until the restart after it.
 	instance  uint64
 	started   time.Time
+	crashed   bool
 	faults    Faults
 	snapshots []uint64
 }
@@ -134,19 +135,25 @@
 // SetFaults replaces the faults.
 func (l *Leaf) SetFaults(f Faults) error {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	old := l.faults
 	l.faults = f
 	if old.away() && !f.away() {
 		l.renewInstance()
 	}
-	l.mu.Unlock()
 	if f.Drain && !old.Drain {
 		l.server.Renew()
 	}
+	err := l.setDown()
 	if f.Down {
-		defer l.listener.ResetConns()
+		l.listener.ResetConns()
 	}
-	return l.listener.SetDown(f.Down || f.RefuseConnections)
+	return err
+}
+
+// setDown refuses new connections where a fault or a crash says so. l.mu is held.
+func (l *Leaf) setDown() error {
+	return l.listener.SetDown(l.crashed || l.faults.Down || l.faults.RefuseConnections)
 }
 
 // renewInstance begins a new incarnation and a cold start. l.mu is held.
--- /dev/null
+++ b/internal/standin/leaf/service_test.go
@@ -0,0 +1,342 @@
+package leaf
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// tryLeaf returns a leaf without listeners: one slot, a queue of one, exactly 10 ms of work.
+func tryLeaf(t *testing.T, change func(s *Settings)) *Leaf {
+	t.Helper()
+	queue := 1
+	s := Settings{
+		ID: "teachers-0-a", Service: "teachers", Listen: "127.0.0.1:0", Control: "127.0.0.1:0",
+		Slots: 1, Queue: &queue, ServiceTime: settings.Duration(10 * time.Millisecond), Shards: []uint32{0, 7},
+	}
+	if change != nil {
+		change(&s)
+	}
+	s.fillDefaults()
+	l, err := newLeaf(s, zap.NewNop(), func(*Leaf) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// fault puts the faults in force on a leaf without listeners.
+func fault(l *Leaf, f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+func search() *pb.LeafSearchRequest {
+	return &pb.LeafSearchRequest{RequestId: "r1", Service: "teachers", Shard: 7, Snapshot: 1, Query: "maths", TopK: 3}
+}
+
+func order() *pb.LeafExecuteRequest {
+	return &pb.LeafExecuteRequest{RequestId: "r1", Service: "teachers", Kind: "book", Ticket: "t1", Key: "k", Payload: "p"}
+}
+
+// refusalOf returns the refusal in the detail of err.
+func refusalOf(err error) *pb.LeafRefusal {
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return nil
+	}
+	for _, d := range ce.Details() {
+		if v, err := d.Value(); err == nil {
+			if r, ok := v.(*pb.LeafRefusal); ok {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// states returns the states of the logged searches.
+func states(l *Leaf) []SearchState {
+	var all []SearchState
+	for _, s := range l.journal.snapshot().Searches {
+		all = append(all, s.State)
+	}
+	return all
+}
+
+func TestRefusedCallsNeverStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  Faults
+		search func(*pb.LeafSearchRequest)
+		reason pb.LeafRefusalReason
+		code   connect.Code
+	}{
+		{"draining", Faults{Drain: true}, nil, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING, connect.CodeUnavailable},
+		{"shedding", Faults{Shed: true}, nil, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED, connect.CodeResourceExhausted},
+		{"snapshot refused", Faults{RefuseSnapshot: true}, nil, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE, connect.CodeFailedPrecondition},
+		{"snapshot not held", Faults{}, func(r *pb.LeafSearchRequest) { r.Snapshot = 2 }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE, connect.CodeFailedPrecondition},
+		{"shard not held", Faults{}, func(r *pb.LeafSearchRequest) { r.Shard = 1 }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD, connect.CodeInvalidArgument},
+		{"another service", Faults{}, func(r *pb.LeafSearchRequest) { r.Service = "clips" }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD, connect.CodeInvalidArgument},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := tryLeaf(t, nil)
+			fault(l, c.fault)
+			req := search()
+			if c.search != nil {
+				c.search(req)
+			}
+			_, err := l.Search(t.Context(), req)
+			is.Equal(refusalOf(err).GetReason(), c.reason)
+			is.Equal(refusalOf(err).GetIncarnation(), l.incarnation())
+			is.Equal(connect.CodeOf(err), c.code)
+			if c.fault.Drain || c.fault.Shed {
+				_, err = l.Execute(t.Context(), order())
+				is.Equal(refusalOf(err).GetReason(), c.reason)
+			}
+			log := l.journal.snapshot()
+			is.Equal(len(log.Searches)+len(log.Executions), 0)
+			is.Equal(log.Counts.Searches+log.Counts.Executions, uint64(0))
+		})
+	}
+}
+
+func TestSlotsAndQueueAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := tryLeaf(t, nil)
+		start := time.Now()
+		ended := make(chan time.Duration, 2)
+		for range 2 {
+			go func() {
+				_, err := l.Search(t.Context(), search())
+				is.NoErr(err)
+				ended <- time.Since(start)
+			}()
+			synctest.Wait()
+		}
+		_, err := l.Execute(t.Context(), order())
+		is.Equal(refusalOf(err).GetReason(), pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
+		is.Equal(<-ended, 10*time.Millisecond)
+		is.Equal(<-ended, 20*time.Millisecond) // the second waited for the slot
+		inFlight, queued := l.slots.highest()
+		is.Equal([]int{inFlight, queued}, []int{2, 1})
+		running, waiting := l.slots.load()
+		is.Equal(running+waiting, 0)
+	})
+}
+
+func TestDeadlinesAreObeyed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := tryLeaf(t, nil)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		working := make(chan error)
+		go func() {
+			_, err := l.Search(ctx, search())
+			working <- err
+		}()
+		synctest.Wait()
+		queued := make(chan error, 1)
+		go func() {
+			_, err := l.Execute(ctx, order())
+			queued <- err
+		}()
+		err := <-working
+		is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
+		is.Equal(refusalOf(err), nil) // it had started
+		is.Equal(refusalOf(<-queued).GetReason(), pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE)
+		is.Equal(states(l), []SearchState{SearchCancelled})
+		is.Equal(len(l.journal.snapshot().Executions), 0)
+		running, waiting := l.slots.load()
+		is.Equal(running+waiting, 0)
+	})
+}
+
+func TestAnOrderThatStartedStaysInTheLog(t *testing.T) {
+	cases := []struct {
+		name     string
+		fault    Faults
+		cancelAt time.Duration
+		executed int
+		code     connect.Code
+	}{
+		{"cancelled in its work", Faults{}, 5 * time.Millisecond, 1, connect.CodeCanceled},
+		{"cancelled while held", Faults{HoldExecute: settings.Duration(time.Second)}, 500 * time.Millisecond, 1, connect.CodeCanceled},
+		{"error after its effect", Faults{ErrorAfterExecute: true}, time.Hour, 1, connect.CodeInternal},
+		{"error before its effect", Faults{ErrorShare: 1}, time.Hour, 0, connect.CodeInternal},
+		{"stalled", Faults{Stall: true}, time.Second, 0, connect.CodeCanceled},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := tryLeaf(t, nil)
+				fault(l, c.fault)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.AfterFunc(c.cancelAt, cancel).Stop()
+				_, err := l.Execute(ctx, order())
+				is.Equal(connect.CodeOf(err), c.code)
+				is.Equal(refusalOf(err), nil)
+				is.Equal(len(l.journal.snapshot().Executions), c.executed)
+			})
+		})
+	}
+}
+
+func TestEachExecutionIsLoggedAndNoneDeduplicated(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "log")
+	l := tryLeaf(t, func(s *Settings) { s.LogFile = file })
+	for range 2 {
+		res, err := l.Execute(t.Context(), order())
+		is.NoErr(err)
+		is.Equal(res.GetResult(), "done:t1")
+	}
+	log := l.journal.snapshot()
+	is.Equal(len(log.Executions), 2)
+	is.Equal(log.Executions[0].Ticket+log.Executions[0].RequestID+log.Executions[0].Key+log.Executions[0].Payload, "t1r1kp")
+	l.journal.close()
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.Equal(strings.Count(string(text), `{"execution":{"ticket":"t1",`), 2)
+}
+
+func TestAnswersProveWhatWasRun(t *testing.T) {
+	cases := []struct {
+		name            string
+		fault           Faults
+		shard, snapshot uint64
+		hits            int
+	}{
+		{"true", Faults{}, 7, 1, 3},
+		{"for another shard", Faults{WrongShard: true}, 8, 1, 3},
+		{"of another snapshot", Faults{WrongSnapshot: true}, 7, 2, 3},
+		{"empty", Faults{Empty: true}, 7, 1, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := tryLeaf(t, func(s *Settings) { s.HitBytes = 500 })
+			fault(l, c.fault)
+			res, err := l.Search(t.Context(), search())
+			is.NoErr(err)
+			is.Equal(uint64(res.GetShard()), c.shard)
+			is.Equal(res.GetSnapshot(), c.snapshot)
+			is.Equal(res.GetQueryDigest(), QueryDigest("maths"))
+			is.Equal(len(res.GetHits()), c.hits)
+			for _, h := range res.GetHits() {
+				is.Equal(len(h.GetText()), 500)
+			}
+			is.Equal(states(l), []SearchState{SearchDelivered})
+		})
+	}
+}
+
+func TestStalledSearchIsLoggedAsCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := tryLeaf(t, nil)
+		fault(l, Faults{Stall: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		_, err := l.Search(ctx, search())
+		is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
+		is.Equal(states(l), []SearchState{SearchCancelled})
+	})
+}
+
+func TestHitsAreTheSameForEachReplica(t *testing.T) {
+	is := is.New(t)
+	hits := Hits(3, 2, "math", 20, 1000)
+	is.Equal(len(hits), 20)
+	is.Equal(hits, Hits(3, 2, "math", 20, 1000))
+	is.Equal(hits[:5], Hits(3, 2, "math", 5, 1000)) // a shorter list is a prefix
+	seen := make(map[string]bool)
+	for i, h := range hits {
+		is.True(i == 0 || h.GetScore() < hits[i-1].GetScore())
+		is.True(strings.Contains(h.GetText(), "query debdaf136a99b867"))
+		is.True(!seen[h.GetDocument()])
+		seen[h.GetDocument()] = true
+	}
+	is.Equal(len(Hits(3, 2, "math", 20, 4)), 4) // no more than there are documents
+	is.True(Hits(3, 2, "other", 1, 1000)[0].GetScore() != hits[0].GetScore())
+	is.True(Hits(3, 3, "math", 1, 1000)[0].GetScore() != hits[0].GetScore())
+}
+
+func TestServiceTime(t *testing.T) {
+	base := Settings{ServiceTime: settings.Duration(10 * time.Millisecond), ColdStart: settings.Duration(2 * time.Second)}
+	cases := []struct {
+		name  string
+		fault Faults
+		age   time.Duration
+		want  time.Duration
+	}{
+		{"warm", Faults{}, 2 * time.Second, 10 * time.Millisecond},
+		{"at the start", Faults{}, 0, 50 * time.Millisecond},
+		{"half warm", Faults{}, time.Second, 30 * time.Millisecond},
+		{"straggler", Faults{SlowFactor: 20}, time.Hour, 200 * time.Millisecond},
+		{"straggler in each call", Faults{SlowFactor: 20, SlowShare: 1}, time.Hour, 200 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(serviceTime(&base, &c.fault, c.age, newRandom(1)), c.want)
+		})
+	}
+}
+
+func TestServiceTimeSpreadAndShareOfStragglers(t *testing.T) {
+	is := is.New(t)
+	s := Settings{ServiceTime: settings.Duration(10 * time.Millisecond), ServiceSigma: 0.3}
+	r := newRandom(1)
+	above, slow := 0, 0
+	for range 10_000 {
+		if serviceTime(&s, &Faults{}, 0, r) > 10*time.Millisecond {
+			above++
+		}
+		if serviceTime(&s, &Faults{SlowFactor: 1000, SlowShare: 0.1}, 0, r) > time.Second {
+			slow++
+		}
+	}
+	is.True(above > 4800 && above < 5200) // service_time is the median
+	is.True(slow > 900 && slow < 1100)
+}
+
+func TestLoadReportLagsAndLies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := tryLeaf(t, nil)
+		inFlight := func() uint32 {
+			res, err := l.Status(t.Context(), &pb.LeafStatusRequest{})
+			is.NoErr(err)
+			return res.GetLoad().GetInFlight()
+		}
+		is.Equal(inFlight(), uint32(0))
+		is.NoErr(l.slots.acquire(t.Context()))
+		time.Sleep(time.Second)
+		is.Equal(inFlight(), uint32(0)) // sampled now, told a lag later
+		l.slots.release()
+		time.Sleep(999 * time.Millisecond)
+		is.Equal(inFlight(), uint32(0))
+		time.Sleep(time.Millisecond)
+		is.Equal(inFlight(), uint32(1))
+		fault(l, Faults{Report: &Report{Utilisation: 0.1, InFlight: 42}})
+		is.Equal(inFlight(), uint32(42))
+	})
+}
