Add a relay that cuts, silences and delays between VMs

Scenarios need cuts between VMs and availability zones, connections that go silent for good while new ones work, and one-way delays, for TCP and UDP, on loopback and without rights on the machine.

The relay dials the target from the client's own IP number, so that what the target decides by source address still holds. Silence swallows bytes as asked; since a stream that lost bytes can't go on, such a connection stays silent after the rule, and one that lost none goes on. A connection opened under silence or a cut never reaches the target, so that it takes no place in a leaf's limit. Holding bytes back until the rule ends was ruled out: it is a long delay, not a lost connection.

--- a/cmd/burdock-standin/commands.go
+++ b/cmd/burdock-standin/commands.go
@@ -10,6 +10,7 @@
 
 	"github.com/burdockplank/burdockplank/internal/logging"
 	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/relay"
 	"github.com/burdockplank/burdockplank/internal/settings"
 	"github.com/burdockplank/burdockplank/internal/standin/leaf"
 	"github.com/burdockplank/burdockplank/internal/standin/platform"
@@ -93,17 +94,41 @@
 	return r.Run(context.Background())
 }
 
+type relayCmd struct{ settingsFlags }
+
+// Run forwards until a signal.
+func (cmd *relayCmd) Run(c *cli) error {
+	var s relay.Settings
+	if done, err := cmd.load(&s); done {
+		return err
+	}
+	log, err := c.newLog()
+	if err != nil {
+		return err
+	}
+	r, err := initRelay(s, log)
+	if err != nil {
+		return err
+	}
+	return r.Run(context.Background())
+}
+
 type publishCmd struct {
 	Control string `required:"" placeholder:"IP:PORT" help:"Control listener of the stand-in platform."`
 	Dir     string `placeholder:"DIR" help:"Directory made by burdockctl bundle sign: sections first, manifest last."`
 	List    string `placeholder:"FILE" help:"JSON list of VMs and leaves, uploaded before the bundle."`
 }
 
-// Run uploads what is named.
-func (cmd *publishCmd) Run() error {
+// Validate refuses a command line that names nothing to upload.
+func (cmd *publishCmd) Validate() error {
 	if cmd.Dir == "" && cmd.List == "" {
-		return eris.New("publish: want --dir, --list or both")
+		return eris.New("want --dir, --list or both")
 	}
+	return nil
+}
+
+// Run uploads what is named.
+func (cmd *publishCmd) Run() error {
 	client := publish.NewClient(cmd.Control)
 	ctx := context.Background()
 	if cmd.List != "" {
@@ -129,3 +154,8 @@
 		Duties: []process.Duty{{Name: "leaves", Run: g.Run}},
 	}
 }
+
+// relayRunner runs a relay.
+func relayRunner(r *relay.Relay, log *zap.Logger) *process.Runner {
+	return &process.Runner{Log: log, Duties: []process.Duty{{Name: "relay", Run: r.Run}}}
+}
--- a/cmd/burdock-standin/main.go
+++ b/cmd/burdock-standin/main.go
@@ -1,5 +1,5 @@
 // burdock-standin stands in for the systems around burdockplank in tests, demo and bench: the
-// platform and the leaves. It is no product.
+// platform and the leaves, and a relay between VMs. It is no product.
 //
 // Exit codes: 0 ok, 1 failure at run time or crash on a marked request, 2 settings or usage refused.
 package main
@@ -26,6 +26,7 @@
 	Platform platformCmd `cmd:"" help:"Stand in for the platform's configuration service and list."`
 	Leaf     leafCmd     `cmd:"" help:"Stand in for one leaf, which a marked request crashes with its process."`
 	Leaves   leavesCmd   `cmd:"" help:"Stand in for many leaves in one process, each on its own address."`
+	Relay    relayCmd    `cmd:"" help:"Forward TCP and UDP under rules that cut, silence and delay."`
 	Publish  publishCmd  `cmd:"" help:"Upload a signed bundle or a list to the stand-in platform."`
 }
 
--- a/cmd/burdock-standin/wire.go
+++ b/cmd/burdock-standin/wire.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/relay"
 	"github.com/burdockplank/burdockplank/internal/standin/leaf"
 	"github.com/burdockplank/burdockplank/internal/standin/platform"
 )
@@ -22,3 +23,9 @@
 	wire.Build(leaf.NewGroup, leavesRunner)
 	return nil, nil
 }
+
+// initRelay builds the process of a relay.
+func initRelay(s relay.Settings, log *zap.Logger) (*process.Runner, error) {
+	wire.Build(relay.New, relayRunner)
+	return nil, nil
+}
--- a/cmd/burdock-standin/wire_gen.go
+++ b/cmd/burdock-standin/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/relay"
 	"github.com/burdockplank/burdockplank/internal/standin/leaf"
 	"github.com/burdockplank/burdockplank/internal/standin/platform"
 	"go.uber.org/zap"
@@ -34,3 +35,13 @@
 	runner := leavesRunner(group, log)
 	return runner, nil
 }
+
+// initRelay builds the process of a relay.
+func initRelay(s relay.Settings, log *zap.Logger) (*process.Runner, error) {
+	relayRelay, err := relay.New(s)
+	if err != nil {
+		return nil, err
+	}
+	runner := relayRunner(relayRelay, log)
+	return runner, nil
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,260 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+const (
+	clientIP = "127.0.93.1"
+	otherIP  = "127.0.93.2"
+	relayIP  = "127.0.93.3"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo serves TCP and UDP on one port: it first tells a client its own IP number and then sends
+// back what comes.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u, err := net.ListenPacket("udp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close(); _ = u.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.WriteString(c, hostOf(c.RemoteAddr())+"\n")
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	go func() {
+		buf := make([]byte, maxPacket)
+		for {
+			n, from, err := u.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			_, _ = u.WriteTo(append([]byte(hostOf(from)+" "), buf[:n]...), from)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// start runs a relay of TCP and UDP to an echo.
+func start(t *testing.T) *Relay {
+	t.Helper()
+	target := echo(t)
+	r, err := New(Settings{Control: "127.0.0.1:0", Forwards: []Forward{
+		{Listen: relayIP + ":0", Target: target, Networks: []Network{TCP, UDP}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+func open(r *Relay, from string) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	return d.Dial("tcp", r.tcp[0].listener.Addr().String())
+}
+
+// greeted opens a connection and reads the target's greeting.
+func greeted(is *is.I, r *Relay, from string) net.Conn {
+	c, err := open(r, from)
+	is.NoErr(err)
+	expect(is, c, from+"\n")
+	return c
+}
+
+// expect reads exactly want.
+func expect(is *is.I, c net.Conn, want string) {
+	buf := make([]byte, len(want))
+	_, err := io.ReadFull(c, buf)
+	is.NoErr(err)
+	is.Equal(string(buf), want)
+}
+
+// exchange sends text and expects it back.
+func exchange(is *is.I, c net.Conn, text string) {
+	_, err := io.WriteString(c, text)
+	is.NoErr(err)
+	expect(is, c, text)
+}
+
+// cutOff tells whether a new connection brings no byte.
+func cutOff(r *Relay, from string) bool {
+	c, err := open(r, from)
+	if err != nil {
+		return true
+	}
+	n, err := c.Read(make([]byte, 1))
+	return n == 0 && err != nil
+}
+
+// lost returns how many links are silent for good.
+func lost(r *Relay) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for k := range r.links {
+		k.mu.Lock()
+		if k.lost {
+			n++
+		}
+		k.mu.Unlock()
+	}
+	return n
+}
+
+// awaitLost waits until n links have swallowed something.
+func awaitLost(r *Relay, n int) {
+	for lost(r) != n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// rest returns all that still comes after the client cuts its link off.
+func rest(r *Relay, c net.Conn) string {
+	r.SetRules([]Rule{{From: Any, To: Any, Mode: ModeCut}})
+	data, _ := io.ReadAll(c)
+	return string(data)
+}
+
+func TestForwardsWithTheClientsOwnAddress(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	c := greeted(is, r, clientIP)
+	exchange(is, c, "hello")
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	data, err := io.ReadAll(c) // an orderly end passes as one
+	is.NoErr(err)
+	is.Equal(len(data), 0)
+	u, err := net.DialUDP("udp", &net.UDPAddr{IP: net.ParseIP(clientIP)}, r.udp[0].conn.LocalAddr().(*net.UDPAddr))
+	is.NoErr(err)
+	defer func() { _ = u.Close() }()
+	for range 2 {
+		_, err = u.Write([]byte("hello"))
+		is.NoErr(err)
+		expect(is, u, clientIP+" hello")
+	}
+}
+
+func TestCutResetsOneSourceOnly(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	cut, kept := greeted(is, r, clientIP), greeted(is, r, otherIP)
+	r.SetRules([]Rule{{From: clientIP, To: relayIP, Mode: ModeCut}})
+	_, err := io.ReadAll(cut)
+	is.True(err != nil) // a reset, no orderly end
+	is.True(cutOff(r, clientIP))
+	exchange(is, kept, "hello")
+	r.SetRules(nil)
+	greeted(is, r, clientIP)
+}
+
+func TestSilenceSwallowsAndKeepsOpen(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	used, idle := greeted(is, r, clientIP), greeted(is, r, clientIP)
+	r.SetRules([]Rule{{From: clientIP, To: relayIP, Mode: ModeSilence}})
+	_, err := io.WriteString(used, "swallowed")
+	is.NoErr(err)
+	fresh, err := open(r, clientIP)
+	is.NoErr(err)
+	awaitLost(r, 2)
+	r.SetRules(nil)
+	exchange(is, idle, "hello") // it lost nothing
+	_, err = io.WriteString(used, "swallowed too")
+	is.NoErr(err)
+	greeted(is, r, clientIP)
+	is.Equal(lost(r), 2)
+	is.Equal(rest(r, used)+rest(r, fresh), "")
+}
+
+func TestSilenceEstablishedLeavesNewOnes(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	old := greeted(is, r, clientIP)
+	rule := Rule{From: clientIP, To: Any, Mode: ModeSilenceEstablished}
+	r.SetRules([]Rule{rule})
+	is.Equal(lost(r), 1)
+	fresh := greeted(is, r, clientIP)
+	r.SetRules([]Rule{rule, {From: otherIP, To: Any, Mode: ModeCut}})
+	exchange(is, fresh, "hello") // the rule stood before
+	r.SetRules(nil)
+	_, err := io.WriteString(old, "swallowed")
+	is.NoErr(err)
+	is.Equal(lost(r), 1)
+	is.Equal(rest(r, old), "")
+}
+
+func TestDelayOfTCP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := &link{opened: time.Now()}
+		k.apply(verdict{delay: time.Millisecond}, false)
+		is.Equal(time.Until(k.due()), 3*time.Millisecond) // opening took a round trip
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(time.Until(k.due()), time.Millisecond)
+		k.apply(verdict{}, false)
+		is.Equal(time.Until(k.due()), time.Duration(0))
+	})
+}
+
+func TestRulesOnUDP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &Relay{}
+		f := &udpForward{relay: r, to: relayIP}
+		got := make(chan string, 10)
+		pass := func() {
+			packet := []byte("x")
+			f.pass(&net.UDPAddr{IP: net.ParseIP(clientIP)}, packet, func(p []byte) { got <- string(p) })
+			packet[0] = 'y' // the buffer is used again
+		}
+		for _, m := range []Mode{ModeCut, ModeSilence} {
+			r.SetRules([]Rule{{From: clientIP, To: relayIP, Mode: m}})
+			pass()
+		}
+		is.Equal(len(got), 0)
+		r.SetRules([]Rule{{From: Any, To: Any, Mode: ModeSilenceEstablished, Delay: settings.Duration(time.Millisecond)}})
+		pass()
+		time.Sleep(999 * time.Microsecond)
+		synctest.Wait()
+		is.Equal(len(got), 0)
+		time.Sleep(time.Microsecond)
+		synctest.Wait()
+		is.Equal(len(got), 1)
+		is.Equal(<-got, "x")
+	})
+}
--- /dev/null
+++ b/internal/relay/tcp.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// dialTimeout bounds the connection to a target.
+const dialTimeout = 5 * time.Second
+
+// tcpForward takes connections of one address on.
+type tcpForward struct {
+	relay    *Relay
+	listener *net.TCPListener
+	target   string
+	// to is the IP number of the listener.
+	to string
+}
+
+func (r *Relay) newTCPForward(f Forward) (*tcpForward, error) {
+	l, err := net.Listen("tcp", f.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "relay: listen on %s", f.Listen)
+	}
+	return &tcpForward{relay: r, listener: l.(*net.TCPListener), target: f.Target, to: hostOf(l.Addr())}, nil
+}
+
+// run accepts until the listener is closed.
+func (f *tcpForward) run() {
+	for {
+		c, err := f.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		f.relay.wg.Go(func() { f.serve(c) })
+	}
+}
+
+// serve carries one connection to its end.
+func (f *tcpForward) serve(client *net.TCPConn) {
+	k := &link{from: hostOf(client.RemoteAddr()), to: f.to, client: client, opened: time.Now()}
+	f.relay.add(k)
+	defer f.relay.remove(k)
+	if k.ended() {
+		return
+	}
+	if !k.pass() {
+		k.discard()
+		return
+	}
+	server, err := f.dial(k.from)
+	if err != nil {
+		k.reset()
+		return
+	}
+	if !k.connected(server) {
+		resetConn(server)
+		return
+	}
+	k.carry()
+}
+
+// dial connects to the target from the client's own IP number, so that the target sees who calls.
+func (f *tcpForward) dial(from string) (*net.TCPConn, error) {
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", f.target)
+	if err != nil {
+		return nil, eris.Wrapf(err, "relay: dial %s", f.target)
+	}
+	return c.(*net.TCPConn), nil
+}
+
+// hostOf returns the IP number of an address.
+func hostOf(a net.Addr) string {
+	h, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return ""
+	}
+	return h
+}
--- /dev/null
+++ b/internal/relay/udp.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// maxPacket is the longest UDP packet.
+	maxPacket = 64 << 10
+	// flowIdle is how long a UDP flow is kept without a packet from its client.
+	flowIdle = time.Minute
+)
+
+// udpForward takes packets of one address on.
+type udpForward struct {
+	relay  *Relay
+	conn   *net.UDPConn
+	target *net.UDPAddr
+	// to is the IP number of the listener.
+	to string
+
+	mu sync.Mutex
+	// flows are by the client's IP:PORT, guarded by mu; nil after close.
+	flows map[string]*udpFlow
+}
+
+// udpFlow carries the packets of one client, from the client's own IP number.
+type udpFlow struct {
+	client *net.UDPAddr
+	server *net.UDPConn
+	// last is when the client last sent, guarded by the forward's mu.
+	last time.Time
+}
+
+func (r *Relay) newUDPForward(f Forward) (*udpForward, error) {
+	listen, err := net.ResolveUDPAddr("udp", f.Listen)
+	if err != nil {
+		return nil, eris.Wrap(err, "relay: listen")
+	}
+	target, err := net.ResolveUDPAddr("udp", f.Target)
+	if err != nil {
+		return nil, eris.Wrap(err, "relay: target")
+	}
+	c, err := net.ListenUDP("udp", listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "relay: listen on udp %s", f.Listen)
+	}
+	return &udpForward{relay: r, conn: c, target: target, to: hostOf(c.LocalAddr()), flows: make(map[string]*udpFlow)}, nil
+}
+
+// run takes packets on until the socket is closed.
+func (f *udpForward) run() {
+	buf := make([]byte, maxPacket)
+	for {
+		n, client, err := f.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		flow, err := f.flow(client)
+		if err != nil {
+			continue
+		}
+		f.pass(client, buf[:n], func(p []byte) { _, _ = flow.server.Write(p) })
+	}
+}
+
+// pass sends a copy of the packet on unless the rules drop it, after their delay.
+func (f *udpForward) pass(client *net.UDPAddr, packet []byte, send func([]byte)) {
+	v := f.relay.judge(client.IP.String(), f.to)
+	if v.cut || v.silence {
+		return
+	}
+	if v.delay == 0 {
+		send(packet)
+		return
+	}
+	later := append([]byte(nil), packet...)
+	time.AfterFunc(v.delay, func() { send(later) })
+}
+
+// flow returns the client's flow, a new one where there is none.
+func (f *udpForward) flow(client *net.UDPAddr) (*udpFlow, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.flows == nil {
+		return nil, net.ErrClosed
+	}
+	key := client.String()
+	if flow, ok := f.flows[key]; ok {
+		flow.last = time.Now()
+		return flow, nil
+	}
+	server, err := net.DialUDP("udp", &net.UDPAddr{IP: client.IP}, f.target)
+	if err != nil {
+		return nil, eris.Wrapf(err, "relay: dial udp %s", f.target)
+	}
+	flow := &udpFlow{client: client, server: server, last: time.Now()}
+	f.flows[key] = flow
+	f.relay.wg.Go(func() { f.replies(flow) })
+	return flow, nil
+}
+
+// replies sends the target's packets back to the client until the flow is closed or idle.
+func (f *udpForward) replies(flow *udpFlow) {
+	buf := make([]byte, maxPacket)
+	for {
+		_ = flow.server.SetReadDeadline(time.Now().Add(flowIdle))
+		n, err := flow.server.Read(buf)
+		if errors.Is(err, net.ErrClosed) || f.expire(flow) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		f.pass(flow.client, buf[:n], func(p []byte) { _, _ = f.conn.WriteToUDP(p, flow.client) })
+	}
+}
+
+// expire closes the flow where it is idle.
+func (f *udpForward) expire(flow *udpFlow) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(flow.last) < flowIdle {
+		return false
+	}
+	delete(f.flows, flow.client.String())
+	_ = flow.server.Close()
+	return true
+}
+
+// close ends the forward and its flows.
+func (f *udpForward) close() {
+	_ = f.conn.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, flow := range f.flows {
+		_ = flow.server.Close()
+	}
+	f.flows = nil
+}
