--- a/internal/standin/leaf/leaf_test.go
+++ b/internal/standin/leaf/leaf_test.go
@@ -111,6 +111,31 @@
 	is.NoErr(<-answered) // the drain cut nothing off
 }
 
+func TestDeadlineAndCancellationTravelToTheWork(t *testing.T) {
+	is := is.New(t)
+	l := serve(t)
+	is.NoErr(l.SetFaults(Faults{HoldExecute: settings.Duration(time.Hour)}))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancelled := make(chan error, 1)
+	req := &pb.LeafExecuteRequest{Service: "teachers", Ticket: "t1"}
+	go func() {
+		_, err := http2Client(l).Execute(ctx, req)
+		cancelled <- err
+	}()
+	for len(l.Log().Executions) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	is.Equal(connect.CodeOf(<-cancelled), connect.CodeCanceled)
+	late, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := http2Client(l).Execute(late, req)
+	is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
+	for running, _ := l.slots.load(); running > 0; running, _ = l.slots.load() {
+		time.Sleep(time.Millisecond) // the work ends, though it would take an hour
+	}
+}
+
 func TestCrashOfOneAmongMany(t *testing.T) {
 	is := is.New(t)
 	l := serve(t)
--- a/internal/standin/listener/listener_test.go
+++ b/internal/standin/listener/listener_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"syscall"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/net/http2"
@@ -144,3 +146,18 @@
 	is.NoErr(<-done)
 	is.Equal(l.Stats().Now, 0)
 }
+
+func TestConnectDelayHoldsTheFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		far, near := net.Pipe()
+		c := &conn{Conn: near, readable: time.Now().Add(6 * time.Millisecond)}
+		go func() { _, _ = far.Write([]byte("xy")) }()
+		start := time.Now()
+		for range 2 {
+			_, err := c.Read(make([]byte, 1))
+			is.NoErr(err)
+			is.Equal(time.Since(start), 6*time.Millisecond) // later reads don't wait
+		}
+	})
+}
--- a/internal/standin/publish/publish_test.go
+++ b/internal/standin/publish/publish_test.go
@@ -1,6 +1,8 @@
 package publish
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -9,6 +11,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
 )
 
 func TestManifestGoesLastAndOnlyAfterAllSections(t *testing.T) {
@@ -42,3 +46,29 @@
 		})
 	}
 }
+
+func TestPublishedIsRead(t *testing.T) {
+	is := is.New(t)
+	p, err := platform.New(platform.Options{Listen: "127.0.0.1:0", Control: "127.0.0.1:0"})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- p.Run(ctx) }()
+	dir := t.TempDir()
+	is.NoErr(os.Mkdir(filepath.Join(dir, "sections"), 0o755))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "manifest"), []byte{0, 0xff}, 0o644))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "list"), []byte(`{"leaves":[{"id":"a"}]}`), 0o644))
+	client := NewClient(p.ControlAddr())
+	is.NoErr(client.Bundle(ctx, dir))
+	is.NoErr(client.List(ctx, filepath.Join(dir, "list")))
+	for path, want := range map[string]string{"keys/bundle/manifest": "\x00\xff", "list": `"id": "a"`} {
+		res, err := http.Get("http://" + p.Addr() + "/v1/" + path)
+		is.NoErr(err)
+		body, err := io.ReadAll(res.Body)
+		is.NoErr(err)
+		is.NoErr(res.Body.Close())
+		is.True(strings.Contains(string(body), want))
+	}
+	cancel()
+	is.NoErr(<-done)
+}
