Own the leaf connections: silence, evidence of leaving, no second send

The shared client hid what the gather has to know: whether a call was written, which incarnation a lost connection belonged to, and that a connection had gone silent while new ones work.

Pinging all the time would load leaves; so a connection is pinged when a call got no byte for 200 ms, or after one idle second. No answer within 300 ms takes it out of use, ends its calls as connection-silent and makes its siblings prove that they live. An order first pings a connection not heard of in the last 50 ms: a silent connection then costs no unknown outcome.

Nothing below the gather can send a call twice: no redirects, no GetBody, one connection a round trip. The body of a request is a gate that can be sealed, so "not written" is certain and not inferred from error texts.

Evidence that names an incarnation is sticky until a connection shows another. Evidence that names none can't be: a list that lags may speak of the incarnation before, and a middlebox may refuse in a leaf's name. A refused connection holds until one opened later is accepted; the list holds while it says so.

--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -31,3 +31,13 @@
 	}
 	return p
 }
+
+// Has tells whether the VM is a member.
+func (p Plan) Has(vm string) bool {
+	for _, m := range p.Members {
+		if m.GetId() == vm {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/upstream/call.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// maxProbes bounds how many connections are tried for one order.
+const maxProbes = 4
+
+// The procedures as labels of a metric.
+const (
+	methodSearch  = "search"
+	methodExecute = "execute"
+)
+
+// Search implements Caller.
+func (p *Pool) Search(ctx context.Context, id string, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	l, c, err := p.begin(ctx, id, methodSearch)
+	if err != nil {
+		return nil, err
+	}
+	defer l.release(c)
+	xctx, x := withExchange(ctx, c)
+	res, rerr := l.client.Search(xctx, req)
+	if rerr != nil {
+		return nil, l.failed(ctx, x, methodSearch, rerr)
+	}
+	p.metrics.called(l.service, methodSearch, resultOK)
+	return res, nil
+}
+
+// Execute implements Caller. A connection that was not heard of lately is pinged first, so that an
+// order is hardly ever written to a connection gone silent, which would leave its outcome unknown.
+func (p *Pool) Execute(ctx context.Context, id string, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
+	l, c, err := p.beginProven(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	defer l.release(c)
+	xctx, x := withExchange(ctx, c)
+	res, rerr := l.client.Execute(xctx, req)
+	if rerr != nil {
+		return nil, l.failed(ctx, x, methodExecute, rerr)
+	}
+	p.metrics.called(l.service, methodExecute, resultOK)
+	return res, nil
+}
+
+// begin picks the connection for a call; it must be released. The error is a *CallError.
+func (p *Pool) begin(ctx context.Context, id, method string) (*leaf, *conn, error) {
+	l := p.leaf(id)
+	if l == nil {
+		return nil, nil, &CallError{Leaf: id, Err: errUnknownLeaf}
+	}
+	c, err := l.await(ctx)
+	if err != nil {
+		p.metrics.called(l.service, method, resultNotSent)
+		return nil, nil, &CallError{Leaf: id, Incarnation: l.state().Incarnation, Err: err}
+	}
+	return l, c, nil
+}
+
+// beginProven is begin with a connection that has just shown life. Nothing of the call is sent
+// while connections are tried.
+func (p *Pool) beginProven(ctx context.Context, id string) (*leaf, *conn, error) {
+	for range maxProbes {
+		l, c, err := p.begin(ctx, id, methodExecute)
+		if err != nil {
+			return nil, nil, err
+		}
+		if time.Since(c.wire.heard()) < freshEnough || c.probe(ctx) {
+			return l, c, nil
+		}
+		l.release(c)
+		if ctx.Err() != nil {
+			p.metrics.called(l.service, methodExecute, resultNotSent)
+			return nil, nil, &CallError{Leaf: id, Err: ctx.Err()}
+		}
+	}
+	return nil, nil, &CallError{Leaf: id, Err: errNoConnection}
+}
+
+// failed turns the failure of a call into a *CallError, and takes in what it says of the leaf.
+func (l *leaf) failed(ctx context.Context, x *exchange, method string, err error) *CallError {
+	e := &CallError{Leaf: l.id, Wrote: !x.notSent(), Err: err}
+	l.mu.Lock()
+	e.Incarnation = x.conn.incarnation
+	silent := x.conn.fate == fateSilent
+	l.mu.Unlock()
+	switch refusal := refusalOf(err); {
+	case refusal != nil:
+		l.refusedBy(e, refusal)
+	case excludedByGoAway(x.err):
+		e.Refusal = pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING
+	case refusedStream(x.err):
+		e.Refusal = pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED
+	case ctx.Err() != nil:
+		e.Err = ctx.Err()
+	case silent:
+		e.ConnectionSilent, e.Err = true, errSilent
+	case x.conn.wire.crashed():
+		e.ConnectionLost = true
+	}
+	l.pool.metrics.called(l.service, method, resultOf(e))
+	return e
+}
+
+// refusedBy takes in the leaf's own statement that it did not start the work.
+func (l *leaf) refusedBy(e *CallError, r *pb.LeafRefusal) {
+	e.Refusal = r.GetReason()
+	if n := r.GetIncarnation(); n != 0 {
+		e.Incarnation = n
+	}
+	switch e.Refusal {
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING:
+		l.mu.Lock()
+		l.departs(e.Incarnation, pb.DepartureSource_DEPARTURE_SOURCE_REFUSAL)
+		l.mu.Unlock()
+		l.pool.wakeUp()
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE:
+		l.askSoon()
+	}
+}
+
+// refusalOf returns the leaf's statement that it did not start the work, or nil.
+func refusalOf(err error) *pb.LeafRefusal {
+	var ce *connect.Error
+	if !errors.As(err, &ce) || !connect.IsWireError(err) {
+		return nil
+	}
+	for _, d := range ce.Details() {
+		v, derr := d.Value()
+		if derr != nil {
+			continue
+		}
+		if r, ok := v.(*pb.LeafRefusal); ok && r.GetReason() != pb.LeafRefusalReason_LEAF_REFUSAL_REASON_UNSPECIFIED {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/dump.go
@@ -0,0 +1,82 @@
+package upstream
+
+import (
+	"sort"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// LeafDump is what a dump shows of one leaf.
+type LeafDump struct {
+	Leaf        string `json:"leaf"`
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+	// Leaving names the evidence of departure, empty where there is none.
+	Leaving   string   `json:"leaving,omitempty"`
+	Slots     int      `json:"slots"`
+	Snapshots []uint64 `json:"snapshots"`
+	// Planned is how many connections the plan gives this VM.
+	Planned     int        `json:"planned_connections"`
+	Connections []ConnDump `json:"connections"`
+	// OpenError is how the last try to open a connection failed.
+	OpenError string `json:"open_error,omitempty"`
+}
+
+// ConnDump is what a dump shows of one connection.
+type ConnDump struct {
+	Incarnation uint64 `json:"incarnation"`
+	InFlight    int    `json:"in_flight"`
+	// OutOfUse says why no more calls are sent on it, empty where they are.
+	OutOfUse string `json:"out_of_use,omitempty"`
+	// Age and Quiet count from its opening and from its last byte.
+	Age   string `json:"age"`
+	Quiet string `json:"quiet"`
+}
+
+// Dump implements operator.Dumper: the leaves in order of their ids.
+func (p *Pool) Dump() any {
+	all := p.all()
+	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
+	now := time.Now()
+	dump := make([]LeafDump, 0, len(all))
+	for _, l := range all {
+		dump = append(dump, l.dump(now))
+	}
+	return dump
+}
+
+func (l *leaf) dump(now time.Time) LeafDump {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := LeafDump{
+		Leaf: l.id, Service: l.service, Address: l.address, Incarnation: l.presence.incarnation,
+		Slots: l.slots, Snapshots: l.snapshots, Planned: l.want, Connections: []ConnDump{},
+	}
+	if s := l.presence.leaving(); s != pb.DepartureSource_DEPARTURE_SOURCE_UNSPECIFIED {
+		d.Leaving = sourceName(s)
+	}
+	if l.openError != nil {
+		d.OpenError = l.openError.Error()
+	}
+	for _, c := range l.conns {
+		d.Connections = append(d.Connections, ConnDump{
+			Incarnation: c.incarnation, InFlight: c.inFlight, OutOfUse: string(c.fate),
+			Age:   now.Sub(c.opened).Round(time.Millisecond).String(),
+			Quiet: now.Sub(c.wire.heard()).Round(time.Millisecond).String(),
+		})
+	}
+	return d
+}
+
+// closeAll closes every connection, also those with calls.
+func (l *leaf) closeAll() {
+	l.mu.Lock()
+	all := l.conns
+	l.conns, l.want = nil, 0
+	l.mu.Unlock()
+	for _, c := range all {
+		_ = c.h2.Close()
+	}
+}
--- /dev/null
+++ b/internal/upstream/gate.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// errSealed ends the sending of a request that was given up before its message was read.
+var errSealed = errors.New("request given up before it was sent")
+
+// The states of a gate.
+const (
+	gateShut int32 = iota
+	gateOpened
+	gateSealed
+)
+
+// gate is the body of a request to a leaf. It knows whether the HTTP/2 client has begun to read the
+// message, and can forbid that once and for all: a call whose gate was sealed was surely not seen
+// by the leaf, for a leaf can't start a call without its message.
+type gate struct {
+	io.ReadCloser
+	state atomic.Int32
+}
+
+// Read implements io.Reader.
+func (g *gate) Read(b []byte) (int, error) {
+	if g.state.CompareAndSwap(gateShut, gateOpened) || g.state.Load() == gateOpened {
+		return g.ReadCloser.Read(b)
+	}
+	return 0, errSealed
+}
+
+// seal returns true where the message was not read so far, and never will be.
+func (g *gate) seal() bool {
+	return g.state.CompareAndSwap(gateShut, gateSealed) || g.state.Load() == gateSealed
+}
+
+// exchange is one call on one connection, from its start to its end. It belongs to the goroutine
+// that makes the call.
+type exchange struct {
+	conn *conn
+	gate *gate
+	// err is how the HTTP/2 client failed, nil where an answer began.
+	err error
+}
+
+type exchangeKey struct{}
+
+// withExchange returns a context whose call goes over the connection.
+func withExchange(ctx context.Context, c *conn) (context.Context, *exchange) {
+	x := &exchange{conn: c}
+	return context.WithValue(ctx, exchangeKey{}, x), x
+}
+
+// notSent tells whether the leaf has surely not seen the call. It forbids sending from then on.
+func (x *exchange) notSent() bool { return x.gate == nil || x.gate.seal() }
+
+// exchangeClient implements connect.HTTPClient over the connection that the context names. There is
+// no layer that could send a request twice: no redirects, no GetBody, and the round trip of a
+// single HTTP/2 connection doesn't retry.
+type exchangeClient struct{}
+
+// Do implements connect.HTTPClient.
+func (exchangeClient) Do(req *http.Request) (*http.Response, error) {
+	x, ok := req.Context().Value(exchangeKey{}).(*exchange)
+	if !ok || x.gate != nil {
+		return nil, errors.New("upstream: a call needs a connection of its own")
+	}
+	x.gate = &gate{ReadCloser: req.Body}
+	req.Body, req.GetBody = x.gate, nil
+	res, err := x.conn.h2.RoundTrip(req)
+	x.err = err
+	return res, err
+}
--- /dev/null
+++ b/internal/upstream/leaf.go
@@ -0,0 +1,238 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+)
+
+// Why a call could not be sent.
+var (
+	errUnknownLeaf  = errors.New("unknown leaf, or one that this VM doesn't serve")
+	errLeaving      = errors.New("leaf is leaving")
+	errNoConnection = errors.New("no usable connection")
+)
+
+// awaitLimit is how long a call waits for a connection that is about to become usable.
+const awaitLimit = 100 * time.Millisecond
+
+// leaf is one upstream of the pool, with its connections.
+type leaf struct {
+	pool    *Pool
+	id      string
+	service string
+	address string
+	client  burdockv1connect.LeafServiceClient
+
+	mu sync.Mutex
+	// The rest is guarded by mu.
+
+	// want is the number of connections by plan, 0 where the leaf is removed.
+	want  int
+	slots int
+	// conns are all open connections, out of use or not.
+	conns    []*conn
+	presence presence
+	// snapshots as the leaf said, nil where it has not.
+	snapshots []uint64
+	// opening is true while a connection is being opened; retryAt is when the next may be.
+	opening bool
+	retryAt time.Time
+	backoff backoff
+	// polling is true while the status is asked for; pollAt is when it will be next.
+	polling bool
+	pollAt  time.Time
+	// changed is closed and replaced when a connection may have become usable.
+	changed chan struct{}
+	// openError is how the last try to open a connection failed, nil after a success.
+	openError error
+}
+
+// acquire counts a call on the least loaded connection, among equals the one heard of last. It
+// refuses from the first evidence of departure on.
+func (l *leaf) acquire(now time.Time) (*conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.want == 0 {
+		return nil, errUnknownLeaf
+	}
+	l.absorb()
+	if l.isLeaving() {
+		return nil, errLeaving
+	}
+	var best *conn
+	for _, c := range l.conns {
+		if c.usable() && (best == nil || c.better(best)) {
+			best = c
+		}
+	}
+	if best == nil {
+		return nil, errNoConnection
+	}
+	best.begin(now)
+	return best, nil
+}
+
+// await is acquire that waits a little where a connection is about to become usable.
+func (l *leaf) await(ctx context.Context) (*conn, error) {
+	if c, err := l.acquire(time.Now()); err != errNoConnection {
+		return c, err
+	}
+	limit := time.NewTimer(awaitLimit)
+	defer limit.Stop()
+	for {
+		changed, hopeful := l.prospect()
+		c, err := l.acquire(time.Now())
+		if err != errNoConnection || !hopeful {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// prospect returns a channel that closes at the next change, and whether one is due soon: a first
+// try to open a connection is under way, or a connection only has to answer a ping.
+func (l *leaf) prospect() (changed <-chan struct{}, hopeful bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	hopeful = l.backoff.failures == 0 && l.live() < l.target()
+	for _, c := range l.conns {
+		hopeful = hopeful || (c.fate == fateNone && c.doubtful())
+	}
+	return l.changed, hopeful
+}
+
+// notify wakes calls that wait for a connection. Requires mu.
+func (l *leaf) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// better tells whether c should take a call rather than other. Requires leaf.mu.
+func (c *conn) better(other *conn) bool {
+	if c.inFlight != other.inFlight {
+		return c.inFlight < other.inFlight
+	}
+	return c.wire.heard().After(other.wire.heard())
+}
+
+// release ends a call on the connection.
+func (l *leaf) release(c *conn) {
+	l.mu.Lock()
+	c.inFlight--
+	done := c.fate != fateNone && c.inFlight == 0
+	l.mu.Unlock()
+	if done {
+		l.pool.wakeUp()
+	}
+}
+
+func (l *leaf) isLeaving() bool {
+	return l.presence.leaving() != pb.DepartureSource_DEPARTURE_SOURCE_UNSPECIFIED
+}
+
+// absorb takes in what the connections' readers noted. Requires mu.
+func (l *leaf) absorb() {
+	for _, c := range l.conns {
+		if c.wire.leaving.Load() && !c.departed {
+			c.departed = true
+			l.departs(c.incarnation, pb.DepartureSource_DEPARTURE_SOURCE_GOAWAY)
+		}
+		switch {
+		case c.fate != fateNone:
+		case c.wire.lost.Load():
+			l.retire(c, fateLost)
+		case c.wire.leaving.Load() || c.wire.failed.Load():
+			l.retire(c, fateGoAway)
+		case c.wire.closing.Load():
+			l.retire(c, fateClosed)
+		}
+	}
+}
+
+// retire takes a connection out of use; its calls run on. Requires mu.
+func (l *leaf) retire(c *conn, why fate) {
+	if c.fate != fateNone {
+		return
+	}
+	c.fate = why
+	now := time.Now()
+	ended := why == fateLost || why == fateGoAway || why == fateClosed
+	if ended && now.Sub(c.opened) < settled && !now.Before(l.retryAt) {
+		l.retryAt = now.Add(l.backoff.next())
+	}
+	l.pool.metrics.closed.WithLabelValues(l.service, string(why)).Inc()
+}
+
+// silence takes a connection out of use that gave no sign of life, and ends its calls. What cut it
+// may have cut the others as well: they are pinged, and take no call before they are heard of.
+func (l *leaf) silence(c *conn) {
+	l.mu.Lock()
+	l.retire(c, fateSilent)
+	now := time.Now()
+	for _, other := range l.conns {
+		if other.fate == fateNone {
+			other.doubted = now
+		}
+	}
+	l.mu.Unlock()
+	_ = c.h2.Close()
+	l.pool.wakeUp()
+}
+
+// departs takes in evidence of departure seen by this process and reports it. Requires mu.
+func (l *leaf) departs(incarnation uint64, source pb.DepartureSource) {
+	var news bool
+	if incarnation == 0 {
+		news = l.presence.refuse(time.Now())
+	} else {
+		news = l.presence.depart(incarnation, source)
+	}
+	if !news {
+		return
+	}
+	l.pool.metrics.departures.WithLabelValues(l.service, sourceName(source)).Inc()
+	l.pool.log.Info("leaf is leaving", zap.String("leaf", l.id), zap.Uint64("incarnation", incarnation),
+		zap.String("evidence", sourceName(source)))
+	l.pool.reporter.ReportDeparture(&pb.Departure{
+		Leaf: l.id, Incarnation: incarnation, Source: source, Vm: l.pool.cfg.VM,
+	})
+}
+
+// target is how many connections the leaf should have now: a leaving leaf keeps one, which shows
+// its next incarnation. One that only refused a connection keeps all, for a new one shows whether
+// that still holds. Requires mu.
+func (l *leaf) target() int {
+	switch l.presence.leaving() {
+	case pb.DepartureSource_DEPARTURE_SOURCE_UNSPECIFIED, pb.DepartureSource_DEPARTURE_SOURCE_CONNECT:
+		return l.want
+	}
+	return min(1, l.want)
+}
+
+// state returns a copy of what is known.
+func (l *leaf) state() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.absorb()
+	s := State{
+		Leaf: l.id, Incarnation: l.presence.incarnation, Leaving: l.isLeaving(),
+		Snapshots: append([]uint64(nil), l.snapshots...), Slots: l.slots,
+	}
+	for _, c := range l.conns {
+		s.Connected = s.Connected || c.usable()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/upstream/open.go
@@ -0,0 +1,172 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+const (
+	// openLimit bounds opening a connection, with its first status.
+	openLimit = time.Second
+	// pollEvery is the mean time between two questions for a leaf's status.
+	pollEvery = 2 * time.Second
+	// pollLimit bounds one question.
+	pollLimit = 500 * time.Millisecond
+	// backoffFirst and backoffMost bound the waiting time after a connection could not be opened.
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = 2 * time.Second
+	// settled is how long a connection must have lasted for its end not to slow the next.
+	settled = time.Second
+)
+
+// backoff doubles the waiting time with each failure.
+type backoff struct{ failures int }
+
+// next returns the jittered time until the next try.
+func (b *backoff) next() time.Duration {
+	d := backoffMost
+	if b.failures < 6 {
+		d = min(backoffMost, backoffFirst<<b.failures)
+	}
+	b.failures++
+	return jitter(d)
+}
+
+// jitter returns d times 0.75 to 1.25, so that processes don't act in step.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*rand.Float64()))
+}
+
+// open opens one connection, learns the incarnation on it, and adds it.
+func (l *leaf) open() {
+	ctx, cancel := context.WithTimeout(l.pool.ctx, openLimit)
+	defer cancel()
+	opened := time.Now()
+	c, st, err := l.dial(ctx, opened)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opening = false
+	l.openError = err
+	if err != nil {
+		l.openFailed(err)
+		return
+	}
+	l.pool.metrics.opened.WithLabelValues(l.service, "opened").Inc()
+	l.conns = append(l.conns, c)
+	l.notify()
+	if st != nil {
+		l.learn(c, st)
+	} else {
+		l.presence.connected(0, opened)
+	}
+	l.pool.wakeUp()
+}
+
+// openFailed notes the failure; a refused connection is evidence of departure. Requires mu.
+func (l *leaf) openFailed(err error) {
+	l.retryAt = time.Now().Add(l.backoff.next())
+	if l.pool.ctx.Err() != nil {
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		l.pool.metrics.opened.WithLabelValues(l.service, "failed").Inc()
+		return
+	}
+	l.pool.metrics.opened.WithLabelValues(l.service, "refused").Inc()
+	l.departs(0, pb.DepartureSource_DEPARTURE_SOURCE_CONNECT)
+}
+
+// dial opens a connection and asks for the status on it. A leaf that answers no status is taken
+// all the same as long as it answers a ping: its status may be broken where its searches aren't.
+func (l *leaf) dial(ctx context.Context, opened time.Time) (*conn, *pb.LeafStatusResponse, error) {
+	nc, err := l.pool.dial(ctx, l.address)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "gather.upstream: dial %s", l.id)
+	}
+	w := newWire(nc, l.pool.epoch, l.pool.wakeUp)
+	_ = w.SetWriteDeadline(opened.Add(openLimit)) // the preface is written without a context
+	h2, err := l.pool.transport.open(w)
+	_ = w.SetWriteDeadline(time.Time{})
+	if err != nil {
+		_ = w.Close()
+		return nil, nil, eris.Wrapf(err, "gather.upstream: start HTTP/2 with %s", l.id)
+	}
+	c := &conn{leaf: l, wire: w, h2: h2, opened: opened}
+	st, err := l.askStatus(ctx, c)
+	if err == nil && st.GetLeaf() != "" && st.GetLeaf() != l.id {
+		err = eris.Errorf("gather.upstream: %s answers as %s", l.id, st.GetLeaf())
+	} else if err != nil && c.wire.usable() && h2.Ping(ctx) == nil {
+		return c, nil, nil
+	}
+	if err != nil {
+		_ = h2.Close()
+		return nil, nil, eris.Wrapf(err, "gather.upstream: first status of %s", l.id)
+	}
+	return c, st, nil
+}
+
+// askStatus asks for the status over the connection.
+func (l *leaf) askStatus(ctx context.Context, c *conn) (*pb.LeafStatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	ctx, _ = withExchange(ctx, c)
+	return l.client.Status(ctx, &pb.LeafStatusRequest{})
+}
+
+// poll asks for the status over an open connection that was begun.
+func (l *leaf) poll(c *conn) {
+	st, err := l.askStatus(l.pool.ctx, c)
+	l.release(c)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.polling = false
+	l.pool.metrics.polled(l.service, err)
+	if err != nil {
+		return
+	}
+	l.learn(c, st)
+	if time.Since(c.opened) >= settled {
+		l.backoff = backoff{}
+	}
+}
+
+// learn takes in a status answered on the connection. All of it is a hint, but that a draining
+// leaf drains. A connection belongs to one incarnation: another one on it is not believed.
+// Requires mu.
+func (l *leaf) learn(c *conn, st *pb.LeafStatusResponse) {
+	n := st.GetIncarnation()
+	if n == 0 || (c.incarnation != 0 && c.incarnation != n) {
+		return
+	}
+	if st.GetDraining() {
+		l.departs(n, pb.DepartureSource_DEPARTURE_SOURCE_STATUS)
+	}
+	if c.incarnation == 0 || n == l.presence.incarnation {
+		c.incarnation = n
+		if !l.presence.connected(n, c.opened) {
+			return
+		}
+	}
+	if n != l.presence.incarnation {
+		return
+	}
+	l.snapshots = append([]uint64{}, st.GetSnapshots()...)
+	if st.GetSlots() > 0 {
+		l.slots = int(st.GetSlots())
+	}
+}
+
+// askSoon makes the next status due now.
+func (l *leaf) askSoon() {
+	l.mu.Lock()
+	l.pollAt = time.Time{}
+	l.mu.Unlock()
+	l.pool.wakeUp()
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,20 +2,27 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
+	"net"
+	"slices"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/rpc"
 )
 
+const (
+	// tendEvery is how often the pool looks after its connections when nothing wakes it.
+	tendEvery = 50 * time.Millisecond
+	// maxAnswerBytes bounds a leaf's answer.
+	maxAnswerBytes = 4 << 20
+)
+
 // Config is what a Pool needs to know of its own VM.
 type Config struct {
 	// VM is the id of the pool's own VM.
@@ -24,151 +31,158 @@
 	Bind string
 }
 
-// errUnknownLeaf says that the bundle in force has no such leaf.
-var errUnknownLeaf = errors.New("unknown leaf")
-
-// Pool owns the connections of one gather to the leaves of the services it serves.
+// Pool owns the connections of one gather to the leaves of the services it serves. It is safe for
+// concurrent use.
 type Pool struct {
-	cfg      Config
-	source   feed.Source
-	reporter feed.Reporter
-	log      *zap.Logger
-	client   *http.Client
-
-	mu sync.Mutex
+	cfg       Config
+	source    feed.Source
+	reporter  feed.Reporter
+	log       *zap.Logger
+	metrics   *metrics
+	transport h2Transport
+	dial      func(ctx context.Context, address string) (net.Conn, error)
+	epoch     time.Time
+
+	// ctx ends when the pool closes; work counts the pool's goroutines.
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+	// closed forbids new goroutines; guarded by workMu.
+	closed bool
+	workMu sync.Mutex
+	wake   chan struct{}
+
+	mu sync.RWMutex
 	// leaves by id; guarded by mu.
 	leaves map[string]*leaf
+	// removed leaves whose calls still run; guarded by mu.
+	removed []*leaf
 }
 
-// leaf is one upstream of the pool.
-type leaf struct {
-	id     string
-	client burdockv1connect.LeafServiceClient
-	slots  int
-}
+var _ Caller = (*Pool)(nil)
 
-// NewPool returns a pool without leaves; Run or ApplyView gives it some.
-func NewPool(cfg Config, source feed.Source, reporter feed.Reporter, log *zap.Logger, _ prometheus.Registerer) *Pool {
-	return &Pool{
+// NewPool returns a pool without leaves; Run or ApplyView gives it some. reg may be nil.
+func NewPool(cfg Config, source feed.Source, reporter feed.Reporter, log *zap.Logger, reg prometheus.Registerer) *Pool {
+	d := rpc.Dialer(cfg.Bind)
+	p := &Pool{
 		cfg: cfg, source: source, reporter: reporter, log: log,
-		client: rpc.NewClient(cfg.Bind), leaves: make(map[string]*leaf),
+		metrics:   newMetrics(reg),
+		transport: newH2Transport(),
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		},
+		epoch:  time.Now(),
+		wake:   make(chan struct{}, 1),
+		leaves: make(map[string]*leaf),
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	if reg != nil {
+		reg.MustRegister(gauges{p})
 	}
+	return p
 }
 
-// Run applies the views of the source until ctx ends, and closes the pool then.
+// Run applies the views of the source and looks after the connections until ctx ends. It closes
+// the pool then.
 func (p *Pool) Run(ctx context.Context) error {
 	defer p.Close()
+	tick := time.NewTicker(tendEvery)
+	defer tick.Stop()
 	for {
 		changed := p.source.Changed()
 		p.ApplyView(p.source.Current())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-changed:
+				waiting = false
+			case <-p.wake:
+				p.tend(time.Now())
+			case <-tick.C:
+				p.tend(time.Now())
+			}
 		}
 	}
 }
 
-// ApplyView takes in the leaves and the evidence of a view. Calls that run aren't cut.
-func (p *Pool) ApplyView(v *feed.View) {
-	if v.Bundle == nil {
+// tend looks after all leaves and forgets the removed ones that have ended. It is called by the
+// pool's loop alone.
+func (p *Pool) tend(now time.Time) {
+	ended := make(map[*leaf]bool)
+	for _, l := range p.all() {
+		if !l.tend(now) {
+			ended[l] = true
+		}
+	}
+	if len(ended) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, s := range v.Bundle.Services {
-		for _, l := range s.Leaves {
-			if p.leaves[l.ID] == nil {
-				c := burdockv1connect.NewLeafServiceClient(p.client, "http://"+l.Address)
-				p.leaves[l.ID] = &leaf{id: l.ID, client: c, slots: l.Slots}
-			}
-		}
-	}
+	p.removed = slices.DeleteFunc(p.removed, func(l *leaf) bool { return ended[l] })
 }
 
-// Close closes all connections; calls that run are cut.
-func (p *Pool) Close() { p.client.CloseIdleConnections() }
-
-// Dump implements operator.Dumper.
-func (p *Pool) Dump() any {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	names := make([]string, 0, len(p.leaves))
-	for n := range p.leaves {
-		names = append(names, n)
+// Close ends the pool: connections are closed, calls that still run are cut.
+func (p *Pool) Close() {
+	p.cancel()
+	p.workMu.Lock()
+	p.closed = true
+	p.workMu.Unlock()
+	p.work.Wait()
+	for _, l := range p.all() {
+		l.closeAll()
 	}
-	return names
 }
 
-// Search implements Caller.
-func (p *Pool) Search(ctx context.Context, leaf string, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
-	l, err := p.leaf(leaf)
-	if err != nil {
-		return nil, err
+// wakeUp makes the loop tend its connections soon. It doesn't block.
+func (p *Pool) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
-	res, cerr := l.client.Search(ctx, req)
-	if cerr != nil {
-		return nil, callError(leaf, cerr)
-	}
-	return res, nil
 }
 
-// Execute implements Caller.
-func (p *Pool) Execute(ctx context.Context, leaf string, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
-	l, err := p.leaf(leaf)
-	if err != nil {
-		return nil, err
-	}
-	res, cerr := l.client.Execute(ctx, req)
-	if cerr != nil {
-		return nil, callError(leaf, cerr)
+// goDo runs f in a goroutine of the pool, unless the pool is closing.
+func (p *Pool) goDo(f func()) {
+	p.workMu.Lock()
+	defer p.workMu.Unlock()
+	if !p.closed {
+		p.work.Go(f)
 	}
-	return res, nil
 }
 
-// State implements Caller.
-func (p *Pool) State(leaf string) (State, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l, ok := p.leaves[leaf]
-	if !ok {
-		return State{}, false
+// all returns every leaf, the removed ones whose calls still run as well.
+func (p *Pool) all() []*leaf {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	all := append([]*leaf(nil), p.removed...)
+	for _, l := range p.leaves {
+		all = append(all, l)
 	}
-	return State{Leaf: leaf, Connected: true, Slots: l.slots}, true
+	return all
 }
 
-func (p *Pool) leaf(id string) (*leaf, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l, ok := p.leaves[id]
-	if !ok {
-		return nil, &CallError{Leaf: id, Err: errUnknownLeaf}
-	}
-	return l, nil
+// leaf returns the leaf, or nil.
+func (p *Pool) leaf(id string) *leaf {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.leaves[id]
 }
 
-func callError(leaf string, err error) *CallError {
-	e := &CallError{Leaf: leaf, Wrote: true, Err: err}
-	if r := refusalOf(err); r != nil {
-		e.Refusal, e.Incarnation = r.GetReason(), r.GetIncarnation()
+// State implements Caller.
+func (p *Pool) State(id string) (State, bool) {
+	l := p.leaf(id)
+	if l == nil {
+		return State{}, false
 	}
-	return e
+	return l.state(), true
 }
 
-// refusalOf returns the leaf's statement that it did not start the work, or nil.
-func refusalOf(err error) *pb.LeafRefusal {
-	var ce *connect.Error
-	if !errors.As(err, &ce) {
-		return nil
-	}
-	for _, d := range ce.Details() {
-		v, derr := d.Value()
-		if derr != nil {
-			continue
-		}
-		if r, ok := v.(*pb.LeafRefusal); ok {
-			return r
-		}
-	}
-	return nil
+// newClient returns the client of a leaf; each call goes over the connection its context names.
+// Answers aren't compressed: on a network inside a region the processor time costs more.
+func newClient(address string) burdockv1connect.LeafServiceClient {
+	return burdockv1connect.NewLeafServiceClient(exchangeClient{}, "http://"+address,
+		connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxAnswerBytes))
 }
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,316 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
+)
+
+// settle lets the pool open its connections.
+func settle() {
+	time.Sleep(100 * time.Millisecond)
+	synctest.Wait()
+}
+
+func search(ctx context.Context, p *Pool) (*pb.LeafSearchResponse, error) {
+	return p.Search(ctx, testLeaf, &pb.LeafSearchRequest{RequestId: "r1"})
+}
+
+func callFailure(err error) *CallError {
+	var e *CallError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &CallError{Err: errors.New("no call error")}
+}
+
+func TestPoolOpensItsConnectionsAheadOfNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		is.Equal(f.open(), 2) // as many as the plan says, before any call
+		s, ok := p.State(testLeaf)
+		is.True(ok)
+		is.Equal(s, State{Leaf: testLeaf, Incarnation: 1, Connected: true, Snapshots: []uint64{7}, Slots: 3})
+		res, err := search(t.Context(), p)
+		is.NoErr(err)
+		is.Equal(res.GetRequestId(), "r1")
+	})
+}
+
+func TestSilentConnectionIsReplacedWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, fd := startPool(t, f.dial)
+		settle()
+		f.silenceAll()
+		start := time.Now()
+		_, err := search(t.Context(), p)
+		e := callFailure(err)
+		is.True(e.ConnectionSilent)
+		is.True(e.Wrote)
+		is.True(!e.ConnectionLost) // it says nothing about the leaf
+		is.True(time.Since(start) < time.Second)
+		for time.Since(start) < time.Second { // both old ones are out of use within the second
+			if _, err = search(t.Context(), p); err == nil {
+				break
+			}
+		}
+		is.NoErr(err)
+		is.True(time.Since(start) < time.Second)
+		settle()
+		s, _ := p.State(testLeaf)
+		is.True(!s.Leaving)
+		is.Equal(len(fd.reported()), 0)
+	})
+}
+
+func TestIdleConnectionGoneSilentIsFoundBeforeACallNeedsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		f.silenceAll()
+		time.Sleep(2 * time.Second)
+		_, err := search(t.Context(), p)
+		is.NoErr(err)
+	})
+}
+
+func TestSlowCallIsNotTakenForSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		f.setAnswer(func(context.Context) error { time.Sleep(5 * time.Second); return nil })
+		_, err := search(t.Context(), p)
+		is.NoErr(err)
+	})
+}
+
+func TestOrderIsNotWrittenToAConnectionGoneSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		f.silenceAll()
+		_, err := p.Execute(t.Context(), testLeaf, &pb.LeafExecuteRequest{Ticket: "t1"})
+		if err != nil { // no connection was left: surely not run
+			is.True(!callFailure(err).Wrote)
+			is.Equal(f.executions.Load(), int64(0))
+		}
+		settle()
+		_, err = p.Execute(t.Context(), testLeaf, &pb.LeafExecuteRequest{Ticket: "t2"})
+		is.NoErr(err)
+	})
+}
+
+func TestConnectionLostNamesTheIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		f.setAnswer(func(context.Context) error { f.crash(); return nil })
+		e := callFailure(second(p.Execute(t.Context(), testLeaf, &pb.LeafExecuteRequest{Ticket: "t1"})))
+		is.True(e.ConnectionLost)
+		is.True(e.Wrote)
+		is.Equal(e.Incarnation, uint64(1))
+		is.True(!e.NotStarted())
+		f.setAnswer(func(context.Context) error { return nil })
+		f.start(t, 2)
+		f.refuse.Store(false)
+		time.Sleep(3 * time.Second)
+		s, _ := p.State(testLeaf)
+		is.Equal(s.Incarnation, uint64(2))
+		is.True(!s.Leaving) // the refused connections were the old incarnation's
+	})
+}
+
+func second[T any](_ T, err error) error { return err }
+
+func TestDeadlineAndCancelReachTheLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		ended := make(chan error, 1)
+		f.setAnswer(func(ctx context.Context) error {
+			deadline, ok := ctx.Deadline()
+			is.True(ok)
+			is.True(time.Until(deadline) <= 50*time.Millisecond)
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return ctx.Err()
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		e := callFailure(second(search(ctx, p)))
+		is.True(errors.Is(e.Err, context.DeadlineExceeded))
+		is.True(e.Wrote)
+		<-ended
+	})
+}
+
+func TestEvidenceOfDepartureStopsNewWorkAtOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		cause  func(p *Pool, f *fakeLeaf)
+		source pb.DepartureSource
+	}{
+		{"refusal", func(p *Pool, f *fakeLeaf) {
+			f.draining.Store(true)
+			_, _ = search(p.ctx, p)
+			f.draining.Store(false) // a status that says otherwise doesn't count
+		}, pb.DepartureSource_DEPARTURE_SOURCE_REFUSAL},
+		{"goaway", func(_ *Pool, f *fakeLeaf) {
+			go func() { _ = f.srv.Shutdown(context.Background()) }()
+			synctest.Wait()
+			f.refuse.Store(true)
+		}, pb.DepartureSource_DEPARTURE_SOURCE_GOAWAY},
+		{"status", func(_ *Pool, f *fakeLeaf) {
+			f.draining.Store(true)
+			time.Sleep(pollEvery * 2)
+			f.draining.Store(false)
+		}, pb.DepartureSource_DEPARTURE_SOURCE_STATUS},
+		{"refused connection", func(_ *Pool, f *fakeLeaf) {
+			f.crash()
+			time.Sleep(2*backoffFirst + tendEvery) // the first backoff, its jitter, a tick
+		}, pb.DepartureSource_DEPARTURE_SOURCE_CONNECT},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeLeaf(t)
+				p, fd := startPool(t, f.dial)
+				settle()
+				tt.cause(p, f)
+				e := callFailure(second(search(t.Context(), p)))
+				is.True(errors.Is(e.Err, errLeaving))
+				is.True(!e.Wrote)
+				is.True(len(fd.reported()) > 0)
+				d := fd.reported()[0]
+				is.Equal(d.GetSource(), tt.source)
+				is.Equal(d.GetVm(), "vm-1")
+				if tt.source != pb.DepartureSource_DEPARTURE_SOURCE_CONNECT {
+					is.Equal(d.GetIncarnation(), uint64(1))
+				}
+				time.Sleep(10 * time.Second)
+				s, _ := p.State(testLeaf)
+				is.True(s.Leaving) // it stays so, whatever the leaf says later
+				_ = f.srv.Close()
+				f.start(t, 2)
+				f.refuse.Store(false)
+				time.Sleep(5 * time.Second)
+				_, err := search(t.Context(), p)
+				is.NoErr(err) // only another incarnation ends it
+			})
+		})
+	}
+}
+
+func TestEvidenceOfOtherVMsCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, fd := startPool(t, f.dial)
+		settle()
+		v := testView()
+		v.Upstreams = []*pb.Upstream{{Id: testLeaf, Leaving: false}} // the list lags
+		v.Departures = []*pb.Departure{{Leaf: testLeaf, Incarnation: 1, Source: pb.DepartureSource_DEPARTURE_SOURCE_REFUSAL, Vm: "vm-2"}}
+		fd.publish(v)
+		synctest.Wait()
+		is.True(errors.Is(second(search(t.Context(), p)), errLeaving))
+		fd.publish(testView()) // evidence that has aged out of the view still holds
+		time.Sleep(time.Minute)
+		is.True(errors.Is(second(search(t.Context(), p)), errLeaving))
+		is.Equal(len(fd.reported()), 0)
+	})
+}
+
+func TestRefusedConnectionOfAnotherVMIsVerified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, fd := startPool(t, f.dial)
+		settle()
+		v := testView()
+		v.Departures = []*pb.Departure{{Leaf: testLeaf, Source: pb.DepartureSource_DEPARTURE_SOURCE_CONNECT, Vm: "vm-2"}}
+		fd.publish(v)
+		synctest.Wait()
+		is.True(errors.Is(second(search(t.Context(), p)), errLeaving))
+		time.Sleep(500 * time.Millisecond)
+		_, err := search(t.Context(), p)
+		is.NoErr(err) // a connection opened since shows that the leaf is there
+		is.True(f.most <= 2)
+	})
+}
+
+func TestViewChangeCutsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, fd := startPool(t, f.dial)
+		settle()
+		f.setAnswer(func(context.Context) error { time.Sleep(3 * time.Second); return nil })
+		done := make(chan error)
+		go func() { done <- second(search(t.Context(), p)) }()
+		synctest.Wait()
+		v := testView()
+		v.Bundle.Services["teachers"].Leaves = nil
+		fd.publish(v)
+		synctest.Wait()
+		is.Equal(f.open(), 1) // only the one with the call is left
+		is.True(errors.Is(second(search(t.Context(), p)), errUnknownLeaf))
+		is.NoErr(<-done)
+		synctest.Wait()
+		is.Equal(f.open(), 0)
+		is.Equal(len(p.all()), 0)
+	})
+}
+
+func TestConnectionsStayWithinThePlanUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		for range 20 { // one second is the bound for a silent connection to be out of use
+			f.silenceAll()
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+			_, _ = search(ctx, p)
+			cancel()
+			time.Sleep(time.Second)
+		}
+		settle()
+		is.Equal(f.open(), 2)
+		is.True(f.most <= 2) // the old one is closed before the fresh one is opened
+	})
+}
+
+func TestUnansweredViewIsHarmless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, fd := startPool(t, f.dial)
+		settle()
+		fd.publish(&feed.View{VM: "vm-1", Zone: "az-1"}) // no bundle: what was known holds on
+		synctest.Wait()
+		_, err := search(t.Context(), p)
+		is.NoErr(err)
+	})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -35,13 +35,13 @@
 type CallError struct {
 	Leaf        string
 	Incarnation uint64
-	// Wrote is true where a byte of the request may have reached the leaf. Where it is false the
-	// leaf has surely not seen it.
+	// Wrote is true where a byte of the request's message may have reached the leaf. Where it is
+	// false the leaf has surely not seen it, and never will.
 	Wrote bool
 	// Refusal is set where the leaf answered that it did not start the work.
 	Refusal pb.LeafRefusalReason
-	// ConnectionLost is true where the connection broke while the call was in flight, as it does
-	// when the leaf crashes.
+	// ConnectionLost is true where the connection broke unannounced while the call was in flight, as
+	// it does when the leaf crashes.
 	ConnectionLost bool
 	// ConnectionSilent is true where the connection gave no sign of life while the call was in
 	// flight and was taken out of use. It says nothing about the leaf: a search may be sent again
--- /dev/null
+++ b/internal/upstream/view.go
@@ -0,0 +1,158 @@
+package upstream
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/subset"
+)
+
+// planned is one leaf that this VM should be connected to.
+type planned struct {
+	service     string
+	leaf        *bundle.Leaf
+	connections int
+}
+
+// ApplyView takes in the leaves and the evidence of a view. Calls that run aren't cut: connections
+// beyond the new plan close when their calls have ended.
+func (p *Pool) ApplyView(v *feed.View) {
+	if v == nil || v.Bundle == nil {
+		return
+	}
+	plan := p.plan(v)
+	p.mu.Lock()
+	for id, l := range p.leaves {
+		if w, ok := plan[id]; !ok || w.leaf.Address != l.address || w.service != l.service {
+			l.setWant(0)
+			p.removed = append(p.removed, l)
+			delete(p.leaves, id)
+		}
+	}
+	for id, w := range plan {
+		l := p.leaves[id]
+		if l == nil {
+			l = p.newLeaf(w)
+			p.leaves[id] = l
+		}
+		l.setWant(w.connections)
+	}
+	p.mu.Unlock()
+	p.takeEvidence(v)
+	p.wakeUp()
+}
+
+// plan returns the leaves this VM serves, by id.
+func (p *Pool) plan(v *feed.View) map[string]planned {
+	vms := withSelf(v)
+	all := make(map[string]planned)
+	for _, name := range slices.Sorted(maps.Keys(v.Bundle.Services)) {
+		s := v.Bundle.Services[name]
+		sub := subset.For(s, v.Zone, vms)
+		if !sub.Has(v.VM) {
+			continue
+		}
+		for _, l := range s.Leaves {
+			if _, taken := all[l.ID]; !taken {
+				all[l.ID] = planned{service: s.Name, leaf: l, connections: sub.ConnectionsPerLeaf}
+			}
+		}
+	}
+	return all
+}
+
+// withSelf returns the VMs of the view with the own one, which a view may not hold at first.
+func withSelf(v *feed.View) []*pb.Vm {
+	for _, vm := range v.VMs {
+		if vm.GetId() == v.VM {
+			return v.VMs
+		}
+	}
+	self := &pb.Vm{Id: v.VM, Zone: v.Zone, State: pb.VmState_VM_STATE_LIVE}
+	return append(append([]*pb.Vm(nil), v.VMs...), self)
+}
+
+func (p *Pool) newLeaf(w planned) *leaf {
+	return &leaf{
+		pool: p, id: w.leaf.ID, service: w.service, address: w.leaf.Address,
+		client: newClient(w.leaf.Address), slots: w.leaf.Slots, changed: make(chan struct{}),
+	}
+}
+
+func (l *leaf) setWant(n int) {
+	l.mu.Lock()
+	l.want = n
+	l.mu.Unlock()
+}
+
+// takeEvidence takes in the departures that other VMs saw, and the list.
+func (p *Pool) takeEvidence(v *feed.View) {
+	listed := make(map[string]time.Time)
+	for _, u := range v.Upstreams {
+		if u.GetLeaving() {
+			listed[u.GetId()] = v.Received
+		}
+	}
+	for _, d := range v.Departures {
+		at := v.Received.Add(-d.GetAge().AsDuration())
+		l := p.leaf(d.GetLeaf())
+		switch {
+		case l == nil:
+		case d.GetIncarnation() != 0:
+			l.hearDeparture(d)
+		case d.GetSource() == pb.DepartureSource_DEPARTURE_SOURCE_LIST:
+			if old, ok := listed[l.id]; !ok || at.After(old) {
+				listed[l.id] = at
+			}
+		default:
+			l.hearRefused(at)
+		}
+	}
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for id, l := range p.leaves {
+		since, leaving := listed[id]
+		l.hearList(leaving, since)
+	}
+}
+
+func (l *leaf) hearDeparture(d *pb.Departure) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.presence.depart(d.GetIncarnation(), d.GetSource())
+}
+
+// hearRefused takes in a connection refused to another VM. A connection of the own that is opened
+// from now on shows whether it still holds, so one makes place for it.
+func (l *leaf) hearRefused(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.presence.refuse(at) {
+		return
+	}
+	l.retryAt = time.Now().Add(jitter(backoffFirst))
+	if c := l.oldest(); c != nil && l.live() >= l.target() {
+		l.retire(c, fateRetired)
+	}
+}
+
+func (l *leaf) hearList(leaving bool, since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.presence.list(leaving, since)
+}
+
+// oldest returns the connection in use that was opened first, or nil. Requires mu.
+func (l *leaf) oldest() *conn {
+	var old *conn
+	for _, c := range l.conns {
+		if c.fate == fateNone && (old == nil || c.opened.Before(old.opened)) {
+			old = c
+		}
+	}
+	return old
+}
