Admit requests by weight, share and the time they have left

Need: under overload the entry has to refuse at once, serve the heavier kinds first, let no caller starve another, and come out of a retry storm when its cause ends.

Weighed: a limit by the gradient of latency. A straggler multiplies latency without taking capacity, so that limit would fall when more concurrency is needed; the limit follows overload answers and requests out of time instead. One queue for all services would let a sick one hold the slots of the others, so each has its own. Strict order by weight alone would let a flood of heavy requests starve another caller's light ones: each tenth request goes to the caller that had least. Newest-first with the full wait would refuse the oldest late: once the queue has stood for 100 ms waits are cut to 5 ms, but for two requests that keep freed slots busy.

Change: internal/admission with a pure gate for each service and a controller with timers; a refused caller gets a place in a row that moves at the rate of the drain; token buckets for each caller.

--- a/cmd/burdock-entry/daemon.go
+++ b/cmd/burdock-entry/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/entry"
 	"github.com/burdockplank/burdockplank/internal/feed"
@@ -58,6 +59,10 @@
 	})
 }
 
+func newAdmission(s *entry.Settings, reg prometheus.Registerer) *admission.Controller {
+	return admission.New(s.Admission, reg, time.Now, rand.Float64)
+}
+
 // daemon is the process with all its duties.
 type daemon struct {
 	settings *entry.Settings
@@ -67,6 +72,7 @@
 	pause    *process.PauseDetector
 	bundles  *bundle.Store
 	feed     *feed.Manager
+	admit    *admission.Controller
 	entry    *entry.Manager
 }
 
@@ -106,6 +112,7 @@
 	dumps := operator.NewDumps()
 	dumps.Add(process.InfoDuty, operator.DumpFunc(func() any { return d.info() }))
 	dumps.Add("bundle", d.bundles)
+	dumps.Add("admission", d.admit)
 	dumps.Add("entry", d.entry)
 	return dumps
 }
--- a/cmd/burdock-entry/wire.go
+++ b/cmd/burdock-entry/wire.go
@@ -15,7 +15,7 @@
 // initialize builds the process from its settings; nothing runs yet.
 func initialize(s *entry.Settings) (*daemon, error) {
 	wire.Build(
-		newLog, newPause, newClient, newIncarnation, newFeed, newRouter,
+		newLog, newPause, newClient, newIncarnation, newFeed, newRouter, newAdmission,
 		operator.NewRegistry, bundle.NewFollowerStore, entry.NewManager,
 		wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 		wire.Bind(new(feed.Source), new(*feed.Manager)),
--- a/cmd/burdock-entry/wire_gen.go
+++ b/cmd/burdock-entry/wire_gen.go
@@ -26,8 +26,9 @@
 	store := bundle.NewFollowerStore(registry)
 	client := newClient(s)
 	manager := newFeed(s, mainIncarnation, client, pauseDetector, store, logger, registry)
+	controller := newAdmission(s, registry)
 	router := newRouter(s, client, registry)
-	entryManager := entry.NewManager(s, logger, registry, manager, manager, router)
+	entryManager := entry.NewManager(s, logger, registry, manager, manager, controller, router)
 	mainDaemon := &daemon{
 		settings: s,
 		log:      logger,
@@ -36,6 +37,7 @@
 		pause:    pauseDetector,
 		bundles:  store,
 		feed:     manager,
+		admit:    controller,
 		entry:    entryManager,
 	}
 	return mainDaemon, nil
--- /dev/null
+++ b/internal/admission/callers.go
@@ -0,0 +1,74 @@
+package admission
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// callers holds the allowance of each caller at this entry.
+type callers struct {
+	most   time.Duration
+	random Random
+
+	mu sync.Mutex
+	// byName is guarded by mu.
+	byName map[string]*allowance
+}
+
+// allowance is one caller's token bucket, and when its refused requests may come back.
+type allowance struct {
+	limiter *rate.Limiter
+	returns returns
+}
+
+func newCallers(s Settings, random Random) *callers {
+	return &callers{most: s.MaxRetryAfter.D(), random: random, byName: make(map[string]*allowance)}
+}
+
+// take spends one request of the caller's allowance, or returns the refusal.
+func (c *callers) take(now time.Time, caller *bundle.Caller) *outcome.Error {
+	if caller.Rate <= 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.of(now, caller)
+	if a.limiter.AllowN(now, 1) {
+		return nil
+	}
+	e := outcome.NotRun(pb.Reason_REASON_CALLER_LIMIT, step, "more than %g requests a second", caller.Rate)
+	return e.After(a.returns.after(now, 0, caller.Rate, c.random()))
+}
+
+// of returns the caller's allowance as its bundle says now; mu is held.
+func (c *callers) of(now time.Time, caller *bundle.Caller) *allowance {
+	a := c.byName[caller.Name]
+	if a == nil {
+		a = &allowance{limiter: rate.NewLimiter(rate.Limit(caller.Rate), caller.Burst), returns: returns{most: c.most}}
+		c.byName[caller.Name] = a
+	}
+	if a.limiter.Limit() != rate.Limit(caller.Rate) {
+		a.limiter.SetLimitAt(now, rate.Limit(caller.Rate))
+	}
+	if a.limiter.Burst() != caller.Burst {
+		a.limiter.SetBurstAt(now, caller.Burst)
+	}
+	return a
+}
+
+// keep drops the allowances of callers that the bundle doesn't name.
+func (c *callers) keep(b *bundle.Bundle) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name := range c.byName {
+		if b.Callers[name] == nil {
+			delete(c.byName, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,286 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// bench drives a gate by hand in its own time.
+type bench struct {
+	gate *gate
+	now  time.Time
+}
+
+// newBench returns a gate with a fixed limit and a queue of the given lengths.
+func newBench(slots, queue int) *bench {
+	s := DefaultSettings()
+	s.MinConcurrency, s.InitialConcurrency, s.MaxConcurrency, s.Queue = slots, slots, slots, queue
+	return &bench{gate: newGate(s, func() float64 { return 0 }), now: time.Unix(0, 0)}
+}
+
+func (b *bench) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.gate.expire(b.now)
+}
+
+// send lets a request arrive; its kind is named after its weight.
+func (b *bench) send(caller string, weight int, left time.Duration) *waiter {
+	w := &waiter{
+		caller: caller, share: 1, kind: "k", weight: weight, arrived: b.now, deadline: b.now.Add(left),
+		verdict: make(chan verdict, 1),
+	}
+	if caller == "double" {
+		w.share = 2
+	}
+	b.gate.arrive(b.now, w)
+	return w
+}
+
+// end ends one running request.
+func (b *bench) end(took time.Duration, r Result) { b.gate.ended(b.now, "k", took, r) }
+
+// state says runs, waits, or why the request was refused.
+func state(w *waiter) string {
+	select {
+	case v := <-w.verdict:
+		w.verdict <- v
+		if v.err == nil {
+			return "runs"
+		}
+		return v.err.Reason.String()
+	default:
+		return "waits"
+	}
+}
+
+const (
+	full    = "REASON_QUEUE_FULL"
+	tooLate = "REASON_DEADLINE"
+)
+
+func TestOrderOfTheQueue(t *testing.T) {
+	type sent struct {
+		caller string
+		weight int
+	}
+	tests := map[string]struct {
+		sent []sent
+		// standing is how long the queue stands before slots come free.
+		standing time.Duration
+		// want is the order in which the sent ones run, by index.
+		want []int
+	}{
+		"oldest first while calm": {[]sent{{"a", 1}, {"a", 1}, {"a", 1}}, 0, []int{0, 1, 2}},
+		"heavier first":           {[]sent{{"a", 1}, {"a", 9}, {"a", 5}}, 0, []int{1, 2, 0}},
+		"callers in turn":         {[]sent{{"a", 1}, {"a", 1}, {"a", 1}, {"b", 1}}, 0, []int{0, 3, 1, 2}},
+		"callers by share":        {[]sent{{"a", 1}, {"a", 1}, {"double", 1}, {"double", 1}, {"double", 1}, {"double", 1}}, 0, []int{0, 2, 3, 1, 4, 5}},
+		"weight before turns":     {[]sent{{"a", 9}, {"a", 9}, {"b", 1}}, 0, []int{0, 1, 2}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(1, 100)
+			b.send("first", 1, time.Minute)
+			var waiting []*waiter
+			for _, s := range test.sent {
+				waiting = append(waiting, b.send(s.caller, s.weight, time.Minute))
+			}
+			for _, i := range test.want {
+				b.end(0, ResultFailed)
+				is.Equal(state(waiting[i]), "runs")
+			}
+		})
+	}
+}
+
+func TestOverloadTakesTheNewestAndLetsNobodyWaitLong(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, 100)
+	s := b.gate.settings
+	b.send("a", 1, time.Minute)
+	old := b.send("a", 1, time.Minute)
+	for waited := time.Duration(0); waited < s.OverloadAfter.D()-20*time.Millisecond; waited += 10 * time.Millisecond {
+		b.send("a", 1, time.Minute)
+		b.pass(10 * time.Millisecond)
+	}
+	is.Equal(state(old), "waits") // within the wait of a calm queue
+	b.pass(20 * time.Millisecond)
+	is.True(b.gate.overloaded(b.now))
+	is.Equal(state(old), full)
+	var burst []*waiter
+	for range 6 {
+		burst = append(burst, b.send("a", 1, time.Minute))
+		b.pass(time.Millisecond)
+	}
+	b.end(0, ResultFailed)
+	is.Equal(state(burst[5]), "runs") // the newest
+	b.pass(s.OverloadWait.D())
+	is.Equal(b.gate.queue.length, reserve) // but for the reserve all have their answer
+}
+
+func TestNoCallerStarvesAnother(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, 100)
+	b.send("flood", 9, time.Minute)
+	light := b.send("portal", 1, time.Minute)
+	turns := 0
+	for state(light) == "waits" {
+		b.send("flood", 9, time.Minute)
+		b.send("flood", 9, time.Minute)
+		b.end(0, ResultFailed)
+		turns++
+	}
+	is.Equal(state(light), "runs")
+	is.True(turns <= fairEvery)
+}
+
+func TestFullQueue(t *testing.T) {
+	tests := map[string]struct {
+		waiting []string
+		caller  string
+		weight  int
+		// want is the state of the one that comes, and gone the index of the waiting one that left.
+		want string
+		gone int
+	}{
+		"lighter is refused":                {[]string{"a", "a"}, "b", 0, full, -1},
+		"heavier takes the place":           {[]string{"a", "a"}, "a", 9, "waits", 0},
+		"own place isn't taken":             {[]string{"a", "a"}, "a", 1, full, -1},
+		"the fullest caller gives a place":  {[]string{"b", "a", "a"}, "c", 1, "waits", 1},
+		"not below the share of the others": {[]string{"a", "b"}, "c", 1, full, -1},
+		"the share counts":                  {[]string{"double", "double", "a"}, "b", 1, full, -1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(1, len(test.waiting))
+			b.send("first", 1, time.Minute)
+			var waiting []*waiter
+			for _, c := range test.waiting {
+				waiting = append(waiting, b.send(c, 1, time.Minute))
+			}
+			is.Equal(state(b.send(test.caller, test.weight, time.Minute)), test.want)
+			for i, w := range waiting {
+				is.Equal(state(w) == full, i == test.gone)
+			}
+		})
+	}
+}
+
+func TestWorkThatCanNotBeDoneInTimeIsRefusedAtTheDoor(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, 10)
+	is.Equal(state(b.send("a", 1, 50*time.Millisecond)), "runs") // nothing is known yet
+	for range 30 {
+		b.send("a", 1, time.Minute)
+		b.end(100*time.Millisecond, ResultOK)
+	}
+	is.Equal(state(b.send("a", 1, 50*time.Millisecond)), tooLate)
+	is.Equal(state(b.send("a", 1, 150*time.Millisecond)), "runs")
+	waits := b.send("a", 1, 185*time.Millisecond)
+	is.Equal(state(waits), "waits")
+	b.pass(98 * time.Millisecond)
+	is.Equal(state(waits), tooLate) // at once, with time left on its deadline
+	b.end(100*time.Millisecond, ResultOK)
+	b.end(100*time.Millisecond, ResultOK)
+	b.pass(3 * estimateHalfLife)
+	is.Equal(state(b.send("a", 1, 50*time.Millisecond)), "runs") // what was slow once is tried again
+}
+
+func TestLongWaitIsRefusedAtTheDoor(t *testing.T) {
+	is := is.New(t)
+	b := newBench(1, 100)
+	b.send("a", 1, time.Minute)
+	b.end(40*time.Millisecond, ResultOK)
+	for range 4 { // one runs, three wait for 0, 40 and 80 ms
+		is.True(state(b.send("a", 1, time.Minute)) != full)
+	}
+	w := b.send("a", 1, time.Minute) // 120 ms is above the longest wait
+	is.Equal(state(w), full)
+	v := <-w.verdict
+	is.Equal(v.err.Kind, pb.OutcomeKind_OUTCOME_KIND_NOT_RUN)
+	is.True(v.err.RetryAfter >= 3*40*time.Millisecond) // not before the queue has drained
+}
+
+func TestReturnsAreSpreadAtTheRateOfTheDrain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	r := returns{most: time.Second}
+	last := time.Duration(0)
+	for range 50 {
+		d := r.after(now, 0, 100, 0)
+		is.Equal(d-last >= 10*time.Millisecond, true) // 100 a second
+		last = d
+	}
+	is.Equal(last, returnSoonest+50*10*time.Millisecond)
+	for range 100 {
+		last = r.after(now, 0, 100, 0.5)
+	}
+	is.Equal(last, 750*time.Millisecond) // beyond the longest wait: spread over its later half
+	is.Equal(r.after(now.Add(time.Hour), 0, 100, 0), returnSoonest+10*time.Millisecond)
+}
+
+func TestLimitFollowsTheGathers(t *testing.T) {
+	s := DefaultSettings()
+	s.MinConcurrency, s.InitialConcurrency, s.MaxConcurrency = 2, 20, 24
+	tests := map[string]struct {
+		ends    []Result
+		used    bool
+		windows int
+		want    int
+	}{
+		"rises while used":               {[]Result{ResultOK}, true, 1, 22},
+		"not above the highest":          {[]Result{ResultOK}, true, 9, 24},
+		"keeps while unused":             {[]Result{ResultOK}, false, 9, 20},
+		"falls on overload":              {[]Result{ResultOK, ResultOverload}, true, 1, 16},
+		"falls on deadlines":             {[]Result{ResultOK, ResultDeadline}, true, 1, 16},
+		"not below the lowest":           {[]Result{ResultOverload}, true, 50, 2},
+		"failures say nothing":           {[]Result{ResultFailed}, false, 9, 20},
+		"callers that go away as little": {[]Result{ResultCancelled}, true, 9, 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLimit(s)
+			now := time.Unix(0, 0)
+			for range test.windows {
+				l.ended(now, test.ends[0])
+				now = now.Add(windowTime)
+				if test.used {
+					l.used()
+				}
+				for i := range windowSamples {
+					l.ended(now, test.ends[i%len(test.ends)])
+				}
+				l.started = time.Time{}
+			}
+			is.Equal(l.slots(), test.want)
+		})
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []func(*Settings){
+		func(s *Settings) { s.MinConcurrency = 0 },
+		func(s *Settings) { s.MaxConcurrency = s.MinConcurrency - 1 },
+		func(s *Settings) { s.InitialConcurrency = s.MaxConcurrency + 1 },
+		func(s *Settings) { s.Queue = 0 },
+		func(s *Settings) { s.OverloadWait = s.MaxWait + 1 },
+		func(s *Settings) { s.MaxRetryAfter = 0 },
+	} {
+		s := DefaultSettings()
+		change(&s)
+		is.True(settings.Parse("f", nil, &checked{s}) != nil)
+	}
+	is.NoErr(settings.Parse("f", nil, &checked{DefaultSettings()}))
+}
+
+type checked struct{ Settings }
+
+func (c checked) Check(k *settings.Checker) { c.Settings.Check(k, "admission") }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/route"
@@ -153,7 +155,8 @@
 		Dial: route.NewDial(client), Clock: time.Now, Random: func(int) int { return 0 }, Resolver: route.NoPeers{},
 		Parse: func(text string) (*ticket.Ticket, error) { return &ticket.Ticket{VM: text, Incarnation: 7}, nil },
 	})
-	w.manager = NewManager(s, zap.NewNop(), w.reg, w.feed, w.feed, router)
+	w.manager = NewManager(s, zap.NewNop(), w.reg, w.feed, w.feed,
+		admission.New(s.Admission, w.reg, time.Now, rand.Float64), router)
 	w.url = "http://" + listen(t, w.manager.server)
 	return w
 }
--- a/internal/entry/manager.go
+++ b/internal/entry/manager.go
@@ -15,6 +15,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/process"
@@ -31,22 +32,23 @@
 
 // Manager owns the callers' listener and its goroutines.
 type Manager struct {
-	settings *Settings
-	log      *zap.Logger
-	source   feed.Source
-	reporter feed.Reporter
-	router   *route.Router
-	metrics  *metrics
-	drainer  *drainer
-	server   *http.Server
-	now      func() time.Time
+	settings  *Settings
+	log       *zap.Logger
+	source    feed.Source
+	reporter  feed.Reporter
+	admission *admission.Controller
+	router    *route.Router
+	metrics   *metrics
+	drainer   *drainer
+	server    *http.Server
+	now       func() time.Time
 }
 
 // NewManager returns a manager that doesn't listen yet.
 func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter,
-	router *route.Router) *Manager {
+	admission *admission.Controller, router *route.Router) *Manager {
 	m := &Manager{
-		settings: s, log: log, source: source, reporter: reporter, router: router,
+		settings: s, log: log, source: source, reporter: reporter, admission: admission, router: router,
 		metrics: newMetrics(reg), drainer: &drainer{}, now: time.Now,
 	}
 	m.server = rpc.NewServer(m.Handler())
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,6 +6,7 @@
 	"unicode/utf8"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/route"
@@ -23,9 +24,9 @@
 	err := s.m.run(ctx, work{
 		service: req.GetService(), kind: req.GetKind(), mode: bundle.ModeSearch, lost: pb.OutcomeKind_OUTCOME_KIND_FAILED,
 		check: func(l bundle.Limits) *outcome.Error { return checkSearch(l, req) },
-		do: func(ctx context.Context, q route.Request) (err error) {
+		do: func(ctx context.Context, q route.Request) (_ any, err error) {
 			res, err = s.m.router.Search(ctx, q, req)
-			return err
+			return res, err
 		},
 	})
 	if err != nil {
@@ -42,9 +43,9 @@
 	var res *pb.IssueTicketResponse
 	err := s.m.run(ctx, work{
 		service: req.GetService(), kind: req.GetKind(), mode: bundle.ModeOrder, lost: pb.OutcomeKind_OUTCOME_KIND_NOT_RUN,
-		do: func(ctx context.Context, q route.Request) (err error) {
+		do: func(ctx context.Context, q route.Request) (_ any, err error) {
 			res, err = s.m.router.IssueTicket(ctx, q, req)
-			return err
+			return res, err
 		},
 	})
 	if err != nil {
@@ -62,9 +63,9 @@
 	err := s.m.run(ctx, work{
 		service: req.GetService(), kind: req.GetKind(), mode: bundle.ModeOrder, lost: pb.OutcomeKind_OUTCOME_KIND_UNKNOWN,
 		check: func(l bundle.Limits) *outcome.Error { return checkOrder(l, req) },
-		do: func(ctx context.Context, q route.Request) (err error) {
+		do: func(ctx context.Context, q route.Request) (_ any, err error) {
 			res, err = s.m.router.Order(ctx, q, req)
-			return err
+			return res, err
 		},
 	})
 	if err != nil {
@@ -92,8 +93,8 @@
 	lost pb.OutcomeKind
 	// check refuses values out of the bundle's limits; nil where there is nothing to check.
 	check func(bundle.Limits) *outcome.Error
-	// do brings it to a gather.
-	do func(context.Context, route.Request) error
+	// do brings it to a gather and returns the answer.
+	do func(context.Context, route.Request) (any, error)
 }
 
 // run checks, admits and forwards one request. The error is a connect error with the outcome.
@@ -120,13 +121,50 @@
 	}
 	ctx, cancel := withDeadline(ctx, c, kind)
 	defer cancel()
-	err := w.do(ctx, route.Request{Identity: c.identity(), Service: svc, View: c.view})
+	m.admission.Keep(c.view.Bundle)
+	slot, e := m.admission.Admit(ctx, admission.Request{Service: svc.Name, Kind: kind, Caller: c.caller})
+	if e != nil {
+		return e
+	}
+	result := admission.ResultFailed
+	defer func() { slot.Done(result) }()
+	res, err := w.do(ctx, route.Request{Identity: c.identity(), Service: svc, View: c.view})
 	if err != nil {
-		return outcome.Classify(err, w.lost, route.Step)
+		e = outcome.Classify(err, w.lost, route.Step)
+		result = failure(e)
+		return e
 	}
+	result = load(res)
 	return nil
 }
 
+// failure says what the end of a request tells about load.
+func failure(e *outcome.Error) admission.Result {
+	switch e.Reason {
+	case pb.Reason_REASON_OVERLOAD, pb.Reason_REASON_QUEUE_FULL:
+		return admission.ResultOverload
+	case pb.Reason_REASON_DEADLINE:
+		return admission.ResultDeadline
+	case pb.Reason_REASON_CANCELLED:
+		return admission.ResultCancelled
+	}
+	return admission.ResultFailed
+}
+
+// load says whether an answer lacks shards for load.
+func load(res any) admission.Result {
+	s, ok := res.(*pb.SearchResponse)
+	if !ok {
+		return admission.ResultOK
+	}
+	for _, shard := range s.GetCoverage().GetMissing() {
+		if shard.GetReason() == pb.Reason_REASON_OVERLOAD {
+			return admission.ResultOverload
+		}
+	}
+	return admission.ResultOK
+}
+
 // find returns the service and kind of the request. A service that the caller may not use looks like
 // one that doesn't exist.
 func find(c *call, w work) (*bundle.Service, *bundle.Kind, *outcome.Error) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/settings"
 )
 
@@ -16,6 +17,8 @@
 	Entry    ListenSettings    `toml:"entry"`
 	Sync     SyncSettings      `toml:"sync"`
 	Drain    DrainSettings     `toml:"drain"`
+	// Admission holds for each service.
+	Admission admission.Settings `toml:"admission"`
 }
 
 // ListenSettings are those of the callers' listener.
@@ -62,6 +65,7 @@
 			BalancerLag: settings.Duration(5 * time.Second),
 			Limit:       settings.Duration(30 * time.Second),
 		},
+		Admission: admission.DefaultSettings(),
 	}
 }
 
@@ -86,6 +90,7 @@
 	if s.Sync.Address != "" {
 		settings.CheckHostPort(c, "sync.address", s.Sync.Address)
 	}
+	s.Admission.Check(c, "admission")
 	checkTime(c, "drain.balancer_lag", s.Drain.BalancerLag, 0)
 	checkTime(c, "drain.limit", s.Drain.Limit, time.Second)
 	c.Require(s.Drain.Limit > s.Drain.BalancerLag, "drain.limit",
