settings: refuse keys in upper case and durations without quotes

Cause: the TOML library matches keys without regard to case, so that "version = 3" followed by "VERSION = 4" parsed as version 4 in a signed bundle, and a bare number for a duration was read as nanoseconds ("timeout = 1" was 1ns).

Weighed: the library's unmarshaler interface for durations; its errors lose line and key. A walk over the text before the decode names both.

Change: settings.Parse walks the keys first; LineOf shares the walk and finds elements of inline arrays as well.

Conclusion: both are refused with line and key; the tables say so.

--- a/internal/bundle/parse_test.go
+++ b/internal/bundle/parse_test.go
@@ -113,6 +113,8 @@
 		{"wrong type", "slots = 3", `slots = "3"`, 34, "service.leaf.slots", "", false},
 		{"negative count", "documents = 1000", "documents = -1", 46, "", "", false},
 		{"bad duration", `timeout = "1s"`, `timeout = "1 second"`, 23, "", "not a duration", false},
+		{"duration as a number", `timeout = "1s"`, `timeout = 1`, 23, "service[0].kind[0].timeout", "in quotes", false},
+		{"key twice in other case", "version = 3", "version = 3\nVERSION = 4", 2, "VERSION", "unknown key", false},
 		{"table twice", "[[caller]]", "[limits]\n[[caller]]", 7, "", "", false},
 
 		{"no version", "version = 3", "", 0, "version", "1 or more", true},
--- a/internal/settings/line.go
+++ b/internal/settings/line.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -12,32 +12,19 @@
 // An element of an array of tables is named by its index, as in "service[2].leaf[0].address"; a
 // key without indices finds the last element that has it.
 func LineOf(data []byte, key string) int {
-	var p unstable.Parser
-	p.Reset(data)
-	arrays := make(arrayCounts)
-	table := keyPath{}
 	line := 0
-	for p.NextExpression() {
-		e := p.Expression()
-		names, first := keyNames(e)
-		var at keyPath
-		switch e.Kind {
-		case unstable.Table:
-			table = arrays.path(names)
-			at = table
-		case unstable.ArrayTable:
-			table = arrays.next(names)
-			at = table
-		case unstable.KeyValue:
-			at = table.join(names)
-		}
+	walk(data, func(at keyPath, k keyNode, _ *unstable.Node) bool {
 		if at.plain == key || at.indexed == key {
-			line = bytes.Count(data[:first], []byte("\n")) + 1
+			line = lineAt(data, k.offset)
 		}
-	}
+		return true
+	})
 	return line
 }
 
+// lineAt returns the line, from 1, of an offset.
+func lineAt(data []byte, offset uint32) int { return bytes.Count(data[:offset], []byte("\n")) + 1 }
+
 // keyPath is a key's dotted path, without and with the indices of arrays of tables.
 type keyPath struct{ plain, indexed string }
 
@@ -50,6 +37,72 @@
 	return keyPath{p.plain + "." + rest, p.indexed + "." + rest}
 }
 
+// element returns the path of element i of the array p.
+func (p keyPath) element(i int) keyPath {
+	return keyPath{p.plain, p.indexed + "[" + strconv.Itoa(i) + "]"}
+}
+
+// keyNode is a key as it stands in the text, with the offset of its first part.
+type keyNode struct {
+	names  []string
+	offset uint32
+}
+
+// visitor is called for each table header, with a nil value, and for each key with its value. It
+// returns false to end the walk.
+type visitor func(at keyPath, key keyNode, value *unstable.Node) bool
+
+// walk visits the keys of a TOML text in order, up to the first syntax error.
+func walk(data []byte, visit visitor) {
+	var p unstable.Parser
+	p.Reset(data)
+	arrays := make(arrayCounts)
+	var table keyPath
+	for p.NextExpression() {
+		e := p.Expression()
+		key := keyOf(e)
+		more := true
+		switch e.Kind {
+		case unstable.Table:
+			table = arrays.path(key.names)
+			more = visit(table, key, nil)
+		case unstable.ArrayTable:
+			table = arrays.next(key.names)
+			more = visit(table, key, nil)
+		case unstable.KeyValue:
+			more = walkKeyValue(table, e, visit)
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+// walkKeyValue visits a key and the keys of inline tables in its value.
+func walkKeyValue(table keyPath, e *unstable.Node, visit visitor) bool {
+	key := keyOf(e)
+	at := table.join(key.names)
+	return visit(at, key, e.Value()) && walkValue(at, e.Value(), visit)
+}
+
+func walkValue(at keyPath, value *unstable.Node, visit visitor) bool {
+	if value.Kind != unstable.Array && value.Kind != unstable.InlineTable {
+		return true
+	}
+	more := true
+	it := value.Children()
+	for i := 0; more && it.Next(); i++ {
+		child := it.Node()
+		switch {
+		case child.Kind == unstable.KeyValue:
+			more = walkKeyValue(at, child, visit)
+		case value.Kind == unstable.Array:
+			more = walkValue(at.element(i), child, visit)
+		}
+	}
+	return more
+}
+
 // arrayCounts holds the number of elements so far by the indexed path of each array of tables.
 type arrayCounts map[string]int
 
@@ -59,7 +112,7 @@
 	for _, n := range names {
 		p = p.join([]string{n})
 		if count, ok := a[p.indexed]; ok {
-			p.indexed = fmt.Sprintf("%s[%d]", p.indexed, count-1)
+			p = p.element(count - 1)
 		}
 	}
 	return p
@@ -69,22 +122,21 @@
 func (a arrayCounts) next(names []string) keyPath {
 	last := len(names) - 1
 	p := a.path(names[:last]).join(names[last:])
-	a[p.indexed]++
-	p.indexed = fmt.Sprintf("%s[%d]", p.indexed, a[p.indexed]-1)
-	return p
+	i := a[p.indexed]
+	a[p.indexed] = i + 1
+	return p.element(i)
 }
 
-// keyNames returns the parts of an expression's key and the offset of the first.
-func keyNames(e *unstable.Node) ([]string, uint32) {
-	var names []string
-	var first uint32
+// keyOf returns an expression's key.
+func keyOf(e *unstable.Node) keyNode {
+	var k keyNode
 	it := e.Key()
 	for it.Next() {
 		n := it.Node()
-		if len(names) == 0 {
-			first = n.Raw.Offset
+		if len(k.names) == 0 {
+			k.offset = n.Raw.Offset
 		}
-		names = append(names, string(n.Data))
+		k.names = append(k.names, string(n.Data))
 	}
-	return names, first
+	return k
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -70,6 +69,10 @@
 
 // Parse is Load for text that is already read; file only names it in errors.
 func Parse(file string, data []byte, dst Checked) error {
+	if err := checkText(data, dst); err != nil {
+		err.File = file
+		return err
+	}
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(dst); err != nil {
@@ -98,22 +101,3 @@
 	}
 	return &Error{File: file, Reason: err.Error()}
 }
-
-// Duration is a time.Duration written as text, such as "250ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("not a duration such as \"250ms\": %q", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// D returns the standard type.
-func (d Duration) D() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/internal/settings/text.go
@@ -0,0 +1,31 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// checkText refuses what the TOML library would take unseen. All keys are lower case, and the
+// library would read "Version" as "version", so that the last of the two wins. A bare number for a
+// Duration would be read as nanoseconds.
+func checkText(data []byte, dst any) *Error {
+	durations := make(map[string]bool)
+	durationKeys(reflect.TypeOf(dst), "", durations)
+	var refused *Error
+	walk(data, func(at keyPath, k keyNode, value *unstable.Node) bool {
+		reason := ""
+		switch {
+		case strings.ToLower(at.plain) != at.plain:
+			reason = "unknown key"
+		case value != nil && value.Kind != unstable.String && durations[at.plain]:
+			reason = "want a duration in quotes, such as \"250ms\""
+		default:
+			return true
+		}
+		refused = &Error{Line: lineAt(data, k.offset), Key: at.indexed, Reason: reason}
+		return false
+	})
+	return refused
+}
