Let a witness prove that an order never ran, and hand records over

Need: a gather that dies leaves every ticket of it unknown, though most of its tickets never ran. Weighed: where the witness can't be reached the order could go on without it (then a seal would lie), be tried later with the same ticket (then not_run would not be final), or be refused for good with a new ticket one round trip away; the last is taken. Clocks of VMs are not compared: what a witness drops for age raises a mark per minting incarnation, and up to the mark it takes no intent and says nothing. Intents without outcome are closed as unknown once the gather is known to have ended.

--- a/internal/order/execute.go
+++ b/internal/order/attempt.go
@@ -6,69 +6,14 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/balance"
-	"github.com/burdockplank/burdockplank/internal/bundle"
-	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/ticket"
 	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
-const (
-	stepPlace   = "order.place"
-	stepExecute = "order.execute"
-)
-
-// run works on the one order of a ticket until its record is final. It goes on when its caller goes
-// away, within the kind's timeout, so that a resend gets the outcome.
-func (m *Manager) run(t *ticket.Ticket, e *entry, order *pb.OrderRequest, who *pb.Identity) {
-	p, end := m.place(order)
-	if end != nil {
-		m.end(t, e, end)
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), p.kind.Timeout)
-	defer cancel()
-	a := &attempt{m: m, t: t, e: e, order: order, who: who, place: p}
-	m.finish(t, e, a.do(ctx))
-}
-
-// place is where an order may run: the replicas of the group that its key falls on.
-type place struct {
-	kind   *bundle.Kind
-	leaves []string
-	bundle uint64
-}
-
-// place finds the group of the order's key in the newest snapshot.
-func (m *Manager) place(order *pb.OrderRequest) (*place, *outcome.Error) {
-	view := m.source.Current()
-	kind, end := orderKind(view, order.GetService(), order.GetKind(), stepPlace)
-	if end != nil {
-		return nil, end
-	}
-	if !m.source.Fresh() {
-		return nil, outcome.NotRun(pb.Reason_REASON_PAUSED, stepPlace, "no fresh news of the fleet, take a new ticket").After(m.cfg.RetryAfter)
-	}
-	group := groupOf(view, order.GetService(), order.GetKey())
-	if group == nil {
-		return nil, outcome.NotRun(pb.Reason_REASON_NO_SNAPSHOT, stepPlace, "the service has no snapshot")
-	}
-	return &place{kind: kind, leaves: group, bundle: view.Bundle.Version}, nil
-}
-
-// groupOf returns the leaves of the shard that xxhash64 of the key falls on, or nil.
-func groupOf(view *feed.View, service, key string) []string {
-	svc := view.Bundle.Services[service]
-	if len(svc.Snapshots) == 0 || len(svc.Snapshots[0].Shards) == 0 {
-		return nil
-	}
-	shards := svc.Snapshots[0].Shards
-	return shards[xxhash.Sum64String(key)%uint64(len(shards))].Leaves
-}
+const stepExecute = "order.execute"
 
 // attempt is the one execution of an order.
 type attempt struct {
@@ -80,6 +25,9 @@
 	place *place
 	// tried are the leaves that surely did not start the order.
 	tried []string
+	// noted is true once the intent may be noted at the witness, asked when it was last asked.
+	noted bool
+	asked time.Time
 }
 
 // do returns the final record. A leaf that surely did not start the order is followed by another
@@ -87,10 +35,17 @@
 func (a *attempt) do(ctx context.Context) *pb.TicketRecord {
 	last := outcome.NotRun(pb.Reason_REASON_NO_UPSTREAM, stepPlace, "no replica takes orders, take a new ticket").After(a.m.cfg.RetryAfter)
 	for {
+		if stop := a.clear(ctx); stop != nil {
+			return stop
+		}
 		call, end := a.pick(ctx, last)
 		if end != nil {
 			return a.ended(end)
 		}
+		if stop := a.clear(ctx); stop != nil {
+			call.Done(balance.ResultCancelled)
+			return stop
+		}
 		resp, err := a.m.leaves.Execute(ctx, call.Leaf(), a.request())
 		if err == nil {
 			return a.answered(call, resp)
@@ -173,41 +128,3 @@
 func (a *attempt) ended(end *outcome.Error) *pb.TicketRecord {
 	return endedRecord(a.m.table.id(a.t.Sequence), a.e, end)
 }
-
-// unknownEnd is the end of an order that was written and not answered.
-func unknownEnd(ctx context.Context, leaf string, err error) *outcome.Error {
-	reason := pb.Reason_REASON_UPSTREAM_ERROR
-	if ctx.Err() != nil {
-		reason = pb.Reason_REASON_DEADLINE
-	}
-	return outcome.Unknown(reason, stepExecute, "the order was sent and not answered, it may have run").At(leaf).Because(err)
-}
-
-// refusedEnd is the end of an order that no replica started.
-func refusedEnd(ce *upstream.CallError) *outcome.Error {
-	if ce.Wrote {
-		return outcome.NotRun(pb.Reason_REASON_UPSTREAM_REFUSED, stepExecute, "no replica started the order, take a new ticket").At(ce.Leaf)
-	}
-	return outcome.NotRun(pb.Reason_REASON_NO_UPSTREAM, stepExecute, "no replica could be reached, take a new ticket").At(ce.Leaf)
-}
-
-func resultOf(ctx context.Context, ce *upstream.CallError) balance.Result {
-	switch {
-	case ce != nil && ce.Refusal == pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED:
-		return balance.ResultShed
-	case ctx.Err() != nil:
-		return balance.ResultTimeout
-	default:
-		return balance.ResultError
-	}
-}
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/internal/order/ends.go
@@ -0,0 +1,49 @@
+package order
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// unknownEnd is the end of an order that was written and not answered.
+func unknownEnd(ctx context.Context, leaf string, err error) *outcome.Error {
+	reason := pb.Reason_REASON_UPSTREAM_ERROR
+	if ctx.Err() != nil {
+		reason = pb.Reason_REASON_DEADLINE
+	}
+	return outcome.Unknown(reason, stepExecute, "the order was sent and not answered, it may have run").At(leaf).Because(err)
+}
+
+// refusedEnd is the end of an order that no replica started.
+func refusedEnd(ce *upstream.CallError) *outcome.Error {
+	if ce.Wrote {
+		return outcome.NotRun(pb.Reason_REASON_UPSTREAM_REFUSED, stepExecute, "no replica started the order, take a new ticket").At(ce.Leaf)
+	}
+	return outcome.NotRun(pb.Reason_REASON_NO_UPSTREAM, stepExecute, "no replica could be reached, take a new ticket").At(ce.Leaf)
+}
+
+func resultOf(ctx context.Context, ce *upstream.CallError) balance.Result {
+	switch {
+	case ce != nil && ce.Refusal == pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED:
+		return balance.ResultShed
+	case ctx.Err() != nil:
+		return balance.ResultTimeout
+	default:
+		return balance.ResultError
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/order/handler.go
@@ -0,0 +1,78 @@
+package order
+
+import (
+	"context"
+	"strings"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// PeerHandler serves what other gathers and entries ask about tickets.
+type PeerHandler struct {
+	m *Manager
+}
+
+var _ burdockv1connect.TicketPeerServiceHandler = PeerHandler{}
+
+// Handler returns the TicketPeerService of this gather.
+func (m *Manager) Handler() PeerHandler { return PeerHandler{m} }
+
+// NoteIntent implements TicketPeerServiceHandler.
+func (h PeerHandler) NoteIntent(_ context.Context, req *pb.NoteIntentRequest) (*pb.NoteIntentResponse, error) {
+	resp, end := h.m.witness.noteIntent(req)
+	h.m.metrics.noted(resp, end)
+	if end != nil {
+		return nil, outcome.ToConnect(end, "")
+	}
+	return resp, nil
+}
+
+// Resolve implements TicketPeerServiceHandler. Only the ticket's witness, in the incarnation that
+// the ticket names, seals.
+func (h PeerHandler) Resolve(_ context.Context, req *pb.ResolveRequest) (*pb.ResolveResponse, error) {
+	resp := h.m.archive.lookup(req.GetTicket(), req.GetCaller())
+	if req.GetWitnessIncarnation() == h.m.witness.incarnation {
+		resp = h.m.resolveAsWitness(req, resp)
+	}
+	h.m.metrics.resolved(resp.GetState())
+	return resp, nil
+}
+
+// resolveAsWitness adds the witness's note to what the archive says. A handed-over intent is never
+// overruled by a seal.
+func (m *Manager) resolveAsWitness(req *pb.ResolveRequest, archived *pb.ResolveResponse) *pb.ResolveResponse {
+	switch archived.GetState() {
+	case pb.TicketState_TICKET_STATE_DONE, pb.TicketState_TICKET_STATE_SEALED:
+		return archived
+	case pb.TicketState_TICKET_STATE_INTENT:
+		if !m.witness.knows(req.GetTicket()) {
+			return archived
+		}
+	}
+	noted := m.witness.resolve(req)
+	if noted.GetState() == pb.TicketState_TICKET_STATE_NOT_KNOWN {
+		return archived
+	}
+	return noted
+}
+
+// Handover implements TicketPeerServiceHandler. A request without a total comes from a living
+// incarnation and holds outcomes as they arise.
+func (h PeerHandler) Handover(_ context.Context, req *pb.HandoverRequest) (*pb.HandoverResponse, error) {
+	for _, r := range req.GetRecords() {
+		h.m.witness.settle(r)
+	}
+	if req.GetRecordsTotal() == 0 && !req.GetSealedAll() {
+		return &pb.HandoverResponse{}, nil
+	}
+	if end := h.m.archive.accept(req); end != nil {
+		return nil, outcome.ToConnect(end, "")
+	}
+	return &pb.HandoverResponse{}, nil
+}
+
+func stateName(s pb.TicketState) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "TICKET_STATE_"))
+}
--- a/internal/order/issue.go
+++ b/internal/order/issue.go
@@ -41,8 +41,8 @@
 	if m.draining.Load() {
 		return nil, outcome.NotRun(pb.Reason_REASON_DRAINING, stepIssue, "this gather is leaving").After(m.cfg.RetryAfter)
 	}
-	if !m.table.hasRoom() {
-		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, stepIssue, "too many tickets held").After(m.cfg.TTL)
+	if reason := m.table.full(caller); reason != pb.Reason_REASON_UNSPECIFIED {
+		return nil, outcome.NotRun(reason, stepIssue, "too many tickets held").After(m.cfg.TTL)
 	}
 	return m.mint(view, want, caller)
 }
--- a/internal/order/metrics.go
+++ b/internal/order/metrics.go
@@ -18,6 +18,9 @@
 	tickets *prometheus.CounterVec
 	sends   *prometheus.CounterVec
 	records *prometheus.CounterVec
+	// notes and resolves count what this gather was asked as a witness or peer, spreads and
+	// handovers what it sent to others.
+	notes, resolves, spreads, handovers *prometheus.CounterVec
 	// all and unknown count final records for the share of unknown ones.
 	all, unknown atomic.Uint64
 }
@@ -28,7 +31,11 @@
 		sends:   counter("burdock_gather_order_sends_total", "Sends of orders by what the send got."),
 		records: counter("burdock_gather_order_records_total", "Tickets by their final record."),
 	}
-	reg.MustRegister(x.tickets, x.sends, x.records,
+	x.notes = resultCounter("burdock_gather_witness_notes_total", "Intents that other gathers asked to note, by result.")
+	x.resolves = resultCounter("burdock_gather_ticket_resolves_total", "Questions about tickets of other gathers, by the state told.")
+	x.spreads = resultCounter("burdock_gather_order_spreads_total", "Outcomes sent to witnesses, by result.")
+	x.handovers = resultCounter("burdock_gather_order_handovers_total", "Handovers to a peer, by result.")
+	reg.MustRegister(x.tickets, x.sends, x.records, x.notes, x.resolves, x.spreads, x.handovers,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_tickets_held", Help: "Tickets of this incarnation held in memory."},
 			func() float64 { return float64(m.table.counts().Held) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_orders_running", Help: "Orders running now."},
@@ -43,6 +50,26 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, endLabels)
 }
 
+func resultCounter(name, help string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{"result"})
+}
+
+// noted counts an answer of this gather as a witness.
+func (x *metrics) noted(resp *pb.NoteIntentResponse, end *outcome.Error) {
+	result := "noted"
+	switch {
+	case end != nil:
+		result = outcome.ReasonName(end.Reason)
+	case resp.GetSealed():
+		result = "sealed"
+	case resp.GetRecord() != nil:
+		result = "done"
+	}
+	x.notes.WithLabelValues(result).Inc()
+}
+
+func (x *metrics) resolved(s pb.TicketState) { x.resolves.WithLabelValues(stateName(s)).Inc() }
+
 func (x *metrics) unknownShare() float64 {
 	all := x.all.Load()
 	if all == 0 {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -5,7 +5,6 @@
 package order
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +30,8 @@
 	// TicketLimit is how many tickets are held; each issued one has a place until its record is
 	// dropped, so that a record never lacks a place.
 	TicketLimit int
+	// CallerLimit is how many of them one caller may hold.
+	CallerLimit int
 	// ResultLimit is how many bytes of results are held before no more tickets are issued.
 	ResultLimit int
 	// NoteTimeout bounds the round trip to the witness before the first byte.
@@ -61,6 +62,7 @@
 		TTL:          30 * time.Second,
 		KeepAfter:    2 * time.Minute,
 		TicketLimit:  50_000,
+		CallerLimit:  25_000,
 		ResultLimit:  32 << 20,
 		NoteTimeout:  250 * time.Millisecond,
 		PickWait:     100 * time.Millisecond,
@@ -115,25 +117,32 @@
 	minter    *ticket.Minter
 	table     *table
 	witnesses *witnesses
+	// witness and archive hold what this gather knows of other gathers' tickets.
+	witness *witness
+	archive *archive
+	// resolver answers for tickets of earlier incarnations of this VM's gather.
+	resolver *Resolver
+	// outcomes are on their way to witnesses.
+	outcomes chan settled
 	// draining is set once this gather leaves; no ticket is issued any more.
 	draining atomic.Bool
 }
 
 // New returns a Manager with a new ticket key.
 func New(o Options) *Manager {
+	clock := newElapsed(o.Now)
+	o.Config.TTL = min(o.Config.TTL, MaxTTL)
 	m := &Manager{
 		cfg: o.Config, vm: o.VM, source: o.Source, replicas: o.Replicas, leaves: o.Leaves,
 		peers: o.Peers, pauses: o.Pauses, log: o.Log, now: o.Now,
 		minter:    ticket.NewMinter(o.VM, o.Incarnation),
-		table:     newTable(o.Config, newElapsed(o.Now), identity{vm: o.VM, incarnation: o.Incarnation}),
+		table:     newTable(o.Config, clock, identity{vm: o.VM, incarnation: o.Incarnation}),
 		witnesses: newWitnesses(o.Config.AvoidWitness, o.Now, o.Random),
+		witness:   newWitness(o.Config, o.Incarnation, clock),
+		archive:   newArchive(o.Config, clock),
+		resolver:  NewResolver(o.Config, o.Source, o.Peers),
+		outcomes:  make(chan settled, spreadQueue),
 	}
 	m.metrics = newMetrics(o.Registry, m)
 	return m
 }
-
-// Run spreads outcomes to witnesses until ctx ends.
-func (m *Manager) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
--- a/internal/order/peers.go
+++ b/internal/order/peers.go
@@ -77,6 +77,12 @@
 		gatherOf(vm).GetState() == pb.ProcessState_PROCESS_STATE_READY
 }
 
+// gatherGone tells whether the VM or its gather has ended by the view.
+func gatherGone(vm *pb.Vm) bool {
+	return vm.GetState() == pb.VmState_VM_STATE_GONE ||
+		gatherOf(vm).GetState() == pb.ProcessState_PROCESS_STATE_GONE
+}
+
 // witnesses picks the witness of each new ticket and avoids those that failed lately.
 type witnesses struct {
 	avoid  time.Duration
--- /dev/null
+++ b/internal/order/rank.go
@@ -0,0 +1,97 @@
+package order
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
+)
+
+// askPerZone is how many gathers of each availability zone are asked about a retired incarnation.
+// One of each zone is handed the records first; the others stand for changes of the list since.
+const askPerZone = 3
+
+// ranked returns the VMs of the view with a gather that is not gone, without the minter's, by
+// availability zone and in rendezvous order for the incarnation. VMs with equal views rank equally.
+func ranked(v *feed.View, minter identity) map[string][]*pb.Vm {
+	zones := make(map[string][]*pb.Vm)
+	for _, vm := range v.VMs {
+		if vm.GetId() == minter.vm || gatherOf(vm) == nil || gatherGone(vm) {
+			continue
+		}
+		zones[vm.GetZone()] = append(zones[vm.GetZone()], vm)
+	}
+	for _, vms := range zones {
+		slices.SortFunc(vms, func(a, b *pb.Vm) int { return compareScore(score(a, minter), score(b, minter)) })
+	}
+	return zones
+}
+
+// handoverOrder returns whom to hand records to: ready gathers, the first of the own availability
+// zone, then the first of each other, then the second of each, and so on.
+func handoverOrder(v *feed.View, minter identity) []*pb.Vm {
+	zones := ranked(v, minter)
+	names := zoneNames(zones, v.Zone)
+	var order []*pb.Vm
+	for rank := 0; ; rank++ {
+		found := false
+		for _, z := range names {
+			if rank >= len(zones[z]) {
+				continue
+			}
+			found = true
+			if vm := zones[z][rank]; readyGather(vm) && vm.GetId() != v.VM {
+				order = append(order, vm)
+			}
+		}
+		if !found {
+			return order
+		}
+	}
+}
+
+// zoneNames returns the zones in order of their names, the own one first.
+func zoneNames(zones map[string][]*pb.Vm, own string) []string {
+	var names []string
+	for z := range zones {
+		if z != own {
+			names = append(names, z)
+		}
+	}
+	slices.Sort(names)
+	return append([]string{own}, names...)
+}
+
+// askOrder returns whom to ask about a retired incarnation.
+func askOrder(v *feed.View, minter identity) []*pb.Vm {
+	var ask []*pb.Vm
+	for _, vms := range ranked(v, minter) {
+		ask = append(ask, vms[:min(len(vms), askPerZone)]...)
+	}
+	return ask
+}
+
+func score(vm *pb.Vm, minter identity) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(vm.GetId())
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(minter.vm)
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], minter.incarnation)
+	_, _ = h.Write(b[:])
+	return h.Sum64()
+}
+
+// compareScore puts the higher score first.
+func compareScore(a, b uint64) int {
+	switch {
+	case a > b:
+		return -1
+	case a < b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/order/resolver.go
@@ -0,0 +1,171 @@
+package order
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+)
+
+const stepResolve = "order.resolve"
+
+// Resolver finds out what became of a ticket whose gather can't be asked. It is safe for concurrent
+// use.
+type Resolver struct {
+	cfg    Config
+	source feed.Source
+	peers  Peers
+}
+
+// NewResolver returns a resolver over the view.
+func NewResolver(cfg Config, source feed.Source, peers Peers) *Resolver {
+	return &Resolver{cfg: cfg, source: source, peers: peers}
+}
+
+// Resolve returns the recorded answer of the ticket's order, or how it ended as an *outcome.Error:
+// not_run where it surely never runs, unknown with a time to come back where more may be known
+// later, unknown without where nothing will.
+func (r *Resolver) Resolve(ctx context.Context, t *ticket.Ticket, caller string) (*pb.OrderResponse, error) {
+	return r.ResolveOrder(ctx, t, caller, nil, "")
+}
+
+// ResolveOrder is Resolve for one send: another order than the ticket's gets not_run, and the
+// answer names the request. Without an order the orders are not compared.
+func (r *Resolver) ResolveOrder(ctx context.Context, t *ticket.Ticket, caller string, order *pb.OrderRequest, requestID string) (*pb.OrderResponse, error) {
+	if t.Caller != caller || (order != nil && (t.Service != order.GetService() || t.Kind != order.GetKind())) {
+		return nil, invalidTicket()
+	}
+	view := r.source.Current()
+	q := &query{r: r, view: view, t: t, gone: minterGone(view, t)}
+	resp := q.find(ctx)
+	switch resp.GetState() {
+	case pb.TicketState_TICKET_STATE_DONE:
+		return replayResolved(resp.GetRecord(), order, requestID)
+	case pb.TicketState_TICKET_STATE_SEALED:
+		return nil, outcome.NotRun(pb.Reason_REASON_SEALED, stepResolve, "the ticket is sealed, take a new one").At(t.VM)
+	}
+	return nil, q.undecided(resp.GetState())
+}
+
+func replayResolved(rec *pb.TicketRecord, order *pb.OrderRequest, requestID string) (*pb.OrderResponse, error) {
+	if order != nil && rec.GetOrderDigest() != Digest(order) {
+		return nil, outcome.NotRun(pb.Reason_REASON_TICKET_REUSED, stepResolve, "the ticket is taken by another order")
+	}
+	return Replay(rec, requestID, true)
+}
+
+// query is one search for the fate of a ticket.
+type query struct {
+	r    *Resolver
+	view *feed.View
+	t    *ticket.Ticket
+	// gone is true where the minting incarnation has ended, missed where a witness or peer that may
+	// know more could not be asked.
+	gone   bool
+	missed bool
+}
+
+// find asks the witness first, then the peers that may have been handed the records. Only then is
+// an intent without outcome closed at the witness.
+func (q *query) find(ctx context.Context) *pb.ResolveResponse {
+	noted := q.askWitness(ctx, false)
+	if decided(noted) {
+		return noted
+	}
+	handed := q.askPeers(ctx)
+	if decided(handed) {
+		return handed
+	}
+	if q.gone && !q.missed && noted.GetState() == pb.TicketState_TICKET_STATE_INTENT {
+		return q.askWitness(ctx, true)
+	}
+	if noted.GetState() == pb.TicketState_TICKET_STATE_INTENT {
+		return noted
+	}
+	return handed
+}
+
+// askWitness asks the witness in the incarnation that the ticket names.
+func (q *query) askWitness(ctx context.Context, gone bool) *pb.ResolveResponse {
+	vm := findVM(q.view, q.t.WitnessVM)
+	if !q.t.HasWitness() || vm == nil || gatherGone(vm) || gatherOf(vm).GetIncarnation() != q.t.WitnessIncarnation {
+		return notKnown()
+	}
+	req := q.request()
+	req.WitnessIncarnation = q.t.WitnessIncarnation
+	req.MinterGone = gone
+	resp := q.ask(ctx, vm, req)
+	q.missed = q.missed || resp == nil
+	return resp
+}
+
+// askPeers asks all peers at once and returns the first deciding answer.
+func (q *query) askPeers(ctx context.Context) *pb.ResolveResponse {
+	ask := askOrder(q.view, identity{q.t.VM, q.t.Incarnation})
+	answers := make(chan *pb.ResolveResponse, len(ask))
+	for _, vm := range ask {
+		go func() { answers <- q.ask(ctx, vm, q.request()) }()
+	}
+	best := notKnown()
+	for range ask {
+		a := <-answers
+		if decided(a) {
+			return a
+		}
+		q.missed = q.missed || a == nil
+		if a.GetState() == pb.TicketState_TICKET_STATE_INTENT {
+			best = a
+		}
+	}
+	return best
+}
+
+// ask returns nil where the peer can't be reached.
+func (q *query) ask(ctx context.Context, vm *pb.Vm, req *pb.ResolveRequest) *pb.ResolveResponse {
+	ctx, cancel := context.WithTimeout(ctx, q.r.cfg.PeerTimeout)
+	defer cancel()
+	resp, err := q.r.peers.Peer(vm).Resolve(ctx, req)
+	if err != nil {
+		return nil
+	}
+	return resp
+}
+
+func (q *query) request() *pb.ResolveRequest {
+	return &pb.ResolveRequest{
+		Ticket:  &pb.TicketId{Vm: q.t.VM, Incarnation: q.t.Incarnation, Sequence: q.t.Sequence},
+		Expires: timestamppb.New(q.t.Expires), Caller: q.t.Caller,
+	}
+}
+
+// undecided is unknown: for good where neither gather nor witness will ever tell.
+func (q *query) undecided(s pb.TicketState) *outcome.Error {
+	if !q.gone || q.missed {
+		return outcome.Unknown(pb.Reason_REASON_UNREACHABLE, stepResolve,
+			"the ticket's gather can't be asked now, come back with the same ticket").At(q.t.VM).After(q.r.cfg.RetryAfter)
+	}
+	message := "the ticket's gather has ended and left no record"
+	if s == pb.TicketState_TICKET_STATE_INTENT {
+		message = "the ticket's gather ended with the order under way, it may have run"
+	}
+	return outcome.Unknown(pb.Reason_REASON_INCARNATION_GONE, stepResolve, "%s", message).At(q.t.VM)
+}
+
+func decided(r *pb.ResolveResponse) bool {
+	return r.GetState() == pb.TicketState_TICKET_STATE_DONE || r.GetState() == pb.TicketState_TICKET_STATE_SEALED
+}
+
+// minterGone tells whether the view shows that the minting incarnation has ended. A VM that is on
+// no list any more counts as gone, for addresses and VMs are replaced at any time.
+func minterGone(v *feed.View, t *ticket.Ticket) bool {
+	vm := findVM(v, t.VM)
+	if vm == nil {
+		return len(v.VMs) > 0
+	}
+	p := gatherOf(vm)
+	return gatherGone(vm) || p != nil && p.GetIncarnation() != t.Incarnation
+}
--- a/internal/order/send.go
+++ b/internal/order/send.go
@@ -23,6 +23,9 @@
 func (m *Manager) Order(ctx context.Context, req *pb.GatherOrderRequest) (*pb.GatherOrderResponse, error) {
 	order, who := req.GetOrder(), req.GetIdentity()
 	t, end := m.accept(order, who.GetCaller())
+	if t != nil && end != nil {
+		return m.resolveEarlier(ctx, t, order, who)
+	}
 	if end != nil {
 		m.metrics.sent(t, nil, end)
 		return nil, end
@@ -37,7 +40,7 @@
 
 // accept checks that the ticket is this gather's and for this caller, service and kind. It says the
 // same for all mismatches, so that nothing is learned about another caller's ticket. The ticket is
-// returned only where its MAC is right.
+// returned only where its MAC is right, and with an error where it is of an earlier incarnation.
 func (m *Manager) accept(order *pb.OrderRequest, caller string) (*ticket.Ticket, *outcome.Error) {
 	if order.GetTicket() == "" {
 		return nil, outcome.NotRun(pb.Reason_REASON_NO_TICKET, stepTicket, "an order needs a ticket")
@@ -46,16 +49,32 @@
 	if err != nil {
 		return nil, invalidTicket()
 	}
-	if t.VM != m.table.self.vm || t.Incarnation != m.table.self.incarnation {
-		return nil, outcome.Unknown(pb.Reason_REASON_INCARNATION_GONE, stepTicket, "the ticket is of another incarnation")
+	if t.Caller != caller || t.Service != order.GetService() || t.Kind != order.GetKind() {
+		return nil, invalidTicket()
+	}
+	if t.VM != m.table.self.vm {
+		return nil, outcome.Unknown(pb.Reason_REASON_UNREACHABLE, stepTicket, "the ticket is another gather's").At(t.VM).After(m.cfg.RetryAfter)
 	}
-	same := t.Caller == caller && t.Service == order.GetService() && t.Kind == order.GetKind()
-	if !m.minter.Check(t) || !same {
+	if t.Incarnation != m.table.self.incarnation {
+		return t, outcome.Unknown(pb.Reason_REASON_INCARNATION_GONE, stepTicket, "the ticket is of another incarnation")
+	}
+	if !m.minter.Check(t) {
 		return nil, invalidTicket()
 	}
 	return t, nil
 }
 
+// resolveEarlier finds out about a ticket of an earlier incarnation of this VM's gather, for an entry
+// that does not know yet that the gather was started anew.
+func (m *Manager) resolveEarlier(ctx context.Context, t *ticket.Ticket, order *pb.OrderRequest, who *pb.Identity) (*pb.GatherOrderResponse, error) {
+	resp, err := m.resolver.ResolveOrder(ctx, t, who.GetCaller(), order, who.GetRequestId())
+	m.metrics.sent(nil, resp, err)
+	if err != nil {
+		return nil, err
+	}
+	return &pb.GatherOrderResponse{Identity: who, Order: resp}, nil
+}
+
 func invalidTicket() *outcome.Error {
 	return outcome.NotRun(pb.Reason_REASON_TICKET_INVALID, stepTicket, "the ticket can't be used for this order")
 }
--- a/internal/order/table.go
+++ b/internal/order/table.go
@@ -50,6 +50,7 @@
 	// All below is guarded by mu. queue holds the entries in the order of minting.
 	entries     map[uint64]*entry
 	queue       []*entry
+	byCaller    map[string]int
 	resultBytes int
 	// forgottenTo is the highest sequence number whose entry was dropped.
 	forgottenTo uint64
@@ -62,16 +63,26 @@
 }
 
 func newTable(cfg Config, clock *elapsed, self identity) *table {
-	return &table{cfg: cfg, clock: clock, self: self, entries: make(map[uint64]*entry), quiet: make(chan struct{})}
+	return &table{
+		cfg: cfg, clock: clock, self: self, entries: make(map[uint64]*entry),
+		byCaller: make(map[string]int), quiet: make(chan struct{}),
+	}
 }
 
-// hasRoom tells whether one more ticket can be held, after dropping what is old.
-func (t *table) hasRoom() bool {
+// full returns why no more tickets of the caller can be held, after dropping what is old;
+// unspecified where one can.
+func (t *table) full(caller string) pb.Reason {
 	now := t.clock.Since()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forget(now)
-	return len(t.entries) < t.cfg.TicketLimit && t.resultBytes < t.cfg.ResultLimit && !t.sealed
+	switch {
+	case len(t.entries) >= t.cfg.TicketLimit || t.resultBytes >= t.cfg.ResultLimit:
+		return pb.Reason_REASON_OVERLOAD
+	case t.byCaller[caller] >= t.cfg.CallerLimit:
+		return pb.Reason_REASON_CALLER_LIMIT
+	}
+	return pb.Reason_REASON_UNSPECIFIED
 }
 
 // add makes the place of a new ticket; false where the table was sealed meanwhile.
@@ -84,6 +95,7 @@
 	e := &entry{sequence: sequence, expires: expires, caller: caller}
 	t.entries[sequence] = e
 	t.queue = append(t.queue, e)
+	t.byCaller[caller]++
 	t.minted++
 	return true
 }
@@ -98,9 +110,7 @@
 		if e.state == stateMinted {
 			t.minted--
 		}
-		t.resultBytes -= len(e.record.GetResponse().GetResult())
-		t.forgottenTo = max(t.forgottenTo, e.sequence)
-		delete(t.entries, e.sequence)
+		t.drop(e)
 		t.queue[n] = nil
 		n++
 	}
@@ -110,6 +120,16 @@
 	}
 }
 
+// drop takes an entry off the counts and the map. Needs mu.
+func (t *table) drop(e *entry) {
+	t.resultBytes -= len(e.record.GetResponse().GetResult())
+	t.forgottenTo = max(t.forgottenTo, e.sequence)
+	delete(t.entries, e.sequence)
+	if t.byCaller[e.caller]--; t.byCaller[e.caller] == 0 {
+		delete(t.byCaller, e.caller)
+	}
+}
+
 // verdict is what a send of a ticket has to do.
 type verdict int
 
@@ -198,6 +218,11 @@
 func (t *table) counts() counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.countsLocked()
+}
+
+// countsLocked is counts for those who hold mu.
+func (t *table) countsLocked() counts {
 	return counts{
 		Held: len(t.entries), Minted: t.minted, Running: t.running,
 		ResultBytes: t.resultBytes, ForgottenTo: t.forgottenTo, Sealed: t.sealed,
--- /dev/null
+++ b/internal/order/witness.go
@@ -0,0 +1,200 @@
+package order
+
+import (
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// horizonLimit is how many minting incarnations a witness remembers horizons of. They are 32 bytes
+// or so each and kept as long as the process lives.
+const horizonLimit = 65_536
+
+const stepWitness = "order.witness"
+
+// ticketKey names a ticket in maps.
+type ticketKey struct {
+	minter   identity
+	sequence uint64
+}
+
+func keyOf(id *pb.TicketId) ticketKey {
+	return ticketKey{identity{id.GetVm(), id.GetIncarnation()}, id.GetSequence()}
+}
+
+// note is what a witness knows of a ticket. Its state goes from intent to done, or is sealed from
+// the start and stays so.
+type note struct {
+	key    ticketKey
+	state  pb.TicketState
+	caller string
+	digest uint64
+	record *pb.TicketRecord
+	// forgetAt is the time since boot at which the note is dropped.
+	forgetAt time.Duration
+}
+
+// witness notes intents for other gathers and seals tickets. It compares no clock with another VM:
+// what it drops for age raises the horizon of the minting incarnation, and for tickets up to the
+// horizon it neither takes an intent nor says "never run".
+type witness struct {
+	incarnation uint64
+	limit       int
+	keep        time.Duration
+	clock       *elapsed
+
+	mu sync.Mutex
+	// All below is guarded by mu. queue holds the notes by age.
+	notes   map[ticketKey]*note
+	queue   []*note
+	horizon map[identity]uint64
+}
+
+func newWitness(cfg Config, incarnation uint64, clock *elapsed) *witness {
+	return &witness{
+		incarnation: incarnation, limit: cfg.NoteLimit, keep: cfg.PeerKeep, clock: clock,
+		notes: make(map[ticketKey]*note), horizon: make(map[identity]uint64),
+	}
+}
+
+// noteIntent allows the order to be sent from now on. Once it did, the ticket is never sealed.
+func (w *witness) noteIntent(req *pb.NoteIntentRequest) (*pb.NoteIntentResponse, *outcome.Error) {
+	if req.GetWitnessIncarnation() != w.incarnation {
+		return nil, outcome.NotRun(pb.Reason_REASON_INCARNATION_GONE, stepWitness, "the witness has restarted")
+	}
+	key := keyOf(req.GetTicket())
+	now := w.clock.Since()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget(now)
+	if n := w.notes[key]; n != nil {
+		return w.noteAgain(n, req.GetOrderDigest())
+	}
+	if key.sequence <= w.horizon[key.minter] {
+		return &pb.NoteIntentResponse{Sealed: true}, nil
+	}
+	if !w.hasRoom(key.minter) {
+		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, stepWitness, "too many notes held")
+	}
+	w.add(&note{
+		key: key, state: pb.TicketState_TICKET_STATE_INTENT,
+		caller: req.GetCaller(), digest: req.GetOrderDigest(), forgetAt: now + w.keep,
+	})
+	return &pb.NoteIntentResponse{}, nil
+}
+
+// noteAgain answers a repeated intent: lost answers and pauses of the gather cause them.
+func (w *witness) noteAgain(n *note, digest uint64) (*pb.NoteIntentResponse, *outcome.Error) {
+	switch {
+	case n.state == pb.TicketState_TICKET_STATE_SEALED:
+		return &pb.NoteIntentResponse{Sealed: true}, nil
+	case n.digest != digest:
+		return nil, outcome.NotRun(pb.Reason_REASON_TICKET_REUSED, stepWitness, "another order is noted")
+	default:
+		return &pb.NoteIntentResponse{Record: n.record}, nil
+	}
+}
+
+// resolve says what is known of a ticket, and seals it where no intent is noted.
+func (w *witness) resolve(req *pb.ResolveRequest) *pb.ResolveResponse {
+	key := keyOf(req.GetTicket())
+	now := w.clock.Since()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.forget(now)
+	n := w.notes[key]
+	if n == nil {
+		return w.seal(key, req.GetCaller(), now)
+	}
+	if n.caller != req.GetCaller() {
+		return notKnown()
+	}
+	if n.state == pb.TicketState_TICKET_STATE_INTENT && req.GetMinterGone() {
+		n.close(req.GetTicket())
+	}
+	return &pb.ResolveResponse{State: n.state, Record: n.record}
+}
+
+// seal makes "never run" certain. Needs mu.
+func (w *witness) seal(key ticketKey, caller string, now time.Duration) *pb.ResolveResponse {
+	if key.sequence <= w.horizon[key.minter] || !w.hasRoom(key.minter) {
+		return notKnown()
+	}
+	w.add(&note{key: key, state: pb.TicketState_TICKET_STATE_SEALED, caller: caller, forgetAt: now + w.keep})
+	return &pb.ResolveResponse{State: pb.TicketState_TICKET_STATE_SEALED}
+}
+
+// close records the outcome as unknown for good, since nobody is left who could tell it.
+func (n *note) close(id *pb.TicketId) {
+	n.state = pb.TicketState_TICKET_STATE_DONE
+	gone := outcome.Unknown(pb.Reason_REASON_INCARNATION_GONE, stepWitness, "the gather ended with the order under way, it may have run")
+	n.record = &pb.TicketRecord{
+		Ticket: id, State: n.state, Caller: n.caller, OrderDigest: n.digest, Outcome: gone.At(id.GetVm()).Proto(""),
+	}
+}
+
+// settle takes the final record of a noted order. A record that is there already stays.
+func (w *witness) settle(r *pb.TicketRecord) {
+	if r.GetState() != pb.TicketState_TICKET_STATE_DONE {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.notes[keyOf(r.GetTicket())]
+	if n == nil || n.state != pb.TicketState_TICKET_STATE_INTENT || n.digest != r.GetOrderDigest() {
+		return
+	}
+	n.state, n.record = pb.TicketState_TICKET_STATE_DONE, r
+}
+
+// hasRoom tells whether a note of the minter can be held, and its horizon later. Needs mu.
+func (w *witness) hasRoom(minter identity) bool {
+	_, known := w.horizon[minter]
+	return len(w.notes) < w.limit && (known || len(w.horizon) < horizonLimit)
+}
+
+// add holds a note. Needs mu.
+func (w *witness) add(n *note) {
+	w.notes[n.key] = n
+	w.queue = append(w.queue, n)
+	if _, known := w.horizon[n.key.minter]; !known {
+		w.horizon[n.key.minter] = 0
+	}
+}
+
+// forget drops old notes and raises the horizons. Needs mu.
+func (w *witness) forget(now time.Duration) {
+	n := 0
+	for n < len(w.queue) && w.queue[n].forgetAt <= now {
+		old := w.queue[n]
+		w.horizon[old.key.minter] = max(w.horizon[old.key.minter], old.key.sequence)
+		delete(w.notes, old.key)
+		w.queue[n] = nil
+		n++
+	}
+	w.queue = w.queue[n:]
+}
+
+// knows tells whether there is a note of the ticket.
+func (w *witness) knows(id *pb.TicketId) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.notes[keyOf(id)] != nil
+}
+
+// held returns how many notes are held by state.
+func (w *witness) held() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	by := make(map[string]int)
+	for _, n := range w.notes {
+		by[stateName(n.state)]++
+	}
+	return by
+}
+
+func notKnown() *pb.ResolveResponse {
+	return &pb.ResolveResponse{State: pb.TicketState_TICKET_STATE_NOT_KNOWN}
+}
