Ask the peers of a ticket whose gather can't be reached

Cause: an order whose gather is gone or unreachable ended as unknown without a look at what its witness and peers hold.

Weighed: asking the peers as soon as the view shows another incarnation than the ticket's. The view may lag behind a restart, and asking the witness seals a ticket that is still good, so the VM's gather is asked first, which knows its own incarnations; the peers only where the membership says that the gather is gone, or the connection fails.

--- a/cmd/burdock-entry/daemon.go
+++ b/cmd/burdock-entry/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/logging"
 	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/order"
 	"github.com/burdockplank/burdockplank/internal/process"
 	"github.com/burdockplank/burdockplank/internal/route"
 	"github.com/burdockplank/burdockplank/internal/rpc"
@@ -52,10 +53,11 @@
 	})
 }
 
-func newRouter(s *entry.Settings, c *http.Client, reg prometheus.Registerer) *route.Router {
+func newRouter(s *entry.Settings, c *http.Client, source feed.Source, reg prometheus.Registerer) *route.Router {
 	return route.New(reg, route.Options{
-		Dial: route.NewDial(c), Parse: ticket.Parse, Resolver: route.NoPeers{},
-		Clock: time.Now, Random: rand.IntN, ReplyMargin: s.Entry.ReplyMargin.D(),
+		Dial: route.NewDial(c), Parse: ticket.Parse,
+		Resolver: order.NewResolver(order.DefaultConfig(), source, order.NewHTTPPeers(c)),
+		Clock:    time.Now, Random: rand.IntN, ReplyMargin: s.Entry.ReplyMargin.D(),
 	})
 }
 
--- a/cmd/burdock-entry/wire_gen.go
+++ b/cmd/burdock-entry/wire_gen.go
@@ -27,7 +27,7 @@
 	client := newClient(s)
 	manager := newFeed(s, mainIncarnation, client, pauseDetector, store, logger, registry)
 	controller := newAdmission(s, registry)
-	router := newRouter(s, client, registry)
+	router := newRouter(s, client, manager, registry)
 	entryManager := entry.NewManager(s, logger, registry, manager, manager, controller, router)
 	mainDaemon := &daemon{
 		settings: s,
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -152,7 +152,7 @@
 	client := rpc.NewClient("")
 	t.Cleanup(client.CloseIdleConnections)
 	router := route.New(w.reg, route.Options{
-		Dial: route.NewDial(client), Clock: time.Now, Random: func(int) int { return 0 }, Resolver: route.NoPeers{},
+		Dial: route.NewDial(client), Clock: time.Now, Random: func(int) int { return 0 },
 		Parse: func(text string) (*ticket.Ticket, error) { return &ticket.Ticket{VM: text, Incarnation: 7}, nil },
 	})
 	w.manager = NewManager(s, zap.NewNop(), w.reg, w.feed, w.feed,
--- a/internal/route/gather.go
+++ b/internal/route/gather.go
@@ -45,17 +45,23 @@
 // gatherOf returns the gather of the VM, and whether the VM has said that it runs one.
 func gatherOf(vm *pb.Vm) (Gather, bool) {
 	for _, p := range vm.GetProcesses() {
-		if p.GetRole() != pb.ProcessRole_PROCESS_ROLE_GATHER {
-			continue
+		if p.GetRole() == pb.ProcessRole_PROCESS_ROLE_GATHER {
+			g := at(vm, p.GetIncarnation())
+			g.State = p.GetState()
+			return g, true
 		}
-		return Gather{
-			VM: vm.GetId(), Zone: vm.GetZone(), Incarnation: p.GetIncarnation(), State: p.GetState(),
-			Address: net.JoinHostPort(vm.GetAddress(), strconv.Itoa(int(vm.GetGatherPort()))),
-		}, true
 	}
 	return Gather{}, false
 }
 
+// at returns a gather at the VM's address whose state is not known.
+func at(vm *pb.Vm, incarnation uint64) Gather {
+	return Gather{
+		VM: vm.GetId(), Zone: vm.GetZone(), Incarnation: incarnation,
+		Address: net.JoinHostPort(vm.GetAddress(), strconv.Itoa(int(vm.GetGatherPort()))),
+	}
+}
+
 // findVM returns the VM of the id, or nil.
 func findVM(vms []*pb.Vm, id string) *pb.Vm {
 	for _, vm := range vms {
--- a/internal/route/order.go
+++ b/internal/route/order.go
@@ -14,15 +14,17 @@
 // ParseTicket reads the text form of a ticket; ticket.Parse in the running process.
 type ParseTicket func(text string) (*ticket.Ticket, error)
 
-// TicketResolver asks the peers of a gather that can't be reached what became of a ticket. It
-// returns the recorded answer, or an *outcome.Error: not_run where the ticket is sealed, unknown
-// where the order may have run or nothing is known.
+// TicketResolver asks the witness and the peers of a gather that can't be asked what became of a
+// ticket. It returns the recorded answer, or an *outcome.Error: not_run where the order surely never
+// runs, unknown with a time to come back where more may be known later, and without where nothing
+// will. *order.Resolver implements it.
 type TicketResolver interface {
-	Resolve(ctx context.Context, t *ticket.Ticket, caller string) (*pb.OrderResponse, error)
+	ResolveOrder(ctx context.Context, t *ticket.Ticket, caller string, order *pb.OrderRequest, requestID string) (*pb.OrderResponse, error)
 }
 
-// Order brings an order to the gather incarnation that its ticket names, never to another. Errors
-// are *outcome.Error.
+// Order brings an order to the gather of the VM that its ticket names, never to another; that gather
+// runs it only if it is the incarnation that the ticket names. Where it can't be asked, the ticket's
+// peers are. Errors are *outcome.Error.
 func (r *Router) Order(ctx context.Context, q Request, req *pb.OrderRequest) (*pb.OrderResponse, error) {
 	if req.GetTicket() == "" {
 		return nil, outcome.NotRun(pb.Reason_REASON_NO_TICKET, orderStep, "an order needs a ticket of IssueTicket")
@@ -33,7 +35,7 @@
 	}
 	g, here := minter(q.View.VMs, t)
 	if !here {
-		return r.resolve(ctx, q, t, r.gone(t))
+		return r.resolve(ctx, q, t, req)
 	}
 	var res *pb.GatherOrderResponse
 	ce := r.at(ctx, q, g, func(ctx context.Context, c burdockv1connect.GatherServiceClient) (err error) {
@@ -50,49 +52,34 @@
 	case ended(ctx, ce.err) != pb.Reason_REASON_UNSPECIFIED:
 		return nil, r.cutShort(ctx, g, ce)
 	}
-	return r.resolve(ctx, q, t, r.unreachable(pb.OutcomeKind_OUTCOME_KIND_UNKNOWN, g.VM,
-		"the gather that holds the ticket can't be reached; come back with the same ticket").Because(ce.err))
+	return r.resolve(ctx, q, t, req)
 }
 
-// minter returns the gather that minted the ticket, if that incarnation still runs as far as the
-// membership says. One that drains still answers for its tickets.
+// minter returns the gather of the VM that minted the ticket, unless the membership says that it has
+// ended. One that drains still answers for its tickets. Where the view shows another incarnation, or
+// none yet, the view may lag, and the gather itself knows.
 func minter(vms []*pb.Vm, t *ticket.Ticket) (Gather, bool) {
 	vm := findVM(vms, t.VM)
 	if vm == nil || vm.GetState() == pb.VmState_VM_STATE_GONE {
 		return Gather{}, false
 	}
 	g, ok := gatherOf(vm)
-	if !ok || g.Incarnation != t.Incarnation || g.State == pb.ProcessState_PROCESS_STATE_GONE {
-		return Gather{}, false
+	if !ok {
+		g = at(vm, t.Incarnation)
 	}
-	return g, true
+	return g, g.State != pb.ProcessState_PROCESS_STATE_GONE
 }
 
-// resolve asks the ticket's peers; otherwise is the outcome where they know nothing.
-func (r *Router) resolve(ctx context.Context, q Request, t *ticket.Ticket, otherwise *outcome.Error) (*pb.OrderResponse, error) {
-	res, err := r.o.Resolver.Resolve(ctx, t, q.Identity.GetCaller())
+// resolve asks the ticket's peers.
+func (r *Router) resolve(ctx context.Context, q Request, t *ticket.Ticket, req *pb.OrderRequest) (*pb.OrderResponse, error) {
+	res, err := r.o.Resolver.ResolveOrder(ctx, t, q.Identity.GetCaller(), req, q.Identity.GetRequestId())
 	if err == nil {
 		r.metrics.resolved.WithLabelValues(q.Service.Name, "recorded").Inc()
 		return res, nil
 	}
-	e, ok := outcome.As(err)
-	if ok && decides(e) {
-		r.metrics.resolved.WithLabelValues(q.Service.Name, outcome.ReasonName(e.Reason)).Inc()
-		return nil, e
-	}
-	r.metrics.resolved.WithLabelValues(q.Service.Name, "nothing_known").Inc()
-	return nil, otherwise.Because(err)
-}
-
-// decides tells whether a peer's word about a ticket is one, and not only that it could not be asked.
-func decides(e *outcome.Error) bool {
-	return e.Reason != pb.Reason_REASON_UNREACHABLE && e.Reason != pb.Reason_REASON_INTERNAL
-}
-
-// gone is the final outcome of an order whose gather incarnation has ended.
-func (r *Router) gone(t *ticket.Ticket) *outcome.Error {
-	return outcome.Unknown(pb.Reason_REASON_INCARNATION_GONE, orderStep,
-		"the gather that held the ticket has ended and no record of the order was found").At(t.VM)
+	e := outcome.Classify(err, pb.OutcomeKind_OUTCOME_KIND_UNKNOWN, orderStep)
+	r.metrics.resolved.WithLabelValues(q.Service.Name, outcome.ReasonName(e.Reason)).Inc()
+	return nil, e
 }
 
 // cutShort is the outcome of an order whose caller's time ended while the gather had it: it may have
@@ -108,11 +95,3 @@
 	}
 	return e.After(r.comeBack()).Because(ce.err)
 }
-
-// NoPeers is a TicketResolver that can ask nobody.
-type NoPeers struct{}
-
-// Resolve implements TicketResolver.
-func (NoPeers) Resolve(context.Context, *ticket.Ticket, string) (*pb.OrderResponse, error) {
-	return nil, outcome.Unknown(pb.Reason_REASON_UNREACHABLE, orderStep, "no peer of the ticket can be asked")
-}
