End half requests and the shutdown in order

Cause: work that was running was ended by Shutdown at once after the balancer's lag, so that a request under way on an idle connection could be cut off; half a header ended uncounted.

Change: after the lag new work gets a typed refusal, for 250 ms at least and until running work has ended, before connections are closed. Connections that end without a whole header are counted.

Limit: a request line or header that is no HTTP is answered by net/http itself with a plain 400 and can't be typed.

--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -30,6 +30,7 @@
 		id: newRequestID(m.settings.VM.ID), start: m.now(), view: m.source.Current(),
 		service: unknownLabel, kind: unknownLabel,
 	}
+	m.conns.handled(r.Context())
 	w.Header().Set(HeaderRequestID, c.id)
 	m.drainer.mark(w)
 	m.metrics.inFlight.Inc()
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -11,9 +11,16 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 )
 
-// drainRetryAfter is when a caller may come back after a refusal for shutdown: at once, for the
-// balancer brings it to another VM.
-const drainRetryAfter = 100 * time.Millisecond
+const (
+	// drainRetryAfter is when a caller may come back after a refusal for shutdown: almost at once, for
+	// the balancer brings it to another VM.
+	drainRetryAfter = 100 * time.Millisecond
+	// refuseAtLeast is how long new work gets an answer, a refusal, before connections are closed, so
+	// that a request under way on an idle connection isn't cut off.
+	refuseAtLeast = 250 * time.Millisecond
+	// workTick is how often the end of running work is looked for.
+	workTick = 10 * time.Millisecond
+)
 
 // phase is how far a shutdown has come.
 type phase int32
@@ -28,8 +35,11 @@
 
 var phaseNames = map[phase]string{phaseServing: "serving", phaseLeaving: "leaving", phaseRefusing: "refusing"}
 
-// drainer holds the phase of the shutdown.
-type drainer struct{ phase atomic.Int32 }
+// drainer holds the phase of the shutdown and counts running work.
+type drainer struct {
+	phase   atomic.Int32
+	working atomic.Int64
+}
 
 func (d *drainer) at() phase      { return phase(d.phase.Load()) }
 func (d *drainer) enter(p phase)  { d.phase.Store(int32(p)) }
@@ -44,22 +54,37 @@
 	}
 }
 
+// workEnded waits until no work runs or ctx ends.
+func (d *drainer) workEnded(ctx context.Context) {
+	for d.working.Load() > 0 && wait(ctx, workTick) {
+	}
+}
+
 // Drain ends the callers' listener in order: it serves on for the balancer's lag, then refuses new
 // work, lets running work end, and closes connections. It returns when that is done or ctx ends.
 func (m *Manager) Drain(ctx context.Context) {
 	m.drainer.enter(phaseLeaving)
 	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_DRAINING)
 	m.log.Info("not ready, serving on for the balancer's lag", zap.Duration("lag", m.settings.Drain.BalancerLag.D()))
-	lag := time.NewTimer(m.settings.Drain.BalancerLag.D())
-	defer lag.Stop()
-	select {
-	case <-lag.C:
-	case <-ctx.Done():
-	}
+	wait(ctx, m.settings.Drain.BalancerLag.D())
 	m.drainer.enter(phaseRefusing)
-	m.log.Info("refusing new work, ending running work")
+	m.log.Info("refusing new work, ending running work", zap.Int64("running", m.drainer.working.Load()))
+	wait(ctx, refuseAtLeast)
+	m.drainer.workEnded(ctx)
 	if err := m.server.Shutdown(ctx); err != nil {
 		m.log.Warn("running work did not end within the limit", zap.Error(err))
 	}
 	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_GONE)
 }
+
+// wait waits for d and tells whether ctx still runs.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/entry/manager.go
+++ b/internal/entry/manager.go
@@ -40,6 +40,7 @@
 	router    *route.Router
 	metrics   *metrics
 	drainer   *drainer
+	conns     *conns
 	server    *http.Server
 	now       func() time.Time
 }
@@ -51,7 +52,9 @@
 		settings: s, log: log, source: source, reporter: reporter, admission: admission, router: router,
 		metrics: newMetrics(reg), drainer: &drainer{}, now: time.Now,
 	}
+	m.conns = newConns(m.metrics.halves)
 	m.server = rpc.NewServer(m.Handler())
+	m.conns.hook(m.server)
 	m.server.IdleTimeout = s.Entry.IdleTimeout.D()
 	m.server.MaxHeaderBytes = maxHeaderBytes
 	return m
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -17,6 +17,7 @@
 	latency  *prometheus.HistogramVec
 	inFlight prometheus.Gauge
 	panics   prometheus.Counter
+	halves   prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -38,8 +39,12 @@
 			Name: "burdock_entry_panics_total",
 			Help: "Requests ended by a panic of a handler.",
 		}),
+		halves: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_entry_half_requests_total",
+			Help: "Connections that sent something and ended without a whole request header.",
+		}),
 	}
-	reg.MustRegister(m.requests, m.latency, m.inFlight, m.panics)
+	reg.MustRegister(m.requests, m.latency, m.inFlight, m.panics, m.halves)
 	return m
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -99,6 +99,8 @@
 
 // run checks, admits and forwards one request. The error is a connect error with the outcome.
 func (m *Manager) run(ctx context.Context, w work) error {
+	m.drainer.working.Add(1)
+	defer m.drainer.working.Add(-1)
 	c := callOf(ctx)
 	e := m.try(ctx, c, w)
 	if e == nil {
