--- /dev/null
+++ b/internal/bundle/difffields.go
@@ -0,0 +1,171 @@
+package bundle
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+func limitFields(l Limits) fields {
+	return fields{
+		{"max_query_bytes", strconv.Itoa(l.MaxQueryBytes)},
+		{"max_top_k", strconv.Itoa(l.MaxTopK)},
+		{"max_timeout", l.MaxTimeout.String()},
+	}
+}
+
+func callerFields(c *Caller) fields {
+	return fields{
+		{"token", tokenName(c.TokenSHA256)},
+		{"services", strings.Join(slices.Sorted(slices.Values(c.Services)), " ")},
+		{"rate", number(c.Rate)},
+		{"burst", strconv.Itoa(c.Burst)},
+		{"share", strconv.Itoa(c.Share)},
+	}
+}
+
+// tokenNameBytes of a token's hash are enough to tell that it was replaced.
+const tokenNameBytes = 4
+
+func tokenName(d Digest) string { return fmt.Sprintf("%x...", d[:tokenNameBytes]) }
+
+func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
+
+// kindFields has the same names for both modes, so that a change of mode can be shown.
+func kindFields(k *Kind) fields {
+	f := fields{
+		{"mode", string(k.Mode)},
+		{"weight", strconv.Itoa(k.Weight)},
+		{"timeout", k.Timeout.String()},
+		{"top_k", strconv.Itoa(k.TopK)},
+		{"partial", string(k.Partial)},
+		{"min_coverage", number(k.MinCoverage)},
+		{"early_coverage", number(k.EarlyCoverage)},
+		{"early_after", number(k.EarlyAfter)},
+		{"hedge_budget", number(k.HedgeBudget)},
+		{"retry_budget", number(k.RetryBudget)},
+	}
+	if k.Mode == ModeOrder {
+		for i := range f[fieldsOfAllModes:] {
+			f[fieldsOfAllModes+i].value = none
+		}
+	}
+	return f
+}
+
+// fieldsOfAllModes is how many of kindFields mean something for orders.
+const fieldsOfAllModes = 3
+
+// none is the value of a field that means nothing here.
+const none = "none"
+
+func leafFields(l *Leaf) fields {
+	return fields{
+		{"zone", l.Zone},
+		{"address", l.Address},
+		{"slots", strconv.Itoa(l.Slots)},
+		{"connections", strconv.Itoa(l.Connections)},
+	}
+}
+
+// snapshots compares the shard maps, oldest version first.
+func (d *differ) snapshots(a, b *Service) {
+	var versions []uint64
+	for _, sn := range slices.Concat(a.Snapshots, b.Snapshots) {
+		versions = append(versions, sn.Version)
+	}
+	slices.Sort(versions)
+	for _, v := range slices.Compact(versions) {
+		subject := fmt.Sprintf("snapshot %d", v)
+		x, y := a.Snapshot(v), b.Snapshot(v)
+		switch {
+		case x == nil:
+			d.add(Added, subject, snapshotSummary(y))
+		case y == nil:
+			d.add(Removed, subject, snapshotSummary(x))
+		default:
+			d.shards(subject, x, y)
+		}
+	}
+}
+
+func snapshotSummary(s *Snapshot) string {
+	return fmt.Sprintf("%d shards, %d documents, %d to %d replicas a shard", len(s.Shards), s.Documents(),
+		s.replicas(false), s.replicas(true))
+}
+
+// replicas returns the largest or the smallest number of leaves that a shard has.
+func (s *Snapshot) replicas(largest bool) int {
+	n := len(s.Shards[0].Leaves)
+	for i := range s.Shards {
+		if largest {
+			n = max(n, len(s.Shards[i].Leaves))
+		} else {
+			n = min(n, len(s.Shards[i].Leaves))
+		}
+	}
+	return n
+}
+
+func (d *differ) shards(snapshot string, a, b *Snapshot) {
+	x, y := a.byID(), b.byID()
+	var ids []uint32
+	for _, sh := range slices.Concat(a.Shards, b.Shards) {
+		ids = append(ids, sh.ID)
+	}
+	slices.Sort(ids)
+	for _, id := range slices.Compact(ids) {
+		subject := fmt.Sprintf("%s shard %d", snapshot, id)
+		old, now := x[id], y[id]
+		switch {
+		case old == nil:
+			d.add(Added, subject, shardDetail(now))
+		case now == nil:
+			d.add(Removed, subject, shardDetail(old))
+		default:
+			d.shard(subject, old, now)
+		}
+	}
+}
+
+func (s *Snapshot) byID() map[uint32]*Shard {
+	m := make(map[uint32]*Shard, len(s.Shards))
+	for i := range s.Shards {
+		m[s.Shards[i].ID] = &s.Shards[i]
+	}
+	return m
+}
+
+func shardDetail(s *Shard) string {
+	return fmt.Sprintf("documents %d, leaves %s", s.Documents, strings.Join(s.Leaves, " "))
+}
+
+// shard says which replicas come and go.
+func (d *differ) shard(subject string, a, b *Shard) {
+	var parts []string
+	if a.Documents != b.Documents {
+		parts = append(parts, fmt.Sprintf("documents %d -> %d", a.Documents, b.Documents))
+	}
+	if gained := without(b.Leaves, a.Leaves); len(gained) > 0 {
+		parts = append(parts, "gains leaves "+strings.Join(gained, " "))
+	}
+	if lost := without(a.Leaves, b.Leaves); len(lost) > 0 {
+		parts = append(parts, "loses leaves "+strings.Join(lost, " "))
+	}
+	if len(parts) > 0 {
+		d.add(Changed, subject, strings.Join(parts, ", "))
+	}
+}
+
+// without returns the elements of a that b lacks, in order.
+func without(a, b []string) []string {
+	var out []string
+	for _, x := range a {
+		if !slices.Contains(b, x) {
+			out = append(out, x)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
