burdockctl: bundles, fleet, dump, search and order from the command line

Need: operators make, review and sign bundles and look at processes without writing to anything of the system.

Weighed: all keys in one sign command against one reviewer after the other; both work, for signatures add up in the directory of one manifest. The deadline goes in its header and not in the client's context, which would end the wait just before the entry's own outcome arrives.

The settings of the daemons can be checked once their types exist; the registry in settingscheck.go is still empty.

--- /dev/null
+++ b/cmd/burdockctl/main.go
@@ -0,0 +1,20 @@
+// Command burdockctl is the operators' tool of burdockplank.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/burdockplank/burdockplank/internal/ctl"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := initialize(ctl.Streams{Out: os.Stdout, Err: os.Stderr})
+	return ctl.Main(ctx, app, os.Args[1:])
+}
--- a/internal/bundle/verify.go
+++ b/internal/bundle/verify.go
@@ -27,7 +27,7 @@
 // many signatures or key ids it has. The error is a *RefusedError.
 func Verify(signed *pb.SignedManifest, trust Trust) (*pb.Manifest, Digest, error) {
 	d := ManifestDigest(signed.GetManifest())
-	if err := trust.check(signed, d); err != nil {
+	if err := trust.check(signed); err != nil {
 		err.Digest = d
 		return nil, d, err
 	}
@@ -39,22 +39,15 @@
 	return m, d, nil
 }
 
-// check counts the distinct reviewers whose signatures are good.
-func (t Trust) check(signed *pb.SignedManifest, d Digest) *RefusedError {
+// check requires good signatures of enough distinct reviewers.
+func (t Trust) check(signed *pb.SignedManifest) *RefusedError {
 	if t.Threshold < 1 {
 		return refuse(RefusedSignatures, "the threshold is %d: nothing can be trusted", t.Threshold)
 	}
 	if n := len(signed.GetSignatures()); n > maxSignatures {
 		return refuse(RefusedSignatures, "%d signatures, at most %d are read", n, maxSignatures)
 	}
-	message := signedBytes(d)
-	good := make(map[string]bool)
-	for _, s := range signed.GetSignatures() {
-		key, ok := t.Reviewers[s.GetKeyId()]
-		if ok && len(key) == ed25519.PublicKeySize && ed25519.Verify(key, message, s.GetSignature()) {
-			good[string(key)] = true
-		}
-	}
+	good := t.Signers(signed)
 	if len(good) < t.Threshold {
 		return refuse(RefusedSignatures, "%d of %d signatures are good and of distinct reviewers, %d are needed",
 			len(good), len(signed.GetSignatures()), t.Threshold)
@@ -62,6 +55,24 @@
 	return nil
 }
 
+// Signers returns the key ids of the reviewers whose signatures are good, each reviewer once.
+func (t Trust) Signers(signed *pb.SignedManifest) []string {
+	message := signedBytes(ManifestDigest(signed.GetManifest()))
+	counted := make(map[string]bool)
+	var good []string
+	for _, s := range signed.GetSignatures() {
+		key, ok := t.Reviewers[s.GetKeyId()]
+		if !ok || counted[string(key)] || len(key) != ed25519.PublicKeySize {
+			continue
+		}
+		if ed25519.Verify(key, message, s.GetSignature()) {
+			counted[string(key)] = true
+			good = append(good, s.GetKeyId())
+		}
+	}
+	return good
+}
+
 // decodeManifest reads a manifest's bytes and refuses one that can't name a bundle.
 func decodeManifest(encoded []byte) (*pb.Manifest, *RefusedError) {
 	if len(encoded) > maxManifestBytes {
--- /dev/null
+++ b/internal/ctl/bundlefiles.go
@@ -0,0 +1,129 @@
+package ctl
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+)
+
+// The files of a signed bundle in its directory; operators publish them under the platform's keys
+// bundle/manifest and bundle/section/DIGEST.
+const (
+	manifestFile = "manifest"
+	sectionsDir  = "sections"
+	fileMode     = 0o644
+	dirMode      = 0o755
+)
+
+// signedBundle is a bundle as read from a directory.
+type signedBundle struct {
+	signed *pb.SignedManifest
+	text   []byte
+}
+
+// writeBundle writes the sections first and the manifest last and whole, so that a directory with
+// a manifest is complete.
+func writeBundle(dir string, signed *pb.SignedManifest, text []byte) error {
+	if err := os.MkdirAll(filepath.Join(dir, sectionsDir), dirMode); err != nil {
+		return eris.Wrap(err, "ctl.sign")
+	}
+	for _, s := range bundle.Split(text) {
+		file := filepath.Join(dir, sectionsDir, bundle.SectionDigest(s).String())
+		if err := os.WriteFile(file, s, fileMode); err != nil {
+			return eris.Wrap(err, "ctl.sign")
+		}
+	}
+	data, err := proto.Marshal(signed)
+	if err != nil {
+		return eris.Wrap(err, "ctl.sign: encode")
+	}
+	temporary := filepath.Join(dir, "."+manifestFile)
+	if err := os.WriteFile(temporary, data, fileMode); err != nil {
+		return eris.Wrap(err, "ctl.sign")
+	}
+	return eris.Wrap(os.Rename(temporary, filepath.Join(dir, manifestFile)), "ctl.sign")
+}
+
+// readManifest reads the signed manifest of a directory.
+func readManifest(dir string) (*pb.SignedManifest, error) {
+	data, err := os.ReadFile(filepath.Join(dir, manifestFile))
+	if err != nil {
+		return nil, eris.Wrap(err, "ctl.bundle: read manifest")
+	}
+	signed := new(pb.SignedManifest)
+	if err := proto.Unmarshal(data, signed); err != nil {
+		return nil, usage("%s: not a signed manifest: %v", filepath.Join(dir, manifestFile), err)
+	}
+	return signed, nil
+}
+
+// readBundle reads a directory and puts the text together. It verifies no signature.
+func readBundle(dir string) (*signedBundle, error) {
+	signed, err := readManifest(dir)
+	if err != nil {
+		return nil, err
+	}
+	m := new(pb.Manifest)
+	if err := proto.Unmarshal(signed.GetManifest(), m); err != nil {
+		return nil, usage("%s: can't decode the manifest: %v", dir, err)
+	}
+	var sections [][]byte
+	for _, raw := range m.GetSections() {
+		s, err := readSection(dir, raw)
+		if err != nil {
+			return nil, err
+		}
+		sections = append(sections, s)
+	}
+	text, err := bundle.Assemble(m, sections)
+	if err != nil {
+		return nil, usage("%s: %v", dir, err)
+	}
+	return &signedBundle{signed, text}, nil
+}
+
+func readSection(dir string, digest []byte) ([]byte, error) {
+	if len(digest) != len(bundle.Digest{}) {
+		return nil, usage("%s: the manifest names a section by %d bytes", dir, len(digest))
+	}
+	s, err := os.ReadFile(filepath.Join(dir, sectionsDir, bundle.Digest(digest).String()))
+	return s, eris.Wrap(err, "ctl.bundle: read section")
+}
+
+// loadBundle reads a bundle from its text, or from a directory of a signed one. The latter has
+// its digest set.
+func loadBundle(path string) (*bundle.Bundle, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "ctl.bundle")
+	}
+	if !info.IsDir() {
+		return loadText(path)
+	}
+	sb, err := readBundle(path)
+	if err != nil {
+		return nil, err
+	}
+	b, err := bundle.Open(sb.signed, sb.text)
+	if err != nil {
+		return nil, usage("%s: %v", path, err)
+	}
+	return b, nil
+}
+
+func loadText(file string) (*bundle.Bundle, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "ctl.bundle")
+	}
+	b, err := bundle.Parse(text)
+	if err != nil {
+		return nil, refusedText(file, err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/ctl/caller.go
@@ -0,0 +1,76 @@
+package ctl
+
+import (
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+)
+
+const (
+	// callBound is the longest wait for an answer where no timeout is given.
+	callBound = time.Minute
+	// callGrace is how much longer than the deadline to wait, so that the entry's own outcome for
+	// a deadline passed still arrives.
+	callGrace = 2 * time.Second
+	// timeoutHeader carries the deadline as the entry reads it.
+	timeoutHeader = "Connect-Timeout-Ms"
+)
+
+// CallerFlags say how to reach an entry as a caller.
+type CallerFlags struct {
+	Entry     string        `required:"" placeholder:"IP:PORT" help:"Callers' listener of a burdock-entry."`
+	TokenFile string        `required:"" help:"File with the caller's token."`
+	Timeout   time.Duration `help:"Deadline of the request; the kind's own by default."`
+}
+
+// callerHTTP adds a caller's headers. The deadline goes in a header of its own and not in the
+// context: a context would end the wait just before the entry's answer for a deadline passed.
+type callerHTTP struct {
+	client  *http.Client
+	token   string
+	timeout time.Duration
+}
+
+// Do implements connect.HTTPClient.
+func (c callerHTTP) Do(req *http.Request) (*http.Response, error) {
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if c.timeout > 0 {
+		req.Header.Set(timeoutHeader, strconv.FormatInt(c.timeout.Milliseconds(), 10))
+	}
+	return c.client.Do(req)
+}
+
+// client returns a client of the entry.
+func (f *CallerFlags) client(app *App) (burdockv1connect.QueryServiceClient, error) {
+	if err := checkAddress("--entry", f.Entry); err != nil {
+		return nil, err
+	}
+	if f.Timeout < 0 || f.Timeout > 0 && f.Timeout < time.Millisecond {
+		return nil, usage("--timeout: want 1ms or more, got %v", f.Timeout)
+	}
+	data, err := os.ReadFile(f.TokenFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "ctl.caller: read token")
+	}
+	token := strings.TrimSpace(string(data))
+	if token == "" || strings.ContainsAny(token, " \t\r\n") {
+		return nil, usage("%s: want one token on one line", f.TokenFile)
+	}
+	bounded := *app.callers.Client
+	bounded.Timeout = callBound
+	if f.Timeout > 0 {
+		bounded.Timeout = f.Timeout + callGrace
+	}
+	return burdockv1connect.NewQueryServiceClient(
+		callerHTTP{&bounded, token, f.Timeout}, "http://"+f.Entry, connect.WithReadMaxBytes(maxAnswerBytes)), nil
+}
+
+// maxAnswerBytes bounds the answer that is read.
+const maxAnswerBytes = 64 << 20
--- /dev/null
+++ b/internal/ctl/cli.go
@@ -0,0 +1,104 @@
+// Package ctl holds the commands of burdockctl, which operators use to check settings, to make and
+// review bundles, to look at a fleet and to send one search or order.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/burdockplank/burdockplank/internal/version"
+)
+
+// CLI is the command line.
+type CLI struct {
+	JSON    bool             `name:"json" help:"Print JSON for programs in place of tables."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+
+	Settings SettingsCmd `cmd:"" help:"Look at settings files."`
+	Bundle   BundleCmd   `cmd:"" help:"Make, review and sign configuration bundles."`
+	Fleet    FleetCmd    `cmd:"" help:"Show the state of each process of a fleet."`
+	Dump     DumpCmd     `cmd:"" help:"Print the state of one process as JSON."`
+	Search   SearchCmd   `cmd:"" help:"Send one search."`
+	Order    OrderCmd    `cmd:"" help:"Send one order."`
+}
+
+// SettingsCmd groups the commands about settings files.
+type SettingsCmd struct {
+	Check SettingsCheckCmd `cmd:"" help:"Check the settings file of a program."`
+}
+
+// BundleCmd groups the commands about bundles.
+type BundleCmd struct {
+	Keygen BundleKeygenCmd `cmd:"" help:"Make a reviewer's key pair."`
+	Check  BundleCheckCmd  `cmd:"" help:"Check a bundle's text."`
+	Sign   BundleSignCmd   `cmd:"" help:"Sign a bundle's text and write the files to publish."`
+	Verify BundleVerifyCmd `cmd:"" help:"Verify a signed bundle as the processes do."`
+	Diff   BundleDiffCmd   `cmd:"" help:"Say what changes from one bundle to another."`
+	Show   BundleShowCmd   `cmd:"" help:"Show what a bundle holds."`
+}
+
+// OrderCmd groups the commands about orders.
+type OrderCmd struct {
+	Ticket OrderTicketCmd `cmd:"" help:"Get a ticket for one order."`
+	Send   OrderSendCmd   `cmd:"" help:"Send an order under a ticket; the same ticket may be sent again."`
+	Run    OrderRunCmd    `cmd:"" help:"Get a ticket, print it and send the order."`
+}
+
+const description = `Operators' tool of burdockplank.
+
+Exit codes: 0 answered or done; 1 a process could not be reached, or a file not read or written;
+2 usage, settings, bundle or signature refused; 3 not run; 4 the search failed;
+5 the order's outcome is unknown.`
+
+// exited carries kong's wish to exit, after --help or --version, up to Main.
+type exited int
+
+// Main runs one command line and returns the exit code.
+func Main(ctx context.Context, app *App, args []string) (code int) {
+	var cli CLI
+	parser, err := kong.New(&cli,
+		kong.Name("burdockctl"),
+		kong.Description(description),
+		kong.Vars{"version": version.Version},
+		kong.Writers(app.Out, app.Err),
+		kong.Exit(func(code int) { panic(exited(code)) }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(app),
+	)
+	if err != nil {
+		return app.fail(&exitError{ExitUsage, err})
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			e, ok := r.(exited)
+			if !ok {
+				panic(r)
+			}
+			code = int(e)
+		}
+	}()
+	k, err := parser.Parse(args)
+	if err != nil {
+		return app.fail(usage("%v; see burdockctl --help", err))
+	}
+	app.asJSON = cli.JSON
+	return app.fail(k.Run())
+}
+
+// fail prints an error and returns its exit code.
+func (a *App) fail(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var ee *exitError
+	if !errors.As(err, &ee) {
+		ee = &exitError{ExitFailure, err}
+	}
+	if ee.err != nil {
+		_, _ = fmt.Fprintf(a.Err, "burdockctl: %v\n", ee.err)
+	}
+	return ee.code
+}
--- /dev/null
+++ b/internal/ctl/fleet.go
@@ -0,0 +1,134 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/burdockplank/burdockplank/internal/process"
+)
+
+// fleetWorkers is how many processes are asked at once.
+const fleetWorkers = 32
+
+// FleetCmd asks each process for its state.
+type FleetCmd struct {
+	Operator []string      `placeholder:"IP:PORT" help:"Operators' listener of a process; may be given several times or with commas."`
+	List     string        `help:"File with one IP:PORT a line; '#' starts a comment."`
+	Timeout  time.Duration `default:"2s" help:"How long to wait for each process."`
+}
+
+// Run implements the command.
+func (c *FleetCmd) Run(ctx context.Context, app *App) error {
+	addrs, err := c.addresses()
+	if err != nil {
+		return err
+	}
+	r := newFleetReport(app.askAll(ctx, c.Timeout, addrs))
+	if err := app.print(r); err != nil {
+		return err
+	}
+	if r.Unreachable > 0 {
+		return &exitError{code: ExitFailure}
+	}
+	return nil
+}
+
+// addresses returns the listeners from flags and list.
+func (c *FleetCmd) addresses() ([]string, error) {
+	addrs := c.Operator
+	if c.List != "" {
+		listed, err := readAddresses(c.List)
+		if err != nil {
+			return nil, err
+		}
+		addrs = append(addrs, listed...)
+	}
+	for _, a := range addrs {
+		if err := checkAddress("operator", a); err != nil {
+			return nil, err
+		}
+	}
+	if len(addrs) == 0 {
+		return nil, usage("no process to ask: give --operator IP:PORT or --list FILE")
+	}
+	return addrs, nil
+}
+
+func readAddresses(file string) ([]string, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "ctl.fleet")
+	}
+	defer func() { _ = f.Close() }()
+	var addrs []string
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		line, _, _ := strings.Cut(lines.Text(), "#")
+		addrs = append(addrs, strings.Fields(line)...)
+	}
+	return addrs, eris.Wrap(lines.Err(), "ctl.fleet")
+}
+
+// member is one process as it answered.
+type member struct {
+	Operator string `json:"operator"`
+	// Info is nil where the process didn't say who it is.
+	Info  *process.Info `json:"process,omitempty"`
+	Ready bool          `json:"ready"`
+	// Why says why a process isn't ready.
+	Why string `json:"why,omitempty"`
+	// Unreachable is why the process didn't answer, empty where it did.
+	Unreachable string `json:"unreachable,omitempty"`
+}
+
+// askAll asks the processes, some at once, and keeps their order.
+func (a *App) askAll(ctx context.Context, timeout time.Duration, addrs []string) []member {
+	members := make([]member, len(addrs))
+	indices := make(chan int)
+	var wg sync.WaitGroup
+	for range min(fleetWorkers, len(addrs)) {
+		wg.Go(func() {
+			for i := range indices {
+				members[i] = a.ask(ctx, timeout, addrs[i])
+			}
+		})
+	}
+	for i := range addrs {
+		indices <- i
+	}
+	close(indices)
+	wg.Wait()
+	return members
+}
+
+// ask reads one process's readiness and dump.
+func (a *App) ask(ctx context.Context, timeout time.Duration, addr string) member {
+	m := member{Operator: addr}
+	status, body, err := a.operators.get(ctx, timeout, addr, "/ready")
+	if err != nil {
+		m.Unreachable = strings.TrimPrefix(err.Error(), addr+": ")
+		return m
+	}
+	m.Ready = status == http.StatusOK
+	if !m.Ready {
+		m.Why = strings.TrimSpace(string(body))
+	}
+	duties, err := a.operators.dump(ctx, timeout, addr)
+	if err != nil {
+		m.Unreachable = strings.TrimPrefix(err.Error(), addr+": ")
+		return m
+	}
+	var info process.Info
+	if json.Unmarshal(duties[process.InfoDuty], &info) == nil {
+		m.Info = &info
+	}
+	return m
+}
--- /dev/null
+++ b/internal/ctl/settingscheck.go
@@ -0,0 +1,34 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// Programs gives the default settings of each program by its short name.
+type Programs map[string]func() settings.Checked
+
+// NewPrograms returns the programs whose settings this build can check.
+func NewPrograms() Programs {
+	return Programs{}
+}
+
+// SettingsCheckCmd checks a settings file as the program itself does at its start.
+type SettingsCheckCmd struct {
+	File    string `arg:"" help:"Settings file."`
+	Program string `required:"" enum:"entry,gather,sync" help:"Program that the file is for: entry, gather or sync."`
+}
+
+// Run implements the command.
+func (c *SettingsCheckCmd) Run(app *App) error {
+	defaults, ok := app.programs[c.Program]
+	if !ok {
+		return usage("this build can't check the settings of %q", c.Program)
+	}
+	if err := settings.Load(c.File, defaults()); err != nil {
+		return refused(err)
+	}
+	_, err := fmt.Fprintln(app.Out, "ok")
+	return err
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -197,6 +197,16 @@
 
 // FromConnect returns the Error carried in a connect error's detail, and whether there was one.
 func FromConnect(err error) (*Error, bool) {
+	o, ok := Detail(err)
+	if !ok {
+		return nil, false
+	}
+	return FromProto(o), true
+}
+
+// Detail returns the Outcome carried in a connect error's detail, and whether there was one. It has
+// the request id, which an Error has not.
+func Detail(err error) (*pb.Outcome, bool) {
 	var ce *connect.Error
 	if !errors.As(err, &ce) {
 		return nil, false
@@ -207,7 +217,7 @@
 			continue
 		}
 		if o, ok := v.(*pb.Outcome); ok {
-			return FromProto(o), true
+			return o, true
 		}
 	}
 	return nil, false
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,12 +78,30 @@
 	if err := dec.Decode(dst); err != nil {
 		return decodeError(file, err)
 	}
+	if err := check(dst); err != nil {
+		err.File, err.Line = file, LineOf(data, err.Key)
+		return err
+	}
+	return nil
+}
+
+// CheckValues checks values that don't come from a text alone; file only names them in errors.
+func CheckValues(file string, v Checked) error {
+	if err := check(v); err != nil {
+		err.File = file
+		return err
+	}
+	return nil
+}
+
+// check returns the first refused value, without file and line.
+func check(v Checked) *Error {
 	var c Checker
-	dst.Check(&c)
+	v.Check(&c)
 	if c.key == "" {
 		return nil
 	}
-	return &Error{File: file, Line: LineOf(data, c.key), Key: c.key, Reason: c.reason}
+	return &Error{Key: c.key, Reason: c.reason}
 }
 
 // decodeError finds line and key in the errors of the TOML library.
