--- a/cmd/burdock-entry/daemon.go
+++ b/cmd/burdock-entry/daemon.go
@@ -13,11 +13,13 @@
 	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/entry"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/logging"
 	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/order"
 	"github.com/burdockplank/burdockplank/internal/process"
 	"github.com/burdockplank/burdockplank/internal/route"
 	"github.com/burdockplank/burdockplank/internal/rpc"
@@ -51,13 +53,18 @@
 	})
 }
 
-func newRouter(s *entry.Settings, c *http.Client, reg prometheus.Registerer) *route.Router {
+func newRouter(s *entry.Settings, c *http.Client, source feed.Source, reg prometheus.Registerer) *route.Router {
 	return route.New(reg, route.Options{
-		Dial: route.NewDial(c), Parse: ticket.Parse, Resolver: route.NoPeers{},
-		Clock: time.Now, Random: rand.IntN, ReplyMargin: s.Entry.ReplyMargin.D(),
+		Dial: route.NewDial(c), Parse: ticket.Parse,
+		Resolver: order.NewResolver(order.DefaultConfig(), source, order.NewHTTPPeers(c)),
+		Clock:    time.Now, Random: rand.IntN, ReplyMargin: s.Entry.ReplyMargin.D(),
 	})
 }
 
+func newAdmission(s *entry.Settings, reg prometheus.Registerer) *admission.Controller {
+	return admission.New(s.Admission, reg, time.Now, rand.Float64)
+}
+
 // daemon is the process with all its duties.
 type daemon struct {
 	settings *entry.Settings
@@ -67,6 +74,7 @@
 	pause    *process.PauseDetector
 	bundles  *bundle.Store
 	feed     *feed.Manager
+	admit    *admission.Controller
 	entry    *entry.Manager
 }
 
@@ -106,6 +114,7 @@
 	dumps := operator.NewDumps()
 	dumps.Add(process.InfoDuty, operator.DumpFunc(func() any { return d.info() }))
 	dumps.Add("bundle", d.bundles)
+	dumps.Add("admission", d.admit)
 	dumps.Add("entry", d.entry)
 	return dumps
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/admission"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/route"
@@ -150,10 +152,11 @@
 	client := rpc.NewClient("")
 	t.Cleanup(client.CloseIdleConnections)
 	router := route.New(w.reg, route.Options{
-		Dial: route.NewDial(client), Clock: time.Now, Random: func(int) int { return 0 }, Resolver: route.NoPeers{},
+		Dial: route.NewDial(client), Clock: time.Now, Random: func(int) int { return 0 },
 		Parse: func(text string) (*ticket.Ticket, error) { return &ticket.Ticket{VM: text, Incarnation: 7}, nil },
 	})
-	w.manager = NewManager(s, zap.NewNop(), w.reg, w.feed, w.feed, router)
+	w.manager = NewManager(s, zap.NewNop(), w.reg, w.feed, w.feed,
+		admission.New(s.Admission, w.reg, time.Now, rand.Float64), router)
 	w.url = "http://" + listen(t, w.manager.server)
 	return w
 }
