--- a/cmd/burdock-gather/daemon.go
+++ b/cmd/burdock-gather/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/gather"
@@ -69,15 +70,16 @@
 	return search.New(s.Search, source, pool, b, guard, search.NewMetrics(reg))
 }
 
-func newKeeper(s *gather.Settings, inc incarnation, source feed.Source, pool *upstream.Pool, b *gather.Balancers, c *http.Client, p *process.PauseDetector, log *zap.Logger, reg prometheus.Registerer) keeper {
-	m := order.New(order.Options{
+func newKeeper(s *gather.Settings, inc incarnation, source feed.Source, pool *upstream.Pool, guard *quarantine.Registry, b *gather.Balancers, c *http.Client, p *process.PauseDetector, log *zap.Logger, reg prometheus.Registerer) *order.Manager {
+	return order.New(order.Options{
 		Config: order.DefaultConfig(), VM: s.VM.ID, Incarnation: uint64(inc), Source: source,
-		Replicas: b.For, Leaves: pool, Peers: order.NewHTTPPeers(c), Pauses: p,
+		Replicas: b.For, Leaves: quarantine.NewOrderCaller(pool, guard), Peers: order.NewHTTPPeers(c), Pauses: p,
 		Registry: reg, Log: log, Now: time.Now, Random: rand.Float64,
 	})
-	return keeper{Manager: m}
 }
 
+func newPeerHandler(m *order.Manager) burdockv1connect.TicketPeerServiceHandler { return m.Handler() }
+
 // daemon is the process with all its duties.
 type daemon struct {
 	settings  *gather.Settings
@@ -90,7 +92,7 @@
 	pool      *upstream.Pool
 	balancers *gather.Balancers
 	guard     *quarantine.Registry
-	keeper    keeper
+	keeper    *order.Manager
 	gather    *gather.Manager
 }
 
@@ -138,6 +140,7 @@
 	dumps.Add("gather", d.gather)
 	dumps.Add("upstream", d.pool)
 	dumps.Add("quarantine", d.guard)
+	dumps.Add("order", d.keeper)
 	return dumps
 }
 
--- a/cmd/burdock-gather/wire.go
+++ b/cmd/burdock-gather/wire.go
@@ -10,19 +10,20 @@
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/gather"
 	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/order"
 	"github.com/burdockplank/burdockplank/internal/search"
 )
 
 // initialize builds the process from its settings; nothing runs yet.
 func initialize(s *gather.Settings) (*daemon, error) {
 	wire.Build(
-		newLog, newPause, newClient, newIncarnation, newFeed, newPool, newBalancers, newGuard, newEngine, newKeeper,
+		newLog, newPause, newClient, newIncarnation, newFeed, newPool, newBalancers, newGuard, newEngine, newKeeper, newPeerHandler,
 		operator.NewRegistry, bundle.NewFollowerStore, gather.NewManager,
 		wire.Bind(new(prometheus.Registerer), new(*prometheus.Registry)),
 		wire.Bind(new(feed.Source), new(*feed.Manager)),
 		wire.Bind(new(feed.Reporter), new(*feed.Manager)),
 		wire.Bind(new(gather.Searcher), new(*search.Engine)),
-		wire.Bind(new(gather.Keeper), new(keeper)),
+		wire.Bind(new(gather.Keeper), new(*order.Manager)),
 		wire.Struct(new(daemon), "*"),
 	)
 	return nil, nil
--- a/cmd/burdock-gather/wire_gen.go
+++ b/cmd/burdock-gather/wire_gen.go
@@ -29,9 +29,10 @@
 	pool := newPool(s, manager, manager, logger, registry)
 	balancers := newBalancers(pool)
 	quarantineRegistry := newGuard(s, manager, pool, registry)
-	mainKeeper := newKeeper(s, mainIncarnation, manager, pool, balancers, client, pauseDetector, logger, registry)
+	orderManager := newKeeper(s, mainIncarnation, manager, pool, quarantineRegistry, balancers, client, pauseDetector, logger, registry)
 	engine := newEngine(s, manager, pool, balancers, quarantineRegistry, registry)
-	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, mainKeeper)
+	ticketPeerServiceHandler := newPeerHandler(orderManager)
+	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, orderManager, ticketPeerServiceHandler)
 	mainDaemon := &daemon{
 		settings:  s,
 		log:       logger,
@@ -43,7 +44,7 @@
 		pool:      pool,
 		balancers: balancers,
 		guard:     quarantineRegistry,
-		keeper:    mainKeeper,
+		keeper:    orderManager,
 		gather:    gatherManager,
 	}
 	return mainDaemon, nil
--- a/internal/gather/manager.go
+++ b/internal/gather/manager.go
@@ -28,7 +28,6 @@
 // Keeper keeps the tickets and runs the orders; *order.Manager does.
 type Keeper interface {
 	Orders
-	burdockv1connect.TicketPeerServiceHandler
 	// Drain issues no more tickets, ends running orders and hands the records to other gathers.
 	Drain(ctx context.Context)
 }
@@ -47,20 +46,20 @@
 }
 
 // NewManager returns a manager that doesn't listen yet.
-func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter, searcher Searcher, keeper Keeper) *Manager {
+func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter, searcher Searcher, keeper Keeper, peers burdockv1connect.TicketPeerServiceHandler) *Manager {
 	m := &Manager{
 		settings: s, log: log, source: source, reporter: reporter, keeper: keeper,
 		door: NewDoor(source, s.Gather.BundleWait.D()),
 	}
-	m.server = rpc.NewServer(m.handler(NewService(m.door, searcher, keeper, NewMetrics(reg)), keeper))
+	m.server = rpc.NewServer(m.handler(NewService(m.door, searcher, keeper, NewMetrics(reg)), peers))
 	return m
 }
 
-func (m *Manager) handler(s *Service, keeper Keeper) http.Handler {
+func (m *Manager) handler(s *Service, peers burdockv1connect.TicketPeerServiceHandler) http.Handler {
 	mux := http.NewServeMux()
 	limit := connect.WithReadMaxBytes(maxMessageBytes)
 	mux.Handle(burdockv1connect.NewGatherServiceHandler(s, limit))
-	mux.Handle(burdockv1connect.NewTicketPeerServiceHandler(keeper, limit))
+	mux.Handle(burdockv1connect.NewTicketPeerServiceHandler(peers, limit))
 	n := negroni.New(negroni.NewRecovery())
 	n.UseHandler(mux)
 	return n
--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
 const (
@@ -10,6 +12,8 @@
 	unsureFor = time.Second
 	// abandonedFor is how long a request that was given up unanswered may still bring its leaf down.
 	abandonedFor = time.Second
+	// awayFor is how long a leaf without a usable connection may be just reconnecting.
+	awayFor = 150 * time.Millisecond
 	// maxAbandoned bounds what is remembered of one leaf.
 	maxAbandoned = 64
 )
@@ -19,8 +23,10 @@
 	// incarnation last seen, 0 before the first; connected as last seen.
 	incarnation uint64
 	connected   bool
-	// leaving as last seen.
+	// leaving as seen while it was last connected.
 	leaving bool
+	// awayAt is since when no connection has been usable, zero while one is or the loss is noted.
+	awayAt time.Time
 	// lostAt is when it was last lost without having said that it leaves.
 	lostAt time.Time
 	// lostIncarnation is the one that was lost.
@@ -52,7 +58,7 @@
 // lose notes that a leaf was lost. Requests that may still have run there become suspects.
 func (r *Registry) lose(id string, incarnation uint64, now time.Time) {
 	l := r.leaf(id)
-	l.lostAt, l.lostIncarnation = now, incarnation
+	l.lostAt, l.lostIncarnation, l.awayAt = now, incarnation, time.Time{}
 	left := l.abandoned
 	l.abandoned = nil
 	for _, a := range left {
@@ -85,6 +91,9 @@
 	now := r.clock()
 	r.sample(id, now)
 	l := r.leaf(id)
+	if !l.awayAt.IsZero() {
+		return true
+	}
 	return r.lostLately(l, now) && !r.explained(crashID{id, l.lostIncarnation}, digest)
 }
 
@@ -103,25 +112,44 @@
 	return false
 }
 
-// sample compares a leaf's state with the one seen before. One that went away or came back as
-// another incarnation, and had not said before that it leaves, was lost. What is said after the loss
-// doesn't count: a refused connection is taken for leaving, too.
+// sample compares a leaf's state with the one seen before and notes a loss. A leaf was lost where it
+// came back as another incarnation, or stays away, and had not said before that it leaves. What is
+// said after its connections broke doesn't count: a refused connection is taken for leaving, too.
 func (r *Registry) sample(id string, now time.Time) {
 	s, known := r.states(id)
 	if !known {
 		return
 	}
 	l := r.leaf(id)
+	if s.Connected {
+		r.present(id, l, s, now)
+		return
+	}
+	if l.connected && !l.leaving {
+		l.awayAt = now
+	}
+	l.connected = false
+	if !l.awayAt.IsZero() && (s.Leaving || now.Sub(l.awayAt) > awayFor) {
+		r.lose(id, l.incarnation, l.awayAt)
+	}
+}
+
+// present takes in the state of a leaf with a usable connection.
+func (r *Registry) present(id string, l *leaf, s upstream.State, now time.Time) {
 	replaced := l.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != l.incarnation
-	lost := l.connected && !l.leaving && (!s.Connected || replaced)
-	l.connected, l.leaving = s.Connected, s.Leaving
-	before := l.incarnation
+	if replaced && !l.leaving {
+		at := now
+		if !l.awayAt.IsZero() {
+			at = l.awayAt
+		}
+		if l.connected || !l.awayAt.IsZero() {
+			r.lose(id, l.incarnation, at)
+		}
+	}
 	if s.Incarnation != 0 {
 		l.incarnation = s.Incarnation
 	}
-	if lost {
-		r.lose(id, before, now)
-	}
+	l.connected, l.leaving, l.awayAt = true, s.Leaving, time.Time{}
 }
 
 // Enter asks to run an unproven request on the leaf; alone where solo is set. Leave must be called
@@ -180,7 +208,7 @@
 func (r *Registry) judge(u loss, now time.Time) verdict {
 	s, known := r.states(u.leaf)
 	switch {
-	case !known, !s.Connected:
+	case !known, !s.Connected && (s.Leaving || now.Sub(u.seen) > awayFor):
 		return verdictCrash
 	case u.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != u.incarnation:
 		return verdictCrash
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -198,7 +198,7 @@
 func (r *run) retry(i int, how step) {
 	s := &r.shards[i]
 	candidates := r.candidates(s, how == stepRetryAny)
-	if how != stepRetryFree && (len(candidates) == 0 || !r.q.replicas.AllowRetry(r.q.kind.RetryBudget)) {
+	if how == stepRetry && (len(candidates) == 0 || !r.q.replicas.AllowRetry(r.q.kind.RetryBudget)) {
 		r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		r.settle(i, s.reason, "")
 		return
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -34,9 +34,9 @@
 	stepPark
 	// stepRetry: ask another replica where the budget allows.
 	stepRetry
-	// stepRetryFree: ask another replica; nothing went to an upstream that could add load.
+	// stepRetryFree: ask another replica; the failed call was no load to an upstream.
 	stepRetryFree
-	// stepRetryAny: ask any replica, the same one too, where the budget allows.
+	// stepRetryAny: ask any replica, the same one too; the failed call was no load to an upstream.
 	stepRetryAny
 )
 
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -85,7 +85,8 @@
 	result balance.Result
 	// again is true where another replica may be asked.
 	again bool
-	// free is true where asking another replica costs upstreams nothing, so no budget is needed.
+	// free is true where the call has cost no upstream anything, as far as can be known: it was not
+	// sent, or went into a silent connection. Asking again needs no budget then.
 	free bool
 	// survived is true where the leaf has surely run the request and lived on.
 	survived bool
@@ -94,7 +95,7 @@
 var failures = map[failure]failureFacts{
 	failNotSent:   {name: "not_sent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true, free: true},
 	failLost:      {name: "lost", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true},
-	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultCancelled, again: true},
+	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultCancelled, again: true, free: true},
 	failShed:      {name: "shed", reason: pb.Reason_REASON_OVERLOAD, result: balance.ResultShed, again: true},
 	failDraining:  {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultCancelled, again: true},
 	failSnapshot:  {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultCancelled, again: true},
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -34,7 +34,9 @@
 type firstStep struct {
 	leaf  string
 	shard int
-	used  bool
+	// used is true once it was asked; silent where its connection went silent then, after which it
+	// is asked once more.
+	used, silent bool
 }
 
 func newTrial(r *run, solo bool) *trial {
@@ -186,6 +188,9 @@
 func (t *trial) failed(ev event) {
 	t.active--
 	t.last, t.peer = ev.failure, ev.leaf
+	if ev.failure == failSilent {
+		t.again(ev.leaf)
+	}
 	if ev.failure == failLost {
 		t.solo = true
 		if standing, after := t.r.e.guard.Standing(t.r.key); standing == quarantine.Quarantined {
@@ -197,6 +202,15 @@
 	t.advance()
 }
 
+// again lets a leaf whose connection went silent be asked once more.
+func (t *trial) again(leaf string) {
+	for i := range t.steps {
+		if s := &t.steps[i]; s.leaf == leaf && !s.silent {
+			s.used, s.silent = false, true
+		}
+	}
+}
+
 // fail ends the run where no leaf is left to be asked first.
 func (t *trial) fail(blocked bool) {
 	reason := pb.Reason_REASON_NO_UPSTREAM
