--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -208,7 +208,7 @@
 func (r *Registry) judge(u loss, now time.Time) verdict {
 	s, known := r.states(u.leaf)
 	switch {
-	case !known, !s.Connected && (s.Leaving || now.Sub(u.seen) > awayFor):
+	case known && !s.Connected && (s.Leaving || now.Sub(u.seen) > awayFor):
 		return verdictCrash
 	case u.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != u.incarnation:
 		return verdictCrash
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,246 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// bench is a registry with a clock and leaves set by hand.
+type bench struct {
+	*Registry
+	now    time.Time
+	leaves map[string]upstream.State
+	told   []*pb.Crash
+}
+
+func (b *bench) ReportDeparture(*pb.Departure) {}
+func (b *bench) SetState(pb.ProcessState)      {}
+func (b *bench) ReportCrash(c *pb.Crash)       { b.told = append(b.told, c) }
+
+// newBench has leaves a, b and c of incarnation 1, seen up.
+func newBench(change func(*Settings)) *bench {
+	b := &bench{now: time.Unix(1000, 0), leaves: make(map[string]upstream.State)}
+	s := DefaultSettings()
+	if change != nil {
+		change(&s)
+	}
+	states := func(l string) (upstream.State, bool) { st, ok := b.leaves[l]; return st, ok }
+	b.Registry = New(s, b, states, func() time.Time { return b.now }, NewMetrics(prometheus.NewRegistry()))
+	for _, l := range []string{"a", "b", "c"} {
+		b.leaves[l] = upstream.State{Leaf: l, Incarnation: 1, Connected: true}
+		b.Held(l, 0)
+	}
+	return b
+}
+
+func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
+
+// crash makes a leaf refuse connections, as a pool sees it soon after a crash.
+func (b *bench) crash(leaf string) {
+	b.leaves[leaf] = upstream.State{Leaf: leaf, Incarnation: 1, Leaving: true}
+}
+
+func (b *bench) heard(digest uint64, leaf string, incarnation uint64) {
+	c := &pb.Crash{RequestDigest: digest, Leaf: leaf, Incarnation: incarnation}
+	b.Take(&feed.View{Crashes: []*pb.Crash{c}, Received: b.now})
+}
+
+func (b *bench) stands(k Key) Standing { s, _ := b.Standing(k); return s }
+
+var bad = SearchKey("teachers", "dawn", "bad", 1, 10)
+
+func TestStandingByEvidence(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	is.Equal(b.stands(bad), FirstRun)
+	b.crash("a")
+	b.LostUnproven(bad.Digest, "a", 1, true)
+	is.Equal(b.stands(bad), Suspect)
+	b.heard(bad.Digest, "a", 1) // the same crash, seen by another VM
+	is.Equal(b.stands(bad), Suspect)
+	b.pass(time.Second)
+	b.Prove(bad) // its solo run was answered
+	is.Equal(b.stands(bad), Proven)
+	b.pass(time.Second)
+	b.heard(bad.Digest, "a", 2)
+	is.Equal(b.stands(bad), Quarantined) // evidence outranks the proof
+	is.Equal(b.stands(SearchKey("teachers", "dawn", "bad", 2, 50)), Quarantined)
+	is.Equal(b.stands(SearchKey("teachers", "dawn", "good", 1, 10)), FirstRun)
+}
+
+func TestEvidenceAgesOutUnlessTheRequestKeepsComing(t *testing.T) {
+	is := is.New(t)
+	age := DefaultSettings().Age.D()
+	b := newBench(nil)
+	b.heard(bad.Digest, "a", 1)
+	b.heard(bad.Digest, "b", 1)
+	for range 8 { // for two ages
+		b.pass(age / 4)
+		is.Equal(b.stands(bad), Quarantined)
+	}
+	is.Equal(len(b.told), 2*8) // both crashes, each quarter, so that other VMs keep them as well
+	b.pass(age + time.Second)
+	b.Look()
+	is.Equal(b.stands(bad), FirstRun)
+}
+
+// TestLostConnections tells crashes from connections that broke for another cause.
+func TestLostConnections(t *testing.T) {
+	tests := map[string]struct {
+		after upstream.State
+		// soon and later say whether the evidence was told at once, and after two seconds.
+		soon, later bool
+	}{
+		"refuses connections":    {after: upstream.State{Incarnation: 1, Leaving: true}, soon: true, later: true},
+		"is another incarnation": {after: upstream.State{Incarnation: 2, Connected: true}, soon: true, later: true},
+		"stays away":             {after: upstream.State{Incarnation: 1}, later: true},
+		"lives on":               {after: upstream.State{Incarnation: 1, Connected: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(nil)
+			b.leaves["a"] = tt.after
+			b.LostUnproven(bad.Digest, "a", 1, false)
+			is.Equal(b.stands(bad), Suspect) // the next run is careful in any case
+			is.Equal(len(b.told) > 0, tt.soon)
+			b.pass(2 * time.Second)
+			b.Look()
+			is.Equal(len(b.told) > 0, tt.later)
+			is.Equal(b.stands(bad) == Suspect, tt.later)
+		})
+	}
+}
+
+func TestHeldLeaves(t *testing.T) {
+	const other = 99
+	hold := DefaultSettings().Hold.D()
+	up := upstream.State{Incarnation: 1, Connected: true}
+	tests := map[string]struct {
+		do   func(b *bench)
+		held bool
+	}{
+		"up":              {do: func(*bench) {}},
+		"lost":            {do: func(b *bench) { b.crash("a") }, held: true},
+		"back as another": {do: func(b *bench) { b.leaves["a"] = upstream.State{Incarnation: 2, Connected: true} }, held: true},
+		"reconnecting":    {do: func(b *bench) { b.leaves["a"] = upstream.State{Incarnation: 1} }, held: true},
+		"reconnected":     {do: func(b *bench) { b.leaves["a"] = upstream.State{Incarnation: 1}; b.Look(); b.leaves["a"] = up }},
+		"left in order": {do: func(b *bench) {
+			b.leaves["a"] = upstream.State{Incarnation: 1, Connected: true, Leaving: true}
+			b.Look()
+			b.crash("a")
+		}},
+		"lost long ago":            {do: func(b *bench) { b.crash("a"); b.Look(); b.pass(hold) }},
+		"another request explains": {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(other, "a", 1); b.heard(other, "b", 1) }},
+		"its own doesn't":          {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(bad.Digest, "a", 1); b.heard(bad.Digest, "b", 1) }, held: true},
+		"one crash doesn't":        {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(other, "a", 1) }, held: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(nil)
+			tt.do(b)
+			is.Equal(b.Held("a", bad.Digest), tt.held)
+		})
+	}
+}
+
+func TestRequestGivenUpBeforeTheCrashIsASuspect(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	b.Abandoned(bad.Digest, "a", 1)
+	b.pass(abandonedFor / 2)
+	b.crash("a")
+	b.Look()
+	is.Equal(b.stands(bad), Suspect)
+	is.Equal(len(b.told), 1)
+	b.Abandoned(bad.Digest, "b", 1)
+	b.pass(abandonedFor * 2) // too long ago to be the cause
+	b.crash("b")
+	b.Look()
+	is.Equal(b.stands(bad), Suspect)
+}
+
+func TestProvenRequests(t *testing.T) {
+	is := is.New(t)
+	b := newBench(func(s *Settings) { s.Remembered = 2 })
+	key := func(text string) Key { return SearchKey("s", "k", text, 1, 10) }
+	for _, text := range []string{"one", "two", "one", "three"} {
+		b.Prove(key(text))
+	}
+	is.Equal(b.stands(key("one")), Proven)
+	is.Equal(b.stands(key("two")), FirstRun)                        // the longest unused is forgotten
+	is.Equal(b.stands(SearchKey("s", "k", "one", 2, 10)), FirstRun) // another snapshot
+	b.LostProven(key("one"))                                        // in flight when a leaf was lost
+	is.Equal(b.stands(key("one")), FirstRun)                        // no suspect, but tried on one leaf again
+	is.Equal(newBench(func(s *Settings) { s.FirstRun = ModeNever }).stands(bad), Unproven)
+	e := newBench(func(s *Settings) { s.FirstRun = ModeEvidence })
+	is.Equal(e.stands(bad), Unproven)
+	e.heard(99, "a", 1)
+	is.Equal(e.stands(bad), FirstRun)
+}
+
+func TestSuspectRunsBesideNoOtherUnprovenRequest(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	is.True(b.Enter("a", false))
+	is.True(b.Enter("a", false))
+	is.True(!b.Enter("a", true))
+	is.True(!b.Leave("a"))
+	is.True(b.Leave("a")) // it was the only one
+	is.True(b.Enter("a", true))
+	is.True(!b.Enter("a", false))
+	is.True(b.Enter("b", false))
+}
+
+// executor is an upstream.Caller whose leaves end each order in the same way.
+type executor struct {
+	upstream.Caller
+	err  error
+	sent int
+}
+
+func (e *executor) Execute(context.Context, string, *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
+	e.sent++
+	return &pb.LeafExecuteResponse{}, e.err
+}
+
+func TestOrdersThatCrashLeavesAreRefusedUnsent(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	leaves := &executor{err: &upstream.CallError{Wrote: true, Incarnation: 1, ConnectionLost: true, Err: errors.New("reset")}}
+	c := NewOrderCaller(leaves, b.Registry)
+	send := func(leaf, payload string) error {
+		_, err := c.Execute(context.Background(), leaf, &pb.LeafExecuteRequest{Service: "teachers", Kind: "book", Key: "k", Payload: payload})
+		return err
+	}
+	b.crash("a")
+	is.True(send("a", "bad") != nil) // the leaf was lost lately
+	is.Equal(leaves.sent, 0)
+	b.leaves["b"] = upstream.State{Incarnation: 1, Connected: true}
+	is.True(send("b", "bad") != nil)
+	b.crash("b")
+	is.True(send("c", "bad") != nil)
+	b.crash("c")
+	is.Equal(leaves.sent, 2)
+	b.pass(time.Minute)
+	err := send("c", "bad")
+	e, ok := outcome.As(err)
+	is.True(ok)
+	is.Equal(e.Reason, pb.Reason_REASON_QUARANTINED)
+	var ce *upstream.CallError
+	is.True(errors.As(err, &ce) && ce.NotStarted())
+	is.Equal(leaves.sent, 2)
+	leaves.err = nil
+	is.NoErr(send("c", "good"))
+}
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -122,7 +122,10 @@
 
 func (r *run) takeAnswer(ev event) {
 	if s := &r.shards[ev.shard]; s.answer == nil {
-		s.answer, s.settled, s.parked, s.placing = ev.answer, true, false, false
+		s.answer = ev.answer
+		r.close(s)
+		r.covered++
+		r.documents += s.documents
 		s.cancel() // the loser of a hedge
 		r.lastAnswer = time.Now()
 	}
--- a/internal/search/coverage.go
+++ b/internal/search/coverage.go
@@ -31,13 +31,18 @@
 	return c
 }
 
-// share is the covered share of the documents, 0 to 1; of the shards where no document is listed.
+// share is the covered share of the answer.
 func share(c *pb.Coverage) float64 {
-	if c.GetDocumentsTotal() > 0 {
-		return float64(c.GetDocumentsCovered()) / float64(c.GetDocumentsTotal())
-	}
-	if c.GetShardsTotal() > 0 {
-		return float64(c.GetShardsCovered()) / float64(c.GetShardsTotal())
+	return shareOf(c.GetDocumentsCovered(), c.GetDocumentsTotal(), int(c.GetShardsCovered()), int(c.GetShardsTotal()))
+}
+
+// shareOf is the covered share of the documents, 0 to 1; of the shards where no document is listed.
+func shareOf(documents, allDocuments uint64, shards, allShards int) float64 {
+	switch {
+	case allDocuments > 0:
+		return float64(documents) / float64(allDocuments)
+	case allShards > 0:
+		return float64(shards) / float64(allShards)
 	}
 	return 0
 }
--- /dev/null
+++ b/internal/search/place.go
@@ -0,0 +1,121 @@
+package search
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// shard is how one shard of a run stands.
+type shard struct {
+	target
+	asked  *pb.LeafSearchRequest
+	answer *pb.LeafSearchResponse
+	// settled is true once no further call will be made for it.
+	settled bool
+	reason  pb.Reason
+	peer    string
+	// parked is true where it is to be asked again once a leaf has answered the request.
+	parked bool
+	// placing is true while it waits for a slot.
+	placing             bool
+	active, tries, shed int
+	hedged              bool
+	tried               []string
+	hedgeAt             time.Time
+	// ctx is of the shard's calls, set at the first.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// start places the first call of a shard, or waits for a slot.
+func (r *run) start(i int) {
+	s := &r.shards[i]
+	s.placing = false
+	candidates := r.candidates(s, false)
+	if len(candidates) == 0 {
+		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known())
+		return
+	}
+	if call, ok := r.q.replicas.Pick(candidates); ok {
+		r.launch(i, call, "")
+		return
+	}
+	if !r.wait(candidates) {
+		r.settle(i, pb.Reason_REASON_OVERLOAD, "")
+		return
+	}
+	s.placing = true
+}
+
+// candidates returns the replicas of the shard that may be asked now; those asked before too where
+// any is set.
+func (r *run) candidates(s *shard, any bool) []string {
+	list := make([]string, 0, len(s.replicas))
+	for _, l := range s.replicas {
+		if (any || !slices.Contains(s.tried, l)) && r.fleet.usable(l, r.plan.snapshot.Version) {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+// wait registers for a slot of the leaves; false where too many searches wait already.
+func (r *run) wait(leaves []string) bool {
+	if r.waiter == nil {
+		r.waiter = r.q.state.waiting.enter(r.e.settings.MaxWaiting)
+	}
+	if r.waiter == nil {
+		return false
+	}
+	r.q.state.waiting.register(r.waiter, leaves)
+	return true
+}
+
+// wake returns the channel that tells of free slots, nil while the run never waited.
+func (r *run) wake() <-chan string {
+	if r.waiter == nil {
+		return nil
+	}
+	return r.waiter.wake
+}
+
+// woken takes the slot of the leaf, or passes it on where nothing of the run waits for it.
+func (r *run) woken(leaf string) {
+	if !r.wants(leaf) {
+		r.q.state.waiting.freed(leaf)
+	}
+	r.place()
+}
+
+func (r *run) wants(leaf string) bool {
+	if r.trial != nil {
+		return true
+	}
+	for i := range r.shards {
+		if s := &r.shards[i]; s.placing && slices.Contains(s.replicas, leaf) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) stopWaiting() {
+	if r.waiter != nil {
+		r.q.state.waiting.leave(r.waiter)
+	}
+}
+
+// place tries again for all that waits for a slot.
+func (r *run) place() {
+	for i := range r.shards {
+		if r.shards[i].placing {
+			r.start(i)
+		}
+	}
+	if r.trial != nil {
+		r.trial.advance()
+	}
+}
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,8 +36,11 @@
 	over chan struct{}
 	// waiter is set from the first wait for a slot on.
 	waiter *waiter
-	// active calls in flight over all shards.
-	active int
+	// active calls in flight over all shards; open shards that aren't settled.
+	active, open int
+	// covered counts the shards merged, documents those in them.
+	covered   int
+	documents uint64
 	// losses counts connections lost with calls of this run.
 	losses int
 	// sent is true where a byte of the request may have reached a leaf.
@@ -53,28 +55,6 @@
 	lastAnswer time.Time
 }
 
-// shard is how one shard of a run stands.
-type shard struct {
-	target
-	asked  *pb.LeafSearchRequest
-	answer *pb.LeafSearchResponse
-	// settled is true once no further call will be made for it.
-	settled bool
-	reason  pb.Reason
-	peer    string
-	// parked is true where it is to be asked again once a leaf has answered the request.
-	parked bool
-	// placing is true while it waits for a slot.
-	placing             bool
-	active, tries, shed int
-	hedged              bool
-	tried               []string
-	hedgeAt             time.Time
-	// ctx is of the shard's calls, set at the first.
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
 func newRun(ctx context.Context, e *Engine, q *question, p *plan, reruns int) *run {
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{
@@ -83,6 +63,7 @@
 		shards: make([]shard, len(p.shards)),
 		events: make(chan event), over: make(chan struct{}),
 	}
+	r.open = len(p.shards)
 	for i := range p.shards {
 		r.shards[i] = shard{target: p.shards[i], asked: r.ask(p.shards[i].id)}
 	}
@@ -187,124 +168,41 @@
 	r.startAll()
 }
 
-// start places the first call of a shard, or waits for a slot.
-func (r *run) start(i int) {
-	s := &r.shards[i]
-	s.placing = false
-	candidates := r.candidates(s, false)
-	if len(candidates) == 0 {
-		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known())
-		return
-	}
-	if call, ok := r.q.replicas.Pick(candidates); ok {
-		r.launch(i, call, "")
-		return
-	}
-	if !r.wait(candidates) {
-		r.settle(i, pb.Reason_REASON_OVERLOAD, "")
-		return
-	}
-	s.placing = true
-}
-
-// candidates returns the replicas of the shard that may be asked now; those asked before too where
-// any is set.
-func (r *run) candidates(s *shard, any bool) []string {
-	list := make([]string, 0, len(s.replicas))
-	for _, l := range s.replicas {
-		if (any || !slices.Contains(s.tried, l)) && r.fleet.usable(l, r.plan.snapshot.Version) {
-			list = append(list, l)
-		}
-	}
-	return list
-}
-
-// wait registers for a slot of the leaves; false where too many searches wait already.
-func (r *run) wait(leaves []string) bool {
-	if r.waiter == nil {
-		r.waiter = r.q.state.waiting.enter(r.e.settings.MaxWaiting)
-	}
-	if r.waiter == nil {
-		return false
-	}
-	r.q.state.waiting.register(r.waiter, leaves)
-	return true
-}
-
-// wake returns the channel that tells of free slots, nil while the run never waited.
-func (r *run) wake() <-chan string {
-	if r.waiter == nil {
-		return nil
-	}
-	return r.waiter.wake
-}
-
-// woken takes the slot of the leaf, or passes it on where nothing of the run waits for it.
-func (r *run) woken(leaf string) {
-	if !r.wants(leaf) {
-		r.q.state.waiting.freed(leaf)
-	}
-	r.place()
-}
-
-func (r *run) wants(leaf string) bool {
-	if r.trial != nil {
-		return true
-	}
-	for i := range r.shards {
-		if s := &r.shards[i]; s.placing && slices.Contains(s.replicas, leaf) {
-			return true
-		}
-	}
-	return false
-}
-
-func (r *run) stopWaiting() {
-	if r.waiter != nil {
-		r.q.state.waiting.leave(r.waiter)
-	}
-}
-
-// place tries again for all that waits for a slot.
-func (r *run) place() {
-	for i := range r.shards {
-		if r.shards[i].placing {
-			r.start(i)
-		}
-	}
-	if r.trial != nil {
-		r.trial.advance()
-	}
-}
-
 // settle ends a shard without an answer.
 func (r *run) settle(i int, reason pb.Reason, peer string) {
 	s := &r.shards[i]
-	s.settled, s.placing, s.parked, s.reason = true, false, false, reason
+	s.reason = reason
+	r.close(s)
 	if peer != "" {
 		s.peer = peer
 	}
 }
 
+// close marks a shard as settled.
+func (r *run) close(s *shard) {
+	if !s.settled {
+		r.open--
+	}
+	s.settled, s.placing, s.parked = true, false, false
+}
+
 // ended tells whether nothing more is to be waited for.
 func (r *run) ended() bool {
 	if r.refused != nil || r.again != nil {
 		return true
 	}
-	open := false
-	for i := range r.shards {
-		open = open || !r.shards[i].settled
-	}
-	if !open {
-		return true
-	}
-	if r.stuck() {
+	if r.open == 0 || r.stuck() {
 		return true
 	}
-	r.early = r.policy().early(time.Since(r.started), share(coverageOf(r.ends())))
+	r.early = r.policy().early(time.Since(r.started), r.share())
 	return r.early
 }
 
+// share is the covered share so far.
+func (r *run) share() float64 {
+	return shareOf(r.documents, r.plan.documents, r.covered, len(r.shards))
+}
+
 // stuck tells whether only parked shards are left, which no answer can free any more.
 func (r *run) stuck() bool {
 	if r.active > 0 || r.trial != nil {
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -135,6 +135,9 @@
 	if t.active > 0 && (t.solo || now.Before(t.hedgeAt)) {
 		return
 	}
+	if !t.allowed() {
+		return
+	}
 	blocked := false
 	for i := range t.steps {
 		s := &t.steps[i]
@@ -152,6 +155,24 @@
 	}
 }
 
+// allowed looks at how the request stands by now: what other searches with the same text met may
+// have proven it, made it a suspect or put it in quarantine since.
+func (t *trial) allowed() bool {
+	switch standing, after := t.r.e.guard.Standing(t.r.key); standing {
+	case quarantine.Quarantined:
+		t.r.refused = outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").
+			At(t.peer).After(after)
+		return false
+	case quarantine.Proven:
+		t.r.release()
+		return false
+	case quarantine.Suspect:
+		t.solo = true
+		return t.active == 0
+	}
+	return true
+}
+
 // affordable tells whether asking the step costs no extra call, or the hedge budget has one: beside
 // a call in flight a step of another shard is a call that the query needs anyway.
 func (t *trial) affordable(s *firstStep) bool {
@@ -193,11 +214,6 @@
 	}
 	if ev.failure == failLost {
 		t.solo = true
-		if standing, after := t.r.e.guard.Standing(t.r.key); standing == quarantine.Quarantined {
-			t.r.refused = outcome.Failed(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").
-				At(ev.leaf).After(after)
-			return
-		}
 	}
 	t.advance()
 }
