--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Targets for developers and CI. Everything builds from a fresh clone with Go, a C compiler and make.
+
+GO ?= go
+BIN := bin
+TOOLS := .bin
+
+.PHONY: all build test lint fmt generate demo bench capacity clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# test runs every test but the ones that KNOWN-RED.txt names, and prints those.
+test:
+	bash scripts/test.sh
+
+lint: $(TOOLS)/staticcheck
+	bash scripts/lint.sh $(TOOLS)/staticcheck
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+# The generators and the linter are pinned in the module tools/, apart from the product's own.
+$(TOOLS)/%: tools/go.mod tools/go.sum
+	mkdir -p $(TOOLS)
+	$(GO) -C tools build -o ../$(TOOLS)/$* $$(cd tools && $(GO) list -f '{{.ImportPath}}' tool | grep '/$*$$')
+
+generate: $(TOOLS)/buf $(TOOLS)/protoc-gen-go $(TOOLS)/protoc-gen-connect-go $(TOOLS)/wire
+	cd api && PATH="$(CURDIR)/$(TOOLS):$$PATH" buf lint && PATH="$(CURDIR)/$(TOOLS):$$PATH" buf generate
+	$(TOOLS)/wire ./cmd/...
+
+demo: build
+	bash scripts/demo.sh
+
+bench: build
+	bash scripts/bench.sh
+
+capacity: build
+	bash scripts/capacity.sh
+
+clean:
+	rm -rf $(BIN) $(TOOLS)
--- /dev/null
+++ b/internal/outcome/outcome_test.go
@@ -0,0 +1,49 @@
+package outcome
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+func TestErrorSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	e := NotRun(pb.Reason_REASON_QUEUE_FULL, "entry.admission", "%d waiting", 7).At("vm-1").After(1500 * time.Millisecond)
+	ce := ToConnect(e, "req-1")
+	is.Equal(ce.Code(), connect.CodeResourceExhausted)
+	is.Equal(ce.Meta().Get(HeaderRetryAfter), "2")
+	is.Equal(ce.Meta().Get(HeaderRetryAfterMillis), "1500")
+	back, ok := FromConnect(fmt.Errorf("call: %w", ce))
+	is.True(ok)
+	is.Equal(*back, *e)
+}
+
+func TestClassify(t *testing.T) {
+	cases := []struct {
+		err  error
+		want pb.Reason
+	}{
+		{context.DeadlineExceeded, pb.Reason_REASON_DEADLINE},
+		{fmt.Errorf("read: %w", context.Canceled), pb.Reason_REASON_CANCELLED},
+		{errors.New("boom"), pb.Reason_REASON_INTERNAL},
+		{fmt.Errorf("step: %w", NotRun(pb.Reason_REASON_NO_TICKET, "order.ticket", "")), pb.Reason_REASON_NO_TICKET},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		is.Equal(Classify(c.err, pb.OutcomeKind_OUTCOME_KIND_FAILED, "gather.search").Reason, c.want)
+	}
+}
+
+func TestEveryReasonHasACode(t *testing.T) {
+	for v := range pb.Reason_name {
+		is := is.New(t)
+		is.True(NotRun(pb.Reason(v), "s", "").Code() != connect.CodeUnknown) // unknown is for orders that may have run
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -51,6 +51,11 @@
 func (r *Runner) Run(ctx context.Context) error {
 	sig, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	return r.run(sig)
+}
+
+// run is Run without the signals: the end of ctx starts the drain.
+func (r *Runner) run(ctx context.Context) error {
 	failed := make(chan error, len(r.Duties))
 	cancels := make([]context.CancelFunc, len(r.Duties))
 	dones := make([]chan struct{}, len(r.Duties))
@@ -60,7 +65,7 @@
 		go r.runDuty(dctx, d, failed, dones[i])
 	}
 	r.Log.Info("started")
-	err := r.wait(sig, failed)
+	err := r.wait(ctx, failed)
 	for i := len(r.Duties) - 1; i >= 0; i-- {
 		cancels[i]()
 		<-dones[i]
