Add an open-loop load program

The decisions under load can only be judged by latencies that count from when a request was due, not from when a stalled program got round to it.

burdock-load draws Poisson arrivals by phase and kind from a seed before it sends, sends each at its time whatever is in flight, and records answers in HDR histograms from the intended start. Callers can resend at once, by Retry-After, or not. Refusals are timed from each send. Leaf calls are set against those needed, and processor time is read from the processes.

A closed loop with a fixed number of callers was ruled out, as it slows down with the server.

A test with a sender that stalls for two of ten seconds shows the stall in the p99; the program hasn't yet run against entries.

--- /dev/null
+++ b/cmd/burdock-load/main.go
@@ -0,0 +1,88 @@
+// Command burdock-load sends an open loop of searches and orders to entries on loopback and prints
+// what it measured. Exit codes: 0 measured, 1 runtime failure, 2 settings or usage refused.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/burdockplank/burdockplank/internal/load"
+	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/burdockplank/burdockplank/internal/version"
+)
+
+// exitFailure is the exit code of a run that failed.
+const exitFailure = 1
+
+type commandLine struct {
+	Settings string           `help:"TOML settings of the run." type:"existingfile" required:"" placeholder:"FILE"`
+	Check    bool             `help:"Check the settings, print ok and end."`
+	Out      string           `help:"Write the result as JSON to this file." placeholder:"FILE"`
+	Version  kong.VersionFlag `help:"Print the version and end."`
+}
+
+func main() {
+	var c commandLine
+	parser := kong.Must(&c, kong.Name("burdock-load"), kong.Vars{"version": version.Version},
+		kong.Description("Open-loop load against entries on loopback."))
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "burdock-load:", err)
+		os.Exit(settings.ExitCode)
+	}
+	if err := run(c); err != nil {
+		fmt.Fprintln(os.Stderr, "burdock-load:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+// exitCode tells refused settings from failures at run time.
+func exitCode(err error) int {
+	var refused *settings.Error
+	if errors.As(err, &refused) {
+		return settings.ExitCode
+	}
+	return exitFailure
+}
+
+func run(c commandLine) error {
+	s := load.DefaultSettings()
+	if err := settings.Load(c.Settings, &s); err != nil {
+		return err
+	}
+	if c.Check {
+		fmt.Println("ok")
+		return nil
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	runner, err := newRunner(&s)
+	if err != nil {
+		return err
+	}
+	result, err := runner.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := result.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	return writeJSON(c.Out, result)
+}
+
+func writeJSON(file string, result *load.Result) error {
+	if file == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(data, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/load/counters.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// counterTimeout bounds the read of one counter.
+	counterTimeout = 10 * time.Second
+	cpuMetric      = "process_cpu_seconds_total"
+)
+
+// Counts is what leaves and processes have counted since their start.
+type Counts struct {
+	// Searches and Executions are started at all leaves.
+	Searches, Executions uint64
+	// CPUSeconds is the processor time by process name.
+	CPUSeconds map[string]float64
+}
+
+// sub returns what was counted since earlier.
+func (c Counts) sub(earlier Counts) Counts {
+	d := Counts{
+		Searches:   c.Searches - earlier.Searches,
+		Executions: c.Executions - earlier.Executions,
+		CPUSeconds: make(map[string]float64),
+	}
+	for name, s := range c.CPUSeconds {
+		d.CPUSeconds[name] = s - earlier.CPUSeconds[name]
+	}
+	return d
+}
+
+// Counters reads the counts of leaves and processes.
+type Counters interface {
+	Read(ctx context.Context) (Counts, error)
+}
+
+// HTTPCounters reads leaf stand-ins' logs and processes' metrics.
+type HTTPCounters struct {
+	leaves    []LeafSettings
+	processes []ProcessSettings
+	client    *http.Client
+}
+
+// NewHTTPCounters returns counters for the leaves and processes of checked settings.
+func NewHTTPCounters(s *Settings) *HTTPCounters {
+	return &HTTPCounters{leaves: s.Leaves, processes: s.Processes, client: &http.Client{Timeout: counterTimeout}}
+}
+
+// Read implements Counters.
+func (h *HTTPCounters) Read(ctx context.Context) (Counts, error) {
+	c := Counts{CPUSeconds: make(map[string]float64)}
+	for _, l := range h.leaves {
+		searches, executions, err := h.leaf(ctx, l)
+		if err != nil {
+			return Counts{}, eris.Wrapf(err, "load: counts of leaf %s", l.ID)
+		}
+		c.Searches += searches
+		c.Executions += executions
+	}
+	for _, p := range h.processes {
+		s, err := h.cpuSeconds(ctx, p)
+		if err != nil {
+			return Counts{}, eris.Wrapf(err, "load: CPU time of %s", p.Name)
+		}
+		c.CPUSeconds[p.Name] = s
+	}
+	return c, nil
+}
+
+func (h *HTTPCounters) get(ctx context.Context, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "request")
+	}
+	res, err := h.client.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "get")
+	}
+	if res.StatusCode != http.StatusOK {
+		_ = res.Body.Close()
+		return nil, eris.Errorf("get %s: %s", url, res.Status)
+	}
+	return res, nil
+}
+
+func (h *HTTPCounters) leaf(ctx context.Context, l LeafSettings) (searches, executions uint64, err error) {
+	res, err := h.get(ctx, "http://"+l.Control+"/log")
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	var log struct {
+		Counts struct {
+			Searches   uint64 `json:"searches"`
+			Executions uint64 `json:"executions"`
+		} `json:"counts"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&log); err != nil {
+		return 0, 0, eris.Wrap(err, "decode")
+	}
+	return log.Counts.Searches, log.Counts.Executions, nil
+}
+
+func (h *HTTPCounters) cpuSeconds(ctx context.Context, p ProcessSettings) (float64, error) {
+	res, err := h.get(ctx, "http://"+p.Operator+"/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), cpuMetric+" "); ok {
+			seconds, err := strconv.ParseFloat(value, 64)
+			return seconds, eris.Wrap(err, "parse")
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return 0, eris.Wrap(err, "read")
+	}
+	return 0, eris.Errorf("no %s", cpuMetric)
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+// Histograms hold microseconds from 1 µs to 2 minutes with three significant digits.
+const (
+	histogramLow     = 1
+	histogramHigh    = int64(2 * time.Minute / time.Microsecond)
+	histogramDigits  = 3
+	histogramDivisor = time.Microsecond
+)
+
+// tally is what was recorded for one kind in one phase.
+type tally struct {
+	// answered counts from the intended start to the final answer, refused from each send to its
+	// refusal, lost from the intended start to a failed or unknown end.
+	answered, refused, lost *hdrhistogram.Histogram
+	outcomes                map[string]uint64
+	requests, sends, whole  uint64
+	coverage                float64
+	shards                  uint64
+	replayed, untyped       uint64
+	mismatches, dropped     uint64
+}
+
+func newTally() *tally {
+	return &tally{
+		answered: newHistogram(), refused: newHistogram(), lost: newHistogram(),
+		outcomes: make(map[string]uint64),
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
+}
+
+// Recorder counts replies by phase and kind. It is safe for concurrent use.
+type Recorder struct {
+	mu sync.Mutex
+	// tallies, by phase and mix, are guarded by mu.
+	tallies [][]*tally
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder(phases, mix int) *Recorder {
+	r := &Recorder{tallies: make([][]*tally, phases)}
+	for p := range r.tallies {
+		for range mix {
+			r.tallies[p] = append(r.tallies[p], newTally())
+		}
+	}
+	return r
+}
+
+// Sent notes one send, a resend included; refusals are timed from here.
+func (r *Recorder) Sent(a Arrival, reply Reply, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tallies[a.Phase][a.Mix]
+	t.sends++
+	if reply.Untyped {
+		t.untyped++
+	}
+	if reply.Mismatch {
+		t.mismatches++
+	}
+	if reply.Replayed {
+		t.replayed++
+	}
+	if reply.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN {
+		record(t.refused, took)
+	}
+}
+
+// Ended notes the final reply to a request, took counted from its intended start.
+func (r *Recorder) Ended(a Arrival, reply Reply, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tallies[a.Phase][a.Mix]
+	t.requests++
+	t.outcomes[outcomeName(reply)]++
+	switch reply.Kind {
+	case pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE, pb.OutcomeKind_OUTCOME_KIND_ANSWERED_PARTIAL:
+		record(t.answered, took)
+		t.coverage += reply.Coverage
+		t.shards += uint64(reply.ShardsTotal)
+		if reply.Kind == pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE {
+			t.whole++
+		}
+	case pb.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+	default:
+		record(t.lost, took)
+	}
+}
+
+// Dropped notes an arrival that wasn't sent, for too much was in flight.
+func (r *Recorder) Dropped(a Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tallies[a.Phase][a.Mix].dropped++
+}
+
+// outcomeName is the outcome with its reason where it has one, such as "not_run/overload".
+func outcomeName(r Reply) string {
+	name := outcome.KindName(r.Kind)
+	if r.Reason != pb.Reason_REASON_UNSPECIFIED {
+		name += "/" + outcome.ReasonName(r.Reason)
+	}
+	return name
+}
+
+// record clamps to the histogram's range, so that nothing is lost at its ends.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	v := int64(d / histogramDivisor)
+	_ = h.RecordValue(min(max(v, histogramLow), histogramHigh))
+}
--- /dev/null
+++ b/internal/load/runner.go
@@ -0,0 +1,125 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// resendPause bounds how fast a caller that resends at once can spin on a dead entry.
+const resendPause = time.Millisecond
+
+// Runner sends the schedule of its settings and records what comes back.
+type Runner struct {
+	settings *Settings
+	sender   Sender
+	counters Counters
+	recorder *Recorder
+	inFlight atomic.Int64
+}
+
+// NewRunner returns a runner for checked settings.
+func NewRunner(s *Settings, sender Sender, counters Counters) *Runner {
+	return &Runner{settings: s, sender: sender, counters: counters}
+}
+
+// Run sends every arrival at its intended time, waits for what is in flight, and returns the
+// result. Where ctx ends first the result is of what was sent until then.
+func (r *Runner) Run(ctx context.Context) (*Result, error) {
+	r.recorder = NewRecorder(len(r.settings.Phases), len(r.settings.Mix))
+	before, err := r.counters.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	r.sendAll(ctx, start)
+	elapsed := time.Since(start)
+	after, err := r.counters.Read(context.WithoutCancel(ctx))
+	if err != nil {
+		return nil, err
+	}
+	return newResult(r.settings, r.recorder, after.sub(before), elapsed), nil
+}
+
+func (r *Runner) sendAll(ctx context.Context, start time.Time) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	schedule := NewSchedule(r.settings.phases(), r.settings.weights(), r.settings.Load.Seed)
+	for range r.settings.Load.MaxRequests {
+		a, ok := schedule.Next()
+		if !ok || !sleepUntil(ctx, start.Add(a.At)) {
+			return
+		}
+		if r.inFlight.Load() >= int64(r.settings.Load.MaxInFlight) {
+			r.recorder.Dropped(a)
+			continue
+		}
+		r.inFlight.Add(1)
+		wg.Go(func() {
+			defer r.inFlight.Add(-1)
+			r.request(ctx, a, start.Add(a.At))
+		})
+	}
+}
+
+// request sends one request until its reply is final.
+func (r *Runner) request(ctx context.Context, a Arrival, intended time.Time) {
+	req := &Request{Mix: &r.settings.Mix[a.Mix], Sequence: a.Sequence}
+	from := intended
+	for resends := 0; ; resends++ {
+		reply := r.sender.Send(ctx, rand.IntN(len(r.settings.Load.Entries)), req)
+		r.recorder.Sent(a, reply, time.Since(from))
+		pause, again := r.resendAfter(reply, resends)
+		if !again || !sleepUntil(ctx, time.Now().Add(pause)) {
+			r.recorder.Ended(a, reply, time.Since(intended))
+			return
+		}
+		from = time.Now()
+	}
+}
+
+// resendAfter says whether the caller sends again after the reply, and when.
+func (r *Runner) resendAfter(reply Reply, resends int) (time.Duration, bool) {
+	if reply.answered() || resends >= r.settings.Load.MaxResends {
+		return 0, false
+	}
+	switch r.settings.Load.Resend {
+	case ResendAtOnce:
+		return resendPause, !neverBetter(reply.Reason)
+	case ResendRetryAfter:
+		return reply.RetryAfter, reply.RetryAfter > 0
+	}
+	return 0, false
+}
+
+// neverBetter tells whether the same request can only end the same way.
+func neverBetter(reason pb.Reason) bool {
+	switch reason {
+	case pb.Reason_REASON_INVALID_REQUEST, pb.Reason_REASON_UNAUTHENTICATED, pb.Reason_REASON_UNKNOWN_SERVICE,
+		pb.Reason_REASON_TOO_LARGE, pb.Reason_REASON_DEADLINE_INVALID, pb.Reason_REASON_TICKET_INVALID,
+		pb.Reason_REASON_TICKET_EXPIRED, pb.Reason_REASON_TICKET_REUSED, pb.Reason_REASON_INCARNATION_GONE,
+		pb.Reason_REASON_SEALED:
+		return true
+	}
+	return false
+}
+
+// sleepUntil returns false where ctx ended first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/load/runner_test.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+const testSettings = `
+[load]
+entries = ["127.0.0.1:7400"]
+max_resends = 3
+[[phase]]
+name = "calm"
+rate = 100.0
+duration = "10s"
+[[mix]]
+service = "teachers"
+kind = "dawn"
+mode = "search"
+weight = 1.0
+token = "t"
+timeout = "1s"
+`
+
+func parsed(t *testing.T, text string) *Settings {
+	t.Helper()
+	s := DefaultSettings()
+	if err := settings.Parse("load.toml", []byte(text), &s); err != nil {
+		t.Fatal(err)
+	}
+	return &s
+}
+
+// sendFunc is a Sender.
+type sendFunc func(ctx context.Context, r *Request) Reply
+
+func (f sendFunc) Send(ctx context.Context, _ int, r *Request) Reply { return f(ctx, r) }
+
+// noCounters counts a fixed number of leaf calls between two reads.
+type noCounters struct{ reads uint64 }
+
+func (n *noCounters) Read(context.Context) (Counts, error) {
+	n.reads++
+	return Counts{Searches: n.reads * 1050}, nil
+}
+
+var whole = Reply{Kind: pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE, Coverage: 1, ShardsTotal: 1}
+
+// A server that stalls must not hide the delay of the requests that should have been sent in the
+// stall: they are sent on time and their latencies show it.
+func TestStallIsSeenByEveryRequestInIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		stall := sendFunc(func(context.Context, *Request) Reply {
+			if since := time.Since(start); since > 4*time.Second && since < 6*time.Second {
+				time.Sleep(6*time.Second - since)
+			}
+			return whole
+		})
+		r, err := NewRunner(parsed(t, testSettings), stall, &noCounters{}).Run(t.Context())
+		is.NoErr(err)
+		k := r.Kinds[0]
+		is.True(k.Requests > 900 && k.Requests < 1100)
+		is.Equal(k.Answered.P50, 0.001) // the lowest value of the histogram
+		is.True(k.Answered.P99 > 1800)  // a fifth of the run stalled, up to 2 s
+		is.Equal(k.WholeShare, 1.0)
+		is.Equal(r.Leaves.Searches, uint64(1050))
+		is.Equal(r.Leaves.Needed, k.Requests)
+	})
+}
+
+func TestResends(t *testing.T) {
+	refusal := Reply{Kind: pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, Reason: pb.Reason_REASON_OVERLOAD}
+	withRetry := refusal
+	withRetry.RetryAfter = 2 * time.Second
+	invalid := refusal
+	invalid.Reason = pb.Reason_REASON_INVALID_REQUEST
+	for name, tc := range map[string]struct {
+		resend   Resend
+		replies  []Reply
+		sends    int
+		answered bool
+		took     time.Duration
+	}{
+		"none takes the first":         {ResendNone, []Reply{withRetry}, 1, false, 0},
+		"at once until answered":       {ResendAtOnce, []Reply{refusal, refusal, whole}, 3, true, 2 * resendPause},
+		"at once is bounded":           {ResendAtOnce, []Reply{refusal, refusal, refusal, refusal, whole}, 4, false, 3 * resendPause},
+		"at once not where it's vain":  {ResendAtOnce, []Reply{invalid, whole}, 1, false, 0},
+		"waits as the answer said":     {ResendRetryAfter, []Reply{withRetry, whole}, 2, true, 2 * time.Second},
+		"final where it said no time":  {ResendRetryAfter, []Reply{refusal, whole}, 1, false, 0},
+		"answered is final in any way": {ResendAtOnce, []Reply{whole, refusal}, 1, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := parsed(t, testSettings)
+				s.Load.Resend, s.Load.MaxRequests = tc.resend, 1
+				sends := 0
+				sender := sendFunc(func(context.Context, *Request) Reply {
+					sends++
+					return tc.replies[sends-1]
+				})
+				r, err := NewRunner(s, sender, &noCounters{}).Run(t.Context())
+				is.NoErr(err)
+				k := r.Kinds[0]
+				is.Equal(sends, tc.sends)
+				is.Equal(k.Sends, uint64(tc.sends))
+				is.Equal(k.Requests, uint64(1))
+				is.Equal(k.Answered.Count == 1, tc.answered)
+				if tc.took > 0 && tc.answered {
+					is.True(k.Answered.Max >= tc.took.Seconds()*1000) // counted from the intended start
+				}
+			})
+		})
+	}
+}
+
+func TestInFlightIsBoundedAndDropsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := parsed(t, testSettings)
+		s.Load.MaxInFlight = 5
+		var mu sync.Mutex
+		inFlight, highest := 0, 0
+		slow := sendFunc(func(context.Context, *Request) Reply {
+			mu.Lock()
+			inFlight++
+			highest = max(highest, inFlight)
+			mu.Unlock()
+			time.Sleep(time.Second)
+			mu.Lock()
+			inFlight--
+			mu.Unlock()
+			return whole
+		})
+		r, err := NewRunner(s, slow, &noCounters{}).Run(t.Context())
+		is.NoErr(err)
+		is.Equal(highest, 5)
+		is.True(r.Kinds[0].Dropped > 900)
+		var table bytes.Buffer
+		is.NoErr(r.WriteTable(&table))
+		is.True(strings.Contains(table.String(), "dropped"))
+	})
+}
