--- /dev/null
+++ b/scenarios/await_test.go
@@ -0,0 +1,160 @@
+package scenarios
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// readyBound is how long a fleet may take to be ready on a busy machine.
+	readyBound = 60 * time.Second
+	// awaitBound is how long a condition may take where the scenario promises no time.
+	awaitBound = 30 * time.Second
+	pollEvery  = 20 * time.Millisecond
+)
+
+// await polls until the condition holds, that is until it returns nil, and fails at the bound with
+// the condition's last error.
+func await(what string, bound time.Duration, condition func() error) error {
+	start := time.Now()
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		if time.Since(start) > bound {
+			return fmt.Errorf("%s: not within %s: %w", what, bound, err)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func (f *fleet) platformUp() error {
+	_, err := get(f.platformURL("/reads"))
+	return err
+}
+
+// ready returns what isn't ready among the processes; one that has ended is an error at once.
+func (f *fleet) ready(daemons []*daemon) error {
+	for _, d := range daemons {
+		if !d.running() {
+			return fmt.Errorf("%s has ended; its log ends:\n%s", d.name, d.logTail())
+		}
+		if err := f.processReady(d.name); err != nil {
+			return fmt.Errorf("%s isn't ready: %w", d.name, err)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) processReady(name string) error {
+	role, of, _ := strings.Cut(name, "/")
+	switch role {
+	case platformName:
+		return f.platformUp()
+	case "leaf":
+		n, err := f.leaf(of)
+		if err != nil {
+			return err
+		}
+		_, err = get(leafURL(n, "/log"))
+		return err
+	}
+	url, err := f.operatorURL(name, "/ready")
+	if err != nil {
+		return err
+	}
+	_, err = get(url)
+	return err
+}
+
+// metric returns the value of a metric without labels, or summed over the label sets that contain
+// all of the given label texts, such as reason="overload".
+func (f *fleet) metric(process, name string, labels ...string) (float64, error) {
+	url, err := f.operatorURL(process, "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	text, err := get(url)
+	if err != nil {
+		return 0, err
+	}
+	sum, found := 0.0, false
+	for line := range strings.Lines(text) {
+		value, ok := metricValue(strings.TrimSpace(line), name, labels)
+		if ok {
+			sum, found = sum+value, true
+		}
+	}
+	if !found {
+		return 0, fmt.Errorf("%s shows no metric %s %v", process, name, labels)
+	}
+	return sum, nil
+}
+
+func metricValue(line, name string, labels []string) (float64, bool) {
+	rest, ok := strings.CutPrefix(line, name)
+	if !ok || rest == "" || (rest[0] != ' ' && rest[0] != '{') {
+		return 0, false
+	}
+	for _, l := range labels {
+		if !strings.Contains(rest, l) {
+			return 0, false
+		}
+	}
+	v, err := strconv.ParseFloat(rest[strings.LastIndex(rest, " ")+1:], 64)
+	return v, err == nil
+}
+
+// atVersion returns an error until each of the VMs' processes has the bundle version in force.
+func (f *fleet) atVersion(version float64, daemons []*daemon) error {
+	for _, d := range daemons {
+		v, err := f.metric(d.name, "burdock_bundle_version")
+		if err != nil {
+			return err
+		}
+		if v != version {
+			return fmt.Errorf("%s has bundle version %g, want %g", d.name, v, version)
+		}
+	}
+	return nil
+}
+
+// refused returns an error until each of the processes has refused a bundle at least that often.
+func (f *fleet) refused(times float64, daemons []*daemon) error {
+	for _, d := range daemons {
+		n, err := f.metric(d.name, "burdock_bundle_refused_total")
+		if err != nil {
+			return err
+		}
+		if n < times {
+			return fmt.Errorf("%s has refused %g bundles, want %g", d.name, n, times)
+		}
+	}
+	return nil
+}
+
+// vmProcesses leaves stand-ins and what isn't running out.
+func vmProcesses(daemons []*daemon) []*daemon {
+	var all []*daemon
+	for _, d := range daemons {
+		if role, _, _ := strings.Cut(d.name, "/"); operatorPorts[role] != 0 && d.running() && !d.frozen {
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
+var errStillRunning = errors.New("still running")
+
+func allEnded(daemons []*daemon) error {
+	for _, d := range daemons {
+		if d.running() {
+			return fmt.Errorf("%s: %w", d.name, errStillRunning)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/scenarios/control_test.go
@@ -0,0 +1,59 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// control speaks to the control listeners of stand-ins and the operator listeners of processes. It
+// makes a connection for each request, so that nothing is kept over a kill or a freeze.
+var control = &http.Client{
+	Timeout:   10 * time.Second,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+func get(url string) (string, error) {
+	res, err := control.Get(url)
+	if err != nil {
+		return "", err
+	}
+	return bodyOf(res)
+}
+
+func put(url string, body []byte) error {
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := control.Do(req)
+	if err != nil {
+		return err
+	}
+	_, err = bodyOf(res)
+	return err
+}
+
+func putJSON(url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return put(url, body)
+}
+
+// bodyOf reads and closes the body; a status other than 2xx is an error.
+func bodyOf(res *http.Response) (string, error) {
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return "", err
+	}
+	if res.StatusCode/100 != 2 {
+		return "", fmt.Errorf("%s %s: %s: %s", res.Request.Method, res.Request.URL, res.Status, body)
+	}
+	return string(body), nil
+}
--- /dev/null
+++ b/scenarios/daemon_test.go
@@ -0,0 +1,130 @@
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// endBound is how long a process may take to end after SIGTERM.
+const endBound = 30 * time.Second
+
+// daemon is one process of a scenario. It acts only on the process that it started, by its id.
+type daemon struct {
+	name string
+	args []string
+	// logFile takes standard error of every start.
+	logFile string
+	// cmd is the newest start, nil before the first; done is closed when it has ended.
+	cmd  *exec.Cmd
+	done chan struct{}
+	// frozen is true between freeze and wake.
+	frozen bool
+}
+
+// newDaemon returns a process that isn't started. Its first argument is the program.
+func newDaemon(name, logDir string, args ...string) *daemon {
+	file := strings.ReplaceAll(name, "/", "_") + ".log"
+	return &daemon{name: name, args: args, logFile: filepath.Join(logDir, file)}
+}
+
+func (d *daemon) running() bool {
+	if d.cmd == nil {
+		return false
+	}
+	select {
+	case <-d.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (d *daemon) start() error {
+	if d.running() {
+		return fmt.Errorf("%s is already running", d.name)
+	}
+	log, err := os.OpenFile(d.logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(filepath.Join(binDir, d.args[0]), d.args[1:]...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", d.name, err)
+	}
+	done := make(chan struct{})
+	d.cmd, d.done, d.frozen = cmd, done, false
+	go func() {
+		_ = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+func (d *daemon) signal(s syscall.Signal) error {
+	if !d.running() {
+		return fmt.Errorf("%s isn't running", d.name)
+	}
+	return d.cmd.Process.Signal(s)
+}
+
+// freeze stops the process where it is, as a paused VM does; wake lets it go on.
+func (d *daemon) freeze() error {
+	d.frozen = true
+	return d.signal(syscall.SIGSTOP)
+}
+
+func (d *daemon) wake() error {
+	d.frozen = false
+	return d.signal(syscall.SIGCONT)
+}
+
+// kill ends the process without notice.
+func (d *daemon) kill() error {
+	if err := d.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-d.done
+	return nil
+}
+
+// terminate asks the process to end in order, without waiting.
+func (d *daemon) terminate() error {
+	if d.frozen {
+		if err := d.wake(); err != nil {
+			return err
+		}
+	}
+	return d.signal(syscall.SIGTERM)
+}
+
+// ended waits until the process has ended after terminate, and wants exit code 0.
+func (d *daemon) ended() error {
+	select {
+	case <-d.done:
+	case <-time.After(endBound):
+		_ = d.kill()
+		return fmt.Errorf("%s didn't end within %s of SIGTERM; killed", d.name, endBound)
+	}
+	if code := d.cmd.ProcessState.ExitCode(); code != 0 {
+		return fmt.Errorf("%s ended with %s; its log ends:\n%s", d.name, d.cmd.ProcessState, d.logTail())
+	}
+	return nil
+}
+
+// logTail returns the last lines of the log.
+func (d *daemon) logTail() string {
+	const lines = 20
+	data, err := os.ReadFile(d.logFile)
+	if err != nil {
+		return err.Error()
+	}
+	all := strings.Split(strings.TrimRight(string(data), "\n"), "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
--- /dev/null
+++ b/scenarios/fleet_test.go
@@ -0,0 +1,335 @@
+package scenarios
+
+import (
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
+)
+
+// The roles of a VM's processes, in the order in which they start.
+var roles = []string{"sync", "gather", "entry"}
+
+// operatorPorts holds the operator listener of each role.
+var operatorPorts = map[string]int{
+	"entry": settings.DefaultEntryOperatorPort, "gather": settings.DefaultGatherOperatorPort, "sync": settings.DefaultSyncOperatorPort,
+}
+
+// vmPorts are the ports that other VMs use.
+var vmPorts = []int{settings.DefaultEntryPort, settings.DefaultGatherPort, settings.DefaultSyncPort}
+
+// fleet is what one scenario runs: the platform, leaves and VMs. It belongs to the goroutine of its
+// script, but for the results of requests in the background.
+type fleet struct {
+	dir    string
+	block  *block
+	layout layout
+
+	platformNode *node
+	vms, leaves  []*node
+	// daemons are in the order of their start.
+	daemons []*daemon
+	relay   *relay
+
+	reviewers []reviewer
+	// text and digest of the newest bundle that was published with all signatures.
+	text   string
+	digest bundle.Digest
+	// states holds what the platform's list says of a VM or leaf where it isn't live.
+	states map[string]platform.State
+
+	requests *requests
+}
+
+// newFleet lays a fleet out and writes its settings files under dir; nothing is started.
+func newFleet(dir string, l layout) (*fleet, error) {
+	b, err := newBlock()
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests()}
+	f.platformNode = l.node(b, platformName, "", platformHost)
+	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
+	for i := range 2 {
+		seed := make([]byte, ed25519.SeedSize)
+		seed[0] = byte(i + 1) // the keys are for scenarios only and may as well be the same each time
+		key := ed25519.NewKeyFromSeed(seed)
+		f.reviewers = append(f.reviewers, reviewer{id: bundle.KeyID(key.Public().(ed25519.PublicKey)), key: key})
+	}
+	return f, f.layOut()
+}
+
+// layOut writes settings files and names the processes.
+func (f *fleet) layOut() error {
+	f.add(platformName, "burdock-standin", "platform",
+		"--listen", fmt.Sprintf("%s:%d", f.platformNode.bind, platformPort),
+		"--control", f.platformControl())
+	for _, n := range f.leaves {
+		file, err := f.writeSettings("leaf-"+n.name, f.layout.leafSettings(n, f.leafLogFile(n)))
+		if err != nil {
+			return err
+		}
+		f.add("leaf/"+n.name, "burdock-standin", "leaf", "--settings", file)
+	}
+	for _, role := range roles {
+		for _, n := range f.vms {
+			file, err := f.writeSettings(role+"-"+n.name, f.vmSettings(role, n))
+			if err != nil {
+				return err
+			}
+			f.add(role+"/"+n.name, "burdock-"+role, "--settings", file)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) add(name string, args ...string) {
+	f.daemons = append(f.daemons, newDaemon(name, f.dir, args...))
+}
+
+func (f *fleet) writeSettings(name, text string) (string, error) {
+	file := filepath.Join(f.dir, name+".toml")
+	return file, os.WriteFile(file, []byte(text), 0o644)
+}
+
+func (f *fleet) vmSettings(role string, n *node) string {
+	text := commonSettings(n, operatorPorts[role])
+	switch role {
+	case "sync":
+		return text + fmt.Sprintf("[sync]\nfleet = %q\n[platform]\naddress = \"%s:%d\"\n", fleetName, f.platformNode.address, platformPort) +
+			trustSettings(len(f.reviewers), f.reviewers)
+	case "entry":
+		return text + fmt.Sprintf("[drain]\nbalancer_lag = %q\n", f.layout.BalancerLag)
+	}
+	return text
+}
+
+// list is the platform's list; VMs and leaves whose state is absent are left out.
+func (f *fleet) list() platform.List {
+	var l platform.List
+	for _, n := range f.vms {
+		if state := f.state(n); state != stateAbsent {
+			l.VMs = append(l.VMs, platform.VM{
+				ID: n.name, Zone: n.zone, Address: n.address, State: state,
+				EntryPort: settings.DefaultEntryPort, GatherPort: settings.DefaultGatherPort,
+				SyncPort: settings.DefaultSyncPort, OperatorPort: settings.DefaultSyncOperatorPort,
+			})
+		}
+	}
+	for _, n := range f.leaves {
+		if state := f.state(n); state != stateAbsent {
+			address := fmt.Sprintf("%s:%d", n.address, leafPort)
+			l.Leaves = append(l.Leaves, platform.Leaf{ID: n.name, Zone: n.zone, Address: address, State: state})
+		}
+	}
+	return l
+}
+
+// The states that the verb list can set.
+const (
+	stateLive    = platform.StateLive
+	stateLeaving = platform.StateLeaving
+	stateAbsent  = platform.State("absent")
+)
+
+func (f *fleet) state(n *node) platform.State {
+	if s, ok := f.states[n.name]; ok {
+		return s
+	}
+	return stateLive
+}
+
+// startAll starts everything, publishes bundle version 1, and waits until all is ready.
+func (f *fleet) startAll() error {
+	if f.layout.Relay {
+		if err := f.startRelay(); err != nil {
+			return err
+		}
+	}
+	if err := f.startRole(platformName); err != nil {
+		return err
+	}
+	if err := await("the platform's stand-in", readyBound, f.platformUp); err != nil {
+		return err
+	}
+	if err := putJSON(f.platformURL("/list"), f.list()); err != nil {
+		return err
+	}
+	if err := f.publish(f.layout.bundleText(1, []string{"1"}, f.leaves), f.reviewers); err != nil {
+		return err
+	}
+	for _, role := range append([]string{"leaf"}, roles...) {
+		if err := f.startRole(role); err != nil {
+			return err
+		}
+	}
+	return await("everything ready", readyBound, func() error { return f.ready(f.daemons) })
+}
+
+// startRole starts all processes of a role.
+func (f *fleet) startRole(role string) error {
+	for _, d := range f.daemons {
+		if d.name == role || strings.HasPrefix(d.name, role+"/") {
+			if err := d.start(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// startRelay puts the relay before every node. Datagrams go between VMs only.
+func (f *fleet) startRelay() error {
+	f.relay = newRelay(f.nodes())
+	for _, n := range f.vms {
+		if err := f.relay.serveUDP(n, settings.DefaultSyncPort); err != nil {
+			return err
+		}
+	}
+	serve := func(n *node, ports ...int) error {
+		for _, p := range ports {
+			if err := f.relay.serveTCP(n, p); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	err := serve(f.platformNode, platformPort)
+	for _, n := range f.vms {
+		err = errors.Join(err, serve(n, vmPorts...))
+	}
+	for _, n := range f.leaves {
+		err = errors.Join(err, serve(n, leafPort))
+	}
+	return err
+}
+
+// nodes are the platform, VMs and leaves.
+func (f *fleet) nodes() []*node {
+	return append(append([]*node{f.platformNode}, f.vms...), f.leaves...)
+}
+
+// names resolves what a cut can name: a node, a zone with its VMs and leaves, "vms" or "leaves".
+func (f *fleet) names(what string) ([]string, error) {
+	var names []string
+	for _, n := range f.nodes() {
+		if n.name == what || n.zone == what {
+			names = append(names, n.name)
+		}
+	}
+	switch what {
+	case "vms":
+		names = nodeNames(f.vms)
+	case "leaves":
+		names = nodeNames(f.leaves)
+	}
+	if len(names) == 0 {
+		return nil, fmt.Errorf("no VM, leaf or availability zone %q", what)
+	}
+	return names, nil
+}
+
+func nodeNames(nodes []*node) []string {
+	var names []string
+	for _, n := range nodes {
+		names = append(names, n.name)
+	}
+	return names
+}
+
+// find returns the processes that a verb names: entry/vm-1, vm-1 for all of a VM, a leaf, a role
+// such as "gather" for all of it, "platform", or "everything".
+func (f *fleet) find(what string) ([]*daemon, error) {
+	var found []*daemon
+	for _, d := range f.daemons {
+		role, of, _ := strings.Cut(d.name, "/")
+		if what == "everything" || slices.Contains([]string{d.name, role, of}, what) {
+			found = append(found, d)
+		}
+	}
+	if len(found) == 0 {
+		return nil, fmt.Errorf("no process %q", what)
+	}
+	return found, nil
+}
+
+// findAll is find over several words; none is an error.
+func (f *fleet) findAll(words []string) ([]*daemon, error) {
+	var all []*daemon
+	for _, w := range words {
+		found, err := f.find(w)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, found...)
+	}
+	if len(all) == 0 {
+		return nil, errors.New("no process was named")
+	}
+	return all, nil
+}
+
+func (f *fleet) vm(name string) (*node, error)   { return nodeNamed(f.vms, name) }
+func (f *fleet) leaf(name string) (*node, error) { return nodeNamed(f.leaves, name) }
+
+func nodeNamed(nodes []*node, name string) (*node, error) {
+	for _, n := range nodes {
+		if n.name == name {
+			return n, nil
+		}
+	}
+	return nil, fmt.Errorf("no VM or leaf %q", name)
+}
+
+func (f *fleet) platformControl() string {
+	return fmt.Sprintf("%s:%d", f.platformNode.bind, platformControlPort)
+}
+func (f *fleet) platformURL(path string) string { return "http://" + f.platformControl() + path }
+
+// leafLogFile is where a leaf writes what it starts; it outlives the leaf's process.
+func (f *fleet) leafLogFile(n *node) string { return filepath.Join(f.dir, n.name+".journal") }
+
+func leafURL(n *node, path string) string {
+	return fmt.Sprintf("http://%s:%d%s", n.bind, leafControlPort, path)
+}
+
+// operatorURL is a path of the operator listener of a VM's process such as entry/vm-1.
+func (f *fleet) operatorURL(process, path string) (string, error) {
+	role, of, _ := strings.Cut(process, "/")
+	n, err := f.vm(of)
+	if err != nil {
+		return "", err
+	}
+	return "http://" + n.bind + ":" + strconv.Itoa(operatorPorts[role]) + path, nil
+}
+
+// stop ends everything in order, last started first, and reports what didn't end by itself.
+func (f *fleet) stop() error {
+	var problems error
+	for _, d := range slices.Backward(f.daemons) {
+		if !d.running() {
+			continue
+		}
+		if err := d.terminate(); err != nil {
+			problems = errors.Join(problems, err)
+		}
+	}
+	for _, d := range f.daemons {
+		if d.cmd != nil && d.running() {
+			problems = errors.Join(problems, d.ended())
+		}
+	}
+	if f.relay != nil {
+		f.relay.close()
+	}
+	f.requests.wait()
+	return errors.Join(problems, f.block.claim.Close())
+}
--- /dev/null
+++ b/scenarios/layout_test.go
@@ -0,0 +1,205 @@
+package scenarios
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// The ports of stand-ins. Each process has an address of its own.
+const (
+	platformPort        = 8500
+	platformControlPort = 8501
+	leafPort            = 9001
+	leafControlPort     = 9002
+)
+
+// The first host numbers of a block.
+const (
+	platformHost  = 1
+	firstVMHost   = 11
+	firstLeafHost = 61
+)
+
+// The names that scenarios use.
+const (
+	fleetName    = "scenario"
+	platformName = "platform"
+	serviceName  = "teachers"
+	callerName   = "booking-desk"
+	callerToken  = "token-of-the-booking-desk"
+	otherName    = "payroll"
+	otherToken   = "token-of-payroll"
+)
+
+// layout is what the verb fleet asks for.
+type layout struct {
+	VMs, Zones, Shards, Replicas int
+	Slots, Connections           int
+	Documents                    int
+	ServiceTime                  time.Duration
+	// BalancerLag is how long an entry that drains still takes new work.
+	BalancerLag time.Duration
+	// Relay puts a relay before each VM, leaf and the platform.
+	Relay bool
+}
+
+func defaultLayout() layout {
+	return layout{
+		VMs: 3, Zones: 3, Shards: 4, Replicas: 3, Slots: 3, Connections: 30, Documents: 1000,
+		ServiceTime: 3 * time.Millisecond,
+	}
+}
+
+// node is a VM, a leaf or the platform: what a relay can stand before and a cut can name.
+type node struct {
+	name, zone string
+	// bind is what its processes listen on, address what others use.
+	bind, address string
+	shard         int
+}
+
+// zoneName counts zones from 1.
+func zoneName(i int) string { return fmt.Sprintf("az-%d", i+1) }
+
+// vmNodes lays out VMs round robin over zones.
+func (l layout) vmNodes(b *block) []*node {
+	var ns []*node
+	for i := range l.VMs {
+		ns = append(ns, l.node(b, fmt.Sprintf("vm-%d", i+1), zoneName(i%l.Zones), firstVMHost+i))
+	}
+	return ns
+}
+
+// leafNodes lays out the replicas of each shard over zones: teachers-2-b is the second replica of
+// shard 2.
+func (l layout) leafNodes(b *block) []*node {
+	var ns []*node
+	for s := range l.Shards {
+		for r := range l.Replicas {
+			name := fmt.Sprintf("%s-%d-%c", serviceName, s, 'a'+r)
+			n := l.node(b, name, zoneName(r%l.Zones), firstLeafHost+s*l.Replicas+r)
+			n.shard = s
+			ns = append(ns, n)
+		}
+	}
+	return ns
+}
+
+func (l layout) node(b *block, name, zone string, host int) *node {
+	n := &node{name: name, zone: zone, bind: b.bind(host), address: b.bind(host)}
+	if l.Relay {
+		n.address = b.relayed(host)
+	}
+	return n
+}
+
+func tokenHash(token string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(token))) }
+
+// bundleText writes a bundle for the layout; snapshots are listed as given, each with every shard.
+func (l layout) bundleText(version uint64, snapshots []string, leaves []*node) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "version = %d\n[limits]\nmax_query_bytes = 4096\nmax_top_k = 100\nmax_timeout = \"10s\"\n", version)
+	for _, c := range [][2]string{{callerName, callerToken}, {otherName, otherToken}} {
+		fmt.Fprintf(&b, "[[caller]]\nname = %q\ntoken_sha256 = %q\nservices = [%q]\nrate = 2000.0\nburst = 500\nshare = 1\n",
+			c[0], tokenHash(c[1]), serviceName)
+	}
+	fmt.Fprintf(&b, "[[service]]\nname = %q\n", serviceName)
+	b.WriteString(kindsText)
+	for _, n := range leaves {
+		fmt.Fprintf(&b, "[[service.leaf]]\nid = %q\nzone = %q\naddress = \"%s:%d\"\nslots = %d\nconnections = %d\n",
+			n.name, n.zone, n.address, leafPort, l.Slots, l.Connections)
+	}
+	for _, s := range snapshots {
+		fmt.Fprintf(&b, "[[service.snapshot]]\nversion = %s\n", s)
+		for shard := range l.Shards {
+			fmt.Fprintf(&b, "[[service.snapshot.shard]]\nid = %d\ndocuments = %d\nleaves = [%s]\n",
+				shard, l.Documents, shardLeaves(shard, leaves))
+		}
+	}
+	return b.String()
+}
+
+// kindsText holds the kinds that scenarios send: dawn weighs latency, roster weighs coverage.
+const kindsText = `[[service.kind]]
+name = "dawn"
+mode = "search"
+weight = 10
+timeout = "2s"
+top_k = 10
+partial = "latency"
+min_coverage = 0.0
+early_coverage = 0.9
+early_after = 3.0
+hedge_budget = 0.05
+retry_budget = 0.10
+[[service.kind]]
+name = "roster"
+mode = "search"
+weight = 5
+timeout = "8s"
+top_k = 10
+partial = "coverage"
+min_coverage = 0.0
+hedge_budget = 0.05
+retry_budget = 0.10
+[[service.kind]]
+name = "booking"
+mode = "order"
+weight = 10
+timeout = "2s"
+`
+
+func shardLeaves(shard int, leaves []*node) string {
+	var ids []string
+	for _, n := range leaves {
+		if n.shard == shard {
+			ids = append(ids, fmt.Sprintf("%q", n.name))
+		}
+	}
+	return strings.Join(ids, ", ")
+}
+
+// leafSettings is the settings file of a leaf stand-in.
+func (l layout) leafSettings(n *node, logFile string) string {
+	return fmt.Sprintf(`id = %q
+zone = %q
+service = %q
+listen = "%s:%d"
+control = "%s:%d"
+slots = %d
+connections = %d
+snapshots = [1]
+shards = [%d]
+documents = %d
+service_time = %q
+log_file = %q
+`, n.name, n.zone, serviceName, n.bind, leafPort, n.bind, leafControlPort, l.Slots, l.Connections,
+		n.shard, l.Documents, l.ServiceTime, logFile)
+}
+
+// commonSettings are the tables that the processes of a VM share.
+func commonSettings(n *node, operatorPort int) string {
+	return fmt.Sprintf("[vm]\nid = %q\nzone = %q\nbind = %q\naddress = %q\n[operator]\nlisten = \"%s:%d\"\n",
+		n.name, n.zone, n.bind, n.address, n.bind, operatorPort)
+}
+
+// trustSettings names the reviewers for a sync.
+func trustSettings(threshold int, reviewers []reviewer) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[trust]\nthreshold = %d\n", threshold)
+	for _, r := range reviewers {
+		pub := r.key.Public().(ed25519.PublicKey)
+		fmt.Fprintf(&b, "[[trust.reviewer]]\nkey_id = %q\npublic_key = %q\n", r.id, base64.StdEncoding.EncodeToString(pub))
+	}
+	return b.String()
+}
+
+// reviewer signs bundles.
+type reviewer struct {
+	id  string
+	key ed25519.PrivateKey
+}
--- /dev/null
+++ b/scenarios/relay_test.go
@@ -0,0 +1,270 @@
+package scenarios
+
+import (
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+)
+
+// relay stands before nodes and passes TCP and UDP on to them. It knows a sender by the address
+// that its connections come from. A cut holds what is under way and drops datagrams, as packet loss
+// does: nothing is closed or refused. (The kernel still accepts connections during a cut; they
+// stay silent, which is harder to notice than a connection that doesn't open.)
+type relay struct {
+	byBind map[string]*node
+
+	mu sync.Mutex
+	// Guarded by mu. cuts holds pairs of node names, both ways; changed is closed at each change of
+	// cuts or of a link's silence; closers end what the relay has open.
+	cuts    map[[2]string]bool
+	changed chan struct{}
+	closed  bool
+	links   map[*link]bool
+	closers []io.Closer
+	// datagrams holds the UDP socket at each node's address.
+	datagrams map[string]*net.UDPConn
+
+	// dropped counts datagrams lost in cuts.
+	dropped atomic.Int64
+	running sync.WaitGroup
+}
+
+// link is one relayed TCP connection.
+type link struct {
+	from, to string
+	ends     [2]*net.TCPConn
+	// silent is guarded by the relay's mu; a silent link never passes anything again.
+	silent bool
+}
+
+func newRelay(nodes []*node) *relay {
+	r := &relay{
+		byBind: make(map[string]*node), cuts: make(map[[2]string]bool), changed: make(chan struct{}),
+		links: make(map[*link]bool), datagrams: make(map[string]*net.UDPConn),
+	}
+	for _, n := range nodes {
+		r.byBind[n.bind] = n
+	}
+	return r
+}
+
+// serveTCP relays a port of the node.
+func (r *relay) serveTCP(n *node, port int) error {
+	ln, err := net.Listen("tcp", net.JoinHostPort(n.address, strconv.Itoa(port)))
+	if err != nil {
+		return err
+	}
+	r.closers = append(r.closers, ln)
+	r.running.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r.running.Go(func() { r.relayTCP(c.(*net.TCPConn), n, port) })
+		}
+	})
+	return nil
+}
+
+// nodeAt returns the node whose processes bind the IP of addr.
+func (r *relay) nodeAt(addr net.Addr) *node {
+	host, _, err := net.SplitHostPort(addr.String())
+	if err != nil {
+		return nil
+	}
+	return r.byBind[host]
+}
+
+func (r *relay) relayTCP(in *net.TCPConn, to *node, port int) {
+	from := r.nodeAt(in.RemoteAddr())
+	if from == nil {
+		reset(in)
+		return
+	}
+	l := &link{from: from.name, to: to.name, ends: [2]*net.TCPConn{in, nil}}
+	if !r.pass(l) {
+		reset(in)
+		return
+	}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from.address)}}
+	c, err := dialer.Dial("tcp", net.JoinHostPort(to.bind, strconv.Itoa(port)))
+	if err != nil {
+		reset(in)
+		return
+	}
+	out := c.(*net.TCPConn)
+	l.ends[1] = out
+	r.add(l)
+	defer r.remove(l)
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(l, out, in) })
+	both.Go(func() { r.copy(l, in, out) })
+	both.Wait()
+}
+
+// copy passes bytes and the end of the stream from src to dst, holding both while cut or silent.
+func (r *relay) copy(l *link, dst, src *net.TCPConn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		if !r.pass(l) {
+			return
+		}
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				reset(src)
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			_ = dst.CloseWrite()
+			return
+		case err != nil:
+			reset(dst)
+			return
+		}
+	}
+}
+
+// reset closes a connection so that its peer sees it broken rather than ended.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// pass waits until the link isn't cut, and returns false where the relay closes first.
+func (r *relay) pass(l *link) bool {
+	for {
+		r.mu.Lock()
+		changed, closed := r.changed, r.closed
+		open := !l.silent && !r.cuts[[2]string{l.from, l.to}]
+		r.mu.Unlock()
+		if closed || open {
+			return !closed
+		}
+		<-changed
+	}
+}
+
+func (r *relay) add(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.links[l] = true
+	if r.closed {
+		l.close()
+	}
+}
+
+func (r *relay) remove(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, l)
+	l.close()
+}
+
+func (l *link) close() {
+	for _, c := range l.ends {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
+
+// serveUDP relays datagrams to a port of the node. What a node sends comes on from its own relayed
+// address, so that answers pass the relay too. All nodes must be served before any traffic.
+func (r *relay) serveUDP(n *node, port int) error {
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(n.address), Port: port})
+	if err != nil {
+		return err
+	}
+	r.closers = append(r.closers, c)
+	r.datagrams[n.name] = c
+	to := &net.UDPAddr{IP: net.ParseIP(n.bind), Port: port}
+	r.running.Go(func() {
+		buf := make([]byte, 64<<10)
+		for {
+			size, addr, err := c.ReadFromUDP(buf)
+			if err != nil {
+				return
+			}
+			r.relayDatagram(buf[:size], r.nodeAt(addr), n, to)
+		}
+	})
+	return nil
+}
+
+func (r *relay) relayDatagram(data []byte, from, to *node, addr *net.UDPAddr) {
+	if from == nil {
+		return
+	}
+	r.mu.Lock()
+	cut, c := r.cuts[[2]string{from.name, to.name}], r.datagrams[from.name]
+	r.mu.Unlock()
+	if cut || c == nil {
+		r.dropped.Add(1)
+		return
+	}
+	_, _ = c.WriteToUDP(data, addr)
+}
+
+// setCut cuts or heals each pair of a node of as and one of bs, both ways.
+func (r *relay) setCut(as, bs []string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range as {
+		for _, b := range bs {
+			if a != b {
+				r.cuts[[2]string{a, b}] = cut
+				r.cuts[[2]string{b, a}] = cut
+			}
+		}
+	}
+	r.change()
+}
+
+// silence makes every open connection between the nodes silent for good; new ones work. It returns
+// how many there were.
+func (r *relay) silence(as, bs []string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for l := range r.links {
+		if between(l, as, bs) || between(l, bs, as) {
+			l.silent = true
+			count++
+		}
+	}
+	r.change()
+	return count
+}
+
+func between(l *link, froms, tos []string) bool {
+	return slices.Contains(froms, l.from) && slices.Contains(tos, l.to)
+}
+
+// change wakes all who wait; mu is held.
+func (r *relay) change() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// close ends the relay and waits for its goroutines.
+func (r *relay) close() {
+	r.mu.Lock()
+	r.closed = true
+	for _, c := range r.closers {
+		_ = c.Close()
+	}
+	for l := range r.links {
+		l.close()
+	}
+	r.change()
+	r.mu.Unlock()
+	r.running.Wait()
+}
--- /dev/null
+++ b/scenarios/request_test.go
@@ -0,0 +1,180 @@
+package scenarios
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
+
+// request is one send by a caller through an entry.
+type request struct {
+	entry   *node
+	token   string
+	timeout time.Duration
+	// Exactly one of these is set.
+	search *pb.SearchRequest
+	issue  *pb.IssueTicketRequest
+	order  *pb.OrderRequest
+}
+
+// reply is what came back.
+type reply struct {
+	outcome *pb.Outcome
+	search  *pb.SearchResponse
+	issue   *pb.IssueTicketResponse
+	order   *pb.OrderResponse
+	// query is the text that was searched.
+	query string
+	took  time.Duration
+	// err is set where the answer wasn't a typed one.
+	err error
+}
+
+// requests keeps replies and tickets by the names the script gave them.
+type requests struct {
+	mu sync.Mutex
+	// Guarded by mu. last is the newest reply of the script itself, named ones of the background.
+	last  *reply
+	named map[string]*reply
+
+	running sync.WaitGroup
+	// tickets belong to the script's goroutine.
+	tickets map[string]*ticket
+}
+
+// ticket is an issued ticket and the order that it is for.
+type ticket struct {
+	text         string
+	key, payload string
+}
+
+func newRequests() *requests {
+	return &requests{named: make(map[string]*reply), tickets: make(map[string]*ticket)}
+}
+
+func (r *requests) wait() { r.running.Wait() }
+
+func (r *requests) setLast(rep *reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = rep
+}
+
+func (r *requests) getLast() (*reply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last == nil {
+		return nil, fmt.Errorf("no request was sent yet")
+	}
+	return r.last, nil
+}
+
+// background sends without waiting; the reply is kept under the name.
+func (r *requests) background(name string, req *request) {
+	r.running.Go(func() {
+		rep := req.send()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.named[name] = rep
+	})
+}
+
+// take makes a background reply the last one, or says that it isn't there yet.
+func (r *requests) take(name string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep := r.named[name]
+	if rep == nil {
+		return fmt.Errorf("%s has no reply yet", name)
+	}
+	r.last = rep
+	return nil
+}
+
+// send sends once and waits for the reply.
+func (q *request) send() *reply {
+	ctx, cancel := context.WithTimeout(context.Background(), q.timeout)
+	defer cancel()
+	ctx, info := connect.NewClientContext(ctx)
+	info.RequestHeader().Set("Authorization", "Bearer "+q.token)
+	client := rpc.NewClient("")
+	defer client.CloseIdleConnections()
+	url := fmt.Sprintf("http://%s:%d", q.entry.bind, settings.DefaultEntryPort)
+	rep := &reply{query: q.search.GetQuery()}
+	start := time.Now()
+	err := q.call(ctx, burdockv1connect.NewQueryServiceClient(client, url), rep)
+	rep.took = time.Since(start)
+	rep.note(err)
+	return rep
+}
+
+func (q *request) call(ctx context.Context, c burdockv1connect.QueryServiceClient, rep *reply) error {
+	var err error
+	switch {
+	case q.search != nil:
+		rep.search, err = c.Search(ctx, q.search)
+		rep.outcome = rep.search.GetOutcome()
+	case q.issue != nil:
+		rep.issue, err = c.IssueTicket(ctx, q.issue)
+	default:
+		rep.order, err = c.Order(ctx, q.order)
+		rep.outcome = rep.order.GetOutcome()
+	}
+	return err
+}
+
+// note takes the typed outcome out of an error.
+func (r *reply) note(err error) {
+	if err == nil {
+		return
+	}
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		for _, d := range ce.Details() {
+			if v, derr := d.Value(); derr == nil {
+				r.outcome, _ = v.(*pb.Outcome)
+			}
+		}
+	}
+	if r.outcome == nil {
+		r.err = err
+	}
+}
+
+// requestID of the reply, empty where an error carried none.
+func (r *reply) requestID() string {
+	switch {
+	case r.search != nil:
+		return r.search.GetRequestId()
+	case r.order != nil:
+		return r.order.GetRequestId()
+	}
+	return r.outcome.GetRequestId()
+}
+
+// String shows the reply in a scenario's log.
+func (r *reply) String() string {
+	took := r.took.Round(time.Millisecond)
+	switch {
+	case r.err != nil:
+		return fmt.Sprintf("untyped error after %s: %v", took, r.err)
+	case r.issue != nil:
+		return fmt.Sprintf("ticket after %s, expires %s", took, r.issue.GetExpires().AsTime().Format(time.TimeOnly))
+	case r.search != nil:
+		return fmt.Sprintf("search after %s: %v, %d hits, coverage %v, snapshot %d, bundle %d",
+			took, r.outcome, len(r.search.GetHits()), r.search.GetCoverage(), r.search.GetSnapshot(), r.search.GetBundleVersion())
+	case r.order != nil:
+		return fmt.Sprintf("order after %s: %v, %q by %s, replayed %t, bundle %d",
+			took, r.outcome, r.order.GetResult(), r.order.GetLeaf(), r.order.GetReplayed(), r.order.GetBundleVersion())
+	}
+	return fmt.Sprintf("after %s: %v", took, r.outcome)
+}
--- /dev/null
+++ b/scenarios/verbs_platform_test.go
@@ -0,0 +1,56 @@
+package scenarios
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
+)
+
+// verbList changes a VM's or leaf's state in the platform's list: live, leaving or absent.
+func verbList(f *fleet, a *arguments) error {
+	if err := a.done(2, 2); err != nil {
+		return err
+	}
+	name, state := a.words[0], platform.State(a.words[1])
+	if !slices.Contains([]platform.State{stateLive, stateLeaving, stateAbsent}, state) {
+		return fmt.Errorf("want live, leaving or absent, got %q", state)
+	}
+	if _, err := nodeNamed(f.nodes()[1:], name); err != nil {
+		return err
+	}
+	f.states[name] = state
+	return putJSON(f.platformURL("/list"), f.list())
+}
+
+// verbPublish publishes the newest bundle with another version, other snapshots and edits.
+func verbPublish(f *fleet, a *arguments) error {
+	version := a.number("version", 0)
+	snapshots := a.text("snapshots", "")
+	signers := a.number("signers", len(f.reviewers))
+	if err := a.done(0, anyNumber); err != nil {
+		return err
+	}
+	if version < 1 || signers < 0 || signers > len(f.reviewers) {
+		return fmt.Errorf("want version=N from 1 and signers=0 to %d", len(f.reviewers))
+	}
+	text, err := f.edited(uint64(version), snapshots, a.words)
+	if err != nil {
+		return err
+	}
+	return f.publish(text, f.reviewers[:signers])
+}
+
+// verbLag makes the platform serve each list that long after its publication.
+func verbLag(f *fleet, a *arguments) error {
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(a.words[0])
+	if err != nil {
+		return err
+	}
+	return putJSON(f.platformURL("/faults"), platform.Faults{ListLag: settings.Duration(d)})
+}
--- /dev/null
+++ b/scenarios/verbs_test.go
@@ -0,0 +1,258 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// fleetKey finds the scenario's holder of its fleet.
+type fleetKey struct{}
+
+// holder has the fleet of a script once the verb fleet ran.
+type holder struct{ fleet *fleet }
+
+// setUp prepares a scenario: what it starts is ended with it, whatever its end is.
+func setUp(env *testscript.Env) error {
+	h := &holder{}
+	env.Values[fleetKey{}] = h
+	env.Defer(func() {
+		if h.fleet == nil {
+			return
+		}
+		if err := h.fleet.stop(); err != nil {
+			env.T().Fatal("at the end of the scenario: ", err)
+		}
+	})
+	return nil
+}
+
+// verb is a verb that needs a fleet.
+type verb func(f *fleet, a *arguments) error
+
+const anyNumber = math.MaxInt
+
+// verbs returns all verbs; README.md tells what each does. None may bear the name of a command of
+// testscript itself, which would be run in its place.
+func verbs() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]func(*testscript.TestScript, bool, []string){"fleet": verbFleet}
+	for name, v := range map[string]verb{
+		"start": each((*daemon).start), "crash": each((*daemon).kill),
+		"freeze": each((*daemon).freeze), "wake": each((*daemon).wake),
+		"shutdown": verbShutdown, "terminate": each((*daemon).terminate),
+		"cut": verbCut, "heal": verbHeal, "silence": verbSilence,
+		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "lag": verbLag,
+		"publish": verbPublish,
+		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
+		"reply": verbReply, "log": verbLog, "await": verbAwait,
+	} {
+		all[name] = withFleet(v)
+	}
+	all["expect"], all["until"] = verbExpect, verbUntil
+	return all
+}
+
+// withFleet turns a verb into a command that fails the script on an error. The last reply is logged
+// by the verbs that make one.
+func withFleet(v verb) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		f := fleetOf(ts)
+		if neg {
+			ts.Fatalf("this verb can't be negated")
+		}
+		before, _ := f.requests.getLast()
+		err := v(f, parseArguments(args))
+		if last, _ := f.requests.getLast(); last != before {
+			ts.Logf("%s", last)
+		}
+		ts.Check(err)
+	}
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet {
+	f := ts.Value(fleetKey{}).(*holder).fleet
+	if f == nil {
+		ts.Fatalf("no fleet yet")
+	}
+	return f
+}
+
+func verbFleet(ts *testscript.TestScript, neg bool, args []string) {
+	h := ts.Value(fleetKey{}).(*holder)
+	if h.fleet != nil || neg {
+		ts.Fatalf("a scenario has one fleet")
+	}
+	a, l := parseArguments(args), defaultLayout()
+	l.Relay = a.flag("relay")
+	l.VMs, l.Zones = a.number("vms", l.VMs), a.number("zones", l.Zones)
+	l.Shards, l.Replicas = a.number("shards", l.Shards), a.number("replicas", l.Replicas)
+	l.Slots, l.Connections = a.number("slots", l.Slots), a.number("connections", l.Connections)
+	l.ServiceTime = a.duration("service_time", l.ServiceTime)
+	l.BalancerLag = a.duration("balancer_lag", l.BalancerLag)
+	ts.Check(a.done(0, 0))
+	f, err := newFleet(ts.MkAbs("."), l)
+	ts.Check(err)
+	h.fleet = f
+	ts.Check(f.startAll())
+}
+
+// each makes a verb of an action on the processes that its words name.
+func each(action func(*daemon) error) verb {
+	return func(f *fleet, a *arguments) error {
+		if err := a.done(1, anyNumber); err != nil {
+			return err
+		}
+		found, err := f.findAll(a.words)
+		if err != nil {
+			return err
+		}
+		for _, d := range found {
+			if err := action(d); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// verbShutdown asks all named processes to end, then waits until each has ended with exit code 0.
+func verbShutdown(f *fleet, a *arguments) error {
+	if err := each((*daemon).terminate)(f, a); err != nil {
+		return err
+	}
+	return each((*daemon).ended)(f, a)
+}
+
+// pair resolves the two sides of a cut or silence; the relay must be there.
+func (f *fleet) pair(a *arguments) (as, bs []string, err error) {
+	if err := a.done(2, 2); err != nil {
+		return nil, nil, err
+	}
+	if f.relay == nil {
+		return nil, nil, errors.New("the fleet has no relay; say: fleet relay")
+	}
+	as, errA := f.names(a.words[0])
+	bs, errB := f.names(a.words[1])
+	return as, bs, errors.Join(errA, errB)
+}
+
+func verbCut(f *fleet, a *arguments) error {
+	as, bs, err := f.pair(a)
+	if err == nil {
+		f.relay.setCut(as, bs, true)
+	}
+	return err
+}
+
+func verbHeal(f *fleet, a *arguments) error {
+	as, bs, err := f.pair(a)
+	if err == nil {
+		f.relay.setCut(as, bs, false)
+	}
+	return err
+}
+
+func verbSilence(f *fleet, a *arguments) error {
+	as, bs, err := f.pair(a)
+	if err == nil && f.relay.silence(as, bs) == 0 {
+		return fmt.Errorf("no open connection between %s and %s", a.words[0], a.words[1])
+	}
+	return err
+}
+
+// verbFault replaces the faults of the platform, or of a leaf or several.
+func verbFault(f *fleet, a *arguments) error {
+	if err := a.done(2, 2); err != nil {
+		return err
+	}
+	if !json.Valid([]byte(a.words[1])) {
+		return fmt.Errorf("not JSON: %s", a.words[1])
+	}
+	if a.words[0] == platformName {
+		return put(f.platformURL("/faults"), []byte(a.words[1]))
+	}
+	leaves, err := f.leavesNamed(a.words[0])
+	if err != nil {
+		return err
+	}
+	for _, n := range leaves {
+		if err := put(leafURL(n, "/faults"), []byte(a.words[1])); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// leavesNamed resolves a leaf, "shard-2" for the whole group of a shard, an availability zone, or "leaves".
+func (f *fleet) leavesNamed(what string) ([]*node, error) {
+	var found []*node
+	for _, n := range f.leaves {
+		if what == n.name || what == n.zone || what == "leaves" || what == fmt.Sprintf("shard-%d", n.shard) {
+			found = append(found, n)
+		}
+	}
+	if len(found) == 0 {
+		return nil, fmt.Errorf("no leaf %q", what)
+	}
+	return found, nil
+}
+
+func verbSnapshots(f *fleet, a *arguments) error {
+	if err := a.done(2, anyNumber); err != nil {
+		return err
+	}
+	leaves, err := f.leavesNamed(a.words[0])
+	if err != nil {
+		return err
+	}
+	var versions []uint64
+	for _, w := range a.words[1:] {
+		v, err := strconv.ParseUint(w, 10, 64)
+		if err != nil {
+			return err
+		}
+		versions = append(versions, v)
+	}
+	for _, n := range leaves {
+		if err := putJSON(leafURL(n, "/snapshots"), versions); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// verbAwait polls for a condition; with within=D the scenario promises a time, else a generous bound
+// holds. The first word names the condition, in some cases with a number, the others processes.
+func verbAwait(f *fleet, a *arguments) error {
+	bound := a.duration("within", awaitBound)
+	if err := a.done(2, anyNumber); err != nil {
+		return err
+	}
+	what, rest := a.words[0], a.words[1:]
+	var number float64
+	if what == "version" || what == "refused" {
+		n, err := strconv.ParseFloat(rest[0], 64)
+		if err != nil {
+			return err
+		}
+		number, rest = n, rest[1:]
+	}
+	daemons, err := f.findAll(rest)
+	if err != nil {
+		return err
+	}
+	conditions := map[string]func() error{
+		"ready":   func() error { return f.ready(daemons) },
+		"ended":   func() error { return allEnded(daemons) },
+		"version": func() error { return f.atVersion(number, vmProcesses(daemons)) },
+		"refused": func() error { return f.refused(number, vmProcesses(daemons)) },
+	}
+	if conditions[what] == nil {
+		return fmt.Errorf("can't await %q", what)
+	}
+	return await(fmt.Sprint(a.words), bound, conditions[what])
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,214 @@
+#!/usr/bin/env bash
+# Shows the whole path on this machine: stand-ins and the system as separate processes on loopback
+# addresses, three availability zones, a signed bundle, one search, and one order that is sent
+# through three entries and stands once in the leaves' logs. Needs Go, a C compiler and make.
+set -euo pipefail
+
+cd "$(dirname "$0")/.."
+
+readonly net="${BURDOCK_DEMO_NET:-127.42.7}" # the first three numbers of the addresses used
+readonly zones=(az-1 az-2 az-3)
+readonly shards=(0 1 2)
+readonly replicas=(a b c)
+readonly token="demo-token-of-the-booking-desk"
+readonly platform="${net}.1:8500"
+readonly platform_control="${net}.1:8501"
+readonly leaf_port=9001
+readonly leaf_control_port=9002
+readonly entry_port=7400
+readonly ready_tries=600 # of 0.1 s each
+readonly end_tries=300   # of 0.1 s each
+
+work="$(mktemp -d)"
+pids=()
+
+say() { printf '\n== %s\n' "$*"; }
+
+fail() {
+  printf 'demo: %s\n' "$*" >&2
+  exit 1
+}
+
+# Ends only what was started here, by process id; SIGKILL for what doesn't end by itself.
+cleanup() {
+  local status=$?
+  trap - EXIT INT TERM
+  stop_all || status=1
+  if ((status != 0)); then
+    printf 'demo: failed; the logs of the processes end:\n' >&2
+    tail -n 3 "$work"/*.log >&2 || true
+  fi
+  rm -rf "$work"
+  exit "$status"
+}
+trap cleanup EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+running() {
+  local pid
+  for pid in "${pids[@]}"; do
+    if kill -0 "$pid" 2>/dev/null; then printf '%s ' "$pid"; fi
+  done
+}
+
+stop_all() {
+  local pid tries left
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for ((tries = 0; tries < end_tries; tries++)); do
+    left="$(running)"
+    if [[ -z "$left" ]]; then
+      pids=()
+      return 0
+    fi
+    sleep 0.1
+  done
+  printf 'demo: killed what did not end by itself: %s\n' "$left" >&2
+  for pid in $left; do kill -KILL "$pid" 2>/dev/null || true; done
+  pids=()
+  return 1
+}
+
+# start NAME PROGRAM ARGUMENT... runs a process with its log in the work directory.
+start() {
+  local name="$1"
+  shift
+  "$work/bin/$1" "${@:2}" >"$work/$name.log" 2>&1 &
+  pids+=("$!")
+}
+
+# http_get IP:PORT PATH prints status line, headers and body.
+http_get() {
+  local ip="${1%:*}" port="${1##*:}"
+  { exec 3<>"/dev/tcp/$ip/$port"; } 2>/dev/null || return 1
+  printf 'GET %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$2" "$1" >&3
+  cat <&3
+  exec 3<&- 3>&-
+}
+
+# wait_for IP:PORT PATH polls until the answer is 200.
+wait_for() {
+  local tries
+  for ((tries = 0; tries < ready_tries; tries++)); do
+    if [[ "$(http_get "$1" "$2" 2>/dev/null | head -n 1)" == *" 200 "* ]]; then return 0; fi
+    sleep 0.1
+  done
+  fail "http://$1$2 wasn't ready in time"
+}
+
+leaf_ip() { printf '%s.%d' "$net" "$((61 + $1 * 3 + $2))"; } # SHARD REPLICA-NUMBER
+vm_ip() { printf '%s.%d' "$net" "$((10 + $1))"; }           # VM-NUMBER from 1
+
+write_leaf() { # SHARD REPLICA-NUMBER
+  local id="teachers-$1-${replicas[$2]}" ip
+  ip="$(leaf_ip "$1" "$2")"
+  cat >"$work/leaf-$id.toml" <<TOML
+id = "$id"
+zone = "${zones[$2]}"
+service = "teachers"
+listen = "$ip:$leaf_port"
+control = "$ip:$leaf_control_port"
+slots = 3
+connections = 30
+snapshots = [1]
+shards = [$1]
+documents = 1000
+service_time = "3ms"
+connect_delay = "6ms"
+TOML
+}
+
+write_common() { # VM-NUMBER OPERATOR-PORT
+  local ip
+  ip="$(vm_ip "$1")"
+  cat <<TOML
+[vm]
+id = "vm-$1"
+zone = "${zones[$1 - 1]}"
+bind = "$ip"
+[operator]
+listen = "$ip:$2"
+TOML
+}
+
+write_vm() { # VM-NUMBER
+  { write_common "$1" 7410; printf '[drain]\nbalancer_lag = "0s"\n'; } >"$work/entry-vm-$1.toml"
+  write_common "$1" 7411 >"$work/gather-vm-$1.toml"
+  {
+    write_common "$1" 7412
+    printf '[sync]\nfleet = "demo"\n[platform]\naddress = "%s"\n[trust]\nthreshold = 2\n' "$platform"
+    cat "$work"/reviewer-*.trust
+  } >"$work/sync-vm-$1.toml"
+}
+
+write_bundle() {
+  local s r id ids hash
+  hash="$(printf %s "$token" | sha256sum | cut -d ' ' -f 1)"
+  cat <<TOML
+version = 1
+[[caller]]
+name = "booking-desk"
+token_sha256 = "$hash"
+services = ["teachers"]
+[[service]]
+name = "teachers"
+[[service.kind]]
+name = "dawn"
+mode = "search"
+weight = 10
+timeout = "1s"
+top_k = 5
+partial = "latency"
+[[service.kind]]
+name = "booking"
+mode = "order"
+weight = 10
+timeout = "2s"
+TOML
+  for s in "${shards[@]}"; do
+    for r in 0 1 2; do
+      printf '[[service.leaf]]\nid = "teachers-%s-%s"\nzone = "%s"\naddress = "%s:%s"\nslots = 3\nconnections = 30\n' \
+        "$s" "${replicas[$r]}" "${zones[$r]}" "$(leaf_ip "$s" "$r")" "$leaf_port"
+    done
+  done
+  printf '[[service.snapshot]]\nversion = 1\n'
+  for s in "${shards[@]}"; do
+    ids=""
+    for r in "${replicas[@]}"; do
+      id="teachers-$s-$r"
+      ids+="${ids:+, }\"$id\""
+    done
+    printf '[[service.snapshot.shard]]\nid = %s\ndocuments = 1000\nleaves = [%s]\n' "$s" "$ids"
+  done
+}
+
+write_list() {
+  local i s r comma=""
+  printf '{"vms":['
+  for i in 1 2 3; do
+    printf '%s{"id":"vm-%s","zone":"%s","address":"%s","entry_port":7400,"gather_port":7401,"sync_port":7402,"operator_port":7412,"state":"live"}' \
+      "$comma" "$i" "${zones[$i - 1]}" "$(vm_ip "$i")"
+    comma=","
+  done
+  printf '],"leaves":['
+  comma=""
+  for s in "${shards[@]}"; do
+    for r in 0 1 2; do
+      printf '%s{"id":"teachers-%s-%s","zone":"%s","address":"%s:%s","state":"live"}' \
+        "$comma" "$s" "${replicas[$r]}" "${zones[$r]}" "$(leaf_ip "$s" "$r")" "$leaf_port"
+      comma=","
+    done
+  done
+  printf ']}'
+}
+
+# executions counts the lines of the leaves' execution logs that hold the text.
+executions() {
+  local s r count=0
+  for s in "${shards[@]}"; do
+    for r in 0 1 2; do
+      count=$((count + $(http_get "$(leaf_ip "$s" "$r"):$leaf_control_port" /log | grep -o "\"payload\": *\"$1\"" | wc -l)))
+    done
+  done
+  printf '%d' "$count"
+}
