--- /dev/null
+++ b/internal/quarantine/leaves.go
@@ -0,0 +1,232 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+const (
+	// unsureFor is how long a lost connection may be that of a crash before the leaf's unchanged
+	// incarnation clears the request.
+	unsureFor = time.Second
+	// abandonedFor is how long a request that was given up unanswered may still bring its leaf down.
+	abandonedFor = time.Second
+	// awayFor is how long a leaf without a usable connection may be just reconnecting.
+	awayFor = 150 * time.Millisecond
+	// maxAbandoned bounds what is remembered of one leaf.
+	maxAbandoned = 64
+)
+
+// leaf is what the registry knows of one leaf.
+type leaf struct {
+	// incarnation last seen, 0 before the first; connected as last seen.
+	incarnation uint64
+	connected   bool
+	// leaving as seen while it was last connected.
+	leaving bool
+	// awayAt is since when no connection has been usable, zero while one is or the loss is noted.
+	awayAt time.Time
+	// lostAt is when it was last lost without having said that it leaves.
+	lostAt time.Time
+	// lostIncarnation is the one that was lost.
+	lostIncarnation uint64
+	// unproven counts the unproven requests in flight there from this gather; solo is true where
+	// the one in flight must stay alone.
+	unproven int
+	solo     bool
+	// abandoned are the unproven requests given up lately, oldest first.
+	abandoned []abandoned
+}
+
+// abandoned is an unproven request that was given up before the leaf answered, and may run on there.
+type abandoned struct {
+	digest      uint64
+	incarnation uint64
+	at          time.Time
+}
+
+func (r *Registry) leaf(id string) *leaf {
+	l := r.leaves[id]
+	if l == nil {
+		l = &leaf{}
+		r.leaves[id] = l
+	}
+	return l
+}
+
+// lose notes that a leaf was lost. Requests that may still have run there become suspects.
+func (r *Registry) lose(id string, incarnation uint64, now time.Time) {
+	l := r.leaf(id)
+	l.lostAt, l.lostIncarnation, l.awayAt = now, incarnation, time.Time{}
+	left := l.abandoned
+	l.abandoned = nil
+	for _, a := range left {
+		if now.Sub(a.at) <= abandonedFor {
+			r.accuse(a.digest, crash{crashID: crashID{id, a.incarnation}, at: now}, now)
+		}
+	}
+}
+
+// Abandoned notes that an unproven request was given up before the leaf answered it.
+func (r *Registry) Abandoned(digest uint64, id string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.leaf(id)
+	if incarnation == 0 {
+		incarnation = l.incarnation
+	}
+	if len(l.abandoned) >= maxAbandoned {
+		l.abandoned = l.abandoned[1:]
+	}
+	l.abandoned = append(l.abandoned, abandoned{digest: digest, incarnation: incarnation, at: r.clock()})
+}
+
+// Held tells whether the leaf was lost so lately that the request may be the cause and evidence of
+// it is still on its way; it takes no first run of the request then. A loss that a quarantined
+// request explains doesn't hold the leaf back from others.
+func (r *Registry) Held(id string, digest uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	r.sample(id, now)
+	l := r.leaf(id)
+	if !l.awayAt.IsZero() {
+		return true
+	}
+	return r.lostLately(l, now) && !r.explained(crashID{id, l.lostIncarnation}, digest)
+}
+
+func (r *Registry) lostLately(l *leaf, now time.Time) bool {
+	return !l.lostAt.IsZero() && now.Sub(l.lostAt) < r.settings.Hold.D()
+}
+
+// explained tells whether a quarantined request other than that of the digest was in flight at the
+// crash.
+func (r *Registry) explained(id crashID, digest uint64) bool {
+	for _, s := range r.suspects {
+		if s.digest != digest && s.quarantined() && s.has(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// sample compares a leaf's state with the one seen before and notes a loss. A leaf was lost where it
+// came back as another incarnation, or stays away, and had not said before that it leaves. What is
+// said after its connections broke doesn't count: a refused connection is taken for leaving, too.
+func (r *Registry) sample(id string, now time.Time) {
+	s, known := r.states(id)
+	if !known {
+		return
+	}
+	l := r.leaf(id)
+	if s.Connected {
+		r.present(id, l, s, now)
+		return
+	}
+	if l.connected && !l.leaving {
+		l.awayAt = now
+	}
+	l.connected = false
+	if !l.awayAt.IsZero() && (s.Leaving || now.Sub(l.awayAt) > awayFor) {
+		r.lose(id, l.incarnation, l.awayAt)
+	}
+}
+
+// present takes in the state of a leaf with a usable connection.
+func (r *Registry) present(id string, l *leaf, s upstream.State, now time.Time) {
+	replaced := l.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != l.incarnation
+	if replaced && !l.leaving {
+		at := now
+		if !l.awayAt.IsZero() {
+			at = l.awayAt
+		}
+		if l.connected || !l.awayAt.IsZero() {
+			r.lose(id, l.incarnation, at)
+		}
+	}
+	if s.Incarnation != 0 {
+		l.incarnation = s.Incarnation
+	}
+	l.connected, l.leaving, l.awayAt = true, s.Leaving, time.Time{}
+}
+
+// Enter asks to run an unproven request on the leaf; alone where solo is set. Leave must be called
+// at its end where it returns true.
+func (r *Registry) Enter(id string, solo bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.leaf(id)
+	if l.solo || solo && l.unproven > 0 {
+		return false
+	}
+	l.unproven++
+	l.solo = solo
+	return true
+}
+
+// Leave ends what Enter began and tells whether the request was the only unproven one there.
+func (r *Registry) Leave(id string) (alone bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.leaf(id)
+	alone = l.unproven == 1
+	l.unproven--
+	if l.unproven == 0 {
+		l.solo = false
+	}
+	return alone
+}
+
+// settle decides which lost connections were crashes: the leaf is gone or has another incarnation.
+func (r *Registry) settle(now time.Time) {
+	kept := r.unsure[:0]
+	for _, u := range r.unsure {
+		switch r.judge(u, now) {
+		case verdictCrash:
+			r.metrics.crashes.Inc()
+			r.tell(u.digest, u.crash, now)
+		case verdictAlive:
+			r.clear(u)
+		default:
+			kept = append(kept, u)
+		}
+	}
+	r.unsure = kept
+}
+
+// verdict on a lost connection.
+type verdict int
+
+const (
+	verdictUnsure verdict = iota
+	verdictCrash
+	verdictAlive
+)
+
+func (r *Registry) judge(u loss, now time.Time) verdict {
+	s, known := r.states(u.leaf)
+	switch {
+	case !known, !s.Connected && (s.Leaving || now.Sub(u.seen) > awayFor):
+		return verdictCrash
+	case u.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != u.incarnation:
+		return verdictCrash
+	case now.Sub(u.seen) > unsureFor:
+		return verdictAlive
+	}
+	return verdictUnsure
+}
+
+// clear takes back what a lost connection spoke against a request.
+func (r *Registry) clear(u loss) {
+	s := r.suspects[u.digest]
+	if s == nil {
+		return
+	}
+	r.metrics.cleared.Inc()
+	s.drop(u.crashID)
+	if len(s.crashes) == 0 {
+		delete(r.suspects, u.digest)
+	}
+}
