--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -246,12 +246,12 @@
 }
 
 // find returns the processes that a verb names: entry/vm-1, vm-1 for all of a VM, a leaf, a role
-// such as "gather" for all of it, "platform", or "everything".
+// such as "gather" for all of it, "platform", or "everywhere".
 func (f *fleet) find(what string) ([]*daemon, error) {
 	var found []*daemon
 	for _, d := range f.daemons {
 		role, of, _ := strings.Cut(d.name, "/")
-		if what == "everything" || slices.Contains([]string{d.name, role, of}, what) {
+		if what == "everywhere" || slices.Contains([]string{d.name, role, of}, what) {
 			found = append(found, d)
 		}
 	}
