--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"regexp"
+	"strconv"
 )
 
 // Log says how a program logs.
@@ -64,9 +65,13 @@
 
 // CheckHostPort refuses an address that isn't IP:PORT.
 func CheckHostPort(c *Checker, key, addr string) {
+	c.Require(ValidHostPort(addr), key, "want IP:PORT, got %q", addr)
+}
+
+// ValidHostPort tells whether addr is IP:PORT.
+func ValidHostPort(addr string) bool {
 	host, port, err := net.SplitHostPort(addr)
-	ok := err == nil && net.ParseIP(host) != nil && port != ""
-	c.Require(ok, key, "want IP:PORT, got %q", addr)
+	return err == nil && net.ParseIP(host) != nil && port != ""
 }
 
 // CheckPort refuses a port out of range.
@@ -84,3 +89,6 @@
 	DefaultGatherOperatorPort = 7411
 	DefaultSyncOperatorPort   = 7412
 )
+
+// HostPort returns IP:PORT.
+func HostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
--- a/internal/settings/line.go
+++ b/internal/settings/line.go
@@ -2,45 +2,141 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// lineOf returns the line, from 1, at which the dotted key stands in data, or 0 where it is absent.
-// For a key inside an array of tables it is the last one.
-func lineOf(data []byte, key string) int {
+// LineOf returns the line, from 1, at which the dotted key stands in data, or 0 where it is absent.
+// An element of an array of tables is named by its index, as in "service[2].leaf[0].address"; a
+// key without indices finds the last element that has it.
+func LineOf(data []byte, key string) int {
+	line := 0
+	walk(data, func(at keyPath, k keyNode, _ *unstable.Node) bool {
+		if at.plain == key || at.indexed == key {
+			line = lineAt(data, k.offset)
+		}
+		return true
+	})
+	return line
+}
+
+// lineAt returns the line, from 1, of an offset.
+func lineAt(data []byte, offset uint32) int { return bytes.Count(data[:offset], []byte("\n")) + 1 }
+
+// keyPath is a key's dotted path, without and with the indices of arrays of tables.
+type keyPath struct{ plain, indexed string }
+
+// join returns the path of a key inside the table p.
+func (p keyPath) join(names []string) keyPath {
+	rest := strings.Join(names, ".")
+	if p.plain == "" {
+		return keyPath{rest, rest}
+	}
+	return keyPath{p.plain + "." + rest, p.indexed + "." + rest}
+}
+
+// element returns the path of element i of the array p.
+func (p keyPath) element(i int) keyPath {
+	return keyPath{p.plain, p.indexed + "[" + strconv.Itoa(i) + "]"}
+}
+
+// keyNode is a key as it stands in the text, with the offset of its first part.
+type keyNode struct {
+	names  []string
+	offset uint32
+}
+
+// visitor is called for each table header, with a nil value, and for each key with its value. It
+// returns false to end the walk.
+type visitor func(at keyPath, key keyNode, value *unstable.Node) bool
+
+// walk visits the keys of a TOML text in order, up to the first syntax error.
+func walk(data []byte, visit visitor) {
 	var p unstable.Parser
 	p.Reset(data)
-	var table []string
-	line := 0
+	arrays := make(arrayCounts)
+	var table keyPath
 	for p.NextExpression() {
 		e := p.Expression()
-		names, first := keyNames(e)
+		key := keyOf(e)
+		more := true
 		switch e.Kind {
-		case unstable.Table, unstable.ArrayTable:
-			table = names
+		case unstable.Table:
+			table = arrays.path(key.names)
+			more = visit(table, key, nil)
+		case unstable.ArrayTable:
+			table = arrays.next(key.names)
+			more = visit(table, key, nil)
 		case unstable.KeyValue:
-			full := strings.Join(append(append([]string{}, table...), names...), ".")
-			if full == key {
-				line = bytes.Count(data[:first], []byte("\n")) + 1
-			}
+			more = walkKeyValue(table, e, visit)
+		}
+		if !more {
+			return
 		}
 	}
-	return line
 }
 
-// keyNames returns the parts of an expression's key and the offset of the first.
-func keyNames(e *unstable.Node) ([]string, uint32) {
-	var names []string
-	var first uint32
+// walkKeyValue visits a key and the keys of inline tables in its value.
+func walkKeyValue(table keyPath, e *unstable.Node, visit visitor) bool {
+	key := keyOf(e)
+	at := table.join(key.names)
+	return visit(at, key, e.Value()) && walkValue(at, e.Value(), visit)
+}
+
+func walkValue(at keyPath, value *unstable.Node, visit visitor) bool {
+	if value.Kind != unstable.Array && value.Kind != unstable.InlineTable {
+		return true
+	}
+	more := true
+	it := value.Children()
+	for i := 0; more && it.Next(); i++ {
+		child := it.Node()
+		switch {
+		case child.Kind == unstable.KeyValue:
+			more = walkKeyValue(at, child, visit)
+		case value.Kind == unstable.Array:
+			more = walkValue(at.element(i), child, visit)
+		}
+	}
+	return more
+}
+
+// arrayCounts holds the number of elements so far by the indexed path of each array of tables.
+type arrayCounts map[string]int
+
+// path resolves a table's names against the newest element of each array on the way.
+func (a arrayCounts) path(names []string) keyPath {
+	var p keyPath
+	for _, n := range names {
+		p = p.join([]string{n})
+		if count, ok := a[p.indexed]; ok {
+			p = p.element(count - 1)
+		}
+	}
+	return p
+}
+
+// next counts a new element of an array of tables and returns its path.
+func (a arrayCounts) next(names []string) keyPath {
+	last := len(names) - 1
+	p := a.path(names[:last]).join(names[last:])
+	i := a[p.indexed]
+	a[p.indexed] = i + 1
+	return p.element(i)
+}
+
+// keyOf returns an expression's key.
+func keyOf(e *unstable.Node) keyNode {
+	var k keyNode
 	it := e.Key()
 	for it.Next() {
 		n := it.Node()
-		if len(names) == 0 {
-			first = n.Raw.Offset
+		if len(k.names) == 0 {
+			k.offset = n.Raw.Offset
 		}
-		names = append(names, string(n.Data))
+		k.names = append(k.names, string(n.Data))
 	}
-	return names, first
+	return k
 }
