--- a/cmd/burdockctl/main_test.go
+++ b/cmd/burdockctl/main_test.go
@@ -19,6 +19,11 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			// The race detector's wait at each exit, a second by default, adds up over many commands.
+			env.Setenv("GORACE", "atexit_sleep_ms=10")
+			return nil
+		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"exits":    exits,
 			"key-id":   keyID,
--- a/internal/bundle/dump.go
+++ b/internal/bundle/dump.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// DumpDuty is the name in a dump under which each daemon shows its store.
+const DumpDuty = "bundle"
+
 // StoreDump is the state of a store as the operators' dump shows it.
 type StoreDump struct {
 	// Version is 0 where no bundle is in force.
