--- a/internal/bundle/store.go
+++ b/internal/bundle/store.go
@@ -86,8 +86,8 @@
 }
 
 // Apply verifies and checks a bundle and puts it in force if it is higher than the one in force.
-// It returns nil for the bundle that is in force already, else a *RefusedError, with the bundle in
-// force left as it was.
+// It returns nil for the bundle that is in force already. A refusal is a *RefusedError and leaves
+// the bundle in force as it was. The store keeps signed and text: the caller must not change them.
 func (s *Store) Apply(signed *pb.SignedManifest, text []byte) error {
 	s.applying.Lock()
 	defer s.applying.Unlock()
