Add the demo: the whole path on loopback from a fresh clone

A newcomer needs one command that shows what the tier does. Programs start no programs, so the demo is a script: it builds, makes reviewers' keys, signs a bundle, starts stand-ins and nine processes of the system in three availability zones, searches, and sends one order through three entries. It fails unless the order stands exactly once in the leaves' logs, and it ends what it started by process id, reporting what doesn't end by itself.

curl was ruled out: the demo needs only Go, a C compiler, make and bash, whose /dev/tcp is enough for the probes.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,11 +33,11 @@
 cleanup() {
   local status=$?
   trap - EXIT INT TERM
-  stop_all || status=1
   if ((status != 0)); then
-    printf 'demo: failed; the logs of the processes end:\n' >&2
-    tail -n 3 "$work"/*.log >&2 || true
+    printf '\ndemo: failed; the logs of the system end:\n' >&2
+    tail -n 2 "$work"/{entry,gather,sync}-*.log >&2 || true
   fi
+  stop_all || status=1
   rm -rf "$work"
   exit "$status"
 }
@@ -212,3 +212,72 @@
   done
   printf '%d' "$count"
 }
+
+ctl() { "$work/bin/burdockctl" "$@"; }
+
+say "building"
+mkdir -p "$work/bin"
+go build -o "$work/bin/" ./cmd/burdock-entry ./cmd/burdock-gather ./cmd/burdock-sync ./cmd/burdockctl ./cmd/burdock-standin
+
+say "reviewers' keys, a bundle, and two signatures"
+for reviewer in one two; do
+  ctl bundle keygen --out "$work/reviewer-$reviewer.key" >"$work/reviewer-$reviewer.trust"
+done
+write_bundle >"$work/bundle.toml"
+ctl bundle check "$work/bundle.toml"
+ctl bundle sign --text "$work/bundle.toml" --key "$work/reviewer-one.key" --key "$work/reviewer-two.key" --out "$work/bundle"
+
+say "stand-ins: the platform and ${#shards[@]} groups of ${#replicas[@]} leaves in ${#zones[@]} availability zones"
+start platform burdock-standin platform --listen "$platform" --control "$platform_control"
+for s in "${shards[@]}"; do
+  for r in 0 1 2; do
+    write_leaf "$s" "$r"
+    start "leaf-$s-$r" burdock-standin leaf --settings "$work/leaf-teachers-$s-${replicas[$r]}.toml"
+  done
+done
+wait_for "$platform_control" /live
+for s in "${shards[@]}"; do
+  for r in 0 1 2; do wait_for "$(leaf_ip "$s" "$r"):$leaf_control_port" /live; done
+done
+write_list >"$work/list.json"
+"$work/bin/burdock-standin" publish --control "$platform_control" --list "$work/list.json" --dir "$work/bundle"
+
+say "the system: sync, gather and entry on each of three VMs"
+operators=()
+for vm in 1 2 3; do
+  write_vm "$vm"
+  for role in sync gather entry; do
+    start "$role-vm-$vm" "burdock-$role" --settings "$work/$role-vm-$vm.toml"
+  done
+done
+for vm in 1 2 3; do
+  for port in 7410 7411 7412; do
+    wait_for "$(vm_ip "$vm"):$port" /ready
+    operators+=(--operator "$(vm_ip "$vm"):$port")
+  done
+done
+ctl fleet "${operators[@]}"
+
+printf '%s' "$token" >"$work/token"
+caller=(--token-file "$work/token" --service teachers)
+
+say "a search through the entry of vm-1"
+ctl search --entry "$(vm_ip 1):$entry_port" "${caller[@]}" --kind dawn --query "music teacher, Breidholt"
+
+say "an order: a ticket, then the same order through three entries"
+ticket="$(ctl order ticket --entry "$(vm_ip 1):$entry_port" "${caller[@]}" --kind booking | awk '$1 == "ticket" { print $2 }')"
+payload="booking-of-the-demo"
+for vm in 1 2 3; do
+  printf -- '-- through the entry of vm-%s\n' "$vm"
+  ctl order send --entry "$(vm_ip "$vm"):$entry_port" "${caller[@]}" --kind booking \
+    --ticket "$ticket" --key school-12 --payload "$payload"
+done
+
+say "the leaves' execution logs"
+count="$(executions "$payload")"
+printf 'the order stands %s time(s) after 3 sends\n' "$count"
+[[ "$count" == 1 ]] || fail "the order should stand exactly once"
+
+say "ending"
+stop_all || fail "a process didn't end by itself"
+printf 'nothing is left running\n'
