Check the settings of every program from burdockctl; draw the demo's addresses

Two demos on one machine at once took each other's addresses: cause was the fixed network, seen as two fleets answering one order; addresses are drawn now. Ruled out: a fault of the tickets, since the two executions stood in logs of two fleets.

--- a/internal/ctl/settingscheck.go
+++ b/internal/ctl/settingscheck.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 
+	"github.com/burdockplank/burdockplank/internal/entry"
+	"github.com/burdockplank/burdockplank/internal/gather"
 	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/burdockplank/burdockplank/internal/syncd"
 )
 
 // Programs gives the default settings of each program by its short name.
@@ -11,7 +14,11 @@
 
 // NewPrograms returns the programs whose settings this build can check.
 func NewPrograms() Programs {
-	return Programs{}
+	return Programs{
+		"entry":  func() settings.Checked { return entry.DefaultSettings() },
+		"gather": func() settings.Checked { return gather.DefaultSettings() },
+		"sync":   func() settings.Checked { return syncd.DefaultSettings() },
+	}
 }
 
 // SettingsCheckCmd checks a settings file as the program itself does at its start.
--- a/internal/search/plan.go
+++ b/internal/search/plan.go
@@ -128,9 +128,3 @@
 	}
 	return documents, shards
 }
-
-// whole tells whether every shard has a usable replica.
-func (p *plan) whole() bool {
-	_, shards := p.reach()
-	return shards == len(p.shards)
-}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,8 @@
 
 cd "$(dirname "$0")/.."
 
-readonly net="${BURDOCK_DEMO_NET:-127.42.7}" # the first three numbers of the addresses used
+# The first three numbers of the addresses used; drawn, so that two demos on one machine stay apart.
+readonly net="${BURDOCK_DEMO_NET:-127.$((RANDOM % 100 + 20)).$((RANDOM % 250 + 1))}"
 readonly zones=(az-1 az-2 az-3)
 readonly shards=(0 1 2)
 readonly replicas=(a b c)
