Let demos run side by side

A demo failed as another one held its fixed addresses. It now takes the first block of addresses whose platform stand-in it can start, away from the blocks that the scenarios draw from.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,13 +6,11 @@
 
 cd "$(dirname "$0")/.."
 
-readonly net="${BURDOCK_DEMO_NET:-127.42.7}" # the first three numbers of the addresses used
 readonly zones=(az-1 az-2 az-3)
 readonly shards=(0 1 2)
 readonly replicas=(a b c)
 readonly token="demo-token-of-the-booking-desk"
-readonly platform="${net}.1:8500"
-readonly platform_control="${net}.1:8501"
+readonly blocks=20 # of addresses, 127.4.1.x and on; the first is taken that no other demo uses
 readonly leaf_port=9001
 readonly leaf_control_port=9002
 readonly entry_port=7400
@@ -21,6 +19,7 @@
 
 work="$(mktemp -d)"
 pids=()
+net="" # the first three numbers of the addresses used
 
 say() { printf '\n== %s\n' "$*"; }
 
@@ -96,6 +95,25 @@
   fail "http://$1$2 wasn't ready in time"
 }
 
+# start_platform starts the platform's stand-in in the first free block of addresses. A block is free
+# where it can listen: a demo that runs beside this one holds its own.
+start_platform() {
+  local block log
+  for ((block = 1; block <= blocks; block++)); do
+    net="127.4.$block"
+    platform="$net.1:8500"
+    platform_control="$net.1:8501"
+    log="$work/platform.log"
+    start platform burdock-standin platform --listen "$platform" --control "$platform_control"
+    while kill -0 "${pids[-1]}" 2>/dev/null; do
+      if grep -q '"started"' "$log"; then return 0; fi
+      sleep 0.05
+    done
+    unset 'pids[-1]'
+  done
+  fail "no free block of loopback addresses"
+}
+
 leaf_ip() { printf '%s.%d' "$net" "$((61 + $1 * 3 + $2))"; } # SHARD REPLICA-NUMBER
 vm_ip() { printf '%s.%d' "$net" "$((10 + $1))"; }           # VM-NUMBER from 1
 
@@ -219,6 +237,9 @@
 mkdir -p "$work/bin"
 go build -o "$work/bin/" ./cmd/burdock-entry ./cmd/burdock-gather ./cmd/burdock-sync ./cmd/burdockctl ./cmd/burdock-standin
 
+say "the platform's stand-in"
+start_platform
+
 say "reviewers' keys, a bundle, and two signatures"
 for reviewer in one two; do
   ctl bundle keygen --out "$work/reviewer-$reviewer.key" >"$work/reviewer-$reviewer.trust"
@@ -227,8 +248,7 @@
 ctl bundle check "$work/bundle.toml"
 ctl bundle sign --text "$work/bundle.toml" --key "$work/reviewer-one.key" --key "$work/reviewer-two.key" --out "$work/bundle"
 
-say "stand-ins: the platform and ${#shards[@]} groups of ${#replicas[@]} leaves in ${#zones[@]} availability zones"
-start platform burdock-standin platform --listen "$platform" --control "$platform_control"
+say "stand-ins: ${#shards[@]} groups of ${#replicas[@]} leaves in ${#zones[@]} availability zones"
 for s in "${shards[@]}"; do
   for r in 0 1 2; do
     write_leaf "$s" "$r"
