Test that a drain ends idle connections and a cut reaches no target

Switching mechanisms off one by one in a scratch copy, three changes left all tests green: no GOAWAY on connections without calls, and a relay that dials the target for a connection that is silenced or cut. Both would have hidden faults of the system: evidence of leaving that never comes, and places in a leaf's limit taken by connections from behind a cut.

Each now has its assertion; with the mechanism off again the tests fail.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,8 +24,8 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // echo serves TCP and UDP on one port: it first tells a client its own IP number and then sends
-// back what comes.
-func echo(t *testing.T) string {
+// back what comes. The counter holds the TCP connections accepted.
+func echo(t *testing.T) (string, *atomic.Int32) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,12 +36,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close(); _ = u.Close() })
+	accepted := &atomic.Int32{}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			accepted.Add(1)
 			go func() {
 				_, _ = io.WriteString(c, hostOf(c.RemoteAddr())+"\n")
 				_, _ = io.Copy(c, c)
@@ -58,13 +61,13 @@
 			_, _ = u.WriteTo(append([]byte(hostOf(from)+" "), buf[:n]...), from)
 		}
 	}()
-	return l.Addr().String()
+	return l.Addr().String(), accepted
 }
 
-// start runs a relay of TCP and UDP to an echo.
-func start(t *testing.T) *Relay {
+// start runs a relay of TCP and UDP to an echo, whose accepted connections it counts.
+func start(t *testing.T) (*Relay, *atomic.Int32) {
 	t.Helper()
-	target := echo(t)
+	target, accepted := echo(t)
 	r, err := New(Settings{Control: "127.0.0.1:0", Forwards: []Forward{
 		{Listen: relayIP + ":0", Target: target, Networks: []Network{TCP, UDP}},
 	}})
@@ -80,7 +83,7 @@
 			t.Error(err)
 		}
 	})
-	return r
+	return r, accepted
 }
 
 func open(r *Relay, from string) (net.Conn, error) {
@@ -152,7 +155,7 @@
 
 func TestForwardsWithTheClientsOwnAddress(t *testing.T) {
 	is := is.New(t)
-	r := start(t)
+	r, _ := start(t)
 	c := greeted(is, r, clientIP)
 	exchange(is, c, "hello")
 	is.NoErr(c.(*net.TCPConn).CloseWrite())
@@ -171,7 +174,7 @@
 
 func TestCutResetsOneSourceOnly(t *testing.T) {
 	is := is.New(t)
-	r := start(t)
+	r, accepted := start(t)
 	cut, kept := greeted(is, r, clientIP), greeted(is, r, otherIP)
 	r.SetRules([]Rule{{From: clientIP, To: relayIP, Mode: ModeCut}})
 	_, err := io.ReadAll(cut)
@@ -180,11 +183,12 @@
 	exchange(is, kept, "hello")
 	r.SetRules(nil)
 	greeted(is, r, clientIP)
+	is.Equal(accepted.Load(), int32(3)) // the one that was cut off never reached the target
 }
 
 func TestSilenceSwallowsAndKeepsOpen(t *testing.T) {
 	is := is.New(t)
-	r := start(t)
+	r, accepted := start(t)
 	used, idle := greeted(is, r, clientIP), greeted(is, r, clientIP)
 	r.SetRules([]Rule{{From: clientIP, To: relayIP, Mode: ModeSilence}})
 	_, err := io.WriteString(used, "swallowed")
@@ -197,13 +201,14 @@
 	_, err = io.WriteString(used, "swallowed too")
 	is.NoErr(err)
 	greeted(is, r, clientIP)
+	is.Equal(accepted.Load(), int32(3)) // the one opened under silence never reached the target
 	is.Equal(lost(r), 2)
 	is.Equal(rest(r, used)+rest(r, fresh), "")
 }
 
 func TestSilenceEstablishedLeavesNewOnes(t *testing.T) {
 	is := is.New(t)
-	r := start(t)
+	r, _ := start(t)
 	old := greeted(is, r, clientIP)
 	rule := Rule{From: clientIP, To: Any, Mode: ModeSilenceEstablished}
 	r.SetRules([]Rule{rule})
--- a/internal/standin/leaf/leaf_test.go
+++ b/internal/standin/leaf/leaf_test.go
@@ -93,6 +93,18 @@
 	is.NoErr(err)
 }
 
+func TestDrainEndsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	l := serve(t)
+	_, err := http2Client(l).Status(t.Context(), &pb.LeafStatusRequest{})
+	is.NoErr(err)
+	is.Equal(l.Log().Counts.ConnectionsNow, 1)
+	is.NoErr(l.SetFaults(Faults{Drain: true}))
+	for l.Log().Counts.ConnectionsNow > 0 {
+		time.Sleep(time.Millisecond) // GOAWAY comes without another call
+	}
+}
+
 func TestDrainWaitsForTheWorkInFlight(t *testing.T) {
 	is := is.New(t)
 	l := serve(t)
