--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -5,12 +5,16 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 )
 
 // latencyBuckets span a refusal at the door to the longest deadline, in seconds.
 var latencyBuckets = []float64{.0005, .001, .002, .005, .01, .02, .035, .05, .075, .1, .15, .25, .5, 1, 2.5, 5, 10}
 
+// noReason is the label of a request that ended as it should.
+const noReason = "none"
+
 // metrics of the callers' listener.
 type metrics struct {
 	requests *prometheus.CounterVec
@@ -50,7 +54,10 @@
 
 // observe counts one request at its end.
 func (m *metrics) observe(c *call, took time.Duration) {
-	kind, reason := outcome.KindName(c.outcome), outcome.ReasonName(c.reason)
+	kind, reason := outcome.KindName(c.outcome), noReason
+	if c.reason != pb.Reason_REASON_UNSPECIFIED {
+		reason = outcome.ReasonName(c.reason)
+	}
 	m.requests.WithLabelValues(c.service, c.kind, kind, reason).Inc()
 	m.latency.WithLabelValues(c.service, c.kind, kind).Observe(took.Seconds())
 }
