--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,16 +18,17 @@
 	sender   Sender
 	counters Counters
 	recorder *Recorder
+	rotation *rotation
 	inFlight atomic.Int64
 }
 
 // NewRunner returns a runner for checked settings.
 func NewRunner(s *Settings, sender Sender, counters Counters) *Runner {
-	return &Runner{settings: s, sender: sender, counters: counters}
+	return &Runner{settings: s, sender: sender, counters: counters, rotation: newRotation(&s.Load)}
 }
 
 // Run sends every arrival at its intended time, waits for what is in flight, and returns the
-// result. Where ctx ends first the result is of what was sent until then.
+// result. Where ctx ends first no more are sent, and what is in flight still gets its reply.
 func (r *Runner) Run(ctx context.Context) (*Result, error) {
 	r.recorder = NewRecorder(len(r.settings.Phases), len(r.settings.Mix))
 	before, err := r.counters.Read(ctx)
@@ -46,6 +46,9 @@
 }
 
 func (r *Runner) sendAll(ctx context.Context, start time.Time) {
+	balancer, stop := context.WithCancel(ctx)
+	go r.rotation.run(balancer)
+	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	schedule := NewSchedule(r.settings.phases(), r.settings.weights(), r.settings.Load.Seed)
@@ -71,7 +74,7 @@
 	req := &Request{Mix: &r.settings.Mix[a.Mix], Sequence: a.Sequence}
 	from := intended
 	for resends := 0; ; resends++ {
-		reply := r.sender.Send(ctx, rand.IntN(len(r.settings.Load.Entries)), req)
+		reply := r.sender.Send(context.WithoutCancel(ctx), r.rotation.pick(), req)
 		r.recorder.Sent(a, reply, time.Since(from))
 		pause, again := r.resendAfter(reply, resends)
 		if !again || !sleepUntil(ctx, time.Now().Add(pause)) {
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -153,3 +154,55 @@
 		is.True(strings.Contains(table.String(), "dropped"))
 	})
 }
+
+// An entry that isn't ready goes on getting requests for the balancer's lag, and none after it.
+func TestRotationLagsBehindReadiness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRotation(&RunSettings{
+			Entries: []string{"a", "b"}, Operators: []string{"a", "b"}, BalancerLag: settings.Duration(time.Second),
+		})
+		var draining atomic.Bool
+		r.ready = func(_ context.Context, operator string) bool { return operator == "a" || !draining.Load() }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.run(ctx)
+		}()
+		draining.Store(true)
+		time.Sleep(time.Second - probeEvery)
+		synctest.Wait()
+		is.True(!r.isOut(1))
+		time.Sleep(4 * probeEvery)
+		synctest.Wait()
+		is.True(r.isOut(1))
+		is.Equal(r.pick(), 0)
+		draining.Store(false)
+		time.Sleep(time.Second + 4*probeEvery)
+		synctest.Wait()
+		is.True(!r.isOut(1))
+		cancel()
+		<-done
+	})
+}
+
+// A run that is ended early sends no more, and what is in flight still gets its reply.
+func TestEndedRunKeepsWhatIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		slow := sendFunc(func(ctx context.Context, _ *Request) Reply {
+			time.Sleep(time.Second)
+			if ctx.Err() != nil {
+				return Reply{Kind: pb.OutcomeKind_OUTCOME_KIND_FAILED, Untyped: true}
+			}
+			return whole
+		})
+		r, err := NewRunner(parsed(t, testSettings), slow, &noCounters{}).Run(ctx)
+		is.NoErr(err)
+		is.True(r.Kinds[0].Requests > 400 && r.Kinds[0].Requests < 600) // half of the run
+		is.Equal(r.Kinds[0].Answered.Count, r.Kinds[0].Requests)
+	})
+}
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -48,6 +48,10 @@
 type RunSettings struct {
 	// Entries are the IP:PORT of the entries, loopback only; each request goes to a random one.
 	Entries []string `toml:"entries"`
+	// Operators are the operator listeners of the entries, in the same order, or none. With them an
+	// entry gets no requests from BalancerLag after it was seen not ready.
+	Operators   []string          `toml:"operators"`
+	BalancerLag settings.Duration `toml:"balancer_lag"`
 	// Seed of the arrivals.
 	Seed uint64 `toml:"seed"`
 	// MaxRequests ends the run early.
@@ -137,6 +141,11 @@
 	for _, e := range s.Entries {
 		checkTarget(c, "load.entries", e)
 	}
+	for _, o := range s.Operators {
+		checkTarget(c, "load.operators", o)
+	}
+	c.Require(len(s.Operators) == 0 || len(s.Operators) == len(s.Entries), "load.operators", "want one for each entry or none")
+	c.Require(s.BalancerLag >= 0, "load.balancer_lag", "want 0 or more, got %s", s.BalancerLag.D())
 	checkRange(c, "load.max_requests", s.MaxRequests, 1, maxRequests)
 	checkRange(c, "load.max_in_flight", s.MaxInFlight, 1, maxInFlight)
 	checkRange(c, "load.max_resends", s.MaxResends, 0, maxResends)
--- a/scenarios/await_test.go
+++ b/scenarios/await_test.go
@@ -1,7 +1,6 @@
 package scenarios
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -148,12 +147,19 @@
 	return all
 }
 
-var errStillRunning = errors.New("still running")
-
 func allEnded(daemons []*daemon) error {
 	for _, d := range daemons {
 		if d.running() {
-			return fmt.Errorf("%s: %w", d.name, errStillRunning)
+			return fmt.Errorf("%s is still running", d.name)
+		}
+	}
+	return nil
+}
+
+func allRunning(daemons []*daemon) error {
+	for _, d := range daemons {
+		if !d.running() {
+			return fmt.Errorf("%s has ended", d.name)
 		}
 	}
 	return nil
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -47,6 +47,7 @@
 	states map[string]platform.State
 
 	requests *requests
+	loads    map[string]*loadRun
 }
 
 // newFleet lays a fleet out and writes its settings files under dir; nothing is started.
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests()}
+	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(), loads: make(map[string]*loadRun)}
 	f.platformNode = l.node(b, platformName, "", platformHost)
 	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
 	for i := range 2 {
--- a/scenarios/main_test.go
+++ b/scenarios/main_test.go
@@ -16,7 +16,7 @@
 )
 
 // programs are built once for all scenarios.
-var programs = []string{"burdock-entry", "burdock-gather", "burdock-sync", "burdock-standin", "burdockctl"}
+var programs = []string{"burdock-entry", "burdock-gather", "burdock-sync", "burdock-standin", "burdock-load"}
 
 // binDir holds the built programs; set by TestMain before any scenario runs.
 var binDir string
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -49,6 +49,7 @@
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait,
+		"load": verbLoad, "loaded": verbLoaded,
 	} {
 		all[name] = withFleet(v)
 	}
@@ -248,6 +249,7 @@
 	conditions := map[string]func() error{
 		"ready":   func() error { return f.ready(daemons) },
 		"ended":   func() error { return allEnded(daemons) },
+		"running": func() error { return allRunning(daemons) },
 		"version": func() error { return f.atVersion(number, vmProcesses(daemons)) },
 		"refused": func() error { return f.refused(number, vmProcesses(daemons)) },
 	}
