--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -137,11 +137,12 @@
 	if s.settled {
 		return
 	}
-	s.reason = failures[ev.failure].reason
+	s.failure, s.reason = ev.failure, failures[ev.failure].reason
 	if ev.failure == failShed {
 		s.shed++
 	}
 	if ev.failure == failLost {
+		s.lost++
 		r.losses++
 	}
 	if ev.failure == failSnapshot && r.dropped(ev.leaf) {
@@ -150,7 +151,7 @@
 	if failures[ev.failure].survived {
 		r.release()
 	}
-	r.react(ev)
+	r.react(ev.shard)
 	if r.trial != nil && ev.trial {
 		r.trial.failed(ev)
 	}
@@ -171,23 +172,23 @@
 	return true
 }
 
-// react applies the rule for a failed call.
-func (r *run) react(ev event) {
-	s := &r.shards[ev.shard]
-	switch next := afterFailure(ev.failure, r.facts(s)); next {
+// react applies the rule for the latest failed call of a shard.
+func (r *run) react(i int) {
+	s := &r.shards[i]
+	switch next := afterFailure(s.failure, r.facts(s)); next {
 	case stepWait:
 	case stepGiveUp:
-		r.settle(ev.shard, s.reason, "")
+		r.settle(i, s.reason, "")
 	case stepPark:
 		s.parked = true
 	default:
-		r.retry(ev.shard, next)
+		r.retry(i, next)
 	}
 }
 
 func (r *run) facts(s *shard) shardFacts {
 	return shardFacts{
-		active: s.active, tries: s.tries, sheds: s.shed, hedged: s.hedged,
+		active: s.active, tries: s.tries, sheds: s.shed, lost: s.lost, hedged: s.hedged,
 		others: len(r.candidates(s, false)), usable: len(r.candidates(s, true)),
 		mayAsk: r.mayAsk(),
 	}
@@ -197,11 +198,13 @@
 // settings it runs anywhere and no connection was lost with it.
 func (r *run) mayAsk() bool { return r.outlived.Load() || r.released && r.losses == 0 }
 
-// retry asks another replica of the shard within the budget; the shard is missing otherwise.
+// retry asks another replica of the shard; the shard is missing where the budget refuses. A retry
+// that needs no budget takes from it what is there.
 func (r *run) retry(i int, how step) {
 	s := &r.shards[i]
 	candidates := r.candidates(s, how == stepRetryAny)
-	if how == stepRetry && (len(candidates) == 0 || !r.q.replicas.AllowRetry(r.q.kind.RetryBudget)) {
+	granted := len(candidates) > 0 && r.q.replicas.AllowRetry(r.q.kind.RetryBudget)
+	if how == stepRetry && !granted {
 		r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		r.settle(i, s.reason, "")
 		return
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -12,6 +12,8 @@
 	active, tries int
 	// sheds is how many replicas refused for load in this run.
 	sheds int
+	// lost is how many connections broke with a call of the shard.
+	lost int
 	// others is how many usable replicas were not asked yet.
 	others int
 	// usable is how many replicas may be asked at all.
@@ -56,7 +58,7 @@
 		return stepRetryAny
 	case s.others == 0:
 		return stepGiveUp
-	case facts.free:
+	case facts.free, f == failLost && s.lost == 1:
 		return stepRetryFree
 	}
 	return stepRetry
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -86,7 +86,9 @@
 	// again is true where another replica may be asked.
 	again bool
 	// free is true where the call has cost no upstream anything, as far as can be known: it was not
-	// sent, or went into a silent connection. Asking again needs no budget then.
+	// sent, or went into a silent connection. Asking again needs no budget then. The first retry of
+	// a shard after a broken connection needs none either: only the calls in flight at one moment
+	// are lost so, and the leaf that worked on them is gone.
 	free bool
 	// survived is true where the leaf has surely run the request and lived on.
 	survived bool
--- a/internal/search/place.go
+++ b/internal/search/place.go
@@ -17,14 +17,16 @@
 	settled bool
 	reason  pb.Reason
 	peer    string
-	// parked is true where it is to be asked again once a leaf has answered the request.
-	parked bool
+	// parked is true where it is to be asked again once a leaf has answered the request; its latest
+	// call ended in failure.
+	parked  bool
+	failure failure
 	// placing is true while it waits for a slot.
-	placing             bool
-	active, tries, shed int
-	hedged              bool
-	tried               []string
-	hedgeAt             time.Time
+	placing                   bool
+	active, tries, shed, lost int
+	hedged                    bool
+	tried                     []string
+	hedgeAt                   time.Time
 	// ctx is of the shard's calls, set at the first.
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -150,7 +150,7 @@
 		case s.settled || s.active > 0 || s.placing:
 		case s.parked:
 			s.parked = false
-			r.retry(i, stepRetry)
+			r.react(i)
 		default:
 			r.start(i)
 		}
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -50,6 +50,8 @@
 		missing pb.Reason
 		took    time.Duration
 		calls   int
+		// proven texts only are retried after a broken connection; no retry budget is left then.
+		proven bool
 	}{
 		"replica errs":                     {fault: one(lost), took: serviceTime, calls: 4},
 		"group errs":                       {fault: all(lost), missing: pb.Reason_REASON_UPSTREAM_ERROR, took: serviceTime, calls: 5},
@@ -65,6 +67,7 @@
 		"group answers wrongly":            {fault: all(spoil(func(a *pb.LeafSearchResponse) { a.Shard++ })), missing: pb.Reason_REASON_ANSWER_MISMATCH, took: serviceTime, calls: 5},
 		"empty shard counts as covered":    {fault: all(spoil(func(a *pb.LeafSearchResponse) { a.Hits = nil })), took: serviceTime, calls: 3},
 		"silent connection, asked at once": {fault: all(failWith(&upstream.CallError{Wrote: true, ConnectionSilent: true, Err: errLost})), missing: pb.Reason_REASON_UNREACHABLE, took: serviceTime, calls: 6},
+		"connection lost, no budget left":  {fault: brokeOnce, proven: true, took: serviceTime, calls: 4},
 		"straggler is hedged":              {fault: one(stall), took: 10*time.Millisecond + serviceTime, calls: 4},
 		"lost group, known at once":        {fault: down, missing: pb.Reason_REASON_NO_UPSTREAM, took: serviceTime, calls: 2},
 		"stalled group, coverage waits":    {fault: all(stall), kind: "claim", missing: pb.Reason_REASON_DEADLINE, took: time.Second - 15*time.Millisecond, calls: 4},
@@ -79,6 +82,10 @@
 				if tt.kind == "" {
 					tt.kind = "dawn"
 				}
+				if tt.proven {
+					r.guard.Prove(quarantine.SearchKey("teachers", tt.kind, "algebra", 1, 10))
+					r.replicas.retries = 0
+				}
 				start := time.Now()
 				a, err := r.ask("r1", tt.kind, "algebra", time.Second)
 				is.NoErr(err)
@@ -110,6 +117,10 @@
 	}
 }
 
+func brokeOnce(f *fakeFleet) {
+	one(failWith(&upstream.CallError{Wrote: true, ConnectionLost: true, Err: errLost}))(f)
+}
+
 func down(f *fakeFleet) {
 	for _, id := range []string{"leaf-0-a", "leaf-0-b", "leaf-0-c"} {
 		f.set(id, f.kill)
