Choose replicas, limit leaves and bound hedges and retries from own measurements

The first balancer knew calls in flight only: no latency, no limit, and no hedge or retry at all.

Budgets are token buckets with a burst of one: the only rule that holds in every window, also one that begins as traffic stops. A sum over a sliding second was ruled out for that. What it costs: tokens are lost in quiet moments, and two stragglers within a few milliseconds wait for each other.

The limit is AIMD with a gradient: AIMD alone fills a long leaf queue before the first shed, a gradient alone can't see a leaf that sheds quickly.

ResultNeutral is new: a call on a connection gone silent must not make its leaf look slow.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,6 +24,9 @@
 	ResultTimeout
 	// ResultCancelled is a call that this gather gave up, such as the loser of a hedge.
 	ResultCancelled
+	// ResultNeutral is a call that says nothing about the leaf, such as one whose connection went
+	// silent.
+	ResultNeutral
 )
 
 // Clock gives the time; time.Now in the running process.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -1,81 +1,293 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 )
 
-// hedgeDefault is the hedge delay before anything is measured.
-const hedgeDefault = 50 * time.Millisecond
+const (
+	// hedgeQuantile is the share of calls that end before a hedge is sent.
+	hedgeQuantile = 0.95
+	// median is a quantile; hedgeMedians is how many of it a hedge waits for at least.
+	median       = 0.5
+	hedgeMedians = 2
+	// hedgeDefault is the hedge delay before enough calls were measured, hedgeLeast the least.
+	hedgeDefault = 50 * time.Millisecond
+	hedgeLeast   = time.Millisecond
+	// staleLeast is the least part of the other candidate's latency that an estimate is taken for.
+	staleLeast = 0.5
+	// forgetAfter is how long a leaf is kept that no bundle names any more.
+	forgetAfter = 10 * time.Minute
+)
+
+// NoHedge is a hedge delay longer than any call.
+const NoHedge = time.Hour
 
-// Balancer implements Replicas.
+// Balancer implements Replicas: two random choices by calls in flight and latency, an adaptive
+// limit for each leaf, slow start, hedge delays and budgets.
 type Balancer struct {
 	clock  Clock
 	random Random
 
 	mu sync.Mutex
-	// inFlight counts the calls of this gather by leaf; guarded by mu.
-	inFlight map[string]int
+	// The rest is guarded by mu.
+	leaves         map[string]*leafState
+	hedges         budget
+	retries        budget
+	sheds          shedMeter
+	counts         Counts
+	eligible, warm []choice
+	delays         []time.Duration
+	forgot         time.Time
+}
+
+// Counts are the decisions of a balancer since its start.
+type Counts struct {
+	Picks uint64 `json:"picks"`
+	// AtLimit counts picks refused because all candidates were at their limit.
+	AtLimit uint64     `json:"picks_at_limit"`
+	Hedges  ExtraCount `json:"hedges"`
+	Retries ExtraCount `json:"retries"`
+}
+
+// ExtraCount are the decisions on hedges, or on retries.
+type ExtraCount struct {
+	Granted uint64 `json:"granted"`
+	// OverBudget and Overloaded count refusals.
+	OverBudget uint64 `json:"over_budget"`
+	Overloaded uint64 `json:"overloaded"`
+}
+
+// choice is a candidate with its state.
+type choice struct {
+	id   string
+	leaf *leafState
 }
 
 var _ Replicas = (*Balancer)(nil)
 
 // New returns a balancer that knows no leaf yet.
 func New(clock Clock, random Random) *Balancer {
-	return &Balancer{clock: clock, random: random, inFlight: make(map[string]int)}
+	return &Balancer{clock: clock, random: random, leaves: make(map[string]*leafState)}
 }
 
 // Pick implements Replicas.
 func (b *Balancer) Pick(candidates []string) (Call, bool) {
-	if len(candidates) == 0 {
-		return nil, false
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	one := candidates[int(b.random()*float64(len(candidates)))]
-	two := candidates[int(b.random()*float64(len(candidates)))]
-	if b.inFlight[two] < b.inFlight[one] {
-		one = two
+	now := b.clock()
+	c, ok := b.choose(now, candidates)
+	if !ok {
+		b.counts.AtLimit++
+		return nil, false
+	}
+	c.leaf.inFlight++
+	c.leaf.limit.begin(now, c.leaf.inFlight)
+	b.hedges.call()
+	b.retries.call()
+	b.counts.Picks++
+	return &call{
+		b: b, id: c.id, leaf: c.leaf, incarnation: c.leaf.incarnation,
+		begun: now, late: b.groupDelay(now, candidates),
+	}, true
+}
+
+// choose returns the cheaper of two random candidates below their limits. A cold leaf is left out
+// by chance, as long as there are others.
+func (b *Balancer) choose(now time.Time, candidates []string) (choice, bool) {
+	b.eligible, b.warm = b.eligible[:0], b.warm[:0]
+	for _, id := range candidates {
+		c := choice{id, b.leaf(id)}
+		if !c.leaf.limit.allows(c.leaf.inFlight) {
+			continue
+		}
+		b.eligible = append(b.eligible, c)
+		if share := c.leaf.share(now); share >= 1 || b.random() < share {
+			b.warm = append(b.warm, c)
+		}
+	}
+	from := b.warm
+	if len(from) == 0 {
+		from = b.eligible
+	}
+	switch len(from) {
+	case 0:
+		return choice{}, false
+	case 1:
+		return from[0], true
 	}
-	b.inFlight[one]++
-	return &call{b: b, leaf: one}, true
+	return b.cheaper(now, from), true
+}
+
+// cheaper draws two different candidates and returns the one of less cost.
+func (b *Balancer) cheaper(now time.Time, from []choice) choice {
+	i := b.draw(len(from))
+	j := b.draw(len(from) - 1)
+	if j >= i {
+		j++
+	}
+	one, two := from[i], from[j]
+	least := max(one.leaf.latency.get(now), two.leaf.latency.get(now), 1) * staleLeast
+	if two.leaf.cost(now, least) < one.leaf.cost(now, least) {
+		return two
+	}
+	return one
+}
+
+// draw returns a random index below n.
+func (b *Balancer) draw(n int) int { return min(n-1, int(b.random()*float64(n))) }
+
+// leaf returns the state of a leaf, made at the first use. Requires mu.
+func (b *Balancer) leaf(id string) *leafState {
+	l := b.leaves[id]
+	if l == nil {
+		l = &leafState{limit: limiter{limit: 1}, told: b.clock()}
+		b.leaves[id] = l
+	}
+	return l
 }
 
 // SetCapacity implements Replicas.
-func (b *Balancer) SetCapacity(string, int, int) {}
+func (b *Balancer) SetCapacity(id string, slots, sharers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.leaf(id)
+	l.told = b.clock()
+	l.limit.setCapacity(slots, sharers)
+	b.forget(l.told)
+}
+
+// forget drops leaves that no bundle has named for long. Requires mu.
+func (b *Balancer) forget(now time.Time) {
+	if now.Sub(b.forgot) < forgetAfter {
+		return
+	}
+	b.forgot = now
+	for id, l := range b.leaves {
+		if l.inFlight == 0 && now.Sub(l.told) > forgetAfter {
+			delete(b.leaves, id)
+		}
+	}
+}
 
 // SetIncarnation implements Replicas.
-func (b *Balancer) SetIncarnation(string, uint64) {}
+func (b *Balancer) SetIncarnation(id string, incarnation uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l := b.leaf(id); l.incarnation != incarnation {
+		l.restart(b.clock(), incarnation)
+	}
+}
 
 // Report implements Replicas.
-func (b *Balancer) Report(string, *pb.LeafLoad) {}
+func (b *Balancer) Report(id string, load *pb.LeafLoad) {
+	if load == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaf(id).report(b.clock(), load)
+}
 
-// HedgeAfter implements Replicas.
-func (b *Balancer) HedgeAfter([]string) time.Duration { return hedgeDefault }
+// HedgeAfter implements Replicas. It is the lower median over the leaves of their own delays:
+// one straggler in a group doesn't delay the hedges that answer to it, and a group that is slow as
+// a whole isn't hedged in vain. It is NoHedge for a group that is overloaded.
+func (b *Balancer) HedgeAfter(candidates []string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock()
+	if b.overloaded(now, candidates) {
+		return NoHedge
+	}
+	return b.groupDelay(now, candidates)
+}
+
+// overloaded tells whether all candidates are at their limit or shed lately. Requires mu.
+func (b *Balancer) overloaded(now time.Time, candidates []string) bool {
+	for _, id := range candidates {
+		if !b.leaf(id).overloaded(now) {
+			return false
+		}
+	}
+	return len(candidates) > 0
+}
+
+// groupDelay returns the hedge delay of a group. Requires mu.
+func (b *Balancer) groupDelay(now time.Time, candidates []string) time.Duration {
+	b.delays = b.delays[:0]
+	for _, id := range candidates {
+		if d, ok := b.leaf(id).tail.hedgeDelay(now); ok {
+			b.delays = append(b.delays, d)
+		}
+	}
+	if len(b.delays) == 0 {
+		return hedgeDefault
+	}
+	slices.Sort(b.delays)
+	return max(hedgeLeast, b.delays[(len(b.delays)-1)/2])
+}
 
 // AllowHedge implements Replicas.
-func (b *Balancer) AllowHedge(float64) bool { return false }
+func (b *Balancer) AllowHedge(share float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allow(&b.hedges, &b.counts.Hedges, share)
+}
 
 // AllowRetry implements Replicas.
-func (b *Balancer) AllowRetry(float64) bool { return false }
+func (b *Balancer) AllowRetry(share float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allow(&b.retries, &b.counts.Retries, share)
+}
+
+// allow grants an extra call, never into a service that sheds. Requires mu.
+func (b *Balancer) allow(from *budget, n *ExtraCount, share float64) bool {
+	if b.sheds.high(b.clock()) {
+		n.Overloaded++
+		return false
+	}
+	if !from.take(share) {
+		n.OverBudget++
+		return false
+	}
+	n.Granted++
+	return true
+}
 
 // call is one call in flight.
 type call struct {
 	b    *Balancer
-	leaf string
-	once sync.Once
+	id   string
+	leaf *leafState
+	// incarnation that the call went to; the end of one to an earlier incarnation tells nothing.
+	incarnation uint64
+	begun       time.Time
+	// late is the time from which the call counts as late.
+	late time.Duration
+	// ended is guarded by b.mu.
+	ended bool
 }
 
 // Leaf implements Call.
-func (c *call) Leaf() string { return c.leaf }
+func (c *call) Leaf() string { return c.id }
 
 // Done implements Call.
-func (c *call) Done(Result) {
-	c.once.Do(func() {
-		c.b.mu.Lock()
-		defer c.b.mu.Unlock()
-		c.b.inFlight[c.leaf]--
-	})
+func (c *call) Done(r Result) {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	now := c.b.clock()
+	took := now.Sub(c.begun)
+	c.leaf.inFlight--
+	if c.leaf.incarnation == c.incarnation {
+		c.leaf.done(now, took, took >= c.late, r)
+	}
+	c.b.sheds.add(now, r)
 }
