Hold the bound on crashes where gathers see the leaves differently

Causes, each with its test:

- Gathers that had just started had not yet seen a leaf up when it crashed, took it for one long gone and asked the next in rank.
A leaf never seen up now keeps its place for the hold time.
- The leaves were not looked at while views came more often than every 100 ms, so losses went unseen.
The look has its own ticker.
- The three leaves could be one whole group, so a crashing text could lose a shard.
They are now of three shards where there are as many.
- A search in flight at both crashes of a crashing text was quarantined itself.
Where another request explains both crashes it gets a third run alone; the verdict waits 300 ms for evidence.
- Calls lost with a leaf gave up where the other replicas had no free slot or the retry budget was empty.
They wait for a slot and need no budget, twice a shard.
- The kind of a search was part of its digest, though a leaf isn't told the kind: the same text under another kind could crash as many leaves again.

Ruled out: a longer hold (doesn't help a gather that has seen nothing), asking one leaf for all availability zones (a first run would cross zones).

--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -11,16 +11,17 @@
 
 // Key names a request by its content.
 type Key struct {
-	// Digest of service, kind and content is what crash evidence is kept by.
+	// Digest of service and content, and for orders of the kind, is what crash evidence is kept by.
 	Digest uint64
 	// Proof is the digest of all that may change what a leaf does with the request: the content,
 	// the snapshot and the number of hits. A request is proven by its Proof.
 	Proof uint64
 }
 
-// SearchKey returns the key of a search.
-func SearchKey(service, kind, query string, snapshot uint64, topK int) Key {
-	d := digest(service, kind, query)
+// SearchKey returns the key of a search. Its kind is not part of it: a leaf isn't told the kind, so
+// the same text under another kind does the same to it.
+func SearchKey(service, query string, snapshot uint64, topK int) Key {
+	d := digest(service, query)
 	var b [24]byte
 	binary.LittleEndian.PutUint64(b[:], d)
 	binary.LittleEndian.PutUint64(b[8:], snapshot)
--- a/internal/quarantine/dump.go
+++ b/internal/quarantine/dump.go
@@ -15,9 +15,9 @@
 
 type dumpSuspect struct {
 	// Digest as 16 hex digits; the content itself is never shown.
-	Digest      string      `json:"digest"`
-	Quarantined bool        `json:"quarantined"`
-	Crashes     []dumpCrash `json:"crashes"`
+	Digest   string      `json:"digest"`
+	Standing string      `json:"standing"`
+	Crashes  []dumpCrash `json:"crashes"`
 }
 
 type dumpCrash struct {
@@ -34,7 +34,7 @@
 	now := r.clock()
 	d := dump{Proven: r.proven.len(), Suspects: []dumpSuspect{}, Held: []string{}}
 	for _, s := range r.suspects {
-		d.Suspects = append(d.Suspects, showSuspect(s, now))
+		d.Suspects = append(d.Suspects, r.showSuspect(s, now))
 	}
 	sort.Slice(d.Suspects, func(i, j int) bool { return d.Suspects[i].Digest < d.Suspects[j].Digest })
 	for id, l := range r.leaves {
@@ -46,8 +46,8 @@
 	return d
 }
 
-func showSuspect(s *suspect, now time.Time) dumpSuspect {
-	d := dumpSuspect{Digest: fmt.Sprintf("%016x", s.digest), Quarantined: s.quarantined()}
+func (r *Registry) showSuspect(s *suspect, now time.Time) dumpSuspect {
+	d := dumpSuspect{Digest: fmt.Sprintf("%016x", s.digest), Standing: r.verdict(s, now).String()}
 	for _, c := range s.crashes {
 		d.Crashes = append(d.Crashes, dumpCrash{
 			Leaf: c.leaf, Incarnation: c.incarnation, Age: now.Sub(c.at).Round(time.Millisecond).String(), Alone: c.alone,
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -24,12 +24,14 @@
 type suspect struct {
 	digest  uint64
 	crashes []crash
+	// learned is when the newest crash was heard of.
+	learned time.Time
 	// renewed is when evidence was last told to the other VMs again because the request came again.
 	renewed time.Time
 }
 
 // add takes in a crash and tells whether it is news. Of one crash the youngest age counts.
-func (s *suspect) add(c crash) bool {
+func (s *suspect) add(c crash, now time.Time) bool {
 	for i := range s.crashes {
 		if s.crashes[i].crashID == c.crashID {
 			if c.at.After(s.crashes[i].at) {
@@ -42,6 +44,7 @@
 		return false
 	}
 	s.crashes = append(s.crashes, c)
+	s.learned = now
 	return true
 }
 
@@ -61,8 +64,15 @@
 	return t
 }
 
-// quarantined tells whether the request is to be refused.
-func (s *suspect) quarantined() bool { return len(s.crashes) >= crashesToQuarantine }
+// hasAll tells whether the request was in flight at each of the crashes.
+func (s *suspect) hasAll(crashes []crash) bool {
+	for _, c := range crashes {
+		if !s.has(c.crashID) {
+			return false
+		}
+	}
+	return true
+}
 
 // drop removes a crash that proved to be none.
 func (s *suspect) drop(id crashID) {
--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -25,6 +25,8 @@
 	connected   bool
 	// leaving as seen while it was last connected.
 	leaving bool
+	// watched is since when the leaf is known here.
+	watched time.Time
 	// awayAt is since when no connection has been usable, zero while one is or the loss is noted.
 	awayAt time.Time
 	// lostAt is when it was last lost without having said that it leaves.
@@ -49,7 +51,7 @@
 func (r *Registry) leaf(id string) *leaf {
 	l := r.leaves[id]
 	if l == nil {
-		l = &leaf{}
+		l = &leaf{watched: r.clock()}
 		r.leaves[id] = l
 	}
 	return l
@@ -82,21 +84,57 @@
 	l.abandoned = append(l.abandoned, abandoned{digest: digest, incarnation: incarnation, at: r.clock()})
 }
 
-// Held tells whether the leaf was lost so lately that the request may be the cause and evidence of
-// it is still on its way; it takes no first run of the request then. A loss that a quarantined
-// request explains doesn't hold the leaf back from others.
-func (r *Registry) Held(id string, digest uint64) bool {
+// Place says whether a leaf may be asked first.
+type Place int
+
+const (
+	// PlaceFree: it may be asked.
+	PlaceFree Place = iota
+	// PlaceHeld: it was lost so lately that the request may be the cause and evidence of it is still
+	// on its way. It keeps its place without being asked, so that the next in rank isn't crashed in
+	// its stead.
+	PlaceHeld
+	// PlaceAbsent: it is out of use for another cause; the next in rank takes its place.
+	PlaceAbsent
+)
+
+// Place says how a leaf stands for the first run of a request. A loss that a quarantined request
+// explains doesn't hold a leaf back from others.
+func (r *Registry) Place(id string, digest uint64) Place {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
 	r.sample(id, now)
 	l := r.leaf(id)
+	switch {
+	case l.connected && l.leaving:
+		return PlaceAbsent
+	case r.lostLately(l, now):
+		if !r.explained(crashID{id, l.lostIncarnation}, digest) {
+			return PlaceHeld
+		}
+	case !l.connected && !l.leaving && now.Sub(l.since()) < r.settings.Hold.D():
+		return PlaceHeld
+	}
+	if !l.connected {
+		return PlaceAbsent
+	}
+	return PlaceFree
+}
+
+// since returns from when on a leaf without a connection counts as away: since it went, or since it
+// is watched where it was never seen.
+func (l *leaf) since() time.Time {
 	if !l.awayAt.IsZero() {
-		return true
+		return l.awayAt
 	}
-	return r.lostLately(l, now) && !r.explained(crashID{id, l.lostIncarnation}, digest)
+	return l.watched
 }
 
+// Held tells whether the leaf takes no unproven request now for a loss that the request may have
+// caused.
+func (r *Registry) Held(id string, digest uint64) bool { return r.Place(id, digest) == PlaceHeld }
+
 func (r *Registry) lostLately(l *leaf, now time.Time) bool {
 	return !l.lostAt.IsZero() && now.Sub(l.lostAt) < r.settings.Hold.D()
 }
@@ -105,7 +143,7 @@
 // crash.
 func (r *Registry) explained(id crashID, digest uint64) bool {
 	for _, s := range r.suspects {
-		if s.digest != digest && s.quarantined() && s.has(id) {
+		if s.digest != digest && s.has(id) && r.verdict(s, r.clock()) == Quarantined {
 			return true
 		}
 	}
--- a/internal/quarantine/manager.go
+++ b/internal/quarantine/manager.go
@@ -11,37 +11,28 @@
 const (
 	// settleEvery is how often lost connections are judged.
 	settleEvery = 20 * time.Millisecond
-	// sampleEvery is how many settles apart the states of all leaves are compared with those seen
-	// before.
-	sampleEvery = 5
+	// lookEvery is how often the states of all leaves are compared with those seen before.
+	lookEvery = 100 * time.Millisecond
 )
 
-// Run takes in the evidence of the source's views and settles lost connections until ctx ends.
+// Run takes in the evidence of the source's views, looks at the leaves and settles lost connections
+// until ctx ends.
 func (r *Registry) Run(ctx context.Context, source feed.Source) error {
-	t := time.NewTicker(settleEvery)
-	defer t.Stop()
+	settle, look := time.NewTicker(settleEvery), time.NewTicker(lookEvery)
+	defer settle.Stop()
+	defer look.Stop()
+	changed := source.Changed()
+	r.Take(source.Current())
 	for {
-		changed := source.Changed()
-		r.Take(source.Current())
-		if !r.sampleUntil(ctx, t.C, changed) {
-			return nil
-		}
-	}
-}
-
-// sampleUntil looks at the leaves at each tick until changed is closed; false where ctx ended.
-func (r *Registry) sampleUntil(ctx context.Context, tick <-chan time.Time, changed <-chan struct{}) bool {
-	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
-			return false
+			return nil
 		case <-changed:
-			return true
-		case <-tick:
-		}
-		if n%sampleEvery == 0 {
+			changed = source.Changed()
+			r.Take(source.Current())
+		case <-look.C:
 			r.Look()
-		} else {
+		case <-settle.C:
 			r.Settle()
 		}
 	}
@@ -69,7 +60,7 @@
 			delete(r.suspects, d)
 		}
 	}
-	r.metrics.show(r.suspects, r.proven.len())
+	r.show(now)
 }
 
 // Take takes in the crash evidence and the leaves of a view.
@@ -103,7 +94,7 @@
 		return
 	}
 	id := crashID{c.GetLeaf(), c.GetIncarnation()}
-	if r.suspect(c.GetRequestDigest(), now).add(crash{crashID: id, at: at, alone: c.GetAlone()}) {
+	if r.suspect(c.GetRequestDigest(), now).add(crash{crashID: id, at: at, alone: c.GetAlone()}, now) {
 		r.metrics.suspicions.WithLabelValues("heard").Inc()
 	}
 }
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // Metrics of the duty.
 type Metrics struct {
@@ -34,14 +38,14 @@
 	return m
 }
 
-func (m *Metrics) show(suspects map[uint64]*suspect, proven int) {
-	refused := 0
-	for _, s := range suspects {
-		if s.quarantined() {
-			refused++
-		}
+// show sets the gauges. Requires mu.
+func (r *Registry) show(now time.Time) {
+	counts := make(map[Standing]int)
+	for _, s := range r.suspects {
+		counts[r.verdict(s, now)]++
+	}
+	for _, st := range []Standing{Suspect, Doubted, Quarantined} {
+		r.metrics.suspects.WithLabelValues(st.String()).Set(float64(counts[st]))
 	}
-	m.suspects.WithLabelValues(Quarantined.String()).Set(float64(refused))
-	m.suspects.WithLabelValues(Suspect.String()).Set(float64(len(suspects) - refused))
-	m.proven.Set(float64(proven))
+	r.metrics.proven.Set(float64(r.proven.len()))
 }
--- a/internal/quarantine/orders.go
+++ b/internal/quarantine/orders.go
@@ -32,7 +32,7 @@
 func (c *OrderCaller) Execute(ctx context.Context, leaf string, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
 	d := OrderDigest(req.GetService(), req.GetKind(), req.GetKey(), req.GetPayload())
 	standing, after := c.registry.Standing(Key{Digest: d, Proof: d})
-	if standing == Quarantined {
+	if standing >= Doubted {
 		e := outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the order's content was in flight at several upstream crashes").After(after)
 		return nil, &upstream.CallError{Leaf: leaf, Err: e}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -57,7 +58,7 @@
 
 func (b *bench) stands(k Key) Standing { s, _ := b.Standing(k); return s }
 
-var bad = SearchKey("teachers", "dawn", "bad", 1, 10)
+var bad = SearchKey("teachers", "bad", 1, 10)
 
 func TestStandingByEvidence(t *testing.T) {
 	is := is.New(t)
@@ -73,9 +74,30 @@
 	is.Equal(b.stands(bad), Proven)
 	b.pass(time.Second)
 	b.heard(bad.Digest, "a", 2)
-	is.Equal(b.stands(bad), Quarantined) // evidence outranks the proof
-	is.Equal(b.stands(SearchKey("teachers", "dawn", "bad", 2, 50)), Quarantined)
-	is.Equal(b.stands(SearchKey("teachers", "dawn", "good", 1, 10)), FirstRun)
+	is.Equal(b.stands(bad), Doubted) // evidence outranks the proof
+	b.pass(doubtFor)
+	is.Equal(b.stands(bad), Quarantined)
+	is.Equal(b.stands(SearchKey("teachers", "bad", 2, 50)), Quarantined)
+	is.Equal(b.stands(SearchKey("teachers", "good", 1, 10)), FirstRun)
+}
+
+// TestInnocentOfTwoCrashes: one of two requests that were in flight at the same two crashes may be
+// innocent; the third run tells.
+func TestInnocentOfTwoCrashes(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	good := SearchKey("teachers", "good", 1, 10)
+	for _, leaf := range []string{"a", "b"} {
+		b.heard(bad.Digest, leaf, 1)
+		b.heard(good.Digest, leaf, 1)
+	}
+	b.pass(doubtFor)
+	is.Equal(b.stands(good), Suspect)
+	is.Equal(b.stands(bad), Suspect)
+	b.Prove(good)
+	is.Equal(b.stands(good), Proven)
+	b.heard(bad.Digest, "c", 1)
+	is.Equal(b.stands(bad), Quarantined) // no third excuse
 }
 
 func TestEvidenceAgesOutUnlessTheRequestKeepsComing(t *testing.T) {
@@ -84,6 +106,7 @@
 	b := newBench(nil)
 	b.heard(bad.Digest, "a", 1)
 	b.heard(bad.Digest, "b", 1)
+	b.pass(doubtFor)
 	for range 8 { // for two ages
 		b.pass(age / 4)
 		is.Equal(b.stands(bad), Quarantined)
@@ -140,10 +163,22 @@
 			b.Look()
 			b.crash("a")
 		}},
-		"lost long ago":            {do: func(b *bench) { b.crash("a"); b.Look(); b.pass(hold) }},
-		"another request explains": {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(other, "a", 1); b.heard(other, "b", 1) }},
-		"its own doesn't":          {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(bad.Digest, "a", 1); b.heard(bad.Digest, "b", 1) }, held: true},
-		"one crash doesn't":        {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(other, "a", 1) }, held: true},
+		"lost long ago": {do: func(b *bench) { b.crash("a"); b.Look(); b.pass(hold) }},
+		"another request explains": {do: func(b *bench) {
+			b.crash("a")
+			b.Look()
+			b.heard(other, "a", 1)
+			b.heard(other, "b", 1)
+			b.pass(doubtFor)
+		}},
+		"its own doesn't": {do: func(b *bench) {
+			b.crash("a")
+			b.Look()
+			b.heard(bad.Digest, "a", 1)
+			b.heard(bad.Digest, "b", 1)
+			b.pass(doubtFor)
+		}, held: true},
+		"one crash doesn't": {do: func(b *bench) { b.crash("a"); b.Look(); b.heard(other, "a", 1) }, held: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -155,6 +190,49 @@
 	}
 }
 
+// TestLeafThatWasNeverSeenUpKeepsItsPlace: a gather that has just started doesn't know whether a leaf
+// that it can't reach has crashed a moment ago. The next in rank must not be asked in its stead.
+func TestLeafThatWasNeverSeenUpKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	b.leaves["d"] = upstream.State{Incarnation: 1, Leaving: true}
+	is.Equal(b.Place("d", bad.Digest), PlaceHeld)
+	b.pass(DefaultSettings().Hold.D())
+	is.Equal(b.Place("d", bad.Digest), PlaceAbsent)
+}
+
+// busySource changes its view all the time, as the heartbeats of a fleet do.
+type busySource struct{ view *feed.View }
+
+func (s busySource) Current() *feed.View { return s.view }
+func (s busySource) Fresh() bool         { return true }
+func (s busySource) Changed() <-chan struct{} {
+	c := make(chan struct{})
+	time.AfterFunc(5*time.Millisecond, func() { close(c) })
+	return c
+}
+
+func TestLeavesAreLookedAtHoweverOftenTheViewChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- b.Run(ctx, busySource{&feed.View{}}) }()
+		time.Sleep(3 * lookEvery)
+		b.mu.Lock()
+		b.crash("a")
+		b.mu.Unlock()
+		time.Sleep(3 * lookEvery)
+		b.mu.Lock()
+		lost := !b.leaf("a").lostAt.IsZero()
+		b.mu.Unlock()
+		cancel()
+		is.NoErr(<-ended)
+		is.True(lost)
+	})
+}
+
 func TestRequestGivenUpBeforeTheCrashIsASuspect(t *testing.T) {
 	is := is.New(t)
 	b := newBench(nil)
@@ -174,15 +252,15 @@
 func TestProvenRequests(t *testing.T) {
 	is := is.New(t)
 	b := newBench(func(s *Settings) { s.Remembered = 2 })
-	key := func(text string) Key { return SearchKey("s", "k", text, 1, 10) }
+	key := func(text string) Key { return SearchKey("s", text, 1, 10) }
 	for _, text := range []string{"one", "two", "one", "three"} {
 		b.Prove(key(text))
 	}
 	is.Equal(b.stands(key("one")), Proven)
-	is.Equal(b.stands(key("two")), FirstRun)                        // the longest unused is forgotten
-	is.Equal(b.stands(SearchKey("s", "k", "one", 2, 10)), FirstRun) // another snapshot
-	b.LostProven(key("one"))                                        // in flight when a leaf was lost
-	is.Equal(b.stands(key("one")), FirstRun)                        // no suspect, but tried on one leaf again
+	is.Equal(b.stands(key("two")), FirstRun)                   // the longest unused is forgotten
+	is.Equal(b.stands(SearchKey("s", "one", 2, 10)), FirstRun) // another snapshot
+	b.LostProven(key("one"))                                   // in flight when a leaf was lost
+	is.Equal(b.stands(key("one")), FirstRun)                   // no suspect, but tried on one leaf again
 	is.Equal(newBench(func(s *Settings) { s.FirstRun = ModeNever }).stands(bad), Unproven)
 	e := newBench(func(s *Settings) { s.FirstRun = ModeEvidence })
 	is.Equal(e.stands(bad), Unproven)
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -25,11 +25,14 @@
 	// Suspect: it was in flight at one crash; it runs on one leaf first, beside no other unproven
 	// request, and is not hedged.
 	Suspect
+	// Doubted: it was in flight at two crashes just now; evidence that another request caused both
+	// may still be on its way. A run that is under way waits for it, a new one is refused.
+	Doubted
 	// Quarantined: it is refused.
 	Quarantined
 )
 
-var standingNames = [...]string{"proven", "unproven", "first_run", "suspect", "quarantined"}
+var standingNames = [...]string{"proven", "unproven", "first_run", "suspect", "doubted", "quarantined"}
 
 // String returns the name used in metrics.
 func (s Standing) String() string { return standingNames[s] }
@@ -82,9 +85,14 @@
 		delete(r.suspects, k.Digest)
 		s = nil
 	}
-	if s != nil && s.quarantined() {
-		r.renew(s, now)
-		return Quarantined, r.settings.Age.D()
+	if s != nil {
+		switch r.verdict(s, now) {
+		case Quarantined:
+			r.renew(s, now)
+			return Quarantined, r.settings.Age.D()
+		case Doubted:
+			return Doubted, doubtFor
+		}
 	}
 	at, answered := r.proven.since(k.Proof)
 	switch {
@@ -98,6 +106,33 @@
 	return Unproven, 0
 }
 
+// verdict says what the evidence against a request amounts to. At two crashes it is refused, unless
+// one other request was in flight at both: then it may be the innocent one of the two, and gets a
+// third run alone. At three it is refused in any case.
+func (r *Registry) verdict(s *suspect, now time.Time) Standing {
+	switch n := len(s.crashes); {
+	case n < crashesToQuarantine:
+		return Suspect
+	case n > crashesToQuarantine:
+		return Quarantined
+	case r.excused(s):
+		return Suspect
+	case now.Sub(s.learned) < doubtFor:
+		return Doubted
+	}
+	return Quarantined
+}
+
+// excused tells whether another request was in flight at all crashes of s.
+func (r *Registry) excused(s *suspect) bool {
+	for _, o := range r.suspects {
+		if o != s && o.hasAll(s.crashes) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Registry) agedOut(s *suspect, now time.Time) bool {
 	return now.Sub(s.latest()) > r.settings.Age.D()
 }
@@ -152,7 +187,7 @@
 
 // accuse counts a loss against a request until it is known whether the leaf crashed.
 func (r *Registry) accuse(digest uint64, c crash, now time.Time) {
-	if !r.suspect(digest, now).add(c) {
+	if !r.suspect(digest, now).add(c, now) {
 		return
 	}
 	r.metrics.suspicions.WithLabelValues("own").Inc()
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -33,8 +33,11 @@
 }
 
 const (
-	// crashesToQuarantine is at how many distinct crashes a request is refused.
+	// crashesToQuarantine is at how many distinct crashes a request is refused, unless another
+	// request explains them.
 	crashesToQuarantine = 2
+	// doubtFor is how long after a second crash evidence against another request is waited for.
+	doubtFor = 300 * time.Millisecond
 	// maxSuspects bounds the requests that crash evidence is kept of.
 	maxSuspects = 4096
 	// maxEvidence bounds the crashes kept of one request.
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -133,28 +133,33 @@
 }
 
 func (r *run) takeFailure(ev event) {
-	s := &r.shards[ev.shard]
-	if s.settled {
+	if ev.failure == failSnapshot && r.dropped(ev.leaf) {
 		return
 	}
-	s.failure, s.reason = ev.failure, failures[ev.failure].reason
-	if ev.failure == failShed {
-		s.shed++
+	if s := &r.shards[ev.shard]; !s.settled {
+		r.failed(ev.shard, s, ev.failure)
+	}
+	if r.trial != nil && ev.trial {
+		r.trial.failed(ev)
 	}
-	if ev.failure == failLost {
+}
+
+// failed notes the failed call of a shard and reacts to it.
+func (r *run) failed(i int, s *shard, f failure) {
+	s.failure, s.reason = f, failures[f].reason
+	switch f {
+	case failShed:
+		s.shed++
+	case failLost:
 		s.lost++
 		r.losses++
 	}
-	if ev.failure == failSnapshot && r.dropped(ev.leaf) {
+	if failures[f].survived && !r.outlived.Load() {
+		s.parked = true
+		r.release() // reacts to all that is parked
 		return
 	}
-	if failures[ev.failure].survived {
-		r.release()
-	}
-	r.react(ev.shard)
-	if r.trial != nil && ev.trial {
-		r.trial.failed(ev)
-	}
+	r.react(i)
 }
 
 // dropped notes that a leaf has dropped the snapshot; true where the query has to run again.
@@ -189,7 +194,7 @@
 func (r *run) facts(s *shard) shardFacts {
 	return shardFacts{
 		active: s.active, tries: s.tries, sheds: s.shed, lost: s.lost, hedged: s.hedged,
-		others: len(r.candidates(s, false)), usable: len(r.candidates(s, true)),
+		others: len(r.among(s, false)), usable: len(r.among(s, true)),
 		mayAsk: r.mayAsk(),
 	}
 }
@@ -199,23 +204,24 @@
 func (r *run) mayAsk() bool { return r.outlived.Load() || r.released && r.losses == 0 }
 
 // retry asks another replica of the shard; the shard is missing where the budget refuses. A retry
-// that needs no budget takes from it what is there.
+// that needs no budget takes from it what is there. It waits for a slot, but not after a refusal
+// for load.
 func (r *run) retry(i int, how step) {
 	s := &r.shards[i]
-	candidates := r.candidates(s, how == stepRetryAny)
+	s.anyReplica = how == stepRetryAny
+	candidates := r.candidates(s)
 	granted := len(candidates) > 0 && r.q.replicas.AllowRetry(r.q.kind.RetryBudget)
 	if how == stepRetry && !granted {
 		r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		r.settle(i, s.reason, "")
 		return
 	}
-	call, ok := r.q.replicas.Pick(candidates)
-	if !ok {
-		r.settle(i, s.reason, "")
+	r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
+	if s.failure == failShed {
+		r.startNow(i, candidates)
 		return
 	}
-	r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
-	r.launch(i, call, "")
+	r.start(i)
 }
 
 // tick does what is due: hedges, and another look for slots.
@@ -241,7 +247,7 @@
 		r.e.metrics.hedges.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		return
 	}
-	call, ok := r.q.replicas.Pick(r.candidates(s, false))
+	call, ok := r.q.replicas.Pick(r.candidates(s))
 	if !ok {
 		return
 	}
--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -45,16 +45,18 @@
 
 func neverCut(_, _ *rig) bool { return false }
 
-// TestCrashingRequestIsBoundInTheWholeFleet sends one crashing text again and again through every
-// gather, at once and one after another, while leaves restart and evidence takes its time.
+// TestCrashingRequestIsBoundInTheWholeFleet sends one or two crashing texts again and again through
+// every gather, at once and one after another, among innocent ones, while leaves restart and
+// evidence takes its time.
 func TestCrashingRequestIsBoundInTheWholeFleet(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		restart := time.Duration(rapid.IntRange(1, 5000).Draw(rt, "restart ms")) * time.Millisecond
 		delay := time.Duration(rapid.IntRange(0, 2500).Draw(rt, "spread ms")) * time.Millisecond
-		pause := time.Duration(rapid.IntRange(25, 400).Draw(rt, "pause ms")) * time.Millisecond
+		pause := time.Duration(rapid.IntRange(60, 500).Draw(rt, "pause ms")) * time.Millisecond
 		limit := time.Duration(rapid.IntRange(1, 400).Draw(rt, "caller's limit ms")) * time.Millisecond
 		senders := rapid.IntRange(1, 2).Draw(rt, "senders at each gather")
-		crashes := 0
+		texts := rapid.IntRange(1, 2).Draw(rt, "crashing texts")
+		var crashes map[string]int
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			rigs, fleet := spread(ctx, []string{"az-a", "az-b", "az-c"}, 2, delay, neverCut)
@@ -63,11 +65,12 @@
 			var wg sync.WaitGroup
 			end := time.Now().Add(4*time.Second + delay)
 			for i, r := range rigs {
-				for range senders {
+				for n := range senders {
 					wg.Go(func() {
 						time.Sleep(time.Duration(i) * pause)
-						for time.Now().Before(end) {
-							if _, err := r.ask("bad", "claim", crashMark, limit); err == nil {
+						for k := 0; time.Now().Before(end); k++ {
+							_, _ = r.ask("good", "claim", fmt.Sprint("innocent ", i, n, k), limit)
+							if _, err := r.ask("bad", "claim", fmt.Sprint(crashMark, k%texts), limit); err == nil {
 								t.Error("a crashing request was answered")
 							}
 							time.Sleep(pause)
@@ -80,8 +83,10 @@
 			synctest.Wait()
 			crashes = fleet.crashes
 		})
-		if crashes > maxCrashes {
-			rt.Fatalf("%d leaves crashed", crashes)
+		for text, n := range crashes {
+			if n > maxCrashes {
+				rt.Fatalf("%s ended %d leaves", text, n)
+			}
 		}
 	})
 }
@@ -127,7 +132,7 @@
 		wg.Wait()
 		cancel()
 		synctest.Wait()
-		is.True(fleet.crashes > 0 && fleet.crashes <= maxCrashes)
+		is.True(fleet.crashes[crashMark] > 0 && fleet.crashes[crashMark] <= maxCrashes)
 		is.True(refused.Load() < 20) // of 12,000
 	})
 }
@@ -141,7 +146,7 @@
 		e, _ := outcome.As(err)
 		is.Equal(e.Kind, pb.OutcomeKind_OUTCOME_KIND_FAILED) // it did run
 		is.Equal(e.Reason, pb.Reason_REASON_QUARANTINED)
-		is.Equal(fleet.crashes, 2)
+		is.Equal(fleet.crashes[crashMark], 2)
 		ran := fleet.ran[crashMark]
 		_, err = r.ask("r2", "claim", crashMark, time.Second)
 		e, _ = outcome.As(err)
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -6,6 +6,10 @@
 	"github.com/burdockplank/burdockplank/internal/bundle"
 )
 
+// freeLosses is how many broken connections of one shard are retried without the budget. A
+// crashing request may end two replicas of a group at about the same time.
+const freeLosses = 2
+
 // shardFacts is what the rules for one shard look at.
 type shardFacts struct {
 	// active calls in flight, tries made so far.
@@ -58,7 +62,7 @@
 		return stepRetryAny
 	case s.others == 0:
 		return stepGiveUp
-	case facts.free, f == failLost && s.lost == 1:
+	case facts.free, f == failLost && s.lost <= freeLosses:
 		return stepRetryFree
 	}
 	return stepRetry
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -86,8 +86,8 @@
 	// again is true where another replica may be asked.
 	again bool
 	// free is true where the call has cost no upstream anything, as far as can be known: it was not
-	// sent, or went into a silent connection. Asking again needs no budget then. The first retry of
-	// a shard after a broken connection needs none either: only the calls in flight at one moment
+	// sent, or went into a silent connection. Asking again needs no budget then. The first retries
+	// of a shard after broken connections need none either: only the calls in flight at one moment
 	// are lost so, and the leaf that worked on them is gone.
 	free bool
 	// survived is true where the leaf has surely run the request and lived on.
@@ -97,10 +97,10 @@
 var failures = map[failure]failureFacts{
 	failNotSent:   {name: "not_sent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true, free: true},
 	failLost:      {name: "lost", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true},
-	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultCancelled, again: true, free: true},
+	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultNeutral, again: true, free: true},
 	failShed:      {name: "shed", reason: pb.Reason_REASON_OVERLOAD, result: balance.ResultShed, again: true},
-	failDraining:  {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultCancelled, again: true},
-	failSnapshot:  {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultCancelled, again: true},
+	failDraining:  {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultNeutral, again: true},
+	failSnapshot:  {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultNeutral, again: true},
 	failShard:     {name: "wrong_shard", reason: pb.Reason_REASON_UPSTREAM_REFUSED, result: balance.ResultError, again: true},
 	failDeadline:  {name: "deadline", reason: pb.Reason_REASON_DEADLINE, result: balance.ResultTimeout},
 	failCancelled: {name: "cancelled", reason: pb.Reason_REASON_CANCELLED, result: balance.ResultCancelled},
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -47,15 +47,16 @@
 type fakeFleet struct {
 	mu     sync.Mutex
 	leaves map[string]*fakeLeaf
-	// crashes counts leaves ended by a crashing text; restart is how long they stay away, 0 for ever.
-	crashes int
+	// crashes counts the leaves that a crashing text ended; restart is how long they stay away, 0 for
+	// ever.
+	crashes map[string]int
 	restart time.Duration
 	// ran holds the texts that reached any leaf.
 	ran map[string]int
 }
 
 func newFakeFleet(ids ...string) *fakeFleet {
-	f := &fakeFleet{leaves: make(map[string]*fakeLeaf), ran: make(map[string]int)}
+	f := &fakeFleet{leaves: make(map[string]*fakeLeaf), ran: make(map[string]int), crashes: make(map[string]int)}
 	for i, id := range ids {
 		f.leaves[id] = &fakeLeaf{incarnation: uint64(i + 1), up: true, down: make(chan struct{})}
 	}
@@ -101,7 +102,7 @@
 	incarnation, down, answer := l.incarnation, l.down, l.answer
 	f.mu.Unlock()
 	if len(req.GetQuery()) >= len(crashMark) && req.GetQuery()[:len(crashMark)] == crashMark {
-		time.AfterFunc(serviceTime/2, func() { f.crash(id, incarnation) })
+		time.AfterFunc(serviceTime/2, func() { f.crash(id, incarnation, req.GetQuery()) })
 		answer = stall
 	}
 	if answer == nil {
@@ -140,14 +141,14 @@
 }
 
 // crash ends an incarnation of a leaf; it comes back as another where the fleet restarts leaves.
-func (f *fakeFleet) crash(id string, incarnation uint64) {
+func (f *fakeFleet) crash(id string, incarnation uint64, text string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.leaves[id]
 	if l.incarnation != incarnation || !l.up {
 		return
 	}
-	f.crashes++
+	f.crashes[text]++
 	f.kill(l)
 	if f.restart > 0 {
 		time.AfterFunc(f.restart, func() { f.revive(id) })
--- a/internal/search/place.go
+++ b/internal/search/place.go
@@ -26,19 +26,25 @@
 	active, tries, shed, lost int
 	hedged                    bool
 	tried                     []string
-	hedgeAt                   time.Time
+	// anyReplica is true where a replica may be asked a second time.
+	anyReplica bool
+	hedgeAt    time.Time
 	// ctx is of the shard's calls, set at the first.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// start places the first call of a shard, or waits for a slot.
+// start places a call of a shard, or waits for a slot.
 func (r *run) start(i int) {
 	s := &r.shards[i]
 	s.placing = false
-	candidates := r.candidates(s, false)
+	candidates := r.candidates(s)
 	if len(candidates) == 0 {
-		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known())
+		peer := s.peer
+		if peer == "" {
+			peer = s.known()
+		}
+		r.settle(i, orElse(s.reason, pb.Reason_REASON_NO_UPSTREAM), peer)
 		return
 	}
 	if call, ok := r.q.replicas.Pick(candidates); ok {
@@ -52,12 +58,30 @@
 	s.placing = true
 }
 
-// candidates returns the replicas of the shard that may be asked now; those asked before too where
-// any is set.
-func (r *run) candidates(s *shard, any bool) []string {
+// startNow places a call of a shard, which is missing where there is no slot.
+func (r *run) startNow(i int, candidates []string) {
+	if call, ok := r.q.replicas.Pick(candidates); ok {
+		r.launch(i, call, "")
+		return
+	}
+	r.settle(i, r.shards[i].reason, "")
+}
+
+func orElse(reason, other pb.Reason) pb.Reason {
+	if reason == pb.Reason_REASON_UNSPECIFIED {
+		return other
+	}
+	return reason
+}
+
+// candidates returns the replicas of the shard that may be asked now.
+func (r *run) candidates(s *shard) []string { return r.among(s, s.anyReplica) }
+
+// among returns the usable replicas of the shard; those asked before too where again is set.
+func (r *run) among(s *shard, again bool) []string {
 	list := make([]string, 0, len(s.replicas))
 	for _, l := range s.replicas {
-		if (any || !slices.Contains(s.tried, l)) && r.fleet.usable(l, r.plan.snapshot.Version) {
+		if (again || !slices.Contains(s.tried, l)) && r.fleet.usable(l, r.plan.snapshot.Version) {
 			list = append(list, l)
 		}
 	}
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{
 		e: e, q: q, plan: p, fleet: e.fleet(), ctx: ctx, cancel: cancel, started: time.Now(), reruns: reruns,
-		key:    quarantine.SearchKey(q.service.Name, q.kind.Name, q.text, p.snapshot.Version, q.topK),
+		key:    quarantine.SearchKey(q.service.Name, q.text, p.snapshot.Version, q.topK),
 		shards: make([]shard, len(p.shards)),
 		events: make(chan event), over: make(chan struct{}),
 	}
@@ -82,7 +82,7 @@
 	standing, after := r.e.guard.Standing(r.key)
 	r.e.metrics.standings.WithLabelValues(r.q.service.Name, standing.String()).Inc()
 	switch standing {
-	case quarantine.Quarantined:
+	case quarantine.Quarantined, quarantine.Doubted:
 		r.cancel()
 		return outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").After(after)
 	case quarantine.Proven:
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -60,73 +60,80 @@
 			}
 		}
 	}
-	stand := func(leaf string) firstStanding {
-		switch {
-		case r.e.guard.Held(leaf, r.key.Digest):
-			return firstHeld
-		case r.fleet.usable(leaf, version):
-			return firstFree
+	place := func(leaf string) quarantine.Place {
+		p := r.e.guard.Place(leaf, r.key.Digest)
+		if p == quarantine.PlaceFree && !r.fleet.usable(leaf, version) {
+			return quarantine.PlaceAbsent
 		}
-		return firstAbsent
+		return p
 	}
+	k := ranking{digest: r.key.Digest, byZone: byZone, shardOf: shardOf, place: place}
 	var steps []firstStep
-	for _, l := range rankLeaves(r.key.Digest, byZone, r.e.source.Current().Zone, stand) {
+	for _, l := range k.first(r.e.source.Current().Zone) {
 		steps = append(steps, firstStep{leaf: l, shard: shardOf[l]})
 	}
 	return steps
 }
 
-// firstStanding says whether a leaf may be asked first.
-type firstStanding int
-
-const (
-	// firstFree: it may be asked.
-	firstFree firstStanding = iota
-	// firstHeld: it was lost so lately that the request may be why. It keeps its place, so that the
-	// next in rank isn't crashed in its stead.
-	firstHeld
-	// firstAbsent: it is out of use for longer, or leaves; the next in rank takes its place.
-	firstAbsent
-)
+// ranking says which leaves may be asked first for a request.
+type ranking struct {
+	digest uint64
+	// byZone holds the leaves of each availability zone, shardOf a shard that each has.
+	byZone  map[string][]string
+	shardOf map[string]int
+	place   func(leaf string) quarantine.Place
+}
 
-// rankLeaves gives maxFirst places to the highest ranked leaves zone by zone, and returns those
-// that may be asked, of the own availability zone in front. Every gather gives the same places.
-func rankLeaves(digest uint64, byZone map[string][]string, own string, stand func(string) firstStanding) []string {
-	byRank := func(a, b string) int {
-		if c := cmp.Compare(quarantine.Rank(digest, b), quarantine.Rank(digest, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	}
-	var present [][]string
-	for _, z := range slices.SortedFunc(maps.Keys(byZone), byRank) {
-		leaves := slices.DeleteFunc(slices.SortedFunc(slices.Values(byZone[z]), byRank), func(l string) bool { return stand(l) == firstAbsent })
-		present = append(present, leaves)
+// places gives maxFirst places, zone by zone, to the leaf that ranks highest among those of shards
+// without a place, so that a crashing request can't end a whole group; among all where each shard
+// has one. Every gather gives the same places.
+func (k ranking) places() []string {
+	zones := slices.SortedFunc(maps.Keys(k.byZone), k.byRank)
+	left := make(map[string][]string, len(zones))
+	for z, leaves := range k.byZone {
+		sorted := slices.SortedFunc(slices.Values(leaves), k.byRank)
+		left[z] = slices.DeleteFunc(sorted, func(l string) bool { return k.place(l) == quarantine.PlaceAbsent })
 	}
 	var places []string
-	for rank := 0; len(places) < maxFirst; rank++ {
-		before := len(places)
-		for _, leaves := range present {
-			if rank < len(leaves) && len(places) < maxFirst {
-				places = append(places, leaves[rank])
+	taken := make(map[int]bool)
+	for more := true; more; {
+		more = false
+		for _, z := range zones {
+			if len(left[z]) == 0 || len(places) == maxFirst {
+				continue
 			}
-		}
-		if len(places) == before {
-			break
+			i := max(0, slices.IndexFunc(left[z], func(l string) bool { return !taken[k.shardOf[l]] }))
+			l := left[z][i]
+			left[z] = slices.Delete(left[z], i, i+1)
+			places = append(places, l)
+			taken[k.shardOf[l]] = true
+			more = true
 		}
 	}
-	near := func(l string) bool { return slices.Contains(byZone[own], l) }
-	places = slices.DeleteFunc(places, func(l string) bool { return stand(l) == firstHeld })
-	slices.SortStableFunc(places, func(a, b string) int {
+	return places
+}
+
+// first returns the leaves with a place that may be asked now, those of the own availability zone
+// in front.
+func (k ranking) first(own string) []string {
+	var near, far []string
+	for _, l := range k.places() {
 		switch {
-		case near(a) && !near(b):
-			return -1
-		case near(b) && !near(a):
-			return 1
+		case k.place(l) != quarantine.PlaceFree:
+		case slices.Contains(k.byZone[own], l):
+			near = append(near, l)
+		default:
+			far = append(far, l)
 		}
-		return 0
-	})
-	return places
+	}
+	return append(near, far...)
+}
+
+func (k ranking) byRank(a, b string) int {
+	if c := cmp.Compare(quarantine.Rank(k.digest, b), quarantine.Rank(k.digest, a)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a, b)
 }
 
 // advance asks the next leaf where it is time to, and ends the run where none is left.
@@ -166,6 +173,11 @@
 	case quarantine.Proven:
 		t.r.release()
 		return false
+	case quarantine.Doubted:
+		if t.active == 0 && !t.r.wait(t.leaves()) {
+			t.fail(true)
+		}
+		return false
 	case quarantine.Suspect:
 		t.solo = true
 		return t.active == 0
--- a/scenarios/verbs_log_test.go
+++ b/scenarios/verbs_log_test.go
@@ -17,6 +17,7 @@
 // journalLine is one line of a leaf's log file; one field is set. A line is written before the
 // effect of what it names, so the file tells the truth of a leaf that was killed too.
 type journalLine struct {
+	leaf      string
 	Search    *leaf.Search    `json:"search"`
 	Execution *leaf.Execution `json:"execution"`
 }
@@ -30,7 +31,7 @@
 			return nil, err
 		}
 		for text := range bytes.Lines(data) {
-			var line journalLine
+			line := journalLine{leaf: n.name}
 			if err := json.Unmarshal(text, &line); err != nil {
 				return nil, fmt.Errorf("journal of %s: %w", n.name, err)
 			}
@@ -45,6 +46,7 @@
 //	log executions TICKET N   the order of the ticket was executed N times, over all leaves
 //	log searches none         no leaf has started anything of the last request
 //	log searches QUERY N      N leaf searches for the text were started, over all leaves
+//	log leaves QUERY N        N leaves have started a search for the text
 //	log coverage              leaves delivered every shard that the last answer claims
 //
 // N is a number, or a range such as 1..3.
@@ -61,6 +63,8 @@
 		return f.executions(lines, a.words[1], a.words[2])
 	case len(a.words) == 3 && a.words[0] == "searches":
 		return compare("searches for "+a.words[1], countSearches(lines, a.words[1]), a.words[2])
+	case len(a.words) == 3 && a.words[0] == "leaves":
+		return compare("leaves that ran "+a.words[1], countLeaves(lines, a.words[1]), a.words[2])
 	case slices.Equal(a.words, []string{"searches", "none"}):
 		return f.noneOfLast(lines)
 	case slices.Equal(a.words, []string{"coverage"}):
@@ -112,6 +116,16 @@
 	return count
 }
 
+func countLeaves(lines []journalLine, query string) int {
+	names := make(map[string]bool)
+	for _, l := range lines {
+		if l.Search != nil && l.Search.Query == query {
+			names[l.leaf] = true
+		}
+	}
+	return len(names)
+}
+
 // compare wants a number, or one within a range such as 1..3.
 func compare(what string, count int, want string) error {
 	low, high, ranged := strings.Cut(want, "..")
