subset: count sharers without ordering the other zones

Only the own zone's order is needed; the others count by size. Places of leaving VMs now count as sharers: their running calls still load the leaves.

--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -35,7 +35,8 @@
 	Members []*pb.Vm
 	// ConnectionsPerLeaf is how many connections each member may hold to a leaf of the service.
 	ConnectionsPerLeaf int
-	// Sharers is how many gathers over all availability zones share a leaf, at least 1.
+	// Sharers is how many gathers over all availability zones share a leaf, at least 1. Places of
+	// leaving VMs count.
 	Sharers int
 }
 
@@ -65,12 +66,10 @@
 		if !served[name] {
 			continue
 		}
-		ordered := rendezvous(s.Name, name, in)
-		members := placed(ordered, quota)
-		p.Sharers += len(members)
 		if name == zone {
-			p.Members = members
+			p.Members = placed(rendezvous(s.Name, name, in), quota)
 		}
+		p.Sharers += min(len(in), quota)
 	}
 	p.Sharers = max(1, p.Sharers)
 	return p
