Check orders against kills, freezes, cuts and lost messages

Need: the promise of orders stands only as far as it is tried. A rapid state machine drives four gathers on fake time: tickets, sends, resolver, drains and restarts, with faults at each message, calls to leaves that fail in each way, frozen processes with running and with stopped clocks, and false views. Checked after each step: at most one run, no run with not_run before or after, exactly one with answered, final outcomes that don't change. A porcupine check holds histories of concurrent sends to a register written once for each ticket.

--- /dev/null
+++ b/internal/order/history_test.go
@@ -0,0 +1,200 @@
+package order
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+)
+
+var historySeed = flag.Uint64("order.seed", 1, "first seed of the order histories")
+
+const (
+	histories       = 20
+	historyTickets  = 6
+	historySenders  = 8
+	sendsPerSender  = 12
+	historyPayloads = 2
+)
+
+// sendInput is one send of a ticket; resolve tells that the resolver was asked without the gather.
+type sendInput struct {
+	ticket  int
+	payload string
+	resolve bool
+}
+
+// register is what a ticket allows: first the order that took it, then the one final outcome.
+type register struct {
+	payload string
+	final   string
+}
+
+// What a send got, as the model sees it.
+const (
+	gotAnswered = "answered"
+	gotNotRun   = "not_run"
+	gotReused   = "reused"
+	gotRunning  = "running"
+	gotUnknown  = "unknown"
+	gotNothing  = "unreachable"
+)
+
+// ticketModel is a ticket as a register that is written once.
+var ticketModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := make([][]porcupine.Operation, historyTickets)
+		for _, op := range history {
+			n := op.Input.(sendInput).ticket
+			parts[n] = append(parts[n], op)
+		}
+		return parts
+	},
+	Init: func() any { return register{} },
+	Step: func(state, input, output any) (bool, any) {
+		return stepTicketModel(state.(register), input.(sendInput), output.(string))
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprint(input, " -> ", output) },
+}
+
+func stepTicketModel(r register, in sendInput, got string) (bool, register) {
+	mine := r.payload == "" || r.payload == in.payload || in.resolve
+	taken := r
+	if !in.resolve {
+		taken.payload = in.payload
+	}
+	switch got {
+	case gotNothing:
+		if r.payload == "" {
+			r.payload = taken.payload
+		}
+		return true, r
+	case gotReused:
+		return !mine, r
+	case gotRunning:
+		return mine, taken
+	case gotNotRun:
+		taken.final = gotNotRun
+		// A sealed ticket never ran whichever order asks.
+		return r.final == "" && mine || r.final == gotNotRun, taken
+	default:
+		taken.final = got
+		ran := r.payload != "" || !in.resolve
+		return mine && ran && (r.final == "" || r.final == got), taken
+	}
+}
+
+// TestHistoriesOfConcurrentSends checks that concurrent sends of the same tickets, through the
+// gather and around it, see each ticket as a register that is written once.
+func TestHistoriesOfConcurrentSends(t *testing.T) {
+	for n := range uint64(histories) {
+		seed := *historySeed + n
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m, ops := recordHistory(seed)
+				is.Equal(len(ops), historySenders*sendsPerSender)
+				is.True(porcupine.CheckOperations(ticketModel, ops)) // each ticket is a register written once
+				for _, i := range m.tickets {
+					is.True(m.runsOf(i.text) <= 1)
+				}
+			})
+		})
+	}
+}
+
+// recordHistory runs senders at once against one gather, with faults drawn from the seed.
+func recordHistory(seed uint64) (*machine, []porcupine.Operation) {
+	m := newMachine()
+	defer m.end()
+	for range historyTickets {
+		m.issueAt("vm-1")
+		synctest.Wait()
+	}
+	var (
+		clock atomic.Int64
+		mu    sync.Mutex
+		ops   []porcupine.Operation
+		wg    sync.WaitGroup
+	)
+	for sender := range historySenders {
+		random := rand.New(rand.NewPCG(seed, uint64(sender)))
+		wg.Go(func() {
+			for range sendsPerSender {
+				time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+				m.armRandom(random)
+				in := sendInput{
+					ticket: random.IntN(historyTickets), payload: fmt.Sprint("p", random.IntN(historyPayloads)),
+					resolve: random.IntN(4) == 0,
+				}
+				call := clock.Add(1)
+				got := m.sendFor(in, time.Duration(20+random.IntN(200))*time.Millisecond)
+				op := porcupine.Operation{ClientId: sender, Input: in, Call: call, Output: got, Return: clock.Add(1)}
+				if got == gotNothing && !in.resolve {
+					op.Return = math.MaxInt64 // it may still arrive, or never
+				}
+				mu.Lock()
+				ops = append(ops, op)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return m, ops
+}
+
+// armRandom arms a fault of the network or a leaf, no kill or freeze.
+func (m *machine) armRandom(random *rand.Rand) {
+	steps := []string{atNote, atOrder, atExecute, atExecute, atHandover, ""}
+	m.arm(steps[random.IntN(len(steps))], fault{
+		delay:       time.Duration(random.IntN(150)) * time.Millisecond,
+		dropRequest: random.IntN(8) == 0, dropResponse: random.IntN(8) == 0,
+		notWritten: random.IntN(4) == 0, broken: random.IntN(6) == 0,
+	})
+}
+
+func (m *machine) sendFor(in sendInput, timeout time.Duration) string {
+	i := m.tickets[in.ticket]
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if in.resolve {
+		_, err := m.entry.Resolve(ctx, i.ticket, "desk")
+		return gotOf(err, false)
+	}
+	_, err := call(m.world, ctx, nil, i.ticket.VM, atOrder, func(n *node) (*pb.GatherOrderResponse, error) {
+		return n.m.Order(ctx, orderRequest(i.text, in.payload))
+	})
+	return gotOf(err, true)
+}
+
+// gotOf names what a send got. A resolver that can't tell says nothing; a lost answer neither.
+func gotOf(err error, fromGather bool) string {
+	end, ok := outcome.As(err)
+	switch {
+	case err == nil:
+		return gotAnswered
+	case !ok:
+		return gotNothing
+	case end.Reason == pb.Reason_REASON_TICKET_REUSED:
+		return gotReused
+	case end.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+		return gotNotRun
+	case end.RetryAfter == 0:
+		return gotUnknown
+	case fromGather:
+		return gotRunning
+	}
+	return gotNothing
+}
--- /dev/null
+++ b/internal/order/model_test.go
@@ -0,0 +1,372 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/ticket"
+)
+
+// defaultSeed makes each run the same; -rapid.seed sets another.
+const defaultSeed = "20261"
+
+// shrinkTime is fake time for making a failure small.
+const shrinkTime = "2000h"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(defaultSeed)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", shrinkTime)
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// told is what one send of a ticket was told.
+type told struct {
+	end    *outcome.Error
+	result string
+	// binding is true where the minter had ended and everything believed was the case when the
+	// resolver was asked, so that even a final unknown may not change any more.
+	binding bool
+}
+
+func (a told) kind() pb.OutcomeKind {
+	if a.end == nil {
+		return pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE
+	}
+	return a.end.Kind
+}
+
+func (a told) String() string {
+	if a.end == nil {
+		return "answered"
+	}
+	return fmt.Sprintf("%s %v after %v", outcome.KindName(a.end.Kind), a.end, a.end.RetryAfter)
+}
+
+// issued is a ticket with all that was told of it, in order.
+type issued struct {
+	text   string
+	ticket *ticket.Ticket
+	minter *node
+	told   []told
+}
+
+// machine drives a world by drawn actions.
+type machine struct {
+	*world
+	entry   *Resolver
+	tickets []*issued
+	log     []string
+}
+
+var testZones = map[string]string{"vm-1": "az-1", "vm-2": "az-1", "vm-3": "az-2", "vm-4": "az-2"}
+
+func newMachine() *machine {
+	cfg := DefaultConfig()
+	cfg.TTL, cfg.KeepAfter, cfg.PeerKeep = 4*time.Second, 3*time.Second, 5*time.Second
+	w := newWorld(cfg, testZones)
+	return &machine{world: w, entry: NewResolver(cfg, entrySource{w}, netPeers{w, nil})}
+}
+
+func drawVM(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"vm-1", "vm-2", "vm-3", "vm-4"}).Draw(t, "vm")
+}
+
+// issue takes a ticket from a gather; refusals are of no interest here.
+func (m *machine) issue(t *rapid.T) {
+	m.issueAt(drawVM(t))
+	synctest.Wait()
+}
+
+func (m *machine) issueAt(vm string) {
+	n := m.node(vm)
+	go func() {
+		if !n.alive() {
+			return
+		}
+		resp, err := n.m.IssueTicket(context.Background(), &pb.GatherIssueTicketRequest{
+			Identity: &pb.Identity{RequestId: "t", Caller: "desk"}, Ticket: &pb.IssueTicketRequest{Service: "teachers", Kind: "book"},
+		})
+		if err != nil || !n.alive() {
+			return
+		}
+		parsed, _ := ticket.Parse(resp.GetTicket().GetTicket())
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.tickets = append(m.tickets, &issued{text: resp.GetTicket().GetTicket(), ticket: parsed, minter: n})
+	}()
+}
+
+func (m *machine) drawTicket(t *rapid.T) *issued {
+	if len(m.tickets) == 0 {
+		t.Skip("no ticket yet")
+	}
+	return rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+}
+
+// send sends an order as an entry does: to the ticket's gather, else through the resolver.
+func (m *machine) send(t *rapid.T) { m.sendOf(t, m.drawTicket(t)) }
+
+func (m *machine) sendOf(t *rapid.T, i *issued) {
+	payload := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "payload")
+	timeout := rapid.SampledFrom([]time.Duration{50, 400, 3000}).Draw(t, "timeout") * time.Millisecond
+	go m.sendOnce(i, payload, timeout)
+	synctest.Wait()
+}
+
+func (m *machine) sendOnce(i *issued, payload string, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req := orderRequest(i.text, payload)
+	resp, err := call(m.world, ctx, nil, i.ticket.VM, atOrder, func(n *node) (*pb.GatherOrderResponse, error) {
+		return n.m.Order(ctx, req)
+	})
+	if errors.Is(err, errLost) {
+		m.resolve(i, req.GetOrder())
+		return
+	}
+	m.note(i, resp.GetOrder(), err, false)
+}
+
+func (m *machine) resolve(i *issued, order *pb.OrderRequest) {
+	binding := m.ended(i) && m.viewTrue()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	resp, err := m.entry.ResolveOrder(ctx, i.ticket, "desk", order, "r")
+	m.note(i, resp, err, binding)
+}
+
+// resolveOnly asks the resolver while the gather may be alive, as an entry cut off from it does.
+func (m *machine) resolveOnly(t *rapid.T) {
+	i := m.drawTicket(t)
+	go m.resolve(i, nil)
+	synctest.Wait()
+}
+
+// ended tells whether the minter was killed, without a handover that may still be under way.
+func (m *machine) ended(i *issued) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return i.minter.dead && !i.minter.draining
+}
+
+func (m *machine) note(i *issued, resp *pb.OrderResponse, err error, binding bool) {
+	end, _ := outcome.As(err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if end != nil && end.Reason == pb.Reason_REASON_TICKET_REUSED {
+		return // this is about another order than the ticket's
+	}
+	i.told = append(i.told, told{end: end, result: resp.GetResult(), binding: binding})
+}
+
+func (m *machine) armFault(t *rapid.T) {
+	strikes := []strike{strikeNone, strikeNone, strikeFreeze, strikeKill}
+	f := fault{
+		dropRequest:  rapid.IntRange(0, 3).Draw(t, "dropRequest") == 3,
+		dropResponse: rapid.IntRange(0, 3).Draw(t, "dropResponse") == 3,
+		delay:        rapid.SampledFrom([]time.Duration{0, 0, 30, 300, 2000, 9000}).Draw(t, "delay") * time.Millisecond,
+		before:       rapid.SampledFrom(strikes).Draw(t, "before"),
+		after:        rapid.SampledFrom(strikes).Draw(t, "after"),
+		notWritten:   rapid.IntRange(0, 5).Draw(t, "notWritten") == 5,
+		refused:      rapid.IntRange(0, 5).Draw(t, "refused") == 5,
+		broken:       rapid.IntRange(0, 5).Draw(t, "broken") == 5,
+	}
+	m.arm(rapid.SampledFrom([]string{atNote, atNote, atHandover, atResolve, atOrder, atExecute, atExecute}).Draw(t, "step"), f)
+}
+
+func (m *machine) cutLink(t *rapid.T) {
+	a := rapid.SampledFrom([]string{"entry", "vm-1", "vm-2"}).Draw(t, "from")
+	b := drawVM(t)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[[2]string{min(a, b), max(a, b)}] = true
+}
+
+func (m *machine) heal(*rapid.T) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.cut)
+}
+
+func (m *machine) leaveOne(t *rapid.T) {
+	limit := rapid.SampledFrom([]time.Duration{100, 1000, 5000}).Draw(t, "limit")
+	m.leave(m.node(drawVM(t)), limit*time.Millisecond)
+	synctest.Wait()
+}
+
+func (m *machine) restart(t *rapid.T) {
+	n := m.node(drawVM(t))
+	m.mu.Lock()
+	dead := n.dead
+	m.mu.Unlock()
+	if dead {
+		m.start(n.id, n.zone)
+	}
+}
+
+func (m *machine) pass(t *rapid.T) {
+	time.Sleep(rapid.SampledFrom([]time.Duration{10, 50, 200, 1000, 3000}).Draw(t, "time") * time.Millisecond)
+	synctest.Wait()
+}
+
+// passLong lets tickets expire and notes be forgotten.
+func (m *machine) passLong(*rapid.T) {
+	time.Sleep(8 * time.Second)
+	synctest.Wait()
+}
+
+// faulted issues a ticket and sends its order into a fault.
+func (m *machine) faulted(t *rapid.T) {
+	m.issue(t)
+	m.armFault(t)
+	m.sendOf(t, m.lastTicket(t))
+}
+
+func (m *machine) lastTicket(t *rapid.T) *issued {
+	if len(m.tickets) == 0 {
+		t.Skip("no ticket yet")
+	}
+	return m.tickets[len(m.tickets)-1]
+}
+
+func (m *machine) actions() map[string]func(*rapid.T) {
+	onNode := func(do func(*node)) func(*rapid.T) {
+		return func(t *rapid.T) {
+			do(m.node(drawVM(t)))
+			synctest.Wait()
+		}
+	}
+	weighted := []struct {
+		weight int
+		name   string
+		do     func(*rapid.T)
+	}{
+		{2, "issue", m.issue}, {4, "send", m.send}, {5, "faulted", m.faulted}, {2, "resolve", m.resolveOnly},
+		{1, "fault", m.armFault}, {1, "cut", m.cutLink}, {2, "heal", m.heal}, {3, "restart", m.restart},
+		{3, "pass", m.pass}, {1, "passLong", m.passLong},
+		{1, "freeze", onNode(m.freeze)}, {3, "thaw", onNode(m.thaw)}, {1, "kill", onNode(m.kill)}, {1, "leave", m.leaveOne},
+		{1, "thawUnaware", onNode(m.thawUnaware)},
+		{4, "news", func(*rapid.T) { m.news() }},
+		{1, "rumour", func(t *rapid.T) { m.rumour(drawVM(t), pb.VmState_VM_STATE_GONE) }},
+	}
+	all := map[string]func(*rapid.T){"": m.check}
+	for _, a := range weighted {
+		for n := range a.weight {
+			all[fmt.Sprint(a.name, n)] = a.do
+		}
+	}
+	return all
+}
+
+// check holds the promise against what the leaves ran and callers were told.
+func (m *machine) check(t *rapid.T) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, i := range m.tickets {
+		if broken := i.broken(m.runs[i.text]); broken != "" {
+			t.Fatalf("ticket %s ran %d times, told %v: %s", i.ticket.Identity(), m.runs[i.text], i.told, broken)
+		}
+	}
+}
+
+// broken says which part of the promise does not hold, or "".
+func (i *issued) broken(runs int) string {
+	has := func(k pb.OutcomeKind) bool {
+		return slices.ContainsFunc(i.told, func(a told) bool { return a.kind() == k })
+	}
+	answered := has(pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+	notRun := has(pb.OutcomeKind_OUTCOME_KIND_NOT_RUN)
+	switch {
+	case runs > 1:
+		return "ran more than once"
+	case notRun && runs != 0:
+		return "not_run, but it ran"
+	case answered && runs != 1:
+		return "answered, but it did not run"
+	}
+	return i.changed()
+}
+
+// changed tells whether an outcome changed after it was final.
+func (i *issued) changed() string {
+	final := false
+	for _, a := range i.told {
+		if a.end == nil && a.result != "done:"+i.text {
+			return "answered another order"
+		}
+		if final && a.kind() != pb.OutcomeKind_OUTCOME_KIND_UNKNOWN {
+			return "changed after a final unknown"
+		}
+		if a.kind() == pb.OutcomeKind_OUTCOME_KIND_UNKNOWN && a.end.RetryAfter == 0 {
+			final = final || a.binding || a.end.Step == stepExecute
+		}
+	}
+	return ""
+}
+
+// settleAndEnd resends all tickets once everything works again, checks, and ends the world.
+func (m *machine) settleAndEnd(t *rapid.T) {
+	m.heal(nil)
+	for id := range testZones {
+		m.thaw(m.node(id))
+	}
+	for range 2 {
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		m.news()
+		for _, i := range m.tickets {
+			go m.sendOnce(i, "a", 3*time.Second)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		m.check(t)
+	}
+}
+
+func (m *machine) end() {
+	m.mu.Lock()
+	clear(m.armed)
+	nodes := make([]*node, 0, len(m.nodes))
+	for _, n := range m.nodes {
+		nodes = append(nodes, n)
+	}
+	m.mu.Unlock()
+	for _, n := range nodes {
+		m.kill(n)
+	}
+	time.Sleep(time.Minute)
+}
+
+// noDeadline hides the deadline of a test, which can't be asked for on fake time. The library then
+// stops after 24 hours of fake time, some 700 checks.
+type noDeadline struct{ rapid.TB }
+
+// TestAtMostOnceUnderFaults proves the promise of this package: each order runs at most once,
+// not_run is never followed or preceded by a run, answered means exactly one run, and a final
+// outcome does not change; under kills, freezes, cuts, lost and late messages and false views.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(t *rapid.T) {
+			m := newMachine()
+			defer m.end()
+			t.Repeat(m.actions())
+			m.settleAndEnd(t)
+		})
+	})
+}
