Try fleets of syncs under loss, cuts, freezes and a failing platform

A fake network and platform run many syncs in one process under testing/synctest.

The runs led to three changes. A pause is looked for before each packet and contact, since packets that waited through it would make ages look young. Catching up asks platform and peers side by side and waits no longer than 250 ms after the first peer's answer, so that a peer that is gone doesn't use up the time; sections come from peers first, as the platform counts its reads. Fetches of sections run one at a time.

--- a/internal/spread/catchup.go
+++ b/internal/spread/catchup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
@@ -11,6 +10,9 @@
 // catchUpPeers is how many peers are asked at once to catch up.
 const catchUpPeers = 4
 
+// catchUpGrace is how long further answers are waited for after the first.
+const catchUpGrace = 250 * time.Millisecond
+
 // CaughtUp tells whether peers or the platform were heard since the start and the newest pause.
 func (m *Manager) CaughtUp() bool {
 	m.mu.Lock()
@@ -18,10 +20,18 @@
 	return m.caughtUp
 }
 
-// SetCaughtUp ends the catching up.
-func (m *Manager) SetCaughtUp() {
+// Pauses returns how many pauses of the process there were, for SetCaughtUp.
+func (m *Manager) Pauses() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pauses
+}
+
+// SetCaughtUp ends the catching up that began after the given number of pauses. It does nothing
+// where another pause came since.
+func (m *Manager) SetCaughtUp(pauses uint64) {
 	m.mu.Lock()
-	m.caughtUp = true
+	m.caughtUp = m.caughtUp || pauses == m.pauses
 	m.mu.Unlock()
 	m.cfg.Changed.Fire()
 }
@@ -30,6 +40,7 @@
 func (m *Manager) Paused(now time.Time) {
 	m.mu.Lock()
 	m.caughtUp = false
+	m.pauses++
 	m.probes.drop()
 	m.differ = differ{}
 	m.mu.Unlock()
@@ -39,22 +50,22 @@
 }
 
 // AskPeers asks a few random peers, or the seeds where none is known, for all they hold. asked is
-// how many were asked, answered how many answered with all.
+// how many were asked, answered how many answered with all of it. It doesn't wait long for more
+// once one answered.
 func (m *Manager) AskPeers(ctx context.Context) (asked, answered int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	addresses := m.addressesToAsk()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
+	results := make(chan bool, len(addresses))
 	for _, a := range addresses {
-		wg.Go(func() {
-			if m.exchange(ctx, a) != nil || m.fetch(ctx, a) != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
+		go func() { results <- m.exchange(ctx, a) == nil && m.fetch(ctx, a) == nil }()
+	}
+	for range addresses {
+		if <-results {
 			answered++
-		})
+			time.AfterFunc(catchUpGrace, cancel)
+		}
 	}
-	wg.Wait()
 	return len(addresses), answered
 }
 
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -16,7 +16,7 @@
 const (
 	// manifestTimeout and sectionsTimeout bound one call to a peer.
 	manifestTimeout = 2 * time.Second
-	sectionsTimeout = 5 * time.Second
+	sectionsTimeout = 3 * time.Second
 	// sectionsPerCall bounds the digests of one call.
 	sectionsPerCall = 256
 	// refusedFor is how long a bundle that was not accepted is not fetched again.
@@ -53,6 +53,12 @@
 		m.metrics.fetches.WithLabelValues("manifest", "failed").Inc()
 		return eris.Wrapf(err, "sync.spread: manifest of %s", address)
 	}
+	select {
+	case m.fetching <- struct{}{}:
+		defer func() { <-m.fetching }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	if err := m.fetchBundle(ctx, peer, resp.GetManifest()); err != nil {
 		return eris.Wrapf(err, "sync.spread: bundle of %s", address)
 	}
--- a/internal/spread/handle.go
+++ b/internal/spread/handle.go
@@ -20,6 +20,7 @@
 		m.metrics.packets.WithLabelValues("not_ours").Inc()
 		return
 	}
+	m.cfg.CheckPause(now)
 	if !m.CaughtUp() {
 		m.metrics.packets.WithLabelValues("ignored").Inc()
 		return
--- a/internal/spread/manager.go
+++ b/internal/spread/manager.go
@@ -47,6 +47,9 @@
 	Content   *content.Store
 	Transport Transport
 	Dial      Dial
+	// CheckPause notices a pause of the process and calls Paused then. It is called before a packet
+	// is looked at, which may have waited through the pause.
+	CheckPause func(now time.Time)
 	// Changed is fired when the view of the fleet changes.
 	Changed  *notify.Notifier
 	Log      *zap.Logger
@@ -61,6 +64,8 @@
 	pushes  *rate.Limiter
 	// fetches and exchanges hold the peer that is next, newest wins.
 	fetches, exchanges chan membership.Peer
+	// fetching holds a value while sections are fetched: one at a time, so that none moves twice.
+	fetching chan struct{}
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
@@ -71,6 +76,8 @@
 	// caughtUp is false from the start, and from each pause on, until peers or the platform were
 	// asked again; packets are ignored meanwhile, for they may have waited through the pause.
 	caughtUp bool
+	// pauses counts the pauses of the process.
+	pauses uint64
 	// refused remembers bundles that were not accepted, by version and digest prefix.
 	refused map[refusedKey]time.Time
 	differ  differ
@@ -91,6 +98,7 @@
 		pushes:    rate.NewLimiter(pushRate, pushBurst),
 		fetches:   make(chan membership.Peer, 1),
 		exchanges: make(chan membership.Peer, 1),
+		fetching:  make(chan struct{}, 1),
 		news:      newNews(),
 		probes:    newProbes(),
 		refused:   make(map[refusedKey]time.Time),
@@ -133,6 +141,7 @@
 			return
 		}
 		now := time.Now()
+		m.cfg.CheckPause(now)
 		beats += wait
 		if beats >= beatPeriod {
 			beats = 0
--- a/internal/syncd/catchup.go
+++ b/internal/syncd/catchup.go
@@ -4,6 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/platform"
 )
 
 const (
@@ -11,6 +15,11 @@
 	// has; resumeLimit is the same after a pause.
 	startLimit  = 4 * time.Second
 	resumeLimit = 2 * time.Second
+	// platformTime is how long the platform has to answer where peers did.
+	platformTime = time.Second
+	// settle is how long packets are ignored at least, so that those which waited through a pause
+	// are read out of the socket first.
+	settle = 100 * time.Millisecond
 	// askAgainMin and askAgainMax bound the random wait between rounds of asking.
 	askAgainMin = 100 * time.Millisecond
 	askAgainMax = 300 * time.Millisecond
@@ -30,24 +39,75 @@
 	}
 }
 
-// catchUp returns when all that could be asked have answered, or at the limit: a VM that is cut off
-// goes on with the highest bundle it has seen.
+// catchUp returns when peers and platform were asked, or at the limit: a VM that is cut off goes on
+// with the highest bundle it has seen.
 func (m *Manager) catchUp(ctx context.Context, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	pauses := m.spread.Pauses()
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if sleep(limited, settle) {
+		m.askAll(limited)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	m.spread.SetCaughtUp(pauses)
+	m.publishOwn(time.Now())
+}
+
+// askAll asks the platform and peers side by side, until peers answered and the platform had its
+// time, or until the platform answered and there are no peers. Sections come from peers first: the
+// platform counts its reads.
+func (m *Manager) askAll(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	platform := false
+	answer := make(chan []byte, 1)
+	go func() { answer <- m.askPlatform(ctx) }()
+	late := time.NewTimer(platformTime)
+	defer late.Stop()
 	for {
-		if !platform {
-			platform = m.reader.readOnce(ctx)
-		}
 		asked, answered := m.spread.AskPeers(ctx)
-		if answered > 0 || platform && asked == 0 {
+		if answered > 0 || asked == 0 && len(answer) > 0 {
 			break
 		}
 		if !sleep(ctx, askAgainMin+rand.N(askAgainMax-askAgainMin)) {
 			break
 		}
 	}
-	m.spread.SetCaughtUp()
-	m.publishOwn(time.Now())
+	if len(answer) == 0 {
+		waitEither(answer, late.C)
+	}
+	if len(answer) > 0 {
+		m.takeAnswer(ctx, <-answer)
+	}
+}
+
+// waitEither returns when an answer is there or it is late.
+func waitEither(answer chan []byte, late <-chan time.Time) {
+	select {
+	case a := <-answer:
+		answer <- a
+	case <-late:
+	}
+}
+
+// askPlatform reads list and manifest once, or until ctx ends. The manifest is nil where there is
+// none.
+func (m *Manager) askPlatform(ctx context.Context) (manifest []byte) {
+	var backoff platform.Backoff
+	for {
+		manifest, ok := m.reader.readOnce(ctx)
+		if ok || !sleep(ctx, backoff.Next()) {
+			return manifest
+		}
+	}
+}
+
+func (m *Manager) takeAnswer(ctx context.Context, manifest []byte) {
+	if manifest == nil {
+		return
+	}
+	if err := m.reader.takeManifest(ctx, manifest); err != nil {
+		m.cfg.Log.Warn("bundle of the platform not had yet", zap.Error(err))
+	}
 }
--- /dev/null
+++ b/internal/syncd/faults_test.go
@@ -0,0 +1,292 @@
+package syncd
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+)
+
+const (
+	liveState    = pb.VmState_VM_STATE_LIVE
+	leavingState = pb.VmState_VM_STATE_LEAVING
+	goneState    = pb.VmState_VM_STATE_GONE
+)
+
+// inZone returns the nodes of a zone, or all others.
+func (f *fleet) inZone(zone string, in bool) (out []*node) {
+	for _, nd := range f.all() {
+		if (nd.zone == zone) == in {
+			out = append(out, nd)
+		}
+	}
+	return out
+}
+
+// oneOf returns any node of a zone.
+func (f *fleet) oneOf(zone string) *node { return f.inZone(zone, true)[0] }
+
+// cut cuts a zone off from all others; "" heals.
+func (f *fleet) cut(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutZone = zone
+}
+
+func TestZoneCutOffAndHealed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 24, 4)
+		f.platform.set(func(p *fakePlatform) { p.noZones["az-1"] = true })
+		f.cut("az-1")
+		inside, outside := f.oneOf("az-1"), f.oneOf("az-2")
+		f.waitFor(20*time.Second, "each side sees the other go", func() bool {
+			return inside.state(outside.id) == goneState && outside.state(inside.id) == goneState
+		})
+		for _, nd := range f.inZone("az-1", true) {
+			if nd.id != inside.id && inside.state(nd.id) != liveState {
+				t.Errorf("%s is %s inside its own zone", nd.id, inside.state(nd.id))
+			}
+		}
+		f.publish(2)
+		f.waitFor(3*time.Second, "version 2 outside", func() bool {
+			for _, nd := range f.inZone("az-1", false) {
+				if nd.version() != 2 {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(20 * time.Second)
+		is := is.New(t)
+		is.Equal(inside.version(), uint64(1)) // serves on with the highest it has seen
+		ready, _ := inside.manager.Ready()
+		is.True(ready)
+		age, known := inside.manager.spread.PlatformAge(time.Now())
+		is.True(known)
+		is.True(age > 20*time.Second) // and says how old its contact is
+		f.cut("")
+		f.waitFor(5*time.Second, "version 2 everywhere after the cut", f.allAt(2))
+		f.waitFor(20*time.Second, "all are live everywhere", func() bool {
+			return f.allSee(inside.id, liveState)() && f.allSee(outside.id, liveState)()
+		})
+	})
+}
+
+func TestZoneWithoutPlatformIsFedByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12, 3)
+		f.platform.set(func(p *fakePlatform) { p.noZones["az-1"] = true })
+		f.publish(2)
+		f.waitFor(3*time.Second, "version 2 everywhere", f.allAt(2))
+	})
+}
+
+func TestPlatformDownAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 32, 4)
+		f.platform.set(func(p *fakePlatform) { p.down = true })
+		before := f.platform.readCount()
+		time.Sleep(5 * time.Minute)
+		// In each zone 2 readers have 2 watches, of which each takes 2 s to fail here and up to 8 s
+		// of backoff; and every 2 s another 2 VMs try 2 reads: some 2.5 reads a second a zone,
+		// whatever the number of VMs.
+		perSecond := float64(f.platform.readCount()-before) / 300
+		t.Logf("%.1f reads a second while the platform is down", perSecond)
+		is.True(perSecond < 4*3)
+		for _, nd := range f.all() {
+			ready, why := nd.manager.Ready()
+			is.True(ready) // serves on
+			is.Equal(why, "")
+			age, _ := nd.manager.spread.PlatformAge(time.Now())
+			// What travels only ever shortens it by the way between VMs.
+			is.True(age > 4*time.Minute+30*time.Second && age < 5*time.Minute+30*time.Second)
+		}
+		f.publish(2)
+		before = f.platform.readCount()
+		f.platform.set(func(p *fakePlatform) { p.down = false })
+		f.waitFor(12*time.Second, "version 2 everywhere once the platform is back", f.allAt(2))
+		is.True(f.platform.readCount()-before < 150) // no herd
+	})
+}
+
+func TestStalePlatformLowersNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, 2)
+		f.publish(3)
+		f.waitFor(3*time.Second, "version 3 everywhere", f.allAt(3))
+		f.publish(2) // an old state of the platform at a new revision
+		fresh := f.add("vm-new", "az-1")
+		fresh.start()
+		f.waitFor(10*time.Second, "the fresh VM takes the highest from its peers", f.allAt(3))
+		time.Sleep(30 * time.Second)
+		is := is.New(t)
+		is.True(f.allAt(3)())
+	})
+}
+
+func TestTwoBundlesOfOneVersionSettle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12, 3)
+		one, oneText := f.sign(2, "-one")
+		two, twoText := f.sign(2, "-two")
+		f.platform.publish(one, oneText)
+		time.Sleep(time.Second)
+		f.platform.publish(two, twoText)
+		higher := bundle.ManifestDigest(one.GetManifest())
+		if d := bundle.ManifestDigest(two.GetManifest()); bytes.Compare(d[:], higher[:]) > 0 {
+			higher = d
+		}
+		f.waitFor(5*time.Second, "all settle on the higher digest", func() bool {
+			for _, nd := range f.all() {
+				if b := nd.manager.content.Bundle(); b == nil || b.Digest != higher {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+func TestFrozenVMWakesOverSeveralVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 16, 4)
+		frozen := f.oneOf("az-1")
+		frozen.freeze()
+		f.waitFor(30*time.Second, "the frozen VM is gone for the others", f.allSee(frozen.id, goneState))
+		for v := uint64(2); v <= 5; v++ {
+			f.publish(v)
+			f.waitFor(3*time.Second, "a version elsewhere", f.allAt(v))
+			time.Sleep(5 * time.Second)
+		}
+		is.Equal(frozen.version(), uint64(1))
+		frozen.start()
+		frozen.manager.checkPause(time.Now())
+		is.True(!frozen.manager.spread.CaughtUp()) // feeds nobody what it knew before
+		f.waitFor(3*time.Second, "it asked its peers", frozen.manager.spread.CaughtUp)
+		is.Equal(frozen.version(), uint64(5)) // no older version was ever shown
+		f.waitFor(10*time.Second, "it is live for the others", f.allSee(frozen.id, liveState))
+		for _, nd := range f.all() {
+			is.True(f.allSee(nd.id, liveState)()) // it judged nobody by its own silence
+		}
+	})
+}
+
+func TestRestartedVMIsANewIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 8, 2)
+		old := f.oneOf("az-1")
+		time.Sleep(time.Minute) // its heartbeat is far above a fresh one
+		old.freeze()
+		f.waitFor(30*time.Second, "gone", f.allSee(old.id, goneState))
+		f.mu.Lock()
+		delete(f.byAddr, old.address)
+		delete(f.nodes, old.id)
+		f.mu.Unlock()
+		again := f.add(old.id, old.zone)
+		again.start()
+		f.waitFor(10*time.Second, "live again", f.allSee(again.id, liveState))
+		for _, nd := range f.all() {
+			is.Equal(nd.manager.members.Record(again.id).GetIncarnation(), again.manager.cfg.Incarnation)
+		}
+	})
+}
+
+func TestReadersDieAndOthersTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12, 2)
+		time.Sleep(5 * time.Second)
+		for _, nd := range f.all() {
+			if nd.manager.reader.activeNow() {
+				nd.freeze()
+			}
+		}
+		f.publish(2)
+		f.waitFor(15*time.Second, "others read", f.allAt(2))
+		time.Sleep(2 * time.Minute)
+		for _, zone := range []string{"az-1", "az-2"} {
+			reading := 0
+			for _, nd := range f.inZone(zone, true) {
+				if nd.isRunning() && nd.manager.reader.activeNow() {
+					reading++
+				}
+			}
+			is.Equal(reading, 2) // as many as before
+		}
+	})
+}
+
+func TestReadersCutOffFromThePlatformAreRelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12, 2)
+		time.Sleep(5 * time.Second)
+		f.platform.set(func(p *fakePlatform) {
+			for _, nd := range f.all() {
+				p.noVMs[nd.id] = nd.manager.reader.activeNow()
+			}
+		})
+		f.publish(2)
+		f.waitFor(20*time.Second, "others take their turn", f.allAt(2))
+	})
+}
+
+func TestEvidenceAndStatesSpreadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 64, 4)
+		f.mu.Lock()
+		f.loss = 0.05
+		f.mu.Unlock()
+		time.Sleep(10 * time.Second) // what came with the start has spread
+		source := f.oneOf("az-3")
+		source.manager.spread.TakeEvidence(
+			[]*pb.Departure{{Leaf: "leaf-1", Incarnation: 9, Source: pb.DepartureSource_DEPARTURE_SOURCE_GOAWAY, Vm: source.id, Age: durationpb.New(0)}},
+			[]*pb.Crash{{RequestDigest: 5, Leaf: "leaf-2", Incarnation: 3}}, time.Now())
+		took := f.waitFor(3*time.Second, "departure and crash everywhere", func() bool {
+			for _, nd := range f.all() {
+				if d, c := nd.manager.evidence.Len(); d != 1 || c != 1 {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("evidence everywhere after %s", took)
+		gather := &pb.Process{Role: pb.ProcessRole_PROCESS_ROLE_GATHER, Incarnation: 77, State: pb.ProcessState_PROCESS_STATE_READY}
+		release := source.manager.processes.connected(gather, time.Now())
+		defer release(time.Now())
+		source.manager.publishOwn(time.Now())
+		took = f.waitFor(3*time.Second, "the gather's state everywhere", func() bool {
+			for _, nd := range f.all() {
+				if len(nd.manager.members.Record(source.id).GetProcesses()) != 2 {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("state everywhere after %s", took)
+		for _, nd := range f.all() {
+			is.True(f.allSee(nd.id, liveState)()) // loss alone makes nobody gone
+		}
+	})
+}
+
+func TestListSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 16, 4)
+		leaver, silent := f.oneOf("az-2"), f.oneOf("az-3")
+		f.platform.publishList(f.listJSON(map[string]string{leaver.id: "leaving", silent.id: "absent"}))
+		f.waitFor(3*time.Second, "the list says leaving", f.allSee(leaver.id, leavingState))
+		time.Sleep(5 * time.Second)
+		is := is.New(t)
+		is.True(f.allSee(silent.id, liveState)()) // it speaks, whatever the list says
+	})
+}
--- /dev/null
+++ b/internal/syncd/fleet_test.go
@@ -0,0 +1,484 @@
+package syncd
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/platform"
+)
+
+// latency of the fake network, one way.
+const latency = time.Millisecond
+
+var errUnreachable = errors.New("unreachable")
+
+// fleet is a number of syncs in one process over a fake network and a fake platform.
+type fleet struct {
+	t        *testing.T
+	key      ed25519.PrivateKey
+	platform *fakePlatform
+
+	mu sync.Mutex
+	// What follows is guarded by mu.
+	nodes   map[string]*node
+	byAddr  map[string]*node
+	loss    float64
+	cutZone string
+	packets map[string]int
+	bytes   int
+	// added counts the VMs ever added, for their addresses.
+	added int
+}
+
+// node is one sync of a fleet.
+type node struct {
+	fleet    *fleet
+	id, zone string
+	address  string
+	manager  *Manager
+	inbox    chan []byte
+	cancel   context.CancelFunc
+	done     chan struct{}
+	running  bool
+}
+
+// newFleet starts n syncs over the zones and waits until all are ready. It runs inside a synctest
+// bubble.
+func newFleet(t *testing.T, n, zones int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
+		nodes: make(map[string]*node), byAddr: make(map[string]*node), packets: make(map[string]int),
+	}
+	f.platform = newFakePlatform(f)
+	for i := range n {
+		f.add(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("az-%d", i%zones+1))
+	}
+	f.platform.publishList(f.listJSON(nil))
+	f.publish(1)
+	for _, nd := range f.nodes {
+		nd.start()
+	}
+	f.waitFor(10*time.Second, "the first bundle is in force everywhere", f.allAt(1))
+	t.Cleanup(func() {
+		for _, nd := range f.all() {
+			nd.freeze()
+		}
+	})
+	return f
+}
+
+func (f *fleet) all() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*node
+	for _, nd := range f.nodes {
+		out = append(out, nd)
+	}
+	return out
+}
+
+// add makes a sync without starting it.
+func (f *fleet) add(id, zone string) *node {
+	nd := &node{fleet: f, id: id, zone: zone, inbox: make(chan []byte, 4096)}
+	f.mu.Lock()
+	nd.address = fmt.Sprintf("127.9.%d.%d:7402", f.added/250, f.added%250+1)
+	f.added++
+	f.nodes[id], f.byAddr[nd.address] = nd, nd
+	f.mu.Unlock()
+	s := DefaultSettings()
+	s.VM.ID, s.VM.Zone, s.VM.Bind = id, zone, strings.Split(nd.address, ":")[0]
+	s.Sync.Fleet = "test"
+	public := f.key.Public().(ed25519.PublicKey)
+	s.Trust = bundle.TrustSettings{Threshold: 1, Reviewers: []bundle.ReviewerSettings{
+		{KeyID: bundle.KeyID(public), PublicKey: base64.StdEncoding.EncodeToString(public)}}}
+	nd.manager = New(Config{
+		Settings: s, Incarnation: rand.Uint64(), Platform: &nodePlatform{f.platform, nd}, Transport: nd,
+		Dial: nd.dial, Log: zap.NewNop(),
+	})
+	return nd
+}
+
+// start runs the sync. After freeze it goes on with all it knew, as a process does after a pause.
+func (nd *node) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	nd.cancel, nd.done = cancel, make(chan struct{})
+	nd.fleet.mu.Lock()
+	nd.running = true
+	nd.fleet.mu.Unlock()
+	go func() {
+		defer close(nd.done)
+		_ = nd.manager.Run(ctx)
+	}()
+}
+
+// freeze stops the sync; packets wait for it.
+func (nd *node) freeze() {
+	nd.fleet.mu.Lock()
+	wasRunning := nd.running
+	nd.running = false
+	nd.fleet.mu.Unlock()
+	if wasRunning {
+		nd.cancel()
+		<-nd.done
+	}
+}
+
+// reaches tells whether a packet or call gets from one to the other now.
+func (f *fleet) reaches(from, to *node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return from.running && (f.cutZone == "" || (from.zone == f.cutZone) == (to.zone == f.cutZone))
+}
+
+// Send implements spread.Transport.
+func (nd *node) Send(to string, packet []byte) error {
+	f := nd.fleet
+	f.mu.Lock()
+	target, lost := f.byAddr[to], rand.Float64() < f.loss
+	f.bytes += len(packet)
+	f.packets[nd.id]++
+	f.mu.Unlock()
+	if len(packet) > 1200 {
+		f.t.Errorf("packet of %d bytes", len(packet))
+	}
+	if target == nil || lost || !f.reaches(nd, target) {
+		return nil
+	}
+	time.AfterFunc(latency, func() {
+		select {
+		case target.inbox <- packet:
+		default:
+		}
+	})
+	return nil
+}
+
+// Receive implements spread.Transport.
+func (nd *node) Receive(ctx context.Context) ([]byte, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case p := <-nd.inbox:
+		return p, nil
+	}
+}
+
+func (nd *node) dial(address string) burdockv1connect.PeerServiceClient {
+	nd.fleet.mu.Lock()
+	defer nd.fleet.mu.Unlock()
+	return &call{from: nd, to: nd.fleet.byAddr[address]}
+}
+
+// call is a PeerServiceClient over the fake network.
+type call struct{ from, to *node }
+
+// through does a call if both ways are open; a call into silence waits for its deadline.
+func through[Req, Resp any](ctx context.Context, c *call, req Req, do func(context.Context, Req) (Resp, error)) (Resp, error) {
+	var none Resp
+	open := func() bool {
+		if c.to == nil || !c.from.fleet.reaches(c.from, c.to) {
+			return false
+		}
+		return c.from.fleet.reaches(c.to, c.from)
+	}
+	for range 2 {
+		if !open() {
+			<-ctx.Done()
+			return none, errUnreachable
+		}
+		if !sleep(ctx, latency) {
+			return none, ctx.Err()
+		}
+	}
+	return do(ctx, req)
+}
+
+func (c *call) Manifest(ctx context.Context, req *pb.ManifestRequest) (*pb.ManifestResponse, error) {
+	return through(ctx, c, req, c.to.manager.Spread().Manifest)
+}
+
+func (c *call) Sections(ctx context.Context, req *pb.SectionsRequest) (*pb.SectionsResponse, error) {
+	return through(ctx, c, req, c.to.manager.Spread().Sections)
+}
+
+func (c *call) Exchange(ctx context.Context, req *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	return through(ctx, c, req, c.to.manager.Spread().Exchange)
+}
+
+// bundleText returns a bundle of the version; salt makes different ones of one version.
+func bundleText(version uint64, salt string) []byte {
+	return fmt.Appendf(nil, `version = %d
+[limits]
+max_query_bytes = 4096
+max_top_k = 100
+max_timeout = "10s"
+[[caller]]
+name = "desk%s"
+token_sha256 = "%064d"
+services = ["teachers"]
+[[service]]
+name = "teachers"
+[[service.kind]]
+name = "dawn"
+mode = "search"
+timeout = "1s"
+[[service.leaf]]
+id = "teachers-0-a"
+zone = "az-1"
+address = "127.0.2.1:9001"
+slots = 3
+connections = 30
+[[service.snapshot]]
+version = 1
+[[service.snapshot.shard]]
+id = 0
+documents = 1000
+leaves = ["teachers-0-a"]
+`, version, salt, 7)
+}
+
+func (f *fleet) sign(version uint64, salt string) (*pb.SignedManifest, []byte) {
+	text := bundleText(version, salt)
+	signed, err := bundle.Sign(text, bundle.Digest{}, f.key)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return signed, text
+}
+
+// publish puts a bundle on the platform.
+func (f *fleet) publish(version uint64) {
+	signed, text := f.sign(version, "")
+	f.platform.publish(signed, text)
+}
+
+// listJSON lists all VMs as live but those in states.
+func (f *fleet) listJSON(states map[string]string) []byte {
+	type vm struct {
+		ID       string `json:"id"`
+		Zone     string `json:"zone"`
+		Address  string `json:"address"`
+		SyncPort int    `json:"sync_port"`
+		State    string `json:"state"`
+	}
+	var list struct {
+		Revision uint64 `json:"revision"`
+		VMs      []vm   `json:"vms"`
+	}
+	list.Revision = f.platform.nextListRevision()
+	for _, nd := range f.all() {
+		state := states[nd.id]
+		if state == "" {
+			state = "live"
+		}
+		if state != "absent" {
+			list.VMs = append(list.VMs, vm{nd.id, nd.zone, strings.Split(nd.address, ":")[0], 7402, state})
+		}
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return text
+}
+
+// allAt tells whether every running sync holds the version.
+func (f *fleet) allAt(version uint64) func() bool {
+	return func() bool {
+		for _, nd := range f.all() {
+			if nd.isRunning() && nd.version() != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (nd *node) isRunning() bool {
+	nd.fleet.mu.Lock()
+	defer nd.fleet.mu.Unlock()
+	return nd.running
+}
+
+func (nd *node) version() uint64 {
+	if b := nd.manager.content.Bundle(); b != nil {
+		return b.Version
+	}
+	return 0
+}
+
+// state returns what the sync thinks of a VM.
+func (nd *node) state(id string) pb.VmState {
+	for _, vm := range nd.manager.members.View() {
+		if vm.GetId() == id {
+			return vm.GetState()
+		}
+	}
+	return pb.VmState_VM_STATE_UNSPECIFIED
+}
+
+// allSee tells whether every running sync but the VM itself thinks the VM is in the state.
+func (f *fleet) allSee(id string, state pb.VmState) func() bool {
+	return func() bool {
+		for _, nd := range f.all() {
+			if nd.isRunning() && nd.id != id && nd.state(id) != state {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// waitFor lets the bubble's time pass until cond holds and returns how long that took.
+func (f *fleet) waitFor(limit time.Duration, what string, cond func() bool) time.Duration {
+	f.t.Helper()
+	const step = 10 * time.Millisecond
+	for waited := time.Duration(0); waited <= limit; waited += step {
+		if cond() {
+			return waited
+		}
+		time.Sleep(step)
+	}
+	f.t.Fatalf("after %s not yet: %s", limit, what)
+	return 0
+}
+
+// fakePlatform holds one manifest, its sections and the list.
+type fakePlatform struct {
+	f *fleet
+
+	mu sync.Mutex
+	// What follows is guarded by mu.
+	changed  chan struct{}
+	values   map[string]platform.Value
+	down     bool
+	noZones  map[string]bool
+	noVMs    map[string]bool
+	reads    int
+	failures int
+}
+
+func newFakePlatform(f *fleet) *fakePlatform {
+	return &fakePlatform{
+		f: f, changed: make(chan struct{}), values: make(map[string]platform.Value),
+		noZones: make(map[string]bool), noVMs: make(map[string]bool),
+	}
+}
+
+const listKey = "list"
+
+func (p *fakePlatform) put(key string, body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[key] = platform.Value{Revision: p.values[key].Revision + 1, Body: body, Changed: true}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) publish(signed *pb.SignedManifest, text []byte) {
+	for _, sec := range bundle.Split(text) {
+		p.put(sectionPrefix+bundle.SectionDigest(sec).String(), sec)
+	}
+	encoded, err := proto.Marshal(signed)
+	if err != nil {
+		p.f.t.Fatal(err)
+	}
+	p.put(manifestKey, encoded)
+}
+
+func (p *fakePlatform) publishList(text []byte) { p.put(listKey, text) }
+
+func (p *fakePlatform) nextListRevision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[listKey].Revision + 1
+}
+
+// set changes faults.
+func (p *fakePlatform) set(change func(p *fakePlatform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) readCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+// nodePlatform is the platform as one sync reaches it.
+type nodePlatform struct {
+	p  *fakePlatform
+	nd *node
+}
+
+func (n *nodePlatform) read(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
+	end := time.Now().Add(wait)
+	n.p.mu.Lock()
+	n.p.reads++
+	n.p.mu.Unlock()
+	if !sleep(ctx, latency) {
+		return platform.Value{}, ctx.Err()
+	}
+	for {
+		n.p.mu.Lock()
+		v, changed := n.p.values[key], n.p.changed
+		cut := n.p.down || n.p.noZones[n.nd.zone] || n.p.noVMs[n.nd.id]
+		n.p.mu.Unlock()
+		left := time.Until(end)
+		switch {
+		case cut:
+			sleep(ctx, 2*time.Second)
+			return platform.Value{}, errUnreachable
+		case v.Revision > after:
+			return v, nil
+		case left <= 0 && v.Revision == 0:
+			return platform.Value{}, platform.ErrNotFound
+		case left <= 0:
+			return platform.Value{Revision: v.Revision}, nil
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			return platform.Value{}, ctx.Err()
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (n *nodePlatform) Get(ctx context.Context, key string) (platform.Value, error) {
+	return n.read(ctx, key, 0, 0)
+}
+
+func (n *nodePlatform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
+	return n.read(ctx, key, after, wait)
+}
+
+func (n *nodePlatform) List(ctx context.Context) (platform.Value, error) {
+	return n.read(ctx, listKey, 0, 0)
+}
+
+func (n *nodePlatform) WatchList(ctx context.Context, after uint64, wait time.Duration) (platform.Value, error) {
+	return n.read(ctx, listKey, after, wait)
+}
--- a/internal/syncd/manager.go
+++ b/internal/syncd/manager.go
@@ -79,7 +79,8 @@
 	m.spread = spread.New(spread.Config{
 		Fleet: s.Sync.Fleet, Self: s.VM.ID, Zone: s.VM.Zone, Seeds: s.Sync.Seeds,
 		Members: m.members, Evidence: m.evidence, Content: m.content,
-		Transport: cfg.Transport, Dial: cfg.Dial, Changed: m.changed, Log: cfg.Log, Registry: cfg.Registry,
+		Transport: cfg.Transport, Dial: cfg.Dial, CheckPause: m.checkPause, Changed: m.changed,
+		Log: cfg.Log, Registry: cfg.Registry,
 	})
 	m.reader = newReader(m)
 	m.views = newViewCache(m)
@@ -92,7 +93,7 @@
 
 // Run works until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
-	m.wake <- struct{}{}
+	m.askAgain()
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = m.pause.Run(ctx) })
 	wg.Go(func() { _ = m.spread.Run(ctx) })
@@ -130,14 +131,19 @@
 	if seen {
 		return
 	}
-	m.Paused(now)
+	m.paused(now)
 }
 
-// Paused follows a pause of the process that ended now.
-func (m *Manager) Paused(now time.Time) {
+// paused follows a pause of the process that ended now.
+func (m *Manager) paused(now time.Time) {
 	m.cfg.Log.Warn("process was paused")
 	m.processes.paused(now)
 	m.spread.Paused(now)
+	m.askAgain()
+}
+
+// askAgain makes catching up due.
+func (m *Manager) askAgain() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
--- a/internal/syncd/reader.go
+++ b/internal/syncd/reader.go
@@ -226,24 +226,22 @@
 	r.m.spread.ListChanged()
 }
 
-// readOnce reads list and bundle once, and tells whether the platform answered both.
-func (r *reader) readOnce(ctx context.Context) bool {
+// readOnce reads list and manifest once, takes the list, and tells whether the platform answered
+// both.
+func (r *reader) readOnce(ctx context.Context) (manifest []byte, ok bool) {
 	list, err := r.m.cfg.Platform.List(ctx)
 	if !platform.Answered(err) {
-		return false
+		return nil, false
 	}
 	r.m.spread.NoteContact(time.Now())
 	if list.Changed {
 		r.takeList(list.Body)
 	}
-	manifest, err := r.m.cfg.Platform.Get(ctx, manifestKey)
+	v, err := r.m.cfg.Platform.Get(ctx, manifestKey)
 	if !platform.Answered(err) {
-		return false
+		return nil, false
 	}
-	if !manifest.Changed {
-		return true
-	}
-	return r.takeManifest(ctx, manifest.Body) == nil
+	return v.Body, true
 }
 
 // activeNow tells whether this VM reads.
