--- /dev/null
+++ b/internal/admission/estimate.go
@@ -0,0 +1,84 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// estimateShare is the weight of a new sample.
+	estimateShare = 0.1
+	// estimateHalfLife is how fast an estimate without new samples is forgotten, so that a service
+	// that was slow is tried again.
+	estimateHalfLife = time.Second
+	// surelyDeviations is how far below the mean a time must be to count as surely too short.
+	surelyDeviations = 2
+)
+
+// estimate is the mean and the mean deviation of a time.
+type estimate struct {
+	mean, deviation float64
+	updated         time.Time
+}
+
+// add takes one sample.
+func (e *estimate) add(now time.Time, d time.Duration) {
+	x := float64(d)
+	if e.updated.IsZero() {
+		e.mean, e.deviation = x, x/2
+	} else {
+		e.deviation += estimateShare * (math.Abs(x-e.mean) - e.deviation)
+		e.mean += estimateShare * (x - e.mean)
+	}
+	e.updated = now
+}
+
+// typical returns the mean, 0 before the first sample.
+func (e *estimate) typical() time.Duration { return time.Duration(e.mean) }
+
+// least returns a time in which a request surely can't be done, 0 where nothing is known.
+func (e *estimate) least(now time.Time) time.Duration {
+	if e.updated.IsZero() {
+		return 0
+	}
+	age := math.Exp2(-float64(now.Sub(e.updated)) / float64(estimateHalfLife))
+	return time.Duration(max(0, e.mean-surelyDeviations*e.deviation) * age)
+}
+
+const (
+	// rateTime is the time constant of an eventRate.
+	rateTime = time.Second
+	// rateLeast is the shortest time over which a rate is worked out.
+	rateLeast = 50 * time.Millisecond
+	// rateIdle is how long without an event a rate starts anew.
+	rateIdle = 5 * rateTime
+)
+
+// eventRate counts events a second, forgetting the old.
+type eventRate struct {
+	count            float64
+	started, updated time.Time
+}
+
+// add takes one event.
+func (r *eventRate) add(now time.Time) {
+	if r.updated.IsZero() || now.Sub(r.updated) > rateIdle {
+		*r = eventRate{started: now}
+	}
+	r.count = r.left(now) + 1
+	r.updated = now
+}
+
+// left returns the weight of the events so far.
+func (r *eventRate) left(now time.Time) float64 {
+	return r.count * math.Exp(-float64(now.Sub(r.updated))/float64(rateTime))
+}
+
+// at returns the events a second, over the time since the first where that is short.
+func (r *eventRate) at(now time.Time) float64 {
+	if r.updated.IsZero() {
+		return 0
+	}
+	age := max(rateLeast, now.Sub(r.started))
+	return r.left(now) / (rateTime.Seconds() * (1 - math.Exp(-float64(age)/float64(rateTime))))
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// queue holds the waiting requests of one service by weight, heaviest first.
+type queue struct {
+	classes []*class
+	length  int
+	// filledAt is when the queue was last empty.
+	filledAt time.Time
+}
+
+// classOf returns the class of the weight.
+func (q *queue) classOf(weight int) *class {
+	i, found := slices.BinarySearchFunc(q.classes, weight, func(c *class, w int) int { return w - c.weight })
+	if !found {
+		q.classes = slices.Insert(q.classes, i, &class{weight: weight})
+	}
+	return q.classes[i]
+}
+
+// push adds a waiter.
+func (q *queue) push(now time.Time, w *waiter) {
+	if q.length == 0 {
+		q.filledAt = now
+	}
+	q.classOf(w.weight).push(w)
+	q.length++
+}
+
+// standing returns how long the queue has not been empty.
+func (q *queue) standing(now time.Time) time.Duration {
+	if q.length == 0 {
+		return 0
+	}
+	return now.Sub(q.filledAt)
+}
+
+// pop takes the next request out: the heaviest first, callers in turn; nil where none waits.
+func (q *queue) pop() *waiter {
+	for _, c := range q.classes {
+		if c.length > 0 {
+			q.length--
+			return c.pop()
+		}
+	}
+	return nil
+}
+
+// popOldest takes out the request that came first.
+func (q *queue) popOldest() *waiter {
+	var oldest *waiter
+	q.each(func(w *waiter) {
+		if oldest == nil || w.arrived.Before(oldest.arrived) {
+			oldest = w
+		}
+	})
+	if oldest != nil {
+		q.remove(oldest)
+	}
+	return oldest
+}
+
+// lightest returns the lightest class with requests.
+func (q *queue) lightest() *class {
+	for i := len(q.classes) - 1; i >= 0; i-- {
+		if q.classes[i].length > 0 {
+			return q.classes[i]
+		}
+	}
+	return nil
+}
+
+// ahead returns how many wait that go before a request of the weight.
+func (q *queue) ahead(weight int) int {
+	n := 0
+	for _, c := range q.classes {
+		if c.weight >= weight {
+			n += c.length
+		}
+	}
+	return n
+}
+
+// displace makes room in a full queue for w: the oldest request of the caller with the most waiting in
+// the lightest class leaves. It returns nil where w itself is the one to go, as it is where its own
+// caller would then have as much waiting as the other.
+func (q *queue) displace(w *waiter) *waiter {
+	c := q.lightest()
+	if c == nil || c.weight > w.weight {
+		return nil
+	}
+	l := c.fullest()
+	if c.weight == w.weight && l.surplus() <= c.surplusWith(w) {
+		return nil
+	}
+	out := l.waiting[0]
+	q.remove(out)
+	return out
+}
+
+// remove takes the waiter out, and tells whether it was there.
+func (q *queue) remove(w *waiter) bool {
+	if !q.classOf(w.weight).remove(w) {
+		return false
+	}
+	q.length--
+	return true
+}
+
+// each calls f with every waiter.
+func (q *queue) each(f func(*waiter)) {
+	for _, c := range q.classes {
+		for _, l := range c.lines {
+			for _, w := range l.waiting {
+				f(w)
+			}
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -70,17 +69,39 @@
 
 // Parse is Load for text that is already read; file only names it in errors.
 func Parse(file string, data []byte, dst Checked) error {
+	if err := checkText(data, dst); err != nil {
+		err.File = file
+		return err
+	}
 	dec := toml.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(dst); err != nil {
 		return decodeError(file, err)
 	}
+	if err := check(dst); err != nil {
+		err.File, err.Line = file, LineOf(data, err.Key)
+		return err
+	}
+	return nil
+}
+
+// CheckValues checks values that don't come from a text alone; file only names them in errors.
+func CheckValues(file string, v Checked) error {
+	if err := check(v); err != nil {
+		err.File = file
+		return err
+	}
+	return nil
+}
+
+// check returns the first refused value, without file and line.
+func check(v Checked) *Error {
 	var c Checker
-	dst.Check(&c)
+	v.Check(&c)
 	if c.key == "" {
 		return nil
 	}
-	return &Error{File: file, Line: LineOf(data, c.key), Key: c.key, Reason: c.reason}
+	return &Error{Key: c.key, Reason: c.reason}
 }
 
 // decodeError finds line and key in the errors of the TOML library.
@@ -98,22 +119,3 @@
 	}
 	return &Error{File: file, Reason: err.Error()}
 }
-
-// Duration is a time.Duration written as text, such as "250ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("not a duration such as \"250ms\": %q", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// D returns the standard type.
-func (d Duration) D() time.Duration { return time.Duration(d) }
