--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -47,7 +47,7 @@
 	states map[string]platform.State
 
 	requests *requests
-	loads    map[string]*loadRun
+	traffic  map[string]*trafficRun
 }
 
 // newFleet lays a fleet out and writes its settings files under dir; nothing is started.
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(), loads: make(map[string]*loadRun)}
+	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(), traffic: make(map[string]*trafficRun)}
 	f.platformNode = l.node(b, platformName, "", platformHost)
 	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
 	for i := range 2 {
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -49,7 +49,7 @@
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait,
-		"load": verbLoad, "loaded": verbLoaded,
+		"traffic": verbTraffic, "measured": verbMeasured,
 	} {
 		all[name] = withFleet(v)
 	}
--- a/scenarios/verbs_load_test.go
+++ b/scenarios/verbs_traffic_test.go
@@ -13,20 +13,20 @@
 	"github.com/burdockplank/burdockplank/internal/settings"
 )
 
-// loadEndBound is how long a run of load may take beyond its own duration.
-const loadEndBound = time.Minute
+// trafficEndBound is how long a run of load may take beyond its own duration.
+const trafficEndBound = time.Minute
 
-// loadRun is a run of burdock-load in the background.
-type loadRun struct {
+// trafficRun is a run of burdock-load in the background.
+type trafficRun struct {
 	daemon   *daemon
 	duration time.Duration
 	result   string
 }
 
-// verbLoad is: load NAME [rate=100] [duration=5s] [orders=0.1] [resend=none|at_once|retry_after]
+// verbTraffic is: traffic NAME [rate=100] [duration=5s] [orders=0.1] [resend=none|at_once|retry_after]
 // [lag=0s]. It starts an open loop of dawn searches, and orders as the given share, to the entries
 // that were ready the lag ago.
-func verbLoad(f *fleet, a *arguments) error {
+func verbTraffic(f *fleet, a *arguments) error {
 	rate, orders := a.text("rate", "100"), a.text("orders", "0.1")
 	resend, lag := a.text("resend", string(load.ResendNone)), a.duration("lag", 0)
 	duration := a.duration("duration", 5*time.Second)
@@ -34,25 +34,25 @@
 		return err
 	}
 	name := a.words[0]
-	if f.loads[name] != nil {
-		return fmt.Errorf("there is a load %s already", name)
+	if f.traffic[name] != nil {
+		return fmt.Errorf("there is a traffic %s already", name)
 	}
-	text, err := f.loadSettings(rate, orders, resend, duration, lag)
+	text, err := f.trafficSettings(rate, orders, resend, duration, lag)
 	if err != nil {
 		return err
 	}
-	file, err := f.writeSettings("load-"+name, text)
+	file, err := f.writeSettings("traffic-"+name, text)
 	if err != nil {
 		return err
 	}
-	result := filepath.Join(f.dir, "load-"+name+".json")
-	d := newDaemon("load/"+name, f.dir, "burdock-load", "--settings", file, "--out", result)
+	result := filepath.Join(f.dir, "traffic-"+name+".json")
+	d := newDaemon("traffic/"+name, f.dir, "burdock-load", "--settings", file, "--out", result)
 	f.daemons = append(f.daemons, d)
-	f.loads[name] = &loadRun{daemon: d, duration: duration, result: result}
+	f.traffic[name] = &trafficRun{daemon: d, duration: duration, result: result}
 	return d.start()
 }
 
-func (f *fleet) loadSettings(rate, orders, resend string, duration, lag time.Duration) (string, error) {
+func (f *fleet) trafficSettings(rate, orders, resend string, duration, lag time.Duration) (string, error) {
 	perSecond, err := strconv.ParseFloat(rate, 64)
 	if err != nil {
 		return "", err
@@ -88,16 +88,16 @@
 	return strings.Join(all, ", ")
 }
 
-// verbLoaded is: loaded NAME WANT... It waits for the end of the run, whose table goes to the log,
+// verbMeasured is: measured NAME WANT... It waits for the end of the run, whose table goes to the log,
 // and compares: answered_whole=all, or an outcome's name, untyped or mismatches with a number of
 // requests.
-func verbLoaded(f *fleet, a *arguments) error {
-	if len(a.words) != 1 || f.loads[a.words[0]] == nil {
-		return fmt.Errorf("want one load's name, got %q", a.words)
+func verbMeasured(f *fleet, a *arguments) error {
+	if len(a.words) != 1 || f.traffic[a.words[0]] == nil {
+		return fmt.Errorf("want the name of one traffic, got %q", a.words)
 	}
-	run := f.loads[a.words[0]]
-	bound := run.duration + loadEndBound
-	if err := await("the end of the load", bound, func() error { return allEnded([]*daemon{run.daemon}) }); err != nil {
+	run := f.traffic[a.words[0]]
+	bound := run.duration + trafficEndBound
+	if err := await("the end of the traffic", bound, func() error { return allEnded([]*daemon{run.daemon}) }); err != nil {
 		return err
 	}
 	if err := run.daemon.ended(); err != nil {
