Let a leaf's log file tell what arrived and what went out

The log file held only what was started: an answer for another shard could not be told from a right one, and a call that was refused left no trace at all.

The file now has a line for each arrival, delivery (as the answer says of itself) and crash, so it speaks for a killed leaf as well. New for tests: a leaf that answers with an earlier search's answer, and index versions that are partitioned otherwise than the settings say.

Ruled out: keeping deliveries only in memory, which a crash loses. Checked by TestLogFileTellsWhatWasDelivered.

--- a/cmd/burdock-standin/commands.go
+++ b/cmd/burdock-standin/commands.go
@@ -82,7 +82,7 @@
 	return runLeaves(c, s.Leaves, leaf.Restart)
 }
 
-func runLeaves(c *cli, s []leaf.Settings, crash leaf.Crash) error {
+func runLeaves(c *cli, s []leaf.Settings, crash leaf.CrashFunc) error {
 	log, err := c.newLog()
 	if err != nil {
 		return err
--- a/cmd/burdock-standin/wire.go
+++ b/cmd/burdock-standin/wire.go
@@ -19,7 +19,7 @@
 }
 
 // initLeaves builds the process of one or many leaves.
-func initLeaves(s []leaf.Settings, log *zap.Logger, crash leaf.Crash) (*process.Runner, error) {
+func initLeaves(s []leaf.Settings, log *zap.Logger, crash leaf.CrashFunc) (*process.Runner, error) {
 	wire.Build(leaf.NewGroup, leavesRunner)
 	return nil, nil
 }
--- a/cmd/burdock-standin/wire_gen.go
+++ b/cmd/burdock-standin/wire_gen.go
@@ -27,7 +27,7 @@
 }
 
 // initLeaves builds the process of one or many leaves.
-func initLeaves(s []leaf.Settings, log *zap.Logger, crash leaf.Crash) (*process.Runner, error) {
+func initLeaves(s []leaf.Settings, log *zap.Logger, crash leaf.CrashFunc) (*process.Runner, error) {
 	group, err := leaf.NewGroup(s, log, crash)
 	if err != nil {
 		return nil, err
--- a/internal/standin/leaf/control.go
+++ b/internal/standin/leaf/control.go
@@ -14,6 +14,7 @@
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { control.WriteJSON(w, l.Faults()) })
 	mux.HandleFunc("PUT /snapshots", l.putSnapshots)
 	mux.HandleFunc("GET /snapshots", func(w http.ResponseWriter, _ *http.Request) { control.WriteJSON(w, l.Snapshots()) })
+	mux.HandleFunc("PUT /shards", l.putShards)
 	mux.HandleFunc("GET /log", func(w http.ResponseWriter, _ *http.Request) { control.WriteJSON(w, l.Log()) })
 	mux.HandleFunc("DELETE /log", func(http.ResponseWriter, *http.Request) { l.ClearLog() })
 	return mux
@@ -29,6 +30,19 @@
 	}
 }
 
+// partition says which shards of an index version a leaf holds.
+type partition struct {
+	Snapshot uint64   `json:"snapshot"`
+	Shards   []uint32 `json:"shards"`
+}
+
+func (l *Leaf) putShards(w http.ResponseWriter, r *http.Request) {
+	var p partition
+	if control.ReadJSON(w, r, &p) {
+		l.SetShards(p.Snapshot, p.Shards)
+	}
+}
+
 func (l *Leaf) putSnapshots(w http.ResponseWriter, r *http.Request) {
 	var versions []uint64
 	if control.ReadJSON(w, r, &versions) {
--- a/internal/standin/leaf/faults.go
+++ b/internal/standin/leaf/faults.go
@@ -22,6 +22,8 @@
 	// WrongShard and WrongSnapshot answer for another one than asked.
 	WrongShard    bool `json:"wrong_shard"`
 	WrongSnapshot bool `json:"wrong_snapshot"`
+	// MixedShare is the share of searches, 0 to 1, that get the answer to an earlier search.
+	MixedShare float64 `json:"mixed_share"`
 	// ErrorShare is the share of calls, 0 to 1, that end with an error; orders before their effect.
 	ErrorShare float64 `json:"error_share"`
 	// ErrorAfterExecute answers orders with an error after their effect.
--- a/internal/standin/leaf/group.go
+++ b/internal/standin/leaf/group.go
@@ -13,10 +13,10 @@
 // CrashExitCode is the exit code of a process whose leaf ran a marked request.
 const CrashExitCode = 1
 
-// ExitProcess is the Crash of a leaf alone in its process: it ends the process at once.
+// ExitProcess is the CrashFunc of a leaf alone in its process: it ends the process at once.
 func ExitProcess(*Leaf) { os.Exit(CrashExitCode) }
 
-// Restart is the Crash of a leaf that shares its process: its connections are reset and refused, and
+// Restart is the CrashFunc of a leaf that shares its process: its connections are reset and refused, and
 // after a while it is back as another incarnation.
 func Restart(l *Leaf) {
 	l.log.Info("crashed")
@@ -45,7 +45,7 @@
 }
 
 // NewGroup opens the listeners of all leaves.
-func NewGroup(s []Settings, log *zap.Logger, crash Crash) (*Group, error) {
+func NewGroup(s []Settings, log *zap.Logger, crash CrashFunc) (*Group, error) {
 	g := &Group{}
 	for i := range s {
 		l, err := New(s[i], log, crash)
--- a/internal/standin/leaf/journal.go
+++ b/internal/standin/leaf/journal.go
@@ -42,6 +42,25 @@
 	At        time.Time `json:"at"`
 }
 
+// Delivery is one answer to a search as it went out: what it says of itself, whatever was asked.
+type Delivery struct {
+	RequestID string `json:"request_id"`
+	Shard     uint32 `json:"shard"`
+	Snapshot  uint64 `json:"snapshot"`
+	Hits      int    `json:"hits"`
+}
+
+// Arrival is a call that reached the leaf, refused or not.
+type Arrival struct {
+	RequestID string `json:"request_id"`
+}
+
+// Crash is the request that a leaf crashed at.
+type Crash struct {
+	RequestID string `json:"request_id"`
+	Text      string `json:"text"`
+}
+
 // Refusals counts calls that were refused before they started, by reason.
 type Refusals struct {
 	Shed         uint64 `json:"shed"`
@@ -104,10 +123,11 @@
 }
 
 // arrived notes a call before anything is decided about it.
-func (j *journal) arrived(now time.Time) {
+func (j *journal) arrived(requestID string, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.LastArrival = now
+	j.write(FileLine{Arrival: &Arrival{RequestID: requestID}})
 }
 
 // searchStarted logs a search; the result goes to searchEnded.
@@ -122,7 +142,7 @@
 	if len(j.searches) < j.limit {
 		j.searches = append(j.searches, s)
 	}
-	j.write(fileLine{Search: s})
+	j.write(FileLine{Search: s})
 	return s
 }
 
@@ -132,6 +152,16 @@
 	s.State = state
 }
 
+// delivered ends a search whose answer is about to be written.
+func (j *journal) delivered(s *Search, res *pb.LeafSearchResponse) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s.State = SearchDelivered
+	j.write(FileLine{Delivery: &Delivery{
+		RequestID: res.GetRequestId(), Shard: res.GetShard(), Snapshot: res.GetSnapshot(), Hits: len(res.GetHits()),
+	}})
+}
+
 // executed logs an order at the moment that its effect starts.
 func (j *journal) executed(req *pb.LeafExecuteRequest, now time.Time) {
 	e := Execution{
@@ -142,7 +172,7 @@
 	defer j.mu.Unlock()
 	j.counts.Executions++
 	j.executions = append(j.executions, e)
-	j.write(fileLine{Execution: &e})
+	j.write(FileLine{Execution: &e})
 }
 
 func (j *journal) refused(reason pb.LeafRefusalReason) {
@@ -163,10 +193,11 @@
 	}
 }
 
-func (j *journal) crashed() {
+func (j *journal) crashed(requestID, text string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.Crashes++
+	j.write(FileLine{Crash: &Crash{RequestID: requestID, Text: text}})
 }
 
 // snapshot returns a copy of the logs and of the journal's own counts.
@@ -194,14 +225,17 @@
 	}
 }
 
-// fileLine is one line of the log file; one field is set.
-type fileLine struct {
+// FileLine is one line of the log file; one field is set.
+type FileLine struct {
+	Arrival   *Arrival   `json:"arrival,omitempty"`
 	Search    *Search    `json:"search,omitempty"`
+	Delivery  *Delivery  `json:"delivery,omitempty"`
 	Execution *Execution `json:"execution,omitempty"`
+	Crash     *Crash     `json:"crash,omitempty"`
 }
 
 // write appends a line to the file. j.mu is held.
-func (j *journal) write(line fileLine) {
+func (j *journal) write(line FileLine) {
 	if j.file == nil {
 		return
 	}
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -16,20 +16,21 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/process"
 	"github.com/burdockplank/burdockplank/internal/standin/control"
 	"github.com/burdockplank/burdockplank/internal/standin/listener"
 )
 
-// Crash is what a leaf does at a marked request. It runs on the goroutine of that request.
-type Crash func(l *Leaf)
+// CrashFunc is what a leaf does at a marked request. It runs on the goroutine of that request.
+type CrashFunc func(l *Leaf)
 
 // Leaf owns the listeners, the work and the logs of one upstream.
 type Leaf struct {
 	settings Settings
 	log      *zap.Logger
-	crash    Crash
+	crash    CrashFunc
 
 	slots   *slots
 	journal *journal
@@ -48,10 +49,14 @@
 	crashed   bool
 	faults    Faults
 	snapshots []uint64
+	// shards holds the shards of index versions that are partitioned otherwise than the settings say.
+	shards map[uint64][]uint32
+	// earlier is the newest answer to a search.
+	earlier *pb.LeafSearchResponse
 }
 
 // New opens both listeners of a leaf; Run serves them. The settings have been checked.
-func New(s Settings, log *zap.Logger, crash Crash) (*Leaf, error) {
+func New(s Settings, log *zap.Logger, crash CrashFunc) (*Leaf, error) {
 	l, err := newLeaf(s, log, crash)
 	if err != nil {
 		return nil, err
@@ -70,7 +75,7 @@
 }
 
 // newLeaf returns a leaf without listeners.
-func newLeaf(s Settings, log *zap.Logger, crash Crash) (*Leaf, error) {
+func newLeaf(s Settings, log *zap.Logger, crash CrashFunc) (*Leaf, error) {
 	j, err := newJournal(s.SearchLog, s.LogFile)
 	if err != nil {
 		return nil, err
@@ -84,6 +89,7 @@
 		slots: newSlots(s.Slots, *s.Queue), journal: j,
 		report: newLoadReport(s.ReportLag.D(), s.Slots), random: newRandom(seed),
 		instance: process.NewIncarnation(), started: time.Now(), snapshots: slices.Clone(s.Snapshots),
+		shards: make(map[uint64][]uint32),
 	}, nil
 }
 
@@ -188,7 +194,22 @@
 	return slices.Contains(l.snapshots, version)
 }
 
-func (l *Leaf) holdsShard(shard uint32) bool { return slices.Contains(l.settings.Shards, shard) }
+// SetShards replaces the shards held of one index version.
+func (l *Leaf) SetShards(version uint64, shards []uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shards[version] = slices.Clone(shards)
+}
+
+func (l *Leaf) holdsShard(version uint64, shard uint32) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, ok := l.shards[version]
+	if !ok {
+		held = l.settings.Shards
+	}
+	return slices.Contains(held, shard)
+}
 
 // serviceTime draws the time of work on one call.
 func (l *Leaf) serviceTime(f *Faults) time.Duration {
--- a/internal/standin/leaf/service.go
+++ b/internal/standin/leaf/service.go
@@ -43,7 +43,7 @@
 // Search implements LeafService.
 func (l *Leaf) Search(ctx context.Context, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
 	now := time.Now()
-	l.journal.arrived(now)
+	l.journal.arrived(req.GetRequestId(), now)
 	f := l.Faults()
 	if f.Stall {
 		return nil, l.stallSearch(ctx, req, now)
@@ -56,7 +56,7 @@
 	}
 	defer l.slots.release()
 	entry := l.journal.searchStarted(req, time.Now())
-	l.crashIfMarked(&f, req.GetQuery())
+	l.crashIfMarked(&f, req.GetRequestId(), req.GetQuery())
 	if err := sleep(ctx, l.serviceTime(&f)); err != nil {
 		l.journal.searchEnded(entry, SearchCancelled)
 		return nil, contextError(err)
@@ -65,8 +65,8 @@
 		l.journal.searchEnded(entry, SearchFailed)
 		return nil, errInjected()
 	}
-	res := l.answer(req, &f)
-	l.journal.searchEnded(entry, SearchDelivered)
+	res := l.mixUp(l.answer(req, &f), &f)
+	l.journal.delivered(entry, res)
 	return res, nil
 }
 
@@ -85,7 +85,7 @@
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING)
 	case f.Shed:
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
-	case req.GetService() != l.settings.Service || !l.holdsShard(req.GetShard()):
+	case req.GetService() != l.settings.Service || !l.holdsShard(req.GetSnapshot(), req.GetShard()):
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD)
 	case f.RefuseSnapshot || !l.holdsSnapshot(req.GetSnapshot()):
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE)
@@ -127,9 +127,21 @@
 	return res
 }
 
+// mixUp returns the answer, or that to an earlier search where the fault says so.
+func (l *Leaf) mixUp(res *pb.LeafSearchResponse, f *Faults) *pb.LeafSearchResponse {
+	l.mu.Lock()
+	earlier := l.earlier
+	l.earlier = res
+	l.mu.Unlock()
+	if earlier != nil && l.random.chance(f.MixedShare) {
+		return earlier
+	}
+	return res
+}
+
 // Execute implements LeafService. It does not deduplicate: each call that starts is one effect.
 func (l *Leaf) Execute(ctx context.Context, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
-	l.journal.arrived(time.Now())
+	l.journal.arrived(req.GetRequestId(), time.Now())
 	f := l.Faults()
 	if f.Stall {
 		<-ctx.Done()
@@ -146,7 +158,7 @@
 		return nil, errInjected()
 	}
 	l.journal.executed(req, time.Now())
-	l.crashIfMarked(&f, req.GetPayload())
+	l.crashIfMarked(&f, req.GetRequestId(), req.GetPayload())
 	if err := sleep(ctx, l.serviceTime(&f)+f.HoldExecute.D()); err != nil {
 		return nil, contextError(err)
 	}
@@ -194,9 +206,9 @@
 	return l.report.report(time.Now(), l.slots)
 }
 
-func (l *Leaf) crashIfMarked(f *Faults, text string) {
+func (l *Leaf) crashIfMarked(f *Faults, requestID, text string) {
 	if f.CrashMark != "" && strings.Contains(text, f.CrashMark) {
-		l.journal.crashed()
+		l.journal.crashed(requestID, text)
 		l.crash(l)
 	}
 }
--- a/internal/standin/leaf/service_test.go
+++ b/internal/standin/leaf/service_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -218,6 +220,43 @@
 	is.Equal(strings.Count(string(text), `{"execution":{"ticket":"t1",`), 2)
 }
 
+// The log file tells what went out, not what was asked: a wrong or mixed up answer can be seen there.
+func TestLogFileTellsWhatWasDelivered(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "log")
+	l := tryLeaf(t, func(s *Settings) { s.LogFile = file })
+	l.SetShards(2, []uint32{4})
+	ask := func(id string, shard uint32, snapshot uint64, f Faults) {
+		fault(l, f)
+		req := search()
+		req.RequestId, req.Shard, req.Snapshot = id, shard, snapshot
+		_, _ = l.Search(t.Context(), req)
+	}
+	l.SetSnapshots([]uint64{1, 2})
+	ask("true", 7, 1, Faults{})
+	ask("wrong", 7, 1, Faults{WrongShard: true})
+	ask("mixed", 7, 1, Faults{MixedShare: 1})
+	ask("moved", 4, 2, Faults{})
+	ask("refused", 7, 2, Faults{})
+	l.journal.close()
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	var delivered []string
+	arrivals := 0
+	for line := range strings.Lines(string(text)) {
+		var f FileLine
+		is.NoErr(json.Unmarshal([]byte(line), &f))
+		if f.Arrival != nil {
+			arrivals++
+		}
+		if d := f.Delivery; d != nil {
+			delivered = append(delivered, fmt.Sprintf("%s %d %d %d", d.RequestID, d.Shard, d.Snapshot, d.Hits))
+		}
+	}
+	is.Equal(arrivals, 5)
+	is.Equal(delivered, []string{"true 7 1 3", "wrong 8 1 3", "wrong 8 1 3", "moved 4 2 3"})
+}
+
 func TestAnswersProveWhatWasRun(t *testing.T) {
 	cases := []struct {
 		name            string
