Check every reply of every scenario against the leaves' journals

Scenarios checked a reply where the script asked for it.

New verbs: load and settle (concurrent callers in the background), upset (random faults from a logged seed), shards (repartition), await metric. The journals are read from files, so they speak for killed leaves too.

--- a/scenarios/await_test.go
+++ b/scenarios/await_test.go
@@ -137,11 +137,26 @@
 	return nil
 }
 
+// counted returns an error until the metric, summed over the processes, is at least that high.
+func (f *fleet) counted(metric string, least float64, daemons []*daemon) error {
+	sum := 0.0
+	for _, d := range daemons {
+		n, err := f.metric(d.name, metric)
+		if err == nil { // one that wasn't counted yet isn't shown
+			sum += n
+		}
+	}
+	if sum < least {
+		return fmt.Errorf("%s is %g, want %g", metric, sum, least)
+	}
+	return nil
+}
+
 // vmProcesses leaves stand-ins and what isn't running out.
 func vmProcesses(daemons []*daemon) []*daemon {
 	var all []*daemon
 	for _, d := range daemons {
-		if role, _, _ := strings.Cut(d.name, "/"); operatorPorts[role] != 0 && d.running() && !d.frozen {
+		if role, _, _ := strings.Cut(d.name, "/"); operatorPorts[role] != 0 && d.running() && !d.isFrozen() {
 			all = append(all, d)
 		}
 	}
--- a/scenarios/daemon_test.go
+++ b/scenarios/daemon_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,7 +20,9 @@
 	args []string
 	// logFile takes standard error of every start.
 	logFile string
-	// cmd is the newest start, nil before the first; done is closed when it has ended.
+
+	mu sync.Mutex
+	// Guarded by mu. cmd is the newest start, nil before the first; done is closed when it has ended.
 	cmd  *exec.Cmd
 	done chan struct{}
 	// frozen is true between freeze and wake.
@@ -33,6 +36,13 @@
 }
 
 func (d *daemon) running() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs()
+}
+
+// runs is running for those who hold mu.
+func (d *daemon) runs() bool {
 	if d.cmd == nil {
 		return false
 	}
@@ -44,8 +54,17 @@
 	}
 }
 
+// end returns a channel that is closed when the newest start has ended; nil before the first.
+func (d *daemon) end() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.done
+}
+
 func (d *daemon) start() error {
-	if d.running() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.runs() {
 		return fmt.Errorf("%s is already running", d.name)
 	}
 	log, err := os.OpenFile(d.logFile, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
@@ -68,35 +87,38 @@
 }
 
 func (d *daemon) signal(s syscall.Signal) error {
-	if !d.running() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.runs() {
 		return fmt.Errorf("%s isn't running", d.name)
 	}
+	d.frozen = s == syscall.SIGSTOP || d.frozen && s != syscall.SIGCONT
 	return d.cmd.Process.Signal(s)
 }
 
-// freeze stops the process where it is, as a paused VM does; wake lets it go on.
-func (d *daemon) freeze() error {
-	d.frozen = true
-	return d.signal(syscall.SIGSTOP)
+func (d *daemon) isFrozen() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.frozen
 }
 
-func (d *daemon) wake() error {
-	d.frozen = false
-	return d.signal(syscall.SIGCONT)
-}
+// freeze stops the process where it is, as a paused VM does; wake lets it go on.
+func (d *daemon) freeze() error { return d.signal(syscall.SIGSTOP) }
+
+func (d *daemon) wake() error { return d.signal(syscall.SIGCONT) }
 
 // kill ends the process without notice.
 func (d *daemon) kill() error {
 	if err := d.signal(syscall.SIGKILL); err != nil {
 		return err
 	}
-	<-d.done
+	<-d.end()
 	return nil
 }
 
 // terminate asks the process to end in order, without waiting.
 func (d *daemon) terminate() error {
-	if d.frozen {
+	if d.isFrozen() {
 		if err := d.wake(); err != nil {
 			return err
 		}
@@ -107,17 +129,24 @@
 // ended waits until the process has ended after terminate, and wants exit code 0.
 func (d *daemon) ended() error {
 	select {
-	case <-d.done:
+	case <-d.end():
 	case <-time.After(endBound):
 		_ = d.kill()
 		return fmt.Errorf("%s didn't end within %s of SIGTERM; killed", d.name, endBound)
 	}
-	if code := d.cmd.ProcessState.ExitCode(); code != 0 {
-		return fmt.Errorf("%s ended with %s; its log ends:\n%s", d.name, d.cmd.ProcessState, d.logTail())
+	if state := d.exitState(); state.ExitCode() != 0 {
+		return fmt.Errorf("%s ended with %s; its log ends:\n%s", d.name, state, d.logTail())
 	}
 	return nil
 }
 
+// exitState is of the newest start, which must have ended.
+func (d *daemon) exitState() *os.ProcessState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.ProcessState
+}
+
 // logTail returns the last lines of the log.
 func (d *daemon) logTail() string {
 	const lines = 20
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -43,10 +43,15 @@
 	// text and digest of the newest bundle that was published with all signatures.
 	text   string
 	digest bundle.Digest
+	// bundles holds those published with all signatures, by version.
+	bundles map[uint64]*bundle.Bundle
 	// states holds what the platform's list says of a VM or leaf where it isn't live.
 	states map[string]platform.State
 
 	requests *requests
+	// loads by name, and the seed of the scenario's random choices.
+	loads map[string]*load
+	seed  uint64
 }
 
 // newFleet lays a fleet out and writes its settings files under dir; nothing is started.
@@ -55,7 +60,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests()}
+	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(),
+		bundles: make(map[uint64]*bundle.Bundle), loads: make(map[string]*load),
+	}
 	f.platformNode = l.node(b, platformName, "", platformHost)
 	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
 	for i := range 2 {
@@ -107,7 +114,7 @@
 		return text + fmt.Sprintf("[sync]\nfleet = %q\n[platform]\naddress = \"%s:%d\"\n", fleetName, f.platformNode.address, platformPort) +
 			trustSettings(len(f.reviewers), f.reviewers)
 	case "entry":
-		return text + fmt.Sprintf("[drain]\nbalancer_lag = %q\n", f.layout.BalancerLag)
+		return text + fmt.Sprintf("[drain]\nbalancer_lag = %q\n", f.layout.BalancerLag) + f.layout.admissionSettings()
 	}
 	return text
 }
@@ -313,6 +320,9 @@
 
 // stop ends everything in order, last started first, and reports what didn't end by itself.
 func (f *fleet) stop() error {
+	for _, l := range f.loads {
+		l.finish()
+	}
 	var problems error
 	for _, d := range slices.Backward(f.daemons) {
 		if !d.running() {
@@ -323,7 +333,7 @@
 		}
 	}
 	for _, d := range f.daemons {
-		if d.cmd != nil && d.running() {
+		if d.running() {
 			problems = errors.Join(problems, d.ended())
 		}
 	}
--- a/scenarios/layout_test.go
+++ b/scenarios/layout_test.go
@@ -40,7 +40,11 @@
 	VMs, Zones, Shards, Replicas int
 	Slots, Connections           int
 	Documents                    int
-	ServiceTime                  time.Duration
+	// HitBytes is the length that leaves pad the text of a hit to.
+	HitBytes int
+	// Concurrency and Queue fix the limits of each entry's admission; 0 leaves the defaults.
+	Concurrency, Queue int
+	ServiceTime        time.Duration
 	// BalancerLag is how long an entry that drains still takes new work.
 	BalancerLag time.Duration
 	// Relay puts a relay before each VM, leaf and the platform.
@@ -114,10 +118,11 @@
 			n.name, n.zone, n.address, leafPort, l.Slots, l.Connections)
 	}
 	for _, s := range snapshots {
-		fmt.Fprintf(&b, "[[service.snapshot]]\nversion = %s\n", s)
-		for shard := range l.Shards {
+		p := parsePartition(s, l.Shards)
+		fmt.Fprintf(&b, "[[service.snapshot]]\nversion = %d\n", p.snapshot)
+		for shard := range p.shards {
 			fmt.Fprintf(&b, "[[service.snapshot.shard]]\nid = %d\ndocuments = %d\nleaves = [%s]\n",
-				shard, l.Documents, shardLeaves(shard, leaves))
+				shard, l.Documents*l.Shards/p.shards, groupLeaves(p.group(shard), leaves))
 		}
 	}
 	return b.String()
@@ -153,7 +158,8 @@
 timeout = "2s"
 `
 
-func shardLeaves(shard int, leaves []*node) string {
+// groupLeaves lists the leaves of a group, named by the shard that it holds in the first partition.
+func groupLeaves(shard int, leaves []*node) string {
 	var ids []string
 	for _, n := range leaves {
 		if n.shard == shard {
@@ -175,10 +181,20 @@
 snapshots = [1]
 shards = [%d]
 documents = %d
+hit_bytes = %d
 service_time = %q
 log_file = %q
 `, n.name, n.zone, serviceName, n.bind, leafPort, n.bind, leafControlPort, l.Slots, l.Connections,
-		n.shard, l.Documents, l.ServiceTime, logFile)
+		n.shard, l.Documents, l.HitBytes, l.ServiceTime, logFile)
+}
+
+// admissionSettings is the table of an entry that fixes its limits.
+func (l layout) admissionSettings() string {
+	if l.Concurrency == 0 {
+		return ""
+	}
+	return fmt.Sprintf("[admission]\nmin_concurrency = %d\nmax_concurrency = %d\ninitial_concurrency = %d\nqueue = %d\n",
+		l.Concurrency, l.Concurrency, l.Concurrency, l.Queue)
 }
 
 // commonSettings are the tables that the processes of a VM share.
--- /dev/null
+++ b/scenarios/load_test.go
@@ -0,0 +1,161 @@
+package scenarios
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+)
+
+// load is a number of callers that search again and again in the background. Their replies become
+// part of the scenario's history.
+type load struct {
+	fleet   *fleet
+	callers int
+	kinds   []string
+	vias    []*node
+	topKs   []int32
+	timeout time.Duration
+	pause   time.Duration
+	// texts is how many texts the callers share; 0 is a text of its own for each search.
+	texts int
+	// word is part of every text.
+	word string
+	seed uint64
+
+	stop    chan struct{}
+	running sync.WaitGroup
+	// shared is the connection that half of the callers use together.
+	shared *http.Client
+
+	mu sync.Mutex
+	// replies are guarded by mu.
+	replies []*reply
+}
+
+// start begins to send.
+func (l *load) start() {
+	l.stop, l.shared = make(chan struct{}), rpc.NewClient("")
+	for i := range l.callers {
+		l.running.Go(func() { l.run(i) })
+	}
+}
+
+// finish lets each caller get the reply that it waits for, and returns all replies.
+func (l *load) finish() []*reply {
+	if l.stop == nil {
+		return l.replies
+	}
+	close(l.stop)
+	l.running.Wait()
+	l.stop = nil
+	l.shared.CloseIdleConnections()
+	return l.replies
+}
+
+// run is one caller.
+func (l *load) run(caller int) {
+	random := rand.New(rand.NewPCG(l.seed, uint64(caller)))
+	client := l.shared
+	if caller%2 == 1 {
+		client = rpc.NewClient("")
+		defer client.CloseIdleConnections()
+	}
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(l.pause):
+		}
+		q := l.request(caller, n, random)
+		q.client = client
+		rep := q.send()
+		l.fleet.requests.record(rep)
+		l.mu.Lock()
+		l.replies = append(l.replies, rep)
+		l.mu.Unlock()
+	}
+}
+
+// request draws a search. Callers of both names share texts and ask for unlike numbers of hits, so
+// that no two of them can get each other's answer unnoticed.
+func (l *load) request(caller, n int, random *rand.Rand) *request {
+	text := fmt.Sprintf("%s %d of caller %d", l.word, n, caller)
+	if l.texts > 0 {
+		text = fmt.Sprintf("%s shared %d", l.word, random.IntN(l.texts))
+	}
+	token := callerToken
+	if caller%4 >= 2 {
+		token = otherToken
+	}
+	return &request{
+		entry: l.vias[random.IntN(len(l.vias))], token: token, timeout: l.timeout,
+		search: &pb.SearchRequest{
+			Service: serviceName, Kind: l.kinds[random.IntN(len(l.kinds))], Query: text,
+			TopK: l.topKs[random.IntN(len(l.topKs))],
+		},
+	}
+}
+
+// tally counts how the replies of a load ended.
+type tally struct {
+	total    int
+	outcomes map[string]int
+	reasons  map[string]int
+	longest  time.Duration
+}
+
+func tallyOf(replies []*reply) *tally {
+	t := &tally{total: len(replies), outcomes: make(map[string]int), reasons: make(map[string]int)}
+	for _, r := range replies {
+		name := "untyped"
+		if r.err == nil {
+			name = outcomeOf(r)
+			t.reasons[outcome.ReasonName(r.outcome.GetReason())]++
+		}
+		t.outcomes[name]++
+		t.longest = max(t.longest, r.took)
+	}
+	return t
+}
+
+func (t *tally) String() string {
+	return fmt.Sprintf("%d replies, outcomes %v, reasons %v, longest %s", t.total, t.outcomes, t.reasons, t.longest.Round(time.Millisecond))
+}
+
+// answered counts whole and partial answers.
+func (t *tally) answered() int { return t.outcomes["answered_whole"] + t.outcomes["answered_partial"] }
+
+// check compares the tally with what is wanted; README.md lists the options.
+func (t *tally) check(a *arguments) error {
+	only := strings.Split(a.text("only", "answered_whole,answered_partial,not_run,failed"), ",")
+	saw := strings.FieldsFunc(a.text("saw", ""), func(r rune) bool { return r == ',' })
+	answered, within := a.number("answered", 1), a.duration("within", time.Hour)
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	for name, n := range t.outcomes {
+		if !slices.Contains(only, name) {
+			return fmt.Errorf("%d replies are %s: %s", n, name, t)
+		}
+	}
+	for _, name := range saw {
+		if t.reasons[name] == 0 && t.outcomes[name] == 0 {
+			return fmt.Errorf("no reply shows %s: %s", name, t)
+		}
+	}
+	if t.answered() < answered {
+		return fmt.Errorf("want at least %d answers: %s", answered, t)
+	}
+	if t.longest > within {
+		return fmt.Errorf("want every reply within %s: %s", within, t)
+	}
+	return nil
+}
--- /dev/null
+++ b/scenarios/partition_test.go
@@ -0,0 +1,61 @@
+package scenarios
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// partition says how a snapshot's data is cut into shards and which groups of leaves hold them.
+type partition struct {
+	snapshot uint64
+	shards   int
+	// groups of leaves there are; moved by how many groups each shard has been moved.
+	groups, moved int
+}
+
+// parsePartition reads "2" for snapshot 2 as the layout has it, or "2/5" for 5 shards of which each
+// is with the next group of leaves: a repartition moves every shard. It panics on anything else,
+// which can only come from a script.
+func parsePartition(text string, groups int) partition {
+	version, shards, repartitioned := strings.Cut(text, "/")
+	n, err := strconv.ParseUint(version, 10, 64)
+	p := partition{snapshot: n, shards: groups, groups: groups}
+	if err == nil && repartitioned {
+		p.moved = 1
+		p.shards, err = strconv.Atoi(shards)
+	}
+	if err != nil || p.shards < 1 {
+		panic(fmt.Sprintf("want a snapshot as 2 or 2/5, got %q", text))
+	}
+	return p
+}
+
+// group returns which group of leaves holds the shard.
+func (p partition) group(shard int) int { return (shard + p.moved) % p.groups }
+
+// verbShards is: shards LEAF PARTITION... . It tells leaves which shards they hold of the snapshots.
+func verbShards(f *fleet, a *arguments) error {
+	if err := a.done(2, anyNumber); err != nil {
+		return err
+	}
+	leaves, err := f.leavesNamed(a.words[0])
+	if err != nil {
+		return err
+	}
+	for _, text := range a.words[1:] {
+		p := parsePartition(text, f.layout.Shards)
+		for _, n := range leaves {
+			held := make([]uint32, 0, p.shards)
+			for shard := range p.shards {
+				if p.group(shard) == n.shard {
+					held = append(held, uint32(shard))
+				}
+			}
+			if err := putJSON(leafURL(n, "/shards"), map[string]any{"snapshot": p.snapshot, "shards": held}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/scenarios/publish_test.go
+++ b/scenarios/publish_test.go
@@ -37,6 +37,9 @@
 	}
 	if len(signers) == len(f.reviewers) {
 		f.text, f.digest = text, bundle.ManifestDigest(signed.GetManifest())
+		if b, err := bundle.Parse([]byte(text)); err == nil { // one that can't work is refused by all
+			f.bundles[b.Version] = b
+		}
 	}
 	return nil
 }
--- a/scenarios/request_test.go
+++ b/scenarios/request_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/entry"
 	"github.com/burdockplank/burdockplank/internal/rpc"
 	"github.com/burdockplank/burdockplank/internal/settings"
 )
@@ -24,6 +27,8 @@
 	search *pb.SearchRequest
 	issue  *pb.IssueTicketRequest
 	order  *pb.OrderRequest
+	// client sends the request; a client of its own where it is nil.
+	client *http.Client
 }
 
 // reply is what came back.
@@ -32,9 +37,12 @@
 	search  *pb.SearchResponse
 	issue   *pb.IssueTicketResponse
 	order   *pb.OrderResponse
-	// query is the text that was searched.
-	query string
-	took  time.Duration
+	// request is what was sent, query the text that was searched.
+	request *request
+	query   string
+	// header is the request's id as the response's header names it.
+	header string
+	took   time.Duration
 	// err is set where the answer wasn't a typed one.
 	err error
 }
@@ -43,8 +51,10 @@
 type requests struct {
 	mu sync.Mutex
 	// Guarded by mu. last is the newest reply of the script itself, named ones of the background.
+	// all are the replies of the scenario in the order in which they came.
 	last  *reply
 	named map[string]*reply
+	all   []*reply
 
 	running sync.WaitGroup
 	// tickets belong to the script's goroutine.
@@ -63,6 +73,20 @@
 
 func (r *requests) wait() { r.running.Wait() }
 
+// record keeps a reply for the check of the whole history.
+func (r *requests) record(rep *reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, rep)
+}
+
+// history returns all replies so far.
+func (r *requests) history() []*reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.all)
+}
+
 func (r *requests) setLast(rep *reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,6 +106,7 @@
 func (r *requests) background(name string, req *request) {
 	r.running.Go(func() {
 		rep := req.send()
+		r.record(rep)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.named[name] = rep
@@ -106,13 +131,17 @@
 	defer cancel()
 	ctx, info := connect.NewClientContext(ctx)
 	info.RequestHeader().Set("Authorization", "Bearer "+q.token)
-	client := rpc.NewClient("")
-	defer client.CloseIdleConnections()
+	client := q.client
+	if client == nil {
+		client = rpc.NewClient("")
+		defer client.CloseIdleConnections()
+	}
 	url := fmt.Sprintf("http://%s:%d", q.entry.bind, settings.DefaultEntryPort)
-	rep := &reply{query: q.search.GetQuery()}
+	rep := &reply{request: q, query: q.search.GetQuery()}
 	start := time.Now()
 	err := q.call(ctx, burdockv1connect.NewQueryServiceClient(client, url), rep)
 	rep.took = time.Since(start)
+	rep.header = info.ResponseHeader().Get(entry.HeaderRequestID)
 	rep.note(err)
 	return rep
 }
@@ -157,6 +186,8 @@
 		return r.search.GetRequestId()
 	case r.order != nil:
 		return r.order.GetRequestId()
+	case r.issue != nil:
+		return r.issue.GetRequestId()
 	}
 	return r.outcome.GetRequestId()
 }
--- /dev/null
+++ b/scenarios/verbs_load_test.go
@@ -0,0 +1,102 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// seedVariable names the environment variable that sets the seed of all random choices, to run a
+// failed scenario again with the choices that it logged.
+const seedVariable = "SCENARIO_SEED"
+
+// seed returns the scenario's seed, the same for all its verbs.
+func (f *fleet) newSeed() (uint64, error) {
+	if text := os.Getenv(seedVariable); text != "" {
+		return strconv.ParseUint(text, 10, 64)
+	}
+	return rand.Uint64(), nil
+}
+
+// verbLoad is: load NAME [callers=8] [kinds=dawn,roster] [via=vm-1,...] [top_k=0,1,5,30] [texts=0]
+// [timeout=5s] [pause=5ms]. It searches in the background until settle.
+func verbLoad(ts *testscript.TestScript, neg bool, args []string) {
+	f := fleetOf(ts)
+	a := parseArguments(args)
+	l := &load{
+		fleet: f, callers: a.number("callers", 8), kinds: strings.Split(a.text("kinds", "dawn,roster"), ","),
+		texts: a.number("texts", 0), timeout: a.duration("timeout", 5*time.Second), pause: a.duration("pause", 5*time.Millisecond),
+		seed: f.seed,
+	}
+	for _, k := range strings.Split(a.text("top_k", "0,1,5,30"), ",") {
+		n, err := strconv.Atoi(k)
+		ts.Check(err)
+		l.topKs = append(l.topKs, int32(n))
+	}
+	for _, name := range strings.Split(a.text("via", strings.Join(nodeNames(f.vms), ",")), ",") {
+		n, err := f.vm(name)
+		ts.Check(err)
+		l.vias = append(l.vias, n)
+	}
+	ts.Check(a.done(1, 1))
+	l.word = a.words[0]
+	if neg || f.loads[l.word] != nil {
+		ts.Fatalf("a load is started once")
+	}
+	f.loads[l.word] = l
+	l.start()
+}
+
+// verbSettle is: settle NAME [only=OUTCOME,...] [saw=REASON|OUTCOME,...] [answered=1] [within=D]. It
+// ends a load, once each caller has its reply, and checks how the replies ended.
+func verbSettle(ts *testscript.TestScript, neg bool, args []string) {
+	a := parseArguments(args)
+	if len(a.words) != 1 || neg {
+		ts.Fatalf("want one load's name")
+	}
+	l := fleetOf(ts).loads[a.words[0]]
+	if l == nil {
+		ts.Fatalf("no load %s", a.words[0])
+	}
+	t := tallyOf(l.finish())
+	ts.Logf("load %s: %s", l.word, t)
+	ts.Check(t.check(a))
+}
+
+// verbUpset is: upset LEAVES for=D [every=30ms] JSON... . It gives one random leaf after another one
+// of the faults, at random, and takes all faults away at the end.
+func verbUpset(f *fleet, a *arguments) error {
+	lasts, every := a.duration("for", 0), a.duration("every", 30*time.Millisecond)
+	if err := a.done(2, anyNumber); err != nil {
+		return err
+	}
+	leaves, err := f.leavesNamed(a.words[0])
+	if err != nil {
+		return err
+	}
+	faults := append([]string{"{}"}, a.words[1:]...)
+	for _, text := range faults {
+		if !json.Valid([]byte(text)) {
+			return fmt.Errorf("not JSON: %s", text)
+		}
+	}
+	random := rand.New(rand.NewPCG(f.seed, 0))
+	for start := time.Now(); time.Since(start) < lasts; time.Sleep(every) {
+		n := leaves[random.IntN(len(leaves))]
+		if err := put(leafURL(n, "/faults"), []byte(faults[random.IntN(len(faults))])); err != nil {
+			return err
+		}
+	}
+	for _, n := range leaves {
+		if err := put(leafURL(n, "/faults"), []byte("{}")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/scenarios/verbs_log_test.go
+++ b/scenarios/verbs_log_test.go
@@ -1,73 +1,50 @@
 package scenarios
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io/fs"
-	"os"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/burdockplank/burdockplank/internal/standin/leaf"
 )
 
-// journalLine is one line of a leaf's log file; one field is set. A line is written before the
-// effect of what it names, so the file tells the truth of a leaf that was killed too.
-type journalLine struct {
-	Search    *leaf.Search    `json:"search"`
-	Execution *leaf.Execution `json:"execution"`
-}
-
-// journal reads what all leaves have started since the scenario's beginning.
-func (f *fleet) journal() ([]journalLine, error) {
-	var all []journalLine
-	for _, n := range f.leaves {
-		data, err := os.ReadFile(f.leafLogFile(n))
-		if err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return nil, err
-		}
-		for text := range bytes.Lines(data) {
-			var line journalLine
-			if err := json.Unmarshal(text, &line); err != nil {
-				return nil, fmt.Errorf("journal of %s: %w", n.name, err)
-			}
-			all = append(all, line)
-		}
-	}
-	return all, nil
-}
-
 // verbLog compares what the leaves have run with what is expected:
 //
 //	log executions TICKET N   the order of the ticket was executed N times, over all leaves
 //	log searches none         no leaf has started anything of the last request
 //	log searches QUERY N      N leaf searches for the text were started, over all leaves
 //	log coverage              leaves delivered every shard that the last answer claims
+//	log crashes TEXT MIN MAX  leaves crashed MIN to MAX times at requests whose text has TEXT
+//	log history               every reply so far keeps what checkHistory checks
 func verbLog(f *fleet, a *arguments) error {
-	if err := a.done(1, 3); err != nil {
+	if err := a.done(1, 4); err != nil {
 		return err
 	}
-	lines, err := f.journal()
+	j, err := f.journal()
 	if err != nil {
 		return err
 	}
+	lines := j.lines
 	switch {
 	case len(a.words) == 3 && a.words[0] == "executions":
 		return f.executions(lines, a.words[1], a.words[2])
 	case len(a.words) == 3 && a.words[0] == "searches":
 		return compare("searches for "+a.words[1], countSearches(lines, a.words[1]), a.words[2])
 	case slices.Equal(a.words, []string{"searches", "none"}):
-		return f.noneOfLast(lines)
+		return f.noneOfLast(j)
 	case slices.Equal(a.words, []string{"coverage"}):
-		return f.coverageDelivered()
+		return f.coverageDelivered(j)
+	case len(a.words) == 4 && a.words[0] == "crashes":
+		return inRange("crashes at "+a.words[1], countCrashes(lines, a.words[1]), a.words[2], a.words[3])
+	case slices.Equal(a.words, []string{"history"}):
+		return f.checkHistory(f.requests.history())
 	}
 	return fmt.Errorf("can't read %q", a.words)
 }
 
 // executions counts by the payload, which is the ticket's own, and by the ticket's text.
-func (f *fleet) executions(lines []journalLine, name, want string) error {
+func (f *fleet) executions(lines []leaf.FileLine, name, want string) error {
 	t := f.requests.tickets[name]
 	if t == nil {
 		return fmt.Errorf("no ticket %q", name)
@@ -81,8 +58,8 @@
 	return compare("executions of "+name, count, want)
 }
 
-// noneOfLast wants the last request, a refused one, in no leaf's journal.
-func (f *fleet) noneOfLast(lines []journalLine) error {
+// noneOfLast wants that the last request, a refused one, has reached no leaf.
+func (f *fleet) noneOfLast(j *journal) error {
 	last, err := f.requests.getLast()
 	if err != nil {
 		return err
@@ -91,15 +68,13 @@
 	if id == "" {
 		return fmt.Errorf("the last reply names no request id: %s", last)
 	}
-	for _, l := range lines {
-		if (l.Search != nil && l.Search.RequestID == id) || (l.Execution != nil && l.Execution.RequestID == id) {
-			return fmt.Errorf("a leaf has run request %s: %+v", id, l)
-		}
+	if j.arrived[id] {
+		return fmt.Errorf("request %s has reached a leaf", id)
 	}
 	return nil
 }
 
-func countSearches(lines []journalLine, query string) int {
+func countSearches(lines []leaf.FileLine, query string) int {
 	count := 0
 	for _, l := range lines {
 		if l.Search != nil && l.Search.Query == query {
@@ -120,38 +95,41 @@
 	return nil
 }
 
-// coverageDelivered wants, for each shard that the last answer counts as covered, a running leaf
-// that delivered it for the request at the answer's snapshot.
-func (f *fleet) coverageDelivered() error {
-	last, err := f.requests.getLast()
+func countCrashes(lines []leaf.FileLine, text string) int {
+	count := 0
+	for _, l := range lines {
+		if l.Crash != nil && strings.Contains(l.Crash.Text, text) {
+			count++
+		}
+	}
+	return count
+}
+
+// inRange wants a count from low to high.
+func inRange(what string, count int, low, high string) error {
+	l, err := strconv.Atoi(low)
 	if err != nil {
 		return err
 	}
-	if last.search == nil {
-		return fmt.Errorf("the last reply is no answered search: %s", last)
+	h, err := strconv.Atoi(high)
+	if err != nil {
+		return err
 	}
-	delivered := make(map[uint32]bool)
-	for _, n := range f.leaves {
-		text, err := get(leafURL(n, "/log"))
-		if err != nil {
-			continue // a leaf that doesn't run can't vouch for anything
-		}
-		var log leaf.Log
-		if err := json.Unmarshal([]byte(text), &log); err != nil {
-			return err
-		}
-		for _, s := range log.Searches {
-			if s.RequestID == last.requestID() && s.Snapshot == last.search.GetSnapshot() && s.State == leaf.SearchDelivered {
-				delivered[s.Shard] = true
-			}
-		}
+	if count < l || count > h {
+		return fmt.Errorf("%s: %d, want %d to %d", what, count, l, h)
 	}
-	claimed := int(last.search.GetCoverage().GetShardsCovered())
-	for _, m := range last.search.GetCoverage().GetMissing() {
-		delete(delivered, m.GetShard())
+	return nil
+}
+
+// coverageDelivered wants, for each shard that the last answer counts as covered, a leaf that
+// delivered it for the request at the answer's snapshot.
+func (f *fleet) coverageDelivered(j *journal) error {
+	last, err := f.requests.getLast()
+	if err != nil {
+		return err
 	}
-	if len(delivered) < claimed {
-		return fmt.Errorf("the answer claims %d shards, leaves delivered only %v of them", claimed, delivered)
+	if last.search == nil {
+		return fmt.Errorf("the last reply is no answered search: %s", last)
 	}
-	return nil
+	return f.checkAnswer(last, j)
 }
--- a/scenarios/verbs_request_test.go
+++ b/scenarios/verbs_request_test.go
@@ -44,6 +44,7 @@
 		return nil
 	}
 	rep := q.send()
+	f.requests.record(rep)
 	f.requests.setLast(rep)
 	return rep
 }
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -24,7 +24,11 @@
 		if h.fleet == nil {
 			return
 		}
-		if err := h.fleet.stop(); err != nil {
+		err := h.fleet.stop()
+		if err == nil {
+			err = h.fleet.checkHistory(h.fleet.requests.history())
+		}
+		if err != nil {
 			env.T().Fatal("at the end of the scenario: ", err)
 		}
 	})
@@ -48,11 +52,13 @@
 		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "lag": verbLag,
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
-		"reply": verbReply, "log": verbLog, "await": verbAwait,
+		"reply": verbReply, "log": verbLog, "await": verbAwait, "upset": verbUpset,
+		"shards": verbShards,
 	} {
 		all[name] = withFleet(v)
 	}
 	all["expect"], all["until"] = verbExpect, verbUntil
+	all["load"], all["settle"] = verbLoad, verbSettle
 	return all
 }
 
@@ -93,10 +99,15 @@
 	l.Slots, l.Connections = a.number("slots", l.Slots), a.number("connections", l.Connections)
 	l.ServiceTime = a.duration("service_time", l.ServiceTime)
 	l.BalancerLag = a.duration("balancer_lag", l.BalancerLag)
+	l.HitBytes = a.number("hit_bytes", l.HitBytes)
+	l.Concurrency, l.Queue = a.number("concurrency", l.Concurrency), a.number("queue", l.Queue)
 	ts.Check(a.done(0, 0))
 	f, err := newFleet(ts.MkAbs("."), l)
 	ts.Check(err)
 	h.fleet = f
+	f.seed, err = f.newSeed()
+	ts.Check(err)
+	ts.Logf("seed %d (to run it again set %s)", f.seed, seedVariable)
 	ts.Check(f.startAll())
 }
 
@@ -234,7 +245,11 @@
 	}
 	what, rest := a.words[0], a.words[1:]
 	var number float64
-	if what == "version" || what == "refused" {
+	metric := ""
+	if what == "metric" && len(rest) > 2 {
+		metric, rest = rest[0], rest[1:]
+	}
+	if what == "version" || what == "refused" || what == "metric" {
 		n, err := strconv.ParseFloat(rest[0], 64)
 		if err != nil {
 			return err
@@ -250,6 +265,7 @@
 		"ended":   func() error { return allEnded(daemons) },
 		"version": func() error { return f.atVersion(number, vmProcesses(daemons)) },
 		"refused": func() error { return f.refused(number, vmProcesses(daemons)) },
+		"metric":  func() error { return f.counted(metric, number, vmProcesses(daemons)) },
 	}
 	if conditions[what] == nil {
 		return fmt.Errorf("can't await %q", what)
