--- a/scenarios/verbs_traffic_test.go
+++ b/scenarios/verbs_traffic_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/burdockplank/burdockplank/internal/load"
+	openloop "github.com/burdockplank/burdockplank/internal/load"
 	"github.com/burdockplank/burdockplank/internal/settings"
 )
 
@@ -28,7 +28,7 @@
 // that were ready the lag ago.
 func verbTraffic(f *fleet, a *arguments) error {
 	rate, orders := a.text("rate", "100"), a.text("orders", "0.1")
-	resend, lag := a.text("resend", string(load.ResendNone)), a.duration("lag", 0)
+	resend, lag := a.text("resend", string(openloop.ResendNone)), a.duration("lag", 0)
 	duration := a.duration("duration", 5*time.Second)
 	if err := a.done(1, 1); err != nil {
 		return err
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	var result load.Result
+	var result openloop.Result
 	if err := json.Unmarshal(data, &result); err != nil {
 		return err
 	}
@@ -124,7 +124,7 @@
 }
 
 // sums adds up requests by outcome, whatever its reason, over phases and kinds.
-func sums(r *load.Result) map[string]uint64 {
+func sums(r *openloop.Result) map[string]uint64 {
 	all := make(map[string]uint64)
 	for _, k := range r.Kinds {
 		all["requests"] += k.Requests
