--- a/scenarios/verbs_log_test.go
+++ b/scenarios/verbs_log_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -17,6 +18,8 @@
 //	log coverage              leaves delivered every shard that the last answer claims
 //	log crashes TEXT MIN MAX  leaves crashed MIN to MAX times at requests whose text has TEXT
 //	log history               every reply so far keeps what checkHistory checks
+//
+// N is a number, or a range such as 1..3.
 func verbLog(f *fleet, a *arguments) error {
 	if err := a.done(1, 4); err != nil {
 		return err
@@ -84,13 +87,19 @@
 	return count
 }
 
+// compare wants a number, or one within a range such as 1..3.
 func compare(what string, count int, want string) error {
-	n, err := strconv.Atoi(want)
-	if err != nil {
+	low, high, ranged := strings.Cut(want, "..")
+	if !ranged {
+		high = low
+	}
+	least, errLow := strconv.Atoi(low)
+	most, errHigh := strconv.Atoi(high)
+	if err := errors.Join(errLow, errHigh); err != nil {
 		return err
 	}
-	if count != n {
-		return fmt.Errorf("%s: %d, want %d", what, count, n)
+	if count < least || count > most {
+		return fmt.Errorf("%s: %d, want %s", what, count, want)
 	}
 	return nil
 }
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -99,6 +99,7 @@
 	l.Shards, l.Replicas = a.number("shards", l.Shards), a.number("replicas", l.Replicas)
 	l.Slots, l.Connections = a.number("slots", l.Slots), a.number("connections", l.Connections)
 	l.ServiceTime = a.duration("service_time", l.ServiceTime)
+	l.ConnectDelay = a.duration("connect_delay", l.ConnectDelay)
 	l.BalancerLag = a.duration("balancer_lag", l.BalancerLag)
 	l.HitBytes = a.number("hit_bytes", l.HitBytes)
 	l.Concurrency, l.Queue = a.number("concurrency", l.Concurrency), a.number("queue", l.Queue)
