--- a/scenarios/verbs_load_test.go
+++ b/scenarios/verbs_load_test.go
@@ -3,137 +3,100 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/burdockplank/burdockplank/internal/load"
-	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// loadEndBound is how long a run of load may take beyond its own duration.
-const loadEndBound = time.Minute
+// seedVariable names the environment variable that sets the seed of all random choices, to run a
+// failed scenario again with the choices that it logged.
+const seedVariable = "SCENARIO_SEED"
 
-// loadRun is a run of burdock-load in the background.
-type loadRun struct {
-	daemon   *daemon
-	duration time.Duration
-	result   string
-}
-
-// verbLoad is: load NAME [rate=100] [duration=5s] [orders=0.1] [resend=none|at_once|retry_after]
-// [lag=0s]. It starts an open loop of dawn searches, and orders as the given share, to the entries
-// that were ready the lag ago.
-func verbLoad(f *fleet, a *arguments) error {
-	rate, orders := a.text("rate", "100"), a.text("orders", "0.1")
-	resend, lag := a.text("resend", string(load.ResendNone)), a.duration("lag", 0)
-	duration := a.duration("duration", 5*time.Second)
-	if err := a.done(1, 1); err != nil {
-		return err
-	}
-	name := a.words[0]
-	if f.loads[name] != nil {
-		return fmt.Errorf("there is a load %s already", name)
-	}
-	text, err := f.loadSettings(rate, orders, resend, duration, lag)
-	if err != nil {
-		return err
+// seed returns the scenario's seed, the same for all its verbs.
+func (f *fleet) newSeed() (uint64, error) {
+	if text := os.Getenv(seedVariable); text != "" {
+		return strconv.ParseUint(text, 10, 64)
 	}
-	file, err := f.writeSettings("load-"+name, text)
-	if err != nil {
-		return err
-	}
-	result := filepath.Join(f.dir, "load-"+name+".json")
-	d := newDaemon("load/"+name, f.dir, "burdock-load", "--settings", file, "--out", result)
-	f.daemons = append(f.daemons, d)
-	f.loads[name] = &loadRun{daemon: d, duration: duration, result: result}
-	return d.start()
+	return rand.Uint64(), nil
 }
 
-func (f *fleet) loadSettings(rate, orders, resend string, duration, lag time.Duration) (string, error) {
-	perSecond, err := strconv.ParseFloat(rate, 64)
-	if err != nil {
-		return "", err
-	}
-	share, err := strconv.ParseFloat(orders, 64)
-	if err != nil {
-		return "", err
-	}
-	var b strings.Builder
-	fmt.Fprintf(&b, "[load]\nentries = [%s]\noperators = [%s]\nbalancer_lag = %q\nresend = %q\n",
-		f.vmAddresses(settings.DefaultEntryPort), f.vmAddresses(settings.DefaultEntryOperatorPort), lag, resend)
-	fmt.Fprintf(&b, "[[phase]]\nname = \"load\"\nrate = %f\nduration = %q\n", perSecond, duration)
-	mix := func(kind, mode string, weight float64) {
-		if weight > 0 {
-			fmt.Fprintf(&b, "[[mix]]\nservice = %q\nkind = %q\nmode = %q\nweight = %f\ntoken = %q\ntimeout = \"5s\"\n",
-				serviceName, kind, mode, weight, callerToken)
-		}
-	}
-	mix("dawn", "search", 1-share)
-	mix(orderKind, "order", share)
-	for _, n := range f.leaves {
-		fmt.Fprintf(&b, "[[leaf]]\nid = %q\ncontrol = \"%s:%d\"\n", n.name, n.bind, leafControlPort)
-	}
-	return b.String(), nil
+// verbLoad is: load NAME [callers=8] [kinds=dawn,roster] [via=vm-1,...] [top_k=0,1,5,30] [texts=0]
+// [timeout=5s] [pause=5ms]. It searches in the background until settle.
+func verbLoad(ts *testscript.TestScript, neg bool, args []string) {
+	f := fleetOf(ts)
+	a := parseArguments(args)
+	l := &load{
+		fleet: f, callers: a.number("callers", 8), kinds: strings.Split(a.text("kinds", "dawn,roster"), ","),
+		texts: a.number("texts", 0), timeout: a.duration("timeout", 5*time.Second), pause: a.duration("pause", 5*time.Millisecond),
+		seed: f.seed,
+	}
+	for _, k := range strings.Split(a.text("top_k", "0,1,5,30"), ",") {
+		n, err := strconv.Atoi(k)
+		ts.Check(err)
+		l.topKs = append(l.topKs, int32(n))
+	}
+	for _, name := range strings.Split(a.text("via", strings.Join(nodeNames(f.vms), ",")), ",") {
+		n, err := f.vm(name)
+		ts.Check(err)
+		l.vias = append(l.vias, n)
+	}
+	ts.Check(a.done(1, 1))
+	l.word = a.words[0]
+	if neg || f.loads[l.word] != nil {
+		ts.Fatalf("a load is started once")
+	}
+	f.loads[l.word] = l
+	l.start()
 }
 
-// vmAddresses lists a port of all VMs in TOML.
-func (f *fleet) vmAddresses(port int) string {
-	var all []string
-	for _, n := range f.vms {
-		all = append(all, fmt.Sprintf("\"%s:%d\"", n.bind, port))
-	}
-	return strings.Join(all, ", ")
+// verbSettle is: settle NAME [only=OUTCOME,...] [saw=REASON|OUTCOME,...] [answered=1] [within=D]. It
+// ends a load, once each caller has its reply, and checks how the replies ended.
+func verbSettle(ts *testscript.TestScript, neg bool, args []string) {
+	a := parseArguments(args)
+	if len(a.words) != 1 || neg {
+		ts.Fatalf("want one load's name")
+	}
+	l := fleetOf(ts).loads[a.words[0]]
+	if l == nil {
+		ts.Fatalf("no load %s", a.words[0])
+	}
+	t := tallyOf(l.finish())
+	ts.Logf("load %s: %s", l.word, t)
+	ts.Check(t.check(a))
 }
 
-// verbLoaded is: loaded NAME WANT... It waits for the end of the run, whose table goes to the log,
-// and compares: answered_whole=all, or an outcome's name, untyped or mismatches with a number of
-// requests.
-func verbLoaded(f *fleet, a *arguments) error {
-	if len(a.words) != 1 || f.loads[a.words[0]] == nil {
-		return fmt.Errorf("want one load's name, got %q", a.words)
-	}
-	run := f.loads[a.words[0]]
-	bound := run.duration + loadEndBound
-	if err := await("the end of the load", bound, func() error { return allEnded([]*daemon{run.daemon}) }); err != nil {
-		return err
-	}
-	if err := run.daemon.ended(); err != nil {
+// verbUpset is: upset LEAVES for=D [every=30ms] JSON... . It gives one random leaf after another one
+// of the faults, at random, and takes all faults away at the end.
+func verbUpset(f *fleet, a *arguments) error {
+	lasts, every := a.duration("for", 0), a.duration("every", 30*time.Millisecond)
+	if err := a.done(2, anyNumber); err != nil {
 		return err
 	}
-	data, err := os.ReadFile(run.result)
+	leaves, err := f.leavesNamed(a.words[0])
 	if err != nil {
 		return err
 	}
-	var result load.Result
-	if err := json.Unmarshal(data, &result); err != nil {
-		return err
-	}
-	got := sums(&result)
-	for key, want := range a.options {
-		if want == "all" {
-			want = strconv.FormatUint(got["requests"], 10)
+	faults := append([]string{"{}"}, a.words[1:]...)
+	for _, text := range faults {
+		if !json.Valid([]byte(text)) {
+			return fmt.Errorf("not JSON: %s", text)
 		}
-		if n := strconv.FormatUint(got[key], 10); n != want {
-			return fmt.Errorf("%s is %s, want %s:\n%s", key, n, want, run.daemon.logTail())
+	}
+	random := rand.New(rand.NewPCG(f.seed, 0))
+	for start := time.Now(); time.Since(start) < lasts; time.Sleep(every) {
+		n := leaves[random.IntN(len(leaves))]
+		if err := put(leafURL(n, "/faults"), []byte(faults[random.IntN(len(faults))])); err != nil {
+			return err
 		}
 	}
-	return nil
-}
-
-// sums adds up requests by outcome, whatever its reason, over phases and kinds.
-func sums(r *load.Result) map[string]uint64 {
-	all := make(map[string]uint64)
-	for _, k := range r.Kinds {
-		all["requests"] += k.Requests
-		all["untyped"] += k.Untyped
-		all["mismatches"] += k.Mismatches
-		for name, n := range k.Outcomes {
-			kind, _, _ := strings.Cut(name, "/")
-			all[kind] += n
+	for _, n := range leaves {
+		if err := put(leafURL(n, "/faults"), []byte("{}")); err != nil {
+			return err
 		}
 	}
-	return all
+	return nil
 }
