--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -17,6 +17,8 @@
 	answer *pb.LeafSearchResponse
 	// failure is set where answer is nil.
 	failure failure
+	// survived is true where the leaf has surely run the text and lived on.
+	survived bool
 	// wrote is true where a byte may have reached the leaf.
 	wrote bool
 	// trial is true for a call of the first run.
@@ -71,13 +73,14 @@
 		f := classify(ctx, err)
 		var ce *upstream.CallError
 		wrote := !errors.As(err, &ce) || ce.Wrote
-		return event{leaf: leaf, failure: f, wrote: wrote}
+		return event{leaf: leaf, failure: f, wrote: wrote, survived: failures[f].survived}
 	}
 	if m := check(asked, r.q.digest, got); m != MismatchNone {
 		r.e.metrics.mismatches.WithLabelValues(r.q.service.Name, string(m)).Inc()
-		return event{leaf: leaf, failure: failMismatch, wrote: true}
+		ran := got.GetRequestId() == asked.GetRequestId() && got.GetQueryDigest() == r.q.digest
+		return event{leaf: leaf, failure: failMismatch, wrote: true, survived: ran}
 	}
-	return event{leaf: leaf, answer: got, wrote: true}
+	return event{leaf: leaf, answer: got, wrote: true, survived: true}
 }
 
 // note tells the guard how the leaf and the request fared, and leaves the gate.
@@ -137,7 +140,7 @@
 		return
 	}
 	if s := &r.shards[ev.shard]; !s.settled {
-		r.failed(ev.shard, s, ev.failure)
+		r.failed(s, ev)
 	}
 	if r.trial != nil && ev.trial {
 		r.trial.failed(ev)
@@ -145,21 +148,21 @@
 }
 
 // failed notes the failed call of a shard and reacts to it.
-func (r *run) failed(i int, s *shard, f failure) {
-	s.failure, s.reason = f, failures[f].reason
-	switch f {
+func (r *run) failed(s *shard, ev event) {
+	s.failure, s.reason = ev.failure, failures[ev.failure].reason
+	switch ev.failure {
 	case failShed:
 		s.shed++
 	case failLost:
 		s.lost++
 		r.losses++
 	}
-	if failures[f].survived && !r.outlived.Load() {
+	if ev.survived && !r.outlived.Load() {
 		s.parked = true
 		r.release() // reacts to all that is parked
 		return
 	}
-	r.react(i)
+	r.react(ev.shard)
 }
 
 // dropped notes that a leaf has dropped the snapshot; true where the query has to run again.
--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -135,7 +135,7 @@
 	if left <= 0 {
 		return outcome.NotRun(pb.Reason_REASON_DEADLINE, Step, "no time left")
 	}
-	q.deadline = end.Add(-min(e.settings.AnswerMargin.D(), left/marginShare))
+	q.deadline = end.Add(-min(max(e.settings.AnswerMargin.D(), left/marginShare), left/marginMost))
 	return nil
 }
 
--- a/internal/search/settings.go
+++ b/internal/search/settings.go
@@ -10,7 +10,8 @@
 
 // Settings is the table [search] of burdock-gather.
 type Settings struct {
-	// AnswerMargin is kept of the caller's time so that the answer gets back before the deadline.
+	// AnswerMargin is the least that is kept of the caller's time so that the answer gets back before
+	// the deadline. Of long deadlines a share is kept, which matters most when VMs are busy.
 	AnswerMargin settings.Duration `toml:"answer_margin"`
 	// MaxWaiting is how many searches of a service may wait for a free slot of a leaf; more are
 	// refused.
@@ -36,8 +37,10 @@
 }
 
 const (
-	// marginShare bounds the margin to a part of the time left, for short deadlines.
-	marginShare = 4
+	// marginShare is the part of the time left that is kept, marginMost the most that the least
+	// margin may take of a short one.
+	marginShare = 32
+	marginMost  = 4
 	// maxTries is how often one shard is asked in one run, hedge and retries included.
 	maxTries = 4
 	// placePoll is how often a search that waits for a slot looks again by itself.
