Try forgetting witnesses, cut-short drains and peers on the network

Found: with a witness that forgets notes for age, or a drain that ends with an order under way, only the random machine stood guard; each rule now has its own test. A restarted gather of the same VM may now be handed records of the one before, which a fleet restarted VM by VM needs. A record without an answer from a peer no longer ends the process but counts as unknown. Simplified: a witness's note decides even where a handed-over intent says the order was under way, since no order is sent without its note.

--- a/internal/order/handler.go
+++ b/internal/order/handler.go
@@ -30,34 +30,18 @@
 }
 
 // Resolve implements TicketPeerServiceHandler. Only the ticket's witness, in the incarnation that
-// the ticket names, seals.
+// the ticket names, seals: what it noted decides, and no order runs without its note.
 func (h PeerHandler) Resolve(_ context.Context, req *pb.ResolveRequest) (*pb.ResolveResponse, error) {
 	resp := h.m.archive.lookup(req.GetTicket(), req.GetCaller())
-	if req.GetWitnessIncarnation() == h.m.witness.incarnation {
-		resp = h.m.resolveAsWitness(req, resp)
+	if !decided(resp) && req.GetWitnessIncarnation() == h.m.witness.incarnation {
+		if noted := h.m.witness.resolve(req); noted.GetState() != pb.TicketState_TICKET_STATE_NOT_KNOWN {
+			resp = noted
+		}
 	}
 	h.m.metrics.resolved(resp.GetState())
 	return resp, nil
 }
 
-// resolveAsWitness adds the witness's note to what the archive says. A handed-over intent is never
-// overruled by a seal.
-func (m *Manager) resolveAsWitness(req *pb.ResolveRequest, archived *pb.ResolveResponse) *pb.ResolveResponse {
-	switch archived.GetState() {
-	case pb.TicketState_TICKET_STATE_DONE, pb.TicketState_TICKET_STATE_SEALED:
-		return archived
-	case pb.TicketState_TICKET_STATE_INTENT:
-		if !m.witness.knows(req.GetTicket()) {
-			return archived
-		}
-	}
-	noted := m.witness.resolve(req)
-	if noted.GetState() == pb.TicketState_TICKET_STATE_NOT_KNOWN {
-		return archived
-	}
-	return noted
-}
-
 // Handover implements TicketPeerServiceHandler. A request without a total comes from a living
 // incarnation and holds outcomes as they arise.
 func (h PeerHandler) Handover(_ context.Context, req *pb.HandoverRequest) (*pb.HandoverResponse, error) {
--- a/internal/order/handover.go
+++ b/internal/order/handover.go
@@ -64,15 +64,19 @@
 func (m *Manager) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
 	defer cancel()
+	own := m.table.estate()
 	var wg sync.WaitGroup
-	for _, e := range append(m.archive.parts(), m.table.estate()) {
+	for _, e := range m.archive.parts() {
 		wg.Go(func() { m.handOverOne(ctx, e) })
 	}
+	copies := m.handOverOne(ctx, own)
 	wg.Wait()
+	m.log.Info("orders handed over", zap.Int("records", len(own.records)), zap.Int("copies", copies))
 }
 
-// handOverOne gives the estate to the first peers, by rank, that take it whole.
-func (m *Manager) handOverOne(ctx context.Context, e *estate) {
+// handOverOne gives the estate to the first peers, by rank, that take it whole, and returns to how
+// many.
+func (m *Manager) handOverOne(ctx context.Context, e *estate) int {
 	copies := 0
 	for _, vm := range handoverOrder(m.source.Current(), e.minter) {
 		if copies == handoverCopies || ctx.Err() != nil {
@@ -82,8 +86,7 @@
 			copies++
 		}
 	}
-	m.log.Info("orders handed over", zap.String("minter", e.minter.vm),
-		zap.Int("records", len(e.records)), zap.Int("copies", copies))
+	return copies
 }
 
 func (m *Manager) handOverTo(ctx context.Context, vm *pb.Vm, e *estate) bool {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -155,10 +155,16 @@
 
 func TestExpiryAndForgetting(t *testing.T) {
 	inWorld(t, func(is *is.I, m *machine) {
-		used, unused := m.ticket(), m.ticket()
+		used, unused, late := m.ticket(), m.ticket(), m.ticket()
 		is.Equal(m.ask(used, "p"), "answered")
+		m.arm(atNote, fault{after: strikeFreeze})
+		got := make(chan string, 1)
+		go func() { got <- m.ask(late, "p") }()
 		time.Sleep(m.cfg.TTL)
+		m.thaw(m.node("vm-1"))
+		is.Equal(<-got, "not_run ticket_expired") // after the pause, before the first byte
 		is.Equal(m.ask(unused, "p"), "not_run ticket_expired")
+		is.Equal(len(m.node("vm-2").m.witness.notes), 2) // the witness was not asked in vain
 		is.Equal(m.ask(used, "p"), "answered")
 		time.Sleep(m.cfg.KeepAfter)
 		m.ticket() // drops what is old
@@ -191,6 +197,14 @@
 		is.Equal(<-got, "unknown incarnation_gone") // asked again after the pause, and not sent
 		is.Equal(m.askAround(noted), "unknown incarnation_gone")
 		is.Equal(m.runsOf(noted.text)+m.runsOf(sealed.text), 0)
+
+		done := m.ticket()
+		is.Equal(m.ask(done, "p"), "answered")
+		synctest.Wait()
+		stolen := *done.ticket
+		stolen.Caller = "portal"
+		_, err := m.entry.Resolve(context.Background(), &stolen, "portal")
+		is.Equal(endOf(err), "unknown incarnation_gone") // nothing of another caller's order
 	})
 }
 
@@ -219,19 +233,30 @@
 		got := make(chan string, 1)
 		go func() { got <- m.ask(running, "p") }()
 		synctest.Wait()
-		m.leave(m.node("vm-1"), 10*time.Second)
+		n := m.node("vm-1")
+		go n.m.Drain(context.Background())
 		synctest.Wait()
-		_, err := m.node("vm-1").m.IssueTicket(context.Background(), &pb.GatherIssueTicketRequest{
+		_, err := n.m.IssueTicket(context.Background(), &pb.GatherIssueTicketRequest{
 			Ticket: &pb.IssueTicketRequest{Service: "teachers", Kind: "book"},
 		})
 		is.Equal(endOf(err), "not_run draining")
 		is.Equal(<-got, "answered")
-		time.Sleep(5 * time.Second)
-		m.kill(m.node("vm-2")) // the witness goes too
+		time.Sleep(m.cfg.DrainGrace)
+		is.Equal(m.ask(unused, "p"), "not_run sealed")
+		m.kill(n)
+		m.start("vm-1", "az-1")
 		m.news()
+		for _, vm := range []string{"vm-2", "vm-3", "vm-4"} { // witness and all who were handed the records
+			m.leave(m.node(vm), time.Second)
+			synctest.Wait()
+			m.news()
+		}
 		is.Equal(m.askAround(done), "answered")
 		is.Equal(m.askAround(running), "answered")
 		is.Equal(m.askAround(unused), "not_run sealed")
+		_, err = m.entry.ResolveOrder(context.Background(), done.ticket, "desk", orderRequest("", "q").GetOrder(), "r")
+		is.Equal(endOf(err), "not_run ticket_reused")
+		is.Equal(m.runsOf(unused.text), 0)
 	})
 }
 
--- a/internal/order/rank.go
+++ b/internal/order/rank.go
@@ -14,12 +14,13 @@
 // One of each zone is handed the records first; the others stand for changes of the list since.
 const askPerZone = 3
 
-// ranked returns the VMs of the view with a gather that is not gone, without the minter's, by
+// ranked returns the VMs of the view with a gather that is not gone, without the minter, by
 // availability zone and in rendezvous order for the incarnation. VMs with equal views rank equally.
 func ranked(v *feed.View, minter identity) map[string][]*pb.Vm {
 	zones := make(map[string][]*pb.Vm)
 	for _, vm := range v.VMs {
-		if vm.GetId() == minter.vm || gatherOf(vm) == nil || gatherGone(vm) {
+		p := gatherOf(vm)
+		if p == nil || gatherGone(vm) || (minter == identity{vm.GetId(), p.GetIncarnation()}) {
 			continue
 		}
 		zones[vm.GetZone()] = append(zones[vm.GetZone()], vm)
--- a/internal/order/record.go
+++ b/internal/order/record.go
@@ -48,6 +48,9 @@
 	if end := outcome.FromProto(r.GetOutcome()); end != nil {
 		return nil, end
 	}
+	if r.GetResponse().GetOutcome() == nil {
+		return nil, outcome.Unknown(pb.Reason_REASON_INTERNAL, stepExecute, "the record holds no answer")
+	}
 	resp, _ := proto.Clone(r.GetResponse()).(*pb.OrderResponse)
 	resp.Replayed = replayed
 	resp.RequestId = requestID
--- a/internal/order/witness.go
+++ b/internal/order/witness.go
@@ -177,13 +177,6 @@
 	w.queue = w.queue[n:]
 }
 
-// knows tells whether there is a note of the ticket.
-func (w *witness) knows(id *pb.TicketId) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.notes[keyOf(id)] != nil
-}
-
 // held returns how many notes are held by state.
 func (w *witness) held() map[string]int {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/order/witness_test.go
@@ -0,0 +1,92 @@
+package order
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/rpc"
+)
+
+func TestWitnessThatForgotSaysNothing(t *testing.T) {
+	inWorld(t, func(is *is.I, m *machine) {
+		w := m.node("vm-3").m.witness
+		w.limit = 2
+		id := func(seq uint64) *pb.TicketId { return &pb.TicketId{Vm: "vm-9", Incarnation: 9, Sequence: seq} }
+		note := func(seq uint64) string {
+			resp, end := w.noteIntent(&pb.NoteIntentRequest{Ticket: id(seq), WitnessIncarnation: w.incarnation, Caller: "desk", OrderDigest: 1})
+			switch {
+			case end != nil:
+				return outcome.ReasonName(end.Reason)
+			case resp.GetSealed():
+				return "sealed"
+			}
+			return "noted"
+		}
+		resolve := func(seq uint64) string {
+			return stateName(w.resolve(&pb.ResolveRequest{Ticket: id(seq), Caller: "desk"}).GetState())
+		}
+		is.Equal(note(10), "noted")
+		is.Equal(resolve(10), "intent")
+		is.Equal(resolve(8), "sealed")
+		is.Equal(note(8), "sealed")
+		is.Equal(note(12), "overload") // no room: neither a note nor a seal
+		is.Equal(resolve(12), "not_known")
+		time.Sleep(m.cfg.PeerKeep)
+		is.Equal(resolve(10), "not_known") // it may have run
+		is.Equal(note(8), "sealed")        // it may have been told "never runs"
+		is.Equal(note(9), "sealed")
+		is.Equal(resolve(9), "not_known")
+		is.Equal(note(12), "noted")
+	})
+}
+
+func TestDrainCutShortHandsOverIntents(t *testing.T) {
+	inWorld(t, func(is *is.I, m *machine) {
+		i := m.ticket()
+		m.arm(atExecute, fault{delay: 900 * time.Millisecond})
+		go m.ask(i, "p")
+		synctest.Wait()
+		m.leave(m.node("vm-1"), 100*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		m.kill(m.node("vm-2")) // the witness
+		m.news()
+		is.Equal(m.askAround(i), "unknown incarnation_gone")
+		time.Sleep(time.Second)
+		is.Equal(m.runsOf(i.text), 1)
+	})
+}
+
+// TestPeersOverTheNetwork takes a note and a refusal over a real connection.
+func TestPeersOverTheNetwork(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	w := m.node("vm-2")
+	_, handler := burdockv1connect.NewTicketPeerServiceHandler(w.m.Handler())
+	server := rpc.NewServer(handler)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	addr := listener.Addr().(*net.TCPAddr)
+	peer := NewHTTPPeers(rpc.NewClient("127.0.0.1")).Peer(&pb.Vm{Address: "127.0.0.1", GatherPort: uint32(addr.Port)})
+	req := &pb.NoteIntentRequest{Ticket: &pb.TicketId{Vm: "vm-9", Incarnation: 9, Sequence: 1}, WitnessIncarnation: w.incarnation + 1}
+	_, err = peer.NoteIntent(context.Background(), req)
+	end, ok := outcome.FromConnect(err)
+	is.True(ok)
+	is.Equal(end.Reason, pb.Reason_REASON_INCARNATION_GONE)
+	req.WitnessIncarnation = w.incarnation
+	resp, err := peer.NoteIntent(context.Background(), req)
+	is.NoErr(err)
+	is.True(!resp.GetSealed())
+	for id := range testZones {
+		m.kill(m.node(id))
+	}
+}
