Be ready only when leaves and gathers can be reached

The first search after a start could end partial or not run: a gather said it was ready, to its VM and to all others, before it had opened one connection to a leaf, and an entry before it knew of a ready gather.

A gather now takes part once each leaf was connected to or could not be, within the second that opening a connection may take; a leaf that can't be reached doesn't hold it up. An entry joins the balancer's rotation once every service had a ready gather, and doesn't leave it for that again: a lost service must not take the others away. Waiting inside the search for a first connection was ruled out, as each layer above would go on choosing a gather that isn't there yet.

--- a/cmd/burdock-gather/wire.go
+++ b/cmd/burdock-gather/wire.go
@@ -12,6 +12,7 @@
 	"github.com/burdockplank/burdockplank/internal/operator"
 	"github.com/burdockplank/burdockplank/internal/order"
 	"github.com/burdockplank/burdockplank/internal/search"
+	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
 // initialize builds the process from its settings; nothing runs yet.
@@ -24,6 +25,7 @@
 		wire.Bind(new(feed.Reporter), new(*feed.Manager)),
 		wire.Bind(new(gather.Searcher), new(*search.Engine)),
 		wire.Bind(new(gather.Keeper), new(*order.Manager)),
+		wire.Bind(new(gather.Upstreams), new(*upstream.Pool)),
 		wire.Struct(new(daemon), "*"),
 	)
 	return nil, nil
--- a/cmd/burdock-gather/wire_gen.go
+++ b/cmd/burdock-gather/wire_gen.go
@@ -32,7 +32,7 @@
 	orderManager := newKeeper(s, mainIncarnation, manager, pool, quarantineRegistry, balancers, client, pauseDetector, logger, registry)
 	engine := newEngine(s, manager, pool, balancers, quarantineRegistry, registry)
 	ticketPeerServiceHandler := newPeerHandler(orderManager)
-	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, orderManager, ticketPeerServiceHandler)
+	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, orderManager, ticketPeerServiceHandler, pool)
 	mainDaemon := &daemon{
 		settings:  s,
 		log:       logger,
--- a/internal/entry/life_test.go
+++ b/internal/entry/life_test.go
@@ -132,6 +132,25 @@
 	is.Equal(w.post(t, searchPath, goodSearch, nil).StatusCode, http.StatusOK)
 }
 
+// An entry joins the balancer's rotation once every service has a ready gather, and doesn't leave it
+// again when a gather goes: it answers so.
+func TestReadyOnceEveryServiceWasReached(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	full := w.feed.view.Load()
+	alone := *full
+	alone.VMs = nil
+	w.feed.view.Store(&alone)
+	ready, _ := w.manager.Ready()
+	is.True(!ready)
+	w.feed.view.Store(full)
+	ready, _ = w.manager.Ready()
+	is.True(ready)
+	w.feed.view.Store(&alone)
+	ready, _ = w.manager.Ready()
+	is.True(ready)
+}
+
 func TestPanicIsTypedAndCounted(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t)
--- a/internal/entry/manager.go
+++ b/internal/entry/manager.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -43,6 +44,8 @@
 	conns     *conns
 	server    *http.Server
 	now       func() time.Time
+	// reached is true once every service had a gather that takes work.
+	reached atomic.Bool
 }
 
 // NewManager returns a manager that doesn't listen yet.
@@ -121,9 +124,21 @@
 	if e := m.takesWork(&call{view: v, start: m.now()}); e != nil {
 		return false, outcome.ReasonName(e.Reason) + ": " + e.Message
 	}
+	if !m.hasReached(v) {
+		return false, "no ready gather known yet for every service"
+	}
 	return true, ""
 }
 
+// hasReached tells whether every service has had a gather by now. One that is lost later doesn't
+// take the entry out of the balancer's rotation: it answers so, and other services go on.
+func (m *Manager) hasReached(v *feed.View) bool {
+	if !m.reached.Load() && route.Reaches(v) {
+		m.reached.Store(true)
+	}
+	return m.reached.Load()
+}
+
 // state is what the dump shows of this duty.
 type state struct {
 	Phase         string `json:"phase"`
--- a/internal/gather/gather_test.go
+++ b/internal/gather/gather_test.go
@@ -139,12 +139,50 @@
 	}
 }
 
+// tried is upstreams that have all been tried.
+type tried struct{}
+
+func (tried) Settled() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// untried is upstreams that are tried when the channel is closed.
+type untried chan struct{}
+
+func (u untried) Settled() <-chan struct{} { return u }
+
+func TestReadyOnlyWhenLeavesWereTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, work, leaves := newFakeFeed(3), &slow{}, make(untried)
+		m := NewManager(DefaultSettings(), zap.NewNop(), prometheus.NewRegistry(), f, f, work, work, work, leaves)
+		m.listening.Store(true)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			m.announce(t.Context())
+		}()
+		synctest.Wait()
+		ready, why := m.Ready()
+		is.True(!ready)
+		is.Equal(why, "leaves not tried yet")
+		is.Equal(len(f.states), 0) // nothing was told to the other VMs
+		close(leaves)
+		<-done
+		ready, _ = m.Ready()
+		is.True(ready)
+		is.Equal(f.states, []pb.ProcessState{pb.ProcessState_PROCESS_STATE_READY})
+	})
+}
+
 func TestDrainEndsWhatRunsAndRefusesTheRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f, work := newFakeFeed(3), &slow{time: 5 * time.Second}
 		s := DefaultSettings()
-		m := NewManager(s, zap.NewNop(), prometheus.NewRegistry(), f, f, work, work, work)
+		m := NewManager(s, zap.NewNop(), prometheus.NewRegistry(), f, f, work, work, work, tried{})
 		service := NewService(m.door, work, work, NewMetrics(prometheus.NewRegistry()))
 		search := &pb.GatherSearchRequest{Identity: identity("desk", 3), Search: &pb.SearchRequest{Service: "teachers"}}
 		ended := make(chan error, 1)
@@ -186,7 +224,7 @@
 		is := is.New(t)
 		f, work := newFakeFeed(3), &slow{}
 		s := DefaultSettings()
-		m := NewManager(s, zap.NewNop(), prometheus.NewRegistry(), f, f, work, work, work)
+		m := NewManager(s, zap.NewNop(), prometheus.NewRegistry(), f, f, work, work, work, tried{})
 		start := time.Now()
 		m.Drain(context.Background())
 		is.Equal(time.Since(start), s.Drain.Notice.D())
--- a/internal/gather/manager.go
+++ b/internal/gather/manager.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,12 @@
 	Drain(ctx context.Context)
 }
 
+// Upstreams tells when the leaves were first tried; *upstream.Pool does.
+type Upstreams interface {
+	// Settled returns a channel that is closed once each leaf was connected to or could not be.
+	Settled() <-chan struct{}
+}
+
 // Manager owns the listener for entries and other gathers, and the drain of the process.
 type Manager struct {
 	settings *Settings
@@ -40,15 +47,18 @@
 	reporter feed.Reporter
 	door     *Door
 	keeper   Keeper
+	leaves   Upstreams
 	server   *http.Server
 	// listening is true once requests are taken; draining from the signal on.
 	listening, draining atomic.Bool
+	// stateMu keeps the states that are told to the other VMs in their order.
+	stateMu sync.Mutex
 }
 
 // NewManager returns a manager that doesn't listen yet.
-func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter, searcher Searcher, keeper Keeper, peers burdockv1connect.TicketPeerServiceHandler) *Manager {
+func NewManager(s *Settings, log *zap.Logger, reg prometheus.Registerer, source feed.Source, reporter feed.Reporter, searcher Searcher, keeper Keeper, peers burdockv1connect.TicketPeerServiceHandler, leaves Upstreams) *Manager {
 	m := &Manager{
-		settings: s, log: log, source: source, reporter: reporter, keeper: keeper,
+		settings: s, log: log, source: source, reporter: reporter, keeper: keeper, leaves: leaves,
 		door: NewDoor(source, s.Gather.BundleWait.D()),
 	}
 	m.server = rpc.NewServer(m.handler(NewService(m.door, searcher, keeper, NewMetrics(reg)), peers))
@@ -77,7 +87,11 @@
 
 func (m *Manager) serve(ctx context.Context, l net.Listener) error {
 	m.listening.Store(true)
-	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_READY)
+	announced, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { m.announce(announced) })
+	defer wg.Wait()
+	defer cancel()
 	m.log.Info("listening for entries", zap.String("address", l.Addr().String()))
 	stopped := context.AfterFunc(ctx, func() { _ = m.server.Close() })
 	defer stopped()
@@ -88,12 +102,27 @@
 	return nil
 }
 
+// announce tells the other VMs that the process takes work once it has tried its leaves: a search
+// that came before would find none of them.
+func (m *Manager) announce(ctx context.Context) {
+	if !wait(ctx, m.leaves.Settled()) {
+		return
+	}
+	m.stateMu.Lock()
+	defer m.stateMu.Unlock()
+	if !m.draining.Load() {
+		m.reporter.SetState(pb.ProcessState_PROCESS_STATE_READY)
+	}
+}
+
 // Drain ends the process's work in order. It refuses new work at once, tells the other VMs, ends
 // what runs, hands the tickets' records over, and listens on for a while, so that an entry that
 // hasn't heard yet gets an answer rather than a refused connection.
 func (m *Manager) Drain(ctx context.Context) {
+	m.stateMu.Lock()
 	m.draining.Store(true)
 	m.reporter.SetState(pb.ProcessState_PROCESS_STATE_DRAINING)
+	m.stateMu.Unlock()
 	m.door.Close()
 	notice := time.NewTimer(m.settings.Drain.Notice.D())
 	defer notice.Stop()
@@ -132,10 +161,21 @@
 		return false, "no bundle in force"
 	case !m.source.Fresh():
 		return false, "no fresh news of the fleet"
+	case !m.settled():
+		return false, "leaves not tried yet"
 	}
 	return true, ""
 }
 
+func (m *Manager) settled() bool {
+	select {
+	case <-m.leaves.Settled():
+		return true
+	default:
+		return false
+	}
+}
+
 // state is what the dump shows of this duty.
 type state struct {
 	Ready         bool   `json:"ready"`
--- /dev/null
+++ b/internal/route/reach.go
@@ -0,0 +1,16 @@
+package route
+
+import "github.com/burdockplank/burdockplank/internal/feed"
+
+// Reaches tells whether the view names a gather that takes new work for each service of its bundle.
+func Reaches(v *feed.View) bool {
+	if v.Bundle == nil {
+		return false
+	}
+	for _, svc := range v.Bundle.Services {
+		if len(candidates(svc, v.Zone, v.VMs)) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -50,6 +50,8 @@
 	pollAt  time.Time
 	// changed is closed and replaced when a connection may have become usable.
 	changed chan struct{}
+	// tried is true once a first connection was opened or could not be.
+	tried bool
 	// openError is how the last try to open a connection failed, nil after a success.
 	openError error
 }
@@ -236,3 +238,10 @@
 	}
 	return s
 }
+
+// wasTried tells whether a connection was opened or could not be, or none is wanted.
+func (l *leaf) wasTried() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tried || l.want == 0
+}
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -52,8 +52,9 @@
 	c, st, err := l.dial(ctx, opened)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.opening = false
+	l.opening, l.tried = false, true
 	l.openError = err
+	defer l.pool.wakeUp()
 	if err != nil {
 		l.openFailed(err)
 		return
@@ -66,7 +67,6 @@
 	} else {
 		l.presence.connected(0, opened)
 	}
-	l.pool.wakeUp()
 }
 
 // openFailed notes the failure; a refused connection is evidence of departure. Requires mu.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,8 +51,12 @@
 	closed bool
 	workMu sync.Mutex
 	wake   chan struct{}
+	// settled is closed by the pool's loop once the leaves of the first bundle were tried.
+	settled chan struct{}
 
 	mu sync.RWMutex
+	// viewed is true from the first view with a bundle on; guarded by mu.
+	viewed bool
 	// leaves by id; guarded by mu.
 	leaves map[string]*leaf
 	// removed leaves whose calls still run; guarded by mu.
@@ -71,9 +75,10 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		},
-		epoch:  time.Now(),
-		wake:   make(chan struct{}, 1),
-		leaves: make(map[string]*leaf),
+		epoch:   time.Now(),
+		wake:    make(chan struct{}, 1),
+		settled: make(chan struct{}),
+		leaves:  make(map[string]*leaf),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if reg != nil {
@@ -115,6 +120,7 @@
 			ended[l] = true
 		}
 	}
+	p.settleOnce()
 	if len(ended) == 0 {
 		return
 	}
@@ -123,6 +129,35 @@
 	p.removed = slices.DeleteFunc(p.removed, func(l *leaf) bool { return ended[l] })
 }
 
+// Settled returns a channel that is closed once a bundle is there and every leaf that this VM serves
+// has been connected to or could not be. It stays closed when leaves come later.
+func (p *Pool) Settled() <-chan struct{} { return p.settled }
+
+// settleOnce closes settled when it is time to. It is called by the pool's loop alone.
+func (p *Pool) settleOnce() {
+	p.mu.RLock()
+	viewed := p.viewed
+	p.mu.RUnlock()
+	if p.isSettled() || !viewed {
+		return
+	}
+	for _, l := range p.all() {
+		if !l.wasTried() {
+			return
+		}
+	}
+	close(p.settled)
+}
+
+func (p *Pool) isSettled() bool {
+	select {
+	case <-p.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close ends the pool: connections are closed, calls that still run are cut.
 func (p *Pool) Close() {
 	p.cancel()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +48,32 @@
 	})
 }
 
+// A pool is settled once each leaf was tried, whether a connection came about or not, and not before
+// there is a bundle.
+func TestSettledWhenEachLeafWasTried(t *testing.T) {
+	for name, err := range map[string]error{"connected": nil, "refused": syscall.ECONNREFUSED} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeLeaf(t)
+				goOn := make(chan struct{})
+				p, _ := startPool(t, func(ctx context.Context, address string) (net.Conn, error) {
+					<-goOn
+					if err != nil {
+						return nil, err
+					}
+					return f.dial(ctx, address)
+				})
+				settle()
+				is.True(!p.isSettled())
+				close(goOn)
+				settle()
+				is.True(p.isSettled())
+			})
+		})
+	}
+}
+
 func TestSilentConnectionIsReplacedWithinASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -26,6 +26,7 @@
 	}
 	plan := p.plan(v)
 	p.mu.Lock()
+	p.viewed = true
 	for id, l := range p.leaves {
 		if w, ok := plan[id]; !ok || w.leaf.Address != l.address || w.service != l.service {
 			l.setWant(0)
