--- /dev/null
+++ b/internal/evidence/set_test.go
@@ -0,0 +1,151 @@
+package evidence
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+var start = time.Unix(1000, 0)
+
+func departed(leaf string, incarnation uint64, age time.Duration) []*pb.Departure {
+	return []*pb.Departure{{Leaf: leaf, Incarnation: incarnation, Source: pb.DepartureSource_DEPARTURE_SOURCE_GOAWAY, Age: durationpb.New(age)}}
+}
+
+func crashed(digest uint64, leaf string, incarnation uint64, age time.Duration) []*pb.Crash {
+	return []*pb.Crash{{RequestDigest: digest, Leaf: leaf, Incarnation: incarnation, Age: durationpb.New(age)}}
+}
+
+func TestDepartures(t *testing.T) {
+	tests := []struct {
+		name        string
+		incarnation uint64
+		// confirmed are the times after the first at which it is seen again; held is how long it
+		// is held then, from the start.
+		confirmed []time.Duration
+		held      time.Duration
+	}{
+		{"an incarnation's stays", 7, nil, DepartureTTL},
+		{"an incarnation's stays longer when confirmed", 7, []time.Duration{time.Hour}, DepartureTTL + time.Hour},
+		{"a refusal ages out", 0, nil, RefusalTTL},
+		{"a confirmed refusal goes on", 0, []time.Duration{3 * time.Second, 6 * time.Second}, 6*time.Second + RefusalTTL},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New()
+			is.Equal(len(s.Merge(departed("a", tt.incarnation, 0), nil, start).Departures), 1)
+			for _, at := range tt.confirmed {
+				s.Merge(departed("a", tt.incarnation, 0), nil, start.Add(at))
+			}
+			is.True(!s.Expire(start.Add(tt.held - 1)))
+			is.Equal(len(s.Departures(start)), 1)
+			is.True(s.Expire(start.Add(tt.held)))
+			is.Equal(len(s.Departures(start)), 0)
+		})
+	}
+}
+
+func TestDepartureIsOfItsIncarnationAlone(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Merge(departed("a", 1, 0), nil, start)
+	news := s.Merge(departed("a", 2, 0), nil, start)
+	is.Equal(news.Departures, []DepartureKey{{Leaf: "a", Incarnation: 2}})
+	is.Equal(len(s.Departures(start)), 2) // the first is not withdrawn
+}
+
+func TestAgesTravel(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Merge(departed("a", 0, 4*time.Second), nil, start)
+	is.Equal(s.Departures(start)[0].GetAge().AsDuration(), 4*time.Second)
+	is.True(s.Expire(start.Add(time.Second)))
+	is.True(s.Merge(departed("a", 0, RefusalTTL), nil, start).Empty()) // came too late
+	is.True(s.Merge(nil, crashed(1, "a", 1, CrashTTL), start).Empty())
+}
+
+func TestCrashesCountOncePerLeafAndIncarnation(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Merge(nil, crashed(1, "a", 1, 0), start)
+	is.True(s.Merge(nil, crashed(1, "a", 1, time.Second), start).Empty()) // another VM saw the same
+	s.Merge(nil, crashed(1, "a", 2, 0), start)
+	s.Merge(nil, crashed(1, "b", 1, 0), start.Add(time.Second))
+	s.Merge(nil, crashed(2, "b", 1, 0), start)
+	is.Equal(CrashCounts(s.Crashes(start)), map[uint64]int{1: 3, 2: 1})
+	s.Expire(start.Add(CrashTTL))
+	is.Equal(CrashCounts(s.Crashes(start)), map[uint64]int{1: 1})
+}
+
+func TestBoundsDropTheOldest(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	for i := range uint64(MaxCrashes + 1) {
+		s.Merge(nil, crashed(i, "a", 1, 0), start.Add(time.Duration(i)))
+	}
+	_, n := s.Len()
+	is.Equal(n, MaxCrashes)
+	is.Equal(s.Crash(CrashKey{RequestDigest: 0, Leaf: "a", Incarnation: 1}, start), nil)
+}
+
+// piece is one item of evidence.
+type piece struct {
+	departures []*pb.Departure
+	crashes    []*pb.Crash
+}
+
+func genPiece(t *rapid.T) piece {
+	leaf := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "leaf")
+	incarnation := rapid.Uint64Range(0, 2).Draw(t, "incarnation")
+	age := time.Duration(rapid.IntRange(0, 8).Draw(t, "age")) * time.Second
+	if rapid.Bool().Draw(t, "crash") {
+		c := crashed(rapid.Uint64Range(1, 2).Draw(t, "digest"), leaf, incarnation, age)
+		c[0].Alone = rapid.Bool().Draw(t, "alone")
+		return piece{crashes: c}
+	}
+	d := departed(leaf, incarnation, age)
+	d[0].Vm = rapid.SampledFrom([]string{"v", "w"}).Draw(t, "vm")
+	return piece{departures: d}
+}
+
+// merged returns a set of all pieces.
+func merged(pieces []piece) *Set {
+	s := New()
+	for _, p := range pieces {
+		s.Merge(p.departures, p.crashes, start)
+	}
+	return s
+}
+
+// text shows all that a set holds.
+func text(s *Set) (out []string) {
+	for _, d := range s.Departures(start) {
+		out = append(out, d.String())
+	}
+	for _, c := range s.Crashes(start) {
+		out = append(out, c.String())
+	}
+	return out
+}
+
+func TestMergeOrderAndRepetitionDoNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		pieces := rapid.SliceOfN(rapid.Custom(genPiece), 0, 12).Draw(rt, "pieces")
+		shuffled := rapid.Permutation(pieces).Draw(rt, "shuffled")
+		one, other := merged(pieces), merged(append(shuffled, pieces...))
+		is.Equal(text(one), text(other))
+		is.Equal(one.Hash(start), other.Hash(start))
+		// Whole sets merge as single pieces do.
+		cut := rapid.IntRange(0, len(pieces)).Draw(rt, "cut")
+		left, right := merged(pieces[:cut]), merged(pieces[cut:])
+		right.Merge(left.Departures(start), left.Crashes(start), start)
+		is.Equal(text(one), text(right))
+	})
+}
--- /dev/null
+++ b/internal/readers/readers_test.go
@@ -0,0 +1,75 @@
+package readers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func vms(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("vm-%d", i))
+	}
+	return out
+}
+
+// active returns who of a zone reads, all with one view.
+func active(members []string, age time.Duration) (out []string) {
+	for _, vm := range members {
+		s := State{Rank: Rank("az-1", members, vm), Members: len(members), ContactAge: age, SinceTakeover: -1}
+		if Active(s) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func TestReadersStayConstantAsTheZoneGrows(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 8, 132} {
+		is := is.New(t)
+		is.Equal(len(active(vms(n), 0)), min(n, PerZone))
+		is.Equal(len(active(vms(n), TakeoverAfter-1)), min(n, PerZone))
+		for age := TakeoverAfter; age < TakeoverAfter+70*Turn; age += Turn {
+			is.True(len(active(vms(n), age)) <= 2*PerZone) // also while the platform is down
+		}
+	}
+}
+
+func TestEachVMGetsItsTurn(t *testing.T) {
+	is := is.New(t)
+	members := vms(9)
+	seen := make(map[string]bool)
+	for age := TakeoverAfter; age < TakeoverAfter+4*Turn; age += Turn {
+		for _, vm := range active(members, age) {
+			seen[vm] = true
+		}
+	}
+	is.Equal(len(seen), len(members))
+}
+
+func TestTakeoverIsHeldForAWhile(t *testing.T) {
+	is := is.New(t)
+	s := State{Rank: 5, Members: 8, ContactAge: time.Second, SinceTakeover: Hold - 1}
+	is.True(Active(s))
+	s.SinceTakeover = Hold
+	is.True(!Active(s))
+}
+
+func TestRankIsStable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		members := vms(rapid.IntRange(2, 40).Draw(rt, "n"))
+		before := Order("az-1", members)
+		for i, vm := range before {
+			is.Equal(Rank("az-1", members, vm), i)
+		}
+		lost := rapid.SampledFrom(members).Draw(rt, "lost")
+		left := slices.DeleteFunc(slices.Clone(members), func(vm string) bool { return vm == lost })
+		after := Order("az-1", left)
+		is.Equal(after, slices.DeleteFunc(before, func(vm string) bool { return vm == lost }))
+	})
+}
--- a/internal/spread/catchup.go
+++ b/internal/spread/catchup.go
@@ -10,6 +10,9 @@
 // catchUpPeers is how many peers are asked at once to catch up.
 const catchUpPeers = 4
 
+// askTimeout is how long a peer that is asked has for its first answer.
+const askTimeout = 700 * time.Millisecond
+
 // catchUpGrace is how long further answers are waited for after the first.
 const catchUpGrace = 250 * time.Millisecond
 
@@ -58,7 +61,7 @@
 	addresses := m.addressesToAsk()
 	results := make(chan bool, len(addresses))
 	for _, a := range addresses {
-		go func() { results <- m.exchange(ctx, a) == nil && m.fetch(ctx, a) == nil }()
+		go func() { results <- m.ask(ctx, a) }()
 	}
 	for range addresses {
 		if <-results {
@@ -69,6 +72,14 @@
 	return len(addresses), answered
 }
 
+// ask tells whether the peer gave all it holds. One that is out of reach shows soon, so that others
+// can be asked in time.
+func (m *Manager) ask(ctx context.Context, address string) bool {
+	soon, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return m.exchange(soon, address) == nil && m.fetch(ctx, address) == nil
+}
+
 func (m *Manager) addressesToAsk() []string {
 	peers := m.present()
 	if len(peers) == 0 {
--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -39,6 +39,8 @@
 	byAddr  map[string]*node
 	loss    float64
 	cutZone string
+	// cutPair are two zones that don't reach each other.
+	cutPair [2]string
 	packets map[string]int
 	bytes   int
 	// added counts the VMs ever added, for their addresses.
@@ -143,6 +145,10 @@
 func (f *fleet) reaches(from, to *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	pair := [2]string{from.zone, to.zone}
+	if pair == f.cutPair || pair == [2]string{f.cutPair[1], f.cutPair[0]} {
+		return false
+	}
 	return from.running && (f.cutZone == "" || (from.zone == f.cutZone) == (to.zone == f.cutZone))
 }
 
@@ -345,6 +351,16 @@
 	}
 }
 
+// anySees tells whether a running sync thinks the VM is in the state.
+func (f *fleet) anySees(id string, state pb.VmState) bool {
+	for _, nd := range f.all() {
+		if nd.isRunning() && nd.state(id) == state {
+			return true
+		}
+	}
+	return false
+}
+
 // waitFor lets the bubble's time pass until cond holds and returns how long that took.
 func (f *fleet) waitFor(limit time.Duration, what string, cond func() bool) time.Duration {
 	f.t.Helper()
