Check a history of orders under random faults against the leaves' journals

Need: orders at most once was shown by one script of resends only. Many callers, resends through several entries at once and random faults, up to two at a time, are what breaks such promises.

Weighed: one linearizability check over all tickets against one per ticket. Tickets don't touch each other, so each is checked alone by porcupine, from undecided to executed or never run for good, with the count in the leaves' journals as the last operation. A not_run of an entry speaks of one send only, so it is compared by request id.

--- /dev/null
+++ b/scenarios/history_order_test.go
@@ -0,0 +1,341 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+const (
+	// historyFor is how long callers send orders while faults come and go.
+	historyFor = 15 * time.Second
+	// historyCallers send at the same time.
+	historyCallers = 16
+	// sendTimeout is the deadline of one send, above the kind's own.
+	sendTimeout = 3 * time.Second
+	// sendsAtMost bounds how often one order is sent in a row while it has no final outcome.
+	sendsAtMost = 12
+	// comeBackAtMost bounds how long a caller waits before it sends again.
+	comeBackAtMost = 300 * time.Millisecond
+	// thinkTime is between two orders of one caller.
+	thinkTime = 20 * time.Millisecond
+	// settleWorkers send through each entry at the end.
+	settleWorkers = 4
+)
+
+// sent is one send of an order, with the reply.
+type sent struct {
+	ticket       int
+	caller       int
+	entry        string
+	called, back time.Duration
+	reply        *reply
+}
+
+// bookedOrder is what one ticket is for.
+type bookedOrder struct {
+	ticket, payload string
+}
+
+// orderHistory records what callers saw. It is safe for concurrent use.
+type orderHistory struct {
+	start time.Time
+
+	mu sync.Mutex
+	// Guarded by mu.
+	orders []bookedOrder
+	sends  []sent
+	// refused counts tickets that were not issued.
+	refused int
+	// callerEnds counts orders by how they ended for their callers.
+	callerEnds map[callerEnd]int
+}
+
+// callerEnd is how an order ended for its caller.
+type callerEnd string
+
+// The ends of orders for their callers.
+const (
+	endAnswered  callerEnd = "answered"
+	endNever     callerEnd = "never run"
+	endUnknown   callerEnd = "unknown"
+	endUndecided callerEnd = "undecided"
+)
+
+func (h *orderHistory) ended(e callerEnd) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.callerEnds == nil {
+		h.callerEnds = make(map[callerEnd]int)
+	}
+	h.callerEnds[e]++
+}
+
+func (h *orderHistory) add(s sent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sends = append(h.sends, s)
+}
+
+// send sends the order through an entry and records the reply.
+func (h *orderHistory) send(caller, ticket int, entry *node) *reply {
+	h.mu.Lock()
+	o := h.orders[ticket]
+	h.mu.Unlock()
+	q := &request{entry: entry, token: callerToken, timeout: sendTimeout, order: &pb.OrderRequest{
+		Ticket: o.ticket, Service: serviceName, Kind: orderKind, Key: o.payload, Payload: o.payload,
+	}}
+	called := time.Since(h.start)
+	rep := q.send()
+	h.add(sent{ticket: ticket, caller: caller, entry: entry.name, called: called, back: time.Since(h.start), reply: rep})
+	return rep
+}
+
+// orderCaller is one caller with a random source of its own.
+type orderCaller struct {
+	f      *fleet
+	h      *orderHistory
+	id     int
+	random *rand.Rand
+}
+
+func (c *orderCaller) anyVM() *node { return c.f.vms[c.random.IntN(len(c.f.vms))] }
+
+// run books one order after another until ctx ends.
+func (c *orderCaller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.one(ctx)
+		pause(ctx, thinkTime)
+	}
+}
+
+// one gets a ticket and books its order.
+func (c *orderCaller) one(ctx context.Context) {
+	q := &request{entry: c.anyVM(), token: callerToken, timeout: sendTimeout, issue: &pb.IssueTicketRequest{Service: serviceName, Kind: orderKind}}
+	text := q.send().issue.GetTicket()
+	c.h.mu.Lock()
+	if text == "" {
+		c.h.refused++
+		c.h.mu.Unlock()
+		return
+	}
+	ticket := len(c.h.orders)
+	c.h.orders = append(c.h.orders, bookedOrder{ticket: text, payload: fmt.Sprintf("order %d of caller %d", ticket, c.id)})
+	c.h.mu.Unlock()
+	c.book(ctx, ticket)
+}
+
+// book sends an order, at once through up to three entries, until it has a final outcome; now and
+// then once more after that.
+func (c *orderCaller) book(ctx context.Context, ticket int) {
+	end := endUndecided
+	for range sendsAtMost {
+		reps := c.sendAtOnce(ticket, 1+c.random.IntN(3))
+		for _, rep := range reps {
+			end = end.after(rep)
+		}
+		if end != endUndecided && c.random.IntN(4) > 0 {
+			break
+		}
+		pause(ctx, min(comeBackAtMost, max(thinkTime, reps[0].outcome.GetRetryAfter().AsDuration())))
+	}
+	c.h.ended(end)
+}
+
+// sendAtOnce sends through n entries drawn at random.
+func (c *orderCaller) sendAtOnce(ticket, n int) []*reply {
+	reps := make([]*reply, n)
+	var wg sync.WaitGroup
+	for i := range reps {
+		entry := c.anyVM()
+		wg.Go(func() { reps[i] = c.h.send(c.id, ticket, entry) })
+	}
+	wg.Wait()
+	return reps
+}
+
+// after returns the end that a caller knows after a further reply: an answer or "never" decides.
+func (e callerEnd) after(r *reply) callerEnd {
+	switch {
+	case e == endAnswered || e == endNever:
+		return e
+	case answered(r):
+		return endAnswered
+	case never(r):
+		return endNever
+	case final(r):
+		return endUnknown
+	}
+	return e
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// final tells whether the reply decides the order: answered, never, or unknown without a time to
+// come back.
+func final(r *reply) bool {
+	return answered(r) || never(r) ||
+		r.outcome.GetKind() == pb.OutcomeKind_OUTCOME_KIND_UNKNOWN && r.outcome.GetRetryAfter() == nil
+}
+
+func answered(r *reply) bool {
+	return r.outcome.GetKind() == pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE
+}
+
+// never tells whether the reply says that the order of the ticket will never run, which only the
+// ticket's own keepers can; any other not_run speaks of one send.
+func never(r *reply) bool {
+	return r.outcome.GetKind() == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN && strings.HasPrefix(r.outcome.GetStep(), "order.")
+}
+
+// The porcupine model of one ticket: it starts undecided and becomes executed or never for good.
+type (
+	ticketState struct {
+		executed, never, answeredFirst bool
+	}
+	ticketOutput struct {
+		// reply of a send, nil for the audit of the leaves' journals at the end.
+		reply      *reply
+		result     string
+		executions int
+	}
+)
+
+var ticketModel = porcupine.Model{
+	Init: func() any { return ticketState{} },
+	Step: func(state, input, output any) (bool, any) {
+		return stepTicket(state.(ticketState), input.(string), output.(ticketOutput))
+	},
+	DescribeOperation: func(input, output any) string {
+		o := output.(ticketOutput)
+		if o.reply == nil {
+			return fmt.Sprintf("audit: %d executions", o.executions)
+		}
+		return o.reply.String()
+	},
+}
+
+// stepTicket takes one send or the audit. The input is the ticket's text.
+func stepTicket(s ticketState, ticket string, o ticketOutput) (bool, ticketState) {
+	switch {
+	case o.reply == nil:
+		ok := o.executions == 0 && !s.executed || o.executions == 1 && !s.never
+		return ok, s
+	case answered(o.reply):
+		first := !o.reply.order.GetReplayed()
+		ok := !s.never && o.reply.order.GetResult() == "done:"+ticket && !(first && s.answeredFirst)
+		s.executed, s.answeredFirst = true, s.answeredFirst || first
+		return ok, s
+	case never(o.reply):
+		ok := !s.executed
+		s.never = true
+		return ok, s
+	}
+	return true, s
+}
+
+// executionsBy counts the journal's executions by ticket text and by request id.
+func executionsBy(lines []journalLine) (byTicket, byRequest map[string]int) {
+	byTicket, byRequest = make(map[string]int), make(map[string]int)
+	for _, l := range lines {
+		if l.Execution != nil {
+			byTicket[l.Execution.Ticket]++
+			byRequest[l.Execution.RequestID]++
+		}
+	}
+	return byTicket, byRequest
+}
+
+// check compares the history with the leaves' journals; it returns what breaks a promise.
+func (h *orderHistory) check(lines []journalLine) []string {
+	byTicket, byRequest := executionsBy(lines)
+	var broken []string
+	ops := make([][]porcupine.Operation, len(h.orders))
+	for _, s := range h.sends {
+		if s.reply.outcome.GetKind() == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN && byRequest[s.reply.requestID()] > 0 {
+			broken = append(broken, fmt.Sprintf("ticket %d: a leaf ran the request of %s", s.ticket, s.reply))
+		}
+		ops[s.ticket] = append(ops[s.ticket], porcupine.Operation{
+			ClientId: len(ops[s.ticket]), Input: h.orders[s.ticket].ticket, Output: ticketOutput{reply: s.reply},
+			Call: int64(s.called), Return: int64(s.back),
+		})
+	}
+	end := int64(time.Since(h.start))
+	for i, o := range h.orders {
+		all := append(ops[i], porcupine.Operation{
+			ClientId: len(ops[i]), Input: o.ticket, Output: ticketOutput{executions: byTicket[o.ticket]}, Call: end, Return: end + 1,
+		})
+		if porcupine.CheckOperations(ticketModel, all) {
+			continue
+		}
+		broken = append(broken, fmt.Sprintf("ticket %d: no order of its sends explains what they got, with %d executions", i, byTicket[o.ticket]))
+		for _, s := range h.sends {
+			if s.ticket == i {
+				broken = append(broken, fmt.Sprintf("    %8s to %8s through %s: %s", s.called.Round(time.Millisecond), s.back.Round(time.Millisecond), s.entry, s.reply))
+			}
+		}
+	}
+	return broken
+}
+
+// TestOrderHistory runs many callers against random faults: no order runs twice, none that was said
+// never to run runs, each answered one has run once, and no answer is taken back.
+func TestOrderHistory(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	seed := seedOf(t)
+	l := defaultLayout()
+	l.Relay, l.VMs, l.Zones, l.Shards, l.Replicas = true, 4, 2, 2, 2
+	f := startFleet(t, l)
+	h := &orderHistory{start: time.Now()}
+	ctx, cancel := context.WithTimeout(t.Context(), historyFor)
+	defer cancel()
+	var callers sync.WaitGroup
+	for i := range historyCallers {
+		c := &orderCaller{f: f, h: h, id: i, random: rand.New(rand.NewPCG(seed, uint64(i)+1))}
+		callers.Go(func() { c.run(ctx) })
+	}
+	m := &mischief{f: f, random: rand.New(rand.NewPCG(seed, 0)), log: t.Logf}
+	is.NoErr(m.run(ctx, orderFaults()))
+	callers.Wait()
+	is.NoErr(await("everything ready", readyBound, func() error { return f.ready(f.daemons) }))
+	h.settle(f)
+	lines, err := f.journal()
+	is.NoErr(err)
+	t.Logf("%d orders, %d sends, %d tickets refused; ends: %v", len(h.orders), len(h.sends), h.refused, h.callerEnds)
+	for _, b := range h.check(lines) {
+		t.Error(b)
+	}
+	is.True(h.callerEnds[endAnswered] > historyCallers) // the run means something
+}
+
+// settle sends every order once more through every entry, after all faults.
+func (h *orderHistory) settle(f *fleet) {
+	var wg sync.WaitGroup
+	for _, n := range f.vms {
+		for w := range settleWorkers {
+			wg.Go(func() {
+				for i := w; i < len(h.orders); i += settleWorkers {
+					h.send(-1, i, n)
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
