Wire the balance policy, its metrics and dump; keep an entry's candidates for each view

The gather made its balancers without the table [balance], so that the baseline policy couldn't be measured, and neither metrics nor dump of the balancers were to be seen. A silent connection counted as a call given up, though it says nothing of its leaf; it is neutral now. An entry computed the subset of a service for each request, which hashes every VM of the fleet; it is kept for the view now, one entry a service.

--- a/cmd/burdock-gather/daemon.go
+++ b/cmd/burdock-gather/daemon.go
@@ -14,6 +14,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/balance"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/gather"
@@ -58,8 +59,10 @@
 	return upstream.NewPool(upstream.Config{VM: s.VM.ID, Bind: s.VM.Bind}, source, reporter, log, reg)
 }
 
-func newBalancers(pool *upstream.Pool) *gather.Balancers {
-	return gather.NewBalancers(time.Now, rand.Float64, pool.State)
+func newBalancers(s *gather.Settings, pool *upstream.Pool, reg prometheus.Registerer) *gather.Balancers {
+	b := gather.NewBalancers(s.Balance, time.Now, rand.Float64, pool.State)
+	reg.MustRegister(balance.Collector{Balancers: b.All})
+	return b
 }
 
 func newGuard(s *gather.Settings, reporter feed.Reporter, pool *upstream.Pool, reg prometheus.Registerer) *quarantine.Registry {
@@ -139,6 +142,7 @@
 	dumps.Add("bundle", d.bundles)
 	dumps.Add("gather", d.gather)
 	dumps.Add("upstream", d.pool)
+	dumps.Add("balance", d.balancers)
 	dumps.Add("quarantine", d.guard)
 	dumps.Add("order", d.keeper)
 	return dumps
--- a/cmd/burdock-gather/wire_gen.go
+++ b/cmd/burdock-gather/wire_gen.go
@@ -27,7 +27,7 @@
 	client := newClient(s)
 	manager := newFeed(s, mainIncarnation, client, pauseDetector, store, logger, registry)
 	pool := newPool(s, manager, manager, logger, registry)
-	balancers := newBalancers(pool)
+	balancers := newBalancers(s, pool, registry)
 	quarantineRegistry := newGuard(s, manager, pool, registry)
 	orderManager := newKeeper(s, mainIncarnation, manager, pool, quarantineRegistry, balancers, client, pauseDetector, logger, registry)
 	engine := newEngine(s, manager, pool, balancers, quarantineRegistry, registry)
--- a/internal/gather/balancers.go
+++ b/internal/gather/balancers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -16,8 +17,9 @@
 
 // Balancers keeps one balancer for each service.
 type Balancers struct {
-	clock  balance.Clock
-	random balance.Random
+	settings balance.Settings
+	clock    balance.Clock
+	random   balance.Random
 	states func(leaf string) (upstream.State, bool)
 
 	mu sync.Mutex
@@ -26,8 +28,8 @@
 }
 
 // NewBalancers returns an empty set.
-func NewBalancers(clock balance.Clock, random balance.Random, states func(string) (upstream.State, bool)) *Balancers {
-	return &Balancers{clock: clock, random: random, states: states, byService: make(map[string]balance.Replicas)}
+func NewBalancers(s balance.Settings, clock balance.Clock, random balance.Random, states func(string) (upstream.State, bool)) *Balancers {
+	return &Balancers{settings: s, clock: clock, random: random, states: states, byService: make(map[string]balance.Replicas)}
 }
 
 // For returns the balancer of a service, made at the first use.
@@ -36,12 +38,30 @@
 	defer b.mu.Unlock()
 	r := b.byService[service]
 	if r == nil {
-		r = balance.New(b.clock, b.random)
+		r = b.settings.New(b.clock, b.random)
 		b.byService[service] = r
 	}
 	return r
 }
 
+// All returns the balancers by service.
+func (b *Balancers) All() map[string]balance.Replicas {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.byService)
+}
+
+// Dump implements operator.Dumper: the balancers by service; the baseline policy has nothing to show.
+func (b *Balancers) Dump() any {
+	dump := make(map[string]balance.Snapshot)
+	for service, r := range b.All() {
+		if adaptive, ok := r.(*balance.Balancer); ok {
+			dump[service] = adaptive.Snapshot()
+		}
+	}
+	return dump
+}
+
 // Run tells the balancers of slots, sharers and incarnations until ctx ends.
 func (b *Balancers) Run(ctx context.Context, source feed.Source) error {
 	t := time.NewTicker(refreshEvery)
--- a/internal/gather/settings.go
+++ b/internal/gather/settings.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/burdockplank/burdockplank/internal/balance"
 	"github.com/burdockplank/burdockplank/internal/quarantine"
 	"github.com/burdockplank/burdockplank/internal/search"
 	"github.com/burdockplank/burdockplank/internal/settings"
@@ -18,6 +19,7 @@
 	Gather     Listen              `toml:"gather"`
 	Sync       Sync                `toml:"sync"`
 	Drain      Drain               `toml:"drain"`
+	Balance    balance.Settings    `toml:"balance"`
 	Search     search.Settings     `toml:"search"`
 	Quarantine quarantine.Settings `toml:"quarantine"`
 }
@@ -53,6 +55,7 @@
 		Log:        settings.Log{Level: "info"},
 		Gather:     Listen{Port: settings.DefaultGatherPort, BundleWait: settings.Duration(200 * time.Millisecond)},
 		Drain:      Drain{Notice: settings.Duration(2 * time.Second), Limit: settings.Duration(30 * time.Second)},
+		Balance:    balance.DefaultSettings(),
 		Search:     search.DefaultSettings(),
 		Quarantine: quarantine.DefaultSettings(),
 	}
@@ -70,6 +73,7 @@
 	}
 	c.Require(s.Drain.Notice.D() >= 0, "drain.notice", "want 0s or more, got %s", s.Drain.Notice.D())
 	c.Require(s.Drain.Limit.D() > s.Drain.Notice.D(), "drain.limit", "want more than drain.notice, got %s", s.Drain.Limit.D())
+	s.Balance.Check(c)
 	s.Search.Check(c)
 	s.Quarantine.Check(c)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -40,6 +40,7 @@
 	table   *table
 	budget  *budget
 	metrics *metrics
+	plans   plans
 	// pruned is the view by which the table was last pruned.
 	pruned atomic.Pointer[feed.View]
 }
@@ -89,7 +90,7 @@
 func (r *Router) forward(ctx context.Context, q Request, lost pb.OutcomeKind, fn call) (Gather, error) {
 	r.budget.earn()
 	r.prune(q.View)
-	among := candidates(q.Service, q.View.Zone, q.View.VMs)
+	among := r.plans.of(q.View, q.Service)
 	g, ok := choose(r.table, q.Service.Name, among, "", r.o.Clock(), r.o.Random)
 	if !ok {
 		return g, r.unreachable(pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, "", "no gather is ready")
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -97,7 +97,7 @@
 var failures = map[failure]failureFacts{
 	failNotSent:   {name: "not_sent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true, free: true},
 	failLost:      {name: "lost", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true},
-	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultCancelled, again: true, free: true},
+	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultNeutral, again: true, free: true},
 	failShed:      {name: "shed", reason: pb.Reason_REASON_OVERLOAD, result: balance.ResultShed, again: true},
 	failDraining:  {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultCancelled, again: true},
 	failSnapshot:  {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultCancelled, again: true},
