Measure the decisions under load case by case against a baseline of the same run

Weighed: both policies at once, which would halve the time, but the baseline's overload would disturb the other. Not in it: delays between availability zones, which would need a relay before each leaf.

--- a/cmd/burdock-load/main.go
+++ b/cmd/burdock-load/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/burdockplank/burdockplank/internal/load"
+	"github.com/burdockplank/burdockplank/internal/load/compare"
 	"github.com/burdockplank/burdockplank/internal/settings"
 	"github.com/burdockplank/burdockplank/internal/version"
 )
@@ -22,21 +23,33 @@
 const exitFailure = 1
 
 type commandLine struct {
-	Settings string           `help:"TOML settings of the run." type:"existingfile" required:"" placeholder:"FILE"`
-	Check    bool             `help:"Check the settings, print ok and end."`
-	Out      string           `help:"Write the result as JSON to this file." placeholder:"FILE"`
-	Version  kong.VersionFlag `help:"Print the version and end."`
+	Run     runCmd           `cmd:"" default:"withargs" help:"Send the load of a settings file (the default)."`
+	Compare compareCmd       `cmd:"" help:"Compare the results of a bench by case and policy."`
+	Version kong.VersionFlag `help:"Print the version and end."`
+}
+
+type runCmd struct {
+	Settings string `help:"TOML settings of the run." type:"existingfile" required:"" placeholder:"FILE"`
+	Check    bool   `help:"Check the settings, print ok and end."`
+	Out      string `help:"Write the result as JSON to this file." placeholder:"FILE"`
+}
+
+type compareCmd struct {
+	Dir    string `arg:"" help:"Results, named REPETITION,CASE,POLICY.PART.json with the parts case and back." type:"existingdir"`
+	Target string `help:"The service that the table shows." required:"" placeholder:"NAME"`
+	Out    string `help:"Write all results as one JSON file." placeholder:"FILE"`
 }
 
 func main() {
 	var c commandLine
 	parser := kong.Must(&c, kong.Name("burdock-load"), kong.Vars{"version": version.Version},
 		kong.Description("Open-loop load against entries on loopback."))
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "burdock-load:", err)
 		os.Exit(settings.ExitCode)
 	}
-	if err := run(c); err != nil {
+	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "burdock-load:", err)
 		os.Exit(exitCode(err))
 	}
@@ -51,7 +64,20 @@
 	return exitFailure
 }
 
-func run(c commandLine) error {
+// Run compares the results of a directory.
+func (c *compareCmd) Run() error {
+	b, err := compare.Read(c.Dir)
+	if err != nil {
+		return err
+	}
+	if err := b.WriteTable(os.Stdout, c.Target); err != nil {
+		return err
+	}
+	return writeJSON(c.Out, b)
+}
+
+// Run sends the load and writes what was measured.
+func (c *runCmd) Run() error {
 	s := load.DefaultSettings()
 	if err := settings.Load(c.Settings, &s); err != nil {
 		return err
@@ -76,7 +102,7 @@
 	return writeJSON(c.Out, result)
 }
 
-func writeJSON(file string, result *load.Result) error {
+func writeJSON(file string, result any) error {
 	if file == "" {
 		return nil
 	}
--- a/internal/gather/balancers.go
+++ b/internal/gather/balancers.go
@@ -20,7 +20,7 @@
 	settings balance.Settings
 	clock    balance.Clock
 	random   balance.Random
-	states func(leaf string) (upstream.State, bool)
+	states   func(leaf string) (upstream.State, bool)
 
 	mu sync.Mutex
 	// byService is guarded by mu.
--- a/internal/load/counters.go
+++ b/internal/load/counters.go
@@ -24,14 +24,18 @@
 	Searches, Executions uint64
 	// CPUSeconds is the processor time by process name.
 	CPUSeconds map[string]float64
+	// InFlightShare and ConnectionsShare are the highest of all leaves since their logs were cleared:
+	// calls at once, queued ones too, by slots, and connections by the limit.
+	InFlightShare, ConnectionsShare float64
 }
 
 // sub returns what was counted since earlier.
 func (c Counts) sub(earlier Counts) Counts {
 	d := Counts{
-		Searches:   c.Searches - earlier.Searches,
-		Executions: c.Executions - earlier.Executions,
-		CPUSeconds: make(map[string]float64),
+		Searches:      c.Searches - earlier.Searches,
+		Executions:    c.Executions - earlier.Executions,
+		CPUSeconds:    make(map[string]float64),
+		InFlightShare: c.InFlightShare, ConnectionsShare: c.ConnectionsShare,
 	}
 	for name, s := range c.CPUSeconds {
 		d.CPUSeconds[name] = s - earlier.CPUSeconds[name]
@@ -60,12 +64,14 @@
 func (h *HTTPCounters) Read(ctx context.Context) (Counts, error) {
 	c := Counts{CPUSeconds: make(map[string]float64)}
 	for _, l := range h.leaves {
-		searches, executions, err := h.leaf(ctx, l)
+		n, err := h.leaf(ctx, l)
 		if err != nil {
 			return Counts{}, eris.Wrapf(err, "load: counts of leaf %s", l.ID)
 		}
-		c.Searches += searches
-		c.Executions += executions
+		c.Searches += n.Searches
+		c.Executions += n.Executions
+		c.InFlightShare = max(c.InFlightShare, ratio(n.InFlightMax, float64(l.Slots)))
+		c.ConnectionsShare = max(c.ConnectionsShare, ratio(n.ConnectionsMax, float64(l.Connections)))
 	}
 	for _, p := range h.processes {
 		s, err := h.cpuSeconds(ctx, p)
@@ -93,22 +99,27 @@
 	return res, nil
 }
 
-func (h *HTTPCounters) leaf(ctx context.Context, l LeafSettings) (searches, executions uint64, err error) {
+// leafCounts is what is read of a leaf stand-in's log.
+type leafCounts struct {
+	Searches       uint64  `json:"searches"`
+	Executions     uint64  `json:"executions"`
+	InFlightMax    float64 `json:"in_flight_max"`
+	ConnectionsMax float64 `json:"connections_max"`
+}
+
+func (h *HTTPCounters) leaf(ctx context.Context, l LeafSettings) (leafCounts, error) {
 	res, err := h.get(ctx, "http://"+l.Control+"/log")
 	if err != nil {
-		return 0, 0, err
+		return leafCounts{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	var log struct {
-		Counts struct {
-			Searches   uint64 `json:"searches"`
-			Executions uint64 `json:"executions"`
-		} `json:"counts"`
+		Counts leafCounts `json:"counts"`
 	}
 	if err := json.NewDecoder(res.Body).Decode(&log); err != nil {
-		return 0, 0, eris.Wrap(err, "decode")
+		return leafCounts{}, eris.Wrap(err, "decode")
 	}
-	return log.Counts.Searches, log.Counts.Executions, nil
+	return log.Counts, nil
 }
 
 func (h *HTTPCounters) cpuSeconds(ctx context.Context, p ProcessSettings) (float64, error) {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -71,6 +71,10 @@
 	Executions uint64 `json:"executions"`
 	// CallsPerNeeded holds the calls of searches that weren't answered too; 0 where none was needed.
 	CallsPerNeeded float64 `json:"calls_per_needed"`
+	// InFlightShare is the most calls at once, queued ones too, by slots, ConnectionsShare the most
+	// connections by the limit; both of the worst leaf, 0 where the settings name no limits.
+	InFlightShare    float64 `json:"in_flight_share"`
+	ConnectionsShare float64 `json:"connections_share"`
 }
 
 // CPUResult is the processor time of the processes of one role.
@@ -99,6 +103,7 @@
 	}
 	r.Leaves.Searches, r.Leaves.Executions = counts.Searches, counts.Executions
 	r.Leaves.CallsPerNeeded = ratio(float64(counts.Searches), float64(r.Leaves.Needed))
+	r.Leaves.InFlightShare, r.Leaves.ConnectionsShare = counts.InFlightShare, counts.ConnectionsShare
 	r.CPU = cpuResults(s.Processes, counts, sends)
 	return r
 }
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -92,6 +92,9 @@
 type LeafSettings struct {
 	ID      string `toml:"id"`
 	Control string `toml:"control"`
+	// Slots and Connections are the leaf's limits, 0 where the result shall not be compared with them.
+	Slots       int `toml:"slots"`
+	Connections int `toml:"connections"`
 }
 
 // ProcessSettings names the operator listener of a process.
