Send the first run of a search where the balancer picks

Cause: a text that no leaf has answered yet runs on one leaf first, one of three by rank. The rank alone chose among the three, so that one search in ten began at a straggler, and the next leaf was asked only after the straggler's own hedge delay, which is long because it is slow. Weighed: more places, which would let one text crash more leaves. Change: the balancer picks among the three places, and the hedge delay is that of the leaf's group. What is left comes from calls sent before a leaf is known to be slow.

--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -227,6 +227,8 @@
 	hedges, retries int
 	hedgeAfter      time.Duration
 	results         map[balance.Result]int
+	// slow leaves are picked only where they are the only candidate.
+	slow map[string]bool
 }
 
 func newFakeReplicas() *fakeReplicas {
@@ -242,7 +244,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range candidates {
-		if r.inFlight[c] < r.slots {
+		if r.inFlight[c] < r.slots && !(r.slow[c] && len(candidates) > 1) {
 			r.inFlight[c]++
 			return &fakeCall{r: r, leaf: c}, true
 		}
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -305,3 +305,36 @@
 		}
 	})
 }
+
+// TestFirstRunGoesToTheLeafThatTheBalancerPicks shows that a rank alone sends nothing to a slow leaf,
+// and that a slow leaf asked first holds the search up for its group's hedge delay only.
+func TestFirstRunGoesToTheLeafThatTheBalancerPicks(t *testing.T) {
+	for name, tt := range map[string]struct {
+		slow  func(leaf string) bool
+		known bool
+		took  time.Duration
+	}{
+		"known to be slow":     {slow: func(l string) bool { return l[len(l)-1] == 'a' }, known: true, took: 2 * serviceTime},
+		"not known to be slow": {slow: func(l string) bool { return l[len(l)-1] == 'a' }, took: 2 * (10*time.Millisecond + serviceTime)}, // each of the two steps waits for a hedge
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service, fleet := groups(3)
+				r := newRig("az-a", service, fleet, nil)
+				r.replicas.slow = make(map[string]bool)
+				for l, leaf := range fleet.leaves {
+					if tt.slow(l) {
+						leaf.answer = stall
+						r.replicas.slow[l] = tt.known
+					}
+				}
+				start := time.Now()
+				a, err := r.ask("r1", "dawn", "algebra", time.Second)
+				is.NoErr(err)
+				is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+				is.Equal(time.Since(start), tt.took)
+			})
+		})
+	}
+}
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/quarantine"
 )
@@ -138,16 +139,10 @@
 	if !t.allowed() {
 		return
 	}
-	blocked := false
-	for i := range t.steps {
-		s := &t.steps[i]
-		if s.used || !t.r.fleet.usable(s.leaf, t.r.plan.snapshot.Version) || !t.affordable(s) {
-			continue
-		}
-		if t.ask(s) {
-			return
-		}
-		blocked = true
+	open := t.open()
+	blocked := len(open) > 0
+	if t.ask(open) {
+		return
 	}
 	t.hedgeAt = now.Add(t.r.q.replicas.HedgeAfter(t.leaves()))
 	if t.active == 0 && !(blocked && t.r.wait(t.leaves())) {
@@ -173,28 +168,56 @@
 	return true
 }
 
-// affordable tells whether asking the step costs no extra call, or the hedge budget has one: beside
-// a call in flight a step of another shard is a call that the query needs anyway.
-func (t *trial) affordable(s *firstStep) bool {
-	return t.r.shards[s.shard].active == 0 || t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget)
+// open returns the leaves that may be asked now. Beside a call in flight a step of another shard is a
+// call that the query needs anyway; one of the same shard is an extra call, which the hedge budget has
+// to allow, and is thought of only where there is no other.
+func (t *trial) open() []string {
+	var needed, extra []string
+	for i := range t.steps {
+		s := &t.steps[i]
+		switch {
+		case s.used || !t.r.fleet.usable(s.leaf, t.r.plan.snapshot.Version):
+		case t.r.shards[s.shard].active == 0:
+			needed = append(needed, s.leaf)
+		default:
+			extra = append(extra, s.leaf)
+		}
+	}
+	if len(needed) == 0 && len(extra) > 0 && t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget) {
+		return extra
+	}
+	return needed
 }
 
-// ask sends the first call to the leaf of the step; false where there is no room for it now.
-func (t *trial) ask(s *firstStep) bool {
+// ask sends the first call to the leaf among those open that the balancer picks, so that a slow one
+// isn't asked first for its rank; false where there is no room for it now.
+func (t *trial) ask(open []string) bool {
 	guard := t.r.e.guard
-	if !guard.Enter(s.leaf, t.solo) {
-		return false
-	}
-	call, ok := t.r.q.replicas.Pick([]string{s.leaf})
-	if !ok {
-		guard.Leave(s.leaf)
-		return false
+	for len(open) > 0 {
+		call, ok := t.r.q.replicas.Pick(open)
+		if !ok {
+			return false
+		}
+		leaf := call.Leaf()
+		if guard.Enter(leaf, t.solo) {
+			t.sent(leaf, call)
+			return true
+		}
+		call.Done(balance.ResultNeutral)
+		open = slices.DeleteFunc(open, func(l string) bool { return l == leaf })
 	}
+	return false
+}
+
+// sent notes the call. The next leaf is asked once this one takes longer than its group usually
+// does; its own usual time would say nothing where it is the slow one.
+func (t *trial) sent(leaf string, call balance.Call) {
+	i := slices.IndexFunc(t.steps, func(s firstStep) bool { return s.leaf == leaf })
+	s := &t.steps[i]
 	s.used = true
 	t.active++
-	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter([]string{s.leaf}))
-	t.r.launch(s.shard, call, s.leaf)
-	return true
+	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.r.shards[s.shard].replicas))
+	t.r.launch(s.shard, call, leaf)
 }
 
 func (t *trial) leaves() []string {
