Count a call in flight for long as slow before it ends

Cause: a straggler was known only once a call to it had ended or lost to its hedge; the calls sent until then were all late. Weighed: a budget that holds more than one hedge, to hedge them all at once; ruled out, for it could pass its share in some second. Change: the age of the oldest call in flight counts in a leaf's cost as the least latency to expect.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -84,8 +84,8 @@
 		b.counts.AtLimit++
 		return nil, false
 	}
-	c.leaf.inFlight++
-	c.leaf.limit.begin(now, c.leaf.inFlight)
+	c.leaf.begun = append(c.leaf.begun, now)
+	c.leaf.limit.begin(now, c.leaf.inFlight())
 	b.hedges.call()
 	b.retries.call()
 	b.counts.Picks++
@@ -101,7 +101,7 @@
 	b.eligible, b.warm = b.eligible[:0], b.warm[:0]
 	for _, id := range candidates {
 		c := choice{id, b.leaf(id)}
-		if !c.leaf.limit.allows(c.leaf.inFlight) {
+		if !c.leaf.limit.allows(c.leaf.inFlight()) {
 			continue
 		}
 		b.eligible = append(b.eligible, c)
@@ -167,7 +167,7 @@
 	}
 	b.forgot = now
 	for id, l := range b.leaves {
-		if l.inFlight == 0 && now.Sub(l.told) > forgetAfter {
+		if l.inFlight() == 0 && now.Sub(l.told) > forgetAfter {
 			delete(b.leaves, id)
 		}
 	}
@@ -285,7 +285,7 @@
 	c.ended = true
 	now := c.b.clock()
 	took := now.Sub(c.begun)
-	c.leaf.inFlight--
+	c.leaf.ended(c.begun)
 	if c.leaf.incarnation == c.incarnation {
 		c.leaf.done(now, took, took >= c.late, r)
 	}
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -77,6 +77,12 @@
 			w.run("b", 1, 3*ms, ResultOK)
 			w.run("a", 1, 51*ms, ResultCancelled)
 		}, 0, 0},
+		{"a call in flight for long counts as slow before it ends", func(w *world) {
+			w.run("a", 1, 3*ms, ResultOK)
+			w.run("b", 1, 30*ms, ResultOK)
+			_, _ = w.Pick([]string{"a"})
+			w.now = w.now.Add(16 * ms)
+		}, 0, 0},
 		{"a report tips equals", func(w *world) { w.Report("a", load(0)); w.Report("b", load(1)) }, 1000, 1000},
 		{"a report alone doesn't exclude", func(w *world) {
 			w.run("b", 1, 4*ms, ResultOK)
--- a/internal/balance/dump.go
+++ b/internal/balance/dump.go
@@ -50,7 +50,7 @@
 
 func (l *leafState) snapshot(now time.Time, id string) LeafSnapshot {
 	s := LeafSnapshot{
-		Leaf: id, InFlight: l.inFlight, Limit: int(max(1, l.limit.limit)), Share: l.share(now),
+		Leaf: id, InFlight: l.inFlight(), Limit: int(max(1, l.limit.limit)), Share: l.share(now),
 		Latency:  time.Duration(l.latency.get(now)).Round(time.Microsecond).String(),
 		Reported: l.hint, Shed: l.shedLately(now),
 	}
--- a/internal/balance/leaf.go
+++ b/internal/balance/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
@@ -31,7 +32,8 @@
 
 // leafState is what is known of one leaf. The balancer's mutex guards it.
 type leafState struct {
-	inFlight    int
+	// begun is when each call in flight was sent, the oldest first.
+	begun       []time.Time
 	late        lateness
 	incarnation uint64
 	latency     peakEWMA
@@ -56,7 +58,26 @@
 	if l.latency.stale(now) {
 		latency = max(latency, least)
 	}
-	return latency * float64(l.inFlight+1) * (1 + l.tilt(now))
+	return max(latency, l.waited(now)) * float64(l.inFlight()+1) * (1 + l.tilt(now))
+}
+
+// inFlight returns the number of calls in flight.
+func (l *leafState) inFlight() int { return len(l.begun) }
+
+// waited is how long the oldest call in flight has run, in nanoseconds: the least that it takes, known
+// before it ends.
+func (l *leafState) waited(now time.Time) float64 {
+	if len(l.begun) == 0 {
+		return 0
+	}
+	return float64(now.Sub(l.begun[0]))
+}
+
+// ended takes out a call that was sent at the time.
+func (l *leafState) ended(begun time.Time) {
+	if i := slices.Index(l.begun, begun); i >= 0 {
+		l.begun = slices.Delete(l.begun, i, i+1)
+	}
 }
 
 // tilt is what the leaf's report adds to its cost, -hintMost to +hintMost, less with its age.
@@ -161,7 +182,7 @@
 
 // overloaded tells whether the leaf is at its limit or shed lately.
 func (l *leafState) overloaded(now time.Time) bool {
-	return !l.limit.allows(l.inFlight) || l.shedLately(now)
+	return !l.limit.allows(l.inFlight()) || l.shedLately(now)
 }
 
 func (l *leafState) shedLately(now time.Time) bool {
