--- a/internal/standin/leaf/faults.go
+++ b/internal/standin/leaf/faults.go
@@ -32,6 +32,8 @@
 	Stall bool `json:"stall"`
 	// Empty answers searches without hits.
 	Empty bool `json:"empty"`
+	// HitBytes pads the text of each hit to more bytes than the settings say.
+	HitBytes int `json:"hit_bytes"`
 	// RefuseConnections refuses new connections; open ones stay.
 	RefuseConnections bool `json:"refuse_connections"`
 	// HoldExecute is a wait between an order's effect and its answer.
--- a/internal/standin/leaf/service.go
+++ b/internal/standin/leaf/service.go
@@ -123,7 +123,7 @@
 		return res
 	}
 	res.Hits = Hits(shard, snapshot, req.GetQuery(), int(req.GetTopK()), l.settings.Documents)
-	pad(res.Hits, l.settings.HitBytes)
+	pad(res.Hits, max(l.settings.HitBytes, f.HitBytes))
 	return res
 }
 
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -11,7 +11,6 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
-	"github.com/burdockplank/burdockplank/internal/rpc"
 )
 
 // load is a number of callers that search again and again in the background. Their replies become
@@ -26,6 +25,10 @@
 	pause   time.Duration
 	// texts is how many texts the callers share; 0 is a text of its own for each search.
 	texts int
+	// connection is how each caller is connected; where cuts is set each request has a connection that
+	// breaks after 1 to that many bytes.
+	connection connection
+	cuts       int
 	// word is part of every text.
 	word string
 	seed uint64
@@ -42,7 +45,7 @@
 
 // start begins to send.
 func (l *load) start() {
-	l.stop, l.shared = make(chan struct{}), rpc.NewClient("")
+	l.stop, l.shared = make(chan struct{}), l.connection.client()
 	for i := range l.callers {
 		l.running.Go(func() { l.run(i) })
 	}
@@ -72,7 +75,7 @@
 	random := rand.New(rand.NewPCG(l.seed, uint64(caller)))
 	client := l.shared
 	if caller%2 == 1 {
-		client = rpc.NewClient("")
+		client = l.connection.client()
 		defer client.CloseIdleConnections()
 	}
 	for n := 0; ; n++ {
@@ -82,7 +85,10 @@
 		case <-time.After(l.pause):
 		}
 		q := l.request(caller, n, random)
-		q.client = client
+		q.client, q.connection = client, l.connection
+		if l.cuts > 0 {
+			q.client, q.connection.cutAfter = nil, 1+random.IntN(l.cuts)
+		}
 		rep := q.send()
 		l.fleet.requests.record(rep)
 		l.mu.Lock()
--- a/scenarios/relay_check_test.go
+++ b/scenarios/relay_check_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -89,6 +90,30 @@
 	is.Equal(string(buf), "three")
 	is.True(r.passes(fresh))
 	is.True(!r.passes(old))
+
+	// The relay knows how long a silent connection is kept by the side that opened it.
+	_, err = r.abandoned()
+	is.True(err != nil)
+	is.NoErr(old.Close())
+	is.NoErr(await("the close is seen", awaitBound, func() error {
+		_, err := r.abandoned()
+		return err
+	}))
+}
+
+// A severed connection passes just so many bytes of answers and breaks.
+func TestRelaySever(t *testing.T) {
+	is := is.New(t)
+	r, from, to := relayedPair(t)
+	c := dialRelayed(t, from, to)
+	is.Equal(echo(t, c, "one"), "one")
+	is.Equal(r.sever([]string{"vm-1"}, []string{"vm-2"}, 5), 1)
+	is.Equal(echo(t, c, "two"), "two")
+	_, err := c.Write([]byte("three"))
+	is.NoErr(err)
+	got, err := io.ReadAll(c)
+	is.True(err != nil) // reset, not ended
+	is.True(strings.HasPrefix("th", string(got)))
 }
 
 // passes tells whether the relay would pass data of the connection.
@@ -97,7 +122,7 @@
 	defer r.mu.Unlock()
 	for l := range r.links {
 		if l.ends[0].RemoteAddr().String() == c.LocalAddr().String() {
-			return !l.silent && !r.cuts[[2]string{l.from, l.to}]
+			return l.silentAt.IsZero() && !r.cuts[[2]string{l.from, l.to}]
 		}
 	}
 	return false
--- a/scenarios/relay_test.go
+++ b/scenarios/relay_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // relay stands before nodes and passes TCP and UDP on to them. It knows a sender by the address
@@ -24,7 +26,9 @@
 	changed chan struct{}
 	closed  bool
 	links   map[*link]bool
-	closers []io.Closer
+	// silenced are all links that were ever made silent.
+	silenced []*link
+	closers  []io.Closer
 	// datagrams holds the UDP socket at each node's address.
 	datagrams map[string]*net.UDPConn
 
@@ -36,11 +40,26 @@
 // link is one relayed TCP connection.
 type link struct {
 	from, to string
-	ends     [2]*net.TCPConn
-	// silent is guarded by the relay's mu; a silent link never passes anything again.
-	silent bool
+	// ends are the side that opened the connection and the side that answers.
+	ends [2]*net.TCPConn
+	// The rest is guarded by the relay's mu. silentAt is set on a link that never passes anything
+	// again; usedAt is when the side that opened it last sent something since, and givenUpAt when that
+	// side closed it.
+	silentAt, usedAt, givenUpAt time.Time
+	// severed is true on a link that breaks once left more bytes of answers have passed.
+	severed bool
+	left    int
 }
 
+// passage says what a link does with what was sent.
+type passage int
+
+const (
+	passing passage = iota
+	swallowing
+	closing
+)
+
 func newRelay(nodes []*node) *relay {
 	r := &relay{
 		byBind: make(map[string]*node), cuts: make(map[[2]string]bool), changed: make(chan struct{}),
@@ -87,7 +106,7 @@
 		return
 	}
 	l := &link{from: from.name, to: to.name, ends: [2]*net.TCPConn{in, nil}}
-	if !r.pass(l) {
+	if r.pass(l) != passing {
 		reset(in)
 		return
 	}
@@ -107,21 +126,33 @@
 	both.Wait()
 }
 
-// copy passes bytes and the end of the stream from src to dst, holding both while cut or silent.
+// copy passes bytes and the end of the stream from src to dst, holding both while cut. On a silent
+// link it swallows them, as when something between the ends has lost track of the connection.
 func (r *relay) copy(l *link, dst, src *net.TCPConn) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		if !r.pass(l) {
+		switch r.pass(l) {
+		case closing:
 			return
+		case swallowing:
+			if r.swallowed(l, src, err); err != nil {
+				return
+			}
+			continue
 		}
-		if n > 0 {
-			if _, werr := dst.Write(buf[:n]); werr != nil {
+		keep, broken := r.spend(l, src, n)
+		if keep > 0 {
+			if _, werr := dst.Write(buf[:keep]); werr != nil {
 				reset(src)
 				return
 			}
 		}
 		switch {
+		case broken:
+			reset(src)
+			reset(dst)
+			return
 		case errors.Is(err, io.EOF):
 			_ = dst.CloseWrite()
 			return
@@ -132,21 +163,52 @@
 	}
 }
 
+// swallowed notes that something of the link's opener came on a silent link, or that it gave up.
+func (r *relay) swallowed(l *link, src *net.TCPConn, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if src != l.ends[0] {
+		return
+	}
+	if err != nil {
+		l.givenUpAt = time.Now()
+	} else {
+		l.usedAt = time.Now()
+	}
+}
+
+// spend returns how many of n bytes still pass, and whether the link breaks then.
+func (r *relay) spend(l *link, src *net.TCPConn, n int) (keep int, broken bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !l.severed || src != l.ends[1] {
+		return n, false
+	}
+	keep = min(n, l.left)
+	l.left -= n
+	return keep, l.left <= 0
+}
+
 // reset closes a connection so that its peer sees it broken rather than ended.
 func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0)
 	_ = c.Close()
 }
 
-// pass waits until the link isn't cut, and returns false where the relay closes first.
-func (r *relay) pass(l *link) bool {
+// pass waits until the link isn't cut, and tells what to do with what it carries.
+func (r *relay) pass(l *link) passage {
 	for {
 		r.mu.Lock()
 		changed, closed := r.changed, r.closed
-		open := !l.silent && !r.cuts[[2]string{l.from, l.to}]
+		silent, cut := !l.silentAt.IsZero(), r.cuts[[2]string{l.from, l.to}]
 		r.mu.Unlock()
-		if closed || open {
-			return !closed
+		switch {
+		case closed:
+			return closing
+		case silent:
+			return swallowing
+		case !cut:
+			return passing
 		}
 		<-changed
 	}
@@ -231,12 +293,27 @@
 // silence makes every open connection between the nodes silent for good; new ones work. It returns
 // how many there were.
 func (r *relay) silence(as, bs []string) int {
+	now := time.Now()
+	return r.each(as, bs, func(l *link) {
+		l.silentAt = now
+		r.silenced = append(r.silenced, l)
+	})
+}
+
+// sever makes every open connection between the nodes break once that many more bytes of answers
+// have passed on it. It returns how many there were.
+func (r *relay) sever(as, bs []string, after int) int {
+	return r.each(as, bs, func(l *link) { l.severed, l.left = true, after })
+}
+
+// each calls f with the mutex held for every open connection between the nodes that isn't silent.
+func (r *relay) each(as, bs []string, f func(*link)) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	count := 0
 	for l := range r.links {
-		if between(l, as, bs) || between(l, bs, as) {
-			l.silent = true
+		if l.silentAt.IsZero() && (between(l, as, bs) || between(l, bs, as)) {
+			f(l)
 			count++
 		}
 	}
@@ -244,6 +321,20 @@
 	return count
 }
 
+// abandoned returns an error while any link that was made silent is still open at the side that
+// opened it, and else the longest time that one was kept.
+func (r *relay) abandoned() (longest time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.silenced {
+		if l.givenUpAt.IsZero() {
+			return 0, fmt.Errorf("%s keeps a silent connection to %s since %s", l.from, l.to, time.Since(l.silentAt))
+		}
+		longest = max(longest, l.givenUpAt.Sub(l.silentAt))
+	}
+	return longest, nil
+}
+
 func between(l *link, froms, tos []string) bool {
 	return slices.Contains(froms, l.from) && slices.Contains(tos, l.to)
 }
--- a/scenarios/request_test.go
+++ b/scenarios/request_test.go
@@ -14,7 +14,6 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/entry"
-	"github.com/burdockplank/burdockplank/internal/rpc"
 	"github.com/burdockplank/burdockplank/internal/settings"
 )
 
@@ -27,8 +26,9 @@
 	search *pb.SearchRequest
 	issue  *pb.IssueTicketRequest
 	order  *pb.OrderRequest
-	// client sends the request; a client of its own where it is nil.
-	client *http.Client
+	// client sends the request; a client of its own with the connection where it is nil.
+	client     *http.Client
+	connection connection
 }
 
 // reply is what came back.
@@ -133,13 +133,13 @@
 	info.RequestHeader().Set("Authorization", "Bearer "+q.token)
 	client := q.client
 	if client == nil {
-		client = rpc.NewClient("")
+		client = q.connection.client()
 		defer client.CloseIdleConnections()
 	}
 	url := fmt.Sprintf("http://%s:%d", q.entry.bind, settings.DefaultEntryPort)
 	rep := &reply{request: q, query: q.search.GetQuery()}
 	start := time.Now()
-	err := q.call(ctx, burdockv1connect.NewQueryServiceClient(client, url), rep)
+	err := q.call(ctx, burdockv1connect.NewQueryServiceClient(client, url, q.connection.options()...), rep)
 	rep.took = time.Since(start)
 	rep.header = info.ResponseHeader().Get(entry.HeaderRequestID)
 	rep.note(err)
--- a/scenarios/verbs_load_test.go
+++ b/scenarios/verbs_load_test.go
@@ -25,14 +25,15 @@
 }
 
 // verbLoad is: load NAME [callers=8] [kinds=dawn,roster] [via=vm-1,...] [top_k=0,1,5,30] [texts=0]
-// [timeout=5s] [pause=5ms]. It searches in the background until settle.
+// [timeout=5s] [pause=5ms] [slow=D] [cuts=BYTES] [http1]. It searches in the background until settle.
 func verbLoad(ts *testscript.TestScript, neg bool, args []string) {
 	f := fleetOf(ts)
 	a := parseArguments(args)
 	l := &load{
 		fleet: f, callers: a.number("callers", 8), kinds: strings.Split(a.text("kinds", "dawn,roster"), ","),
 		texts: a.number("texts", 0), timeout: a.duration("timeout", 5*time.Second), pause: a.duration("pause", 5*time.Millisecond),
-		seed: f.seed,
+		seed: f.seed, cuts: a.number("cuts", 0),
+		connection: connection{slow: a.duration("slow", 0), http1: a.flag("http1")},
 	}
 	for _, k := range strings.Split(a.text("top_k", "0,1,5,30"), ",") {
 		n, err := strconv.Atoi(k)
@@ -108,3 +109,23 @@
 	}
 	return nil
 }
+
+// verbAbandoned is: abandoned within=D. Every connection that was made silent has been closed by the
+// side that opened it, by the relay's own times within D of its silence.
+func verbAbandoned(ts *testscript.TestScript, neg bool, args []string) {
+	f, a := fleetOf(ts), parseArguments(args)
+	within := a.duration("within", 0)
+	ts.Check(a.done(0, 0))
+	if neg || f.relay == nil {
+		ts.Fatalf("want a fleet with a relay")
+	}
+	var longest time.Duration
+	ts.Check(await("silent connections are given up", awaitBound, func() (err error) {
+		longest, err = f.relay.abandoned()
+		return err
+	}))
+	ts.Logf("silent connections were kept for %s at most", longest.Round(time.Millisecond))
+	if longest > within {
+		ts.Fatalf("a silent connection was kept for %s, want at most %s", longest, within)
+	}
+}
--- a/scenarios/verbs_request_test.go
+++ b/scenarios/verbs_request_test.go
@@ -17,13 +17,17 @@
 // The kinds that the verbs use where the script gives none.
 const orderKind = "booking"
 
-// base takes the options that all requests have: via=VM, timeout=D and as=CALLER.
+// base takes the options that all requests have: via=VM, timeout=D, as=CALLER, slow=D, cut_after=BYTES
+// and http1.
 func (f *fleet) base(a *arguments) (*request, error) {
 	entry, err := f.vm(a.text("via", f.vms[0].name))
 	if err != nil {
 		return nil, err
 	}
-	q := &request{entry: entry, timeout: a.duration("timeout", requestTimeout)}
+	q := &request{
+		entry: entry, timeout: a.duration("timeout", requestTimeout),
+		connection: connection{slow: a.duration("slow", 0), cutAfter: a.number("cut_after", 0), http1: a.flag("http1")},
+	}
 	switch as := a.text("as", callerName); as {
 	case callerName:
 		q.token = callerToken
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -48,7 +48,7 @@
 		"start": each((*daemon).start), "crash": each((*daemon).kill),
 		"freeze": each((*daemon).freeze), "wake": each((*daemon).wake),
 		"shutdown": verbShutdown, "terminate": each((*daemon).terminate),
-		"cut": verbCut, "heal": verbHeal, "silence": verbSilence,
+		"cut": verbCut, "heal": verbHeal, "silence": verbSilence, "sever": verbSever,
 		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "lag": verbLag,
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
@@ -58,7 +58,7 @@
 		all[name] = withFleet(v)
 	}
 	all["expect"], all["until"] = verbExpect, verbUntil
-	all["load"], all["settle"] = verbLoad, verbSettle
+	all["load"], all["settle"], all["abandoned"] = verbLoad, verbSettle, verbAbandoned
 	return all
 }
 
@@ -175,6 +175,16 @@
 	return err
 }
 
+// verbSever is: sever A B after=BYTES.
+func verbSever(f *fleet, a *arguments) error {
+	after := a.number("after", 1)
+	as, bs, err := f.pair(a)
+	if err == nil {
+		f.relay.sever(as, bs, after)
+	}
+	return err
+}
+
 // verbFault replaces the faults of the platform, or of a leaf or several.
 func verbFault(f *fleet, a *arguments) error {
 	if err := a.done(2, 2); err != nil {
