--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -49,6 +49,7 @@
 	states map[string]platform.State
 
 	requests *requests
+	traffic  map[string]*trafficRun
 	// loads by name, and the seed of the scenario's random choices.
 	loads map[string]*load
 	seed  uint64
@@ -62,6 +63,7 @@
 	}
 	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(),
 		bundles: make(map[uint64]*bundle.Bundle), loads: make(map[string]*load),
+		traffic: make(map[string]*trafficRun),
 	}
 	f.platformNode = l.node(b, platformName, "", platformHost)
 	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
--- a/scenarios/layout_test.go
+++ b/scenarios/layout_test.go
@@ -45,6 +45,8 @@
 	// Concurrency and Queue fix the limits of each entry's admission; 0 leaves the defaults.
 	Concurrency, Queue int
 	ServiceTime        time.Duration
+	// ConnectDelay is how long a leaf takes to answer on a new connection.
+	ConnectDelay time.Duration
 	// BalancerLag is how long an entry that drains still takes new work.
 	BalancerLag time.Duration
 	// Relay puts a relay before each VM, leaf and the platform.
@@ -183,9 +185,10 @@
 documents = %d
 hit_bytes = %d
 service_time = %q
+connect_delay = %q
 log_file = %q
 `, n.name, n.zone, serviceName, n.bind, leafPort, n.bind, leafControlPort, l.Slots, l.Connections,
-		n.shard, l.Documents, l.HitBytes, l.ServiceTime, logFile)
+		n.shard, l.Documents, l.HitBytes, l.ServiceTime, l.ConnectDelay, logFile)
 }
 
 // admissionSettings is the table of an entry that fixes its limits.
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -53,7 +53,8 @@
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait, "upset": verbUpset,
-		"shards": verbShards,
+		"shards":  verbShards,
+		"traffic": verbTraffic, "measured": verbMeasured,
 	} {
 		all[name] = withFleet(v)
 	}
@@ -98,6 +99,7 @@
 	l.Shards, l.Replicas = a.number("shards", l.Shards), a.number("replicas", l.Replicas)
 	l.Slots, l.Connections = a.number("slots", l.Slots), a.number("connections", l.Connections)
 	l.ServiceTime = a.duration("service_time", l.ServiceTime)
+	l.ConnectDelay = a.duration("connect_delay", l.ConnectDelay)
 	l.BalancerLag = a.duration("balancer_lag", l.BalancerLag)
 	l.HitBytes = a.number("hit_bytes", l.HitBytes)
 	l.Concurrency, l.Queue = a.number("concurrency", l.Concurrency), a.number("queue", l.Queue)
@@ -273,6 +275,7 @@
 	conditions := map[string]func() error{
 		"ready":   func() error { return f.ready(daemons) },
 		"ended":   func() error { return allEnded(daemons) },
+		"running": func() error { return allRunning(daemons) },
 		"version": func() error { return f.atVersion(number, vmProcesses(daemons)) },
 		"refused": func() error { return f.refused(number, vmProcesses(daemons)) },
 		"metric":  func() error { return f.counted(metric, number, vmProcesses(daemons)) },
