Give a silent connection to a leaf up within a second, and wait for its replacement

An idle connection was pinged only after 1 s of quiet, and a call on it started a clock of its own, so that the worst case was 1 s + 0.2 s + 0.3 s. Each connection found silent cast doubt on all others of the leaf, also on the fresh one that had just replaced it; for that moment no replica counted as connected, and the search gave the shard up though seconds were left.

Now any quiet of 400 ms is pinged, whatever calls do; only connections not heard of since the vain ping are doubted; and for 300 ms after a silence a leaf whose new connection is being opened counts as connected, so that a call waits for it.

Ruled out: hedging every call over a second connection, which costs calls in all the time that nothing is silent.

An idle connection costs 2.5 pings a second.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -10,8 +10,9 @@
 const (
 	// quietBusy is how long a connection may be silent after a call was sent before it is pinged.
 	quietBusy = 200 * time.Millisecond
-	// quietIdle is the same for a connection without calls. It is found silent before a call needs it.
-	quietIdle = time.Second
+	// quietIdle is how long any connection may be silent before it is pinged, so that it is found
+	// silent before a call needs it, and within a second of its silence whenever the first call comes.
+	quietIdle = 400 * time.Millisecond
 	// pingLimit is how long a ping may stay without an answer.
 	pingLimit = 300 * time.Millisecond
 	// pingSlack is by how much a ping's own timer may be late before the process itself must have
@@ -52,7 +53,8 @@
 	// asked is when the first call after the last byte heard was sent.
 	asked   time.Time
 	pinging bool
-	// doubted is when another connection to the leaf went silent; this one has to be heard of since.
+	// doubted is when another connection to the leaf was last pinged in vain; this one has to be heard
+	// of since.
 	doubted time.Time
 	// fate is set once; no call is sent from then on.
 	fate fate
@@ -76,20 +78,17 @@
 	}
 }
 
-// quietFor returns how long the connection has owed a sign of life, and how long it may. Requires
-// leaf.mu.
-func (c *conn) quietFor(now time.Time) (quiet, limit time.Duration) {
+// owesSign tells whether the connection has been silent for so long that it has to be pinged.
+// Requires leaf.mu.
+func (c *conn) owesSign(now time.Time) bool {
 	heard := c.wire.heard()
-	since, limit := heard, quietIdle
-	if c.doubtful() {
-		return 0, 0
-	}
-	if c.asked.After(heard) {
-		since, limit = c.asked, quietBusy
-	} else if c.inFlight > 0 {
-		limit = quietBusy
+	switch {
+	case c.doubtful(), now.Sub(heard) >= quietIdle:
+		return true
+	case c.asked.After(heard):
+		return now.Sub(c.asked) >= quietBusy
 	}
-	return now.Sub(since), limit
+	return c.inFlight > 0 && now.Sub(heard) >= quietBusy
 }
 
 // probe pings the connection, and takes it out of use where no answer comes. It returns whether the
@@ -107,7 +106,7 @@
 		return false
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
-		c.leaf.silence(c)
+		c.leaf.silence(c, start)
 	}
 	return false
 }
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -19,8 +19,13 @@
 	errNoConnection = errors.New("no usable connection")
 )
 
-// awaitLimit is how long a call waits for a connection that is about to become usable.
-const awaitLimit = 100 * time.Millisecond
+const (
+	// awaitLimit is how long a call waits for a connection that is about to become usable.
+	awaitLimit = 100 * time.Millisecond
+	// recoverLimit is how long after a silence the leaf counts as connected while it has no usable
+	// connection but one is being opened.
+	recoverLimit = 300 * time.Millisecond
+)
 
 // leaf is one upstream of the pool, with its connections.
 type leaf struct {
@@ -45,6 +50,8 @@
 	opening bool
 	retryAt time.Time
 	backoff backoff
+	// recoverBy is until when a connection that went silent may take to be replaced.
+	recoverBy time.Time
 	// polling is true while the status is asked for; pollAt is when it will be next.
 	polling bool
 	pollAt  time.Time
@@ -102,16 +109,21 @@
 	}
 }
 
-// prospect returns a channel that closes at the next change, and whether one is due soon: a first
-// try to open a connection is under way, or a connection only has to answer a ping.
+// prospect returns a channel that closes at the next change, and whether one is due soon.
 func (l *leaf) prospect() (changed <-chan struct{}, hopeful bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hopeful = l.backoff.failures == 0 && l.live() < l.target()
+	return l.changed, l.hopeful()
+}
+
+// hopeful tells whether a connection is about to become usable: a first try to open one is under way,
+// or one only has to answer a ping. Requires mu.
+func (l *leaf) hopeful() bool {
+	hopeful := l.backoff.failures == 0 && l.live() < l.target()
 	for _, c := range l.conns {
 		hopeful = hopeful || (c.fate == fateNone && c.doubtful())
 	}
-	return l.changed, hopeful
+	return hopeful
 }
 
 // notify wakes calls that wait for a connection. Requires mu.
@@ -176,15 +188,16 @@
 	l.pool.metrics.closed.WithLabelValues(l.service, string(why)).Inc()
 }
 
-// silence takes a connection out of use that gave no sign of life, and ends its calls. What cut it
-// may have cut the others as well: they are pinged, and take no call before they are heard of.
-func (l *leaf) silence(c *conn) {
+// silence takes a connection out of use that gave no sign of life since it was pinged at the given
+// time, and ends its calls. What cut it may have cut the others as well: those not heard of since are
+// pinged too, and take no call before they are heard of.
+func (l *leaf) silence(c *conn, pinged time.Time) {
 	l.mu.Lock()
 	l.retire(c, fateSilent)
-	now := time.Now()
+	l.recoverBy = time.Now().Add(recoverLimit)
 	for _, other := range l.conns {
-		if other.fate == fateNone {
-			other.doubted = now
+		if other.fate == fateNone && pinged.After(other.doubted) {
+			other.doubted = pinged
 		}
 	}
 	l.mu.Unlock()
@@ -192,6 +205,10 @@
 	l.pool.wakeUp()
 }
 
+// recovers tells whether a silent connection is being replaced and a call may wait for the new one.
+// Requires mu.
+func (l *leaf) recovers(now time.Time) bool { return now.Before(l.recoverBy) && l.hopeful() }
+
 // departs takes in evidence of departure seen by this process and reports it. Requires mu.
 func (l *leaf) departs(incarnation uint64, source pb.DepartureSource) {
 	var news bool
@@ -234,5 +251,6 @@
 	for _, c := range l.conns {
 		s.Connected = s.Connected || c.usable()
 	}
+	s.Connected = s.Connected || l.recovers(time.Now())
 	return s
 }
--- /dev/null
+++ b/internal/upstream/silence_test.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// silentOpen counts the silent connections that the pool still keeps.
+func (f *fakeLeaf) silentOpen() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, p := range f.pipes {
+		if p.silent.Load() {
+			n++
+		}
+	}
+	return n
+}
+
+// A silent connection is out of use within a second of its silence, whenever the first call after it
+// comes, and where none comes.
+func TestSilentConnectionIsGivenUpWithinASecondOfItsSilence(t *testing.T) {
+	for phase := time.Duration(0); phase <= time.Second; phase += 50 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeLeaf(t)
+				p, _ := startPool(t, f.dial)
+				settle()
+				f.silenceAll()
+				is.Equal(f.silentOpen(), 2)
+				if phase < time.Second {
+					time.AfterFunc(phase, func() { _, _ = search(t.Context(), p) })
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.Equal(f.silentOpen(), 0)
+			})
+		})
+	}
+}
+
+// A leaf whose connections are being replaced after a silence stays one that can be called: a search
+// at that moment waits for the new connection rather than do without the leaf.
+func TestLeafStaysConnectedWhileSilentConnectionsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		f.silenceAll()
+		for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(time.Millisecond) {
+			s, _ := p.State(testLeaf)
+			is.True(s.Connected)
+		}
+	})
+}
--- a/internal/upstream/tend.go
+++ b/internal/upstream/tend.go
@@ -69,8 +69,7 @@
 	if c.pinging || c.wire.closing.Load() || c.wire.lost.Load() {
 		return
 	}
-	quiet, limit := c.quietFor(now)
-	if quiet < limit {
+	if !c.owesSign(now) {
 		return
 	}
 	c.pinging = true
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -24,7 +24,8 @@
 	Incarnation uint64
 	// Leaving is true from the first evidence of departure of this incarnation.
 	Leaving bool
-	// Connected is true where at least one connection is usable.
+	// Connected is true where at least one connection is usable, and for a moment where the last one
+	// went silent and a new one is being opened.
 	Connected bool
 	// Snapshots that the leaf said it holds; nil where it has not said.
 	Snapshots []uint64
