Let a retry wait for a slot of a replica

A retry that found every replica at its limit at that moment gave its shard up, with seconds left, while a first call waits for a slot.

Ruled out: raising the limits for retries, which would queue at the leaf.

--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -198,24 +198,18 @@
 // settings it runs anywhere and no connection was lost with it.
 func (r *run) mayAsk() bool { return r.outlived.Load() || r.released && r.losses == 0 }
 
-// retry asks another replica of the shard; the shard is missing where the budget refuses. A retry
-// that needs no budget takes from it what is there.
+// retry asks another replica of the shard, as soon as there is a slot; the shard is missing where the
+// budget refuses. A retry that needs no budget takes from it what is there.
 func (r *run) retry(i int, how step) {
 	s := &r.shards[i]
-	candidates := r.candidates(s, how == stepRetryAny)
-	granted := len(candidates) > 0 && r.q.replicas.AllowRetry(r.q.kind.RetryBudget)
+	s.again = how == stepRetryAny
+	granted := len(r.candidates(s, s.again)) > 0 && r.q.replicas.AllowRetry(r.q.kind.RetryBudget)
 	if how == stepRetry && !granted {
 		r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		r.settle(i, s.reason, "")
 		return
 	}
-	call, ok := r.q.replicas.Pick(candidates)
-	if !ok {
-		r.settle(i, s.reason, "")
-		return
-	}
-	r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
-	r.launch(i, call, "")
+	r.start(i)
 }
 
 // tick does what is due: hedges, and another look for slots.
--- a/internal/search/place.go
+++ b/internal/search/place.go
@@ -21,8 +21,8 @@
 	// call ended in failure.
 	parked  bool
 	failure failure
-	// placing is true while it waits for a slot.
-	placing                   bool
+	// placing is true while it waits for a slot, again where replicas asked before will do.
+	placing, again            bool
 	active, tries, shed, lost int
 	hedged                    bool
 	tried                     []string
@@ -32,16 +32,24 @@
 	cancel context.CancelFunc
 }
 
-// start places the first call of a shard, or waits for a slot.
+// start places the first call of a shard or a retry, or waits for a slot.
 func (r *run) start(i int) {
 	s := &r.shards[i]
 	s.placing = false
-	candidates := r.candidates(s, false)
-	if len(candidates) == 0 {
+	candidates := r.candidates(s, s.again)
+	switch {
+	case len(candidates) > 0:
+	case s.tries > 0:
+		r.settle(i, s.reason, "")
+		return
+	default:
 		r.settle(i, pb.Reason_REASON_NO_UPSTREAM, s.known())
 		return
 	}
 	if call, ok := r.q.replicas.Pick(candidates); ok {
+		if s.tries > 0 {
+			r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
+		}
 		r.launch(i, call, "")
 		return
 	}
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/quarantine"
@@ -104,6 +105,26 @@
 	}
 }
 
+// A call that ended without an answer is made again as soon as a replica has a slot, not given up
+// because none has one at that moment.
+func TestRetryWaitsForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(1)
+		r := newRig("az-a", service, fleet, anywhere)
+		r.replicas.slots = 1
+		one(failWith(&upstream.CallError{Wrote: true, ConnectionSilent: true, Err: errLost}))(fleet)
+		for _, busy := range []string{"leaf-0-b", "leaf-0-c"} {
+			call, ok := r.replicas.Pick([]string{busy})
+			is.True(ok)
+			time.AfterFunc(100*time.Millisecond, func() { call.Done(balance.ResultOK) })
+		}
+		a, err := r.ask("r1", "claim", "algebra", time.Second)
+		is.NoErr(err)
+		is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+	})
+}
+
 // one gives the fault to the replica of shard 0 that is asked first, all to its whole group.
 func one(answer func(context.Context, *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error)) func(*fakeFleet) {
 	return func(f *fakeFleet) { f.set("leaf-0-a", func(l *fakeLeaf) { l.answer = answer }) }
