--- a/scenarios/history_order_test.go
+++ b/scenarios/history_order_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/standin/leaf"
 )
 
 const (
@@ -212,7 +213,6 @@
 	ticketOutput struct {
 		// reply of a send, nil for the audit of the leaves' journals at the end.
 		reply      *reply
-		result     string
 		executions int
 	}
 )
@@ -251,7 +251,7 @@
 }
 
 // executionsBy counts the journal's executions by ticket text and by request id.
-func executionsBy(lines []journalLine) (byTicket, byRequest map[string]int) {
+func executionsBy(lines []leaf.FileLine) (byTicket, byRequest map[string]int) {
 	byTicket, byRequest = make(map[string]int), make(map[string]int)
 	for _, l := range lines {
 		if l.Execution != nil {
@@ -263,7 +263,7 @@
 }
 
 // check compares the history with the leaves' journals; it returns what breaks a promise.
-func (h *orderHistory) check(lines []journalLine) []string {
+func (h *orderHistory) check(lines []leaf.FileLine) []string {
 	byTicket, byRequest := executionsBy(lines)
 	var broken []string
 	ops := make([][]porcupine.Operation, len(h.orders))
@@ -316,10 +316,10 @@
 	callers.Wait()
 	is.NoErr(await("everything ready", readyBound, func() error { return f.ready(f.daemons) }))
 	h.settle(f)
-	lines, err := f.journal()
+	written, err := f.journal()
 	is.NoErr(err)
 	t.Logf("%d orders, %d sends, %d tickets refused; ends: %v", len(h.orders), len(h.sends), h.refused, h.callerEnds)
-	for _, b := range h.check(lines) {
+	for _, b := range h.check(written.lines) {
 		t.Error(b)
 	}
 	is.True(h.callerEnds[endAnswered] > historyCallers) // the run means something
--- a/scenarios/mischief_test.go
+++ b/scenarios/mischief_test.go
@@ -137,8 +137,8 @@
 	return nil
 }
 
-// allRunning is an error where one of the processes is gone or frozen by another fault.
-func allRunning(ds []*daemon) error {
+// allUntouched is an error where one of the processes is gone or frozen by another fault.
+func allUntouched(ds []*daemon) error {
 	return eachOf(ds, func(d *daemon) error {
 		if !d.running() || d.frozen {
 			return errors.New("taken by another fault")
@@ -152,14 +152,14 @@
 	name, ds := m.processes()
 	return mishap{
 		name: "crash " + name, hold: m.between(0, 2*time.Second),
-		begin: func() error { return errors.Join(allRunning(ds), eachIfFree(ds, (*daemon).kill)) },
+		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).kill)) },
 		end:   func() error { return eachOf(ds, (*daemon).start) },
 	}
 }
 
 // eachIfFree is eachOf where no other fault holds any of the processes.
 func eachIfFree(ds []*daemon, action func(*daemon) error) error {
-	if allRunning(ds) != nil {
+	if allUntouched(ds) != nil {
 		return nil
 	}
 	return eachOf(ds, action)
@@ -170,7 +170,7 @@
 	name, ds := m.processes()
 	return mishap{
 		name: "freeze " + name, hold: m.between(200*time.Millisecond, 4*time.Second),
-		begin: func() error { return errors.Join(allRunning(ds), eachIfFree(ds, (*daemon).freeze)) },
+		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).freeze)) },
 		end:   func() error { return eachOf(ds, (*daemon).wake) },
 	}
 }
@@ -180,7 +180,7 @@
 	name, ds := m.processes()
 	return mishap{
 		name: "restart " + name, hold: m.between(0, time.Second),
-		begin: func() error { return errors.Join(allRunning(ds), eachIfFree(ds, (*daemon).terminate)) },
+		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).terminate)) },
 		end: func() error {
 			if err := eachOf(ds, (*daemon).ended); err != nil {
 				return err
@@ -229,7 +229,7 @@
 	set := func(json string) error { return put(leafURL(n, "/faults"), []byte(json)) }
 	running := func() error {
 		ds, err := m.f.find("leaf/" + n.name)
-		return errors.Join(err, allRunning(ds))
+		return errors.Join(err, allUntouched(ds))
 	}
 	return mishap{
 		name: fmt.Sprintf("fault %s %s", n.name, fault), hold: m.between(200*time.Millisecond, 2*time.Second),
