--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -1,8 +1,6 @@
 package search
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -12,148 +10,51 @@
 	"github.com/burdockplank/burdockplank/internal/quarantine"
 )
 
-// maxFirst is how many leaves in the whole fleet may be asked first for one request, and so the
-// most that it can crash: every gather ranks the leaves alike.
-const maxFirst = 3
-
 // trial is the first run of a request that no leaf has answered yet: one leaf at a time, chosen by
 // rank among few, until one answers.
 type trial struct {
-	r *run
-	// steps are the leaves in the order in which they are asked.
-	steps []firstStep
+	r       *run
+	ranking ranking
+	// fixed are the places by rank alone, whatever state the leaves are in. Only they may be asked
+	// beside a call in flight or by a suspect, so that the whole fleet asks no other leaf while the
+	// request may crash it, even where the gathers see different leaves.
+	fixed []ranked
+	// used are the leaves asked; silent those whose connection went silent then, after which they
+	// are asked once more.
+	used, silent map[string]bool
 	// solo is true for a suspect: it runs beside no other unproven request and isn't hedged.
 	solo    bool
 	active  int
 	hedgeAt time.Time
-	// last is the end of the latest call that failed.
+	// last is the end of the latest call that failed, peer its leaf.
 	last failure
 	peer string
 }
 
-// firstStep is one leaf that may be asked first, with a shard that it holds.
-type firstStep struct {
-	leaf  string
-	shard int
-	// used is true once it was asked; silent where its connection went silent then, after which it
-	// is asked once more.
-	used, silent bool
-}
-
 func newTrial(r *run, solo bool) *trial {
-	return &trial{r: r, solo: solo, steps: firstSteps(r)}
-}
-
-// firstSteps ranks the leaves of the snapshot, takes the best of each availability zone, and finds
-// a shard for each.
-func firstSteps(r *run) []firstStep {
-	version := r.plan.snapshot.Version
-	shardOf := make(map[string]int)
-	byZone := make(map[string][]string)
-	for i := range r.shards {
-		for _, l := range r.shards[i].listed {
-			if _, seen := shardOf[l]; seen {
-				continue
-			}
-			shardOf[l] = i
-			if leaf := r.q.service.Leaves[l]; leaf != nil {
-				byZone[leaf.Zone] = append(byZone[leaf.Zone], l)
-			}
-		}
-	}
-	place := func(leaf string) quarantine.Place {
-		p := r.e.guard.Place(leaf, r.key.Digest)
-		if p == quarantine.PlaceFree && !r.fleet.usable(leaf, version) {
-			return quarantine.PlaceAbsent
-		}
-		return p
-	}
-	k := ranking{digest: r.key.Digest, byZone: byZone, shardOf: shardOf, place: place}
-	var steps []firstStep
-	for _, l := range k.first(r.e.source.Current().Zone) {
-		steps = append(steps, firstStep{leaf: l, shard: shardOf[l]})
-	}
-	return steps
-}
-
-// ranking says which leaves may be asked first for a request.
-type ranking struct {
-	digest uint64
-	// byZone holds the leaves of each availability zone, shardOf a shard that each has.
-	byZone  map[string][]string
-	shardOf map[string]int
-	place   func(leaf string) quarantine.Place
-}
-
-// places gives maxFirst places, zone by zone, to the leaf that ranks highest among those of shards
-// without a place, so that a crashing request can't end a whole group; among all where each shard
-// has one. Every gather gives the same places.
-func (k ranking) places() []string {
-	zones := slices.SortedFunc(maps.Keys(k.byZone), k.byRank)
-	left := make(map[string][]string, len(zones))
-	for z, leaves := range k.byZone {
-		sorted := slices.SortedFunc(slices.Values(leaves), k.byRank)
-		left[z] = slices.DeleteFunc(sorted, func(l string) bool { return k.place(l) == quarantine.PlaceAbsent })
-	}
-	var places []string
-	taken := make(map[int]bool)
-	for more := true; more; {
-		more = false
-		for _, z := range zones {
-			if len(left[z]) == 0 || len(places) == maxFirst {
-				continue
-			}
-			i := max(0, slices.IndexFunc(left[z], func(l string) bool { return !taken[k.shardOf[l]] }))
-			l := left[z][i]
-			left[z] = slices.Delete(left[z], i, i+1)
-			places = append(places, l)
-			taken[k.shardOf[l]] = true
-			more = true
-		}
-	}
-	return places
-}
-
-// first returns the leaves with a place that may be asked now, those of the own availability zone
-// in front.
-func (k ranking) first(own string) []string {
-	var near, far []string
-	for _, l := range k.places() {
-		switch {
-		case k.place(l) != quarantine.PlaceFree:
-		case slices.Contains(k.byZone[own], l):
-			near = append(near, l)
-		default:
-			far = append(far, l)
-		}
-	}
-	return append(near, far...)
-}
-
-func (k ranking) byRank(a, b string) int {
-	if c := cmp.Compare(quarantine.Rank(k.digest, b), quarantine.Rank(k.digest, a)); c != 0 {
-		return c
-	}
-	return cmp.Compare(a, b)
+	t := &trial{r: r, solo: solo, ranking: newRanking(r), used: make(map[string]bool), silent: make(map[string]bool)}
+	t.fixed = t.ranking.places(func(string) bool { return false })
+	return t
 }
 
 // advance asks the next leaf where it is time to, and ends the run where none is left.
 func (t *trial) advance() {
-	now := time.Now()
-	if t.active > 0 && (t.solo || now.Before(t.hedgeAt)) {
+	if t.active > 0 && (t.solo || time.Now().Before(t.hedgeAt)) || !t.allowed() {
 		return
 	}
-	if !t.allowed() {
+	open, waitFor := t.sort(t.candidates())
+	if t.ask(open) {
 		return
 	}
-	open := t.open()
-	blocked := len(open) > 0
-	if t.ask(open) {
+	for _, l := range open {
+		waitFor = append(waitFor, l.leaf)
+	}
+	if t.active > 0 {
+		t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.leaves()))
 		return
 	}
-	t.hedgeAt = now.Add(t.r.q.replicas.HedgeAfter(t.leaves()))
-	if t.active == 0 && !(blocked && t.r.wait(t.leaves())) {
-		t.fail(blocked)
+	if len(waitFor) == 0 || !t.r.wait(waitFor) {
+		t.fail(len(waitFor) > 0)
 	}
 }
 
@@ -162,8 +63,7 @@
 func (t *trial) allowed() bool {
 	switch standing, after := t.r.e.guard.Standing(t.r.key); standing {
 	case quarantine.Quarantined:
-		t.r.refused = outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").
-			At(t.peer).After(after)
+		t.r.refused = quarantined(after).At(t.peer)
 		return false
 	case quarantine.Proven:
 		t.r.release()
@@ -180,62 +80,105 @@
 	return true
 }
 
-// open returns the leaves that may be asked now. Beside a call in flight a step of another shard is a
-// call that the query needs anyway; one of the same shard is an extra call, which the hedge budget has
-// to allow, and is thought of only where there is no other.
-func (t *trial) open() []string {
-	var needed, extra []string
-	for i := range t.steps {
-		s := &t.steps[i]
+// candidates returns the leaves with a place, near ones first. A leaf that is out of use for long
+// leaves its place to the next in rank, but not for a suspect or beside a call in flight.
+func (t *trial) candidates() []ranked {
+	own := t.r.e.source.Current().Zone
+	absent := func(l string) bool { return t.place(l) == quarantine.PlaceAbsent }
+	places := slices.Clone(t.fixed)
+	switch {
+	case t.solo:
+		places = t.unharmed(places)
+	case t.active == 0:
+		places = t.ranking.places(absent)
+	}
+	if len(places) == 0 {
+		places = t.ranking.nearest(own, absent)
+	}
+	return nearFirst(places, own)
+}
+
+// unharmed drops the leaves that crashed with the request in flight, unless there are no others.
+func (t *trial) unharmed(places []ranked) []ranked {
+	crashed := t.r.e.guard.CrashedAt(t.r.key.Digest)
+	left := slices.DeleteFunc(slices.Clone(places), func(p ranked) bool { return slices.Contains(crashed, p.leaf) })
+	if len(left) == 0 {
+		return places
+	}
+	return left
+}
+
+func (t *trial) place(leaf string) quarantine.Place {
+	p := t.r.e.guard.Place(leaf, t.r.key.Digest)
+	if p == quarantine.PlaceFree && !t.r.fleet.usable(leaf, t.r.plan.snapshot.Version) {
+		return quarantine.PlaceAbsent
+	}
+	return p
+}
+
+// sort returns the leaves that may be asked now, and those whose hold ends in time. Beside a call in
+// flight a leaf of another shard is one that the query needs anyway; one of the same shard is an extra
+// call, which the hedge budget has to allow, and is thought of only where there is no other.
+func (t *trial) sort(candidates []ranked) (open []ranked, held []string) {
+	var extra []ranked
+	for _, l := range candidates {
+		place := t.place(l.leaf)
 		switch {
-		case s.used || !t.r.fleet.usable(s.leaf, t.r.plan.snapshot.Version):
-		case t.r.shards[s.shard].active == 0:
-			needed = append(needed, s.leaf)
+		case t.used[l.leaf], place == quarantine.PlaceAbsent:
+		case place == quarantine.PlaceHeld:
+			if time.Until(t.r.q.deadline) > t.r.e.guard.Hold() {
+				held = append(held, l.leaf)
+			}
+		case t.r.shards[l.shard].active > 0:
+			extra = append(extra, l)
 		default:
-			extra = append(extra, s.leaf)
+			open = append(open, l)
 		}
 	}
-	if len(needed) == 0 && len(extra) > 0 && t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget) {
-		return extra
+	if len(open) == 0 && len(extra) > 0 && t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget) {
+		return extra, held
 	}
-	return needed
+	return open, held
 }
 
 // ask sends the first call to the leaf among those open that the balancer picks, so that a slow one
 // isn't asked first for its rank; false where there is no room for it now.
-func (t *trial) ask(open []string) bool {
-	guard := t.r.e.guard
-	for len(open) > 0 {
-		call, ok := t.r.q.replicas.Pick(open)
+func (t *trial) ask(open []ranked) bool {
+	byLeaf := make(map[string]ranked, len(open))
+	names := make([]string, 0, len(open))
+	for _, l := range open {
+		byLeaf[l.leaf] = l
+		names = append(names, l.leaf)
+	}
+	for len(names) > 0 {
+		call, ok := t.r.q.replicas.Pick(names)
 		if !ok {
 			return false
 		}
 		leaf := call.Leaf()
-		if guard.Enter(leaf, t.solo) {
-			t.sent(leaf, call)
+		if t.r.e.guard.Enter(leaf, t.solo) {
+			t.sent(byLeaf[leaf], call)
 			return true
 		}
 		call.Done(balance.ResultNeutral)
-		open = slices.DeleteFunc(open, func(l string) bool { return l == leaf })
+		names = slices.DeleteFunc(names, func(l string) bool { return l == leaf })
 	}
 	return false
 }
 
 // sent notes the call. The next leaf is asked once this one takes longer than its group usually
 // does; its own usual time would say nothing where it is the slow one.
-func (t *trial) sent(leaf string, call balance.Call) {
-	i := slices.IndexFunc(t.steps, func(s firstStep) bool { return s.leaf == leaf })
-	s := &t.steps[i]
-	s.used = true
+func (t *trial) sent(l ranked, call balance.Call) {
+	t.used[l.leaf] = true
 	t.active++
-	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.r.shards[s.shard].replicas))
-	t.r.launch(s.shard, call, leaf)
+	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.r.shards[l.shard].replicas))
+	t.r.launch(l.shard, call, l.leaf)
 }
 
 func (t *trial) leaves() []string {
-	list := make([]string, 0, len(t.steps))
-	for i := range t.steps {
-		list = append(list, t.steps[i].leaf)
+	list := make([]string, 0, len(t.fixed))
+	for _, l := range t.fixed {
+		list = append(list, l.leaf)
 	}
 	return list
 }
@@ -244,35 +187,31 @@
 func (t *trial) failed(ev event) {
 	t.active--
 	t.last, t.peer = ev.failure, ev.leaf
-	if ev.failure == failSilent {
-		t.again(ev.leaf)
-	}
-	if ev.failure == failLost {
+	switch {
+	case ev.failure == failLost:
 		t.solo = true
+	case ev.failure == failSilent && !t.silent[ev.leaf]:
+		t.silent[ev.leaf] = true
+		delete(t.used, ev.leaf)
 	}
 	t.advance()
 }
 
-// again lets a leaf whose connection went silent be asked once more.
-func (t *trial) again(leaf string) {
-	for i := range t.steps {
-		if s := &t.steps[i]; s.leaf == leaf && !s.silent {
-			s.used, s.silent = false, true
-		}
-	}
-}
-
 // fail ends the run where no leaf is left to be asked first.
 func (t *trial) fail(blocked bool) {
-	reason := pb.Reason_REASON_NO_UPSTREAM
+	reason, after := pb.Reason_REASON_NO_UPSTREAM, t.r.e.settings.RetryAfter.D()
 	switch {
 	case blocked:
 		reason = pb.Reason_REASON_OVERLOAD
 	case t.peer != "":
 		reason = failures[t.last].reason
+	case t.solo:
+		reason = pb.Reason_REASON_QUARANTINED
 	}
-	t.r.refused = outcome.NotRun(reason, Step, "no leaf answered the first run of the request").
-		At(t.peer).After(t.r.e.settings.RetryAfter.D())
+	if !blocked {
+		after = max(after, t.r.e.guard.Hold())
+	}
+	t.r.refused = outcome.NotRun(reason, Step, "no leaf answered the first run of the request").At(t.peer).After(after)
 }
 
 func (t *trial) due(sooner func(time.Time)) {
@@ -280,3 +219,8 @@
 		sooner(t.hedgeAt)
 	}
 }
+
+// quarantined is the refusal of a request that crashed leaves.
+func quarantined(after time.Duration) *outcome.Error {
+	return outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").After(after)
+}
