Send a search once more where the connection to its gather ended before the answer

A search may run twice, so the rule to send again only what was surely not taken was stricter than the promise; orders keep it.

Now a search, or the minting of a ticket, whose connection ended before the answer is sent once more: free after a silence (only what was in flight at that moment is lost so), again for each further silence up to four sends, and within the budget where the connection broke. If the last gather says not run, the outcome is still failed, for an earlier one may have run it.

Ruled out: resending to the same gather first, since a frozen process looks the same.

--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,10 +22,17 @@
 	unreachableSpread     = time.Second
 )
 
-// callError is how a call to a gather ended. Exactly one of taken and typed decides what may follow.
+// errSilentText is the error of net/http for a connection whose ping stayed without an answer; it
+// isn't exported. Were the text to change, such a connection would count as broken, and sending again
+// would need the budget.
+const errSilentText = "http2: client connection lost"
+
+// callError is how a call to a gather ended.
 type callError struct {
 	// notTaken is true where the gather surely did not take the request.
 	notTaken bool
+	// silent is true where the connection went silent, which says nothing about the gather.
+	silent bool
 	// typed is the gather's own outcome, nil where it gave none.
 	typed *outcome.Error
 	err   error
@@ -43,9 +51,19 @@
 		return ce
 	}
 	ce.notTaken = neverConnected(err)
+	ce.silent = strings.Contains(err.Error(), errSilentText)
 	return ce
 }
 
+// mayFollow tells whether one more call may follow; spent is true after the one that is allowed for
+// any other cause than silence.
+func (ce *callError) mayFollow(ctx context.Context, spent bool) bool {
+	return ctx.Err() == nil && (ce.silent || !spent && (ce.notTaken || ce.broken()))
+}
+
+// broken tells whether the connection ended before the gather's answer had come.
+func (ce *callError) broken() bool { return ce.typed == nil && !connect.IsWireError(ce.err) }
+
 // neverConnected tells whether err arose while the connection was being opened, before any byte of
 // the request was written.
 func neverConnected(err error) bool {
@@ -73,6 +91,8 @@
 		return resultOK
 	case ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled):
 		return resultGivenUp
+	case ce.silent:
+		return resultGivenUp
 	}
 	return resultFailed
 }
--- a/internal/route/metrics.go
+++ b/internal/route/metrics.go
@@ -13,7 +13,7 @@
 	m := &metrics{
 		reroutes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_entry_reroutes_total",
-			Help: "Requests sent to a second gather because the first surely did not take them, or not sent for want of budget.",
+			Help: "Requests sent once more because a gather surely did not take them or its connection ended before the answer, or not sent for want of budget.",
 		}, []string{"service", "result"}),
 		mismatches: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_entry_answer_mismatches_total",
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -84,8 +84,13 @@
 // call is one call to a gather's client.
 type call func(ctx context.Context, c burdockv1connect.GatherServiceClient) error
 
-// forward makes the call at a chosen gather, and once more at another where the first surely did
-// not take it and the budget allows. The kind is that of a call that was taken and brought nothing.
+// maxSends bounds how often one request is sent where connections go silent under it.
+const maxSends = 4
+
+// forward makes the call at a chosen gather. It makes it once more, at another gather where there is
+// one, if the first surely did not take it or the connection ended before its answer came, and again
+// for each connection that goes silent: searches and the minting of tickets may run twice. The kind
+// is that of a call that was taken and brought nothing.
 func (r *Router) forward(ctx context.Context, q Request, lost pb.OutcomeKind, fn call) (Gather, error) {
 	r.budget.earn()
 	r.prune(q.View)
@@ -95,18 +100,26 @@
 		return g, r.unreachable(pb.OutcomeKind_OUTCOME_KIND_NOT_RUN, "", "no gather is ready")
 	}
 	ce := r.at(ctx, q, g, fn)
+	taken, spent := false, false
+	for sends := 1; ce != nil && sends < maxSends && ce.mayFollow(ctx, spent); sends++ {
+		spent = spent || !ce.silent
+		next, ok := r.next(q, among, g, ce)
+		if !ok {
+			break
+		}
+		taken = taken || !ce.notTaken
+		g = next
+		ce = r.at(ctx, q, g, fn)
+	}
 	if ce == nil {
 		return g, nil
 	}
-	if ce.notTaken && ctx.Err() == nil {
-		if second, ok := r.second(q, among, g); ok {
-			g = second
-			if ce = r.at(ctx, q, g, fn); ce == nil {
-				return g, nil
-			}
-		}
+	end := r.final(ctx, g, ce, lost)
+	if taken && end.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN {
+		// The last gather did not run it, but an earlier one may have.
+		end.Kind = lost
 	}
-	return g, r.final(ctx, g, ce, lost)
+	return g, end
 }
 
 // prune drops what is known of VMs that have left, once for each view.
@@ -121,17 +134,22 @@
 	r.table.prune(ids)
 }
 
-// second returns another gather for the one re-route that is allowed. Where the zone's subset has no
-// other, other zones are asked.
-func (r *Router) second(q Request, among []Gather, first Gather) (Gather, bool) {
-	g, ok := choose(r.table, q.Service.Name, among, first.VM, r.o.Clock(), r.o.Random)
+// next returns the gather for one more call after one that ended as given. Where the zone's subset has
+// no other, other zones are asked, and where they have none, and only the connection broke, the same
+// gather over a new connection. A connection that went silent costs no budget: only the calls in
+// flight at that moment are lost so.
+func (r *Router) next(q Request, among []Gather, tried Gather, ce *callError) (Gather, bool) {
+	g, ok := choose(r.table, q.Service.Name, among, tried.VM, r.o.Clock(), r.o.Random)
 	if !ok {
-		g, ok = choose(r.table, q.Service.Name, elsewhere(q, first), first.VM, r.o.Clock(), r.o.Random)
+		g, ok = choose(r.table, q.Service.Name, elsewhere(q, tried), tried.VM, r.o.Clock(), r.o.Random)
+	}
+	if !ok && ce.broken() && !ce.notTaken {
+		g, ok = tried, true
 	}
 	if !ok {
 		return g, false
 	}
-	if !r.budget.take() {
+	if !ce.silent && !r.budget.take() {
 		r.metrics.reroutes.WithLabelValues(q.Service.Name, "no_budget").Inc()
 		return g, false
 	}
@@ -139,15 +157,15 @@
 	return g, true
 }
 
-// elsewhere returns the ready gathers of the zones other than that of the first.
-func elsewhere(q Request, first Gather) []Gather {
+// elsewhere returns the ready gathers of the zones other than that of the one tried.
+func elsewhere(q Request, tried Gather) []Gather {
 	var vms []*pb.Vm
 	for _, vm := range q.View.VMs {
-		if vm.GetZone() != first.Zone {
+		if vm.GetZone() != tried.Zone {
 			vms = append(vms, vm)
 		}
 	}
-	return candidates(q.Service, first.Zone, vms)
+	return candidates(q.Service, tried.Zone, vms)
 }
 
 // at makes the call at one gather and counts it.
--- a/internal/route/stats.go
+++ b/internal/route/stats.go
@@ -85,7 +85,7 @@
 	resultOK result = iota
 	// resultFailed is a call that the gather did not take or did not answer.
 	resultFailed
-	// resultGivenUp is a call whose caller went away.
+	// resultGivenUp is a call whose caller went away, or whose connection went silent.
 	resultGivenUp
 )
 
