--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -44,7 +44,7 @@
 	out.EntryPort = cmp.Or(r.GetEntryPort(), listed.GetEntryPort(), settings.DefaultEntryPort)
 	out.GatherPort = cmp.Or(r.GetGatherPort(), listed.GetGatherPort(), settings.DefaultGatherPort)
 	out.SyncPort = cmp.Or(r.GetSyncPort(), listed.GetSyncPort(), settings.DefaultSyncPort)
-	out.OperatorPort = cmp.Or(r.GetOperatorPort(), listed.GetOperatorPort(), settings.DefaultEntryOperatorPort)
+	out.OperatorPort = cmp.Or(r.GetOperatorPort(), listed.GetOperatorPort(), settings.DefaultSyncOperatorPort)
 	return out
 }
 
--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -41,8 +41,8 @@
 	cutZone string
 	// cutPair are two zones that don't reach each other.
 	cutPair [2]string
-	packets map[string]int
-	bytes   int
+	// packets and bytes count what was sent, calls by the size of their messages.
+	packets, bytes int
 	// added counts the VMs ever added, for their addresses.
 	added int
 }
@@ -65,7 +65,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
-		nodes: make(map[string]*node), byAddr: make(map[string]*node), packets: make(map[string]int),
+		nodes: make(map[string]*node), byAddr: make(map[string]*node),
 	}
 	f.platform = newFakePlatform(f)
 	for i := range n {
@@ -157,8 +157,8 @@
 	f := nd.fleet
 	f.mu.Lock()
 	target, lost := f.byAddr[to], rand.Float64() < f.loss
-	f.bytes += len(packet)
-	f.packets[nd.id]++
+	f.bytes += len(packet) + 28
+	f.packets++
 	f.mu.Unlock()
 	if len(packet) > 1200 {
 		f.t.Errorf("packet of %d bytes", len(packet))
@@ -212,7 +212,24 @@
 			return none, ctx.Err()
 		}
 	}
-	return do(ctx, req)
+	resp, err := do(ctx, req)
+	if err == nil {
+		c.from.fleet.count(req, resp)
+	}
+	return resp, err
+}
+
+// callOverhead is about what connection, headers and framing add to a call.
+const callOverhead = 800
+
+// count adds the messages of a call.
+func (f *fleet) count(messages ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bytes += callOverhead
+	for _, m := range messages {
+		f.bytes += proto.Size(m.(proto.Message))
+	}
 }
 
 func (c *call) Manifest(ctx context.Context, req *pb.ManifestRequest) (*pb.ManifestResponse, error) {
--- a/internal/syncd/spread_test.go
+++ b/internal/syncd/spread_test.go
@@ -25,3 +25,38 @@
 		is.True(f.allAt(6)())
 	})
 }
+
+// budget is how many bytes a second a VM may send and receive for control in all.
+const budget = 4 << 10
+
+func TestBytesStayWithinTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const vms = 64
+		f := newFleet(t, vms, 4)
+		measure := func(what string, d time.Duration) float64 {
+			f.mu.Lock()
+			bytes, packets := f.bytes, f.packets
+			f.mu.Unlock()
+			time.Sleep(d)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			// Each byte is sent by one VM and received by another.
+			perVM := 2 * float64(f.bytes-bytes) / vms / d.Seconds()
+			t.Logf("%s: %.0f bytes and %.1f packets a second a VM, sent and received", what, perVM,
+				2*float64(f.packets-packets)/vms/d.Seconds())
+			return perVM
+		}
+		measure("start", 30*time.Second)
+		is.True(measure("calm", time.Minute) < budget)
+		for v := uint64(2); v < 5; v++ {
+			f.publish(v)
+			is.True(measure("one new version a minute", time.Minute) < budget)
+		}
+		f.cut("az-1")
+		measure("a zone cut off", 30*time.Second)
+		f.cut("")
+		measure("healed", 30*time.Second)
+		is.True(measure("calm again", time.Minute) < budget)
+	})
+}
