Bound the searches that run at once at a gather by their wait for slots

Cause: a search takes a slot in each group one by one. Above capacity each held slots in some groups and waited in others, up to 256 of them at each gather, so that answers came at their deadline, and not whole; refusals came as late as 980 ms. Weighed: taking a slot in every group at once before a search starts; ruled out, as the slots of nine groups would stand idle during the first run and behind the slowest group. A limit by latency; ruled out, for a straggler needs more searches at once, not fewer. Change: a gate for each service. Its limit follows the time that searches wait for slots, where a kind that takes early answers waits only for the share that it needs. What doesn't fit waits in a queue as long as the limit, heavier kinds first, and is refused at once where it is full. Refusals at the entry still take its longest wait.

--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -32,6 +32,9 @@
 	s.tried = append(s.tried, call.Leaf())
 	s.hedgeAt = time.Now().Add(r.q.replicas.HedgeAfter(s.replicas))
 	r.active++
+	if r.firstSent.IsZero() {
+		r.firstSent = time.Now()
+	}
 	r.e.metrics.calls.WithLabelValues(r.q.service.Name).Inc()
 	r.e.calls.Add(1)
 	if s.cancel == nil {
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -1,6 +1,7 @@
 package search
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/bundle"
@@ -94,6 +95,14 @@
 	return may && elapsed >= at && covered > 0 && covered >= p.earlyCoverage
 }
 
+// needed returns how many of n shards the kind waits for, at least 1.
+func (p policy) needed(n int) int {
+	if p.partial != bundle.PartialLatency || p.earlyCoverage <= 0 {
+		return n
+	}
+	return min(n, max(1, int(math.Ceil(p.earlyCoverage*float64(n)))))
+}
+
 // mayRerun tells whether a whole query may run again at another snapshot.
 func mayRerun(reruns int, left, usual, elapsed time.Duration) bool {
 	need := usual
--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -45,6 +45,7 @@
 type serviceState struct {
 	usual   usual
 	waiting *waiting
+	gate    *gate
 }
 
 // holding names a snapshot at a leaf.
@@ -75,6 +76,8 @@
 	started  time.Time
 	// deadline is when the answer must be made, the caller's one less the margin.
 	deadline time.Time
+	// waited is how long the search waited for slots of leaves; set by its runs as they end.
+	waited time.Duration
 }
 
 // Search answers a search of an identified caller. An error is an *outcome.Error. The answer holds
@@ -86,7 +89,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
-	a, err := e.answer(ctx, q)
+	a, err := e.gated(ctx, q)
 	e.metrics.ended(q, a, err)
 	if err != nil {
 		return nil, err
@@ -94,6 +97,22 @@
 	return a, nil
 }
 
+// gated answers once the gate of the service lets the search in.
+func (e *Engine) gated(ctx context.Context, q *question) (*pb.SearchResponse, error) {
+	if q.state.gate == nil {
+		return e.answer(ctx, q)
+	}
+	if !q.state.gate.enter(ctx, q.kind.Weight) {
+		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, Step, "too many searches run").After(e.settings.RetryAfter.D())
+	}
+	begun := time.Now()
+	defer func() {
+		now := time.Now()
+		q.state.gate.leave(now, now.Sub(begun), q.waited)
+	}()
+	return e.answer(ctx, q)
+}
+
 // question checks a request against the bundle in force. Nothing has been sent when it refuses.
 func (e *Engine) question(ctx context.Context, identity *pb.Identity, req *pb.SearchRequest) (*question, error) {
 	b := e.source.Current().Bundle
@@ -117,7 +136,7 @@
 	q := &question{
 		identity: identity, bundle: b, service: s, kind: k, text: req.GetQuery(),
 		digest: xxhash.Sum64String(req.GetQuery()), topK: int(req.GetTopK()),
-		replicas: e.balancers.For(s.Name), state: e.service(s.Name), started: time.Now(),
+		replicas: e.balancers.For(s.Name), state: e.service(s), started: time.Now(),
 	}
 	if q.topK == 0 {
 		q.topK = k.TopK
@@ -139,13 +158,16 @@
 	return nil
 }
 
-func (e *Engine) service(name string) *serviceState {
+func (e *Engine) service(b *bundle.Service) *serviceState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := e.services[name]
+	s := e.services[b.Name]
 	if s == nil {
 		s = &serviceState{waiting: newWaiting()}
-		e.services[name] = s
+		if e.settings.Concurrency == ConcurrencyAdaptive {
+			s.gate = newGate(leastSlots(b))
+		}
+		e.services[b.Name] = s
 	}
 	return s
 }
--- /dev/null
+++ b/internal/search/gate.go
@@ -0,0 +1,170 @@
+package search
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/bundle"
+)
+
+const (
+	// gateWindow and gateSamples are the least length and number of searches of a window.
+	gateWindow  = 100 * time.Millisecond
+	gateSamples = 8
+	// gateTolerance is how long searches may wait for slots, by the time they don't wait.
+	gateTolerance = 0.5
+	// gateCut is what is left of the limit after a window of more waiting; gateGrowth is what is
+	// added, in parts of the limit but at least one, where the limit was reached without it.
+	gateCut    = 0.85
+	gateGrowth = 0.1
+	// gateLeast is the least limit.
+	gateLeast = 2
+)
+
+// gate bounds the searches of one service that run at once at this gather. A search needs a slot in
+// every group. Let in without bound, each would hold slots in some groups while it waits in others,
+// and above capacity hardly one would get them all in time. The limit follows the time that
+// searches wait for slots, and not their latency: with a straggler more have to run at once, not
+// fewer. Those that don't fit wait in a short queue, heavier kinds first, and are refused at once
+// where it is full. It is safe for concurrent use.
+type gate struct {
+	mu sync.Mutex
+	// The rest is guarded by mu. limit bounds running; queue is in the order in which searches start.
+	limit   float64
+	running int
+	queue   []*place
+	// The window under way: its start, its searches, their time waited for slots and their time
+	// besides, and the most that ran at once.
+	opened       time.Time
+	n            int
+	waited, busy time.Duration
+	peak         int
+}
+
+// place is a search in the queue.
+type place struct {
+	weight int
+	// turn gets true where the search may start, false where a heavier one took the place.
+	turn chan bool
+}
+
+func newGate(start int) *gate { return &gate{limit: float64(max(gateLeast, start))} }
+
+// leastSlots returns the slots of the group that has the fewest: what can't run at once in the fleet
+// need not run at once at a gather.
+func leastSlots(s *bundle.Service) int {
+	least := 0
+	for _, sn := range s.Snapshots {
+		for i := range sn.Shards {
+			slots := 0
+			for _, l := range sn.Shards[i].Leaves {
+				if leaf := s.Leaves[l]; leaf != nil {
+					slots += leaf.Slots
+				}
+			}
+			if least == 0 || slots < least {
+				least = slots
+			}
+		}
+	}
+	return least
+}
+
+// enter returns true once the search may start, and false where it has to be refused.
+func (g *gate) enter(ctx context.Context, weight int) bool {
+	p, ok := g.arrive(weight)
+	if p == nil {
+		return ok
+	}
+	select {
+	case ok = <-p.turn:
+		return ok
+	case <-ctx.Done():
+		return g.withdraw(p)
+	}
+}
+
+// arrive starts a search (nil, true), gives it a place in the queue, or refuses it (nil, false).
+func (g *gate) arrive(weight int) (*place, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.queue) == 0 && g.running < int(g.limit) {
+		g.start()
+		return nil, true
+	}
+	if len(g.queue) >= int(g.limit) && !g.displace(weight) {
+		return nil, false
+	}
+	p := &place{weight: weight, turn: make(chan bool, 1)}
+	at, _ := slices.BinarySearchFunc(g.queue, weight, func(o *place, w int) int {
+		if o.weight >= w {
+			return -1
+		}
+		return 1
+	})
+	g.queue = slices.Insert(g.queue, at, p)
+	return p, false
+}
+
+// displace refuses the last of the queue for a heavier search. Requires mu.
+func (g *gate) displace(weight int) bool {
+	last := len(g.queue) - 1
+	if last < 0 || g.queue[last].weight >= weight {
+		return false
+	}
+	g.queue[last].turn <- false
+	g.queue = g.queue[:last]
+	return true
+}
+
+// withdraw ends a wait; true where the turn came at the same moment.
+func (g *gate) withdraw(p *place) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := slices.Index(g.queue, p); i >= 0 {
+		g.queue = slices.Delete(g.queue, i, i+1)
+		return false
+	}
+	return <-p.turn
+}
+
+// start counts a search in. Requires mu.
+func (g *gate) start() {
+	g.running++
+	g.peak = max(g.peak, g.running)
+}
+
+// leave ends a search that waited for slots for a part of the time it took.
+func (g *gate) leave(now time.Time, took, waited time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.n++
+	g.waited += waited
+	g.busy += max(0, took-waited)
+	g.adapt(now)
+	for len(g.queue) > 0 && g.running < int(g.limit) {
+		g.queue[0].turn <- true
+		g.queue = slices.Delete(g.queue, 0, 1)
+		g.start()
+	}
+}
+
+// adapt sets the limit at the end of a window. Requires mu.
+func (g *gate) adapt(now time.Time) {
+	if g.opened.IsZero() {
+		g.opened = now
+	}
+	if g.n < gateSamples || now.Sub(g.opened) < gateWindow {
+		return
+	}
+	switch {
+	case float64(g.waited) > gateTolerance*float64(g.busy):
+		g.limit = max(gateLeast, g.limit*gateCut)
+	case g.peak >= int(g.limit):
+		g.limit += max(1, g.limit*gateGrowth)
+	}
+	g.opened, g.n, g.waited, g.busy, g.peak = now, 0, 0, 0, g.running
+}
--- a/internal/search/place.go
+++ b/internal/search/place.go
@@ -21,8 +21,11 @@
 	// call ended in failure.
 	parked  bool
 	failure failure
-	// placing is true while it waits for a slot.
+	// placing is true while it waits for a slot, waitingSince when the wait began, waited how long it
+	// took until the first call.
 	placing                   bool
+	waitingSince              time.Time
+	waited                    time.Duration
 	active, tries, shed, lost int
 	hedged                    bool
 	tried                     []string
@@ -42,9 +45,13 @@
 		return
 	}
 	if call, ok := r.q.replicas.Pick(candidates); ok {
+		s.endWait()
 		r.launch(i, call, "")
 		return
 	}
+	if s.waitingSince.IsZero() {
+		s.waitingSince = time.Now()
+	}
 	if !r.wait(candidates) {
 		r.settle(i, pb.Reason_REASON_OVERLOAD, "")
 		return
@@ -52,6 +59,29 @@
 	s.placing = true
 }
 
+// endWait notes how long the shard waited for a slot.
+func (s *shard) endWait() {
+	if !s.waitingSince.IsZero() {
+		s.waited += time.Since(s.waitingSince)
+		s.waitingSince = time.Time{}
+	}
+}
+
+// waited returns how long the run waited for slots: for the first call, and after it for the share of
+// the shards that its kind waits for.
+func (r *run) waited() time.Duration {
+	if r.firstSent.IsZero() {
+		return time.Since(r.started)
+	}
+	waits := make([]time.Duration, 0, len(r.shards))
+	for i := range r.shards {
+		r.shards[i].endWait()
+		waits = append(waits, r.shards[i].waited)
+	}
+	slices.Sort(waits)
+	return r.firstSent.Sub(r.started) + waits[r.policy().needed(len(waits))-1]
+}
+
 // candidates returns the replicas of the shard that may be asked now; those asked before too where
 // any is set.
 func (r *run) candidates(s *shard, any bool) []string {
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -51,6 +51,8 @@
 	refused *outcome.Error
 	// early is true where the policy ended the run before its stragglers.
 	early bool
+	// firstSent is when the first call was sent.
+	firstSent time.Time
 	// lastAnswer is when the latest answer was merged.
 	lastAnswer time.Time
 }
@@ -123,6 +125,7 @@
 	close(r.over)
 	r.cancel()
 	r.stopWaiting()
+	r.q.waited += r.waited()
 	r.sent = r.sent || r.active > 0
 	if !r.lastAnswer.IsZero() && r.again == nil {
 		r.q.state.usual.add(r.lastAnswer.Sub(r.started))
--- a/internal/search/settings.go
+++ b/internal/search/settings.go
@@ -15,6 +15,8 @@
 	// MaxWaiting is how many searches of a service may wait for a free slot of a leaf; more are
 	// refused.
 	MaxWaiting int `toml:"max_waiting"`
+	// Concurrency is adaptive, or unbounded for measurements: how many searches of a service run at once.
+	Concurrency string `toml:"concurrency"`
 	// RetryAfter is told to callers whose search ended for load or a lost upstream.
 	RetryAfter settings.Duration `toml:"retry_after"`
 }
@@ -24,14 +26,23 @@
 	return Settings{
 		AnswerMargin: settings.Duration(15 * time.Millisecond),
 		MaxWaiting:   256,
+		Concurrency:  ConcurrencyAdaptive,
 		RetryAfter:   settings.Duration(500 * time.Millisecond),
 	}
 }
 
+// The values of Settings.Concurrency.
+const (
+	ConcurrencyAdaptive  = "adaptive"
+	ConcurrencyUnbounded = "unbounded"
+)
+
 // Check refuses values out of range.
 func (s Settings) Check(c *settings.Checker) {
 	c.Require(s.AnswerMargin.D() >= 0 && s.AnswerMargin.D() <= time.Second, "search.answer_margin", "want 0s to 1s, got %s", s.AnswerMargin.D())
 	c.Require(s.MaxWaiting >= 1 && s.MaxWaiting <= 100000, "search.max_waiting", "want 1 to 100000, got %d", s.MaxWaiting)
+	c.Require(s.Concurrency == ConcurrencyAdaptive || s.Concurrency == ConcurrencyUnbounded, "search.concurrency",
+		"want %s or %s, got %q", ConcurrencyAdaptive, ConcurrencyUnbounded, s.Concurrency)
 	c.Require(s.RetryAfter.D() >= 10*time.Millisecond && s.RetryAfter.D() <= time.Minute, "search.retry_after", "want 10ms to 1m, got %s", s.RetryAfter.D())
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -206,7 +206,8 @@
   done
   printf '[drain]\nbalancer_lag = "0s"\n' >>"$work/$1-entry-$2.toml"
   printf '[balance]\npolicy = "%s"\n' "$1" >>"$work/$1-gather-$2.toml"
-  if [[ "$1" == baseline ]]; then # no limit at the entry either
+  if [[ "$1" == baseline ]]; then # no limit of searches either
+    printf '[search]\nconcurrency = "unbounded"\n' >>"$work/$1-gather-$2.toml"
     printf '[admission]\nmin_concurrency = 100000\nmax_concurrency = 100000\ninitial_concurrency = 100000\n' >>"$work/$1-entry-$2.toml"
   fi
   printf '[sync]\nfleet = "bench-%s"\n[platform]\naddress = "%s.1:8500"\n[trust]\nthreshold = 1\n%s\n' "$1" "${net[$1]}" "$(cat "$work/reviewer.trust")" >>"$work/$1-sync-$2.toml"
