--- a/cmd/burdock-gather/wire_gen.go
+++ b/cmd/burdock-gather/wire_gen.go
@@ -27,12 +27,12 @@
 	client := newClient(s)
 	manager := newFeed(s, mainIncarnation, client, pauseDetector, store, logger, registry)
 	pool := newPool(s, manager, manager, logger, registry)
-	balancers := newBalancers(pool)
+	balancers := newBalancers(s, pool, registry)
 	quarantineRegistry := newGuard(s, manager, pool, registry)
 	orderManager := newKeeper(s, mainIncarnation, manager, pool, quarantineRegistry, balancers, client, pauseDetector, logger, registry)
 	engine := newEngine(s, manager, pool, balancers, quarantineRegistry, registry)
 	ticketPeerServiceHandler := newPeerHandler(orderManager)
-	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, orderManager, ticketPeerServiceHandler)
+	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, orderManager, ticketPeerServiceHandler, pool)
 	mainDaemon := &daemon{
 		settings:  s,
 		log:       logger,
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/quarantine"
 )
@@ -41,14 +42,12 @@
 	if t.active > 0 && (t.solo || time.Now().Before(t.hedgeAt)) || !t.allowed() {
 		return
 	}
-	var waitFor []string
-	for _, l := range t.candidates() {
-		switch t.ask(l) {
-		case askSent:
-			return
-		case askLater:
-			waitFor = append(waitFor, l.leaf)
-		}
+	open, waitFor := t.sort(t.candidates())
+	if t.ask(open) {
+		return
+	}
+	for _, l := range open {
+		waitFor = append(waitFor, l.leaf)
 	}
 	if t.active > 0 {
 		t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.leaves()))
@@ -117,47 +116,63 @@
 	return p
 }
 
-// asked is how asking a leaf first went.
-type asked int
-
-const (
-	// askNever: the leaf can't be asked.
-	askNever asked = iota
-	// askLater: there is no room for the request there, or the leaf is held, which ends in time.
-	askLater
-	askSent
-)
+// sort returns the leaves that may be asked now, and those whose hold ends in time. Beside a call in
+// flight a leaf of another shard is one that the query needs anyway; one of the same shard is an extra
+// call, which the hedge budget has to allow, and is thought of only where there is no other.
+func (t *trial) sort(candidates []ranked) (open []ranked, held []string) {
+	var extra []ranked
+	for _, l := range candidates {
+		place := t.place(l.leaf)
+		switch {
+		case t.used[l.leaf], place == quarantine.PlaceAbsent:
+		case place == quarantine.PlaceHeld:
+			if time.Until(t.r.q.deadline) > t.r.e.guard.Hold() {
+				held = append(held, l.leaf)
+			}
+		case t.r.shards[l.shard].active > 0:
+			extra = append(extra, l)
+		default:
+			open = append(open, l)
+		}
+	}
+	if len(open) == 0 && len(extra) > 0 && t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget) {
+		return extra, held
+	}
+	return open, held
+}
 
-// ask sends the first call to a leaf where it may.
-func (t *trial) ask(l ranked) asked {
-	guard := t.r.e.guard
-	place := t.place(l.leaf)
-	switch {
-	case t.used[l.leaf], place == quarantine.PlaceAbsent, !t.affordable(l):
-		return askNever
-	case place == quarantine.PlaceHeld && time.Until(t.r.q.deadline) > guard.Hold():
-		return askLater
-	case place == quarantine.PlaceHeld:
-		return askNever
-	case !guard.Enter(l.leaf, t.solo):
-		return askLater
-	}
-	call, ok := t.r.q.replicas.Pick([]string{l.leaf})
-	if !ok {
-		guard.Leave(l.leaf)
-		return askLater
+// ask sends the first call to the leaf among those open that the balancer picks, so that a slow one
+// isn't asked first for its rank; false where there is no room for it now.
+func (t *trial) ask(open []ranked) bool {
+	byLeaf := make(map[string]ranked, len(open))
+	names := make([]string, 0, len(open))
+	for _, l := range open {
+		byLeaf[l.leaf] = l
+		names = append(names, l.leaf)
+	}
+	for len(names) > 0 {
+		call, ok := t.r.q.replicas.Pick(names)
+		if !ok {
+			return false
+		}
+		leaf := call.Leaf()
+		if t.r.e.guard.Enter(leaf, t.solo) {
+			t.sent(byLeaf[leaf], call)
+			return true
+		}
+		call.Done(balance.ResultNeutral)
+		names = slices.DeleteFunc(names, func(l string) bool { return l == leaf })
 	}
+	return false
+}
+
+// sent notes the call. The next leaf is asked once this one takes longer than its group usually
+// does; its own usual time would say nothing where it is the slow one.
+func (t *trial) sent(l ranked, call balance.Call) {
 	t.used[l.leaf] = true
 	t.active++
-	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter([]string{l.leaf}))
+	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.r.shards[l.shard].replicas))
 	t.r.launch(l.shard, call, l.leaf)
-	return askSent
-}
-
-// affordable tells whether asking the leaf costs no extra call, or the hedge budget has one: beside
-// a call in flight a leaf of another shard is one that the query needs anyway.
-func (t *trial) affordable(l ranked) bool {
-	return t.r.shards[l.shard].active == 0 || t.r.q.replicas.AllowHedge(t.r.q.kind.HedgeBudget)
 }
 
 func (t *trial) leaves() []string {
--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -39,8 +39,10 @@
 	byAddr  map[string]*node
 	loss    float64
 	cutZone string
-	packets map[string]int
-	bytes   int
+	// cutPair are two zones that don't reach each other.
+	cutPair [2]string
+	// packets and bytes count what was sent, calls by the size of their messages.
+	packets, bytes int
 	// added counts the VMs ever added, for their addresses.
 	added int
 }
@@ -63,7 +65,7 @@
 	t.Helper()
 	f := &fleet{
 		t: t, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
-		nodes: make(map[string]*node), byAddr: make(map[string]*node), packets: make(map[string]int),
+		nodes: make(map[string]*node), byAddr: make(map[string]*node),
 	}
 	f.platform = newFakePlatform(f)
 	for i := range n {
@@ -143,6 +145,10 @@
 func (f *fleet) reaches(from, to *node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	pair := [2]string{from.zone, to.zone}
+	if pair == f.cutPair || pair == [2]string{f.cutPair[1], f.cutPair[0]} {
+		return false
+	}
 	return from.running && (f.cutZone == "" || (from.zone == f.cutZone) == (to.zone == f.cutZone))
 }
 
@@ -151,8 +157,8 @@
 	f := nd.fleet
 	f.mu.Lock()
 	target, lost := f.byAddr[to], rand.Float64() < f.loss
-	f.bytes += len(packet)
-	f.packets[nd.id]++
+	f.bytes += len(packet) + 28
+	f.packets++
 	f.mu.Unlock()
 	if len(packet) > 1200 {
 		f.t.Errorf("packet of %d bytes", len(packet))
@@ -206,7 +212,24 @@
 			return none, ctx.Err()
 		}
 	}
-	return do(ctx, req)
+	resp, err := do(ctx, req)
+	if err == nil {
+		c.from.fleet.count(req, resp)
+	}
+	return resp, err
+}
+
+// callOverhead is about what connection, headers and framing add to a call.
+const callOverhead = 800
+
+// count adds the messages of a call.
+func (f *fleet) count(messages ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bytes += callOverhead
+	for _, m := range messages {
+		f.bytes += proto.Size(m.(proto.Message))
+	}
 }
 
 func (c *call) Manifest(ctx context.Context, req *pb.ManifestRequest) (*pb.ManifestResponse, error) {
@@ -345,6 +368,16 @@
 	}
 }
 
+// anySees tells whether a running sync thinks the VM is in the state.
+func (f *fleet) anySees(id string, state pb.VmState) bool {
+	for _, nd := range f.all() {
+		if nd.isRunning() && nd.state(id) == state {
+			return true
+		}
+	}
+	return false
+}
+
 // waitFor lets the bubble's time pass until cond holds and returns how long that took.
 func (f *fleet) waitFor(limit time.Duration, what string, cond func() bool) time.Duration {
 	f.t.Helper()
@@ -365,13 +398,12 @@
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
-	changed  chan struct{}
-	values   map[string]platform.Value
-	down     bool
-	noZones  map[string]bool
-	noVMs    map[string]bool
-	reads    int
-	failures int
+	changed chan struct{}
+	values  map[string]platform.Value
+	down    bool
+	noZones map[string]bool
+	noVMs   map[string]bool
+	reads   int
 }
 
 func newFakePlatform(f *fleet) *fakePlatform {
--- a/scenarios/verbs_load_test.go
+++ b/scenarios/verbs_load_test.go
@@ -25,14 +25,15 @@
 }
 
 // verbLoad is: load NAME [callers=8] [kinds=dawn,roster] [via=vm-1,...] [top_k=0,1,5,30] [texts=0]
-// [timeout=5s] [pause=5ms]. It searches in the background until settle.
+// [timeout=5s] [pause=5ms] [slow=D] [cuts=BYTES] [http1]. It searches in the background until settle.
 func verbLoad(ts *testscript.TestScript, neg bool, args []string) {
 	f := fleetOf(ts)
 	a := parseArguments(args)
 	l := &load{
 		fleet: f, callers: a.number("callers", 8), kinds: strings.Split(a.text("kinds", "dawn,roster"), ","),
 		texts: a.number("texts", 0), timeout: a.duration("timeout", 5*time.Second), pause: a.duration("pause", 5*time.Millisecond),
-		seed: f.seed,
+		seed: f.seed, cuts: a.number("cuts", 0),
+		connection: connection{slow: a.duration("slow", 0), http1: a.flag("http1")},
 	}
 	for _, k := range strings.Split(a.text("top_k", "0,1,5,30"), ",") {
 		n, err := strconv.Atoi(k)
@@ -108,3 +109,26 @@
 	}
 	return nil
 }
+
+// verbAbandoned is: abandoned within=D [port=N]. Every connection that was made silent has been closed by the
+// side that opened it, by the relay's own times within D of its silence.
+func verbAbandoned(ts *testscript.TestScript, neg bool, args []string) {
+	f, a := fleetOf(ts), parseArguments(args)
+	within, port := a.duration("within", 0), a.number("port", 0)
+	ts.Check(a.done(0, 0))
+	if neg || f.relay == nil {
+		ts.Fatalf("want a fleet with a relay")
+	}
+	var longest *link
+	ts.Check(await("silent connections are given up", awaitBound, func() (err error) {
+		longest, err = f.relay.abandoned(port)
+		return err
+	}))
+	if longest == nil {
+		ts.Fatalf("nothing was made silent")
+	}
+	ts.Logf("the longest kept silent connection was %s: %s", longest, longest.kept().Round(time.Millisecond))
+	if longest.kept() > within {
+		ts.Fatalf("want it given up within %s", within)
+	}
+}
