--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
 // inWorld runs a test on fake time against four gathers; the tickets are vm-1's, its witness vm-2.
@@ -330,3 +331,12 @@
 	now = now.Add(2 * time.Hour)
 	is.Equal(e.Since(), time.Hour+3*time.Second)
 }
+
+func TestOwnRefusalOfALeafCallSaysItself(t *testing.T) {
+	is := is.New(t)
+	own := outcome.NotRun(pb.Reason_REASON_QUARANTINED, "gather.quarantine", "refused for its content").After(time.Minute)
+	end := refusedEnd(&upstream.CallError{Leaf: "leaf-0a", Err: own})
+	is.Equal(end.Reason, pb.Reason_REASON_QUARANTINED)
+	is.Equal(end.RetryAfter, time.Minute)
+	is.Equal(end.Peer, "leaf-0a")
+}
