--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -26,7 +26,7 @@
 	// Age is how long crash evidence holds after it arose or the request was last sent.
 	Age settings.Duration `toml:"age"`
 	// Hold is how long a leaf that was lost takes no first run. It should pass the time in which
-	// evidence spreads over the fleet.
+	// evidence spreads over the fleet, and the 300 ms that a gather may need to see a crash.
 	Hold settings.Duration `toml:"hold"`
 	// Remembered is how many proven requests are remembered.
 	Remembered int `toml:"remembered"`
@@ -49,7 +49,7 @@
 	return Settings{
 		FirstRun:   ModeAlways,
 		Age:        settings.Duration(10 * time.Minute),
-		Hold:       settings.Duration(time.Second),
+		Hold:       settings.Duration(1500 * time.Millisecond),
 		Remembered: 65536,
 	}
 }
