--- a/internal/order/attempt.go
+++ b/internal/order/attempt.go
@@ -57,7 +57,9 @@
 		}
 		call.Done(resultOf(ctx, ce))
 		a.tried = append(a.tried, call.Leaf())
-		last = refusedEnd(ce).After(a.m.cfg.RetryAfter)
+		if last = refusedEnd(ce); last.RetryAfter == 0 {
+			last = last.After(a.m.cfg.RetryAfter)
+		}
 		if ce.Refusal == pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED && !a.replicas().AllowRetry(a.place.kind.RetryBudget) {
 			return a.ended(last)
 		}
--- a/internal/order/ends.go
+++ b/internal/order/ends.go
@@ -19,8 +19,12 @@
 	return outcome.Unknown(reason, stepExecute, "the order was sent and not answered, it may have run").At(leaf).Because(err)
 }
 
-// refusedEnd is the end of an order that no replica started.
+// refusedEnd is the end of an order that no replica started. A refusal of this gather's own, such as
+// for its content, says itself what it is.
 func refusedEnd(ce *upstream.CallError) *outcome.Error {
+	if own, ok := outcome.As(ce.Err); ok && own.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN {
+		return own.At(ce.Leaf)
+	}
 	if ce.Wrote {
 		return outcome.NotRun(pb.Reason_REASON_UPSTREAM_REFUSED, stepExecute, "no replica started the order, take a new ticket").At(ce.Leaf)
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -330,3 +330,12 @@
 	now = now.Add(2 * time.Hour)
 	is.Equal(e.Since(), time.Hour+3*time.Second)
 }
+
+func TestOwnRefusalOfALeafCallSaysItself(t *testing.T) {
+	is := is.New(t)
+	own := outcome.NotRun(pb.Reason_REASON_QUARANTINED, "gather.quarantine", "refused for its content").After(time.Minute)
+	end := refusedEnd(&upstream.CallError{Leaf: "leaf-0a", Err: own})
+	is.Equal(end.Reason, pb.Reason_REASON_QUARANTINED)
+	is.Equal(end.RetryAfter, time.Minute)
+	is.Equal(end.Peer, "leaf-0a")
+}
