Clear a request and its leaf as soon as the leaf is seen to have survived

A crash gives a leaf another incarnation. So once a connection that was opened after the last one broke shows the incarnation that had it, the leaf did not crash: the request is cleared and the leaf takes first runs again. The time of the break is noted where the connection is read, before any call learns of it, so that no reconnection can be older than the break it clears.

Ruled out: not to count a break at once, which is what bounds the crashes.

Before: TestBrokenConnectionOfALiveLeafSpeaksAgainstNobody and TestLeafThatSurvivesBrokenConnectionsIsKnown can't be met.

--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
 // inWorld runs a test on fake time against four gathers; the tickets are vm-1's, its witness vm-2.
--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -8,7 +8,7 @@
 
 const (
 	// unsureFor is how long a lost connection may be that of a crash before the leaf's unchanged
-	// incarnation clears the request.
+	// incarnation clears the request, where no new connection has shown it before.
 	unsureFor = time.Second
 	// abandonedFor is how long a request that was given up unanswered may still bring its leaf down.
 	abandonedFor = time.Second
@@ -187,9 +187,17 @@
 	if s.Incarnation != 0 {
 		l.incarnation = s.Incarnation
 	}
+	if survived(l.lostIncarnation, s) {
+		l.lostAt = time.Time{}
+	}
 	l.connected, l.leaving, l.awayAt = true, s.Leaving, time.Time{}
 }
 
+// survived tells whether the incarnation, which lost a connection, has shown itself again since.
+func survived(incarnation uint64, s upstream.State) bool {
+	return incarnation != 0 && s.Incarnation == incarnation && s.Survived
+}
+
 // Enter asks to run an unproven request on the leaf; alone where solo is set. Leave must be called
 // at its end where it returns true.
 func (r *Registry) Enter(id string, solo bool) bool {
@@ -246,6 +254,8 @@
 func (r *Registry) judge(u loss, now time.Time) verdict {
 	s, known := r.states(u.leaf)
 	switch {
+	case survived(u.incarnation, s):
+		return verdictAlive
 	case known && !s.Connected && (s.Leaving || now.Sub(u.seen) > awayFor):
 		return verdictCrash
 	case u.incarnation != 0 && s.Incarnation != 0 && s.Incarnation != u.incarnation:
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -145,6 +145,26 @@
 	}
 }
 
+// TestBrokenConnectionOfALiveLeafSpeaksAgainstNobody: as soon as the incarnation that lost a
+// connection answers on a new one, the request is cleared and the leaf takes first runs again.
+func TestBrokenConnectionOfALiveLeafSpeaksAgainstNobody(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	for _, leaf := range []string{"a", "b"} {
+		b.LostUnproven(bad.Digest, leaf, 1, true)
+	}
+	is.Equal(b.stands(bad), Doubted)
+	is.Equal(b.Place("a", 99), PlaceHeld)
+	for _, leaf := range []string{"a", "b"} {
+		b.leaves[leaf] = upstream.State{Leaf: leaf, Incarnation: 1, Connected: true, Survived: true}
+	}
+	b.pass(settleEvery)
+	b.Settle()
+	is.Equal(b.stands(bad), FirstRun)
+	is.Equal(b.Place("a", 99), PlaceFree)
+	is.Equal(len(b.told), 0)
+}
+
 func TestHeldLeaves(t *testing.T) {
 	const other = 99
 	hold := DefaultSettings().Hold.D()
--- a/internal/upstream/fake_test.go
+++ b/internal/upstream/fake_test.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// breakAll breaks the connections open now; the leaf lives on.
+func (f *fakeLeaf) breakAll() {
+	f.mu.Lock()
+	pipes := append([]*fakePipe(nil), f.pipes...)
+	f.mu.Unlock()
+	for _, p := range pipes {
+		_ = p.Close()
+	}
+}
+
 func (f *fakeLeaf) open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -52,6 +52,8 @@
 	backoff backoff
 	// recoverBy is until when a connection that went silent may take to be replaced.
 	recoverBy time.Time
+	// brokeAt is when a connection broke last, zero where none has.
+	brokeAt time.Time
 	// polling is true while the status is asked for; pollAt is when it will be next.
 	polling bool
 	pollAt  time.Time
@@ -164,6 +166,9 @@
 			c.departed = true
 			l.departs(c.incarnation, pb.DepartureSource_DEPARTURE_SOURCE_GOAWAY)
 		}
+		if at, broke := c.wire.broke(); broke && at.After(l.brokeAt) {
+			l.brokeAt = at
+		}
 		switch {
 		case c.fate != fateNone:
 		case c.wire.lost.Load():
@@ -249,6 +254,7 @@
 	s := State{
 		Leaf: l.id, Incarnation: l.presence.incarnation, Leaving: l.isLeaving(),
 		Snapshots: append([]uint64(nil), l.snapshots...), Slots: l.slots,
+		Survived: !l.brokeAt.IsZero() && l.presence.shown.After(l.brokeAt),
 	}
 	for _, c := range l.conns {
 		s.Connected = s.Connected || c.usable()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -167,6 +167,27 @@
 	})
 }
 
+// A leaf whose connections break while it lives on is known to have survived as soon as one is open
+// again; one that comes back as another incarnation isn't the one that was lost.
+func TestLeafThatSurvivesBrokenConnectionsIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		s, _ := p.State(testLeaf)
+		is.True(!s.Survived)
+		f.breakAll()
+		synctest.Wait()
+		s, _ = p.State(testLeaf)
+		is.True(!s.Survived)
+		settle()
+		s, _ = p.State(testLeaf)
+		is.True(s.Survived)
+		is.Equal(s.Incarnation, uint64(1))
+	})
+}
+
 func second[T any](_ T, err error) error { return err }
 
 func TestDeadlineAndCancelReachTheLeaf(t *testing.T) {
--- a/internal/upstream/presence.go
+++ b/internal/upstream/presence.go
@@ -28,6 +28,8 @@
 	incarnation uint64
 	// learned is when the first connection to the current incarnation was opened.
 	learned time.Time
+	// shown is when the newest connection was opened on which the current incarnation answered.
+	shown time.Time
 	// replaced is true once an incarnation was seen to follow another.
 	replaced bool
 	// accepted is when the newest connection was opened whose status was not draining.
@@ -64,6 +66,9 @@
 // than the current one.
 func (p *presence) connected(incarnation uint64, opened time.Time) bool {
 	if incarnation == 0 || incarnation == p.incarnation {
+		if incarnation != 0 && opened.After(p.shown) {
+			p.shown = opened
+		}
 		p.accept(opened)
 		return true
 	}
@@ -74,7 +79,7 @@
 		p.replaced = true
 		p.listed = false
 	}
-	p.incarnation, p.learned = incarnation, opened
+	p.incarnation, p.learned, p.shown = incarnation, opened, opened
 	p.accept(opened)
 	return true
 }
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -17,6 +17,8 @@
 	wake func()
 
 	lastRead atomic.Int64
+	// lostAt is when lost was set.
+	lostAt atomic.Int64
 	// closing is set before this side closes the connection.
 	closing atomic.Bool
 	// lost is set where reading or writing failed though this side did not close.
@@ -42,9 +44,8 @@
 			w.noteGoAway(code)
 		}
 	}
-	if err != nil && !w.closing.Load() {
-		w.lost.Store(true)
-		w.wake()
+	if err != nil {
+		w.noteLost()
 	}
 	return n, err
 }
@@ -52,13 +53,22 @@
 // Write implements net.Conn.
 func (w *wire) Write(b []byte) (int, error) {
 	n, err := w.Conn.Write(b)
-	if err != nil && !w.closing.Load() {
-		w.lost.Store(true)
-		w.wake()
+	if err != nil {
+		w.noteLost()
 	}
 	return n, err
 }
 
+// noteLost notes that the connection broke, unless this side has closed it.
+func (w *wire) noteLost() {
+	if w.closing.Load() || w.lost.Load() {
+		return
+	}
+	w.lostAt.Store(int64(time.Since(w.epoch)))
+	w.lost.Store(true)
+	w.wake()
+}
+
 // Close implements net.Conn. The HTTP/2 client closes a connection for itself after a GOAWAY or a
 // breach of the protocol.
 func (w *wire) Close() error {
@@ -79,6 +89,14 @@
 // heard returns when a byte last came.
 func (w *wire) heard() time.Time { return w.epoch.Add(time.Duration(w.lastRead.Load())) }
 
+// broke returns when the connection broke, and whether it did.
+func (w *wire) broke() (time.Time, bool) {
+	if !w.lost.Load() {
+		return time.Time{}, false
+	}
+	return w.epoch.Add(time.Duration(w.lostAt.Load())), true
+}
+
 // crashed tells whether the peer ended the connection without having announced it.
 func (w *wire) crashed() bool { return w.lost.Load() && !w.leaving.Load() && !w.failed.Load() }
 
