Wait for late answers to orders, and retry telling their witnesses

Ruled out: sending the order again or asking another leaf, which breaks at most once; asking the leaf what became of the order, which upstreams don't promise; a cancelling context for each search to end it at the silence of its connection, as the HTTP/2 client can watch a channel of the connection for less.

Change: the leaf is told the order's deadline, its answer is waited for 5 s more; a silent connection ends its searches at once, stays for its orders, out of use, and makes room for a new one; outcomes are told to the witness again while their records are kept; a gather has ended only where another incarnation or its own word says so, or where no list names its VM. Callers are asked to come back until the record would be forgotten.

--- a/internal/order/attempt.go
+++ b/internal/order/attempt.go
@@ -23,6 +23,8 @@
 	order *pb.OrderRequest
 	who   *pb.Identity
 	place *place
+	// linger ends when the answer of the leaf is no longer waited for.
+	linger context.Context
 	// tried are the leaves that surely did not start the order.
 	tried []string
 	// noted is true once the intent may be noted at the witness, asked when it was last asked.
@@ -46,14 +48,14 @@
 			call.Done(balance.ResultCancelled)
 			return stop
 		}
-		resp, err := a.m.leaves.Execute(ctx, call.Leaf(), a.request())
+		resp, err := a.execute(ctx, call)
 		if err == nil {
 			return a.answered(call, resp)
 		}
 		var ce *upstream.CallError
 		if !errors.As(err, &ce) || !ce.NotStarted() {
 			call.Done(resultOf(ctx, ce))
-			return a.ended(unknownEnd(ctx, call.Leaf(), err))
+			return a.ended(unknownEnd(a.linger, call.Leaf(), err))
 		}
 		call.Done(resultOf(ctx, ce))
 		a.tried = append(a.tried, call.Leaf())
@@ -64,6 +66,18 @@
 	}
 }
 
+// execute writes the order to the leaf. The leaf has until the end of ctx; its answer is waited for
+// beyond, while the leaf's load counts it as over.
+func (a *attempt) execute(ctx context.Context, call balance.Call) (*pb.LeafExecuteResponse, error) {
+	over := context.AfterFunc(ctx, func() { call.Done(balance.ResultTimeout) })
+	defer over()
+	wait := a.linger
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = upstream.WithWorkDeadline(wait, deadline)
+	}
+	return a.m.leaves.Execute(wait, call.Leaf(), a.request())
+}
+
 func (a *attempt) replicas() balance.Replicas { return a.m.replicas(a.t.Service) }
 
 // pick takes a slot at a replica that was not tried, waiting a little for one. Where none is left
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -39,6 +39,8 @@
 	// PickWait is how long an order waits for a free slot at a leaf, and PickEvery how often it
 	// looks.
 	PickWait, PickEvery time.Duration
+	// Linger is how long after an order's deadline the leaf's answer is still waited for.
+	Linger time.Duration
 	// AvoidWitness is how long a witness that failed is not picked for new tickets.
 	AvoidWitness time.Duration
 	// RetryAfter is when a caller should come back for an order that is still running, or after a
@@ -67,6 +69,7 @@
 		NoteTimeout:  250 * time.Millisecond,
 		PickWait:     100 * time.Millisecond,
 		PickEvery:    2 * time.Millisecond,
+		Linger:       5 * time.Second,
 		AvoidWitness: 5 * time.Second,
 		RetryAfter:   200 * time.Millisecond,
 		NoteLimit:    100_000,
@@ -140,7 +143,7 @@
 		witnesses: newWitnesses(o.Config.AvoidWitness, o.Now, o.Random),
 		witness:   newWitness(o.Config, o.Incarnation, clock),
 		archive:   newArchive(o.Config, clock),
-		resolver:  NewResolver(o.Config, o.Source, o.Peers),
+		resolver:  NewResolver(o.Config, o.Source, o.Peers, o.Now),
 		outcomes:  make(chan settled, spreadQueue),
 	}
 	m.metrics = newMetrics(o.Registry, m)
--- a/internal/order/peers.go
+++ b/internal/order/peers.go
@@ -77,6 +77,13 @@
 		gatherOf(vm).GetState() == pb.ProcessState_PROCESS_STATE_READY
 }
 
+// ended tells whether the view shows that an incarnation of the VM's gather has ended: another one
+// took its place, or the VM says so. That other VMs can't reach the VM doesn't show it.
+func ended(vm *pb.Vm, incarnation uint64) bool {
+	p := gatherOf(vm)
+	return p != nil && (p.GetIncarnation() != incarnation || p.GetState() == pb.ProcessState_PROCESS_STATE_GONE)
+}
+
 // gatherGone tells whether the VM or its gather has ended by the view.
 func gatherGone(vm *pb.Vm) bool {
 	return vm.GetState() == pb.VmState_VM_STATE_GONE ||
--- a/internal/order/place.go
+++ b/internal/order/place.go
@@ -24,11 +24,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.kind.Timeout)
 	defer cancel()
-	a := &attempt{m: m, t: t, e: e, order: order, who: who, place: p}
+	linger, stop := context.WithTimeout(context.Background(), p.kind.Timeout+m.cfg.Linger)
+	defer stop()
+	a := &attempt{m: m, t: t, e: e, order: order, who: who, place: p, linger: linger}
 	record := a.do(ctx)
 	m.finish(t, e, record)
 	if a.noted {
-		m.spread(settled{identity{t.WitnessVM, t.WitnessIncarnation}, record})
+		m.spread(identity{t.WitnessVM, t.WitnessIncarnation}, record)
 	}
 }
 
--- a/internal/order/resolver.go
+++ b/internal/order/resolver.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/ticket"
@@ -19,11 +20,12 @@
 	cfg    Config
 	source feed.Source
 	peers  Peers
+	now    balance.Clock
 }
 
-// NewResolver returns a resolver over the view.
-func NewResolver(cfg Config, source feed.Source, peers Peers) *Resolver {
-	return &Resolver{cfg: cfg, source: source, peers: peers}
+// NewResolver returns a resolver over the view. The clock is time.Now in the running process.
+func NewResolver(cfg Config, source feed.Source, peers Peers, now balance.Clock) *Resolver {
+	return &Resolver{cfg: cfg, source: source, peers: peers, now: now}
 }
 
 // Resolve returns the recorded answer of the ticket's order, or how it ended as an *outcome.Error:
@@ -92,7 +94,11 @@
 // askWitness asks the witness in the incarnation that the ticket names.
 func (q *query) askWitness(ctx context.Context, gone bool) *pb.ResolveResponse {
 	vm := findVM(q.view, q.t.WitnessVM)
-	if !q.t.HasWitness() || vm == nil || gatherGone(vm) || gatherOf(vm).GetIncarnation() != q.t.WitnessIncarnation {
+	if !q.t.HasWitness() || vm == nil || ended(vm, q.t.WitnessIncarnation) {
+		return notKnown()
+	}
+	if vm.GetState() == pb.VmState_VM_STATE_GONE {
+		q.missed = true // on the other side of a cut, perhaps
 		return notKnown()
 	}
 	req := q.request()
@@ -144,7 +150,7 @@
 
 // undecided is unknown: for good where neither gather nor witness will ever tell.
 func (q *query) undecided(s pb.TicketState) *outcome.Error {
-	if !q.gone || q.missed {
+	if (!q.gone || q.missed) && !q.forgotten() {
 		return outcome.Unknown(pb.Reason_REASON_UNREACHABLE, stepResolve,
 			"the ticket's gather can't be asked now, come back with the same ticket").At(q.t.VM).After(q.r.cfg.RetryAfter)
 	}
@@ -159,13 +165,19 @@
 	return r.GetState() == pb.TicketState_TICKET_STATE_DONE || r.GetState() == pb.TicketState_TICKET_STATE_SEALED
 }
 
+// forgotten tells whether the minting gather would no longer hold the ticket's record. It only
+// bounds how long callers are asked to come back; clocks may differ.
+func (q *query) forgotten() bool {
+	return q.r.now().After(q.t.Expires.Add(q.r.cfg.KeepAfter))
+}
+
 // minterGone tells whether the view shows that the minting incarnation has ended. A VM that is on
-// no list any more counts as gone, for addresses and VMs are replaced at any time.
+// no list any more counts as gone, for addresses and VMs are replaced at any time. One that is
+// listed and can't be reached may be on the other side of a cut, and answer after it.
 func minterGone(v *feed.View, t *ticket.Ticket) bool {
 	vm := findVM(v, t.VM)
 	if vm == nil {
 		return len(v.VMs) > 0
 	}
-	p := gatherOf(vm)
-	return gatherGone(vm) || p != nil && p.GetIncarnation() != t.Incarnation
+	return ended(vm, t.Incarnation)
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -38,12 +38,14 @@
 // Execute implements Caller. A connection that was not heard of lately is pinged first, so that an
 // order is hardly ever written to a connection gone silent, which would leave its outcome unknown.
 func (p *Pool) Execute(ctx context.Context, id string, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
-	l, c, err := p.beginProven(ctx, id)
+	deadline := workDeadline(ctx)
+	l, c, err := p.beginProven(ctx, id, deadline)
 	if err != nil {
 		return nil, err
 	}
-	defer l.release(c)
+	defer l.releaseOrder(c)
 	xctx, x := withExchange(ctx, c)
+	x.order, x.deadline = true, deadline
 	res, rerr := l.client.Execute(xctx, req)
 	if rerr != nil {
 		return nil, l.failed(ctx, x, methodExecute, rerr)
@@ -66,15 +68,21 @@
 	return l, c, nil
 }
 
-// beginProven is begin with a connection that has just shown life. Nothing of the call is sent
-// while connections are tried.
-func (p *Pool) beginProven(ctx context.Context, id string) (*leaf, *conn, error) {
+// beginProven is begin with a connection that has just shown life, on which an order is counted.
+// Nothing of the call is sent while connections are tried, and none is tried past the deadline.
+func (p *Pool) beginProven(ctx context.Context, id string, deadline time.Time) (*leaf, *conn, error) {
+	if !deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
 	for range maxProbes {
 		l, c, err := p.begin(ctx, id, methodExecute)
 		if err != nil {
 			return nil, nil, err
 		}
-		if time.Since(c.wire.heard()) < freshEnough || c.probe(ctx) {
+		proven := time.Since(c.wire.heard()) < freshEnough || c.probe(ctx)
+		if proven && ctx.Err() == nil && l.beginOrder(c) {
 			return l, c, nil
 		}
 		l.release(c)
@@ -91,7 +99,7 @@
 	e := &CallError{Leaf: l.id, Wrote: !x.notSent(), Err: err}
 	l.mu.Lock()
 	e.Incarnation = x.conn.incarnation
-	silent := x.conn.fate == fateSilent
+	silent := x.conn.silenced
 	l.mu.Unlock()
 	switch refusal := refusalOf(err); {
 	case refusal != nil:
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -49,6 +49,8 @@
 	// incarnation that answered on it, 0 where it did not say.
 	incarnation uint64
 	inFlight    int
+	// orders is how many of the calls in flight are orders.
+	orders int
 	// asked is when the first call after the last byte heard was sent.
 	asked   time.Time
 	pinging bool
@@ -56,6 +58,9 @@
 	doubted time.Time
 	// fate is set once; no call is sent from then on.
 	fate fate
+	// silenced is true once the connection gave no sign of life; silent is closed then.
+	silenced bool
+	silent   chan struct{}
 	// departed is true once a GOAWAY on it was taken in as evidence.
 	departed bool
 }
--- a/internal/upstream/fake_test.go
+++ b/internal/upstream/fake_test.go
@@ -125,6 +125,17 @@
 	}
 }
 
+// pauseAll holds what the leaf writes on the connections open now until the function is called.
+func (f *fakeLeaf) pauseAll() (resume func()) {
+	over := make(chan struct{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.pipes {
+		p.paused.Store(&over)
+	}
+	return func() { close(over) }
+}
+
 func (f *fakeLeaf) open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -136,6 +147,8 @@
 	net.Conn
 	leaf   *fakeLeaf
 	silent atomic.Bool
+	// paused holds what the leaf writes until the channel is closed; nil holds nothing.
+	paused atomic.Pointer[chan struct{}]
 }
 
 func (p *fakePipe) Read(b []byte) (int, error) {
@@ -148,6 +161,9 @@
 }
 
 func (p *fakePipe) Write(b []byte) (int, error) {
+	if c := p.paused.Load(); c != nil {
+		<-*c
+	}
 	if p.silent.Load() {
 		return len(b), nil
 	}
--- a/internal/upstream/gate.go
+++ b/internal/upstream/gate.go
@@ -5,9 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
+	"time"
 )
 
+// headerTimeout tells a leaf, in milliseconds, how long it may work on a call (the header of the
+// Connect protocol).
+const headerTimeout = "Connect-Timeout-Ms"
+
 // errSealed ends the sending of a request that was given up before its message was read.
 var errSealed = errors.New("request given up before it was sent")
 
@@ -44,6 +50,10 @@
 type exchange struct {
 	conn *conn
 	gate *gate
+	// order is true for an order, which outlives the silence of its connection.
+	order bool
+	// deadline is what the leaf is told where it isn't the context's; zero where it is.
+	deadline time.Time
 	// err is how the HTTP/2 client failed, nil where an answer began.
 	err error
 }
@@ -72,6 +82,13 @@
 	}
 	x.gate = &gate{ReadCloser: req.Body}
 	req.Body, req.GetBody = x.gate, nil
+	if !x.order {
+		endAtSilence(req, x.conn)
+	}
+	if !x.deadline.IsZero() {
+		left := max(1, time.Until(x.deadline).Milliseconds())
+		req.Header.Set(headerTimeout, strconv.FormatInt(left, 10))
+	}
 	res, err := x.conn.h2.RoundTrip(req)
 	x.err = err
 	return res, err
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -139,6 +139,25 @@
 	}
 }
 
+// beginOrder counts an order on a connection that was begun; false where it went out of use.
+func (l *leaf) beginOrder(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.usable() {
+		return false
+	}
+	c.orders++
+	return true
+}
+
+// releaseOrder ends an order on the connection.
+func (l *leaf) releaseOrder(c *conn) {
+	l.mu.Lock()
+	c.orders--
+	l.mu.Unlock()
+	l.release(c)
+}
+
 func (l *leaf) isLeaving() bool {
 	return l.presence.leaving() != pb.DepartureSource_DEPARTURE_SOURCE_UNSPECIFIED
 }
@@ -176,11 +195,20 @@
 	l.pool.metrics.closed.WithLabelValues(l.service, string(why)).Inc()
 }
 
-// silence takes a connection out of use that gave no sign of life, and ends its calls. What cut it
-// may have cut the others as well: they are pinged, and take no call before they are heard of.
+// silence takes a connection out of use that gave no sign of life, and ends its searches. Orders
+// stay: they can't be sent again, and where the leaf was only paused or cut off their answers still
+// come. What cut the connection may have cut the others as well: they are pinged, and take no call
+// before they are heard of.
 func (l *leaf) silence(c *conn) {
 	l.mu.Lock()
+	if c.silenced {
+		l.mu.Unlock()
+		return
+	}
+	c.silenced = true
+	close(c.silent)
 	l.retire(c, fateSilent)
+	keep := c.orders > 0
 	now := time.Now()
 	for _, other := range l.conns {
 		if other.fate == fateNone {
@@ -188,7 +216,9 @@
 		}
 	}
 	l.mu.Unlock()
-	_ = c.h2.Close()
+	if !keep {
+		_ = c.h2.Close()
+	}
 	l.pool.wakeUp()
 }
 
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -98,7 +98,7 @@
 		_ = w.Close()
 		return nil, nil, eris.Wrapf(err, "gather.upstream: start HTTP/2 with %s", l.id)
 	}
-	c := &conn{leaf: l, wire: w, h2: h2, opened: opened}
+	c := &conn{leaf: l, wire: w, h2: h2, opened: opened, silent: make(chan struct{})}
 	st, err := l.askStatus(ctx, c)
 	if err == nil && st.GetLeaf() != "" && st.GetLeaf() != l.id {
 		err = eris.Errorf("gather.upstream: %s answers as %s", l.id, st.GetLeaf())
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -118,6 +118,66 @@
 	})
 }
 
+// An order can't be sent again: closing its silent connection would make its end unknown for good,
+// though the leaf was only paused.
+func TestOrderOutlivesThePauseOfItsLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		f.setAnswer(func(context.Context) error { time.Sleep(100 * time.Millisecond); return nil })
+		order := make(chan error, 2)
+		for range cap(order) { // one on each connection
+			go func() {
+				_, err := p.Execute(t.Context(), testLeaf, &pb.LeafExecuteRequest{Ticket: "t"})
+				order <- err
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(20 * time.Millisecond)
+		resume := f.pauseAll()
+		start := time.Now()
+		_, err := search(t.Context(), p)
+		is.True(callFailure(err).ConnectionSilent) // a search ends, to be sent again elsewhere
+		is.True(time.Since(start) < time.Second)
+		time.Sleep(time.Second)
+		f.setAnswer(func(context.Context) error { return nil })
+		_, err = search(t.Context(), p) // over a fresh connection beside the silent ones
+		is.NoErr(err)
+		resume()
+		for range cap(order) {
+			is.NoErr(<-order)
+		}
+		settle()
+		is.Equal(f.executions.Load(), int64(2))
+		is.Equal(f.open(), 2) // the silent ones are closed once their orders have ended
+	})
+}
+
+func TestOrderIsNotWrittenPastItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		settle()
+		told := make(chan time.Duration, 1)
+		f.setAnswer(func(ctx context.Context) error {
+			deadline, _ := ctx.Deadline()
+			told <- time.Until(deadline)
+			time.Sleep(2 * time.Second)
+			return nil
+		})
+		ctx := WithWorkDeadline(t.Context(), time.Now().Add(time.Second))
+		_, err := p.Execute(ctx, testLeaf, &pb.LeafExecuteRequest{Ticket: "t"})
+		is.NoErr(err) // a late answer is taken
+		is.Equal((<-told).Round(10*time.Millisecond), time.Second)
+		_, err = p.Execute(ctx, testLeaf, &pb.LeafExecuteRequest{Ticket: "u"})
+		is.True(callFailure(err).NotStarted())
+		is.Equal(f.executions.Load(), int64(1))
+	})
+}
+
 func TestConnectionLostNamesTheIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/upstream/tend.go
+++ b/internal/upstream/tend.go
@@ -66,7 +66,7 @@
 
 // checkQuiet pings a connection that owes a sign of life. Requires mu.
 func (l *leaf) checkQuiet(c *conn, now time.Time) {
-	if c.pinging || c.wire.closing.Load() || c.wire.lost.Load() {
+	if c.pinging || c.silenced || c.wire.closing.Load() || c.wire.lost.Load() {
 		return
 	}
 	quiet, limit := c.quietFor(now)
@@ -85,11 +85,12 @@
 }
 
 // live is the number of connections that the leaf may still count: all but those that this side has
-// closed or the peer has. Requires mu.
+// closed or the peer has. A silent one that is kept for its orders makes room for a new one, as if
+// it was closed. Requires mu.
 func (l *leaf) live() int {
 	n := 0
 	for _, c := range l.conns {
-		if !c.wire.closing.Load() && !c.wire.lost.Load() {
+		if !c.silenced && !c.wire.closing.Load() && !c.wire.lost.Load() {
 			n++
 		}
 	}
