--- a/scenarios/history_order_test.go
+++ b/scenarios/history_order_test.go
@@ -212,7 +212,6 @@
 	ticketOutput struct {
 		// reply of a send, nil for the audit of the leaves' journals at the end.
 		reply      *reply
-		result     string
 		executions int
 	}
 )
--- a/scenarios/unknown_share_test.go
+++ b/scenarios/unknown_share_test.go
@@ -123,7 +123,7 @@
 	is := is.New(t)
 	l := defaultLayout()
 	l.Relay, l.VMs, l.Zones, l.Shards, l.Replicas = true, 4, 2, 2, 2
-	l.ServiceTime = 20 * time.Millisecond
+	l.ServiceTime = 60 * time.Millisecond
 	f := startFleet(t, l)
 	for _, c := range unknownCases() {
 		h := &orderHistory{start: time.Now()}
