--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -143,7 +143,7 @@
 		witnesses: newWitnesses(o.Config.AvoidWitness, o.Now, o.Random),
 		witness:   newWitness(o.Config, o.Incarnation, clock),
 		archive:   newArchive(o.Config, clock),
-		resolver:  NewResolver(o.Config, o.Source, o.Peers, o.Now),
+		resolver:  NewResolver(o.Config, o.Source, o.Peers),
 		outcomes:  make(chan settled, spreadQueue),
 	}
 	m.metrics = newMetrics(o.Registry, m)
--- /dev/null
+++ b/internal/order/world_test.go
@@ -0,0 +1,349 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/balance"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/feed"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// The steps at which a fault may be armed. A fault strikes the next call of its step.
+const (
+	atNote     = "note"
+	atHandover = "handover"
+	atResolve  = "resolve"
+	atOrder    = "order"
+	atExecute  = "execute"
+)
+
+// fault is what befalls one call.
+type fault struct {
+	dropRequest, dropResponse bool
+	delay                     time.Duration
+	// before and after strike the sender, before it sends and after it has the answer.
+	before, after strike
+	// notWritten, broken and refusal are ways a call to a leaf fails; a broken one runs all the same.
+	notWritten, broken bool
+	refusal            pb.LeafRefusalReason
+	// mismatch makes the leaf answer another order.
+	mismatch bool
+}
+
+type strike int
+
+const (
+	strikeNone strike = iota
+	strikeFreeze
+	strikeKill
+)
+
+// world is some gathers, the leaves and the network between them, on fake time. An order is told
+// apart by its ticket at the leaves.
+type world struct {
+	cfg Config
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	nodes           map[string]*node
+	lastIncarnation uint64
+	cut             map[[2]string]bool
+	armed           map[string][]fault
+	// believed is the view that all processes have; it changes by news and rumours only.
+	believed map[string]*pb.Vm
+	runs     map[string]int
+}
+
+// node is one incarnation of a VM's gather.
+type node struct {
+	w           *world
+	id, zone    string
+	incarnation uint64
+	m           *Manager
+	cancel      context.CancelFunc
+	// All below is guarded by w.mu. thawed is nil while the node runs, frozeAt when it froze, lag how
+	// far its clocks are behind.
+	dead, draining bool
+	thawed         chan struct{}
+	frozeAt        time.Time
+	lag            time.Duration
+	// pauseSeen is when the node last saw a pause of its own end.
+	pauseSeen time.Time
+	// full and leaving are what leaves look like to the node; set before it runs orders.
+	full    bool
+	leaving map[string]bool
+	balance.Replicas
+}
+
+func newWorld(cfg Config, zones map[string]string) *world {
+	w := &world{
+		cfg: cfg, nodes: make(map[string]*node), cut: make(map[[2]string]bool),
+		armed: make(map[string][]fault), believed: make(map[string]*pb.Vm), runs: make(map[string]int),
+	}
+	for id, zone := range zones {
+		w.start(id, zone)
+	}
+	w.news()
+	return w
+}
+
+// start boots a new incarnation of the VM's gather.
+func (w *world) start(id, zone string) {
+	w.mu.Lock()
+	w.lastIncarnation++
+	n := &node{w: w, id: id, zone: zone, incarnation: w.lastIncarnation}
+	w.nodes[id] = n
+	w.mu.Unlock()
+	n.m = New(Options{
+		Config: w.cfg, VM: id, Incarnation: n.incarnation, Source: n, Leaves: n, Peers: netPeers{w, n}, Pauses: n,
+		Replicas: func(string) balance.Replicas { return n },
+		Registry: prometheus.NewRegistry(), Log: zap.NewNop(), Now: n.now, Random: func() float64 { return 0.5 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() { _ = n.m.Run(ctx) }()
+}
+
+func (w *world) node(id string) *node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[id]
+}
+
+func (w *world) freeze(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n.thawed == nil && !n.dead {
+		n.thawed, n.frozeAt = make(chan struct{}), time.Now()
+	}
+}
+
+// thawUnaware wakes a node whose clocks stood still while it was frozen, so that it sees no pause.
+func (w *world) thawUnaware(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n.thawed != nil {
+		n.lag += time.Since(n.frozeAt)
+	}
+	n.wake()
+}
+
+// now is the node's clock.
+func (n *node) now() time.Time {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return time.Now().Add(-n.lag)
+}
+
+func (w *world) thaw(n *node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n.thawed != nil {
+		n.pauseSeen = time.Now().Add(-n.lag)
+	}
+	n.wake()
+}
+
+// wake needs w.mu.
+func (n *node) wake() {
+	if n.thawed != nil {
+		close(n.thawed)
+		n.thawed = nil
+	}
+}
+
+func (w *world) kill(n *node) {
+	w.mu.Lock()
+	n.dead = true
+	w.mu.Unlock()
+	n.cancel()
+	w.thaw(n)
+}
+
+// leave drains the node within the limit and ends its process.
+func (w *world) leave(n *node, limit time.Duration) {
+	w.mu.Lock()
+	n.draining = true
+	w.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		n.m.Drain(ctx)
+		w.kill(n)
+	}()
+}
+
+func (w *world) strike(n *node, s strike) {
+	switch {
+	case n == nil:
+	case s == strikeFreeze:
+		w.freeze(n)
+	case s == strikeKill:
+		w.kill(n)
+	}
+}
+
+// alive waits while the node is frozen and tells whether it lives. Each step of a node passes here.
+func (n *node) alive() bool {
+	if n == nil {
+		return true
+	}
+	for {
+		n.w.mu.Lock()
+		dead, thawed := n.dead, n.thawed
+		n.w.mu.Unlock()
+		if dead || thawed == nil {
+			return !dead
+		}
+		<-thawed
+	}
+}
+
+// Search and State implement upstream.Caller.
+func (n *node) Search(context.Context, string, *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	panic("no search in these tests")
+}
+
+func (n *node) State(leaf string) (upstream.State, bool) {
+	n.alive()
+	return upstream.State{Leaf: leaf, Connected: true, Leaving: n.leaving[leaf]}, true
+}
+
+// Pick and AllowRetry implement balance.Replicas.
+func (n *node) Pick(candidates []string) (balance.Call, bool) {
+	n.alive()
+	return fakeCall(candidates[0]), !n.full
+}
+
+type fakeCall string
+
+func (c fakeCall) Leaf() string        { return string(c) }
+func (c fakeCall) Done(balance.Result) {}
+
+// AllowRetry has no budget.
+func (n *node) AllowRetry(float64) bool { return false }
+
+// LastPause implements Pauses.
+func (n *node) LastPause(time.Time) time.Time {
+	n.alive()
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.pauseSeen
+}
+
+// Current, Changed and Fresh implement feed.Source.
+func (n *node) Current() *feed.View {
+	n.alive()
+	return n.w.view(n.id, n.zone)
+}
+
+func (n *node) Changed() <-chan struct{} { return nil }
+func (n *node) Fresh() bool              { return true }
+
+// entrySource is the feed.Source of an entry.
+type entrySource struct{ w *world }
+
+func (e entrySource) Current() *feed.View      { return e.w.view("entry", "az-1") }
+func (e entrySource) Changed() <-chan struct{} { return nil }
+func (e entrySource) Fresh() bool              { return true }
+
+func (w *world) view(id, zone string) *feed.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := &feed.View{VM: id, Zone: zone, Bundle: testBundle()}
+	for _, id := range slices.Sorted(maps.Keys(w.believed)) {
+		v.VMs = append(v.VMs, w.believed[id])
+	}
+	return v
+}
+
+// truth is what is the case with the VM. Needs mu.
+func (w *world) truth(n *node) *pb.Vm {
+	vm := gatherVM(n.id, n.zone, n.incarnation)
+	switch {
+	case n.dead: // the sync of the VM tells
+		vm.Processes[0].State = pb.ProcessState_PROCESS_STATE_GONE
+	case n.draining:
+		vm.Processes[0].State = pb.ProcessState_PROCESS_STATE_DRAINING
+	}
+	return vm
+}
+
+// news makes everyone believe what is the case.
+func (w *world) news() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, n := range w.nodes {
+		w.believed[id] = w.truth(n)
+	}
+}
+
+// rumour makes everyone believe a state of a VM, true or not.
+func (w *world) rumour(id string, s pb.VmState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.believed[id]
+	w.believed[id] = &pb.Vm{Id: old.Id, Zone: old.Zone, State: s, Processes: old.Processes}
+}
+
+// rumourEnded makes everyone believe that the gather of a VM has ended, true or not.
+func (w *world) rumourEnded(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.believed[id]
+	ended := gatherVM(old.Id, old.Zone, gatherOf(old).GetIncarnation())
+	ended.Processes[0].State = pb.ProcessState_PROCESS_STATE_GONE
+	w.believed[id] = ended
+}
+
+// viewTrue tells whether all that is believed is the case.
+func (w *world) viewTrue() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, n := range w.nodes {
+		if fmt.Sprint(w.believed[id]) != fmt.Sprint(w.truth(n)) {
+			return false
+		}
+	}
+	return true
+}
+
+const testTimeout = time.Second
+
+func testBundle() *bundle.Bundle {
+	book := &bundle.Kind{Name: "book", Mode: bundle.ModeOrder, Timeout: testTimeout}
+	dawn := &bundle.Kind{Name: "dawn", Mode: bundle.ModeSearch, Timeout: testTimeout}
+	return &bundle.Bundle{Version: 5, Services: map[string]*bundle.Service{
+		"teachers": {
+			Name:  "teachers",
+			Kinds: map[string]*bundle.Kind{"book": book, "dawn": dawn},
+			Snapshots: []*bundle.Snapshot{{Version: 2, Shards: []bundle.Shard{
+				{ID: 0, Leaves: []string{"leaf-0a", "leaf-0b"}},
+				{ID: 1, Leaves: []string{"leaf-1a", "leaf-1b"}},
+			}}},
+		},
+	}}
+}
+
+func gatherVM(id, zone string, incarnation uint64) *pb.Vm {
+	return &pb.Vm{Id: id, Zone: zone, State: pb.VmState_VM_STATE_LIVE, Processes: []*pb.Process{{
+		Role: pb.ProcessRole_PROCESS_ROLE_GATHER, Incarnation: incarnation, State: pb.ProcessState_PROCESS_STATE_READY,
+	}}}
+}
+
+func orderRequest(ticket, payload string) *pb.GatherOrderRequest {
+	return &pb.GatherOrderRequest{
+		Identity: &pb.Identity{RequestId: "r", Caller: "desk"},
+		Order:    &pb.OrderRequest{Ticket: ticket, Service: "teachers", Kind: "book", Key: "k", Payload: payload},
+	}
+}
--- a/internal/quarantine/settings.go
+++ b/internal/quarantine/settings.go
@@ -33,8 +33,11 @@
 }
 
 const (
-	// crashesToQuarantine is at how many distinct crashes a request is refused.
+	// crashesToQuarantine is at how many distinct crashes a request is refused, unless another
+	// request explains them.
 	crashesToQuarantine = 2
+	// doubtFor is how long after a second crash evidence against another request is waited for.
+	doubtFor = 300 * time.Millisecond
 	// maxSuspects bounds the requests that crash evidence is kept of.
 	maxSuspects = 4096
 	// maxEvidence bounds the crashes kept of one request.
@@ -46,7 +49,7 @@
 	return Settings{
 		FirstRun:   ModeAlways,
 		Age:        settings.Duration(10 * time.Minute),
-		Hold:       settings.Duration(3 * time.Second),
+		Hold:       settings.Duration(time.Second),
 		Remembered: 65536,
 	}
 }
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -32,6 +32,9 @@
 	s.tried = append(s.tried, call.Leaf())
 	s.hedgeAt = time.Now().Add(r.q.replicas.HedgeAfter(s.replicas))
 	r.active++
+	if r.firstSent.IsZero() {
+		r.firstSent = time.Now()
+	}
 	r.e.metrics.calls.WithLabelValues(r.q.service.Name).Inc()
 	r.e.calls.Add(1)
 	if s.cancel == nil {
@@ -122,7 +125,10 @@
 
 func (r *run) takeAnswer(ev event) {
 	if s := &r.shards[ev.shard]; s.answer == nil {
-		s.answer, s.settled, s.parked, s.placing = ev.answer, true, false, false
+		s.answer = ev.answer
+		r.close(s)
+		r.covered++
+		r.documents += s.documents
 		s.cancel() // the loser of a hedge
 		r.lastAnswer = time.Now()
 	}
@@ -130,29 +136,35 @@
 }
 
 func (r *run) takeFailure(ev event) {
-	s := &r.shards[ev.shard]
-	if s.settled {
-		return
-	}
-	s.reason = failures[ev.failure].reason
-	if ev.failure == failShed {
-		s.shed++
-	}
-	if ev.failure == failLost {
-		r.losses++
-	}
 	if ev.failure == failSnapshot && r.dropped(ev.leaf) {
 		return
 	}
-	if failures[ev.failure].survived {
-		r.release()
+	if s := &r.shards[ev.shard]; !s.settled {
+		r.failed(ev.shard, s, ev.failure)
 	}
-	r.react(ev)
 	if r.trial != nil && ev.trial {
 		r.trial.failed(ev)
 	}
 }
 
+// failed notes the failed call of a shard and reacts to it.
+func (r *run) failed(i int, s *shard, f failure) {
+	s.failure, s.reason = f, failures[f].reason
+	switch f {
+	case failShed:
+		s.shed++
+	case failLost:
+		s.lost++
+		r.losses++
+	}
+	if failures[f].survived && !r.outlived.Load() {
+		s.parked = true
+		r.release() // reacts to all that is parked
+		return
+	}
+	r.react(i)
+}
+
 // dropped notes that a leaf has dropped the snapshot; true where the query has to run again.
 func (r *run) dropped(leaf string) bool {
 	r.e.noteLacking(leaf, r.plan.snapshot.Version)
@@ -168,24 +180,24 @@
 	return true
 }
 
-// react applies the rule for a failed call.
-func (r *run) react(ev event) {
-	s := &r.shards[ev.shard]
-	switch next := afterFailure(ev.failure, r.facts(s)); next {
+// react applies the rule for the latest failed call of a shard.
+func (r *run) react(i int) {
+	s := &r.shards[i]
+	switch next := afterFailure(s.failure, r.facts(s)); next {
 	case stepWait:
 	case stepGiveUp:
-		r.settle(ev.shard, s.reason, "")
+		r.settle(i, s.reason, "")
 	case stepPark:
 		s.parked = true
 	default:
-		r.retry(ev.shard, next)
+		r.retry(i, next)
 	}
 }
 
 func (r *run) facts(s *shard) shardFacts {
 	return shardFacts{
-		active: s.active, tries: s.tries, sheds: s.shed, hedged: s.hedged,
-		others: len(r.candidates(s, false)), usable: len(r.candidates(s, true)),
+		active: s.active, tries: s.tries, sheds: s.shed, lost: s.lost, hedged: s.hedged,
+		others: len(r.among(s, false)), usable: len(r.among(s, true)),
 		mayAsk: r.mayAsk(),
 	}
 }
@@ -194,22 +206,25 @@
 // settings it runs anywhere and no connection was lost with it.
 func (r *run) mayAsk() bool { return r.outlived.Load() || r.released && r.losses == 0 }
 
-// retry asks another replica of the shard within the budget; the shard is missing otherwise.
+// retry asks another replica of the shard; the shard is missing where the budget refuses. A retry
+// that needs no budget takes from it what is there. It waits for a slot, but not after a refusal
+// for load.
 func (r *run) retry(i int, how step) {
 	s := &r.shards[i]
-	candidates := r.candidates(s, how == stepRetryAny)
-	if how == stepRetry && (len(candidates) == 0 || !r.q.replicas.AllowRetry(r.q.kind.RetryBudget)) {
+	s.anyReplica = how == stepRetryAny
+	candidates := r.candidates(s)
+	granted := len(candidates) > 0 && r.q.replicas.AllowRetry(r.q.kind.RetryBudget)
+	if how == stepRetry && !granted {
 		r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		r.settle(i, s.reason, "")
 		return
 	}
-	call, ok := r.q.replicas.Pick(candidates)
-	if !ok {
-		r.settle(i, s.reason, "")
+	r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
+	if s.failure == failShed {
+		r.startNow(i, candidates)
 		return
 	}
-	r.e.metrics.retries.WithLabelValues(r.q.service.Name, r.q.kind.Name, "sent").Inc()
-	r.launch(i, call, "")
+	r.start(i)
 }
 
 // tick does what is due: hedges, and another look for slots.
@@ -235,7 +250,7 @@
 		r.e.metrics.hedges.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		return
 	}
-	call, ok := r.q.replicas.Pick(r.candidates(s, false))
+	call, ok := r.q.replicas.Pick(r.candidates(s))
 	if !ok {
 		return
 	}
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -1,17 +1,24 @@
 package search
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/bundle"
 )
 
+// freeLosses is how many broken connections of one shard are retried without the budget. A
+// crashing request may end two replicas of a group at about the same time.
+const freeLosses = 2
+
 // shardFacts is what the rules for one shard look at.
 type shardFacts struct {
 	// active calls in flight, tries made so far.
 	active, tries int
 	// sheds is how many replicas refused for load in this run.
 	sheds int
+	// lost is how many connections broke with a call of the shard.
+	lost int
 	// others is how many usable replicas were not asked yet.
 	others int
 	// usable is how many replicas may be asked at all.
@@ -56,7 +63,7 @@
 		return stepRetryAny
 	case s.others == 0:
 		return stepGiveUp
-	case facts.free:
+	case facts.free, f == failLost && s.lost <= freeLosses:
 		return stepRetryFree
 	}
 	return stepRetry
@@ -92,6 +99,14 @@
 	return may && elapsed >= at && covered > 0 && covered >= p.earlyCoverage
 }
 
+// needed returns how many of n shards the kind waits for, at least 1.
+func (p policy) needed(n int) int {
+	if p.partial != bundle.PartialLatency || p.earlyCoverage <= 0 {
+		return n
+	}
+	return min(n, max(1, int(math.Ceil(p.earlyCoverage*float64(n)))))
+}
+
 // mayRerun tells whether a whole query may run again at another snapshot.
 func mayRerun(reruns int, left, usual, elapsed time.Duration) bool {
 	need := usual
