--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -271,8 +271,8 @@
 func (w *world) truth(n *node) *pb.Vm {
 	vm := gatherVM(n.id, n.zone, n.incarnation)
 	switch {
-	case n.dead:
-		vm.State = pb.VmState_VM_STATE_GONE
+	case n.dead: // the sync of the VM tells
+		vm.Processes[0].State = pb.ProcessState_PROCESS_STATE_GONE
 	case n.draining:
 		vm.Processes[0].State = pb.ProcessState_PROCESS_STATE_DRAINING
 	}
@@ -296,6 +296,16 @@
 	w.believed[id] = &pb.Vm{Id: old.Id, Zone: old.Zone, State: s, Processes: old.Processes}
 }
 
+// rumourEnded makes everyone believe that the gather of a VM has ended, true or not.
+func (w *world) rumourEnded(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.believed[id]
+	ended := gatherVM(old.Id, old.Zone, gatherOf(old).GetIncarnation())
+	ended.Processes[0].State = pb.ProcessState_PROCESS_STATE_GONE
+	w.believed[id] = ended
+}
+
 // viewTrue tells whether all that is believed is the case.
 func (w *world) viewTrue() bool {
 	w.mu.Lock()
