Stop passing on what peers are seen to know

After a start of 528 VMs at once the spread took 17,666 bytes a second a VM, as each VM passed the records of all on some 30 times. Sending less often alone was ruled out: it would leave VMs out under loss.

A packet whose hash of VMs or evidence equals the own one now counts for three sends of each item that this hash covers; suspicions and their withdrawal are in no hash and are sent as before. News adds at most 768 bytes a second to packets after a burst of 32 KiB. An exchange sends a summary and then only the records that differ. The roster of peers and its hash are made anew only after a change, as making them for each packet took most of the processor time.

Judgements carry the version now, so that the hash doesn't depend on the order of records; a random test found that.

--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -26,22 +26,22 @@
 // Compare orders two records of one VM: the higher one holds. It is a total order over the content
 // of records, so taking the higher is commutative, associative and idempotent.
 func Compare(a, b *pb.Vm) int {
-	if c := cmp.Compare(a.GetHeartbeat(), b.GetHeartbeat()); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.GetIncarnation(), b.GetIncarnation()); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(rank(a.GetState()), rank(b.GetState())); c != 0 {
-		return c
-	}
-	if judged(a) {
+	if c := order(a, b); c != 0 || judged(a) {
 		// A judgement says nothing but its state; what it carries besides is the receiver's own.
-		return 0
+		return c
 	}
 	return bytes.Compare(encode(a), encode(b))
 }
 
+// order is Compare by what a summary holds.
+func order(a, b *pb.Vm) int {
+	return cmp.Or(
+		cmp.Compare(a.GetHeartbeat(), b.GetHeartbeat()),
+		cmp.Compare(a.GetIncarnation(), b.GetIncarnation()),
+		cmp.Compare(rank(a.GetState()), rank(b.GetState())),
+	)
+}
+
 // judged tells whether a record is another VM's judgement and not the VM's own word.
 func judged(r *pb.Vm) bool { return rank(r.GetState()) >= rank(suspect) }
 
@@ -61,7 +61,9 @@
 
 // judgement returns the short form in which a suspicion travels.
 func judgement(r *pb.Vm, state pb.VmState) *pb.Vm {
-	return &pb.Vm{Id: r.GetId(), Incarnation: r.GetIncarnation(), Heartbeat: r.GetHeartbeat(), State: state}
+	return &pb.Vm{
+		Id: r.GetId(), Incarnation: r.GetIncarnation(), Heartbeat: r.GetHeartbeat(), Version: r.GetVersion(), State: state,
+	}
 }
 
 // ForTravel returns a record as it is sent: a judgement without what the receiver knows anyway.
@@ -72,10 +74,12 @@
 	return r
 }
 
-// withIdentity fills a judgement with what is known of the VM.
+// withIdentity fills a judgement with what is known of the VM. Its processes may be older than its
+// version says; they don't matter until the VM's own word replaces the judgement.
 func withIdentity(j, known *pb.Vm) *pb.Vm {
 	r := proto.Clone(known).(*pb.Vm)
-	r.Incarnation, r.Heartbeat, r.State = j.GetIncarnation(), j.GetHeartbeat(), j.GetState()
+	r.Incarnation, r.Heartbeat = j.GetIncarnation(), j.GetHeartbeat()
+	r.Version, r.State = j.GetVersion(), j.GetState()
 	return r
 }
 
--- /dev/null
+++ b/internal/membership/roster.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// Peer is a VM whose sync can be contacted.
+type Peer struct {
+	ID, Zone string
+	// Address is HOST:PORT of its sync.
+	Address string
+	// Gone is true where it is judged gone and contacted only to see whether it is back.
+	Gone bool
+}
+
+// Roster is the other VMs that can be contacted, those of the list and those that spoke, at one
+// moment. It is immutable.
+type Roster struct {
+	// Own and Other are the VMs of the own and of other zones that are not judged gone.
+	Own, Other []Peer
+	Gone       []Peer
+	// Hash is equal for tables that hold the same VMs in the same versions. Heartbeats, suspicions
+	// and VMs that are gone are left out: they differ between VMs in the calm as well.
+	Hash uint64
+
+	byID map[string]Peer
+}
+
+// Present returns how many VMs are not judged gone.
+func (r *Roster) Present() int { return len(r.Own) + len(r.Other) }
+
+// Peer returns a VM by its id and whether it is known.
+func (r *Roster) Peer(id string) (Peer, bool) {
+	p, ok := r.byID[id]
+	return p, ok
+}
+
+// Roster returns the VMs to contact. It is made anew only after a change.
+func (t *Table) Roster() *Roster {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.roster == nil {
+		t.roster = t.makeRoster()
+	}
+	return t.roster
+}
+
+// makeRoster makes the roster; mu is held.
+func (t *Table) makeRoster() *Roster {
+	r := &Roster{byID: make(map[string]Peer, len(t.entries)+len(t.listed))}
+	for id, e := range t.entries {
+		r.Hash += versionHash(e.record)
+		if id != t.selfID {
+			r.byID[id] = peerOf(e.record)
+		}
+	}
+	for id, listed := range t.listed {
+		if t.entries[id] == nil {
+			r.byID[id] = peerOf(listed)
+		}
+	}
+	zone := t.entries[t.selfID].record.GetZone()
+	for _, p := range r.byID {
+		switch {
+		case p.Gone:
+			r.Gone = append(r.Gone, p)
+		case p.Zone == zone:
+			r.Own = append(r.Own, p)
+		default:
+			r.Other = append(r.Other, p)
+		}
+	}
+	for _, peers := range [][]Peer{r.Own, r.Other, r.Gone} {
+		slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return r
+}
+
+// versionHash is what a record adds to the hash of the roster.
+func versionHash(r *pb.Vm) uint64 {
+	if r.GetState() == gone || r.GetHeartbeat() == 0 {
+		return 0
+	}
+	buf := binary.LittleEndian.AppendUint64([]byte(r.GetId()), r.GetIncarnation())
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(buf, r.GetVersion()))
+}
+
+func peerOf(r *pb.Vm) Peer {
+	return Peer{
+		ID: r.GetId(), Zone: r.GetZone(), Gone: r.GetState() == gone,
+		Address: net.JoinHostPort(r.GetAddress(), strconv.Itoa(int(r.GetSyncPort()))),
+	}
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -29,6 +29,8 @@
 	entries map[string]*entry
 	// listed is the platform's list by id; guarded by mu.
 	listed map[string]*pb.Vm
+	// roster is nil after a change that it would show; guarded by mu.
+	roster *Roster
 	// conflicts counts records of this VM's id by another incarnation; guarded by mu.
 	conflicts uint64
 }
@@ -43,14 +45,29 @@
 
 // Result says what a merge changed.
 type Result struct {
-	// News are the VMs of which something other than the heartbeat is new.
+	// News are the VMs of which something is new that the hash of the roster shows.
 	News []string
+	// Judged are the VMs newly judged suspect or gone, and those of which that was withdrawn: the
+	// hash doesn't show it.
+	Judged []string
 	// Outdated are the VMs of which the sender held a lower record that misjudges them.
 	Outdated []string
 	// Refuted is true where this VM raised its own heartbeat against a record of itself.
 	Refuted bool
 }
 
+// Any tells whether there is anything new.
+func (r Result) Any() bool { return len(r.News)+len(r.Judged) > 0 }
+
+// note adds a VM of which something other than the heartbeat is new.
+func (r *Result) note(id string, judged bool) {
+	if judged {
+		r.Judged = append(r.Judged, id)
+	} else {
+		r.News = append(r.News, id)
+	}
+}
+
 // New returns a table that knows its own VM alone. self names id, zone, address, ports and
 // incarnation.
 func New(self *pb.Vm, now time.Time) *Table {
@@ -67,6 +84,7 @@
 func (t *Table) SetList(vms []*pb.Vm) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.roster = nil
 	t.listed = make(map[string]*pb.Vm, len(vms))
 	for _, vm := range vms {
 		t.listed[vm.GetId()] = vm
@@ -105,6 +123,9 @@
 	next := proto.Clone(e.record).(*pb.Vm)
 	next.Heartbeat++
 	change(next)
+	if newsworthy(e.record, next) {
+		t.roster = nil
+	}
 	e.record, e.since = next, now
 }
 
@@ -162,7 +183,8 @@
 		t.conflicts++
 	}
 	t.raise(now, func(next *pb.Vm) { next.Heartbeat = r.GetHeartbeat() + 1 })
-	res.News, res.Refuted = append(res.News, t.selfID), true
+	res.note(t.selfID, true)
+	res.Refuted = true
 }
 
 // mergeOther takes a record of another VM if it is higher than the one held; mu is held.
@@ -193,7 +215,8 @@
 		r = withIdentity(r, listed)
 	}
 	t.entries[r.GetId()] = &entry{record: r, since: now}
-	res.News = append(res.News, r.GetId())
+	t.roster = nil
+	res.note(r.GetId(), judged(r))
 }
 
 // replace puts a higher record in place; mu is held.
@@ -207,30 +230,30 @@
 		e.since = now
 	}
 	if newsworthy(before, r) {
-		res.News = append(res.News, r.GetId())
+		t.roster = nil
+		res.note(r.GetId(), judged(before) || judged(r))
 	}
 }
 
 // Heard notes a packet that came from the VM itself, with its incarnation, heartbeat and version.
 // known is false where its whole record is needed, because another version of it is held.
-func (t *Table) Heard(from *pb.Vm, now time.Time) (known bool, res Result) {
+func (t *Table) Heard(from *pb.Vm, now time.Time) (known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[from.GetId()]
 	if e == nil || e.record.GetIncarnation() != from.GetIncarnation() || e.record.GetVersion() != from.GetVersion() {
-		return false, res
-	}
-	if from.GetHeartbeat() <= e.record.GetHeartbeat() {
-		return !judged(e.record), res
+		return false
 	}
 	if judged(e.record) {
-		// The judgement hides whether the VM leaves.
-		return false, res
+		// The judgement hides whether the VM leaves: its own word is needed.
+		return false
 	}
-	next := proto.Clone(e.record).(*pb.Vm)
-	next.Heartbeat = from.GetHeartbeat()
-	t.replace(e, next, now, &res)
-	return true, res
+	if from.GetHeartbeat() > e.record.GetHeartbeat() {
+		next := proto.Clone(e.record).(*pb.Vm)
+		next.Heartbeat = from.GetHeartbeat()
+		e.record, e.since = next, now
+	}
+	return true
 }
 
 // Suspect notes that nobody got an answer from a VM whose record had the heartbeat. It tells
@@ -244,6 +267,7 @@
 		return false
 	case e == nil && listed != nil:
 		t.entries[id] = &entry{record: withIdentity(&pb.Vm{State: suspect}, listed), since: now}
+		t.roster = nil
 		return true
 	case e == nil || judged(e.record) || e.record.GetHeartbeat() > heartbeat:
 		return false
@@ -264,8 +288,10 @@
 		case state == suspect && age >= SuspectFor:
 			e.record, e.since = withIdentity(judgement(e.record, gone), e.record), now
 			goneNow = append(goneNow, id)
+			t.roster = nil
 		case state == gone && age >= ForgetAfter && t.listed[id] == nil:
 			delete(t.entries, id)
+			t.roster = nil
 		}
 	}
 	return goneNow
--- a/internal/spread/catchup.go
+++ b/internal/spread/catchup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/membership"
 )
 
 // catchUpPeers is how many peers are asked at once to catch up.
@@ -81,15 +82,16 @@
 }
 
 func (m *Manager) addressesToAsk() []string {
-	peers := m.present()
+	roster := m.cfg.Members.Roster()
+	peers := pickSome(roster, catchUpPeers, "")
 	if len(peers) == 0 {
-		peers = m.cfg.Members.Peers()
+		peers = roster.Gone[:min(len(roster.Gone), catchUpPeers)]
 	}
 	if len(peers) == 0 {
 		return m.cfg.Seeds
 	}
 	var out []string
-	for _, p := range m.pickSome(peers, catchUpPeers) {
+	for _, p := range peers {
 		out = append(out, p.Address)
 	}
 	return out
@@ -120,7 +122,7 @@
 		return
 	}
 	m.mu.Lock()
-	m.news.addVMs([]string{m.cfg.Self})
+	m.news.addVMs(membership.Result{News: []string{m.cfg.Self}})
 	m.mu.Unlock()
 	m.cfg.Changed.Fire()
 	m.Push()
@@ -133,7 +135,7 @@
 
 // PushNow pushes news without regard to the bounded rate, at the end of the process.
 func (m *Manager) PushNow(now time.Time) {
-	for _, p := range m.pickSome(m.present(), pushFanout) {
+	for _, p := range pickSome(m.cfg.Members.Roster(), pushFanout, "") {
 		m.send(p, message{}, now)
 	}
 }
--- a/internal/spread/dump.go
+++ b/internal/spread/dump.go
@@ -19,7 +19,7 @@
 
 // Dump implements operator.Dumper.
 func (m *Manager) Dump() any {
-	d := Dump{Peers: len(m.present()), Conflicts: m.cfg.Members.Conflicts()}
+	d := Dump{Peers: m.cfg.Members.Roster().Present(), Conflicts: m.cfg.Members.Conflicts()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d.CaughtUp, d.News, d.OpenProbes = m.caughtUp, len(m.news.items), len(m.probes.open)
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/evidence"
 )
 
@@ -31,18 +32,34 @@
 func (m *Manager) exchange(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	err := m.exchangeWith(ctx, m.cfg.Dial(address))
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.metrics.exchanges.WithLabelValues(outcome).Inc()
+	return err
+}
+
+// exchangeWith sends a summary of membership and all evidence, takes what is newer there, and gives
+// the records that are newer here.
+func (m *Manager) exchangeWith(ctx context.Context, peer burdockv1connect.PeerServiceClient) error {
 	now := time.Now()
-	resp, err := m.cfg.Dial(address).Exchange(ctx, &pb.ExchangeRequest{
-		From: m.cfg.Self, Fleet: m.cfg.Fleet, Vms: m.cfg.Members.Records(),
+	resp, err := peer.Exchange(ctx, &pb.ExchangeRequest{
+		From: m.cfg.Self, Fleet: m.cfg.Fleet, Vms: m.cfg.Members.Summary(), Summary: true,
 		Departures: m.cfg.Evidence.Departures(now), Crashes: m.cfg.Evidence.Crashes(now),
 	})
 	if err != nil {
-		m.metrics.exchanges.WithLabelValues("failed").Inc()
 		return err
 	}
-	m.metrics.exchanges.WithLabelValues("done").Inc()
 	m.mergeWhole(resp.GetVms(), resp.GetDepartures(), resp.GetCrashes(), time.Now())
-	return nil
+	if len(resp.GetWanted()) == 0 {
+		return nil
+	}
+	_, err = peer.Exchange(ctx, &pb.ExchangeRequest{
+		From: m.cfg.Self, Fleet: m.cfg.Fleet, Vms: m.cfg.Members.Whole(resp.GetWanted()),
+	})
+	return err
 }
 
 // mergeWhole takes what came by an exchange. It is passed on as news like any other.
@@ -50,10 +67,10 @@
 	merged := m.cfg.Members.Merge(vms, now)
 	brought := m.cfg.Evidence.Merge(departures, crashes, now)
 	m.mu.Lock()
-	m.news.addVMs(merged.News)
+	m.news.addVMs(merged)
 	m.news.addEvidence(brought)
 	m.mu.Unlock()
-	if len(merged.News) > 0 || !brought.Empty() {
+	if merged.Any() || !brought.Empty() {
 		m.cfg.Changed.Fire()
 		m.Push()
 	}
--- a/internal/spread/handle.go
+++ b/internal/spread/handle.go
@@ -37,7 +37,7 @@
 		m.noteContact(now.Add(-age.AsDuration() - hopAllowance))
 	}
 	merged := m.cfg.Members.Merge(d.GetNews(), now)
-	known, heard := m.cfg.Members.Heard(&pb.Vm{
+	known := m.cfg.Members.Heard(&pb.Vm{
 		Id: d.GetFrom(), Incarnation: d.GetIncarnation(), Heartbeat: d.GetHeartbeat(), Version: d.GetVersion(),
 	}, now)
 	evidence := m.cfg.Evidence.Merge(d.GetDepartures(), d.GetCrashes(), now)
@@ -46,11 +46,10 @@
 	}
 	m.mu.Lock()
 	m.probes.answered(d.GetFrom())
-	m.news.addVMs(merged.News)
-	m.news.addVMs(heard.News)
+	m.news.addVMs(merged)
 	m.news.addEvidence(evidence)
 	m.mu.Unlock()
-	if len(merged.News)+len(heard.News) > 0 || !evidence.Empty() {
+	if merged.Any() || !evidence.Empty() {
 		m.cfg.Changed.Fire()
 		m.Push()
 	}
@@ -63,7 +62,7 @@
 
 // answer replies where the sender asked or held something outdated, and passes probes on.
 func (m *Manager) answer(d *pb.Digest, about []string, now time.Time) {
-	from, known := m.cfg.Members.Peer(d.GetFrom())
+	from, known := m.cfg.Members.Roster().Peer(d.GetFrom())
 	if d.GetProbe() == m.cfg.Self {
 		// The sender was asked to see whether this VM is there: show it by a higher heartbeat.
 		m.cfg.Members.Beat(now)
@@ -84,7 +83,7 @@
 		m.contactFor(d.GetProbe(), now)
 	}
 	for _, id := range waiting {
-		if p, ok := m.cfg.Members.Peer(id); ok {
+		if p, ok := m.cfg.Members.Roster().Peer(id); ok {
 			m.send(p, message{about: []string{d.GetFrom()}}, now)
 		}
 	}
@@ -92,23 +91,26 @@
 
 // contactFor contacts a VM that another one gets no answer from.
 func (m *Manager) contactFor(target string, now time.Time) {
-	if p, ok := m.cfg.Members.Peer(target); ok {
+	if p, ok := m.cfg.Members.Roster().Peer(target); ok {
 		m.send(p, message{replyWanted: true, probe: target}, now)
 	}
 }
 
 // compare starts what is needed where the sender holds more, or other things.
 func (m *Manager) compare(d *pb.Digest, now time.Time) {
-	from, known := m.cfg.Members.Peer(d.GetFrom())
+	roster := m.cfg.Members.Roster()
+	from, known := roster.Peer(d.GetFrom())
 	if !known {
 		return
 	}
 	if m.wantsBundle(d, now) || m.cfg.Content.ListHigher(d.GetListRevision()) {
 		replace(m.fetches, from)
 	}
-	same := d.GetMembersHash() == m.cfg.Members.Hash() && d.GetEvidenceHash() == m.cfg.Evidence.Hash(now)
+	sameVMs := d.GetMembersHash() == roster.Hash
+	sameEvidence := d.GetEvidenceHash() == m.cfg.Evidence.Hash(now)
 	m.mu.Lock()
-	due := m.differ.observe(same, now)
+	m.news.known(sameVMs, sameEvidence, sendsFor(roster.Present()))
+	due := m.differ.observe(sameVMs && sameEvidence, now)
 	m.mu.Unlock()
 	if due {
 		replace(m.exchanges, from)
--- a/internal/spread/manager.go
+++ b/internal/spread/manager.go
@@ -25,6 +25,10 @@
 	contactPeriod = 250 * time.Millisecond
 	// beatPeriod is how often the VM raises its heartbeat, and contacts one VM judged gone.
 	beatPeriod = time.Second
+	// newsRate and newsBurst bound the bytes of news in packets, by second: a few packets of news to
+	// each of many peers go out at once, but many VMs that come and go don't pass the budget of a VM.
+	newsRate  = 768
+	newsBurst = 32 << 10
 	// ownZoneShare is the share of contacts that stay in the own availability zone.
 	ownZoneShare = 0.75
 	// pushRate and pushBurst bound how often news is pushed at once; pushFanout is to how many
@@ -71,6 +75,8 @@
 	// What follows is guarded by mu.
 	news   news
 	probes probes
+	// newsBytes bounds what news adds to packets.
+	newsBytes *rate.Limiter
 	// contact is the local time of the newest platform contact, of any VM; zero for never.
 	contact time.Time
 	// caughtUp is false from the start, and from each pause on, until peers or the platform were
@@ -100,6 +106,7 @@
 		exchanges: make(chan membership.Peer, 1),
 		fetching:  make(chan struct{}, 1),
 		news:      newNews(),
+		newsBytes: rate.NewLimiter(newsRate, newsBurst),
 		probes:    newProbes(),
 		refused:   make(map[refusedKey]time.Time),
 	}
@@ -170,25 +177,21 @@
 
 // contactOne sends a digest to one random peer that is not gone and expects an answer.
 func (m *Manager) contactOne(now time.Time) {
-	peers := m.present()
-	if len(peers) == 0 {
+	roster := m.cfg.Members.Roster()
+	if roster.Present() == 0 {
 		return
 	}
-	peer := m.pick(peers)
+	peer := pick(roster)
+	heartbeat := m.cfg.Members.Record(peer.ID).GetHeartbeat()
 	m.mu.Lock()
-	m.probes.start(peer.ID, peer.Heartbeat, now)
+	m.probes.start(peer.ID, heartbeat, now)
 	m.mu.Unlock()
 	m.send(peer, message{replyWanted: true}, now)
 }
 
 // contactGone sends a digest to one VM judged gone, to see whether it is back.
 func (m *Manager) contactGone(now time.Time) {
-	var gone []membership.Peer
-	for _, p := range m.cfg.Members.Peers() {
-		if p.Gone {
-			gone = append(gone, p)
-		}
-	}
+	gone := m.cfg.Members.Roster().Gone
 	if len(gone) == 0 {
 		return
 	}
@@ -196,50 +199,6 @@
 	m.send(p, message{replyWanted: true, about: []string{p.ID}}, now)
 }
 
-// present returns the peers that are not judged gone.
-func (m *Manager) present() []membership.Peer {
-	var out []membership.Peer
-	for _, p := range m.cfg.Members.Peers() {
-		if !p.Gone {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-// pick chooses a peer at random, mostly from the own zone.
-func (m *Manager) pick(peers []membership.Peer) membership.Peer {
-	var own, other []membership.Peer
-	for _, p := range peers {
-		if p.Zone == m.cfg.Zone {
-			own = append(own, p)
-		} else {
-			other = append(other, p)
-		}
-	}
-	if len(other) == 0 || len(own) > 0 && rand.Float64() < ownZoneShare {
-		return own[rand.N(len(own))]
-	}
-	return other[rand.N(len(other))]
-}
-
-// pickSome chooses up to n distinct peers as pick does.
-func (m *Manager) pickSome(peers []membership.Peer, n int) []membership.Peer {
-	left := append([]membership.Peer(nil), peers...)
-	var out []membership.Peer
-	for len(out) < n && len(left) > 0 {
-		p := m.pick(left)
-		out = append(out, p)
-		for i := range left {
-			if left[i].ID == p.ID {
-				left = append(left[:i], left[i+1:]...)
-				break
-			}
-		}
-	}
-	return out
-}
-
 // Push makes news go out at once, within the bounded rate.
 func (m *Manager) Push() {
 	select {
@@ -263,7 +222,7 @@
 		}
 		m.metrics.pushes.Inc()
 		now := time.Now()
-		for _, p := range m.pickSome(m.present(), pushFanout) {
+		for _, p := range pickSome(m.cfg.Members.Roster(), pushFanout, "") {
 			m.send(p, message{}, now)
 		}
 	}
--- a/internal/spread/news.go
+++ b/internal/spread/news.go
@@ -1,11 +1,11 @@
 package spread
 
 import (
-	"cmp"
+	"container/heap"
 	"math/bits"
-	"slices"
 
 	"github.com/burdockplank/burdockplank/internal/evidence"
+	"github.com/burdockplank/burdockplank/internal/membership"
 )
 
 const (
@@ -13,10 +13,15 @@
 	// packets of all others this reaches every VM with high probability, and comparing hashes
 	// finds the rest.
 	sendsPerDoubling = 3
-	// maxNews bounds the items that wait; the most sent go first.
+	// knownSends is what a packet counts for that shows a peer which knows all already.
+	knownSends = 3
+	// maxNews bounds the items that wait; further ones are left to the comparing of hashes.
 	maxNews = 4096
 )
 
+// sendsFor returns how often an item is sent in a fleet of the given size.
+func sendsFor(fleet int) int { return sendsPerDoubling * (bits.Len(uint(fleet)) + 1) }
+
 // newsKey names an item of news; one field is set.
 type newsKey struct {
 	vm        string
@@ -30,57 +35,128 @@
 	sends int
 	// order in which items came; newer ones are higher.
 	order uint64
+	// index in the heap.
+	index int
+	// hashed is true where equal hashes show that a peer knows the item.
+	hashed bool
+}
+
+// newsHeap orders items by the order of sending: the least sent, then the newest first.
+type newsHeap []*newsItem
+
+// Len implements heap.Interface.
+func (h newsHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h newsHeap) Less(i, j int) bool {
+	if h[i].sends != h[j].sends {
+		return h[i].sends < h[j].sends
+	}
+	return h[i].order > h[j].order
+}
+
+// Swap implements heap.Interface.
+func (h newsHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (h *newsHeap) Push(x any) {
+	it := x.(*newsItem)
+	it.index = len(*h)
+	*h = append(*h, it)
+}
+
+// Pop implements heap.Interface.
+func (h *newsHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return it
 }
 
 // news is what this VM has still to pass on. Its owner guards it.
 type news struct {
 	items map[newsKey]*newsItem
+	heap  newsHeap
 	next  uint64
 }
 
 func newNews() news { return news{items: make(map[newsKey]*newsItem)} }
 
-// add makes an item new.
-func (n *news) add(key newsKey) {
+// add makes an item new. hashed tells whether the hashes in packets show it.
+func (n *news) add(key newsKey, hashed bool) {
 	n.next++
-	n.items[key] = &newsItem{key: key, order: n.next}
-	if len(n.items) > maxNews {
-		sorted := n.sorted()
-		delete(n.items, sorted[len(sorted)-1].key)
+	if it := n.items[key]; it != nil {
+		// What a hash doesn't show may have come on top of what it shows.
+		it.sends, it.order, it.hashed = 0, n.next, it.hashed && hashed
+		heap.Fix(&n.heap, it.index)
+		return
 	}
+	if len(n.items) >= maxNews {
+		return
+	}
+	it := &newsItem{key: key, order: n.next, hashed: hashed}
+	n.items[key] = it
+	heap.Push(&n.heap, it)
 }
 
-func (n *news) addVMs(ids []string) {
-	for _, id := range ids {
-		n.add(newsKey{vm: id})
+// addVMs makes what a merge brought new.
+func (n *news) addVMs(r membership.Result) {
+	for _, id := range r.News {
+		n.add(newsKey{vm: id}, true)
+	}
+	for _, id := range r.Judged {
+		n.add(newsKey{vm: id}, false)
 	}
 }
 
+// addEvidence makes evidence new. Evidence without an incarnation is in no hash.
 func (n *news) addEvidence(e evidence.News) {
 	for _, k := range e.Departures {
-		n.add(newsKey{departure: k})
+		n.add(newsKey{departure: k}, k.Incarnation != 0)
 	}
 	for _, k := range e.Crashes {
-		n.add(newsKey{crash: k})
+		n.add(newsKey{crash: k}, true)
 	}
 }
 
-// sorted returns the items in the order of sending: the least sent, then the newest first.
-func (n *news) sorted() []*newsItem {
-	out := make([]*newsItem, 0, len(n.items))
-	for _, it := range n.items {
-		out = append(out, it)
+// each calls do with items in the order of sending until it says not to go on. Items that it
+// doesn't keep are forgotten.
+func (n *news) each(do func(*newsItem) (keep, goOn bool)) {
+	var kept []*newsItem
+	for goOn := true; goOn && len(n.heap) > 0; {
+		it := heap.Pop(&n.heap).(*newsItem)
+		var keep bool
+		if keep, goOn = do(it); keep {
+			kept = append(kept, it)
+		} else {
+			delete(n.items, it.key)
+		}
+	}
+	for _, it := range kept {
+		heap.Push(&n.heap, it)
 	}
-	slices.SortFunc(out, func(a, b *newsItem) int {
-		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(b.order, a.order))
-	})
-	return out
 }
 
-// sent notes that an item was sent once more, in a fleet of the given size.
-func (n *news) sent(it *newsItem, fleet int) {
-	it.sends++
-	if it.sends >= sendsPerDoubling*(bits.Len(uint(fleet))+1) {
-		delete(n.items, it.key)
+// known notes that a peer was found to know all VMs, or all evidence: what has spread already needs
+// less sending. limit is how often an item is sent.
+func (n *news) known(vms, evidence bool, limit int) {
+	if len(n.items) == 0 || !vms && !evidence {
+		return
+	}
+	n.heap = n.heap[:0]
+	for key, it := range n.items {
+		if it.hashed && (key.vm != "" && vms || key.vm == "" && evidence) {
+			it.sends += knownSends
+		}
+		if it.sends >= limit {
+			delete(n.items, key)
+			continue
+		}
+		it.index = len(n.heap)
+		n.heap = append(n.heap, it)
 	}
+	heap.Init(&n.heap)
 }
--- a/internal/spread/packet.go
+++ b/internal/spread/packet.go
@@ -52,7 +52,7 @@
 		Fleet: m.cfg.Fleet, From: self.GetId(), Incarnation: self.GetIncarnation(),
 		Heartbeat: self.GetHeartbeat(), Version: self.GetVersion(),
 		ReplyWanted: msg.replyWanted, Probe: msg.probe,
-		MembersHash: m.cfg.Members.Hash(), EvidenceHash: m.cfg.Evidence.Hash(now),
+		MembersHash: m.cfg.Members.Roster().Hash, EvidenceHash: m.cfg.Evidence.Hash(now),
 	}
 	if b := m.cfg.Content.Bundle(); b != nil {
 		d.BundleVersion, d.BundleDigest = b.Version, b.Digest[:digestPrefix]
@@ -76,26 +76,23 @@
 
 // addNews fills a packet with what has been sent least.
 func (m *Manager) addNews(d *pb.Digest, now time.Time) {
-	fleet := len(m.cfg.Members.Peers())
+	limit := sendsFor(m.cfg.Members.Roster().Present())
 	left := MaxPacket - proto.Size(d)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.news.items) == 0 {
-		return
-	}
-	for _, it := range m.news.sorted() {
+	m.news.each(func(it *newsItem) (keep, goOn bool) {
 		size, add := m.item(d, it.key, now)
 		if add == nil {
-			delete(m.news.items, it.key)
-			continue
+			return false, true
 		}
-		if size > left {
-			return
+		if size > left || !m.newsBytes.AllowN(now, size) {
+			return true, false
 		}
 		add()
 		left -= size
-		m.news.sent(it, fleet)
-	}
+		it.sends++
+		return it.sends < limit, true
+	})
 }
 
 // item returns the size of an item of news and what adds it to d; nil where it is no more.
--- a/internal/spread/probe.go
+++ b/internal/spread/probe.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/burdockplank/burdockplank/internal/membership"
 )
 
 const (
@@ -98,14 +100,7 @@
 
 func (m *Manager) probeThroughOthers(id string, now time.Time) {
 	m.contactFor(id, now)
-	peers := m.present()
-	for i := range peers {
-		if peers[i].ID == id {
-			peers = append(peers[:i], peers[i+1:]...)
-			break
-		}
-	}
-	for _, helper := range m.pickSome(peers, probeHelpers) {
+	for _, helper := range pickSome(m.cfg.Members.Roster(), probeHelpers, id) {
 		m.send(helper, message{probe: id}, now)
 	}
 }
@@ -117,7 +112,7 @@
 	}
 	m.metrics.suspicions.Inc()
 	m.mu.Lock()
-	m.news.addVMs([]string{id})
+	m.news.addVMs(membership.Result{Judged: []string{id}})
 	m.mu.Unlock()
 	m.cfg.Changed.Fire()
 	m.Push()
--- a/internal/spread/service.go
+++ b/internal/spread/service.go
@@ -58,9 +58,13 @@
 		return nil, errOtherFleet(f)
 	}
 	now := time.Now()
-	resp := &pb.ExchangeResponse{Vms: m.cfg.Members.Newer(req.GetVms())}
+	if !req.GetSummary() {
+		m.mergeWhole(req.GetVms(), req.GetDepartures(), req.GetCrashes(), now)
+		return new(pb.ExchangeResponse), nil
+	}
+	resp := &pb.ExchangeResponse{Vms: m.cfg.Members.Newer(req.GetVms()), Wanted: m.cfg.Members.Wanted(req.GetVms())}
 	resp.Departures, resp.Crashes = m.lacking(req, now)
-	m.mergeWhole(req.GetVms(), req.GetDepartures(), req.GetCrashes(), now)
+	m.mergeWhole(nil, req.GetDepartures(), req.GetCrashes(), now)
 	return resp, nil
 }
 
--- a/internal/syncd/reader.go
+++ b/internal/syncd/reader.go
@@ -96,12 +96,7 @@
 // state returns what the turn depends on.
 func (r *reader) state(now time.Time) readers.State {
 	zone, self := r.m.cfg.Settings.VM.Zone, r.m.cfg.Settings.VM.ID
-	vms := []string{self}
-	for _, vm := range r.m.members.View() {
-		if vm.GetZone() == zone && vm.GetId() != self && vm.GetState() == pb.VmState_VM_STATE_LIVE {
-			vms = append(vms, vm.GetId())
-		}
-	}
+	vms := append(r.m.members.Live(zone), self)
 	age, known := r.m.spread.PlatformAge(now)
 	if !known {
 		age = now.Sub(r.m.started)
