--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,44 +25,20 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set(defaultSeed)
-	}
+	setDefault("rapid.seed", defaultSeed)
+	setDefault("rapid.checks", "200")
+	setDefault("rapid.steps", "60")
 	_ = flag.Set("rapid.nofailfile", "true")
 	_ = flag.Set("rapid.shrinktime", shrinkTime)
 	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
 	os.Exit(m.Run())
 }
 
-// told is what one send of a ticket was told.
-type told struct {
-	end    *outcome.Error
-	result string
-	// binding is true where the minter had ended and everything believed was the case when the
-	// resolver was asked, so that even a final unknown may not change any more.
-	binding bool
-}
-
-func (a told) kind() pb.OutcomeKind {
-	if a.end == nil {
-		return pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE
+// setDefault sets a flag that the command line left as it was.
+func setDefault(name, value string) {
+	if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+		_ = f.Value.Set(value)
 	}
-	return a.end.Kind
-}
-
-func (a told) String() string {
-	if a.end == nil {
-		return "answered"
-	}
-	return fmt.Sprintf("%s %v after %v", outcome.KindName(a.end.Kind), a.end, a.end.RetryAfter)
-}
-
-// issued is a ticket with all that was told of it, in order.
-type issued struct {
-	text   string
-	ticket *ticket.Ticket
-	minter *node
-	told   []told
 }
 
 // machine drives a world by drawn actions.
@@ -71,7 +46,6 @@
 	*world
 	entry   *Resolver
 	tickets []*issued
-	log     []string
 }
 
 var testZones = map[string]string{"vm-1": "az-1", "vm-2": "az-1", "vm-3": "az-2", "vm-4": "az-2"}
@@ -177,6 +151,8 @@
 
 func (m *machine) armFault(t *rapid.T) {
 	strikes := []strike{strikeNone, strikeNone, strikeFreeze, strikeKill}
+	refusals := make([]pb.LeafRefusalReason, 4)
+	refusals = append(refusals, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
 	f := fault{
 		dropRequest:  rapid.IntRange(0, 3).Draw(t, "dropRequest") == 3,
 		dropResponse: rapid.IntRange(0, 3).Draw(t, "dropResponse") == 3,
@@ -184,7 +160,7 @@
 		before:       rapid.SampledFrom(strikes).Draw(t, "before"),
 		after:        rapid.SampledFrom(strikes).Draw(t, "after"),
 		notWritten:   rapid.IntRange(0, 5).Draw(t, "notWritten") == 5,
-		refused:      rapid.IntRange(0, 5).Draw(t, "refused") == 5,
+		refusal:      rapid.SampledFrom(refusals).Draw(t, "refusal"),
 		broken:       rapid.IntRange(0, 5).Draw(t, "broken") == 5,
 	}
 	m.arm(rapid.SampledFrom([]string{atNote, atNote, atHandover, atResolve, atOrder, atExecute, atExecute}).Draw(t, "step"), f)
@@ -285,41 +261,6 @@
 	}
 }
 
-// broken says which part of the promise does not hold, or "".
-func (i *issued) broken(runs int) string {
-	has := func(k pb.OutcomeKind) bool {
-		return slices.ContainsFunc(i.told, func(a told) bool { return a.kind() == k })
-	}
-	answered := has(pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
-	notRun := has(pb.OutcomeKind_OUTCOME_KIND_NOT_RUN)
-	switch {
-	case runs > 1:
-		return "ran more than once"
-	case notRun && runs != 0:
-		return "not_run, but it ran"
-	case answered && runs != 1:
-		return "answered, but it did not run"
-	}
-	return i.changed()
-}
-
-// changed tells whether an outcome changed after it was final.
-func (i *issued) changed() string {
-	final := false
-	for _, a := range i.told {
-		if a.end == nil && a.result != "done:"+i.text {
-			return "answered another order"
-		}
-		if final && a.kind() != pb.OutcomeKind_OUTCOME_KIND_UNKNOWN {
-			return "changed after a final unknown"
-		}
-		if a.kind() == pb.OutcomeKind_OUTCOME_KIND_UNKNOWN && a.end.RetryAfter == 0 {
-			final = final || a.binding || a.end.Step == stepExecute
-		}
-	}
-	return ""
-}
-
 // settleAndEnd resends all tickets once everything works again, checks, and ends the world.
 func (m *machine) settleAndEnd(t *rapid.T) {
 	m.heal(nil)
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -1,11 +1,16 @@
 package search
 
 import (
+	"math"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/bundle"
 )
 
+// freeLosses is how many broken connections of one shard are retried without the budget. A
+// crashing request may end two replicas of a group at about the same time.
+const freeLosses = 2
+
 // shardFacts is what the rules for one shard look at.
 type shardFacts struct {
 	// active calls in flight, tries made so far.
@@ -58,7 +63,7 @@
 		return stepRetryAny
 	case s.others == 0:
 		return stepGiveUp
-	case facts.free, f == failLost && s.lost == 1:
+	case facts.free, f == failLost && s.lost <= freeLosses:
 		return stepRetryFree
 	}
 	return stepRetry
@@ -94,6 +99,14 @@
 	return may && elapsed >= at && covered > 0 && covered >= p.earlyCoverage
 }
 
+// needed returns how many of n shards the kind waits for, at least 1.
+func (p policy) needed(n int) int {
+	if p.partial != bundle.PartialLatency || p.earlyCoverage <= 0 {
+		return n
+	}
+	return min(n, max(1, int(math.Ceil(p.earlyCoverage*float64(n)))))
+}
+
 // mayRerun tells whether a whole query may run again at another snapshot.
 func mayRerun(reruns int, left, usual, elapsed time.Duration) bool {
 	need := usual
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -51,6 +51,8 @@
 	refused *outcome.Error
 	// early is true where the policy ended the run before its stragglers.
 	early bool
+	// firstSent is when the first call was sent.
+	firstSent time.Time
 	// lastAnswer is when the latest answer was merged.
 	lastAnswer time.Time
 }
@@ -59,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{
 		e: e, q: q, plan: p, fleet: e.fleet(), ctx: ctx, cancel: cancel, started: time.Now(), reruns: reruns,
-		key:    quarantine.SearchKey(q.service.Name, q.kind.Name, q.text, p.snapshot.Version, q.topK),
+		key:    quarantine.SearchKey(q.service.Name, q.text, p.snapshot.Version, q.topK),
 		shards: make([]shard, len(p.shards)),
 		events: make(chan event), over: make(chan struct{}),
 	}
@@ -82,9 +84,9 @@
 	standing, after := r.e.guard.Standing(r.key)
 	r.e.metrics.standings.WithLabelValues(r.q.service.Name, standing.String()).Inc()
 	switch standing {
-	case quarantine.Quarantined:
+	case quarantine.Quarantined, quarantine.Doubted:
 		r.cancel()
-		return outcome.NotRun(pb.Reason_REASON_QUARANTINED, Step, "the request was in flight at several upstream crashes").After(after)
+		return quarantined(after)
 	case quarantine.Proven:
 		r.outlived.Store(true)
 		r.released = true
@@ -123,6 +125,7 @@
 	close(r.over)
 	r.cancel()
 	r.stopWaiting()
+	r.q.waited += r.waited()
 	r.sent = r.sent || r.active > 0
 	if !r.lastAnswer.IsZero() && r.again == nil {
 		r.q.state.usual.add(r.lastAnswer.Sub(r.started))
--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -398,13 +398,12 @@
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
-	changed  chan struct{}
-	values   map[string]platform.Value
-	down     bool
-	noZones  map[string]bool
-	noVMs    map[string]bool
-	reads    int
-	failures int
+	changed chan struct{}
+	values  map[string]platform.Value
+	down    bool
+	noZones map[string]bool
+	noVMs   map[string]bool
+	reads   int
 }
 
 func newFakePlatform(f *fleet) *fakePlatform {
--- a/scenarios/unknown_share_test.go
+++ b/scenarios/unknown_share_test.go
@@ -141,9 +141,9 @@
 		cancel()
 		callers.Wait()
 		is.NoErr(await("everything ready", readyBound, func() error { return f.ready(f.daemons) }))
-		lines, err := f.journal()
+		written, err := f.journal()
 		is.NoErr(err)
-		for _, b := range h.check(lines) {
+		for _, b := range h.check(written.lines) {
 			t.Errorf("%s: %s", c.name, b)
 		}
 		ends := h.callerEnds
