--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -102,7 +102,9 @@
 	if q.state.gate == nil {
 		return e.answer(ctx, q)
 	}
-	if !q.state.gate.enter(ctx, q.kind.Weight) {
+	wait, cancel := context.WithTimeout(ctx, e.settings.QueueWait.D())
+	defer cancel()
+	if !q.state.gate.enter(wait, q.kind.Weight) {
 		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, Step, "too many searches run").After(e.settings.RetryAfter.D())
 	}
 	begun := time.Now()
--- a/internal/search/settings.go
+++ b/internal/search/settings.go
@@ -17,6 +17,9 @@
 	MaxWaiting int `toml:"max_waiting"`
 	// Concurrency is adaptive, or unbounded for measurements: how many searches of a service run at once.
 	Concurrency string `toml:"concurrency"`
+	// QueueWait is how long a search may wait to be let in before it is refused; those let in may wait
+	// longer for slots.
+	QueueWait settings.Duration `toml:"queue_wait"`
 	// RetryAfter is told to callers whose search ended for load or a lost upstream.
 	RetryAfter settings.Duration `toml:"retry_after"`
 }
@@ -27,6 +30,7 @@
 		AnswerMargin: settings.Duration(15 * time.Millisecond),
 		MaxWaiting:   256,
 		Concurrency:  ConcurrencyAdaptive,
+		QueueWait:    settings.Duration(50 * time.Millisecond),
 		RetryAfter:   settings.Duration(500 * time.Millisecond),
 	}
 }
@@ -43,6 +47,7 @@
 	c.Require(s.MaxWaiting >= 1 && s.MaxWaiting <= 100000, "search.max_waiting", "want 1 to 100000, got %d", s.MaxWaiting)
 	c.Require(s.Concurrency == ConcurrencyAdaptive || s.Concurrency == ConcurrencyUnbounded, "search.concurrency",
 		"want %s or %s, got %q", ConcurrencyAdaptive, ConcurrencyUnbounded, s.Concurrency)
+	c.Require(s.QueueWait.D() >= 0 && s.QueueWait.D() <= time.Second, "search.queue_wait", "want 0s to 1s, got %s", s.QueueWait.D())
 	c.Require(s.RetryAfter.D() >= 10*time.Millisecond && s.RetryAfter.D() <= time.Minute, "search.retry_after", "want 10ms to 1m, got %s", s.RetryAfter.D())
 }
 
