--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -56,6 +56,9 @@
 // Call is one call in flight at a leaf.
 type Call interface {
 	Leaf() string
+	// Suspect tells whether the latest calls to the leaf were given up late: this one only tries
+	// whether it is still slow, and should be hedged soon.
+	Suspect() bool
 	// Done ends the call; only the first result counts.
 	Done(Result)
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,16 +14,21 @@
 	hedgeQuantile = 0.95
 	// median is a quantile; hedgeMedians is how many of it a hedge waits for at least.
 	median       = 0.5
-	hedgeMedians = 2
+	hedgeMedians = 3
 	// hedgeDefault is the hedge delay before enough calls were measured, hedgeLeast the least.
 	hedgeDefault = 50 * time.Millisecond
 	hedgeLeast   = time.Millisecond
 	// staleLeast is the least part of the other candidate's latency that an estimate is taken for.
 	staleLeast = 0.5
+	// waitFactor is how many times dearer a leaf may be than one at its limit, to be asked in its stead.
+	waitFactor = 3
 	// forgetAfter is how long a leaf is kept that no bundle names any more.
 	forgetAfter = 10 * time.Minute
 )
 
+// SuspectSooner divides the hedge delay of a call to a suspect leaf.
+const SuspectSooner = 3
+
 // NoHedge is a hedge delay longer than any call.
 const NoHedge = time.Hour
 
@@ -89,19 +95,26 @@
 	b.hedges.call()
 	b.retries.call()
 	b.counts.Picks++
-	return &call{
+	made := &call{
 		b: b, id: c.id, leaf: c.leaf, incarnation: c.leaf.incarnation,
-		begun: now, late: b.groupDelay(now, candidates),
-	}, true
+		begun: now, late: b.groupDelay(now, candidates), suspect: c.leaf.late > 0,
+	}
+	if made.suspect {
+		made.late /= SuspectSooner
+	}
+	return made, true
 }
 
-// choose returns the cheaper of two random candidates below their limits. A cold leaf is left out
-// by chance, as long as there are others.
+// choose returns the cheaper of two random candidates below their limits, unless a candidate at its
+// limit is so much cheaper that it is better to wait for it: else a straggler would get what its
+// group has no room for. A cold leaf is left out by chance, as long as there are others.
 func (b *Balancer) choose(now time.Time, candidates []string) (choice, bool) {
 	b.eligible, b.warm = b.eligible[:0], b.warm[:0]
+	full := math.Inf(1)
 	for _, id := range candidates {
 		c := choice{id, b.leaf(id)}
 		if !c.leaf.limit.allows(c.leaf.inFlight()) {
+			full = min(full, c.leaf.cost(now, 0))
 			continue
 		}
 		b.eligible = append(b.eligible, c)
@@ -113,13 +126,14 @@
 	if len(from) == 0 {
 		from = b.eligible
 	}
-	switch len(from) {
-	case 0:
+	if len(from) == 0 {
 		return choice{}, false
-	case 1:
-		return from[0], true
 	}
-	return b.cheaper(now, from), true
+	best := from[0]
+	if len(from) > 1 {
+		best = b.cheaper(now, from)
+	}
+	return best, best.leaf.cost(now, 0) <= waitFactor*full
 }
 
 // cheaper draws two different candidates and returns the one of less cost.
@@ -267,7 +281,8 @@
 	incarnation uint64
 	begun       time.Time
 	// late is the time from which the call counts as late.
-	late time.Duration
+	late    time.Duration
+	suspect bool
 	// ended is guarded by b.mu.
 	ended bool
 }
@@ -275,6 +290,9 @@
 // Leaf implements Call.
 func (c *call) Leaf() string { return c.id }
 
+// Suspect implements Call.
+func (c *call) Suspect() bool { return c.suspect }
+
 // Done implements Call.
 func (c *call) Done(r Result) {
 	c.b.mu.Lock()
--- a/internal/balance/baseline.go
+++ b/internal/balance/baseline.go
@@ -47,5 +47,8 @@
 // Leaf implements Call.
 func (c baselineCall) Leaf() string { return string(c) }
 
+// Suspect implements Call.
+func (c baselineCall) Suspect() bool { return false }
+
 // Done implements Call.
 func (c baselineCall) Done(Result) {}
--- a/internal/balance/latency.go
+++ b/internal/balance/latency.go
@@ -75,7 +75,7 @@
 }
 
 // hedgeDelay returns how long a call may run before a hedge pays, and false while there are too few
-// samples. It is the hedge quantile, but no less than twice the median: a hedge takes about the
+// samples. It is the hedge quantile, but no less than three times the median: a hedge takes about the
 // median itself, so one sent earlier would mostly come back after the call that it should replace,
 // and take the budget from one that is needed.
 func (t *tail) hedgeDelay(now time.Time) (time.Duration, bool) {
--- a/internal/balance/leaf.go
+++ b/internal/balance/leaf.go
@@ -17,9 +17,11 @@
 	slowStart = 3 * time.Second
 	coldLeast = 0.1
 	// outlastFactor raises the latency estimate of a leaf with each call in a row that was given up
-	// late: the time it took is only the least that the call would have taken.
+	// late: the time it took is only the least that the call would have taken. outlastMost bounds it:
+	// with it a leaf that stays slow is tried about every 5 s.
 	outlastFactor = 4
 	latenessMost  = 8
+	outlastMost   = 10 * time.Second
 	// errorFactor and shedFactor raise the latency estimate of a leaf that failed or shed, which may
 	// answer quickly and would attract calls otherwise; penaltyLeast and penaltyMost bound it.
 	errorFactor  = 5
@@ -168,7 +170,7 @@
 func (n *lateness) next(took time.Duration) time.Duration {
 	assumed := took
 	for range *n {
-		assumed = min(assumed*outlastFactor, penaltyMost)
+		assumed = min(assumed*outlastFactor, outlastMost)
 	}
 	*n = min(*n+1, latenessMost)
 	return max(assumed, took)
--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -228,6 +228,7 @@
 type fakeCall string
 
 func (c fakeCall) Leaf() string        { return string(c) }
+func (c fakeCall) Suspect() bool       { return false }
 func (c fakeCall) Done(balance.Result) {}
 
 // AllowRetry has no budget.
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -30,7 +30,7 @@
 	s.tries++
 	s.peer = call.Leaf()
 	s.tried = append(s.tried, call.Leaf())
-	s.hedgeAt = time.Now().Add(r.q.replicas.HedgeAfter(s.replicas))
+	s.hedgeAt = time.Now().Add(r.hedgeAfter(s, call))
 	r.active++
 	if r.firstSent.IsZero() {
 		r.firstSent = time.Now()
@@ -43,6 +43,15 @@
 	go r.call(s.ctx, i, s.asked, call, gate)
 }
 
+// hedgeAfter returns how long the call may run before a hedge: less where it only tries a leaf.
+func (r *run) hedgeAfter(s *shard, call balance.Call) time.Duration {
+	d := r.q.replicas.HedgeAfter(s.replicas)
+	if call.Suspect() {
+		return d / balance.SuspectSooner
+	}
+	return d
+}
+
 // call asks a leaf and hands the end to the run, or drops it where the run has ended.
 func (r *run) call(ctx context.Context, i int, asked *pb.LeafSearchRequest, call balance.Call, gate string) {
 	defer r.e.calls.Done()
@@ -248,6 +257,7 @@
 	}
 	if !r.q.replicas.AllowHedge(r.q.kind.HedgeBudget) {
 		r.e.metrics.hedges.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
+		s.hedgeAt = now.Add(hedgePoll)
 		return
 	}
 	call, ok := r.q.replicas.Pick(r.candidates(s))
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -230,6 +230,8 @@
 	results         map[balance.Result]int
 	// slow leaves are picked only where they are the only candidate.
 	slow map[string]bool
+	// suspect leaves are hedged soon.
+	suspect map[string]bool
 }
 
 func newFakeReplicas() *fakeReplicas {
@@ -275,6 +277,8 @@
 
 func (c *fakeCall) Leaf() string { return c.leaf }
 
+func (c *fakeCall) Suspect() bool { return c.r.suspect[c.leaf] }
+
 func (c *fakeCall) Done(res balance.Result) {
 	c.once.Do(func() {
 		c.r.mu.Lock()
--- a/internal/search/settings.go
+++ b/internal/search/settings.go
@@ -58,6 +58,8 @@
 	maxTries = 4
 	// placePoll is how often a search that waits for a slot looks again by itself.
 	placePoll = 20 * time.Millisecond
+	// hedgePoll is when a hedge that the budget refused is asked for again.
+	hedgePoll = 5 * time.Millisecond
 	// lacksFor is how long a leaf's refusal of a snapshot is remembered beside what it says.
 	lacksFor = 2 * time.Second
 )
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -171,7 +171,7 @@
 func (t *trial) sent(l ranked, call balance.Call) {
 	t.used[l.leaf] = true
 	t.active++
-	t.hedgeAt = time.Now().Add(t.r.q.replicas.HedgeAfter(t.r.shards[l.shard].replicas))
+	t.hedgeAt = time.Now().Add(t.r.hedgeAfter(&t.r.shards[l.shard], call))
 	t.r.launch(l.shard, call, l.leaf)
 }
 
