Let no more wait at the gate than get their turn in time

Cause: the gate's queue was as long as its limit, of which most ran into queue_wait and were refused only then. Change: the queue is as long as searches ended in the last window by queue_wait. go test ./internal/search -run TestOverloadUnderLoad -v, virtual time, at capacity: refusals' p50 51 -> 2 ms, with as many answers; at 3x their p50 64 -> 3 ms (heavy kind), 0 -> 0 ms (light); p99 stays at 127 and 100 ms, from requests that wait admission.max_wait at the entry in vain.

--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -102,9 +102,7 @@
 	if q.state.gate == nil {
 		return e.answer(ctx, q)
 	}
-	wait, cancel := context.WithTimeout(ctx, e.settings.QueueWait.D())
-	defer cancel()
-	if !q.state.gate.enter(wait, q.kind.Weight) {
+	if !q.state.gate.enter(ctx, q.kind.Weight) {
 		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, Step, "too many searches run").After(e.settings.RetryAfter.D())
 	}
 	begun := time.Now()
@@ -167,7 +165,7 @@
 	if s == nil {
 		s = &serviceState{waiting: newWaiting()}
 		if e.settings.Concurrency == ConcurrencyAdaptive {
-			s.gate = newGate(leastSlots(b))
+			s.gate = newGate(leastSlots(b), e.settings.QueueWait.D())
 		}
 		e.services[b.Name] = s
 	}
--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -41,6 +41,10 @@
 	n            int
 	waited, busy time.Duration
 	peak         int
+	// rate is how many searches a second ended in the last window, 0 before the first; longest is how
+	// long one may wait in the queue, fixed.
+	rate    float64
+	longest time.Duration
 }
 
 // place is a search in the queue.
@@ -50,7 +54,9 @@
 	turn chan bool
 }
 
-func newGate(start int) *gate { return &gate{limit: float64(max(gateLeast, start))} }
+func newGate(start int, longest time.Duration) *gate {
+	return &gate{limit: float64(max(gateLeast, start)), longest: longest}
+}
 
 // leastSlots returns the slots of the group that has the fewest: what can't run at once in the fleet
 // need not run at once at a gather.
@@ -74,6 +80,8 @@
 
 // enter returns true once the search may start, and false where it has to be refused.
 func (g *gate) enter(ctx context.Context, weight int) bool {
+	ctx, cancel := context.WithTimeout(ctx, g.longest)
+	defer cancel()
 	p, ok := g.arrive(weight)
 	if p == nil {
 		return ok
@@ -94,7 +102,7 @@
 		g.start()
 		return nil, true
 	}
-	if len(g.queue) >= int(g.limit) && !g.displace(weight) {
+	if len(g.queue) >= g.room() && !g.displace(weight) {
 		return nil, false
 	}
 	p := &place{weight: weight, turn: make(chan bool, 1)}
@@ -108,6 +116,15 @@
 	return p, false
 }
 
+// room is how many searches may wait: as many as get their turn in the longest wait, by how many ended
+// lately. Requires mu.
+func (g *gate) room() int {
+	if g.rate == 0 {
+		return int(g.limit)
+	}
+	return max(1, min(int(g.limit), int(g.rate*g.longest.Seconds())))
+}
+
 // displace refuses the last of the queue for a heavier search. Requires mu.
 func (g *gate) displace(weight int) bool {
 	last := len(g.queue) - 1
@@ -166,5 +183,6 @@
 	case g.peak >= int(g.limit):
 		g.limit += max(1, g.limit*gateGrowth)
 	}
+	g.rate = float64(g.n) / now.Sub(g.opened).Seconds()
 	g.opened, g.n, g.waited, g.busy, g.peak = now, 0, 0, 0, g.running
 }
--- a/internal/search/gate_test.go
+++ b/internal/search/gate_test.go
@@ -17,7 +17,7 @@
 // of each weight in turn.
 func TestGateOrder(t *testing.T) {
 	is := is.New(t)
-	g := newGate(2)
+	g := newGate(2, time.Second)
 	now := time.Unix(0, 0)
 	start := func(weight int) *place {
 		p, ok := g.arrive(weight)
@@ -62,7 +62,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			g := newGate(10)
+			g := newGate(10, time.Second)
 			now := time.Unix(0, 0)
 			for range tt.running {
 				g.arrive(1)
