--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -165,7 +165,7 @@
 	if s == nil {
 		s = &serviceState{waiting: newWaiting()}
 		if e.settings.Concurrency == ConcurrencyAdaptive {
-			s.gate = newGate(leastSlots(b))
+			s.gate = newGate(leastSlots(b), e.settings.QueueWait.D())
 		}
 		e.services[b.Name] = s
 	}
