Judge the gate's room only where its limit was reached; show both treatments of a slow group

A window below the limit tells nothing of what can be done, so that at a usual load hardly any might have waited.

--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -41,8 +41,8 @@
 	n            int
 	waited, busy time.Duration
 	peak         int
-	// rate is how many searches a second ended in the last window, 0 before the first; longest is how
-	// long one may wait in the queue, fixed.
+	// rate is how many searches a second ended in the last window, 0 where the limit wasn't reached in
+	// it, so that it tells nothing of what can be done; longest is how long one may wait, fixed.
 	rate    float64
 	longest time.Duration
 }
@@ -177,12 +177,15 @@
 	if g.n < gateSamples || now.Sub(g.opened) < gateWindow {
 		return
 	}
+	g.rate = 0
+	if g.peak >= int(g.limit) {
+		g.rate = float64(g.n) / now.Sub(g.opened).Seconds()
+	}
 	switch {
 	case float64(g.waited) > gateTolerance*float64(g.busy):
 		g.limit = max(gateLeast, g.limit*gateCut)
 	case g.peak >= int(g.limit):
 		g.limit += max(1, g.limit*gateGrowth)
 	}
-	g.rate = float64(g.n) / now.Sub(g.opened).Seconds()
 	g.opened, g.n, g.waited, g.busy, g.peak = now, 0, 0, 0, g.running
 }
--- a/internal/search/gate_test.go
+++ b/internal/search/gate_test.go
@@ -80,6 +80,36 @@
 	}
 }
 
+// TestGateRoom shows how many may wait after a window in which 8 searches ended in 112 ms.
+func TestGateRoom(t *testing.T) {
+	for name, tt := range map[string]struct {
+		running int
+		longest time.Duration
+		want    int
+	}{
+		"the limit was reached":    {10, 50 * time.Millisecond, 3},
+		"one at least":             {10, time.Millisecond, 1},
+		"the limit at most":        {10, time.Second, 11},
+		"the limit wasn't reached": {5, 50 * time.Millisecond, 10},
+		"one even without a wait":  {10, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate(10, tt.longest)
+			now := time.Unix(0, 0)
+			for range tt.running {
+				g.arrive(1)
+			}
+			for range gateSamples {
+				g.leave(now, time.Millisecond, 0)
+				g.arrive(1)
+				now = now.Add(16 * time.Millisecond)
+			}
+			is.Equal(g.room(), tt.want)
+		})
+	}
+}
+
 func TestNeededShards(t *testing.T) {
 	for _, tt := range []struct {
 		p       policy
--- a/internal/search/sim_test.go
+++ b/internal/search/sim_test.go
@@ -335,3 +335,31 @@
 		})
 	}
 }
+
+// TestASlowGroupIsHandledByKind shows what the two ways to treat late groups do with a group that is 15
+// times slow: one answers in time without it, the other waits and answers whole.
+func TestASlowGroupIsHandledByKind(t *testing.T) {
+	for partial, want := range map[bundle.Partial]struct {
+		whole     float64
+		from, end time.Duration
+	}{
+		bundle.PartialLatency:  {0, 60 * time.Millisecond, 250 * time.Millisecond},
+		bundle.PartialCoverage: {1, 300 * time.Millisecond, time.Second},
+	} {
+		t.Run(string(partial), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSim(partial)
+				s.load(simCalm, settle)
+				s.slow(15, append(append(replicas("a", 0), replicas("b", 0)...), replicas("c", 0)...)...)
+				s.load(simCapacity/50, settle) // so few that the slow group can do them all
+				e := s.measure(t, string(partial), simCapacity/50, 10*settle)
+				is.Equal(e.dawn.answered, e.dawn.sent)
+				is.True(e.dawn.wholeShare() >= want.whole)
+				is.True(quantileOf(e.dawn.times, 0.5) >= want.from)
+				is.True(e.dawn.p99() <= want.end)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
