--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -52,7 +52,7 @@
 
 func newMachine() *machine {
 	cfg := DefaultConfig()
-	cfg.TTL, cfg.KeepAfter, cfg.PeerKeep = 4*time.Second, 3*time.Second, 5*time.Second
+	cfg.TTL, cfg.KeepAfter, cfg.PeerKeep, cfg.Linger = 4*time.Second, 3*time.Second, 5*time.Second, time.Second
 	w := newWorld(cfg, testZones)
 	return &machine{world: w, entry: NewResolver(cfg, entrySource{w}, netPeers{w, nil})}
 }
@@ -240,6 +240,7 @@
 		{1, "thawUnaware", onNode(m.thawUnaware)},
 		{4, "news", func(*rapid.T) { m.news() }},
 		{1, "rumour", func(t *rapid.T) { m.rumour(drawVM(t), pb.VmState_VM_STATE_GONE) }},
+		{1, "rumourEnded", func(t *rapid.T) { m.rumourEnded(drawVM(t)) }},
 	}
 	all := map[string]func(*rapid.T){"": m.check}
 	for _, a := range weighted {
--- a/internal/order/net_test.go
+++ b/internal/order/net_test.go
@@ -122,6 +122,9 @@
 		return nil, &upstream.CallError{Leaf: leaf, Err: errLost}
 	}
 	if f.refusal != pb.LeafRefusalReason_LEAF_REFUSAL_REASON_UNSPECIFIED {
+		if sleep(ctx, f.delay); ctx.Err() != nil {
+			return nil, &upstream.CallError{Leaf: leaf, Wrote: true, Err: ctx.Err()}
+		}
 		return nil, &upstream.CallError{Leaf: leaf, Wrote: true, Refusal: f.refusal, Err: errLost}
 	}
 	answer := make(chan struct{}, 1)
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
 // inWorld runs a test on fake time against four gathers; the tickets are vm-1's, its witness vm-2.
@@ -187,6 +188,8 @@
 		synctest.Wait()
 		is.Equal(m.askAround(noted), "unknown unreachable") // the intent is noted, nothing is sealed
 		m.rumour("vm-1", pb.VmState_VM_STATE_GONE)
+		is.Equal(m.askAround(noted), "unknown unreachable") // it may be on the other side of a cut
+		m.rumourEnded("vm-1")
 		is.Equal(m.askAround(noted), "unknown incarnation_gone")
 		m.node("vm-2").m.witness.settle(&pb.TicketRecord{ // late news changes nothing
 			Ticket: n.m.table.id(noted.ticket.Sequence), State: pb.TicketState_TICKET_STATE_DONE, Caller: "desk",
@@ -330,3 +333,12 @@
 	now = now.Add(2 * time.Hour)
 	is.Equal(e.Since(), time.Hour+3*time.Second)
 }
+
+func TestOwnRefusalOfALeafCallSaysItself(t *testing.T) {
+	is := is.New(t)
+	own := outcome.NotRun(pb.Reason_REASON_QUARANTINED, "gather.quarantine", "refused for its content").After(time.Minute)
+	end := refusedEnd(&upstream.CallError{Leaf: "leaf-0a", Err: own})
+	is.Equal(end.Reason, pb.Reason_REASON_QUARANTINED)
+	is.Equal(end.RetryAfter, time.Minute)
+	is.Equal(end.Peer, "leaf-0a")
+}
--- a/internal/order/resolver.go
+++ b/internal/order/resolver.go
@@ -92,7 +92,11 @@
 // askWitness asks the witness in the incarnation that the ticket names.
 func (q *query) askWitness(ctx context.Context, gone bool) *pb.ResolveResponse {
 	vm := findVM(q.view, q.t.WitnessVM)
-	if !q.t.HasWitness() || vm == nil || gatherGone(vm) || gatherOf(vm).GetIncarnation() != q.t.WitnessIncarnation {
+	if !q.t.HasWitness() || vm == nil || ended(vm, q.t.WitnessIncarnation) {
+		return notKnown()
+	}
+	if vm.GetState() == pb.VmState_VM_STATE_GONE {
+		q.missed = true // on the other side of a cut, perhaps
 		return notKnown()
 	}
 	req := q.request()
@@ -160,12 +164,12 @@
 }
 
 // minterGone tells whether the view shows that the minting incarnation has ended. A VM that is on
-// no list any more counts as gone, for addresses and VMs are replaced at any time.
+// no list any more counts as gone, for addresses and VMs are replaced at any time. One that is
+// listed and can't be reached may be on the other side of a cut, and answer after it.
 func minterGone(v *feed.View, t *ticket.Ticket) bool {
 	vm := findVM(v, t.VM)
 	if vm == nil {
 		return len(v.VMs) > 0
 	}
-	p := gatherOf(vm)
-	return gatherGone(vm) || p != nil && p.GetIncarnation() != t.Incarnation
+	return ended(vm, t.Incarnation)
 }
