Let searches that weigh coverage wait longer at the gate

Cause: merged, the gate of searches and the scenario of silent connections disagreed: while every running search is held up by silent connections for some 500 ms, those that arrive wait 100 ms at most and find a place or two, for the gate's room follows a rate that has just fallen. Ruled out: a longer wait for all kinds, which makes refusals under overload late where latency weighs most. Change: a kind that weighs coverage waits for up to a quarter of its time, in a queue that is still no longer than what runs at once.

--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -102,7 +102,7 @@
 	if q.state.gate == nil {
 		return e.answer(ctx, q)
 	}
-	if !q.state.gate.enter(ctx, q.kind.Weight) {
+	if !q.state.gate.enter(ctx, q.kind.Weight, q.patience()) {
 		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, Step, "too many searches run").After(e.settings.RetryAfter.D())
 	}
 	begun := time.Now()
@@ -113,6 +113,17 @@
 	return e.answer(ctx, q)
 }
 
+// patience is how long the search waits at the gate beyond the gate's own bound: a kind that weighs
+// coverage most has a part of its time to spare when the searches that run are held up, as by
+// connections gone silent. It finds no more places in the queue than run at once, so that overload
+// is refused at once as before.
+func (q *question) patience() time.Duration {
+	if q.kind.Partial != bundle.PartialCoverage {
+		return 0
+	}
+	return q.deadline.Sub(q.started) / patienceShare
+}
+
 // question checks a request against the bundle in force. Nothing has been sent when it refuses.
 func (e *Engine) question(ctx context.Context, identity *pb.Identity, req *pb.SearchRequest) (*question, error) {
 	b := e.source.Current().Bundle
--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -78,11 +78,13 @@
 	return least
 }
 
-// enter returns true once the search may start, and false where it has to be refused.
-func (g *gate) enter(ctx context.Context, weight int) bool {
-	ctx, cancel := context.WithTimeout(ctx, g.longest)
+// enter returns true once the search may start, and false where it has to be refused. It waits for
+// patience or the gate's longest wait, whichever is longer.
+func (g *gate) enter(ctx context.Context, weight int, patience time.Duration) bool {
+	patience = max(g.longest, patience)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	p, ok := g.arrive(weight)
+	p, ok := g.arrive(weight, patience)
 	if p == nil {
 		return ok
 	}
@@ -95,14 +97,14 @@
 }
 
 // arrive starts a search (nil, true), gives it a place in the queue, or refuses it (nil, false).
-func (g *gate) arrive(weight int) (*place, bool) {
+func (g *gate) arrive(weight int, patience time.Duration) (*place, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.queue) == 0 && g.running < int(g.limit) {
 		g.start()
 		return nil, true
 	}
-	if len(g.queue) >= g.room() && !g.displace(weight) {
+	if len(g.queue) >= g.room(patience) && !g.displace(weight) {
 		return nil, false
 	}
 	p := &place{weight: weight, turn: make(chan bool, 1)}
@@ -116,13 +118,13 @@
 	return p, false
 }
 
-// room is how many searches may wait: as many as get their turn in the longest wait, by how many ended
-// lately. Requires mu.
-func (g *gate) room() int {
+// room is how many searches may wait: as many as get their turn within the patience, by how many ended
+// lately, but no more than run at once. Requires mu.
+func (g *gate) room(patience time.Duration) int {
 	if g.rate == 0 {
 		return int(g.limit)
 	}
-	return max(1, min(int(g.limit), int(g.rate*g.longest.Seconds())))
+	return max(1, min(int(g.limit), int(g.rate*patience.Seconds())))
 }
 
 // displace refuses the last of the queue for a heavier search. Requires mu.
--- a/internal/search/settings.go
+++ b/internal/search/settings.go
@@ -57,6 +57,8 @@
 	// margin may take of a short one.
 	marginShare = 32
 	marginMost  = 4
+	// patienceShare is the part of its time that a kind weighing coverage may wait at the gate.
+	patienceShare = 4
 	// maxTries is how often one shard is asked in one run, hedge and retries included.
 	maxTries = 4
 	// placePoll is how often a search that waits for a slot looks again by itself.
