--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -188,6 +188,8 @@
 		synctest.Wait()
 		is.Equal(m.askAround(noted), "unknown unreachable") // the intent is noted, nothing is sealed
 		m.rumour("vm-1", pb.VmState_VM_STATE_GONE)
+		is.Equal(m.askAround(noted), "unknown unreachable") // it may be on the other side of a cut
+		m.rumourEnded("vm-1")
 		is.Equal(m.askAround(noted), "unknown incarnation_gone")
 		m.node("vm-2").m.witness.settle(&pb.TicketRecord{ // late news changes nothing
 			Ticket: n.m.table.id(noted.ticket.Sequence), State: pb.TicketState_TICKET_STATE_DONE, Caller: "desk",
--- a/internal/search/settings.go
+++ b/internal/search/settings.go
@@ -18,6 +18,9 @@
 	MaxWaiting int `toml:"max_waiting"`
 	// Concurrency is adaptive, or unbounded for measurements: how many searches of a service run at once.
 	Concurrency string `toml:"concurrency"`
+	// QueueWait is how long a search may wait to be let in before it is refused; those let in may wait
+	// longer for slots.
+	QueueWait settings.Duration `toml:"queue_wait"`
 	// RetryAfter is told to callers whose search ended for load or a lost upstream.
 	RetryAfter settings.Duration `toml:"retry_after"`
 }
@@ -28,6 +31,7 @@
 		AnswerMargin: settings.Duration(15 * time.Millisecond),
 		MaxWaiting:   256,
 		Concurrency:  ConcurrencyAdaptive,
+		QueueWait:    settings.Duration(50 * time.Millisecond),
 		RetryAfter:   settings.Duration(500 * time.Millisecond),
 	}
 }
@@ -44,6 +48,7 @@
 	c.Require(s.MaxWaiting >= 1 && s.MaxWaiting <= 100000, "search.max_waiting", "want 1 to 100000, got %d", s.MaxWaiting)
 	c.Require(s.Concurrency == ConcurrencyAdaptive || s.Concurrency == ConcurrencyUnbounded, "search.concurrency",
 		"want %s or %s, got %q", ConcurrencyAdaptive, ConcurrencyUnbounded, s.Concurrency)
+	c.Require(s.QueueWait.D() >= 0 && s.QueueWait.D() <= time.Second, "search.queue_wait", "want 0s to 1s, got %s", s.QueueWait.D())
 	c.Require(s.RetryAfter.D() >= 10*time.Millisecond && s.RetryAfter.D() <= time.Minute, "search.retry_after", "want 10ms to 1m, got %s", s.RetryAfter.D())
 }
 
@@ -56,6 +61,8 @@
 	maxTries = 4
 	// placePoll is how often a search that waits for a slot looks again by itself.
 	placePoll = 20 * time.Millisecond
+	// hedgePoll is when a hedge that the budget refused is asked for again.
+	hedgePoll = 5 * time.Millisecond
 	// lacksFor is how long a leaf's refusal of a snapshot is remembered beside what it says.
 	lacksFor = 2 * time.Second
 )
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -52,6 +52,8 @@
 	backoff backoff
 	// recoverBy is until when a connection that went silent may take to be replaced.
 	recoverBy time.Time
+	// brokeAt is when a connection broke last, zero where none has.
+	brokeAt time.Time
 	// polling is true while the status is asked for; pollAt is when it will be next.
 	polling bool
 	pollAt  time.Time
@@ -153,6 +155,25 @@
 	}
 }
 
+// beginOrder counts an order on a connection that was begun; false where it went out of use.
+func (l *leaf) beginOrder(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.usable() {
+		return false
+	}
+	c.orders++
+	return true
+}
+
+// releaseOrder ends an order on the connection.
+func (l *leaf) releaseOrder(c *conn) {
+	l.mu.Lock()
+	c.orders--
+	l.mu.Unlock()
+	l.release(c)
+}
+
 func (l *leaf) isLeaving() bool {
 	return l.presence.leaving() != pb.DepartureSource_DEPARTURE_SOURCE_UNSPECIFIED
 }
@@ -164,6 +185,9 @@
 			c.departed = true
 			l.departs(c.incarnation, pb.DepartureSource_DEPARTURE_SOURCE_GOAWAY)
 		}
+		if at, broke := c.wire.broke(); broke && at.After(l.brokeAt) {
+			l.brokeAt = at
+		}
 		switch {
 		case c.fate != fateNone:
 		case c.wire.lost.Load():
@@ -191,11 +215,19 @@
 }
 
 // silence takes a connection out of use that gave no sign of life since it was pinged at the given
-// time, and ends its calls. What cut it may have cut the others as well: those not heard of since are
-// pinged too, and take no call before they are heard of.
+// time, and ends its searches. Orders stay: they can't be sent again, and where the leaf was only
+// paused or cut off their answers still come. What cut the connection may have cut the others as
+// well: those not heard of since are pinged too, and take no call before they are heard of.
 func (l *leaf) silence(c *conn, pinged time.Time) {
 	l.mu.Lock()
+	if c.silenced {
+		l.mu.Unlock()
+		return
+	}
+	c.silenced = true
+	close(c.silent)
 	l.retire(c, fateSilent)
+	keep := c.orders > 0
 	l.recoverBy = time.Now().Add(recoverLimit)
 	for _, other := range l.conns {
 		if other.fate == fateNone && pinged.After(other.doubted) {
@@ -203,7 +235,9 @@
 		}
 	}
 	l.mu.Unlock()
-	_ = c.h2.Close()
+	if !keep {
+		_ = c.h2.Close()
+	}
 	l.pool.wakeUp()
 }
 
@@ -249,6 +283,7 @@
 	s := State{
 		Leaf: l.id, Incarnation: l.presence.incarnation, Leaving: l.isLeaving(),
 		Snapshots: append([]uint64(nil), l.snapshots...), Slots: l.slots,
+		Survived: !l.brokeAt.IsZero() && l.presence.shown.After(l.brokeAt),
 	}
 	for _, c := range l.conns {
 		s.Connected = s.Connected || c.usable()
