Scenarios: every refusal compared with the leaves' journals

refused_input posts strangers, bad bodies and headers, values out of limits and orders without a good ticket; refused_load fills queues, shortens deadlines and uses up a caller's limit under concurrent searches and orders; refused_faults drains, pauses and cuts off. A request whose refusal says not run may never arrive at a leaf, not later either: the journals are searched for each at the end, when everything has ended.

A scenario once saw a search answered by an entry that had just been frozen: SIGSTOP reaches the threads of a process one after another, and on a machine with a load average of 60 some run on for a while. freeze now returns once all threads have stopped. Ruled out by reading: a fault of the pause detector, which judges a request by the time since its last tick.

--- a/scenarios/daemon_test.go
+++ b/scenarios/daemon_test.go
@@ -102,8 +102,36 @@
 	return d.frozen
 }
 
-// freeze stops the process where it is, as a paused VM does; wake lets it go on.
-func (d *daemon) freeze() error { return d.signal(syscall.SIGSTOP) }
+// freeze stops the process where it is, as a paused VM does; wake lets it go on. On a busy machine
+// threads may run on for a while after the signal, so it returns once all have stopped.
+func (d *daemon) freeze() error {
+	if err := d.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return await(d.name+" stops", awaitBound, d.stopped)
+}
+
+// stopped returns an error while a thread of the process isn't stopped.
+func (d *daemon) stopped() error {
+	d.mu.Lock()
+	pid := d.cmd.Process.Pid
+	d.mu.Unlock()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		if err != nil {
+			continue // the thread has ended
+		}
+		// The state follows the program's name, which stands in parentheses.
+		if _, rest, ok := strings.Cut(string(text), ") "); ok && !strings.HasPrefix(rest, "T") {
+			return fmt.Errorf("a thread still runs: %s", f)
+		}
+	}
+	return nil
+}
 
 func (d *daemon) wake() error { return d.signal(syscall.SIGCONT) }
 
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -51,11 +51,11 @@
 	}
 }
 
-// answers counts the answers so far.
-func (l *load) answers() int {
+// soFar counts the replies so far.
+func (l *load) soFar() *tally {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return tallyOf(l.replies).answered()
+	return tallyOf(l.replies)
 }
 
 // finish lets each caller get the reply that it waits for, and returns all replies.
@@ -89,12 +89,37 @@
 		if l.cuts > 0 {
 			q.client, q.connection.cutAfter = nil, 1+random.IntN(l.cuts)
 		}
-		rep := q.send()
-		l.fleet.requests.record(rep)
-		l.mu.Lock()
-		l.replies = append(l.replies, rep)
-		l.mu.Unlock()
+		if q.search.GetKind() != orderKind {
+			l.send(q)
+			continue
+		}
+		l.order(q)
+	}
+}
+
+// send sends and keeps the reply.
+func (l *load) send(q *request) *reply {
+	rep := q.send()
+	l.fleet.requests.record(rep)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replies = append(l.replies, rep)
+	return rep
+}
+
+// order makes an order of what was drawn as a search: it gets a ticket, and sends the order through
+// the same entry.
+func (l *load) order(q *request) {
+	text := q.search.GetQuery()
+	q.search = nil
+	issue, order := *q, *q
+	issue.issue = &pb.IssueTicketRequest{Service: serviceName, Kind: orderKind}
+	t := l.send(&issue).issue.GetTicket()
+	if t == "" {
+		return
 	}
+	order.order = &pb.OrderRequest{Ticket: t, Service: serviceName, Kind: orderKind, Key: text, Payload: text}
+	l.send(&order)
 }
 
 // request draws a search. Callers of both names share texts and ask for unlike numbers of hits, so
--- a/scenarios/verbs_load_test.go
+++ b/scenarios/verbs_load_test.go
@@ -54,8 +54,8 @@
 	l.start()
 }
 
-// verbSettle is: settle NAME [only=OUTCOME,...] [saw=REASON|OUTCOME,...] [answered=1] [within=D]. It
-// waits for that many answers, ends the load once each caller has its reply, and checks how the
+// verbSettle is: settle NAME [only=OUTCOME,...] [saw=REASON|OUTCOME,...] [answered=1] [replies=1]
+// [within=D]. It waits for that many answers and replies, ends the load once each caller has its reply, and checks how the
 // replies ended.
 func verbSettle(ts *testscript.TestScript, neg bool, args []string) {
 	a := parseArguments(args)
@@ -66,10 +66,10 @@
 	if l == nil {
 		ts.Fatalf("no load %s", a.words[0])
 	}
-	answered := a.number("answered", 1)
-	ts.Check(await("answers", awaitBound, func() error {
-		if n := l.answers(); n < answered {
-			return fmt.Errorf("%d, want %d", n, answered)
+	answered, total := a.number("answered", 1), a.number("replies", 1)
+	ts.Check(await("replies", awaitBound, func() error {
+		if t := l.soFar(); t.answered() < answered || t.total < total {
+			return fmt.Errorf("want %d replies, %d of them answers: %s", total, answered, t)
 		}
 		return nil
 	}))
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -53,7 +53,7 @@
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait, "upset": verbUpset,
-		"shards":  verbShards,
+		"shards": verbShards, "post": verbPost, "pause": verbPause,
 		"traffic": verbTraffic, "measured": verbMeasured,
 	} {
 		all[name] = withFleet(v)
