--- /dev/null
+++ b/internal/content/store_test.go
@@ -0,0 +1,163 @@
+package content
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/listing"
+	"github.com/burdockplank/burdockplank/internal/notify"
+)
+
+var key = ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+
+func newStore() *Store {
+	public := key.Public().(ed25519.PublicKey)
+	trust := bundle.Trust{Threshold: 1, Reviewers: map[string]ed25519.PublicKey{bundle.KeyID(public): public}}
+	return New(bundle.NewStore(trust, nil), trust, notify.New())
+}
+
+// text has one service a name; salt changes the first caller alone.
+func text(version int, salt string, services ...string) []byte {
+	out := fmt.Sprintf("version = %d\n[limits]\nmax_query_bytes = 4096\nmax_top_k = 100\nmax_timeout = \"10s\"\n", version)
+	out += fmt.Sprintf("[[caller]]\nname = \"desk%s\"\ntoken_sha256 = \"%064d\"\nservices = [\"%s\"]\n", salt, 7, services[0])
+	for _, s := range services {
+		out += fmt.Sprintf("[[service]]\nname = %q\n[[service.kind]]\nname = \"dawn\"\nmode = \"search\"\ntimeout = \"1s\"\n", s)
+		out += fmt.Sprintf("[[service.leaf]]\nid = \"%s-0-a\"\nzone = \"az-1\"\naddress = \"127.0.2.1:9%03d\"\nslots = 3\nconnections = 30\n", s, s[0])
+		out += fmt.Sprintf("[[service.snapshot]]\nversion = 1\n[[service.snapshot.shard]]\nid = 0\ndocuments = 10\nleaves = [\"%s-0-a\"]\n", s)
+	}
+	return []byte(out)
+}
+
+func sign(t *testing.T, text []byte) *pb.SignedManifest {
+	t.Helper()
+	signed, err := bundle.Sign(text, bundle.Digest{}, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return signed
+}
+
+// pick returns the sections of a text that are named.
+func pick(text []byte, digests []bundle.Digest) (out [][]byte) {
+	for _, sec := range bundle.Split(text) {
+		for _, d := range digests {
+			if bundle.SectionDigest(sec) == d {
+				out = append(out, sec)
+			}
+		}
+	}
+	return out
+}
+
+func apply(t *testing.T, s *Store, text []byte) (missing int) {
+	t.Helper()
+	signed := sign(t, text)
+	digests, wanted, err := s.MissingBundle(signed)
+	if err != nil || !wanted {
+		t.Fatal(wanted, err)
+	}
+	if changed, err := s.ApplyBundle(signed, pick(text, digests)); err != nil || !changed {
+		t.Fatal(changed, err)
+	}
+	return len(digests)
+}
+
+func TestOnlyChangedSectionsAreMissing(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	is.Equal(apply(t, s, text(1, "", "a", "b", "c")), 8) // head, callers, and two for each service
+	is.Equal(apply(t, s, text(2, "", "a", "b", "c")), 1) // the head has the version
+	is.Equal(apply(t, s, text(3, "-x", "a", "b", "c")), 2)
+	is.Equal(apply(t, s, text(4, "-x", "a", "c")), 1)
+	is.Equal(s.Bundle().Version, uint64(4))
+	for _, sec := range bundle.Split(text(3, "-x", "a", "b", "c")) {
+		_, held := s.Section(bundle.SectionDigest(sec))
+		is.True(held) // peers that still fetch the version before find it
+	}
+}
+
+func TestLowerBundlesAreNotWanted(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	apply(t, s, text(5, "", "a"))
+	for _, version := range []int{4, 5} {
+		_, wanted, err := s.MissingBundle(sign(t, text(version, "", "a")))
+		is.NoErr(err)
+		is.True(!wanted)
+	}
+	old := text(4, "", "a")
+	changed, err := s.ApplyBundle(sign(t, old), bundle.Split(old))
+	is.NoErr(err) // a stale platform is no fault of the bundle
+	is.True(!changed)
+	is.Equal(s.Bundle().Version, uint64(5))
+	is.Equal(s.Highest(), uint64(5))
+}
+
+func TestWhatIsNotSignedIsNeverFetched(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	signed := sign(t, text(1, "", "a"))
+	signed.Signatures = nil
+	_, wanted, err := s.MissingBundle(signed)
+	is.True(err != nil)
+	is.True(!wanted)
+	is.Equal(s.Highest(), uint64(0))
+}
+
+func TestAPeerThatLacksSectionsIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	one := text(1, "", "a")
+	_, err := s.ApplyBundle(sign(t, one), [][]byte{[]byte("junk")})
+	is.True(err != nil)
+	apply(t, s, one) // another peer has them
+}
+
+func TestBundleHigherByPrefix(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	is.True(s.BundleHigher(1, nil))
+	is.True(!s.BundleHigher(0, nil)) // the peer has none
+	apply(t, s, text(5, "", "a"))
+	own := s.Bundle().Digest
+	above, below := own, own
+	above[0], below[0] = own[0]+1, own[0]-1
+	is.True(!s.BundleHigher(5, own[:8]))
+	is.Equal(s.BundleHigher(5, above[:8]), above[0] > own[0])
+	is.Equal(s.BundleHigher(5, below[:8]), below[0] > own[0])
+	is.True(s.BundleHigher(6, below[:8]))
+	is.True(!s.BundleHigher(4, above[:8]))
+	is.True(s.BundleAbove(4, above))
+	is.True(!s.BundleAbove(5, own))
+}
+
+func TestListsMoveBySectionsAndNeverBack(t *testing.T) {
+	is := is.New(t)
+	vms := func(n int) (out []*pb.Vm) {
+		for i := range n {
+			out = append(out, &pb.Vm{Id: fmt.Sprintf("vm-%d", i)})
+		}
+		return out
+	}
+	s := newStore()
+	is.True(s.ApplyList(listing.New(2, vms(200), nil)))
+	newer := listing.New(3, vms(201), nil)
+	missing, wanted := s.MissingList(newer.Manifest)
+	is.True(wanted)
+	is.Equal(len(missing), 1)
+	_, err := s.ApplyListManifest(newer.Manifest, nil)
+	is.True(err != nil) // not whole
+	is.Equal(s.List().Revision, uint64(2))
+	changed, err := s.ApplyListManifest(newer.Manifest, [][]byte{newer.Sections[missing[0]]})
+	is.NoErr(err)
+	is.True(changed)
+	is.Equal(len(s.List().VMs), 201)
+	is.True(!s.ApplyList(listing.New(2, nil, nil)))
+	_, wanted = s.MissingList(nil)
+	is.True(!wanted) // the peer has no list
+}
--- a/internal/spread/catchup.go
+++ b/internal/spread/catchup.go
@@ -78,7 +78,8 @@
 func (m *Manager) ask(ctx context.Context, address string) bool {
 	soon, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	return m.exchange(soon, address) == nil && m.fetch(ctx, address) == nil
+	order := exchangeOrder{peer: membership.Peer{ID: address, Address: address}, vms: true, evidence: true}
+	return m.exchange(soon, order) == nil && m.fetch(ctx, address) == nil
 }
 
 func (m *Manager) addressesToAsk() []string {
@@ -116,6 +117,13 @@
 	return now.Sub(m.contact), !m.contact.IsZero()
 }
 
+// HighestVersion returns the highest version of a bundle that a peer said it holds.
+func (m *Manager) HighestVersion() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.highest
+}
+
 // SetOwn spreads the states of the VM's own processes, and whether the VM leaves.
 func (m *Manager) SetOwn(processes []*pb.Process, leaves bool, now time.Time) {
 	if !m.cfg.Members.SetOwn(processes, leaves, now) {
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -9,30 +9,37 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/evidence"
+	"github.com/burdockplank/burdockplank/internal/membership"
 )
 
 // exchangeTimeout bounds one exchange.
 const exchangeTimeout = 3 * time.Second
 
+// exchangeOrder is an exchange that is due: with whom, and of what.
+type exchangeOrder struct {
+	peer          membership.Peer
+	vms, evidence bool
+}
+
 // runExchanges exchanges with one peer after the other.
 func (m *Manager) runExchanges(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case p := <-m.exchanges:
-			if err := m.exchange(ctx, p.Address); err != nil && ctx.Err() == nil {
-				m.cfg.Log.Debug("exchange failed", zap.String("peer", p.ID), zap.Error(err))
+		case o := <-m.exchanges:
+			if err := m.exchange(ctx, o); err != nil && ctx.Err() == nil {
+				m.cfg.Log.Debug("exchange failed", zap.String("peer", o.peer.ID), zap.Error(err))
 			}
 		}
 	}
 }
 
-// exchange gives a peer all membership and evidence and takes what it holds more.
-func (m *Manager) exchange(ctx context.Context, address string) error {
+// exchange makes membership, evidence or both equal to a peer's.
+func (m *Manager) exchange(ctx context.Context, o exchangeOrder) error {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	err := m.exchangeWith(ctx, m.cfg.Dial(address))
+	err := m.exchangeWith(ctx, m.cfg.Dial(o.peer.Address), o)
 	outcome := "done"
 	if err != nil {
 		outcome = "failed"
@@ -43,12 +50,16 @@
 
 // exchangeWith sends a summary of membership and all evidence, takes what is newer there, and gives
 // the records that are newer here.
-func (m *Manager) exchangeWith(ctx context.Context, peer burdockv1connect.PeerServiceClient) error {
+func (m *Manager) exchangeWith(ctx context.Context, peer burdockv1connect.PeerServiceClient, o exchangeOrder) error {
 	now := time.Now()
-	resp, err := peer.Exchange(ctx, &pb.ExchangeRequest{
-		From: m.cfg.Self, Fleet: m.cfg.Fleet, Vms: m.cfg.Members.Summary(), Summary: true,
-		Departures: m.cfg.Evidence.Departures(now), Crashes: m.cfg.Evidence.Crashes(now),
-	})
+	req := &pb.ExchangeRequest{From: m.cfg.Self, Fleet: m.cfg.Fleet, Summary: o.vms, AllEvidence: o.evidence}
+	if o.vms {
+		req.Vms = m.cfg.Members.Summary()
+	}
+	if o.evidence {
+		req.Departures, req.Crashes = m.cfg.Evidence.Departures(now), m.cfg.Evidence.Crashes(now)
+	}
+	resp, err := peer.Exchange(ctx, req)
 	if err != nil {
 		return err
 	}
--- a/internal/spread/handle.go
+++ b/internal/spread/handle.go
@@ -6,7 +6,6 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
-	"github.com/burdockplank/burdockplank/internal/membership"
 )
 
 // handle takes one packet.
@@ -109,11 +108,12 @@
 	sameVMs := d.GetMembersHash() == roster.Hash
 	sameEvidence := d.GetEvidenceHash() == m.cfg.Evidence.Hash(now)
 	m.mu.Lock()
+	m.highest = max(m.highest, d.GetBundleVersion())
 	m.news.known(sameVMs, sameEvidence, sendsFor(roster.Present()))
 	due := m.differ.observe(sameVMs && sameEvidence, now)
 	m.mu.Unlock()
 	if due {
-		replace(m.exchanges, from)
+		replace(m.exchanges, exchangeOrder{peer: from, vms: !sameVMs, evidence: !sameEvidence})
 	}
 }
 
@@ -128,11 +128,11 @@
 	return !refused || now.Sub(at) >= refusedFor
 }
 
-// replace puts p into a channel that holds one, in place of what waits there.
-func replace(ch chan membership.Peer, p membership.Peer) {
+// replace puts v into a channel that holds one, in place of what waits there.
+func replace[T any](ch chan T, v T) {
 	for {
 		select {
-		case ch <- p:
+		case ch <- v:
 			return
 		default:
 		}
--- a/internal/spread/manager.go
+++ b/internal/spread/manager.go
@@ -33,8 +33,8 @@
 	ownZoneShare = 0.75
 	// pushRate and pushBurst bound how often news is pushed at once; pushFanout is to how many
 	// peers.
-	pushRate   = 2
-	pushBurst  = 6
+	pushRate   = 4
+	pushBurst  = 10
 	pushFanout = 3
 )
 
@@ -66,8 +66,9 @@
 	metrics *metrics
 	push    chan struct{}
 	pushes  *rate.Limiter
-	// fetches and exchanges hold the peer that is next, newest wins.
-	fetches, exchanges chan membership.Peer
+	// fetches and exchanges hold what is next, newest wins.
+	fetches   chan membership.Peer
+	exchanges chan exchangeOrder
 	// fetching holds a value while sections are fetched: one at a time, so that none moves twice.
 	fetching chan struct{}
 
@@ -84,6 +85,8 @@
 	caughtUp bool
 	// pauses counts the pauses of the process.
 	pauses uint64
+	// highest is the highest version of a bundle that a peer said it holds.
+	highest uint64
 	// refused remembers bundles that were not accepted, by version and digest prefix.
 	refused map[refusedKey]time.Time
 	differ  differ
@@ -103,7 +106,7 @@
 		push:      make(chan struct{}, 1),
 		pushes:    rate.NewLimiter(pushRate, pushBurst),
 		fetches:   make(chan membership.Peer, 1),
-		exchanges: make(chan membership.Peer, 1),
+		exchanges: make(chan exchangeOrder, 1),
 		fetching:  make(chan struct{}, 1),
 		news:      newNews(),
 		newsBytes: rate.NewLimiter(newsRate, newsBurst),
--- a/internal/spread/service.go
+++ b/internal/spread/service.go
@@ -58,13 +58,15 @@
 		return nil, errOtherFleet(f)
 	}
 	now := time.Now()
-	if !req.GetSummary() {
-		m.mergeWhole(req.GetVms(), req.GetDepartures(), req.GetCrashes(), now)
-		return new(pb.ExchangeResponse), nil
+	resp, whole := new(pb.ExchangeResponse), req.GetVms()
+	if req.GetSummary() {
+		resp.Vms, resp.Wanted = m.cfg.Members.Newer(req.GetVms()), m.cfg.Members.Wanted(req.GetVms())
+		whole = nil
 	}
-	resp := &pb.ExchangeResponse{Vms: m.cfg.Members.Newer(req.GetVms()), Wanted: m.cfg.Members.Wanted(req.GetVms())}
-	resp.Departures, resp.Crashes = m.lacking(req, now)
-	m.mergeWhole(nil, req.GetDepartures(), req.GetCrashes(), now)
+	if req.GetAllEvidence() {
+		resp.Departures, resp.Crashes = m.lacking(req, now)
+	}
+	m.mergeWhole(whole, req.GetDepartures(), req.GetCrashes(), now)
 	return resp, nil
 }
 
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,218 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/content"
+	"github.com/burdockplank/burdockplank/internal/evidence"
+	"github.com/burdockplank/burdockplank/internal/membership"
+	"github.com/burdockplank/burdockplank/internal/notify"
+)
+
+var start = time.Unix(1000, 0)
+
+func vm(id, zone string) *pb.Vm {
+	return &pb.Vm{
+		Id: id, Zone: zone, Address: "127.0.0.1", SyncPort: 7402, Incarnation: 1 << 60, Heartbeat: 5, Version: 1,
+		State: pb.VmState_VM_STATE_LIVE,
+		Processes: []*pb.Process{
+			{Role: pb.ProcessRole_PROCESS_ROLE_ENTRY, Incarnation: 1 << 61, State: pb.ProcessState_PROCESS_STATE_READY},
+			{Role: pb.ProcessRole_PROCESS_ROLE_GATHER, Incarnation: 1 << 62, State: pb.ProcessState_PROCESS_STATE_READY},
+		},
+	}
+}
+
+// sent records the packets of a manager.
+type sent struct {
+	Transport
+	to      []string
+	packets [][]byte
+}
+
+func (s *sent) Send(to string, packet []byte) error {
+	s.to, s.packets = append(s.to, to), append(s.packets, packet)
+	return nil
+}
+
+// last decodes the newest packet.
+func (s *sent) last(t *testing.T) *pb.Digest {
+	t.Helper()
+	var d pb.Digest
+	if err := proto.Unmarshal(s.packets[len(s.packets)-1], &d); err != nil {
+		t.Fatal(err)
+	}
+	return &d
+}
+
+// newManager knows n VMs besides its own and has caught up.
+func newManager(n int) (*Manager, *sent) {
+	out := new(sent)
+	changed := notify.New()
+	m := New(Config{
+		Fleet: "test", Self: "self", Zone: "az-1", Members: membership.New(vm("self", "az-1"), start),
+		Evidence: evidence.New(), Content: content.New(bundle.NewStore(bundle.Trust{}, nil), bundle.Trust{}, changed),
+		Transport: out, CheckPause: func(time.Time) {}, Changed: changed, Log: zap.NewNop(),
+	})
+	var vms []*pb.Vm
+	for i := range n {
+		vms = append(vms, vm(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("az-%d", i%4+1)))
+	}
+	m.mergeWhole(vms, nil, nil, start)
+	m.SetCaughtUp(0)
+	return m, out
+}
+
+// packetFrom is a packet of a VM that newManager knows.
+func packetFrom(id string) *pb.Digest {
+	return &pb.Digest{Fleet: "test", From: id, Incarnation: 1 << 60, Heartbeat: 6, Version: 1}
+}
+
+func (m *Manager) take1(t *testing.T, d *pb.Digest, now time.Time) {
+	t.Helper()
+	packet, err := proto.Marshal(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.handle(packet, now)
+}
+
+func TestPacketsStayShortAndCarryAllNewsInTurn(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(100)
+	var crashes []*pb.Crash
+	for i := range uint64(50) {
+		crashes = append(crashes, &pb.Crash{RequestDigest: i, Leaf: "a-leaf-with-a-long-name-0-a", Incarnation: 1 << 60})
+	}
+	m.TakeEvidence(nil, crashes, start)
+	seen := make(map[string]bool)
+	for i := range 40 {
+		m.send(membership.Peer{}, message{replyWanted: true, about: []string{"unknown"}}, start.Add(time.Duration(i)*time.Minute))
+		is.True(len(out.packets[i]) <= MaxPacket+64)
+		d := out.last(t)
+		for _, r := range d.GetNews() {
+			seen[r.GetId()] = true
+		}
+		for _, c := range d.GetCrashes() {
+			seen[fmt.Sprint(c.GetRequestDigest())] = true
+		}
+	}
+	is.Equal(len(seen), 100+50+1)
+}
+
+func TestNewsIsBoundedByBytes(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(500)
+	for range 500 {
+		m.send(membership.Peer{}, message{}, start)
+	}
+	total := 0
+	for _, p := range out.packets {
+		total += len(p)
+	}
+	base := len(out.packets[len(out.packets)-1])
+	is.True(total < newsBurst+500*base+MaxPacket)
+}
+
+func TestNewsStopsWhenPeersKnow(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(8)
+	m.cfg.Members.Suspect("vm-001", 5, start)
+	m.news.addVMs(membership.Result{Judged: []string{"vm-001"}})
+	d := packetFrom("vm-000")
+	d.MembersHash, d.EvidenceHash = m.cfg.Members.Roster().Hash, m.cfg.Evidence.Hash(start)
+	for range sendsFor(8) {
+		m.take1(t, d, start)
+	}
+	m.send(membership.Peer{}, message{}, start)
+	news := out.last(t).GetNews()
+	is.Equal(len(news), 1) // the suspicion, which no hash shows
+	is.Equal(news[0].GetId(), "vm-001")
+	is.Equal(news[0].GetAddress(), "") // in its short form
+}
+
+func TestSilentVMIsProbedThroughOthersAndThenSuspected(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(8)
+	m.probes.start("vm-000", 5, start)
+	m.checkProbes(start.Add(probeTimeout - 1))
+	is.Equal(len(out.packets), 0)
+	m.checkProbes(start.Add(probeTimeout))
+	is.Equal(len(out.packets), 1+probeHelpers)
+	is.Equal(out.last(t).GetProbe(), "vm-000")
+	m.checkProbes(start.Add(probeTimeout + indirectTimeout))
+	is.Equal(m.cfg.Members.Record("vm-000").GetState(), pb.VmState_VM_STATE_SUSPECT)
+}
+
+func TestProbeEndsByAnyHigherHeartbeat(t *testing.T) {
+	for name, hear := range map[string]func(*testing.T, *Manager){
+		"its own packet": func(t *testing.T, m *Manager) { m.take1(t, packetFrom("vm-000"), start) },
+		"through another": func(t *testing.T, m *Manager) {
+			d := packetFrom("vm-001")
+			higher := vm("vm-000", "az-1")
+			higher.Heartbeat = 9
+			d.News = []*pb.Vm{higher}
+			m.take1(t, d, start)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, _ := newManager(8)
+			m.probes.start("vm-000", 5, start)
+			m.checkProbes(start.Add(probeTimeout))
+			hear(t, m)
+			m.checkProbes(start.Add(probeTimeout + indirectTimeout))
+			is.New(t).Equal(m.cfg.Members.Record("vm-000").GetState(), pb.VmState_VM_STATE_LIVE)
+		})
+	}
+}
+
+func TestHelperPassesTheAnswerOn(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(8)
+	ask := packetFrom("vm-000")
+	ask.Probe = "vm-001"
+	m.take1(t, ask, start)
+	is.Equal(out.last(t).GetProbe(), "vm-001") // the target is told that it is suspected
+	m.take1(t, packetFrom("vm-001"), start.Add(time.Millisecond))
+	is.Equal(out.last(t).GetNews()[0].GetId(), "vm-001") // and its higher heartbeat goes to the asker
+	is.Equal(out.last(t).GetNews()[0].GetHeartbeat(), uint64(6))
+}
+
+func TestPacketsThatAreNotOursAreIgnored(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(2)
+	other := packetFrom("vm-000")
+	other.Fleet, other.ReplyWanted = "other", true
+	m.take1(t, other, start)
+	m.handle([]byte("junk"), start)
+	asked := packetFrom("vm-000")
+	asked.ReplyWanted = true
+	m.Paused(start)
+	m.take1(t, asked, start) // it may have waited through the pause
+	is.Equal(len(out.packets), 0)
+	m.SetCaughtUp(0) // of before the pause
+	is.True(!m.CaughtUp())
+	m.SetCaughtUp(1)
+	m.take1(t, asked, start)
+	is.Equal(len(out.packets), 1)
+}
+
+func TestExchangeIsDueOnlyWhenHashesGoOnDiffering(t *testing.T) {
+	is := is.New(t)
+	var d differ
+	is.True(!d.observe(false, start))
+	is.True(!d.observe(false, start.Add(differMin-1)))
+	is.True(!d.observe(true, start.Add(differMin))) // news in flight settled it
+	is.True(!d.observe(false, start.Add(differMin)))
+	now := start.Add(2 * differMin)
+	is.True(d.observe(false, now))
+	is.True(!d.observe(false, now.Add(2*differMin-1))) // the wait doubles
+	is.True(d.observe(false, now.Add(2*differMin)))
+}
--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -5,7 +5,6 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -14,19 +13,11 @@
 	"time"
 
 	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
-	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/bundle"
-	"github.com/burdockplank/burdockplank/internal/platform"
 )
 
-// latency of the fake network, one way.
-const latency = time.Millisecond
-
-var errUnreachable = errors.New("unreachable")
-
 // fleet is a number of syncs in one process over a fake network and a fake platform.
 type fleet struct {
 	t        *testing.T
@@ -141,109 +132,6 @@
 	}
 }
 
-// reaches tells whether a packet or call gets from one to the other now.
-func (f *fleet) reaches(from, to *node) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	pair := [2]string{from.zone, to.zone}
-	if pair == f.cutPair || pair == [2]string{f.cutPair[1], f.cutPair[0]} {
-		return false
-	}
-	return from.running && (f.cutZone == "" || (from.zone == f.cutZone) == (to.zone == f.cutZone))
-}
-
-// Send implements spread.Transport.
-func (nd *node) Send(to string, packet []byte) error {
-	f := nd.fleet
-	f.mu.Lock()
-	target, lost := f.byAddr[to], rand.Float64() < f.loss
-	f.bytes += len(packet) + 28
-	f.packets++
-	f.mu.Unlock()
-	if len(packet) > 1200 {
-		f.t.Errorf("packet of %d bytes", len(packet))
-	}
-	if target == nil || lost || !f.reaches(nd, target) {
-		return nil
-	}
-	time.AfterFunc(latency, func() {
-		select {
-		case target.inbox <- packet:
-		default:
-		}
-	})
-	return nil
-}
-
-// Receive implements spread.Transport.
-func (nd *node) Receive(ctx context.Context) ([]byte, error) {
-	select {
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case p := <-nd.inbox:
-		return p, nil
-	}
-}
-
-func (nd *node) dial(address string) burdockv1connect.PeerServiceClient {
-	nd.fleet.mu.Lock()
-	defer nd.fleet.mu.Unlock()
-	return &call{from: nd, to: nd.fleet.byAddr[address]}
-}
-
-// call is a PeerServiceClient over the fake network.
-type call struct{ from, to *node }
-
-// through does a call if both ways are open; a call into silence waits for its deadline.
-func through[Req, Resp any](ctx context.Context, c *call, req Req, do func(context.Context, Req) (Resp, error)) (Resp, error) {
-	var none Resp
-	open := func() bool {
-		if c.to == nil || !c.from.fleet.reaches(c.from, c.to) {
-			return false
-		}
-		return c.from.fleet.reaches(c.to, c.from)
-	}
-	for range 2 {
-		if !open() {
-			<-ctx.Done()
-			return none, errUnreachable
-		}
-		if !sleep(ctx, latency) {
-			return none, ctx.Err()
-		}
-	}
-	resp, err := do(ctx, req)
-	if err == nil {
-		c.from.fleet.count(req, resp)
-	}
-	return resp, err
-}
-
-// callOverhead is about what connection, headers and framing add to a call.
-const callOverhead = 800
-
-// count adds the messages of a call.
-func (f *fleet) count(messages ...any) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.bytes += callOverhead
-	for _, m := range messages {
-		f.bytes += proto.Size(m.(proto.Message))
-	}
-}
-
-func (c *call) Manifest(ctx context.Context, req *pb.ManifestRequest) (*pb.ManifestResponse, error) {
-	return through(ctx, c, req, c.to.manager.Spread().Manifest)
-}
-
-func (c *call) Sections(ctx context.Context, req *pb.SectionsRequest) (*pb.SectionsResponse, error) {
-	return through(ctx, c, req, c.to.manager.Spread().Sections)
-}
-
-func (c *call) Exchange(ctx context.Context, req *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
-	return through(ctx, c, req, c.to.manager.Spread().Exchange)
-}
-
 // bundleText returns a bundle of the version; salt makes different ones of one version.
 func bundleText(version uint64, salt string) []byte {
 	return fmt.Appendf(nil, `version = %d
@@ -391,126 +279,3 @@
 	f.t.Fatalf("after %s not yet: %s", limit, what)
 	return 0
 }
-
-// fakePlatform holds one manifest, its sections and the list.
-type fakePlatform struct {
-	f *fleet
-
-	mu sync.Mutex
-	// What follows is guarded by mu.
-	changed chan struct{}
-	values  map[string]platform.Value
-	down    bool
-	noZones map[string]bool
-	noVMs   map[string]bool
-	reads   int
-}
-
-func newFakePlatform(f *fleet) *fakePlatform {
-	return &fakePlatform{
-		f: f, changed: make(chan struct{}), values: make(map[string]platform.Value),
-		noZones: make(map[string]bool), noVMs: make(map[string]bool),
-	}
-}
-
-const listKey = "list"
-
-func (p *fakePlatform) put(key string, body []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.values[key] = platform.Value{Revision: p.values[key].Revision + 1, Body: body, Changed: true}
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-func (p *fakePlatform) publish(signed *pb.SignedManifest, text []byte) {
-	for _, sec := range bundle.Split(text) {
-		p.put(sectionPrefix+bundle.SectionDigest(sec).String(), sec)
-	}
-	encoded, err := proto.Marshal(signed)
-	if err != nil {
-		p.f.t.Fatal(err)
-	}
-	p.put(manifestKey, encoded)
-}
-
-func (p *fakePlatform) publishList(text []byte) { p.put(listKey, text) }
-
-func (p *fakePlatform) nextListRevision() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.values[listKey].Revision + 1
-}
-
-// set changes faults.
-func (p *fakePlatform) set(change func(p *fakePlatform)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	change(p)
-	close(p.changed)
-	p.changed = make(chan struct{})
-}
-
-func (p *fakePlatform) readCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads
-}
-
-// nodePlatform is the platform as one sync reaches it.
-type nodePlatform struct {
-	p  *fakePlatform
-	nd *node
-}
-
-func (n *nodePlatform) read(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
-	end := time.Now().Add(wait)
-	n.p.mu.Lock()
-	n.p.reads++
-	n.p.mu.Unlock()
-	if !sleep(ctx, latency) {
-		return platform.Value{}, ctx.Err()
-	}
-	for {
-		n.p.mu.Lock()
-		v, changed := n.p.values[key], n.p.changed
-		cut := n.p.down || n.p.noZones[n.nd.zone] || n.p.noVMs[n.nd.id]
-		n.p.mu.Unlock()
-		left := time.Until(end)
-		switch {
-		case cut:
-			sleep(ctx, 2*time.Second)
-			return platform.Value{}, errUnreachable
-		case v.Revision > after:
-			return v, nil
-		case left <= 0 && v.Revision == 0:
-			return platform.Value{}, platform.ErrNotFound
-		case left <= 0:
-			return platform.Value{Revision: v.Revision}, nil
-		}
-		t := time.NewTimer(left)
-		select {
-		case <-ctx.Done():
-			return platform.Value{}, ctx.Err()
-		case <-changed:
-		case <-t.C:
-		}
-		t.Stop()
-	}
-}
-
-func (n *nodePlatform) Get(ctx context.Context, key string) (platform.Value, error) {
-	return n.read(ctx, key, 0, 0)
-}
-
-func (n *nodePlatform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
-	return n.read(ctx, key, after, wait)
-}
-
-func (n *nodePlatform) List(ctx context.Context) (platform.Value, error) {
-	return n.read(ctx, listKey, 0, 0)
-}
-
-func (n *nodePlatform) WatchList(ctx context.Context, after uint64, wait time.Duration) (platform.Value, error) {
-	return n.read(ctx, listKey, after, wait)
-}
--- /dev/null
+++ b/internal/syncd/platform_test.go
@@ -0,0 +1,136 @@
+package syncd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/platform"
+)
+
+// fakePlatform holds one manifest, its sections and the list.
+type fakePlatform struct {
+	f *fleet
+
+	mu sync.Mutex
+	// What follows is guarded by mu.
+	changed chan struct{}
+	values  map[string]platform.Value
+	down    bool
+	noZones map[string]bool
+	noVMs   map[string]bool
+	reads   int
+}
+
+func newFakePlatform(f *fleet) *fakePlatform {
+	return &fakePlatform{
+		f: f, changed: make(chan struct{}), values: make(map[string]platform.Value),
+		noZones: make(map[string]bool), noVMs: make(map[string]bool),
+	}
+}
+
+const listKey = "list"
+
+func (p *fakePlatform) put(key string, body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[key] = platform.Value{Revision: p.values[key].Revision + 1, Body: body, Changed: true}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) publish(signed *pb.SignedManifest, text []byte) {
+	for _, sec := range bundle.Split(text) {
+		p.put(sectionPrefix+bundle.SectionDigest(sec).String(), sec)
+	}
+	encoded, err := proto.Marshal(signed)
+	if err != nil {
+		p.f.t.Fatal(err)
+	}
+	p.put(manifestKey, encoded)
+}
+
+func (p *fakePlatform) publishList(text []byte) { p.put(listKey, text) }
+
+func (p *fakePlatform) nextListRevision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[listKey].Revision + 1
+}
+
+// set changes faults.
+func (p *fakePlatform) set(change func(p *fakePlatform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *fakePlatform) readCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+// nodePlatform is the platform as one sync reaches it.
+type nodePlatform struct {
+	p  *fakePlatform
+	nd *node
+}
+
+func (n *nodePlatform) read(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
+	end := time.Now().Add(wait)
+	n.p.mu.Lock()
+	n.p.reads++
+	n.p.mu.Unlock()
+	if !sleep(ctx, latency) {
+		return platform.Value{}, ctx.Err()
+	}
+	for {
+		n.p.mu.Lock()
+		v, changed := n.p.values[key], n.p.changed
+		cut := n.p.down || n.p.noZones[n.nd.zone] || n.p.noVMs[n.nd.id]
+		n.p.mu.Unlock()
+		left := time.Until(end)
+		switch {
+		case cut:
+			sleep(ctx, 2*time.Second)
+			return platform.Value{}, errUnreachable
+		case v.Revision > after:
+			return v, nil
+		case left <= 0 && v.Revision == 0:
+			return platform.Value{}, platform.ErrNotFound
+		case left <= 0:
+			return platform.Value{Revision: v.Revision}, nil
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-ctx.Done():
+			return platform.Value{}, ctx.Err()
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (n *nodePlatform) Get(ctx context.Context, key string) (platform.Value, error) {
+	return n.read(ctx, key, 0, 0)
+}
+
+func (n *nodePlatform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
+	return n.read(ctx, key, after, wait)
+}
+
+func (n *nodePlatform) List(ctx context.Context) (platform.Value, error) {
+	return n.read(ctx, listKey, 0, 0)
+}
+
+func (n *nodePlatform) WatchList(ctx context.Context, after uint64, wait time.Duration) (platform.Value, error) {
+	return n.read(ctx, listKey, after, wait)
+}
--- a/internal/syncd/settings.go
+++ b/internal/syncd/settings.go
@@ -64,6 +64,8 @@
 // Check implements settings.Checked.
 func (s *Settings) Check(c *settings.Checker) {
 	s.VM.Check(c)
+	bind := net.ParseIP(s.VM.Bind)
+	c.Require(bind == nil || !bind.IsUnspecified(), "vm.bind", "want the VM's own IP number, by which the sync knows the processes of its VM, got %q", s.VM.Bind)
 	s.Operator.Check(c)
 	s.Log.Check(c)
 	settings.CheckPort(c, "sync.port", s.Sync.Port)
--- a/internal/syncd/view.go
+++ b/internal/syncd/view.go
@@ -71,7 +71,7 @@
 
 // base returns what each view holds.
 func (c *viewCache) base(now time.Time) *pb.View {
-	v := &pb.View{Vm: c.m.cfg.Settings.VM.ID, Zone: c.m.cfg.Settings.VM.Zone, HighestVersion: c.m.content.Highest()}
+	v := &pb.View{Vm: c.m.cfg.Settings.VM.ID, Zone: c.m.cfg.Settings.VM.Zone, HighestVersion: c.m.highestVersion()}
 	if b := c.m.content.Bundle(); b != nil {
 		v.BundleVersion = b.Version
 	}
@@ -81,6 +81,9 @@
 	return v
 }
 
+// highestVersion returns the highest version of a bundle that was heard of anywhere.
+func (m *Manager) highestVersion() uint64 { return max(m.content.Highest(), m.spread.HighestVersion()) }
+
 // withBundle returns a copy of v with a bundle; the lists are shared.
 func withBundle(v *pb.View, signed *pb.SignedManifest, text []byte) *pb.View {
 	return &pb.View{
