--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -154,7 +154,7 @@
 	if left <= 0 {
 		return outcome.NotRun(pb.Reason_REASON_DEADLINE, Step, "no time left")
 	}
-	q.deadline = end.Add(-min(e.settings.AnswerMargin.D(), left/marginShare))
+	q.deadline = end.Add(-min(max(e.settings.AnswerMargin.D(), left/marginShare), left/marginMost))
 	return nil
 }
 
@@ -165,7 +165,7 @@
 	if s == nil {
 		s = &serviceState{waiting: newWaiting()}
 		if e.settings.Concurrency == ConcurrencyAdaptive {
-			s.gate = newGate(leastSlots(b))
+			s.gate = newGate(leastSlots(b), e.settings.QueueWait.D())
 		}
 		e.services[b.Name] = s
 	}
