--- a/cmd/burdock-entry/daemon.go
+++ b/cmd/burdock-entry/daemon.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
@@ -31,8 +28,6 @@
 	// pauseTick and pauseBound say how late a tick may come before the process counts as paused.
 	pauseTick  = 50 * time.Millisecond
 	pauseBound = 500 * time.Millisecond
-	// operatorHeaderTimeout bounds half a request to the operators' listener.
-	operatorHeaderTimeout = 5 * time.Second
 )
 
 // incarnation names this start of the process.
@@ -78,8 +73,8 @@
 	entry    *entry.Manager
 }
 
-// run runs the duties until a signal comes.
-func (d *daemon) run(ctx context.Context) error {
+// Run runs the duties until a signal comes.
+func (d *daemon) Run(ctx context.Context) error {
 	defer func() { _ = d.log.Sync() }()
 	r := process.Runner{
 		Log: d.log, DrainLimit: d.settings.Drain.Limit.D(), Drain: d.entry.Drain,
@@ -95,18 +90,7 @@
 
 // serveOperators serves probes, metrics and dump until ctx ends.
 func (d *daemon) serveOperators(ctx context.Context) error {
-	var lc net.ListenConfig
-	l, err := lc.Listen(ctx, "tcp", d.settings.Operator.Listen)
-	if err != nil {
-		return eris.Wrap(err, "operator: listen")
-	}
-	srv := &http.Server{Handler: operator.Handler(d.registry, d.dumps(), d.entry.Ready), ReadHeaderTimeout: operatorHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "operator: serve")
-	}
-	return nil
+	return operator.Serve(ctx, d.settings.Operator.Listen, operator.Handler(d.registry, d.dumps(), d.entry.Ready))
 }
 
 // dumps collects the state of all duties.
--- a/internal/entry/manager.go
+++ b/internal/entry/manager.go
@@ -153,10 +153,7 @@
 // Dump implements operator.Dumper.
 func (m *Manager) Dump() any {
 	v := m.source.Current()
-	s := state{Phase: phaseNames[m.drainer.at()], VMs: len(v.VMs), ViewAge: "never"}
-	if !v.Heard.IsZero() {
-		s.ViewAge = m.now().Sub(v.Heard).Round(time.Millisecond).String()
-	}
+	s := state{Phase: phaseNames[m.drainer.at()], VMs: len(v.VMs), ViewAge: v.Age(m.now())}
 	s.Ready, s.Why = m.Ready()
 	if v.Bundle != nil {
 		s.BundleVersion = v.Bundle.Version
@@ -175,12 +172,5 @@
 	if m.drainer.draining() {
 		i.State = process.StateDraining
 	}
-	if v.Bundle != nil {
-		i.BundleVersion = v.Bundle.Version
-	}
-	i.PlatformAgeSeconds = -1
-	if !v.Heard.IsZero() && v.PlatformAge >= 0 {
-		i.PlatformAgeSeconds = (v.PlatformAge + m.now().Sub(v.Heard)).Seconds()
-	}
-	return i
+	return v.Describe(i, m.now())
 }
--- a/internal/gather/manager.go
+++ b/internal/gather/manager.go
@@ -189,13 +189,10 @@
 
 // Dump implements operator.Dumper.
 func (m *Manager) Dump() any {
-	s := state{ViewAge: "never"}
+	v := m.source.Current()
+	s := state{ViewAge: v.Age(time.Now())}
 	s.Ready, s.Why = m.Ready()
 	s.Draining, s.Running = m.door.state()
-	v := m.source.Current()
-	if !v.Heard.IsZero() {
-		s.ViewAge = time.Since(v.Heard).Round(time.Millisecond).String()
-	}
 	if v.Bundle != nil {
 		s.BundleVersion = v.Bundle.Version
 	}
@@ -213,12 +210,5 @@
 	if m.draining.Load() {
 		i.State = process.StateDraining
 	}
-	if v.Bundle != nil {
-		i.BundleVersion = v.Bundle.Version
-	}
-	i.PlatformAgeSeconds = -1
-	if !v.Heard.IsZero() && v.PlatformAge >= 0 {
-		i.PlatformAgeSeconds = (v.PlatformAge + time.Since(v.Heard)).Seconds()
-	}
-	return i
+	return v.Describe(i, time.Now())
 }
