Look for room before the budget of hedges is asked, and measure the simulation longer

Cause: a hedge took from the budget and then found no leaf with room, and came back a whole hedge delay later; some searches at a straggler so ran into the early answer, and with p99 over 1,390 searches the simulated ratio of the straggler case moved between 1.15 and 1.39, above its bound of 1.3 in one of some ten runs.

--- a/internal/load/compare/table.go
+++ b/internal/load/compare/table.go
@@ -64,8 +64,10 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "case\tpolicy\tphase\tkind\tp50 ms\tp99\tp99.9\tp99/calm\tp99/baseline\tcoverage\twhole\tgoodput/s\trefused\tfailed\tunknown\tdropped\trefusal p99 ms\tafter p99/calm\t")
 	for _, r := range b.rows() {
+		written := make(map[string]bool) // a case may send a kind twice, such as with one text; the first is shown
 		for _, k := range r.runs[0].During.Kinds {
-			if k.Service == target {
+			if name := k.Phase + "/" + k.Kind; k.Service == target && !written[name] {
+				written[name] = true
 				b.writeKind(t, r, k)
 			}
 		}
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -258,13 +258,19 @@
 		s.hedged = true
 		return
 	}
+	others := r.candidates(s)
+	if r.q.replicas.HedgeAfter(others) == balance.NoHedge { // no room now; the budget isn't asked in vain
+		s.hedgeAt = now.Add(hedgePoll)
+		return
+	}
 	if !r.q.replicas.AllowHedge(r.q.kind.HedgeBudget) {
 		r.e.metrics.hedges.WithLabelValues(r.q.service.Name, r.q.kind.Name, "refused").Inc()
 		s.hedgeAt = now.Add(hedgePoll)
 		return
 	}
-	call, ok := r.q.replicas.Pick(r.candidates(s))
+	call, ok := r.q.replicas.Pick(others)
 	if !ok {
+		s.hedgeAt = now.Add(hedgePoll)
 		return
 	}
 	s.hedged = true
--- a/internal/search/sim_test.go
+++ b/internal/search/sim_test.go
@@ -279,14 +279,15 @@
 		}, 1.1, 0.05, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := newSim(bundle.PartialLatency)
 				s.load(simCalm, settle)
-				calm := s.measure(t, "calm", simCalm, 2*settle)
+				calm := s.measure(t, "calm", simCalm, 3*settle)
 				tt.fault(s)
 				s.load(simCalm, settle)
-				during := s.measure(t, name, simCalm, 2*settle)
+				during := s.measure(t, name, simCalm, 3*settle)
 				for _, k := range []simKind{during.dawn, during.roster} {
 					is.Equal(k.answered, k.sent)
 					is.True(float64(k.p99()) <= tt.p99*float64(calm.roster.p99()))
@@ -298,7 +299,7 @@
 					s.down(false, id)
 				}
 				s.load(simCalm, settle)
-				after := s.measure(t, "after", simCalm, 2*settle)
+				after := s.measure(t, "after", simCalm, 3*settle)
 				is.True(float64(after.roster.p99()) <= 1.1*float64(calm.roster.p99()))
 				time.Sleep(time.Minute) // timers of the parts end
 			})
@@ -310,11 +311,12 @@
 func TestOverloadUnderLoad(t *testing.T) {
 	for _, times := range []float64{1.5, 3, 10} {
 		t.Run(fmt.Sprint(times, " times"), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := newSim(bundle.PartialLatency)
 				s.load(simCalm, settle)
-				calm := s.measure(t, "calm", simCalm, settle)
+				calm := s.measure(t, "calm", simCalm, 3*settle)
 				peak := s.measure(t, "capacity", simCapacity, settle)
 				over := s.measure(t, "overload", times*simCapacity, settle)
 				is.True(over.answered()*10 >= peak.answered()*9) // goodput
@@ -328,7 +330,7 @@
 				is.True(heavy > 1.5*light) // heavier kinds first
 				is.True(quantileOf(over.roster.refusals, 0.5) <= 10*time.Millisecond)
 				s.load(simCalm, settle)
-				after := s.measure(t, "after", simCalm, settle)
+				after := s.measure(t, "after", simCalm, 3*settle)
 				is.True(float64(after.roster.p99()) <= 1.1*float64(calm.roster.p99()))
 				time.Sleep(time.Minute)
 			})
@@ -347,6 +349,7 @@
 		bundle.PartialCoverage: {1, 300 * time.Millisecond, time.Second},
 	} {
 		t.Run(string(partial), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := newSim(partial)
