--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -183,6 +183,9 @@
 		if l.connected || !l.awayAt.IsZero() {
 			r.lose(id, l.incarnation, at)
 		}
+		// It may have crashed just before it came back, so the hold counts from now, also where it
+		// was out of reach for long: evidence from the other side of a cut comes no sooner.
+		l.lostAt, l.lostIncarnation = now, l.incarnation
 	}
 	if s.Incarnation != 0 {
 		l.incarnation = s.Incarnation
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -89,7 +89,7 @@
 		slots: newSlots(s.Slots, *s.Queue), journal: j,
 		report: newLoadReport(s.ReportLag.D(), s.Slots), random: newRandom(seed),
 		instance: process.NewIncarnation(), started: time.Now(), snapshots: slices.Clone(s.Snapshots),
-		shards: make(map[uint64][]uint32),
+		shards: make(map[uint64][]uint32), faults: Faults{CrashMark: s.CrashMark},
 	}, nil
 }
 
--- a/internal/standin/leaf/settings.go
+++ b/internal/standin/leaf/settings.go
@@ -61,6 +61,8 @@
 	// LogFile is a file to which each execution and search start is appended as a line of JSON
 	// before its effect, so that it outlives a kill; none where empty.
 	LogFile string `toml:"log_file"`
+	// CrashMark is the crash_mark of the faults in force from the start; none where empty.
+	CrashMark string `toml:"crash_mark"`
 	// RestartAfter is how long a leaf among many stays away after a crash.
 	RestartAfter settings.Duration `toml:"restart_after"`
 }
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -48,8 +48,9 @@
 	// states holds what the platform's list says of a VM or leaf where it isn't live.
 	states map[string]platform.State
 
-	requests *requests
-	traffic  map[string]*trafficRun
+	requests   *requests
+	traffic    map[string]*trafficRun
+	respawners []*respawner
 	// loads by name, and the seed of the scenario's random choices.
 	loads map[string]*load
 	seed  uint64
@@ -325,6 +326,9 @@
 	for _, l := range f.loads {
 		l.finish()
 	}
+	for _, r := range f.respawners {
+		r.end()
+	}
 	var problems error
 	for _, d := range slices.Backward(f.daemons) {
 		if !d.running() {
--- a/scenarios/layout_test.go
+++ b/scenarios/layout_test.go
@@ -42,6 +42,8 @@
 	Documents                    int
 	// HitBytes is the length that leaves pad the text of a hit to.
 	HitBytes int
+	// CrashMark is the text at which leaves crash from their start on.
+	CrashMark string
 	// Concurrency and Queue fix the limits of each entry's admission; 0 leaves the defaults.
 	Concurrency, Queue int
 	ServiceTime        time.Duration
@@ -187,8 +189,9 @@
 service_time = %q
 connect_delay = %q
 log_file = %q
+crash_mark = %q
 `, n.name, n.zone, serviceName, n.bind, leafPort, n.bind, leafControlPort, l.Slots, l.Connections,
-		n.shard, l.Documents, l.HitBytes, l.ServiceTime, l.ConnectDelay, logFile)
+		n.shard, l.Documents, l.HitBytes, l.ServiceTime, l.ConnectDelay, logFile, l.CrashMark)
 }
 
 // admissionSettings is the table of an entry that fixes its limits.
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -29,7 +29,8 @@
 	// breaks after 1 to that many bytes.
 	connection connection
 	cuts       int
-	// word is part of every text.
+	// text is the only one where it is set, word else part of every text.
+	text string
 	word string
 	seed uint64
 
@@ -126,7 +127,10 @@
 // that no two of them can get each other's answer unnoticed.
 func (l *load) request(caller, n int, random *rand.Rand) *request {
 	text := fmt.Sprintf("%s %d of caller %d", l.word, n, caller)
-	if l.texts > 0 {
+	switch {
+	case l.text != "":
+		text = l.text
+	case l.texts > 0:
 		text = fmt.Sprintf("%s shared %d", l.word, random.IntN(l.texts))
 	}
 	token := callerToken
--- /dev/null
+++ b/scenarios/respawn_test.go
@@ -0,0 +1,56 @@
+package scenarios
+
+import (
+	"sync"
+	"time"
+)
+
+// respawner starts processes again that end by themselves, as the owners of upstreams do.
+type respawner struct {
+	after time.Duration
+	stop  chan struct{}
+
+	running sync.WaitGroup
+}
+
+// verbRespawn is: respawn PROCESS... [after=500ms]. From now on the processes are started again that
+// long after they end.
+func verbRespawn(f *fleet, a *arguments) error {
+	r := &respawner{after: a.duration("after", 500*time.Millisecond), stop: make(chan struct{})}
+	if err := a.done(1, anyNumber); err != nil {
+		return err
+	}
+	found, err := f.findAll(a.words)
+	if err != nil {
+		return err
+	}
+	for _, d := range found {
+		r.running.Go(func() { r.watch(d) })
+	}
+	f.respawners = append(f.respawners, r)
+	return nil
+}
+
+func (r *respawner) watch(d *daemon) {
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-d.end():
+		}
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(r.after):
+		}
+		if err := d.start(); err != nil {
+			return // the script itself has started it
+		}
+	}
+}
+
+// end lets everything stay ended from now on.
+func (r *respawner) end() {
+	close(r.stop)
+	r.running.Wait()
+}
--- a/scenarios/verbs_load_test.go
+++ b/scenarios/verbs_load_test.go
@@ -24,7 +24,7 @@
 	return rand.Uint64(), nil
 }
 
-// verbLoad is: load NAME [callers=8] [kinds=dawn,roster] [via=vm-1,...] [top_k=0,1,5,30] [texts=0]
+// verbLoad is: load NAME [callers=8] [kinds=dawn,roster] [via=vm-1,...] [top_k=0,1,5,30] [texts=0|text=T]
 // [timeout=5s] [pause=5ms] [slow=D] [cuts=BYTES] [http1]. It searches in the background until settle.
 func verbLoad(ts *testscript.TestScript, neg bool, args []string) {
 	f := fleetOf(ts)
@@ -32,7 +32,7 @@
 	l := &load{
 		fleet: f, callers: a.number("callers", 8), kinds: strings.Split(a.text("kinds", "dawn,roster"), ","),
 		texts: a.number("texts", 0), timeout: a.duration("timeout", 5*time.Second), pause: a.duration("pause", 5*time.Millisecond),
-		seed: f.seed, cuts: a.number("cuts", 0),
+		text: a.text("text", ""), seed: f.seed, cuts: a.number("cuts", 0),
 		connection: connection{slow: a.duration("slow", 0), http1: a.flag("http1")},
 	}
 	for _, k := range strings.Split(a.text("top_k", "0,1,5,30"), ",") {
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -54,6 +54,7 @@
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait, "upset": verbUpset,
 		"shards": verbShards, "post": verbPost, "pause": verbPause,
+		"respawn": verbRespawn,
 		"traffic": verbTraffic, "measured": verbMeasured,
 	} {
 		all[name] = withFleet(v)
@@ -101,7 +102,7 @@
 	l.ServiceTime = a.duration("service_time", l.ServiceTime)
 	l.ConnectDelay = a.duration("connect_delay", l.ConnectDelay)
 	l.BalancerLag = a.duration("balancer_lag", l.BalancerLag)
-	l.HitBytes = a.number("hit_bytes", l.HitBytes)
+	l.HitBytes, l.CrashMark = a.number("hit_bytes", l.HitBytes), a.text("crash_mark", l.CrashMark)
 	l.Concurrency, l.Queue = a.number("concurrency", l.Concurrency), a.number("queue", l.Queue)
 	ts.Check(a.done(0, 0))
 	f, err := newFleet(ts.MkAbs("."), l)
