--- /dev/null
+++ b/internal/order/late_test.go
@@ -0,0 +1,70 @@
+package order
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// An order that was given up at its deadline would end unknown, though the leaf still tells.
+func TestAnswerAfterTheDeadlineCounts(t *testing.T) {
+	deadline := pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE
+	for _, tt := range []struct {
+		name  string
+		fault fault
+		want  string
+		runs  int
+	}{
+		{"answered late", fault{delay: testTimeout + 500*time.Millisecond}, "answered", 1},
+		{"refused at the deadline", fault{delay: testTimeout, refusal: deadline}, "not_run deadline", 0},
+		{"answered too late", fault{delay: testTimeout + 1500*time.Millisecond}, "unknown deadline", 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			inWorld(t, func(is *is.I, m *machine) {
+				i := m.ticket()
+				m.arm(atExecute, tt.fault)
+				is.Equal(m.ask(i, "p"), tt.want)
+				time.Sleep(time.Second)
+				is.Equal(m.ask(i, "p"), tt.want)
+				is.Equal(m.askAround(i), tt.want)
+				is.Equal(m.runsOf(i.text), tt.runs)
+			})
+		})
+	}
+}
+
+// A cut between gather and witness when the order ends must not make it unknown later.
+func TestOutcomeReachesTheWitnessAfterACut(t *testing.T) {
+	inWorld(t, func(is *is.I, m *machine) {
+		i := m.ticket()
+		m.arm(atHandover, fault{dropRequest: true}, fault{dropRequest: true}, fault{dropResponse: true})
+		is.Equal(m.ask(i, "p"), "answered")
+		synctest.Wait()
+		is.Equal(m.askAround(i), "unknown unreachable")
+		time.Sleep(3 * time.Second)
+		m.kill(m.node("vm-1"))
+		m.news()
+		is.Equal(m.askAround(i), "answered")
+	})
+}
+
+// A gather that other VMs can't reach may be on the other side of a cut: only its replacement or
+// the word of its own VM make its orders unknown for good.
+func TestUnreachableGatherIsNotTakenForEnded(t *testing.T) {
+	inWorld(t, func(is *is.I, m *machine) {
+		i := m.ticket()
+		m.arm(atExecute, fault{delay: 500 * time.Millisecond})
+		got := make(chan string, 1)
+		go func() { got <- m.ask(i, "p") }()
+		synctest.Wait()
+		m.rumour("vm-1", pb.VmState_VM_STATE_GONE)
+		is.Equal(m.askAround(i), "unknown unreachable")
+		is.Equal(<-got, "answered")
+		synctest.Wait()
+		is.Equal(m.askAround(i), "answered") // the witness was told
+	})
+}
--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -41,6 +41,10 @@
 	n            int
 	waited, busy time.Duration
 	peak         int
+	// rate is how many searches a second ended in the last window, 0 where the limit wasn't reached in
+	// it, so that it tells nothing of what can be done; longest is how long one may wait, fixed.
+	rate    float64
+	longest time.Duration
 }
 
 // place is a search in the queue.
@@ -50,7 +54,9 @@
 	turn chan bool
 }
 
-func newGate(start int) *gate { return &gate{limit: float64(max(gateLeast, start))} }
+func newGate(start int, longest time.Duration) *gate {
+	return &gate{limit: float64(max(gateLeast, start)), longest: longest}
+}
 
 // leastSlots returns the slots of the group that has the fewest: what can't run at once in the fleet
 // need not run at once at a gather.
@@ -72,9 +78,13 @@
 	return least
 }
 
-// enter returns true once the search may start, and false where it has to be refused.
-func (g *gate) enter(ctx context.Context, weight int) bool {
-	p, ok := g.arrive(weight)
+// enter returns true once the search may start, and false where it has to be refused. It waits for
+// patience or the gate's longest wait, whichever is longer.
+func (g *gate) enter(ctx context.Context, weight int, patience time.Duration) bool {
+	patience = max(g.longest, patience)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	p, ok := g.arrive(weight, patience)
 	if p == nil {
 		return ok
 	}
@@ -87,14 +97,14 @@
 }
 
 // arrive starts a search (nil, true), gives it a place in the queue, or refuses it (nil, false).
-func (g *gate) arrive(weight int) (*place, bool) {
+func (g *gate) arrive(weight int, patience time.Duration) (*place, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.queue) == 0 && g.running < int(g.limit) {
 		g.start()
 		return nil, true
 	}
-	if len(g.queue) >= int(g.limit) && !g.displace(weight) {
+	if len(g.queue) >= g.room(patience) && !g.displace(weight) {
 		return nil, false
 	}
 	p := &place{weight: weight, turn: make(chan bool, 1)}
@@ -108,6 +118,15 @@
 	return p, false
 }
 
+// room is how many searches may wait: as many as get their turn within the patience, by how many ended
+// lately, but no more than run at once. Requires mu.
+func (g *gate) room(patience time.Duration) int {
+	if g.rate == 0 {
+		return int(g.limit)
+	}
+	return max(1, min(int(g.limit), int(g.rate*patience.Seconds())))
+}
+
 // displace refuses the last of the queue for a heavier search. Requires mu.
 func (g *gate) displace(weight int) bool {
 	last := len(g.queue) - 1
@@ -160,6 +179,10 @@
 	if g.n < gateSamples || now.Sub(g.opened) < gateWindow {
 		return
 	}
+	g.rate = 0
+	if g.peak >= int(g.limit) {
+		g.rate = float64(g.n) / now.Sub(g.opened).Seconds()
+	}
 	switch {
 	case float64(g.waited) > gateTolerance*float64(g.busy):
 		g.limit = max(gateLeast, g.limit*gateCut)
--- a/internal/spread/service.go
+++ b/internal/spread/service.go
@@ -58,9 +58,15 @@
 		return nil, errOtherFleet(f)
 	}
 	now := time.Now()
-	resp := &pb.ExchangeResponse{Vms: m.cfg.Members.Newer(req.GetVms())}
-	resp.Departures, resp.Crashes = m.lacking(req, now)
-	m.mergeWhole(req.GetVms(), req.GetDepartures(), req.GetCrashes(), now)
+	resp, whole := new(pb.ExchangeResponse), req.GetVms()
+	if req.GetSummary() {
+		resp.Vms, resp.Wanted = m.cfg.Members.Newer(req.GetVms()), m.cfg.Members.Wanted(req.GetVms())
+		whole = nil
+	}
+	if req.GetAllEvidence() {
+		resp.Departures, resp.Crashes = m.lacking(req, now)
+	}
+	m.mergeWhole(whole, req.GetDepartures(), req.GetCrashes(), now)
 	return resp, nil
 }
 
