Let evidence reach every availability zone, also where the others agree

Found by TestFeedCarriesBundleStatesAndEvidence: in 4 of 300 runs a departure known to two availability zones of three never reached the third; after 200 s it was still unknown there, without a packet lost.

Causes, both needed: - an item was forgotten once enough packets had shown peers that know it, of whatever zone; three quarters of the contacts stay in the own zone, so two zones could satisfy each other before one packet went to the third; - the comparing of hashes, which has to find what is left, began anew at each packet of a peer that agrees. The VMs of one zone mostly hear each other, so 2 s of difference in a row hardly ever came.

Ruled out: loss (none in the test), the bound on pushes and on bytes of news (neither was reached), a stuck exchange (none was due).

An item is now kept until each zone got it or showed it known three times, and differences are followed by the zone of the peer.

--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -27,6 +27,8 @@
 	// Own and Other are the VMs of the own and of other zones that are not judged gone.
 	Own, Other []Peer
 	Gone       []Peer
+	// Zones are the availability zones of Own and Other, each once.
+	Zones []string
 	// Hash is equal for tables that hold the same VMs in the same versions. Heartbeats, suspicions
 	// and VMs that are gone are left out: they differ between VMs in the calm as well.
 	Hash uint64
@@ -81,6 +83,14 @@
 	for _, peers := range [][]Peer{r.Own, r.Other, r.Gone} {
 		slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	if len(r.Own) > 0 {
+		r.Zones = append(r.Zones, zone)
+	}
+	for _, p := range r.Other {
+		if !slices.Contains(r.Zones, p.Zone) {
+			r.Zones = append(r.Zones, p.Zone)
+		}
+	}
 	return r
 }
 
--- a/internal/spread/catchup.go
+++ b/internal/spread/catchup.go
@@ -46,7 +46,7 @@
 	m.caughtUp = false
 	m.pauses++
 	m.probes.drop()
-	m.differ = differ{}
+	clear(m.differ)
 	m.mu.Unlock()
 	m.cfg.Members.Paused(now)
 	m.metrics.pauses.Inc()
--- a/internal/spread/dump.go
+++ b/internal/spread/dump.go
@@ -23,8 +23,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d.CaughtUp, d.News, d.OpenProbes = m.caughtUp, len(m.news.items), len(m.probes.open)
-	if !m.differ.since.IsZero() {
-		d.DifferingSeconds = time.Since(m.differ.since).Seconds()
+	if since := m.differ.since(); !since.IsZero() {
+		d.DifferingSeconds = time.Since(since).Seconds()
 	}
 	return d
 }
--- a/internal/spread/handle.go
+++ b/internal/spread/handle.go
@@ -109,8 +109,8 @@
 	sameEvidence := d.GetEvidenceHash() == m.cfg.Evidence.Hash(now)
 	m.mu.Lock()
 	m.highest = max(m.highest, d.GetBundleVersion())
-	m.news.known(sameVMs, sameEvidence, sendsFor(roster.Present()))
-	due := m.differ.observe(sameVMs && sameEvidence, now)
+	m.news.known(sameVMs, sameEvidence, from.Zone, quotaFor(roster))
+	due := m.differ.observe(from.Zone, sameVMs && sameEvidence, now)
 	m.mu.Unlock()
 	if due {
 		replace(m.exchanges, exchangeOrder{peer: from, vms: !sameVMs, evidence: !sameEvidence})
@@ -151,7 +151,33 @@
 	differMax = 16 * time.Second
 )
 
-// differ decides when hashes that differ call for an exchange. Its owner guards it.
+// differs decides by availability zone when hashes that differ call for an exchange: the VMs of two
+// zones may each agree among themselves, and mostly hear each other, while the zones differ for good.
+// Its owner guards it.
+type differs map[string]*differ
+
+// observe takes one comparison with a peer of the zone and tells whether an exchange is due.
+func (d differs) observe(zone string, same bool, now time.Time) bool {
+	z := d[zone]
+	if z == nil {
+		z = new(differ)
+		d[zone] = z
+	}
+	return z.observe(same, now)
+}
+
+// since returns when the longest difference began, the zero time where there is none.
+func (d differs) since() time.Time {
+	var first time.Time
+	for _, z := range d {
+		if !z.since.IsZero() && (first.IsZero() || z.since.Before(first)) {
+			first = z.since
+		}
+	}
+	return first
+}
+
+// differ is the state for the peers of one zone.
 type differ struct {
 	since time.Time
 	wait  time.Duration
--- a/internal/spread/manager.go
+++ b/internal/spread/manager.go
@@ -89,7 +89,7 @@
 	highest uint64
 	// refused remembers bundles that were not accepted, by version and digest prefix.
 	refused map[refusedKey]time.Time
-	differ  differ
+	differ  differs
 }
 
 // refusedKey names a bundle as packets do.
@@ -112,6 +112,7 @@
 		newsBytes: rate.NewLimiter(newsRate, newsBurst),
 		probes:    newProbes(),
 		refused:   make(map[refusedKey]time.Time),
+		differ:    make(differs),
 	}
 }
 
--- a/internal/spread/news.go
+++ b/internal/spread/news.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/bits"
+	"slices"
 
 	"github.com/burdockplank/burdockplank/internal/evidence"
 	"github.com/burdockplank/burdockplank/internal/membership"
@@ -15,6 +16,10 @@
 	sendsPerDoubling = 3
 	// knownSends is what a packet counts for that shows a peer which knows all already.
 	knownSends = 3
+	// zoneSends is how many packets with an item must have gone to each availability zone, or
+	// come from there and shown it known: the VMs of one zone mostly hear each other, so that their
+	// knowing says nothing of the next zone.
+	zoneSends = 3
 	// maxNews bounds the items that wait; further ones are left to the comparing of hashes.
 	maxNews = 4096
 )
@@ -22,6 +27,18 @@
 // sendsFor returns how often an item is sent in a fleet of the given size.
 func sendsFor(fleet int) int { return sendsPerDoubling * (bits.Len(uint(fleet)) + 1) }
 
+// quota is how much sending an item needs before it is forgotten: sends in all, and zoneSends to
+// each of the zones.
+type quota struct {
+	sends int
+	zones []string
+}
+
+// quotaFor returns the quota in a fleet as the roster shows it.
+func quotaFor(r *membership.Roster) quota {
+	return quota{sends: sendsFor(r.Present()), zones: r.Zones}
+}
+
 // newsKey names an item of news; one field is set.
 type newsKey struct {
 	vm        string
@@ -33,6 +50,8 @@
 type newsItem struct {
 	key   newsKey
 	sends int
+	// byZone counts them by the availability zone of the peer.
+	byZone map[string]int
 	// order in which items came; newer ones are higher.
 	order uint64
 	// index in the heap.
@@ -41,6 +60,21 @@
 	hashed bool
 }
 
+// count notes that n packets to or from a zone carried the item, or showed it known.
+func (it *newsItem) count(n int, zone string) {
+	it.sends += n
+	it.byZone[zone] += n
+}
+
+// wanted tells whether the item has to go to a zone yet; enough whether it may be forgotten.
+func (it *newsItem) wanted(zone string, q quota) bool {
+	return it.sends < q.sends || slices.Contains(q.zones, zone) && it.byZone[zone] < zoneSends
+}
+
+func (it *newsItem) enough(q quota) bool {
+	return it.sends >= q.sends && !slices.ContainsFunc(q.zones, func(z string) bool { return it.byZone[z] < zoneSends })
+}
+
 // newsHeap orders items by the order of sending: the least sent, then the newest first.
 type newsHeap []*newsItem
 
@@ -91,13 +125,14 @@
 	if it := n.items[key]; it != nil {
 		// What a hash doesn't show may have come on top of what it shows.
 		it.sends, it.order, it.hashed = 0, n.next, it.hashed && hashed
+		clear(it.byZone)
 		heap.Fix(&n.heap, it.index)
 		return
 	}
 	if len(n.items) >= maxNews {
 		return
 	}
-	it := &newsItem{key: key, order: n.next, hashed: hashed}
+	it := &newsItem{key: key, order: n.next, hashed: hashed, byZone: make(map[string]int)}
 	n.items[key] = it
 	heap.Push(&n.heap, it)
 }
@@ -141,17 +176,17 @@
 }
 
 // known notes that a peer was found to know all VMs, or all evidence: what has spread already needs
-// less sending. limit is how often an item is sent.
-func (n *news) known(vms, evidence bool, limit int) {
+// less sending. zone is the peer's.
+func (n *news) known(vms, evidence bool, zone string, q quota) {
 	if len(n.items) == 0 || !vms && !evidence {
 		return
 	}
 	n.heap = n.heap[:0]
 	for key, it := range n.items {
 		if it.hashed && (key.vm != "" && vms || key.vm == "" && evidence) {
-			it.sends += knownSends
+			it.count(knownSends, zone)
 		}
-		if it.sends >= limit {
+		if it.enough(q) {
 			delete(n.items, key)
 			continue
 		}
--- a/internal/spread/packet.go
+++ b/internal/spread/packet.go
@@ -34,7 +34,7 @@
 
 // send sends one packet to a peer. A packet that can't be sent counts as lost.
 func (m *Manager) send(to membership.Peer, msg message, now time.Time) {
-	packet, err := proto.Marshal(m.digest(msg, now))
+	packet, err := proto.Marshal(m.digest(msg, to.Zone, now))
 	if err == nil {
 		err = m.cfg.Transport.Send(to.Address, packet)
 	}
@@ -45,8 +45,8 @@
 	m.metrics.packets.WithLabelValues(outcome).Inc()
 }
 
-// digest builds a packet with as much news as fits.
-func (m *Manager) digest(msg message, now time.Time) *pb.Digest {
+// digest builds a packet to a VM of the zone with as much news as fits.
+func (m *Manager) digest(msg message, zone string, now time.Time) *pb.Digest {
 	self := m.cfg.Members.Self()
 	d := &pb.Digest{
 		Fleet: m.cfg.Fleet, From: self.GetId(), Incarnation: self.GetIncarnation(),
@@ -70,17 +70,20 @@
 			d.News = append(d.News, &pb.Vm{Id: id})
 		}
 	}
-	m.addNews(d, now)
+	m.addNews(d, zone, now)
 	return d
 }
 
 // addNews fills a packet with what has been sent least.
-func (m *Manager) addNews(d *pb.Digest, now time.Time) {
-	limit := sendsFor(m.cfg.Members.Roster().Present())
+func (m *Manager) addNews(d *pb.Digest, zone string, now time.Time) {
+	q := quotaFor(m.cfg.Members.Roster())
 	left := MaxPacket - proto.Size(d)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.news.each(func(it *newsItem) (keep, goOn bool) {
+		if !it.wanted(zone, q) {
+			return true, true // kept for another zone
+		}
 		size, add := m.item(d, it.key, now)
 		if add == nil {
 			return false, true
@@ -90,8 +93,8 @@
 		}
 		add()
 		left -= size
-		it.sends++
-		return it.sends < limit, true
+		it.count(1, zone)
+		return !it.enough(q), true
 	})
 }
 
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -216,3 +216,30 @@
 	is.True(!d.observe(false, now.Add(2*differMin-1))) // the wait doubles
 	is.True(d.observe(false, now.Add(2*differMin)))
 }
+
+// Agreement within a zone must not hide that two zones differ for good.
+func TestExchangeIsDueWhileZonesDifferThoughOneAgrees(t *testing.T) {
+	is := is.New(t)
+	d := make(differs)
+	for at := time.Duration(0); at < differMin; at += contactPeriod {
+		is.True(!d.observe("az-1", true, start.Add(at)))
+		is.True(!d.observe("az-2", false, start.Add(at)))
+	}
+	is.Equal(d.since(), start)
+	is.True(!d.observe("az-1", true, start.Add(differMin)))
+	is.True(d.observe("az-2", false, start.Add(differMin)))
+}
+
+// What two zones know is still sent to the others: the spread forgot it before it came there.
+func TestNewsIsKeptUntilEachZoneHasIt(t *testing.T) {
+	is := is.New(t)
+	n := newNews()
+	n.addEvidence(evidence.News{Departures: []evidence.DepartureKey{{Leaf: "leaf", Incarnation: 4}}})
+	q := quota{sends: 3, zones: []string{"az-1", "az-2", "az-3"}}
+	for _, zone := range []string{"az-1", "az-1", "az-2"} {
+		n.known(false, true, zone, q)
+		is.Equal(len(n.items), 1)
+	}
+	n.known(false, true, "az-3", q)
+	is.Equal(len(n.items), 0)
+}
