Measure the sync's slopes with real sockets: burdock-capacity

Each sync has an IP number of its own; one process holds all of a size and the stand-in platform, so processor time and memory include it.

--- /dev/null
+++ b/cmd/burdock-capacity/fleet.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
+)
+
+const (
+	// pollPeriod is how often it is looked whether a version is everywhere.
+	pollPeriod = 20 * time.Millisecond
+	// startPause is the time between two starts, so that not all ask the first ones for all sections.
+	startPause = 10 * time.Millisecond
+	// firstHost leaves the low numbers to the platform.
+	firstHost = 256
+)
+
+// fleet is the syncs of the run and their platform.
+type fleet struct {
+	net, zones int
+	key        ed25519.PrivateKey
+	platform   *platform.Platform
+	// sink takes what is sent across a cut.
+	sink *net.UDPConn
+	// cut is true while the VMs of az-1 are apart from the others.
+	cut atomic.Bool
+
+	mu sync.Mutex
+	// nodes and zoneOf (by IP:PORT) are guarded by mu.
+	nodes  []*node
+	zoneOf map[string]string
+	next   int
+	// retired holds what the counters of ended VMs stood at; guarded by mu.
+	retired totals
+	version uint64
+}
+
+// totals are sums over all VMs, sent and received.
+type totals struct {
+	bytes, reads   float64
+	packets, calls int64
+}
+
+// newFleet opens the platform with the first bundle.
+func newFleet(ctx context.Context, c *commandLine) (*fleet, error) {
+	f := &fleet{net: c.Net, zones: c.Zones, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), zoneOf: make(map[string]string)}
+	host := fmt.Sprintf("127.%d.0.1", c.Net)
+	var err error
+	if f.platform, err = platform.New(platform.Options{Listen: host + ":8500", Control: host + ":8501"}); err != nil {
+		return nil, err
+	}
+	if f.sink, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(host)}); err != nil {
+		return nil, err
+	}
+	go f.drainSink()
+	go func() { _ = f.platform.Run(ctx) }()
+	return f, nil
+}
+
+func (f *fleet) drainSink() {
+	buf := make([]byte, 2048)
+	for {
+		if _, _, err := f.sink.ReadFromUDP(buf); err != nil {
+			return
+		}
+	}
+}
+
+// ip returns the address of the VM of a number.
+func (f *fleet) ip(number int) string {
+	host := firstHost + number
+	return fmt.Sprintf("127.%d.%d.%d", f.net, host/250, host%250+1)
+}
+
+// add starts the next VM.
+func (f *fleet) add(ctx context.Context) error {
+	f.mu.Lock()
+	number := f.next
+	f.next++
+	f.mu.Unlock()
+	n, err := newNode(ctx, f, number)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.zoneOf[fmt.Sprintf("%s:%d", n.ip, syncPort)] = n.zone
+	f.mu.Unlock()
+	return nil
+}
+
+// replaceOldest ends the oldest VM without a drain, starts a new one of another id, and lists it.
+func (f *fleet) replaceOldest(ctx context.Context) error {
+	f.mu.Lock()
+	old := f.nodes[0]
+	f.nodes = f.nodes[1:]
+	f.mu.Unlock()
+	old.stop()
+	f.mu.Lock()
+	f.retired.add(old)
+	f.mu.Unlock()
+	if err := f.add(ctx); err != nil {
+		return err
+	}
+	f.publishList(f.count() + 1)
+	return nil
+}
+
+func (t *totals) add(n *node) {
+	bytes, reads := n.counters()
+	t.bytes += bytes
+	t.reads += reads
+	t.packets += n.packets.Load()
+	t.calls += n.calls.Load()
+}
+
+// totals sums the counters of all VMs, ended ones too.
+func (f *fleet) totals() totals {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.retired
+	for _, n := range f.nodes {
+		t.add(n)
+	}
+	return t
+}
+
+func (f *fleet) all() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*node(nil), f.nodes...)
+}
+
+func (f *fleet) count() int { return len(f.all()) }
+
+// publishList lists the VMs that run, or those that are about to where none does yet, and 3,100 leaves.
+func (f *fleet) publishList(vms int) {
+	var l platform.List
+	vm := func(number int) {
+		l.VMs = append(l.VMs, platform.VM{ID: fmt.Sprintf("vm-%04d", number), Zone: fmt.Sprintf("az-%d", number%f.zones+1),
+			Address: f.ip(number), EntryPort: 7400, GatherPort: 7401, SyncPort: syncPort, OperatorPort: 7412, State: platform.StateLive})
+	}
+	f.mu.Lock()
+	last := f.next
+	f.mu.Unlock()
+	for number := max(0, last-vms); number < max(last, vms); number++ {
+		vm(number)
+	}
+	for s := range services {
+		for i := range leavesAService {
+			l.Leaves = append(l.Leaves, platform.Leaf{ID: fmt.Sprintf("leaf-s%d-%d", s, i), Zone: fmt.Sprintf("az-%d", i%4+1),
+				Address: fmt.Sprintf("10.%d.0.%d:9001", s, i), State: platform.StateLive})
+		}
+	}
+	f.platform.PutList(l)
+}
+
+// cutBetween tells whether a cut lies between the VM and the one at IP:PORT.
+func (f *fleet) cutBetween(n *node, to string) bool {
+	if !f.cut.Load() {
+		return false
+	}
+	f.mu.Lock()
+	zone := f.zoneOf[to]
+	f.mu.Unlock()
+	return (n.zone == cutZone) != (zone == cutZone)
+}
+
+// cutZone is the availability zone that is cut off.
+const cutZone = "az-1"
+
+// setCut cuts the zone off from the others and from the platform, or heals it.
+func (f *fleet) setCut(on bool) error {
+	var faults platform.Faults
+	if on {
+		for _, n := range f.all() {
+			if n.zone == cutZone {
+				faults.CutSources = append(faults.CutSources, n.ip)
+			}
+		}
+	}
+	f.cut.Store(on)
+	return f.platform.SetFaults(faults)
+}
+
+// setDown stops the platform or brings it back.
+func (f *fleet) setDown(on bool) error { return f.platform.SetFaults(platform.Faults{Down: on}) }
+
+// publish puts the next version on the platform and returns its length.
+func (f *fleet) publish() (int, error) {
+	f.version++
+	return publishBundle(f.platform, f.key, f.version)
+}
+
+// everywhere waits until the newest version is in force at all VMs, and returns how long that took.
+func (f *fleet) everywhere(ctx context.Context) (time.Duration, error) {
+	start := time.Now()
+	left := f.all()
+	for len(left) > 0 {
+		var next []*node
+		for _, n := range left {
+			if n.version(ctx) < f.version {
+				next = append(next, n)
+			}
+		}
+		if left = next; len(left) == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(pollPeriod):
+		}
+	}
+	return time.Since(start), nil
+}
--- /dev/null
+++ b/cmd/burdock-capacity/measure.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// sample is what stands at one time.
+type sample struct {
+	at     time.Time
+	cpu    time.Duration
+	totals totals
+}
+
+func (f *fleet) sample() sample {
+	return sample{at: time.Now(), cpu: processorTime(), totals: f.totals()}
+}
+
+// processorTime is the user and system time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// residentBytes is the memory of this process.
+func residentBytes() float64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize())
+}
+
+// printer prints a line a phase.
+type printer struct {
+	f   *fleet
+	vms int
+}
+
+func (p *printer) header() {
+	fmt.Println("vms\tphase\tseconds\tbytes/s/VM\tpackets/s/VM\tcalls/s/VM\tCPU % of a core/VM\tRSS MB/VM\tplatform reads/s\tnote")
+}
+
+func (p *printer) line(phase string, from sample, note string) {
+	to := p.f.sample()
+	seconds := to.at.Sub(from.at).Seconds()
+	vms := float64(p.vms)
+	per := func(v float64) float64 { return v / seconds / vms }
+	fmt.Printf("%d\t%s\t%.1f\t%.0f\t%.2f\t%.3f\t%.3f\t%.1f\t%.2f\t%s\n", p.vms, phase, seconds,
+		per(to.totals.bytes-from.totals.bytes), per(float64(to.totals.packets-from.totals.packets)), per(float64(to.totals.calls-from.totals.calls)),
+		100*per((to.cpu-from.cpu).Seconds()), residentBytes()/vms/1e6, (to.totals.reads-from.totals.reads)/seconds, note)
+}
+
+// measure runs all phases.
+func measure(ctx context.Context, c *commandLine) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := newFleet(ctx, c)
+	if err != nil {
+		return err
+	}
+	length, err := f.publish()
+	if err != nil {
+		return err
+	}
+	p := &printer{f: f, vms: c.VMs}
+	p.header()
+	from := f.sample()
+	f.publishList(c.VMs)
+	for range c.VMs {
+		if err := f.add(ctx); err != nil {
+			return err
+		}
+		time.Sleep(startPause)
+	}
+	if _, err := f.everywhere(ctx); err != nil {
+		return err
+	}
+	p.line("start", from, fmt.Sprintf("bundle of %d bytes at all VMs", length))
+	return p.phases(ctx, c)
+}
+
+// phases runs what follows the start.
+func (p *printer) phases(ctx context.Context, c *commandLine) error {
+	rest := func() error { return pause(ctx, c.Phase) }
+	steps := []struct {
+		name string
+		run  func() (string, error)
+	}{
+		{"settle", func() (string, error) { return "", rest() }},
+		{"calm", func() (string, error) { return "", rest() }},
+		{"changes", func() (string, error) { return p.changes(ctx, c) }},
+		{"calm again", func() (string, error) { return "", rest() }},
+		{"replacements", func() (string, error) { return p.replacements(ctx, c) }},
+		{"zone cut", func() (string, error) { return "", then(p.f.setCut(true), rest) }},
+		{"healed", func() (string, error) { return "", then(p.f.setCut(false), rest) }},
+		{"platform down", func() (string, error) { return "", then(p.f.setDown(true), rest) }},
+		{"platform back", func() (string, error) { return p.back(ctx, rest) }},
+	}
+	for _, s := range steps {
+		from := p.f.sample()
+		note, err := s.run()
+		if err != nil {
+			return err
+		}
+		p.line(s.name, from, note)
+	}
+	return nil
+}
+
+func then(err error, next func() error) error {
+	if err != nil {
+		return err
+	}
+	return next()
+}
+
+// changes publishes versions over the phase, and tells how long the slowest VM of each took.
+func (p *printer) changes(ctx context.Context, c *commandLine) (string, error) {
+	gap := c.Phase / time.Duration(c.Changes)
+	var worst, sum time.Duration
+	for range c.Changes {
+		start := time.Now()
+		if _, err := p.f.publish(); err != nil {
+			return "", err
+		}
+		took, err := p.f.everywhere(ctx)
+		if err != nil {
+			return "", err
+		}
+		worst, sum = max(worst, took), sum+took
+		if err := pause(ctx, gap-time.Since(start)); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d changes; at the slowest VM after %.2f s (mean of changes), %.2f s (worst change)",
+		c.Changes, sum.Seconds()/float64(c.Changes), worst.Seconds()), nil
+}
+
+// replacements ends VMs without a drain and starts as many new ones over the phase.
+func (p *printer) replacements(ctx context.Context, c *commandLine) (string, error) {
+	gap := c.Phase / time.Duration(c.Replace)
+	for range c.Replace {
+		start := time.Now()
+		if err := p.f.replaceOldest(ctx); err != nil {
+			return "", err
+		}
+		if err := pause(ctx, gap-time.Since(start)); err != nil {
+			return "", err
+		}
+	}
+	_, err := p.f.everywhere(ctx)
+	return fmt.Sprintf("%d VMs replaced", c.Replace), err
+}
+
+// back publishes a version while the platform is down and tells how long it took once it was back.
+func (p *printer) back(ctx context.Context, rest func() error) (string, error) {
+	if _, err := p.f.publish(); err != nil {
+		return "", err
+	}
+	if err := p.f.setDown(false); err != nil {
+		return "", err
+	}
+	took, err := p.f.everywhere(ctx)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("version published meanwhile at the slowest VM after %.2f s", took.Seconds()), rest()
+}
+
+// pause waits, or returns the reason why ctx ended.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(max(0, d)):
+		return nil
+	}
+}
