--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,312 @@
+#!/usr/bin/env bash
+# Measures on this machine what docs/CAPACITY.md is worked out from, and prints two tables: the slopes of
+# the sync by the number of VMs (burdock-capacity), and of the query path by the number of leaf calls of
+# a query (one availability zone of two VMs before stand-in leaves). Ends only what it started, by process
+# id, after at most five minutes. Needs Go, a C compiler and make.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly vms=2
+readonly leaf_port=9001 control_port=9002
+readonly ready_tries=600 end_tries=100 # of 0.1 s each
+readonly token="token-of-the-capacity-run"
+readonly run_limit=285 # seconds; the rest of the five minutes is for the end
+# A line a service: name, shards, service time, searches a second in the run of processor time.
+readonly services=("q10 10 2ms 60" "q30 30 2ms 20" "q100 100 2ms 8" "slow 30 6s 0")
+readonly held=60     # searches in flight, of 30 shards each
+readonly orders=2000 # tickets
+
+parts=sync,query
+sizes=(8 32 128 512)
+phase=8s
+
+usage() {
+  printf 'usage: capacity.sh [--parts sync,query] [--sizes "8 32 128 512"] [--phase 8s]\n'
+  exit "$1"
+}
+
+while (($# > 0)); do
+  case "$1" in
+    --parts) parts="$2" && shift 2 ;;
+    --sizes) read -ra sizes <<<"$2" && shift 2 ;;
+    --phase) phase="$2" && shift 2 ;;
+    --help) usage 0 ;;
+    *) usage 2 >&2 ;;
+  esac
+done
+
+work="$(mktemp -d)"
+pids=()
+declare -A role_pid
+net="127.$((RANDOM % 100 + 130)).$((RANDOM % 250 + 1))"
+
+fail() {
+  printf 'capacity: %s\n' "$*" >&2
+  exit 1
+}
+
+# stop PID... asks processes that were started here to end, and kills what has not after a while.
+stop() {
+  local pid tries left="$*"
+  for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for ((tries = 0; tries < end_tries; tries++)); do
+    left=""
+    for pid in "$@"; do if kill -0 "$pid" 2>/dev/null; then left+="$pid "; fi; done
+    [[ -n "$left" ]] || return 0
+    sleep 0.1
+  done
+  for pid in $left; do kill -KILL "$pid" 2>/dev/null || true; done
+}
+
+cleanup() {
+  local status=$?
+  trap - EXIT INT TERM
+  if ((status != 0)); then tail -n 3 "$work"/*.log >&2 || true; fi
+  stop "${pids[@]}"
+  rm -rf "$work"
+  exit "$status"
+}
+trap cleanup EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# start NAME PROGRAM ARGUMENT... runs a process with its log in the work directory.
+start() {
+  local name="$1"
+  shift
+  "$work/bin/$1" "${@:2}" >"$work/$name.log" 2>&1 &
+  pids+=("$!")
+  role_pid[$name]="$!"
+}
+
+left() { printf '%s' "$((run_limit - SECONDS))"; }
+
+# http METHOD IP:PORT PATH prints status line, headers and body.
+http() {
+  { exec 3<>"/dev/tcp/${2%:*}/${2##*:}"; } 2>/dev/null || return 1
+  printf '%s %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$1" "$3" "$2" >&3
+  cat <&3
+  exec 3<&- 3>&-
+}
+
+wait_for() { # IP:PORT PATH
+  local tries
+  for ((tries = 0; tries < ready_tries; tries++)); do
+    if [[ "$(http GET "$1" "$2" 2>/dev/null | head -n 1)" == *" 200 "* ]]; then return 0; fi
+    sleep 0.1
+  done
+  fail "http://$1$2 wasn't ready in time"
+}
+
+vm_ip() { printf '%s.%s' "$net" "$((10 + $1))"; }
+
+# each_leaf FUNCTION calls FUNCTION SERVICE SHARD SERVICE-TIME IP for each leaf.
+each_leaf() {
+  local line name shards time _ s host=20
+  for line in "${services[@]}"; do
+    read -r name shards time _ <<<"$line"
+    for ((s = 0; s < shards; s++)); do
+      host=$((host + 1))
+      "$1" "$name" "$s" "$time" "$net.$host"
+    done
+  done
+}
+
+leaf_settings() {
+  printf '[[leaf]]\nid = "%s-%s"\nzone = "az-1"\nservice = "%s"\nlisten = "%s:%s"\ncontrol = "%s:%s"\nslots = 100\nconnections = 30\nshards = [%s]\ndocuments = 1000\nservice_time = "%s"\nsearch_log = -1\n' \
+    "$1" "$2" "$1" "$4" "$leaf_port" "$4" "$control_port" "$2" "$3"
+}
+
+load_leaf() { printf '[[leaf]]\nid = "%s-%s"\ncontrol = "%s:%s"\n' "$1" "$2" "$4" "$control_port"; }
+
+list_leaf() { printf '{"id":"%s-%s","zone":"az-1","address":"%s:%s","state":"live"},' "$1" "$2" "$4" "$leaf_port"; }
+
+bundle_leaf() {
+  if [[ "$1" != "$bundle_service" ]]; then return 0; fi
+  printf '[[service.leaf]]\nid = "%s-%s"\nzone = "az-1"\naddress = "%s:%s"\nslots = 100\nconnections = 30\n' "$1" "$2" "$4" "$leaf_port"
+}
+
+write_list() {
+  local i list=""
+  for ((i = 1; i <= vms; i++)); do
+    list+="{\"id\":\"vm-$i\",\"zone\":\"az-1\",\"address\":\"$(vm_ip "$i")\",\"entry_port\":7400,\"gather_port\":7401,\"sync_port\":7402,\"operator_port\":7412,\"state\":\"live\"},"
+  done
+  local leaves
+  leaves="$(each_leaf list_leaf)"
+  printf '{"vms":[%s],"leaves":[%s]}' "${list%,}" "${leaves%,}"
+}
+
+write_bundle() {
+  local line name shards _ s bundle_service
+  printf 'version = 1\n[[caller]]\nname = "bench"\ntoken_sha256 = "%s"\nrate = 100000.0\nburst = 100000\nservices = ["q10", "q30", "q100", "slow"]\n' \
+    "$(printf %s "$token" | sha256sum | cut -d ' ' -f 1)"
+  for line in "${services[@]}"; do
+    read -r name shards _ <<<"$line"
+    printf '[[service]]\nname = "%s"\n[[service.kind]]\nname = "look"\nmode = "search"\nweight = 10\ntimeout = "10s"\ntop_k = 10\npartial = "coverage"\n[[service.kind]]\nname = "book"\nmode = "order"\nweight = 10\ntimeout = "5s"\n' "$name"
+    bundle_service="$name"
+    each_leaf bundle_leaf
+    printf '[[service.snapshot]]\nversion = 1\n'
+    for ((s = 0; s < shards; s++)); do
+      printf '[[service.snapshot.shard]]\nid = %s\ndocuments = 1000\nleaves = ["%s-%s"]\n' "$s" "$name" "$s"
+    done
+  done
+}
+
+write_vm() { # VM-NUMBER
+  local role port=7410 ip
+  ip="$(vm_ip "$1")"
+  for role in entry gather sync; do
+    printf '[vm]\nid = "vm-%s"\nzone = "az-1"\nbind = "%s"\n[operator]\nlisten = "%s:%s"\n' "$1" "$ip" "$ip" "$port" >"$work/$role-$1.toml"
+    port=$((port + 1))
+  done
+  printf '[drain]\nbalancer_lag = "0s"\n[admission]\nmin_concurrency = 1000\nmax_concurrency = 1000\ninitial_concurrency = 1000\n' >>"$work/entry-$1.toml"
+  printf '[balance]\npolicy = "baseline"\n[search]\nconcurrency = "unbounded"\n' >>"$work/gather-$1.toml"
+  printf '[sync]\nfleet = "capacity"\n[platform]\naddress = "%s.1:8500"\n[trust]\nthreshold = 1\n%s\n' "$net" "$(cat "$work/reviewer.trust")" >>"$work/sync-$1.toml"
+}
+
+# each_process FUNCTION calls FUNCTION ROLE VM-NUMBER OPERATOR-IP:PORT.
+each_process() {
+  local i
+  for ((i = 1; i <= vms; i++)); do
+    "$1" entry "$i" "$(vm_ip "$i"):7410"
+    "$1" gather "$i" "$(vm_ip "$i"):7411"
+  done
+}
+
+load_process() { printf '[[process]]\nname = "%s-%s"\nrole = "%s"\noperator = "%s"\n' "$1" "$2" "$1" "$3"; }
+
+# load FILE SERVICE KIND MODE RATE SECONDS MAX-REQUESTS
+load() {
+  local i entries=""
+  for ((i = 1; i <= vms; i++)); do entries+="\"$(vm_ip "$i"):7400\","; done
+  {
+    printf '[load]\nentries = [%s]\nmax_requests = %s\n[[phase]]\nname = "run"\nrate = %s.0\nduration = "%ss"\n' "${entries%,}" "$7" "$5" "$6"
+    printf '[[mix]]\nservice = "%s"\nkind = "%s"\nmode = "%s"\nweight = 1.0\ntoken = "%s"\ntimeout = "10s"\n' "$2" "$3" "$4" "$token"
+    each_leaf load_leaf
+    each_process load_process
+  } >"$1.toml"
+  timeout 30 "$work/bin/burdock-load" --settings "$1.toml" --out "$1.json" >"$1.out" || fail "burdock-load: $(cat "$1.out")"
+}
+
+# metric IP:PORT NAME prints the sum of a metric as an integer.
+metric() { http GET "$1" /metrics | awk -v name="$2" '$1 == name || index($1, name "{") == 1 { sum += $2 } END { printf "%.0f", sum }'; }
+
+# memory ROLE prints live heap and stacks in use of all processes of a role, in bytes. With GOGC=10 the
+# target of the next collection is 1.1 times what the last one found live.
+memory() {
+  local i sum=0 target stack
+  for ((i = 1; i <= vms; i++)); do
+    target="$(metric "$(vm_ip "$i"):$2" go_memstats_next_gc_bytes)"
+    stack="$(metric "$(vm_ip "$i"):$2" go_memstats_stack_inuse_bytes)"
+    sum=$((sum + target * 10 / 11 + stack))
+  done
+  printf '%s' "$sum"
+}
+
+start_vms() {
+  local i role
+  for ((i = 1; i <= vms; i++)); do
+    for role in gather entry; do start "$role-$i" "burdock-$role" --settings "$work/$role-$i.toml"; done
+  done
+  for ((i = 1; i <= vms; i++)); do wait_for "$(vm_ip "$i"):7410" /ready && wait_for "$(vm_ip "$i"):7411" /ready; done
+}
+
+stop_vms() {
+  local i
+  for ((i = 1; i <= vms; i++)); do stop "${role_pid[entry-$i]}" "${role_pid[gather-$i]}"; done
+}
+
+# cpu FILE ROLE prints the seconds of processor time of a role in a result.
+cpu() { tr -d ' \n' <"$1" | sed -n "s/.*\"role\":\"$2\",\"processes\":[0-9]*,\"seconds\":\([0-9.e+-]*\).*/\1/p"; }
+field() { tr -d ' \n' <"$1" | sed -n "s/.*\"$2\":\([0-9.e+-]*\).*/\1/p"; }
+
+query_processor() {
+  local line name shards rate role _ warm
+  for line in "${services[@]:0:3}"; do
+    read -r name shards _ rate <<<"$line"
+    load "$work/warm" "$name" look search "$rate" 1 100000
+  done
+  load "$work/idle" q10 look search 1 4 1
+  printf 'searches of\trole\tCPU us/search\tleaf calls/search\tp50 ms\n'
+  for line in "${services[@]:0:3}"; do
+    read -r name shards _ rate <<<"$line"
+    load "$work/$name" "$name" look search "$rate" 6 100000
+    for role in entry gather; do
+      awk -v n="$name" -v r="$role" -v c="$(cpu "$work/$name.json" "$role")" -v s="$(field "$work/$name.json" sends)" \
+        -v l="$(field "$work/$name.json" searches)" -v e="$(field "$work/$name.json" elapsed_s)" -v p="$(field "$work/$name.json" p50_ms)" \
+        -v ic="$(cpu "$work/idle.json" "$role")" -v ie="$(field "$work/idle.json" elapsed_s)" \
+        'BEGIN { printf "%s\t%s\t%.0f\t%.1f\t%s\n", n, r, (c - ic * e / ie) * 1e6 / s, l / s, p }' | tee -a "$work/points"
+    done
+  done
+  for role in entry gather; do
+    awk -v r="$role" -F '\t' '$2 == r { n++; x += $4; y += $3; xx += $4 * $4; xy += $4 * $3 }
+      END { b = (n * xy - x * y) / (n * xx - x * x); printf "fit of %s: %.0f us a search + %.1f us a leaf call\n", r, (y - b * x) / n, b }' "$work/points"
+  done
+}
+
+# in_flight ROLE PORT... is the memory of searches in flight and of tickets, over what is there before.
+query_memory() {
+  local before_entry before_gather job
+  load "$work/warm2" q10 look search 60 2 100000
+  before_entry="$(memory entry 7410)" before_gather="$(memory gather 7411)"
+  load "$work/held" slow look search 100 5 "$held" &
+  job=$!
+  sleep 4
+  printf 'memory of a search in flight of 30 leaf calls (%s of them): entry %d bytes, gather %d bytes\n' "$held" \
+    "$((($(memory entry 7410) - before_entry) / held))" "$((($(memory gather 7411) - before_gather) / held))"
+  wait "$job"
+  load "$work/warm3" q10 look search 60 2 100000
+  before_gather="$(memory gather 7411)"
+  load "$work/orders" q10 book order 400 "$((orders / 400 + 2))" "$orders"
+  load "$work/warm4" q10 look search 60 2 100000
+  printf 'memory of a ticket, record at the gather and its copy at the witness (%s of them): gather %d bytes\n' "$orders" \
+    "$((($(memory gather 7411) - before_gather) / orders))"
+  grep -h 'book' "$work/orders.out" | head -n 2
+}
+
+query_part() {
+  local i
+  start platform burdock-standin platform --listen "$net.1:8500" --control "$net.1:8501"
+  wait_for "$net.1:8501" /live
+  "$work/bin/burdockctl" bundle keygen --out "$work/reviewer.key" >"$work/reviewer.trust"
+  each_leaf leaf_settings >"$work/leaves.toml"
+  write_list >"$work/list.json"
+  write_bundle >"$work/bundle.toml"
+  "$work/bin/burdockctl" bundle sign --text "$work/bundle.toml" --key "$work/reviewer.key" --out "$work/bundle" >/dev/null
+  "$work/bin/burdock-standin" publish --control "$net.1:8501" --list "$work/list.json" --dir "$work/bundle" >/dev/null
+  for ((i = 1; i <= vms; i++)); do
+    write_vm "$i"
+    start "sync-$i" burdock-sync --settings "$work/sync-$i.toml"
+  done
+  start leaves burdock-standin leaves --settings "$work/leaves.toml"
+  wait_for "$net.21:$control_port" /live
+  start_vms
+  query_processor
+  stop_vms
+  export GOGC=10
+  start_vms
+  query_memory
+  unset GOGC
+}
+
+sync_part() {
+  local vms_now second=60
+  for vms_now in "${sizes[@]}"; do
+    if (($(left) < 45)); then
+      printf '%s\tnot run: no time left\n' "$vms_now"
+      continue
+    fi
+    second=$((second + 1))
+    "$work/bin/burdock-capacity" --vms "$vms_now" --net "$second" --phase "$phase" --limit "$(left)s" >"$work/sync.out" 2>&1 &
+    pids+=("$!")
+    wait "$!" || true
+    if [[ "$vms_now" == "${sizes[0]}" ]]; then cat "$work/sync.out"; else tail -n +2 "$work/sync.out"; fi
+  done
+}
+
+mkdir -p "$work/bin"
+go build -o "$work/bin/" ./cmd/burdock-entry ./cmd/burdock-gather ./cmd/burdock-sync ./cmd/burdockctl ./cmd/burdock-standin ./cmd/burdock-load ./cmd/burdock-capacity
+printf 'measured %s on %s CPUs, load average %s\n' "$(date -u +%F)" "$(nproc)" "$(cut -d ' ' -f 1 /proc/loadavg)"
+SECONDS=0
+case "$parts" in *query*) query_part ;; esac
+case "$parts" in *sync*) sync_part ;; esac
