--- a/cmd/burdock-capacity/measure.go
+++ b/cmd/burdock-capacity/measure.go
@@ -103,10 +103,9 @@
 		{"settle", func() (string, error) { return "", rest() }},
 		{"calm", func() (string, error) { return "", rest() }},
 		{"changes", func() (string, error) { return p.changes(ctx, c) }},
-		{"calm again", func() (string, error) { return "", rest() }},
-		{"replacements", func() (string, error) { return p.replacements(ctx, c) }},
 		{"zone cut", func() (string, error) { return "", then(p.f.setCut(true), rest) }},
 		{"healed", func() (string, error) { return "", then(p.f.setCut(false), rest) }},
+		{"replacements", func() (string, error) { return p.replacements(ctx, c) }},
 		{"platform down", func() (string, error) { return "", then(p.f.setDown(true), rest) }},
 		{"platform back", func() (string, error) { return p.back(ctx, rest) }},
 	}
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -12,16 +12,16 @@
 readonly token="token-of-the-capacity-run"
 readonly run_limit=285 # seconds; the rest of the five minutes is for the end
 # A line a service: name, shards, service time, searches a second in the run of processor time.
-readonly services=("q10 10 2ms 60" "q30 30 2ms 20" "q100 100 2ms 8" "slow 30 6s 0")
-readonly held=60     # searches in flight, of 30 shards each
-readonly orders=2000 # tickets
+readonly services=("q10 10 2ms 200" "q30 30 2ms 100" "q100 100 2ms 40" "slow 30 6s 0")
+readonly held=200     # searches in flight, of 30 shards each
+readonly orders=8000 # tickets
 
 parts=sync,query
 sizes=(8 32 128 512)
-phase=8s
+phase=6s
 
 usage() {
-  printf 'usage: capacity.sh [--parts sync,query] [--sizes "8 32 128 512"] [--phase 8s]\n'
+  printf 'usage: capacity.sh [--parts sync,query] [--sizes "8 32 128 512"] [--phase 6s]\n'
   exit "$1"
 }
 
@@ -113,7 +113,7 @@
 }
 
 leaf_settings() {
-  printf '[[leaf]]\nid = "%s-%s"\nzone = "az-1"\nservice = "%s"\nlisten = "%s:%s"\ncontrol = "%s:%s"\nslots = 100\nconnections = 30\nshards = [%s]\ndocuments = 1000\nservice_time = "%s"\nsearch_log = -1\n' \
+  printf '[[leaf]]\nid = "%s-%s"\nzone = "az-1"\nservice = "%s"\nlisten = "%s:%s"\ncontrol = "%s:%s"\nslots = 300\nconnections = 30\nshards = [%s]\ndocuments = 1000\nservice_time = "%s"\nsearch_log = -1\n' \
     "$1" "$2" "$1" "$4" "$leaf_port" "$4" "$control_port" "$2" "$3"
 }
 
@@ -123,7 +123,7 @@
 
 bundle_leaf() {
   if [[ "$1" != "$bundle_service" ]]; then return 0; fi
-  printf '[[service.leaf]]\nid = "%s-%s"\nzone = "az-1"\naddress = "%s:%s"\nslots = 100\nconnections = 30\n' "$1" "$2" "$4" "$leaf_port"
+  printf '[[service.leaf]]\nid = "%s-%s"\nzone = "az-1"\naddress = "%s:%s"\nslots = 300\nconnections = 30\n' "$1" "$2" "$4" "$leaf_port"
 }
 
 write_list() {
@@ -218,22 +218,24 @@
 
 # cpu FILE ROLE prints the seconds of processor time of a role in a result.
 cpu() { tr -d ' \n' <"$1" | sed -n "s/.*\"role\":\"$2\",\"processes\":[0-9]*,\"seconds\":\([0-9.e+-]*\).*/\1/p"; }
+# field FILE NAME prints the last number of a name; median FILE the median of the answers.
+median() { tr -d ' \n' <"$1" | sed -n 's/.*"answered":{"count":[0-9]*,"p50_ms":\([0-9.]*\).*/\1/p'; }
 field() { tr -d ' \n' <"$1" | sed -n "s/.*\"$2\":\([0-9.e+-]*\).*/\1/p"; }
 
 query_processor() {
   local line name shards rate role _ warm
   for line in "${services[@]:0:3}"; do
     read -r name shards _ rate <<<"$line"
-    load "$work/warm" "$name" look search "$rate" 1 100000
+    load "$work/warm" "$name" look search "$rate" 2 100000
   done
-  load "$work/idle" q10 look search 1 4 1
+  load "$work/idle" q10 look search 1 6 100000
   printf 'searches of\trole\tCPU us/search\tleaf calls/search\tp50 ms\n'
   for line in "${services[@]:0:3}"; do
     read -r name shards _ rate <<<"$line"
     load "$work/$name" "$name" look search "$rate" 6 100000
     for role in entry gather; do
       awk -v n="$name" -v r="$role" -v c="$(cpu "$work/$name.json" "$role")" -v s="$(field "$work/$name.json" sends)" \
-        -v l="$(field "$work/$name.json" searches)" -v e="$(field "$work/$name.json" elapsed_s)" -v p="$(field "$work/$name.json" p50_ms)" \
+        -v l="$(field "$work/$name.json" searches)" -v e="$(field "$work/$name.json" elapsed_s)" -v p="$(median "$work/$name.json")" \
         -v ic="$(cpu "$work/idle.json" "$role")" -v ie="$(field "$work/idle.json" elapsed_s)" \
         'BEGIN { printf "%s\t%s\t%.0f\t%.1f\t%s\n", n, r, (c - ic * e / ie) * 1e6 / s, l / s, p }' | tee -a "$work/points"
     done
@@ -244,21 +246,40 @@
   done
 }
 
-# in_flight ROLE PORT... is the memory of searches in flight and of tickets, over what is there before.
+# connections prints how many connections all leaves have now.
+connections() {
+  local sum=0 host
+  for ((host = 21; host < 21 + 170; host++)); do
+    sum=$((sum + $(http GET "$net.$host:$control_port" /log | tr -d ' \n' | sed -n 's/.*"connections_now":\([0-9]*\).*/\1/p')))
+  done
+  printf '%s' "$sum"
+}
+
+# query_memory finds the memory of connections, tickets and searches in flight, each over what is there
+# before. It starts the gathers while no leaf is there.
 query_memory() {
-  local before_entry before_gather job
-  load "$work/warm2" q10 look search 60 2 100000
+  local before_entry before_gather open job
+  stop "${role_pid[leaves]}"
+  start_vms
+  sleep 6
+  before_gather="$(memory gather 7411)"
+  start leaves burdock-standin leaves --settings "$work/leaves.toml"
+  wait_for "$net.21:$control_port" /live
+  sleep 8
+  open="$(connections)"
+  printf 'memory of a connection to a leaf (%s of them): gather %d bytes\n' "$open" "$((($(memory gather 7411) - before_gather) / open))"
+  load "$work/warm2" q10 look search 200 3 100000
   before_entry="$(memory entry 7410)" before_gather="$(memory gather 7411)"
-  load "$work/held" slow look search 100 5 "$held" &
+  load "$work/held" slow look search 200 5 "$held" &
   job=$!
   sleep 4
   printf 'memory of a search in flight of 30 leaf calls (%s of them): entry %d bytes, gather %d bytes\n' "$held" \
     "$((($(memory entry 7410) - before_entry) / held))" "$((($(memory gather 7411) - before_gather) / held))"
   wait "$job"
-  load "$work/warm3" q10 look search 60 2 100000
+  load "$work/warm4" q10 look search 200 3 100000
   before_gather="$(memory gather 7411)"
-  load "$work/orders" q10 book order 400 "$((orders / 400 + 2))" "$orders"
-  load "$work/warm4" q10 look search 60 2 100000
+  load "$work/orders" q10 book order 800 "$((orders / 800 + 1))" "$orders"
+  load "$work/warm3" q10 look search 200 3 100000
   printf 'memory of a ticket, record at the gather and its copy at the witness (%s of them): gather %d bytes\n' "$orders" \
     "$((($(memory gather 7411) - before_gather) / orders))"
   grep -h 'book' "$work/orders.out" | head -n 2
@@ -284,23 +305,35 @@
   query_processor
   stop_vms
   export GOGC=10
-  start_vms
   query_memory
   unset GOGC
 }
 
+# sync_size VMS runs one size in the background, its lines in a file; the process id is in size_pid.
+sync_size() {
+  "$work/bin/burdock-capacity" --vms "$1" --net "$((61 + RANDOM % 60))" --phase "$phase" --limit "$(left)s" >"$work/sync-$1.out" 2>&1 &
+  size_pid="$!"
+  pids+=("$size_pid")
+}
+
+# sync_part runs the small sizes side by side and the large ones each alone.
 sync_part() {
-  local vms_now second=60
-  for vms_now in "${sizes[@]}"; do
-    if (($(left) < 45)); then
-      printf '%s\tnot run: no time left\n' "$vms_now"
-      continue
+  local size small=() size_pid shown=""
+  for size in "${sizes[@]}"; do
+    if ((size <= 32)); then sync_size "$size" && small+=("$size_pid"); fi
+  done
+  for size_pid in "${small[@]}"; do wait "$size_pid" || true; done
+  for size in "${sizes[@]}"; do
+    if ((size > 32)); then
+      if (($(left) < 30)); then
+        printf '%s VMs: not run, no time left\n' "$size"
+        continue
+      fi
+      sync_size "$size"
+      wait "$size_pid" || true
     fi
-    second=$((second + 1))
-    "$work/bin/burdock-capacity" --vms "$vms_now" --net "$second" --phase "$phase" --limit "$(left)s" >"$work/sync.out" 2>&1 &
-    pids+=("$!")
-    wait "$!" || true
-    if [[ "$vms_now" == "${sizes[0]}" ]]; then cat "$work/sync.out"; else tail -n +2 "$work/sync.out"; fi
+    if [[ -z "$shown" ]]; then cat "$work/sync-$size.out"; else tail -n +2 "$work/sync-$size.out"; fi
+    shown=yes
   done
 }
 
