--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -17,11 +17,11 @@
 readonly orders=8000 # tickets
 
 parts=sync,query
-sizes=(8 32 128 512)
+sizes=(8 32 128)
 phase=6s
 
 usage() {
-  printf 'usage: capacity.sh [--parts sync,query] [--sizes "8 32 128 512"] [--phase 6s]\n'
+  printf 'usage: capacity.sh [--parts sync,query] [--sizes "8 32 128"] [--phase 6s]\n'
   exit "$1"
 }
 
