Let a VM that started anew without a platform find its peers; scenarios of bundles

Cause: a VM that starts while the platform is down has no list, so it knows no peer's address, and the peers that contact it once a second, as one that is gone, told it only of itself. It never became ready: scenarios/bundle_stale, vm-4 crashed and started with the platform down, 'no bundle yet' after 30 s. Ruled out: that its start was not seen (peers judged it gone and contacted it) and that packets were ignored after the catching up (they were taken, but an answer needs an address). Answering to the packet's source was weighed and left: an address of a record is checked, a packet's source isn't.

Change: a contact to a VM judged gone names the sender too, so that the fresh VM has its address. Before: not ready within 30 s.

--- a/internal/spread/manager.go
+++ b/internal/spread/manager.go
@@ -192,14 +192,15 @@
 	m.send(peer, message{replyWanted: true}, now)
 }
 
-// contactGone sends a digest to one VM judged gone, to see whether it is back.
+// contactGone sends a digest to one VM judged gone, to see whether it is back. It names this VM too:
+// one that started anew while the platform is down has no list, and learns here whom it can ask.
 func (m *Manager) contactGone(now time.Time) {
 	gone := m.cfg.Members.Roster().Gone
 	if len(gone) == 0 {
 		return
 	}
 	p := gone[rand.N(len(gone))]
-	m.send(p, message{replyWanted: true, about: []string{p.ID}}, now)
+	m.send(p, message{replyWanted: true, about: []string{p.ID, m.cfg.Self}}, now)
 }
 
 // Push makes news go out at once, within the bounded rate.
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -216,3 +216,20 @@
 	is.True(!d.observe(false, now.Add(2*differMin-1))) // the wait doubles
 	is.True(d.observe(false, now.Add(2*differMin)))
 }
+
+// A VM that started anew while the platform was down knew no peer's address, though all contacted it.
+func TestGoneVMLearnsWhoContactsIt(t *testing.T) {
+	is := is.New(t)
+	m, out := newManager(1)
+	gone := vm("vm-000", "az-1")
+	gone.State = pb.VmState_VM_STATE_GONE
+	m.cfg.Members.Merge([]*pb.Vm{gone}, start)
+	m.contactGone(start)
+	named := make(map[string]string)
+	for _, v := range out.last(t).GetNews() {
+		named[v.GetId()] = v.GetAddress()
+	}
+	is.Equal(named["self"], "127.0.0.1")
+	_, told := named["vm-000"]
+	is.True(told) // that it is judged gone
+}
--- a/scenarios/daemon_test.go
+++ b/scenarios/daemon_test.go
@@ -27,6 +27,8 @@
 	done chan struct{}
 	// frozen is true between freeze and wake.
 	frozen bool
+	// starts counts the starts so far.
+	starts int
 }
 
 // newDaemon returns a process that isn't started. Its first argument is the program.
@@ -79,6 +81,7 @@
 	}
 	done := make(chan struct{})
 	d.cmd, d.done, d.frozen = cmd, done, false
+	d.starts++
 	go func() {
 		_ = cmd.Wait()
 		close(done)
@@ -102,6 +105,13 @@
 	return d.frozen
 }
 
+// startCount returns how often the process was started.
+func (d *daemon) startCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.starts
+}
+
 // freeze stops the process where it is, as a paused VM does; wake lets it go on. On a busy machine
 // threads may run on for a while after the signal, so it returns once all have stopped.
 func (d *daemon) freeze() error {
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/settings"
@@ -48,6 +49,14 @@
 	// states holds what the platform's list says of a VM or leaf where it isn't live.
 	states map[string]platform.State
 
+	// published and revisions hold, by version, when a manifest was sent to the platform last, and
+	// the revision that it got; offered is the digest of the newest, signed well or not.
+	published map[uint64]time.Time
+	revisions map[uint64]uint64
+	offered   bundle.Digest
+	// watcher is nil until the verb watch.
+	watcher *watcher
+
 	requests   *requests
 	traffic    map[string]*trafficRun
 	respawners []*respawner
@@ -64,7 +73,7 @@
 	}
 	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(),
 		bundles: make(map[uint64]*bundle.Bundle), loads: make(map[string]*load),
-		traffic: make(map[string]*trafficRun),
+		traffic: make(map[string]*trafficRun), published: make(map[uint64]time.Time), revisions: make(map[uint64]uint64),
 	}
 	f.platformNode = l.node(b, platformName, "", platformHost)
 	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
@@ -330,6 +339,9 @@
 		r.end()
 	}
 	var problems error
+	if f.watcher != nil {
+		problems = f.watcher.finish()
+	}
 	for _, d := range slices.Backward(f.daemons) {
 		if !d.running() {
 			continue
--- a/scenarios/publish_test.go
+++ b/scenarios/publish_test.go
@@ -1,25 +1,31 @@
 package scenarios
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"fmt"
+	"net/http"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/standin/platform"
 )
 
 // publish signs a bundle's text as the child of the newest published one and puts it on the
 // platform, sections first.
 func (f *fleet) publish(text string, signers []reviewer) error {
+	b, parseErr := bundle.Parse([]byte(text))
 	var keys []ed25519.PrivateKey
 	for _, r := range signers {
 		keys = append(keys, r.key)
 	}
-	b, parseErr := bundle.Parse([]byte(text))
 	signed, err := sign(text, f.digest, b, keys)
 	if err != nil {
 		return err
@@ -34,10 +40,16 @@
 			return err
 		}
 	}
-	if err := put(f.platformURL("/keys/bundle/manifest"), manifest); err != nil {
+	m := &pb.Manifest{}
+	if err := proto.Unmarshal(signed.GetManifest(), m); err != nil {
+		return err
+	}
+	f.offered = bundle.ManifestDigest(signed.GetManifest())
+	f.published[m.GetVersion()] = time.Now()
+	if f.revisions[m.GetVersion()], err = putKey(f.platformURL("/keys/bundle/manifest"), manifest); err != nil {
 		return err
 	}
-	if len(signers) == len(f.reviewers) && parseErr == nil {
+	if slices.Equal(reviewerIDs(signers), reviewerIDs(f.reviewers)) && parseErr == nil {
 		f.text, f.digest, f.bundles[b.Version] = text, bundle.ManifestDigest(signed.GetManifest()), b
 	}
 	return nil
@@ -46,7 +58,7 @@
 // sign makes the signed manifest of a text. One that can't work, for which parsed is nil, is signed
 // all the same, as by reviewers who don't use the tool that refuses it.
 func sign(text string, parent bundle.Digest, parsed *bundle.Bundle, keys []ed25519.PrivateKey) (*pb.SignedManifest, error) {
-	if parsed != nil {
+	if parsed != nil && !repeated(keys) {
 		return bundle.Sign([]byte(text), parent, keys...)
 	}
 	var version uint64
@@ -64,13 +76,85 @@
 	}
 	signed := &pb.SignedManifest{Manifest: encoded}
 	for _, k := range keys {
-		if err := bundle.AddSignature(signed, k); err != nil {
+		one := &pb.SignedManifest{Manifest: encoded}
+		if err := bundle.AddSignature(one, k); err != nil {
 			return nil, err
 		}
+		signed.Signatures = append(signed.Signatures, one.Signatures...)
 	}
 	return signed, nil
 }
 
+// repeated tells whether a key is there twice, which the tool that signs would leave out.
+func repeated(keys []ed25519.PrivateKey) bool {
+	seen := make(map[string]bool)
+	for _, k := range keys {
+		if seen[string(k)] {
+			return true
+		}
+		seen[string(k)] = true
+	}
+	return false
+}
+
+func reviewerIDs(rs []reviewer) []string {
+	var ids []string
+	for _, r := range rs {
+		ids = append(ids, r.id)
+	}
+	return ids
+}
+
+// signersNamed reads a list such as 1,2 of reviewers by number; "stranger" is one that no
+// process trusts.
+func (f *fleet) signersNamed(list string) ([]reviewer, error) {
+	seed := make([]byte, ed25519.SeedSize)
+	seed[0] = 99
+	key := ed25519.NewKeyFromSeed(seed)
+	var all []reviewer
+	for _, w := range strings.Split(list, ",") {
+		if w == "stranger" {
+			all = append(all, reviewer{id: bundle.KeyID(key.Public().(ed25519.PublicKey)), key: key})
+			continue
+		}
+		n, err := strconv.Atoi(w)
+		if err != nil || n < 1 || n > len(f.reviewers) {
+			return nil, fmt.Errorf("by=%s: want numbers of reviewers, or stranger", list)
+		}
+		all = append(all, f.reviewers[n-1])
+	}
+	return all, nil
+}
+
+// putKey puts a value on the platform and returns its revision.
+func putKey(url string, body []byte) (uint64, error) {
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	res, err := control.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	revision := res.Header.Get(platform.HeaderRevision)
+	if _, err := bodyOf(res); err != nil {
+		return 0, err
+	}
+	return strconv.ParseUint(revision, 10, 64)
+}
+
+// padded adds callers to a bundle's text until it has at least that many bytes.
+func padded(text string, size int) string {
+	head, tail, _ := strings.Cut(text, "[[service]]")
+	var b strings.Builder
+	b.WriteString(head)
+	for i := 0; b.Len()+len(tail) < size; i++ {
+		fmt.Fprintf(&b, "[[caller]]\nname = \"desk-%d\"\ntoken_sha256 = %q\nservices = [%q]\nrate = 1.0\nburst = 1\nshare = 1\n",
+			i, tokenHash(fmt.Sprint("token of desk ", i)), serviceName)
+	}
+	return b.String() + "[[service]]" + tail
+}
+
 var versionLine = regexp.MustCompile(`(?m)^version = \d+\n\[limits\]`)
 
 // edited returns the newest text with another version and the edits made, each "OLD -> NEW". An
--- a/scenarios/verbs_platform_test.go
+++ b/scenarios/verbs_platform_test.go
@@ -29,7 +29,8 @@
 func verbPublish(f *fleet, a *arguments) error {
 	version := a.number("version", 0)
 	snapshots := a.text("snapshots", "")
-	signers := a.number("signers", len(f.reviewers))
+	signers, by := a.number("signers", len(f.reviewers)), a.text("by", "")
+	size := a.number("bytes", 0)
 	if err := a.done(0, anyNumber); err != nil {
 		return err
 	}
@@ -40,7 +41,33 @@
 	if err != nil {
 		return err
 	}
-	return f.publish(text, f.reviewers[:signers])
+	signing := f.reviewers[:signers]
+	if by != "" {
+		if signing, err = f.signersNamed(by); err != nil {
+			return err
+		}
+	}
+	if size > 0 {
+		text = padded(text, size)
+	}
+	return f.publish(text, signing)
+}
+
+// verbStale is: stale N. The platform serves the bundle as it stood when version N was the newest;
+// stale 0 ends that.
+func verbStale(f *fleet, a *arguments) error {
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	var version uint64
+	if _, err := fmt.Sscan(a.words[0], &version); err != nil {
+		return err
+	}
+	revision := f.revisions[version]
+	if version != 0 && revision == 0 {
+		return fmt.Errorf("version %d wasn't published", version)
+	}
+	return putJSON(f.platformURL("/faults"), platform.Faults{StaleRevision: revision})
 }
 
 // verbLag makes the platform serve each list that long after its publication.
--- /dev/null
+++ b/scenarios/watch_test.go
@@ -0,0 +1,284 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/bundle"
+)
+
+// watchEvery is the wait between two looks at a VM.
+const watchEvery = 50 * time.Millisecond
+
+// watcher looks at the bundle version of every process and of answers through every entry until the
+// scenario ends, and keeps each one that went down. What a process showed outlives its restart: once
+// ready, a new start shows no lower version than any process or caller saw before it was noticed.
+type watcher struct {
+	fleet   *fleet
+	stop    chan struct{}
+	running sync.WaitGroup
+
+	mu sync.Mutex
+	// The fields below are guarded by mu. highest was seen anywhere; shown is by process, callers'
+	// by VM.
+	highest  uint64
+	shown    map[string]*shown
+	problems []error
+	looks    int
+	answers  int
+}
+
+// shown is what one process, or a VM's answers, showed so far.
+type shown struct {
+	// start counts the starts of the process; highest is of this start, floor of all before it.
+	start          int
+	highest, floor uint64
+	// digest is that of the highest version, in hex.
+	digest string
+}
+
+// verbWatch is: watch bundles. It looks in the background until the end of the scenario, which fails
+// where a version went down.
+func verbWatch(f *fleet, a *arguments) error {
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	if a.words[0] != "bundles" || f.watcher != nil {
+		return errors.New("want: watch bundles, once")
+	}
+	w := &watcher{fleet: f, stop: make(chan struct{}), shown: make(map[string]*shown)}
+	f.watcher = w
+	for _, n := range f.vms {
+		w.running.Go(func() { w.loop(func() { w.look(n) }) })
+		w.running.Go(func() { w.loop(func() { w.ask(n) }) })
+	}
+	return nil
+}
+
+func (w *watcher) loop(step func()) {
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(watchEvery):
+			step()
+		}
+	}
+}
+
+// finish ends the watch and returns what went down; a watch that saw nothing is an error.
+func (w *watcher) finish() error {
+	close(w.stop)
+	w.running.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.looks == 0 || w.answers == 0 {
+		return fmt.Errorf("the watch of bundles saw %d dumps and %d answers", w.looks, w.answers)
+	}
+	return errors.Join(w.problems...)
+}
+
+// look reads the dumps of a VM's processes; one that is down or frozen shows nothing.
+func (w *watcher) look(n *node) {
+	for _, role := range roles {
+		name := role + "/" + n.name
+		d := w.fleet.daemon(name)
+		start := d.startCount()
+		if d.isFrozen() || !d.running() {
+			continue
+		}
+		ready := w.fleet.processReady(name) == nil
+		dump, err := w.fleet.bundleDump(name)
+		if err != nil || d.startCount() != start {
+			continue
+		}
+		w.saw(name, start, ready, dump)
+	}
+}
+
+// saw compares what a process shows with what was seen before.
+func (w *watcher) saw(name string, start int, ready bool, dump *bundle.StoreDump) {
+	version := dump.Version
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.looks++
+	s := w.shown[name]
+	if s == nil {
+		s = &shown{start: start}
+		w.shown[name] = s
+	}
+	if s.start != start {
+		*s = shown{start: start, floor: w.highest}
+	}
+	if version < s.highest {
+		w.problems = append(w.problems, fmt.Errorf("%s shows bundle version %d after %d", name, version, s.highest))
+	}
+	if version == s.highest && dump.Digest < s.digest {
+		w.problems = append(w.problems, fmt.Errorf("%s shows bundle %s of version %d after %s", name, dump.Digest, version, s.digest))
+	}
+	s.digest = dump.Digest
+	if ready && version < s.floor {
+		w.problems = append(w.problems, fmt.Errorf("%s is ready after its start %d with bundle version %d; %d was seen before", name, start, version, s.floor))
+		s.floor = 0 // said once
+	}
+	s.highest, w.highest = max(s.highest, version), max(w.highest, version)
+}
+
+// ask searches through a VM's entry and compares the answer's version with those of the answers
+// before it.
+func (w *watcher) ask(n *node) {
+	if d := w.fleet.daemon("entry/" + n.name); d.isFrozen() || !d.running() {
+		return
+	}
+	rep := (&request{
+		entry: n, token: callerToken, timeout: 2 * time.Second,
+		search: &pb.SearchRequest{Service: serviceName, Kind: "dawn", Query: "watched through " + n.name},
+	}).send()
+	w.fleet.requests.record(rep)
+	version := rep.search.GetBundleVersion()
+	if version == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers++
+	name := "answers through " + n.name
+	s := w.shown[name]
+	if s == nil {
+		s = &shown{}
+		w.shown[name] = s
+	}
+	if version < s.highest {
+		w.problems = append(w.problems, fmt.Errorf("%s have bundle version %d after %d", name, version, s.highest))
+	}
+	s.highest, w.highest = max(s.highest, version), max(w.highest, version)
+}
+
+// daemon returns the process of that full name, which must be there.
+func (f *fleet) daemon(name string) *daemon {
+	for _, d := range f.daemons {
+		if d.name == name {
+			return d
+		}
+	}
+	panic("no process " + name)
+}
+
+// bundleDump returns what a process's dump says of its bundles.
+func (f *fleet) bundleDump(process string) (*bundle.StoreDump, error) {
+	url, err := f.operatorURL(process, "/dump")
+	if err != nil {
+		return nil, err
+	}
+	text, err := get(url)
+	if err != nil {
+		return nil, err
+	}
+	all := make(map[string]json.RawMessage)
+	if err := json.Unmarshal([]byte(text), &all); err != nil {
+		return nil, err
+	}
+	d := &bundle.StoreDump{}
+	return d, json.Unmarshal(all[bundle.DumpDuty], d)
+}
+
+// verbBundles is one of
+//
+//	bundles in_force N within=D PROCESS...   by the processes' own time, within D of the publication
+//	bundles agree N PROCESS...               all have the same bundle of version N
+//	bundles differ N PROCESS...              they haven't
+//	bundles settle N PROCESS...              waits until they have
+//	bundles refused REASON PROCESS...        waits until dump and metric name the reason for which
+//	                                         the bundle that was published last was refused
+func verbBundles(f *fleet, a *arguments) error {
+	within := a.duration("within", 0)
+	if err := a.done(3, anyNumber); err != nil {
+		return err
+	}
+	found, err := f.findAll(a.words[2:])
+	if err != nil {
+		return err
+	}
+	daemons, what, arg := vmProcesses(found), a.words[0], a.words[1]
+	if what == "refused" {
+		return await("refused", awaitBound, func() error { return f.eachDump(daemons, f.refusedFor(bundle.RefusalReason(arg))) })
+	}
+	version, err := strconv.ParseUint(arg, 10, 64)
+	if err != nil {
+		return err
+	}
+	switch what {
+	case "in_force":
+		return f.eachDump(daemons, f.inForce(version, within))
+	case "agree":
+		return f.eachDump(daemons, agreement(version))
+	case "differ":
+		if f.eachDump(daemons, agreement(version)) == nil {
+			return fmt.Errorf("all have the same bundle of version %d", version)
+		}
+		return nil
+	case "settle":
+		return await("settle", awaitBound, func() error { return f.eachDump(daemons, agreement(version)) })
+	}
+	return fmt.Errorf("bundles can't check %q", what)
+}
+
+// dumpCheck compares what one process's dump says.
+type dumpCheck func(name string, d *bundle.StoreDump) error
+
+func (f *fleet) eachDump(daemons []*daemon, check dumpCheck) error {
+	for _, d := range daemons {
+		dump, err := f.bundleDump(d.name)
+		if err == nil {
+			err = check(d.name, dump)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) inForce(version uint64, within time.Duration) dumpCheck {
+	return func(name string, d *bundle.StoreDump) error {
+		if d.Version != version || d.Since == nil {
+			return fmt.Errorf("%s has bundle version %d, want %d", name, d.Version, version)
+		}
+		if took := d.Since.Sub(f.published[version]); took > within {
+			return fmt.Errorf("%s put version %d in force %s after its publication, want %s", name, version, took, within)
+		}
+		return nil
+	}
+}
+
+func agreement(version uint64) dumpCheck {
+	digest := ""
+	return func(name string, d *bundle.StoreDump) error {
+		if digest == "" {
+			digest = d.Digest
+		}
+		if d.Version != version || d.Digest != digest {
+			return fmt.Errorf("%s has version %d, digest %s, want %d, %s", name, d.Version, d.Digest, version, digest)
+		}
+		return nil
+	}
+}
+
+func (f *fleet) refusedFor(reason bundle.RefusalReason) dumpCheck {
+	return func(name string, d *bundle.StoreDump) error {
+		if _, err := f.metric(name, "burdock_bundle_refused_total", fmt.Sprintf("reason=%q", reason)); err != nil {
+			return err
+		}
+		for _, r := range d.Refusals {
+			if r.Reason == reason && r.Digest == f.offered.String() && r.Message != "" {
+				return nil
+			}
+		}
+		return fmt.Errorf("the dump of %s names no refusal %s of bundle %s: %+v", name, reason, f.offered, d.Refusals)
+	}
+}
