--- a/internal/standin/leaf/faults.go
+++ b/internal/standin/leaf/faults.go
@@ -1,12 +1,19 @@
 package leaf
 
-import "github.com/burdockplank/burdockplank/internal/settings"
+import (
+	"slices"
+
+	"github.com/burdockplank/burdockplank/internal/settings"
+)
 
 // Faults are what a leaf does wrong. The zero value is none; a PUT replaces all of them.
 type Faults struct {
 	// Drain refuses new work as draining and says GOAWAY on open connections. Clearing Drain or
 	// Down counts as a restart: a new incarnation and a cold start.
 	Drain bool `json:"drain"`
+	// DrainTo tells only callers at these IP numbers that the leaf drains, by refusals and in its
+	// status; others are served on. Clearing it counts as a restart too.
+	DrainTo []string `json:"drain_to"`
 	// Down refuses connections and resets open ones, as for a leaf that is gone.
 	Down bool `json:"down"`
 	// SlowFactor multiplies the service time of SlowShare (0 to 1) of the calls; below or at 1 it
@@ -49,4 +56,7 @@
 }
 
 // away tells whether the leaf is leaving or gone.
-func (f *Faults) away() bool { return f.Drain || f.Down }
+func (f *Faults) away() bool { return f.Drain || f.Down || len(f.DrainTo) > 0 }
+
+// drainsFor tells whether a caller at the IP number is told that the leaf drains.
+func (f *Faults) drainsFor(ip string) bool { return f.Drain || slices.Contains(f.DrainTo, ip) }
--- a/internal/standin/leaf/journal.go
+++ b/internal/standin/leaf/journal.go
@@ -52,7 +52,17 @@
 
 // Arrival is a call that reached the leaf, refused or not.
 type Arrival struct {
-	RequestID string `json:"request_id"`
+	RequestID string    `json:"request_id"`
+	At        time.Time `json:"at"`
+	// From is the caller's IP number.
+	From string `json:"from"`
+}
+
+// Notice is the leaf's word that it drains: to the caller at the IP number To, or to all by the end
+// of the present connections where To is empty.
+type Notice struct {
+	At time.Time `json:"at"`
+	To string    `json:"to"`
 }
 
 // Crash is the request that a leaf crashed at.
@@ -123,11 +133,18 @@
 }
 
 // arrived notes a call before anything is decided about it.
-func (j *journal) arrived(requestID string, now time.Time) {
+func (j *journal) arrived(requestID, from string, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.LastArrival = now
-	j.write(FileLine{Arrival: &Arrival{RequestID: requestID}})
+	j.write(FileLine{Arrival: &Arrival{RequestID: requestID, At: now, From: from}})
+}
+
+// noticed notes that a caller, or all where to is empty, is told that the leaf drains.
+func (j *journal) noticed(to string, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.write(FileLine{Notice: &Notice{At: now, To: to}})
 }
 
 // searchStarted logs a search; the result goes to searchEnded.
@@ -228,6 +245,7 @@
 // FileLine is one line of the log file; one field is set.
 type FileLine struct {
 	Arrival   *Arrival   `json:"arrival,omitempty"`
+	Notice    *Notice    `json:"notice,omitempty"`
 	Search    *Search    `json:"search,omitempty"`
 	Delivery  *Delivery  `json:"delivery,omitempty"`
 	Execution *Execution `json:"execution,omitempty"`
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -146,8 +146,12 @@
 	l.faults = f
 	if old.away() && !f.away() {
 		l.renewInstance()
+		if len(old.DrainTo) > 0 {
+			l.listener.ResetConns() // a connection never outlives its incarnation
+		}
 	}
 	if f.Drain && !old.Drain {
+		l.journal.noticed("", time.Now())
 		l.server.Renew()
 	}
 	err := l.setDown()
--- a/internal/standin/leaf/service.go
+++ b/internal/standin/leaf/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strings"
 	"time"
 
@@ -42,13 +43,13 @@
 
 // Search implements LeafService.
 func (l *Leaf) Search(ctx context.Context, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
-	now := time.Now()
-	l.journal.arrived(req.GetRequestId(), now)
+	now, from := time.Now(), callerIP(ctx)
+	l.journal.arrived(req.GetRequestId(), from, now)
 	f := l.Faults()
 	if f.Stall {
 		return nil, l.stallSearch(ctx, req, now)
 	}
-	if err := l.refuseSearch(req, &f); err != nil {
+	if err := l.refuseSearch(req, from, &f); err != nil {
 		return nil, err
 	}
 	if err := l.takeSlot(ctx); err != nil {
@@ -79,9 +80,9 @@
 }
 
 // refuseSearch returns the refusal of a search that must not start, or nil.
-func (l *Leaf) refuseSearch(req *pb.LeafSearchRequest, f *Faults) error {
+func (l *Leaf) refuseSearch(req *pb.LeafSearchRequest, from string, f *Faults) error {
 	switch {
-	case f.Drain:
+	case l.drainsFor(from, f):
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING)
 	case f.Shed:
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
@@ -141,13 +142,14 @@
 
 // Execute implements LeafService. It does not deduplicate: each call that starts is one effect.
 func (l *Leaf) Execute(ctx context.Context, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
-	l.journal.arrived(req.GetRequestId(), time.Now())
+	from := callerIP(ctx)
+	l.journal.arrived(req.GetRequestId(), from, time.Now())
 	f := l.Faults()
 	if f.Stall {
 		<-ctx.Done()
 		return nil, contextError(ctx.Err())
 	}
-	if err := l.refuseOrder(req, &f); err != nil {
+	if err := l.refuseOrder(req, from, &f); err != nil {
 		return nil, err
 	}
 	if err := l.takeSlot(ctx); err != nil {
@@ -172,9 +174,9 @@
 }
 
 // refuseOrder returns the refusal of an order that must not start, or nil.
-func (l *Leaf) refuseOrder(req *pb.LeafExecuteRequest, f *Faults) error {
+func (l *Leaf) refuseOrder(req *pb.LeafExecuteRequest, from string, f *Faults) error {
 	switch {
-	case f.Drain:
+	case l.drainsFor(from, f):
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING)
 	case f.Shed:
 		return l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)
@@ -193,11 +195,33 @@
 	}
 	return &pb.LeafStatusResponse{
 		Leaf: l.settings.ID, Incarnation: l.incarnation(), Service: l.settings.Service,
-		Draining: f.Drain, Slots: uint32(l.settings.Slots), ConnectionLimit: uint32(l.settings.Connections),
+		Draining: l.drainsFor(callerIP(ctx), &f), Slots: uint32(l.settings.Slots), ConnectionLimit: uint32(l.settings.Connections),
 		Snapshots: l.Snapshots(), Load: l.load(&f),
 	}, nil
 }
 
+// drainsFor tells whether the caller is to hear that the leaf drains, and notes that it does.
+func (l *Leaf) drainsFor(ip string, f *Faults) bool {
+	if !f.drainsFor(ip) {
+		return false
+	}
+	l.journal.noticed(ip, time.Now())
+	return true
+}
+
+// callerIP returns the IP number that a call comes from, empty where it didn't come over a network.
+func callerIP(ctx context.Context) string {
+	info, ok := connect.CallInfoForHandlerContext(ctx)
+	if !ok {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(info.Peer().Addr)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // load returns the load as this leaf tells it.
 func (l *Leaf) load(f *Faults) *pb.LeafLoad {
 	if f.Report != nil {
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -54,6 +54,12 @@
 	published map[uint64]time.Time
 	revisions map[uint64]uint64
 	offered   bundle.Digest
+	// listedLeaving holds since when the platform's list says of a leaf that it leaves.
+	listedLeaving map[string]time.Time
+	// listLag is what the verb lag set.
+	listLag time.Duration
+	// note writes to the scenario's log.
+	note func(format string, args ...any)
 	// watcher is nil until the verb watch.
 	watcher *watcher
 
@@ -74,6 +80,7 @@
 	f := &fleet{dir: dir, block: b, layout: l, states: make(map[string]platform.State), requests: newRequests(),
 		bundles: make(map[uint64]*bundle.Bundle), loads: make(map[string]*load),
 		traffic: make(map[string]*trafficRun), published: make(map[uint64]time.Time), revisions: make(map[uint64]uint64),
+		listedLeaving: make(map[string]time.Time),
 	}
 	f.platformNode = l.node(b, platformName, "", platformHost)
 	f.vms, f.leaves = l.vmNodes(b), l.leafNodes(b)
--- /dev/null
+++ b/scenarios/verbs_leaving_test.go
@@ -0,0 +1,216 @@
+package scenarios
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/standin/leaf"
+)
+
+// quietAfter is how long past the bound other leaves still have to get work before a leaf that got
+// none counts as left alone.
+const quietAfter = 3 * time.Second
+
+// verbLeaving is: leaving LEAF within=D [zone=D]. Counted by the leaf's own clock from the first
+// evidence that it leaves, no new work reaches it after within from the whole fleet, nor after zone
+// from the VMs of the availability zone that had evidence first. Searches that it refuses are new
+// work too; status polls aren't. It waits until traffic went on long enough on other leaves.
+func verbLeaving(f *fleet, a *arguments) error {
+	within, inZone := a.duration("within", 0), a.duration("zone", 0)
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	n, err := f.leaf(a.words[0])
+	if err != nil {
+		return err
+	}
+	first, zone, err := f.firstEvidence(n)
+	if err != nil {
+		return err
+	}
+	end := first.Add(within + quietAfter)
+	if err := await("traffic on other leaves", awaitBound, func() error { return f.othersBusy(n, end) }); err != nil {
+		return err
+	}
+	arrivals, err := f.arrivals(n)
+	if err != nil {
+		return err
+	}
+	if err := f.busyBefore(arrivals, first); err != nil {
+		return err
+	}
+	last := f.lastWork(arrivals, first)
+	f.note("%s: evidence first in %s; last new work after it by availability zone: %v", n.name, zone, last)
+	for z, took := range last {
+		if took > within || z == zone && inZone > 0 && took > inZone {
+			return fmt.Errorf("%s got new work from %s %s after the first evidence, in %s", n.name, z, took, zone)
+		}
+	}
+	return nil
+}
+
+// firstEvidence returns when the leaf's departure could first be known and to which zone of VMs, empty
+// for all: by its own word, or by the platform's list.
+func (f *fleet) firstEvidence(n *node) (first time.Time, zone string, err error) {
+	if at, ok := f.listedLeaving[n.name]; ok {
+		return at, "", nil
+	}
+	err = await("evidence of "+n.name, awaitBound, func() error {
+		lines, err := f.leafLines(n)
+		if err != nil {
+			return err
+		}
+		i := slices.IndexFunc(lines, func(l leaf.FileLine) bool { return l.Notice != nil })
+		if i < 0 {
+			return fmt.Errorf("nobody was told")
+		}
+		first, zone = lines[i].Notice.At, f.zoneOf(lines[i].Notice.To)
+		return nil
+	})
+	return first, zone, err
+}
+
+// othersBusy returns an error until another leaf of the shard got work after the time.
+func (f *fleet) othersBusy(left *node, after time.Time) error {
+	for _, n := range f.leaves {
+		if n == left || n.shard != left.shard {
+			continue
+		}
+		arrivals, err := f.arrivals(n)
+		if err != nil {
+			return err
+		}
+		if len(arrivals) > 0 && arrivals[len(arrivals)-1].At.After(after) {
+			return nil
+		}
+	}
+	return fmt.Errorf("no work on other leaves of the shard after %s", after)
+}
+
+// busyBefore wants that each VM gave the leaf work before the evidence; else its silence after it
+// proves nothing.
+func (f *fleet) busyBefore(arrivals []leaf.Arrival, first time.Time) error {
+	for _, vm := range f.vms {
+		if !slices.ContainsFunc(arrivals, func(a leaf.Arrival) bool { return a.From == vm.bind && a.At.Before(first) }) {
+			return fmt.Errorf("%s gave the leaf no work before the evidence", vm.name)
+		}
+	}
+	return nil
+}
+
+// verbBusy is: busy LEAF. It waits until each VM has given the leaf work.
+func verbBusy(f *fleet, a *arguments) error {
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	n, err := f.leaf(a.words[0])
+	if err != nil {
+		return err
+	}
+	return await("work on "+n.name, awaitBound, func() error {
+		arrivals, err := f.arrivals(n)
+		if err != nil {
+			return err
+		}
+		return f.busyBefore(arrivals, time.Now())
+	})
+}
+
+// lastWork returns by zone how long after the evidence its VMs last gave work.
+func (f *fleet) lastWork(arrivals []leaf.Arrival, first time.Time) map[string]time.Duration {
+	last := make(map[string]time.Duration)
+	for _, a := range arrivals {
+		if took := a.At.Sub(first); took > 0 {
+			z := f.zoneOf(a.From)
+			last[z] = max(last[z], took.Round(time.Millisecond))
+		}
+	}
+	return last
+}
+
+// zoneOf returns the zone of the VM with the IP number, empty for none.
+func (f *fleet) zoneOf(ip string) string {
+	for _, vm := range f.vms {
+		if vm.bind == ip {
+			return vm.zone
+		}
+	}
+	return ""
+}
+
+func (f *fleet) arrivals(n *node) ([]leaf.Arrival, error) {
+	lines, err := f.leafLines(n)
+	var all []leaf.Arrival
+	for _, l := range lines {
+		if l.Arrival != nil {
+			all = append(all, *l.Arrival)
+		}
+	}
+	return all, err
+}
+
+// leafLines reads the journal of one leaf.
+func (f *fleet) leafLines(n *node) ([]leaf.FileLine, error) {
+	data, err := os.ReadFile(f.leafLogFile(n))
+	if err != nil {
+		return nil, err
+	}
+	var all []leaf.FileLine
+	for text := range bytes.Lines(data) {
+		if !bytes.HasSuffix(text, []byte("\n")) {
+			break // still being written
+		}
+		var line leaf.FileLine
+		if err := json.Unmarshal(text, &line); err != nil {
+			return nil, fmt.Errorf("journal of %s: %w", n.name, err)
+		}
+		all = append(all, line)
+	}
+	return all, nil
+}
+
+// verbReturns is: returns LEAF. It ends the leaf's faults, which begins a new incarnation, and waits
+// until the leaf has started new searches.
+func verbReturns(f *fleet, a *arguments) error {
+	if err := a.done(1, 1); err != nil {
+		return err
+	}
+	n, err := f.leaf(a.words[0])
+	if err != nil {
+		return err
+	}
+	if err := put(leafURL(n, "/faults"), []byte("{}")); err != nil {
+		return err
+	}
+	back := time.Now()
+	return await("work on "+n.name, awaitBound, func() error {
+		lines, err := f.leafLines(n)
+		if err != nil {
+			return err
+		}
+		if !slices.ContainsFunc(lines, func(l leaf.FileLine) bool { return l.Search != nil && l.Search.At.After(back) }) {
+			return fmt.Errorf("no search since it came back")
+		}
+		return nil
+	})
+}
+
+// verbDrainTo is: drain_to LEAF VM. The leaf tells only that VM that it drains and serves the others.
+func verbDrainTo(f *fleet, a *arguments) error {
+	if err := a.done(2, 2); err != nil {
+		return err
+	}
+	n, err := f.leaf(a.words[0])
+	if err != nil {
+		return err
+	}
+	vm, err := f.vm(a.words[1])
+	if err != nil {
+		return err
+	}
+	return putJSON(leafURL(n, "/faults"), leaf.Faults{DrainTo: []string{vm.bind}})
+}
--- a/scenarios/verbs_platform_test.go
+++ b/scenarios/verbs_platform_test.go
@@ -22,6 +22,10 @@
 		return err
 	}
 	f.states[name] = state
+	delete(f.listedLeaving, name)
+	if state == stateLeaving && f.listLag == 0 {
+		f.listedLeaving[name] = time.Now()
+	}
 	return putJSON(f.platformURL("/list"), f.list())
 }
 
@@ -79,5 +83,6 @@
 	if err != nil {
 		return err
 	}
+	f.listLag = d
 	return putJSON(f.platformURL("/faults"), platform.Faults{ListLag: settings.Duration(d)})
 }
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -51,6 +51,7 @@
 		"cut": verbCut, "heal": verbHeal, "silence": verbSilence, "sever": verbSever,
 		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "lag": verbLag,
 		"publish": verbPublish, "stale": verbStale, "watch": verbWatch, "bundles": verbBundles,
+		"leaving": verbLeaving, "returns": verbReturns, "busy": verbBusy, "drain_to": verbDrainTo,
 		"search": verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait, "upset": verbUpset,
 		"shards": verbShards, "post": verbPost, "pause": verbPause,
@@ -107,7 +108,7 @@
 	ts.Check(a.done(0, 0))
 	f, err := newFleet(ts.MkAbs("."), l)
 	ts.Check(err)
-	h.fleet = f
+	h.fleet, f.note = f, ts.Logf
 	f.seed, err = f.newSeed()
 	ts.Check(err)
 	ts.Logf("seed %d (to run it again set %s)", f.seed, seedVariable)
