--- a/internal/order/late_test.go
+++ b/internal/order/late_test.go
@@ -20,7 +20,7 @@
 		runs  int
 	}{
 		{"answered late", fault{delay: testTimeout + 500*time.Millisecond}, "answered", 1},
-		{"refused at the deadline", fault{delay: testTimeout, refusal: deadline}, "not_run deadline", 0},
+		{"refused at the deadline", fault{delay: testTimeout + time.Millisecond, refusal: deadline}, "not_run deadline", 0},
 		{"answered too late", fault{delay: testTimeout + 1500*time.Millisecond}, "unknown deadline", 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
