--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -148,3 +148,23 @@
 	_, err = burdockv1connect.NewQueryServiceClient(client, w.url, connect.WithInterceptors(auth)).Search(t.Context(), req)
 	is.NoErr(err) // connect over HTTP/2 without TLS
 }
+
+// Answers through one entry went back to an older bundle: the gather asked next didn't have the newer
+// one yet, and the entry neither.
+func TestGatherIsAskedForTheBundleOfEarlierAnswers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	var asked, answer uint64
+	w.gather.search = func(_ context.Context, r *pb.GatherSearchRequest) (*pb.GatherSearchResponse, error) {
+		asked = r.GetIdentity().GetBundleVersion()
+		return &pb.GatherSearchResponse{Identity: r.Identity, Search: &pb.SearchResponse{
+			Outcome: &pb.Outcome{Kind: pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE}, BundleVersion: answer,
+		}}, nil
+	}
+	own := w.feed.Current().Bundle.Version
+	for _, step := range []struct{ answer, asked uint64 }{{own + 2, own}, {own + 1, own + 2}, {own, own + 2}} {
+		answer = step.answer
+		is.Equal(w.post(t, searchPath, goodSearch, nil).StatusCode, http.StatusOK)
+		is.Equal(asked, step.asked)
+	}
+}
--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,6 +39,10 @@
 	err   error
 }
 
+// lackedAlone are the reasons of a gather for which another one may well take the request: what the
+// first lacks it lacks alone.
+var lackedAlone = []pb.Reason{pb.Reason_REASON_DRAINING, pb.Reason_REASON_PAUSED, pb.Reason_REASON_NO_BUNDLE}
+
 // classify reads the error of a call to a gather.
 func classify(err error) *callError {
 	if err == nil {
@@ -47,7 +52,7 @@
 	if o, ok := outcome.FromConnect(err); ok && o != nil {
 		ce.typed = o
 		ce.notTaken = o.Kind == pb.OutcomeKind_OUTCOME_KIND_NOT_RUN &&
-			(o.Reason == pb.Reason_REASON_DRAINING || o.Reason == pb.Reason_REASON_PAUSED)
+			slices.Contains(lackedAlone, o.Reason)
 		return ce
 	}
 	ce.notTaken = neverConnected(err)
