--- a/internal/entry/manager.go
+++ b/internal/entry/manager.go
@@ -46,6 +46,8 @@
 	now       func() time.Time
 	// reached is true once every service had a gather that takes work.
 	reached atomic.Bool
+	// shown is the highest bundle version of the searches answered through this entry.
+	shown highest
 }
 
 // NewManager returns a manager that doesn't listen yet.
