--- a/cmd/burdock-capacity/main.go
+++ b/cmd/burdock-capacity/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/burdockplank/burdockplank/internal/capacity"
 	"github.com/burdockplank/burdockplank/internal/settings"
 	"github.com/burdockplank/burdockplank/internal/version"
 )
@@ -29,6 +30,10 @@
 	Version kong.VersionFlag `help:"Print the version and end."`
 }
 
+func (c *commandLine) options() capacity.Options {
+	return capacity.Options{VMs: c.VMs, Zones: c.Zones, Net: c.Net, Phase: c.Phase, Changes: c.Changes, Replace: c.Replace}
+}
+
 func main() {
 	var c commandLine
 	parser := kong.Must(&c, kong.Name("burdock-capacity"), kong.Vars{"version": version.Version},
@@ -41,7 +46,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, c.Limit)
 	defer cancel()
-	if err := measure(ctx, &c); err != nil {
+	if err := capacity.Measure(ctx, c.options()); err != nil {
 		if errors.Is(err, context.DeadlineExceeded) {
 			err = fmt.Errorf("not all phases were measured within %s", c.Limit)
 		}
--- a/cmd/burdock-capacity/bundle.go
+++ b/internal/capacity/bundle.go
@@ -1,4 +1,4 @@
-package main
+package capacity
 
 import (
 	"crypto/ed25519"
@@ -18,7 +18,8 @@
 	snapshotsService = 3
 )
 
-// bundleText returns a bundle of 3,100 leaves. From one version to the next one service changes.
+// bundleText returns a bundle of 3,100 leaves. From one version to the next two
+// services change: one by its timeout, the one before back to the common timeout.
 func bundleText(version uint64) []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "version = %d\n[[caller]]\nname = \"desk\"\ntoken_sha256 = %q\nservices = [\"s0\"]\n", version, strings.Repeat("a", 64))
--- a/cmd/burdock-capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -1,4 +1,4 @@
-package main
+package capacity
 
 import (
 	"context"
@@ -48,9 +48,9 @@
 }
 
 // newFleet opens the platform with the first bundle.
-func newFleet(ctx context.Context, c *commandLine) (*fleet, error) {
-	f := &fleet{net: c.Net, zones: c.Zones, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), zoneOf: make(map[string]string)}
-	host := fmt.Sprintf("127.%d.0.1", c.Net)
+func newFleet(ctx context.Context, o Options) (*fleet, error) {
+	f := &fleet{net: o.Net, zones: o.Zones, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)), zoneOf: make(map[string]string)}
+	host := fmt.Sprintf("127.%d.0.1", o.Net)
 	var err error
 	if f.platform, err = platform.New(platform.Options{Listen: host + ":8500", Control: host + ":8501"}); err != nil {
 		return nil, err
--- a/cmd/burdock-capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -1,4 +1,7 @@
-package main
+// Package capacity measures what the sync costs by the number of VMs: real syncs over UDP and TCP on
+// loopback, each on an IP number of its own, many in this process, before a stand-in platform that runs
+// in it too. Nothing of the product uses it.
+package capacity
 
 import (
 	"context"
@@ -64,11 +67,23 @@
 		100*per((to.cpu-from.cpu).Seconds()), residentBytes()/vms/1e6, (to.totals.reads-from.totals.reads)/seconds, note)
 }
 
-// measure runs all phases.
-func measure(ctx context.Context, c *commandLine) error {
+// Options of a run.
+type Options struct {
+	// VMs is the number of syncs, Zones that of availability zones.
+	VMs, Zones int
+	// Net is the second number of the loopback addresses.
+	Net int
+	// Phase is the length of each phase.
+	Phase time.Duration
+	// Changes and Replace are how many bundles are published, and VMs replaced, in their phases.
+	Changes, Replace int
+}
+
+// Measure runs all phases and prints a line for each to standard output, until ctx ends.
+func Measure(ctx context.Context, o Options) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f, err := newFleet(ctx, c)
+	f, err := newFleet(ctx, o)
 	if err != nil {
 		return err
 	}
@@ -76,11 +91,11 @@
 	if err != nil {
 		return err
 	}
-	p := &printer{f: f, vms: c.VMs}
+	p := &printer{f: f, vms: o.VMs}
 	p.header()
 	from := f.sample()
-	f.publishList(c.VMs)
-	for range c.VMs {
+	f.publishList(o.VMs)
+	for range o.VMs {
 		if err := f.add(ctx); err != nil {
 			return err
 		}
@@ -90,22 +105,22 @@
 		return err
 	}
 	p.line("start", from, fmt.Sprintf("bundle of %d bytes at all VMs", length))
-	return p.phases(ctx, c)
+	return p.phases(ctx, o)
 }
 
 // phases runs what follows the start.
-func (p *printer) phases(ctx context.Context, c *commandLine) error {
-	rest := func() error { return pause(ctx, c.Phase) }
+func (p *printer) phases(ctx context.Context, o Options) error {
+	rest := func() error { return pause(ctx, o.Phase) }
 	steps := []struct {
 		name string
 		run  func() (string, error)
 	}{
 		{"settle", func() (string, error) { return "", rest() }},
 		{"calm", func() (string, error) { return "", rest() }},
-		{"changes", func() (string, error) { return p.changes(ctx, c) }},
+		{"changes", func() (string, error) { return p.changes(ctx, o) }},
 		{"zone cut", func() (string, error) { return "", then(p.f.setCut(true), rest) }},
 		{"healed", func() (string, error) { return "", then(p.f.setCut(false), rest) }},
-		{"replacements", func() (string, error) { return p.replacements(ctx, c) }},
+		{"replacements", func() (string, error) { return p.replacements(ctx, o) }},
 		{"platform down", func() (string, error) { return "", then(p.f.setDown(true), rest) }},
 		{"platform back", func() (string, error) { return p.back(ctx, rest) }},
 	}
@@ -128,10 +143,10 @@
 }
 
 // changes publishes versions over the phase, and tells how long the slowest VM of each took.
-func (p *printer) changes(ctx context.Context, c *commandLine) (string, error) {
-	gap := c.Phase / time.Duration(c.Changes)
+func (p *printer) changes(ctx context.Context, o Options) (string, error) {
+	gap := o.Phase / time.Duration(o.Changes)
 	var worst, sum time.Duration
-	for range c.Changes {
+	for range o.Changes {
 		start := time.Now()
 		if _, err := p.f.publish(); err != nil {
 			return "", err
@@ -146,13 +161,13 @@
 		}
 	}
 	return fmt.Sprintf("%d changes; at the slowest VM after %.2f s (mean of changes), %.2f s (worst change)",
-		c.Changes, sum.Seconds()/float64(c.Changes), worst.Seconds()), nil
+		o.Changes, sum.Seconds()/float64(o.Changes), worst.Seconds()), nil
 }
 
 // replacements ends VMs without a drain and starts as many new ones over the phase.
-func (p *printer) replacements(ctx context.Context, c *commandLine) (string, error) {
-	gap := c.Phase / time.Duration(c.Replace)
-	for range c.Replace {
+func (p *printer) replacements(ctx context.Context, o Options) (string, error) {
+	gap := o.Phase / time.Duration(o.Replace)
+	for range o.Replace {
 		start := time.Now()
 		if err := p.f.replaceOldest(ctx); err != nil {
 			return "", err
@@ -162,7 +177,7 @@
 		}
 	}
 	_, err := p.f.everywhere(ctx)
-	return fmt.Sprintf("%d VMs replaced", c.Replace), err
+	return fmt.Sprintf("%d VMs replaced", o.Replace), err
 }
 
 // back publishes a version while the platform is down and tells how long it took once it was back.
--- a/cmd/burdock-capacity/node.go
+++ b/internal/capacity/node.go
@@ -1,4 +1,4 @@
-package main
+package capacity
 
 import (
 	"context"
