Compare evidence with the other side of a healed cut though the own side agrees

Syncs exchange all they hold once hashes have differed for 2 s, but any packet of a peer that agrees started that time anew, and the peers of the own side always agree.

Now the one other hash that goes on being shown is followed by itself: news in flight changes hashes all the time, the other side of a cut shows the same one. After 2 s of it an exchange is due, with the same doubling wait.

Ruled out: not to start anew at all, by which any news in flight would cause exchanges; a time for each peer, which at 530 VMs meet too seldom.

--- a/internal/spread/handle.go
+++ b/internal/spread/handle.go
@@ -110,7 +110,7 @@
 	m.mu.Lock()
 	m.highest = max(m.highest, d.GetBundleVersion())
 	m.news.known(sameVMs, sameEvidence, sendsFor(roster.Present()))
-	due := m.differ.observe(sameVMs && sameEvidence, now)
+	due := m.differ.observe(sameVMs && sameEvidence, d.GetMembersHash()^d.GetEvidenceHash(), now)
 	m.mu.Unlock()
 	if due {
 		replace(m.exchanges, exchangeOrder{peer: from, vms: !sameVMs, evidence: !sameEvidence})
@@ -151,24 +151,51 @@
 	differMax = 16 * time.Second
 )
 
-// differ decides when hashes that differ call for an exchange. Its owner guards it.
+// differ decides when hashes that differ call for an exchange: when no peer has shown the own hashes
+// for a while, or when one and the same other hash is shown for as long, as it is by the other side of
+// a cut that has healed while the peers of the own side show the own. Its owner guards it.
 type differ struct {
 	since time.Time
 	wait  time.Duration
+	other persistent
 }
 
-// observe takes one comparison and tells whether an exchange is due.
-func (d *differ) observe(same bool, now time.Time) bool {
+// persistent follows one hash that differs from the own.
+type persistent struct {
+	hash uint64
+	// since is when it was first shown or last exchanged about, seen when it was last shown.
+	since, seen time.Time
+	wait        time.Duration
+}
+
+// observe takes one comparison, with the hash that the peer shows, and tells whether an exchange is
+// due.
+func (d *differ) observe(same bool, hash uint64, now time.Time) bool {
 	if same {
-		*d = differ{}
+		d.since, d.wait = time.Time{}, 0
 		return false
 	}
 	if d.since.IsZero() {
 		d.since, d.wait = now, differMin
 	}
-	if now.Sub(d.since) < d.wait {
+	persists := d.other.observe(hash, now)
+	if now.Sub(d.since) < d.wait && !persists {
 		return false
 	}
 	d.since, d.wait = now, min(2*d.wait, differMax)
+	d.other.since, d.other.wait = now, min(2*d.other.wait, differMax)
 	return true
 }
+
+// observe tells whether the hash was shown for the wait. One that is shown no more gives way to the
+// next.
+func (p *persistent) observe(hash uint64, now time.Time) bool {
+	if p.seen.IsZero() || p.hash != hash && now.Sub(p.seen) >= differMin {
+		*p = persistent{hash: hash, since: now, wait: differMin}
+	}
+	if p.hash != hash {
+		return false
+	}
+	p.seen = now
+	return now.Sub(p.since) >= p.wait
+}
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -207,12 +207,37 @@
 func TestExchangeIsDueOnlyWhenHashesGoOnDiffering(t *testing.T) {
 	is := is.New(t)
 	var d differ
-	is.True(!d.observe(false, start))
-	is.True(!d.observe(false, start.Add(differMin-1)))
-	is.True(!d.observe(true, start.Add(differMin))) // news in flight settled it
-	is.True(!d.observe(false, start.Add(differMin)))
+	const first, second = 1, 2
+	is.True(!d.observe(false, first, start))
+	is.True(!d.observe(false, first, start.Add(differMin-1)))
+	is.True(!d.observe(true, 0, start.Add(differMin))) // news in flight settled it
+	is.True(!d.observe(false, second, start.Add(differMin)))
 	now := start.Add(2 * differMin)
-	is.True(d.observe(false, now))
-	is.True(!d.observe(false, now.Add(2*differMin-1))) // the wait doubles
-	is.True(d.observe(false, now.Add(2*differMin)))
+	is.True(d.observe(false, second, now))
+	is.True(!d.observe(false, second, now.Add(2*differMin-1))) // the wait doubles
+	is.True(d.observe(false, second, now.Add(2*differMin)))
+}
+
+// TestExchangeIsDueWithTheOtherSideOfAHealedCut: the peers of the own side show the own hashes all
+// along, those of the other side one other hash that stays.
+func TestExchangeIsDueWithTheOtherSideOfAHealedCut(t *testing.T) {
+	is := is.New(t)
+	var d differ
+	const otherSide = 7
+	var due []time.Duration
+	for at := time.Duration(0); at <= 3*differMin; at += differMin / 8 {
+		is.True(!d.observe(true, 0, start.Add(at)))
+		if d.observe(false, otherSide, start.Add(at)) {
+			due = append(due, at)
+		}
+		is.True(!d.observe(true, 0, start.Add(at)))
+	}
+	is.Equal(due, []time.Duration{differMin, 3 * differMin})
+
+	// Hashes that change all the time are news in flight.
+	d = differ{}
+	for i := range 100 {
+		is.True(!d.observe(true, 0, start))
+		is.True(!d.observe(false, uint64(i), start.Add(time.Duration(i)*differMin/8)))
+	}
 }
