Hold a leaf that comes back from out of reach until the other side's evidence can be there

A leaf that was lost for long and came back as another incarnation was not held at all, since its loss had been noted and the hold from then was over; it may have crashed a moment before it came back. One whose new connection had not shown its incarnation yet counted as the old one. The hold that did begin was 1.5 s, while evidence of the other side takes the 2 s after which syncs exchange all they hold, and a shorter hold could replace a longer one.

Now a leaf that comes back is held from then on, for 5 s where it was out of reach for longer than the usual hold; the hold ends at once where the leaf shows the incarnation that it had, also after a silence, and is never shortened.

--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -14,6 +14,9 @@
 	abandonedFor = time.Second
 	// awayFor is how long a leaf without a usable connection may be just reconnecting.
 	awayFor = 150 * time.Millisecond
+	// reunionHold is the hold of a leaf that was out of reach for long. Syncs that meet again compare
+	// all their evidence once it has differed for 2 s, and some time goes by until all have it.
+	reunionHold = 5 * time.Second
 	// maxAbandoned bounds what is remembered of one leaf.
 	maxAbandoned = 64
 )
@@ -31,8 +34,9 @@
 	awayAt time.Time
 	// lostAt is when it was last lost without having said that it leaves.
 	lostAt time.Time
-	// lostIncarnation is the one that was lost.
+	// lostIncarnation is the one that was lost, heldUntil is until when the leaf takes no first run.
 	lostIncarnation uint64
+	heldUntil       time.Time
 	// unproven counts the unproven requests in flight there from this gather; solo is true where
 	// the one in flight must stay alone.
 	unproven int
@@ -61,6 +65,7 @@
 func (r *Registry) lose(id string, incarnation uint64, now time.Time) {
 	l := r.leaf(id)
 	l.lostAt, l.lostIncarnation, l.awayAt = now, incarnation, time.Time{}
+	l.holdTo(now.Add(r.settings.Hold.D()))
 	left := l.abandoned
 	l.abandoned = nil
 	for _, a := range left {
@@ -122,6 +127,13 @@
 	return PlaceFree
 }
 
+// LostLately tells whether the leaf was lost so lately that it may be about to come back.
+func (r *Registry) LostLately(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lostLately(r.leaf(id), r.clock())
+}
+
 // since returns from when on a leaf without a connection counts as away: since it went, or since it
 // is watched where it was never seen.
 func (l *leaf) since() time.Time {
@@ -136,7 +148,7 @@
 func (r *Registry) Held(id string, digest uint64) bool { return r.Place(id, digest) == PlaceHeld }
 
 func (r *Registry) lostLately(l *leaf, now time.Time) bool {
-	return !l.lostAt.IsZero() && now.Sub(l.lostAt) < r.settings.Hold.D()
+	return now.Before(l.heldUntil)
 }
 
 // explained tells whether a quarantined request other than that of the digest was in flight at the
@@ -183,19 +195,38 @@
 		if l.connected || !l.awayAt.IsZero() {
 			r.lose(id, l.incarnation, at)
 		}
-		// It may have crashed just before it came back, so the hold counts from now, also where it
-		// was out of reach for long: evidence from the other side of a cut comes no sooner.
-		l.lostAt, l.lostIncarnation = now, l.incarnation
+	}
+	if back := !l.connected && l.awayAt.IsZero() && l.incarnation != 0; (replaced || back) && !l.leaving {
+		r.hold(l, now)
 	}
 	if s.Incarnation != 0 {
 		l.incarnation = s.Incarnation
 	}
 	if survived(l.lostIncarnation, s) {
-		l.lostAt = time.Time{}
+		l.lostAt, l.heldUntil = time.Time{}, time.Time{}
 	}
 	l.connected, l.leaving, l.awayAt = true, s.Leaving, time.Time{}
 }
 
+// hold keeps a leaf that came back, as another incarnation or one that isn't shown yet, from first
+// runs. It may have crashed just now, so the hold counts from now. Where it was out of reach for
+// longer than evidence takes, its crash may have been seen on the other side of a cut only.
+func (r *Registry) hold(l *leaf, now time.Time) {
+	hold := r.settings.Hold.D()
+	if !l.connected && now.Sub(l.lostAt) > hold {
+		hold = max(hold, reunionHold)
+	}
+	l.lostAt, l.lostIncarnation = now, l.incarnation
+	l.holdTo(now.Add(hold))
+}
+
+// holdTo lengthens the hold; it never shortens one.
+func (l *leaf) holdTo(end time.Time) {
+	if end.After(l.heldUntil) {
+		l.heldUntil = end
+	}
+}
+
 // survived tells whether the incarnation, which lost a connection, has shown itself again since.
 func survived(incarnation uint64, s upstream.State) bool {
 	return incarnation != 0 && s.Incarnation == incarnation && s.Survived
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -221,6 +221,38 @@
 	is.Equal(b.Place("d", bad.Digest), PlaceAbsent)
 }
 
+// TestLeafBackFromOutOfReachIsHeldForNewsOfTheOtherSide: behind a cut a leaf may have crashed at any
+// time up to its return, and evidence of that comes only once the VMs of both sides have met.
+func TestLeafBackFromOutOfReachIsHeldForNewsOfTheOtherSide(t *testing.T) {
+	hold := DefaultSettings().Hold.D()
+	tests := map[string]struct {
+		back upstream.State
+		held time.Duration
+	}{
+		"another incarnation": {back: upstream.State{Incarnation: 2, Connected: true, Survived: true}, held: reunionHold},
+		"not shown yet":       {back: upstream.State{Incarnation: 1, Connected: true}, held: reunionHold},
+		"the same":            {back: upstream.State{Incarnation: 1, Connected: true, Survived: true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(nil)
+			b.leaves["a"] = upstream.State{Incarnation: 1}
+			b.Look()
+			b.pass(2 * hold)
+			b.Look()
+			is.Equal(b.Place("a", bad.Digest), PlaceAbsent)
+			b.leaves["a"] = tt.back
+			for d := time.Duration(0); d < tt.held; d += hold / 2 {
+				is.Equal(b.Place("a", bad.Digest), PlaceHeld)
+				b.pass(hold / 2)
+			}
+			b.pass(hold / 2)
+			is.Equal(b.Place("a", bad.Digest), PlaceFree)
+		})
+	}
+}
+
 // busySource changes its view all the time, as the heartbeats of a fleet do.
 type busySource struct{ view *feed.View }
 
--- a/internal/standin/leaf/journal.go
+++ b/internal/standin/leaf/journal.go
@@ -57,8 +57,9 @@
 
 // Crash is the request that a leaf crashed at.
 type Crash struct {
-	RequestID string `json:"request_id"`
-	Text      string `json:"text"`
+	RequestID string    `json:"request_id"`
+	Text      string    `json:"text"`
+	At        time.Time `json:"at"`
 }
 
 // Refusals counts calls that were refused before they started, by reason.
@@ -197,7 +198,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.Crashes++
-	j.write(FileLine{Crash: &Crash{RequestID: requestID, Text: text}})
+	j.write(FileLine{Crash: &Crash{RequestID: requestID, Text: text, At: time.Now()}})
 }
 
 // snapshot returns a copy of the logs and of the journal's own counts.
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -52,7 +52,7 @@
 	backoff backoff
 	// recoverBy is until when a connection that went silent may take to be replaced.
 	recoverBy time.Time
-	// brokeAt is when a connection broke last, zero where none has.
+	// brokeAt is when a connection broke or was found silent last, zero where none was.
 	brokeAt time.Time
 	// polling is true while the status is asked for; pollAt is when it will be next.
 	polling bool
@@ -228,7 +228,8 @@
 	close(c.silent)
 	l.retire(c, fateSilent)
 	keep := c.orders > 0
-	l.recoverBy = time.Now().Add(recoverLimit)
+	l.brokeAt = time.Now()
+	l.recoverBy = l.brokeAt.Add(recoverLimit)
 	for _, other := range l.conns {
 		if other.fate == fateNone && pinged.After(other.doubted) {
 			other.doubted = pinged
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,8 +27,8 @@
 	// Connected is true where at least one connection is usable, and for a moment where the last one
 	// went silent and a new one is being opened.
 	Connected bool
-	// Survived is true where a connection opened after the last one broke shows this incarnation: if
-	// it had the broken one too, it did not crash then.
+	// Survived is true where a connection opened after the last one broke or was found silent shows
+	// this incarnation: if it had that one too, it did not crash in between.
 	Survived bool
 	// Snapshots that the leaf said it holds; nil where it has not said.
 	Snapshots []uint64
