Let an innocent suspect wait for its places to come back

It was in flight at a crash that another request caused, while its other places were down by crashes of that request too. A suspect may go to no other leaf than its places, and those that are down for an explained crash counted as absent for good, so it was given up with seconds left.

A suspect now waits for places that were lost lately.

Before: TestInnocentSuspectWaitsForItsPlacesToComeBack failed with the same outcome.

--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -176,3 +176,31 @@
 		is.Equal(e.Kind, pb.OutcomeKind_OUTCOME_KIND_FAILED)
 	})
 }
+
+// TestInnocentSuspectWaitsForItsPlacesToComeBack: a request is in flight at a crash that another one
+// caused, while its other places are down by crashes of that one. It is answered by the first of them
+// that comes back.
+func TestInnocentSuspectWaitsForItsPlacesToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(1)
+		r := newRig("az-a", service, fleet, nil)
+		r.guard.Look()
+		time.Sleep(time.Second)
+		var crashes []*pb.Crash
+		for _, down := range []string{"leaf-0-b", "leaf-0-c"} {
+			s, _ := fleet.State(down)
+			crashes = append(crashes, &pb.Crash{RequestDigest: 99, Leaf: down, Incarnation: s.Incarnation})
+			fleet.crash(down, s.Incarnation, "another")
+		}
+		r.guard.Take(&feed.View{Bundle: r.feed.Current().Bundle, Crashes: crashes, Received: time.Now()})
+		time.Sleep(500 * time.Millisecond) // the other request is in quarantine by now
+		r.guard.Look()
+		first, _ := fleet.State("leaf-0-a")
+		time.AfterFunc(serviceTime/2, func() { fleet.crash("leaf-0-a", first.Incarnation, "another") })
+		time.AfterFunc(300*time.Millisecond, func() { fleet.revive("leaf-0-b") })
+		a, err := r.ask("r1", "claim", "innocent", 4*time.Second)
+		is.NoErr(err)
+		is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+	})
+}
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -110,8 +110,11 @@
 
 func (t *trial) place(leaf string) quarantine.Place {
 	p := t.r.e.guard.Place(leaf, t.r.key.Digest)
-	if p == quarantine.PlaceFree && !t.r.fleet.usable(leaf, t.r.plan.snapshot.Version) {
+	switch {
+	case p == quarantine.PlaceFree && !t.r.fleet.usable(leaf, t.r.plan.snapshot.Version):
 		return quarantine.PlaceAbsent
+	case p == quarantine.PlaceAbsent && t.solo && t.r.e.guard.LostLately(leaf):
+		return quarantine.PlaceHeld // no other may take its place, so it is waited for
 	}
 	return p
 }
