--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -58,25 +58,16 @@
 work="$(mktemp -d)"
 pids=()
 declare -A net # the first three numbers of each policy's addresses
-
-fail() {
-  printf 'bench: %s\n' "$*" >&2
-  exit 1
-}
+readonly me=bench
+# shellcheck source=scripts/processes.sh
+source scripts/processes.sh
 
 # Ends only what was started here, by process id; SIGKILL for what doesn't end by itself.
 cleanup() {
-  local status=$? pid tries left
+  local status=$?
   trap - EXIT INT TERM
   if ((status != 0)); then tail -n 2 "$work"/*.log >&2 || true; fi
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for ((tries = 0; tries < end_tries; tries++)); do
-    left=""
-    for pid in "${pids[@]}"; do if kill -0 "$pid" 2>/dev/null; then left+="$pid "; fi; done
-    [[ -n "$left" ]] || break
-    sleep 0.1
-  done
-  for pid in $left; do kill -KILL "$pid" 2>/dev/null || true; done
+  stop "${pids[@]}" || true
   rm -rf "$work"
   exit "$status"
 }
@@ -84,32 +75,6 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
-# start NAME PROGRAM ARGUMENT... runs a process with its log in the work directory.
-start() {
-  local name="$1"
-  shift
-  "$work/bin/$1" "${@:2}" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-}
-
-# http METHOD IP:PORT PATH [BODY] prints status line, headers and body.
-http() {
-  local body="${4:-}"
-  { exec 3<>"/dev/tcp/${2%:*}/${2##*:}"; } 2>/dev/null || return 1
-  printf '%s %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s' "$1" "$3" "$2" "${#body}" "$body" >&3
-  cat <&3
-  exec 3<&- 3>&-
-}
-
-wait_for() { # IP:PORT PATH
-  local tries
-  for ((tries = 0; tries < ready_tries; tries++)); do
-    if [[ "$(http GET "$1" "$2" 2>/dev/null | head -n 1)" == *" 200 "* ]]; then return 0; fi
-    sleep 0.1
-  done
-  fail "http://$1$2 wasn't ready in time"
-}
-
 # each_leaf POLICY FUNCTION calls FUNCTION POLICY SERVICE-LINE GROUP REPLICA IP for each leaf.
 each_leaf() {
   local line s groups replicas rest g r host=40
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -40,29 +40,15 @@
 declare -A role_pid
 net="127.$((RANDOM % 100 + 130)).$((RANDOM % 250 + 1))"
 
-fail() {
-  printf 'capacity: %s\n' "$*" >&2
-  exit 1
-}
-
-# stop PID... asks processes that were started here to end, and kills what has not after a while.
-stop() {
-  local pid tries left="$*"
-  for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for ((tries = 0; tries < end_tries; tries++)); do
-    left=""
-    for pid in "$@"; do if kill -0 "$pid" 2>/dev/null; then left+="$pid "; fi; done
-    [[ -n "$left" ]] || return 0
-    sleep 0.1
-  done
-  for pid in $left; do kill -KILL "$pid" 2>/dev/null || true; done
-}
+readonly me=capacity
+# shellcheck source=scripts/processes.sh
+source scripts/processes.sh
 
 cleanup() {
   local status=$?
   trap - EXIT INT TERM
   if ((status != 0)); then tail -n 3 "$work"/*.log >&2 || true; fi
-  stop "${pids[@]}"
+  stop "${pids[@]}" || true
   rm -rf "$work"
   exit "$status"
 }
@@ -70,34 +56,14 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
-# start NAME PROGRAM ARGUMENT... runs a process with its log in the work directory.
-start() {
-  local name="$1"
-  shift
-  "$work/bin/$1" "${@:2}" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-  role_pid[$name]="$!"
+# start_role NAME PROGRAM ARGUMENT... is start, and remembers the process id by the name.
+start_role() {
+  start "$@"
+  role_pid[$1]="${pids[-1]}"
 }
 
 left() { printf '%s' "$((run_limit - SECONDS))"; }
 
-# http METHOD IP:PORT PATH prints status line, headers and body.
-http() {
-  { exec 3<>"/dev/tcp/${2%:*}/${2##*:}"; } 2>/dev/null || return 1
-  printf '%s %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$1" "$3" "$2" >&3
-  cat <&3
-  exec 3<&- 3>&-
-}
-
-wait_for() { # IP:PORT PATH
-  local tries
-  for ((tries = 0; tries < ready_tries; tries++)); do
-    if [[ "$(http GET "$1" "$2" 2>/dev/null | head -n 1)" == *" 200 "* ]]; then return 0; fi
-    sleep 0.1
-  done
-  fail "http://$1$2 wasn't ready in time"
-}
-
 vm_ip() { printf '%s.%s' "$net" "$((10 + $1))"; }
 
 # each_leaf FUNCTION calls FUNCTION SERVICE SHARD SERVICE-TIME IP for each leaf.
@@ -206,14 +172,14 @@
 start_vms() {
   local i role
   for ((i = 1; i <= vms; i++)); do
-    for role in gather entry; do start "$role-$i" "burdock-$role" --settings "$work/$role-$i.toml"; done
+    for role in gather entry; do start_role "$role-$i" "burdock-$role" --settings "$work/$role-$i.toml"; done
   done
   for ((i = 1; i <= vms; i++)); do wait_for "$(vm_ip "$i"):7410" /ready && wait_for "$(vm_ip "$i"):7411" /ready; done
 }
 
 stop_vms() {
   local i
-  for ((i = 1; i <= vms; i++)); do stop "${role_pid[entry-$i]}" "${role_pid[gather-$i]}"; done
+  for ((i = 1; i <= vms; i++)); do stop "${role_pid[entry-$i]}" "${role_pid[gather-$i]}" || true; done
 }
 
 # cpu FILE ROLE prints the seconds of processor time of a role in a result.
@@ -259,11 +225,11 @@
 # before. It starts the gathers while no leaf is there.
 query_memory() {
   local before_entry before_gather open job
-  stop "${role_pid[leaves]}"
+  stop "${role_pid[leaves]}" || true
   start_vms
   sleep 6
   before_gather="$(memory gather 7411)"
-  start leaves burdock-standin leaves --settings "$work/leaves.toml"
+  start_role leaves burdock-standin leaves --settings "$work/leaves.toml"
   wait_for "$net.21:$control_port" /live
   sleep 8
   open="$(connections)"
@@ -287,7 +253,7 @@
 
 query_part() {
   local i
-  start platform burdock-standin platform --listen "$net.1:8500" --control "$net.1:8501"
+  start_role platform burdock-standin platform --listen "$net.1:8500" --control "$net.1:8501"
   wait_for "$net.1:8501" /live
   "$work/bin/burdockctl" bundle keygen --out "$work/reviewer.key" >"$work/reviewer.trust"
   each_leaf leaf_settings >"$work/leaves.toml"
@@ -297,9 +263,9 @@
   "$work/bin/burdock-standin" publish --control "$net.1:8501" --list "$work/list.json" --dir "$work/bundle" >/dev/null
   for ((i = 1; i <= vms; i++)); do
     write_vm "$i"
-    start "sync-$i" burdock-sync --settings "$work/sync-$i.toml"
+    start_role "sync-$i" burdock-sync --settings "$work/sync-$i.toml"
   done
-  start leaves burdock-standin leaves --settings "$work/leaves.toml"
+  start_role leaves burdock-standin leaves --settings "$work/leaves.toml"
   wait_for "$net.21:$control_port" /live
   start_vms
   query_processor
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,14 +20,12 @@
 work="$(mktemp -d)"
 pids=()
 net="" # the first three numbers of the addresses used
+readonly me=demo
+# shellcheck source=scripts/processes.sh
+source scripts/processes.sh
 
 say() { printf '\n== %s\n' "$*"; }
 
-fail() {
-  printf 'demo: %s\n' "$*" >&2
-  exit 1
-}
-
 # Ends only what was started here, by process id; SIGKILL for what doesn't end by itself.
 cleanup() {
   local status=$?
@@ -36,7 +34,7 @@
     printf '\ndemo: failed; the logs of the system end:\n' >&2
     tail -n 2 "$work"/{entry,gather,sync}-*.log >&2 || true
   fi
-  stop_all || status=1
+  stop "${pids[@]}" || status=1
   rm -rf "$work"
   exit "$status"
 }
@@ -44,57 +42,6 @@
 trap 'exit 130' INT
 trap 'exit 143' TERM
 
-running() {
-  local pid
-  for pid in "${pids[@]}"; do
-    if kill -0 "$pid" 2>/dev/null; then printf '%s ' "$pid"; fi
-  done
-}
-
-stop_all() {
-  local pid tries left
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-  for ((tries = 0; tries < end_tries; tries++)); do
-    left="$(running)"
-    if [[ -z "$left" ]]; then
-      pids=()
-      return 0
-    fi
-    sleep 0.1
-  done
-  printf 'demo: killed what did not end by itself: %s\n' "$left" >&2
-  for pid in $left; do kill -KILL "$pid" 2>/dev/null || true; done
-  pids=()
-  return 1
-}
-
-# start NAME PROGRAM ARGUMENT... runs a process with its log in the work directory.
-start() {
-  local name="$1"
-  shift
-  "$work/bin/$1" "${@:2}" >"$work/$name.log" 2>&1 &
-  pids+=("$!")
-}
-
-# http_get IP:PORT PATH prints status line, headers and body.
-http_get() {
-  local ip="${1%:*}" port="${1##*:}"
-  { exec 3<>"/dev/tcp/$ip/$port"; } 2>/dev/null || return 1
-  printf 'GET %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$2" "$1" >&3
-  cat <&3
-  exec 3<&- 3>&-
-}
-
-# wait_for IP:PORT PATH polls until the answer is 200.
-wait_for() {
-  local tries
-  for ((tries = 0; tries < ready_tries; tries++)); do
-    if [[ "$(http_get "$1" "$2" 2>/dev/null | head -n 1)" == *" 200 "* ]]; then return 0; fi
-    sleep 0.1
-  done
-  fail "http://$1$2 wasn't ready in time"
-}
-
 # start_platform starts the platform's stand-in in the first free block of addresses. A block is free
 # where it can listen: a demo that runs beside this one holds its own.
 start_platform() {
@@ -225,7 +172,7 @@
   local s r count=0
   for s in "${shards[@]}"; do
     for r in 0 1 2; do
-      count=$((count + $(http_get "$(leaf_ip "$s" "$r"):$leaf_control_port" /log | grep -o "\"payload\": *\"$1\"" | wc -l)))
+      count=$((count + $(http GET "$(leaf_ip "$s" "$r"):$leaf_control_port" /log | grep -o "\"payload\": *\"$1\"" | wc -l)))
     done
   done
   printf '%d' "$count"
@@ -299,5 +246,6 @@
 [[ "$count" == 1 ]] || fail "the order should stand exactly once"
 
 say "ending"
-stop_all || fail "a process didn't end by itself"
+stop "${pids[@]}" || fail "a process didn't end by itself"
+pids=()
 printf 'nothing is left running\n'
