Scenarios: orders at each step of a kill, freeze or cut; wait for a first witness

Need: the history of random faults hits each step of an order sooner or later; an operator wants to read what happens at one of them.

Found by the scenarios: a gather that had just started issued tickets without a witness, since it had heard of no other gather yet, and when it was killed their orders were unknown though they were never sent. Ruled out: to be ready only once another gather is, for then the first VM of a fleet would never be. It now waits for a witness in the first two seconds after its start, and shows how many gathers could be one (burdock_gather_witnesses).

Also: freeze waits until the process stands still, for the signal lets its threads run on for a moment; a name of a reply can't be used twice, for the second reply was taken for the first.

--- a/internal/order/issue.go
+++ b/internal/order/issue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/types/known/timestamppb"
 
@@ -15,9 +16,9 @@
 const stepIssue = "order.issue"
 
 // IssueTicket mints a ticket for the caller. Errors are *outcome.Error, all not_run.
-func (m *Manager) IssueTicket(_ context.Context, req *pb.GatherIssueTicketRequest) (*pb.GatherIssueTicketResponse, error) {
+func (m *Manager) IssueTicket(ctx context.Context, req *pb.GatherIssueTicketRequest) (*pb.GatherIssueTicketResponse, error) {
 	want, who := req.GetTicket(), req.GetIdentity()
-	t, end := m.issue(want, who.GetCaller())
+	t, end := m.issue(ctx, want, who.GetCaller())
 	m.metrics.issued(want, end)
 	if end != nil {
 		return nil, end
@@ -30,7 +31,7 @@
 	}, nil
 }
 
-func (m *Manager) issue(want *pb.IssueTicketRequest, caller string) (*ticket.Ticket, *outcome.Error) {
+func (m *Manager) issue(ctx context.Context, want *pb.IssueTicketRequest, caller string) (*ticket.Ticket, *outcome.Error) {
 	view := m.source.Current()
 	if _, end := orderKind(view, want.GetService(), want.GetKind(), stepIssue); end != nil {
 		return nil, end
@@ -44,16 +45,17 @@
 	if reason := m.table.full(caller); reason != pb.Reason_REASON_UNSPECIFIED {
 		return nil, outcome.NotRun(reason, stepIssue, "too many tickets held").After(m.cfg.TTL)
 	}
-	return m.mint(view, want, caller)
+	return m.mint(ctx, want, caller)
 }
 
-func (m *Manager) mint(view *feed.View, want *pb.IssueTicketRequest, caller string) (*ticket.Ticket, *outcome.Error) {
+func (m *Manager) mint(ctx context.Context, want *pb.IssueTicketRequest, caller string) (*ticket.Ticket, *outcome.Error) {
+	w := m.awaitWitness(ctx)
 	expires := m.table.clock.Since() + m.cfg.TTL
 	g := ticket.Grant{
 		Expires: m.table.clock.Wall(expires),
 		Caller:  caller, Service: want.GetService(), Kind: want.GetKind(),
 	}
-	if w := m.witnesses.Pick(view); w != nil {
+	if w != nil {
 		g.WitnessVM, g.WitnessIncarnation = w.GetId(), gatherOf(w).GetIncarnation()
 	}
 	t, ok := m.minter.Mint(g)
@@ -63,6 +65,26 @@
 	return t, nil
 }
 
+// awaitWitness picks the witness of a new ticket, nil where there is none. Shortly after the start it
+// waits for one, if there are other VMs at all.
+func (m *Manager) awaitWitness(ctx context.Context) *pb.Vm {
+	for {
+		changed, view := m.source.Changed(), m.source.Current()
+		w := m.witnesses.Pick(view)
+		left := m.cfg.WitnessWait - m.table.clock.Since()
+		if w != nil || left <= 0 || len(view.VMs) < 2 || ctx.Err() != nil {
+			return w
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
 // orderKind finds the kind in the bundle in force; it must be one of orders.
 func orderKind(view *feed.View, service, kind, step string) (*bundle.Kind, *outcome.Error) {
 	if view.Bundle == nil {
--- a/internal/order/late_test.go
+++ b/internal/order/late_test.go
@@ -20,7 +20,7 @@
 		runs  int
 	}{
 		{"answered late", fault{delay: testTimeout + 500*time.Millisecond}, "answered", 1},
-		{"refused at the deadline", fault{delay: testTimeout, refusal: deadline}, "not_run deadline", 0},
+		{"refused at the deadline", fault{delay: testTimeout + time.Millisecond, refusal: deadline}, "not_run deadline", 0},
 		{"answered too late", fault{delay: testTimeout + 1500*time.Millisecond}, "unknown deadline", 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -68,3 +68,28 @@
 		is.Equal(m.askAround(i), "answered") // the witness was told
 	})
 }
+
+// A ticket without a witness makes its order unknown when the gather dies, and when a fleet starts
+// as a whole the first gathers that are ready know of no other one yet.
+func TestFirstTicketWaitsForAWitness(t *testing.T) {
+	inWorld(t, func(is *is.I, m *machine) {
+		n := m.node("vm-1")
+		n.m.cfg.WitnessWait = time.Second
+		for _, vm := range []string{"vm-2", "vm-3", "vm-4"} {
+			m.rumour(vm, pb.VmState_VM_STATE_SUSPECT)
+		}
+		start := time.Now()
+		m.issueAt("vm-1")
+		synctest.Wait()
+		is.Equal(len(m.tickets), 0)
+		m.news()
+		is.True(m.ticket().ticket.HasWitness())
+		for _, vm := range []string{"vm-2", "vm-3", "vm-4"} {
+			m.rumour(vm, pb.VmState_VM_STATE_SUSPECT)
+		}
+		time.Sleep(time.Second - time.Since(start)) // the first ticket gives up waiting
+		synctest.Wait()
+		is.Equal(len(m.tickets), 2)
+		is.True(!m.ticket().ticket.HasWitness()) // and later ones don't wait
+	})
+}
--- a/internal/order/metrics.go
+++ b/internal/order/metrics.go
@@ -40,6 +40,11 @@
 			func() float64 { return float64(m.table.counts().Held) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_orders_running", Help: "Orders running now."},
 			func() float64 { return float64(m.table.counts().Running) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_witnesses", Help: "Other gathers that can be the witness of a new ticket now."},
+			func() float64 {
+				near, far := m.witnesses.candidates(m.source.Current())
+				return float64(len(near) + len(far))
+			}),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_gather_order_unknown_share", Help: "Share of final records since start that are unknown, 0 to 1."},
 			x.unknownShare),
 	)
--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -53,6 +53,7 @@
 func newMachine() *machine {
 	cfg := DefaultConfig()
 	cfg.TTL, cfg.KeepAfter, cfg.PeerKeep, cfg.Linger = 4*time.Second, 3*time.Second, 5*time.Second, time.Second
+	cfg.WitnessWait = 0
 	w := newWorld(cfg, testZones)
 	return &machine{world: w, entry: NewResolver(cfg, entrySource{w}, netPeers{w, nil})}
 }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -41,6 +41,9 @@
 	PickWait, PickEvery time.Duration
 	// Linger is how long after an order's deadline the leaf's answer is still waited for.
 	Linger time.Duration
+	// WitnessWait is how long after its start a gather waits for a witness before it issues a ticket
+	// without one: the gathers of a fleet that starts as a whole take a moment to hear of each other.
+	WitnessWait time.Duration
 	// AvoidWitness is how long a witness that failed is not picked for new tickets.
 	AvoidWitness time.Duration
 	// RetryAfter is when a caller should come back for an order that is still running, or after a
@@ -70,6 +73,7 @@
 		PickWait:     100 * time.Millisecond,
 		PickEvery:    2 * time.Millisecond,
 		Linger:       5 * time.Second,
+		WitnessWait:  2 * time.Second,
 		AvoidWitness: 5 * time.Second,
 		RetryAfter:   200 * time.Millisecond,
 		NoteLimit:    100_000,
--- a/internal/order/peers.go
+++ b/internal/order/peers.go
@@ -108,7 +108,19 @@
 // Pick returns a ready gather of another VM, one of the own availability zone where there is any,
 // or nil.
 func (w *witnesses) Pick(v *feed.View) *pb.Vm {
-	var near, far []*pb.Vm
+	near, far := w.candidates(v)
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	return near[int(w.random()*float64(len(near)))]
+}
+
+// candidates returns the gathers that can be a witness now, those of the own availability zone and
+// the others.
+func (w *witnesses) candidates(v *feed.View) (near, far []*pb.Vm) {
 	for _, vm := range v.VMs {
 		switch {
 		case vm.GetId() == v.VM || !readyGather(vm) || w.avoided(vm.GetId()):
@@ -118,13 +130,7 @@
 			far = append(far, vm)
 		}
 	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return nil
-	}
-	return near[int(w.random()*float64(len(near)))]
+	return near, far
 }
 
 // Failed notes that the VM failed as a witness.
--- a/scenarios/daemon_test.go
+++ b/scenarios/daemon_test.go
@@ -102,8 +102,34 @@
 	return d.frozen
 }
 
-// freeze stops the process where it is, as a paused VM does; wake lets it go on.
-func (d *daemon) freeze() error { return d.signal(syscall.SIGSTOP) }
+// freeze stops the process where it is, as a paused VM does; wake lets it go on. It returns once the
+// process stands still: the signal alone lets its threads run on for a moment.
+func (d *daemon) freeze() error {
+	if err := d.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return await(d.name+" stands still", awaitBound, d.stopped)
+}
+
+// stopped returns an error until the process is in the state T of /proc/PID/stat, which follows the
+// program's name in brackets.
+func (d *daemon) stopped() error {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.pid()))
+	if err != nil {
+		return err
+	}
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	if !strings.HasPrefix(rest, "T") {
+		return fmt.Errorf("its state is %.1s", rest)
+	}
+	return nil
+}
+
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Pid
+}
 
 func (d *daemon) wake() error { return d.signal(syscall.SIGCONT) }
 
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/settings"
 	"github.com/burdockplank/burdockplank/internal/standin/platform"
+	"github.com/burdockplank/burdockplank/internal/ticket"
 )
 
 // The roles of a VM's processes, in the order in which they start.
@@ -229,6 +230,7 @@
 // names resolves what a cut can name: a node, a zone with its VMs and leaves, "vms" or "leaves".
 func (f *fleet) names(what string) ([]string, error) {
 	var names []string
+	what = f.alias(what)
 	for _, n := range f.nodes() {
 		if n.name == what || n.zone == what {
 			names = append(names, n.name)
@@ -246,6 +248,26 @@
 	return names, nil
 }
 
+// alias puts the name of a VM in the place of minter-of-T and witness-of-T, which are the VM whose
+// gather minted the ticket T and the one that is its witness.
+func (f *fleet) alias(what string) string {
+	role, of, ok := strings.Cut(what, "/")
+	if !ok {
+		role, of = "", what
+	}
+	who, name, found := strings.Cut(of, "-of-")
+	t := f.requests.tickets[name]
+	if !found || t == nil {
+		return what
+	}
+	parsed, err := ticket.Parse(t.text)
+	if err != nil {
+		return what
+	}
+	vm := map[string]string{"minter": parsed.VM, "witness": parsed.WitnessVM}[who]
+	return strings.TrimPrefix(role+"/"+vm, "/")
+}
+
 func nodeNames(nodes []*node) []string {
 	var names []string
 	for _, n := range nodes {
@@ -258,6 +280,7 @@
 // such as "gather" for all of it, "platform", or "everywhere".
 func (f *fleet) find(what string) ([]*daemon, error) {
 	var found []*daemon
+	what = f.alias(what)
 	for _, d := range f.daemons {
 		role, of, _ := strings.Cut(d.name, "/")
 		if what == "everywhere" || slices.Contains([]string{d.name, role, of}, what) {
@@ -286,7 +309,7 @@
 	return all, nil
 }
 
-func (f *fleet) vm(name string) (*node, error)   { return nodeNamed(f.vms, name) }
+func (f *fleet) vm(name string) (*node, error)   { return nodeNamed(f.vms, f.alias(name)) }
 func (f *fleet) leaf(name string) (*node, error) { return nodeNamed(f.leaves, name) }
 
 func nodeNamed(nodes []*node, name string) (*node, error) {
--- a/scenarios/request_test.go
+++ b/scenarios/request_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,17 +59,17 @@
 
 	running sync.WaitGroup
 	// tickets belong to the script's goroutine.
-	tickets map[string]*ticket
+	tickets map[string]*heldTicket
 }
 
-// ticket is an issued ticket and the order that it is for.
-type ticket struct {
+// heldTicket is an issued ticket and the order that it is for.
+type heldTicket struct {
 	text         string
 	key, payload string
 }
 
 func newRequests() *requests {
-	return &requests{named: make(map[string]*reply), tickets: make(map[string]*ticket)}
+	return &requests{named: make(map[string]*reply), tickets: make(map[string]*heldTicket)}
 }
 
 func (r *requests) wait() { r.running.Wait() }
@@ -102,8 +103,18 @@
 	return r.last, nil
 }
 
-// background sends without waiting; the reply is kept under the name.
+// background sends without waiting; the reply is kept under the name, which no earlier one may have.
 func (r *requests) background(name string, req *request) {
+	r.mu.Lock()
+	_, used := r.named[name]
+	r.named[name] = nil
+	if used {
+		r.named[name] = &reply{err: fmt.Errorf("the script uses the name %s twice", name)}
+	}
+	r.mu.Unlock()
+	if used {
+		return
+	}
 	r.running.Go(func() {
 		rep := req.send()
 		r.record(rep)
@@ -113,6 +124,19 @@
 	})
 }
 
+// backgroundReplies shows what came back so far.
+func (r *requests) backgroundReplies() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	for name, rep := range r.named {
+		if rep != nil {
+			all = append(all, name+": "+rep.String())
+		}
+	}
+	return strings.Join(all, "; ")
+}
+
 // take makes a background reply the last one, or says that it isn't there yet.
 func (r *requests) take(name string) error {
 	r.mu.Lock()
--- a/scenarios/verbs_log_test.go
+++ b/scenarios/verbs_log_test.go
@@ -61,6 +61,22 @@
 	return compare("executions of "+name, count, want)
 }
 
+// executed returns an error until a leaf has executed each of the tickets.
+func (f *fleet) executed(names []string) error {
+	j, err := f.journal()
+	if err != nil {
+		return err
+	}
+	byTicket, _ := executionsBy(j.lines)
+	for _, name := range names {
+		t := f.requests.tickets[name]
+		if t == nil || byTicket[t.text] == 0 {
+			return fmt.Errorf("%s was not executed; in the background: %s", name, f.requests.backgroundReplies())
+		}
+	}
+	return nil
+}
+
 // noneOfLast wants that the last request, a refused one, has reached no leaf.
 func (f *fleet) noneOfLast(j *journal) error {
 	last, err := f.requests.getLast()
--- a/scenarios/verbs_platform_test.go
+++ b/scenarios/verbs_platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/settings"
@@ -25,6 +26,39 @@
 	return putJSON(f.platformURL("/list"), f.list())
 }
 
+// verbReplace kills a VM and starts another in its place, at the same address, under a new name.
+// The platform's list changes with it.
+func verbReplace(f *fleet, a *arguments) error {
+	if err := a.done(2, 2); err != nil {
+		return err
+	}
+	n, err := f.vm(a.words[0])
+	if err != nil {
+		return err
+	}
+	old, name := n.name, a.words[1]
+	ds, err := f.find(old)
+	if err != nil {
+		return err
+	}
+	if err := eachOf(ds, (*daemon).kill); err != nil {
+		return err
+	}
+	n.name = name
+	for _, d := range ds {
+		role, _, _ := strings.Cut(d.name, "/")
+		file, err := f.writeSettings(role+"-"+name, f.vmSettings(role, n))
+		if err != nil {
+			return err
+		}
+		*d = *newDaemon(role+"/"+name, f.dir, "burdock-"+role, "--settings", file)
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	return putJSON(f.platformURL("/list"), f.list())
+}
+
 // verbPublish publishes the newest bundle with another version, other snapshots and edits.
 func verbPublish(f *fleet, a *arguments) error {
 	version := a.number("version", 0)
--- a/scenarios/verbs_request_test.go
+++ b/scenarios/verbs_request_test.go
@@ -92,7 +92,7 @@
 	}
 	q.issue = &pb.IssueTicketRequest{Service: serviceName, Kind: orderKind}
 	rep := f.run(q, "")
-	f.requests.tickets[name] = &ticket{text: rep.issue.GetTicket(), key: "key of " + name, payload: "payload of " + name}
+	f.requests.tickets[name] = &heldTicket{text: rep.issue.GetTicket(), key: "key of " + name, payload: "payload of " + name}
 	return nil
 }
 
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -49,7 +49,7 @@
 		"freeze": each((*daemon).freeze), "wake": each((*daemon).wake),
 		"shutdown": verbShutdown, "terminate": each((*daemon).terminate),
 		"cut": verbCut, "heal": verbHeal, "silence": verbSilence, "sever": verbSever,
-		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "lag": verbLag,
+		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "replace": verbReplace, "lag": verbLag,
 		"publish": verbPublish,
 		"search":  verbSearch, "ticket": verbTicket, "send": verbSend, "order": verbOrder,
 		"reply": verbReply, "log": verbLog, "await": verbAwait, "upset": verbUpset,
@@ -256,6 +256,9 @@
 		return err
 	}
 	what, rest := a.words[0], a.words[1:]
+	if what == "executed" {
+		return await(fmt.Sprint(a.words), bound, func() error { return f.executed(rest) })
+	}
 	var number float64
 	metric := ""
 	if what == "metric" && len(rest) > 2 {
