Hold a leaf that was out of reach for long for 10 s

A run of crashing_cut beside others at a load average of 65 ended 4 leaves: an exchange of evidence waits for the one before it, up to 3 s each, so that 5 s after the heal it was not there yet.

--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -15,8 +15,8 @@
 	// awayFor is how long a leaf without a usable connection may be just reconnecting.
 	awayFor = 150 * time.Millisecond
 	// reunionHold is the hold of a leaf that was out of reach for long. Syncs that meet again compare
-	// all their evidence once it has differed for 2 s, and some time goes by until all have it.
-	reunionHold = 5 * time.Second
+	// all their evidence once it has differed for 2 s, one exchange after the other, each up to 3 s.
+	reunionHold = 10 * time.Second
 	// maxAbandoned bounds what is remembered of one leaf.
 	maxAbandoned = 64
 )
