Let a caller that still writes its body read the refusal

The entry refuses by the length before it reads the body; on HTTP/1.1 with Connection: close the library then closes the connection with bytes unread, which resets it.

A refusal is now sent at once, and what the caller still writes is read and dropped, up to 1 MiB and 1 s. Ruled out: to read before the answer, which would let a slow body hold its own refusal back.

--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -47,6 +47,7 @@
 	c := callOf(r.Context())
 	if e := m.enter(w, r, c); e != nil {
 		writeError(w, r, e)
+		discard(w, r)
 		return
 	}
 	tw := &typedWriter{ResponseWriter: w, call: c}
@@ -54,6 +55,27 @@
 	tw.finish(r)
 }
 
+const (
+	// discardBytes and discardTime bound what is read of a refused request's body.
+	discardBytes = 1 << 20
+	discardTime  = time.Second
+)
+
+// discard sends the refusal and reads on for a while: a connection that is closed with bytes unread is
+// reset, and a caller that still writes would see that in place of the refusal. HTTP/2 has its own way
+// to end a stream early.
+func discard(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor > 1 || r.ContentLength == 0 {
+		return
+	}
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
+	_ = rc.SetReadDeadline(time.Time{})
+}
+
 // enter returns why the request is refused, or nil.
 func (m *Manager) enter(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
 	if e := m.takesWork(c); e != nil {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -148,3 +148,23 @@
 	_, err = burdockv1connect.NewQueryServiceClient(client, w.url, connect.WithInterceptors(auth)).Search(t.Context(), req)
 	is.NoErr(err) // connect over HTTP/2 without TLS
 }
+
+// TestLongBodyIsRefusedInWords: a caller that still writes a body which is too long gets the typed
+// refusal, not a broken connection.
+func TestLongBodyIsRefusedInWords(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	body := strings.Repeat("x", 250<<10)
+	for range 200 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, w.url+searchPath, newReader(body))
+		is.NoErr(err)
+		req.Header.Set("Content-Type", "application/json")
+		req.Header.Set("Authorization", "Bearer "+testToken)
+		res, err := client.Do(req)
+		is.NoErr(err)
+		e := readError(t, res)
+		is.NoErr(res.Body.Close())
+		is.Equal(e.Details[0].Debug.Reason, "REASON_TOO_LARGE")
+	}
+}
