Reload settings at SIGHUP

Cause: the process had no handler for SIGHUP, so the signal ended it (code 129) with requests in flight. Ruled out: a cut by the drain; the log shows no drain. Change: SIGHUP reads the settings anew while requests go on.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,8 +7,11 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -169,6 +172,7 @@
 	runner := process.Runner{
 		Log: d.log, DrainLimit: d.settings.Grace - endMargin, Drain: d.drain,
 		Duties: []process.Duty{
+			{Name: "settings", Run: d.reloadOnSignal},
 			{Name: "recorder", Run: d.recorder.Run},
 			{Name: "metrics", Run: d.serve(string(d.metricsAt), d.operatorHandler())},
 			{Name: "peers' server", Run: d.serve(d.settings.Peers, d.peersHandler())},
@@ -251,7 +255,9 @@
 		d.budgets.SetFleet(vms)
 		d.pool.SetLeaves(callable(d.directory.Current()), connectionLimits(d.directory.Current().Config), vms)
 		d.table.Forget(time.Now())
-		d.reload()
+		if vms == 1 {
+			d.reload() // the seeds may have changed without a signal
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -261,17 +267,31 @@
 	}
 }
 
-// reload takes new seeds from the settings; the last ones stay where they can't be read.
-func (d *Daemon) reload() {
-	if d.peers.Live() > 0 {
-		return
+// reloadOnSignal reads the settings anew at each SIGHUP until ctx ends. Requests go on meanwhile: only
+// the seeds may change in a running process.
+func (d *Daemon) reloadOnSignal(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			d.log.Info("settings reloaded", zap.Bool("taken", d.reload()))
+		}
 	}
+}
+
+// reload takes new seeds from the settings and tells whether it could; the last ones stay otherwise.
+func (d *Daemon) reload() bool {
 	seeds, err := d.platform.Reload()
 	if err != nil {
 		d.log.Warn("settings not reloaded", zap.Error(err))
-		return
+		return false
 	}
 	d.seeds.Store(&seeds)
+	return true
 }
 
 // callable returns the leaves that may be called: those of services that the configuration names.
