Exchange differences only between VMs, over HTTP/1.1, and count the budget in the platform's window

Change: items go only to peers known to lack them; HTTP/1.1 with timeouts in place of pings; budgets in a sliding window with a part of the slack; readers wait for the fleet, polls by the deployment's bound.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -29,6 +29,8 @@
 	Extra retrybudget.Limit
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
+	// ConfigBound is the time within which a change of the configuration is in force everywhere.
+	ConfigBound time.Duration
 }
 
 // Check implements settings.Checked.
@@ -48,6 +50,8 @@
 	c.Require(s.MemoryBytes >= memoryLeast, "memory", "want %d bytes at least, got %d", memoryLeast, s.MemoryBytes)
 	c.Require(s.Extra.Ratio >= 0 && s.Extra.Ratio <= 1, "retry budget's ratio", "want 0 to 1, got %g", s.Extra.Ratio)
 	c.Require(s.Extra.Slack >= 0, "retry budget's slack", "want 0 or more, got %g", s.Extra.Slack)
+	c.Require(s.Extra.Window >= windowLeast, "retry budget's window", "want %v at least, got %v", windowLeast, s.Extra.Window)
+	c.Require(s.ConfigBound >= boundLeast, "configuration's bound", "want %v at least, got %v", boundLeast, s.ConfigBound)
 	c.Require(s.Grace >= graceLeast && s.Grace <= graceMost, "grace period", "want %v to %v, got %v", graceLeast, graceMost, s.Grace)
 }
 
@@ -57,6 +61,8 @@
 	// graceLeast is what the balancer's two missed checks and a request need; graceMost is far above any
 	// orderly stop.
 	graceLeast, graceMost = time.Second, time.Hour
+	// windowLeast holds the spans that the budget counts in, boundLeast a poll of the store and its spread.
+	windowLeast, boundLeast = time.Second, 500 * time.Millisecond
 )
 
 func checkAddress(c *settings.Checker, key, value string) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -25,9 +25,9 @@
 
 // Delta is what one copy tells another.
 type Delta struct {
-	Items []Item
-	// CompleteTo is the revision up to which the sender knows every item.
-	CompleteTo uint64
+	// Items holds every change after CompleteFrom, up to CompleteTo.
+	Items                    []Item
+	CompleteFrom, CompleteTo uint64
 	// Full is set where Items are all that exist: what is absent is deleted.
 	Full bool
 }
@@ -83,7 +83,7 @@
 func (m *Mirror) Since(revision uint64) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{CompleteTo: m.completeTo, Full: revision < m.forgotten}
+	d := Delta{CompleteFrom: revision, CompleteTo: m.completeTo, Full: revision < m.forgotten}
 	if m.completeTo < revision {
 		d.Full = false
 	}
@@ -119,7 +119,9 @@
 	if d.Full && m.deleteAbsent(d, now) {
 		changed = true
 	}
-	m.completeTo = max(m.completeTo, d.CompleteTo)
+	if d.Full || m.completeTo >= d.CompleteFrom {
+		m.completeTo = max(m.completeTo, d.CompleteTo)
+	}
 	m.forget(now)
 	return changed
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,11 +10,11 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/urfave/negroni/v3"
@@ -59,6 +59,8 @@
 	idleMost = 75 * time.Second
 	// headerMost bounds how long the head of a request may take.
 	headerMost = 10 * time.Second
+	// peerIdle is how long an idle connection to another VM is kept.
+	peerIdle = 10 * time.Second
 	// logCloseLimit bounds writing the last lines.
 	logCloseLimit = 200 * time.Millisecond
 )
@@ -110,7 +112,7 @@
 	d := &Daemon{
 		settings: s, platform: p, metricsAt: metricsAt, log: log, sink: sink, registry: reg,
 		mirror: mirror.New(changed), updated: updated,
-		table: replica.New(), budgets: retrybudget.New(s.Extra),
+		table: replica.New(), budgets: retrybudget.New(s.Extra, time.Now),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_requests_refused_total", Help: "Requests refused at the callers' edge by reason.",
 		}, []string{"reason"}),
@@ -123,7 +125,7 @@
 		Seeds: func() []string { return *d.seeds.Load() }, Mirror: d.mirror, Changed: changed,
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
-	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.Peers, s.Zone, log, reg)
+	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.Peers, s.Zone, slices.Contains(s.Seeds, s.Peers), s.ConfigBound, log, reg)
 	d.pool = leafpool.New(p.Dialer, reg)
 	d.recorder = decision.New(log, sink, reg)
 	guard := crashguard.New(d.peers, time.Now, log)
@@ -132,11 +134,15 @@
 	return d
 }
 
-// dialPeers returns clients that share one transport.
+// dialPeers returns clients that share one transport. It speaks HTTP/1.1: a connection gone silent is
+// found and closed by the timeout of its exchange, while the pings of HTTP/2 over the connections of 60
+// VMs to each other took more bytes than all exchanges.
 func dialPeers(bind string) peers.Dial {
-	shared := rpc.NewClient(bind)
+	shared := &http.Client{Transport: &http.Transport{
+		DialContext: rpc.Dialer(bind).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle,
+	}}
 	return func(address string) peers.Client {
-		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address, connect.WithSendGzip())
+		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address)
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -20,13 +20,18 @@
 )
 
 const (
-	// period is how often a random peer is asked.
-	period = 250 * time.Millisecond
+	// period is how often a random peer is asked, longPeriod in a fleet above smallFleet: an exchange
+	// names all members, so that its bytes grow with the fleet.
+	period     = 250 * time.Millisecond
+	longPeriod = 500 * time.Millisecond
+	smallFleet = 20
+	// ownZone is the part of the rounds that stays in the own zone: bytes between zones are dear.
+	ownZone = 0.75
 	// exchangeTimeout bounds an exchange: a few round trips between zones, and a VM that stood still.
 	exchangeTimeout = 800 * time.Millisecond
-	// silentAfter is the age of the newest sign of life from which a peer counts as gone: several
-	// rounds in which its heartbeat would have come around in a fleet of 60.
-	silentAfter = 3 * time.Second
+	// silentRounds is the age of the newest sign of life, in rounds, from which a peer counts as gone: a
+	// heartbeat comes around a fleet of 60 in about 6 rounds.
+	silentRounds = 12
 	// forgetAfter is how long a silent peer is still tried.
 	forgetAfter = time.Minute
 	// pushAll is the size of a fleet up to which news goes to all at once; larger ones pass it on.
@@ -34,7 +39,7 @@
 	// pushFanout is to how many peers news goes in a larger fleet.
 	pushFanout = 4
 	// sample bounds the members that an exchange names.
-	sample = 24
+	sample = 80
 	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
 	// fleet was cut in two.
 	seedPeriod = 2 * time.Second
@@ -100,8 +105,10 @@
 	contactAt time.Time
 	// completeTo is the revision it last said to be complete to.
 	completeTo uint64
-	client     Client
-	live       bool
+	// told is true once it said so in this incarnation.
+	told   bool
+	client Client
+	live   bool
 }
 
 type metrics struct {
@@ -136,15 +143,26 @@
 }
 
 func (m *Manager) runRounds(ctx context.Context) {
-	for sleep(ctx, period-period/10+rand.N(period/5)) {
-		now := time.Now()
-		m.beat(now)
+	for {
+		round := m.round()
+		if !sleep(ctx, round-round/10+rand.N(round/5)) {
+			return
+		}
+		m.beat(time.Now(), silentRounds*round)
 		if p := m.pick(1); len(p) > 0 {
 			go m.exchange(ctx, p[0])
 		}
 	}
 }
 
+// round is the time between two exchanges that this VM begins.
+func (m *Manager) round() time.Duration {
+	if m.Live() > smallFleet {
+		return longPeriod
+	}
+	return period
+}
+
 // runNews tells others at once when the mirror changed or a crash was seen.
 func (m *Manager) runNews(ctx context.Context) {
 	for {
@@ -205,7 +223,7 @@
 }
 
 // beat raises the own heartbeat and lets time pass over the others.
-func (m *Manager) beat(now time.Time) {
+func (m *Manager) beat(now time.Time, silentAfter time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self.Heartbeat++
@@ -284,18 +302,26 @@
 // never is an age longer than any process runs.
 const never = 1 << 62
 
-// pick returns random peers, mostly live ones; a silent one in a tenth of the cases.
+// pick returns random peers, mostly live ones, and where it is one mostly of the own zone; a silent one
+// in a tenth of the cases.
 func (m *Manager) pick(n int) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var live, silent []string
+	var live, near, silent []string
 	for address, e := range m.members {
-		if e.live {
-			live = append(live, address)
-		} else {
+		switch {
+		case !e.live:
 			silent = append(silent, address)
+		case e.record.GetZone() == m.cfg.Zone:
+			near = append(near, address)
+			live = append(live, address)
+		default:
+			live = append(live, address)
 		}
 	}
+	if n == 1 && len(near) > 0 && rand.Float64() < ownZone {
+		live = near
+	}
 	const trySilent = 10
 	if n == 1 && len(silent) > 0 && (len(live) == 0 || rand.N(trySilent) == 0) {
 		return []string{silent[rand.N(len(silent))]}
@@ -313,31 +339,47 @@
 	return e == nil || e.completeTo < to || len(m.seenCrash) > 0 || m.self.GetLeaving()
 }
 
-// exchange tells the peer what it lacks and takes what it tells.
+// exchange tells the peer what it lacks and takes what it tells. A peer of which nothing is known yet is
+// asked first, so that nothing goes to one that has it.
 func (m *Manager) exchange(ctx context.Context, address string) {
-	client, to := m.clientOf(address)
+	for range 2 {
+		client, to, known := m.clientOf(address)
+		if !m.exchangeOnce(ctx, client, to, known) || known || !m.behind(address) {
+			return
+		}
+	}
+}
+
+func (m *Manager) exchangeOnce(ctx context.Context, client Client, to uint64, known bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	got, err := client.Exchange(ctx, m.message(to, time.Now()))
+	now := time.Now()
+	req := m.message(to, now)
+	if !known {
+		req.Items, req.Full, req.CompleteFrom = nil, false, req.GetCompleteTo()
+	}
+	got, err := client.Exchange(ctx, req)
 	if err != nil {
 		m.metrics.exchanges.WithLabelValues("failed").Inc()
-		return
+		return false
 	}
 	m.metrics.exchanges.WithLabelValues("answered").Inc()
 	m.take(got, time.Now())
+	return true
 }
 
-// clientOf returns the client of the address and what the peer there is known to have.
-func (m *Manager) clientOf(address string) (Client, uint64) {
+// clientOf returns the client of the address, and to which revision the peer there is known to be
+// complete.
+func (m *Manager) clientOf(address string) (client Client, to uint64, known bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e := m.members[address]; e != nil {
 		if e.client == nil {
 			e.client = m.cfg.Dial(address)
 		}
-		return e.client, e.completeTo
+		return e.client, e.completeTo, e.told
 	}
-	return m.cfg.Dial(address), 0
+	return m.cfg.Dial(address), 0, false
 }
 
 // Answer takes an exchange that a peer began, and returns this VM's part.
@@ -352,7 +394,7 @@
 	d := m.cfg.Mirror.Since(to)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Members: m.sampleMembers(now), CompleteTo: d.CompleteTo, Full: d.Full}
+	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Members: m.sampleMembers(now), CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
 	for _, it := range d.Items {
 		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
 	}
@@ -399,7 +441,7 @@
 	m.mu.Lock()
 	m.merge(msg.GetSender(), now)
 	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
-		e.completeTo = msg.GetCompleteTo()
+		e.completeTo, e.told = msg.GetCompleteTo(), true
 	}
 	for _, r := range msg.GetMembers() {
 		m.merge(r, now)
@@ -408,7 +450,7 @@
 		m.noteCrash(Crash{Digest: c.GetDigest(), Leaf: c.GetLeaf(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
 	}
 	m.mu.Unlock()
-	d := mirror.Delta{CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull()}
+	d := mirror.Delta{CompleteFrom: msg.GetCompleteFrom(), CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull()}
 	for _, it := range msg.GetItems() {
 		d.Items = append(d.Items, mirror.Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Deleted: it.GetDeleted()})
 	}
@@ -428,7 +470,7 @@
 		e = &member{}
 		m.members[r.GetAddress()] = e
 	} else if e.record.GetIncarnation() != r.GetIncarnation() {
-		e.completeTo, e.contactAt = 0, time.Time{}
+		e.completeTo, e.told, e.contactAt = 0, false, time.Time{}
 	}
 	if !e.live {
 		m.cfg.Log.Info("peer changed", zap.String("peer", r.GetAddress()), zap.Bool("live", true), zap.Uint64("incarnation", r.GetIncarnation()))
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -33,6 +33,9 @@
 	failCost = 6
 	// busyCost is the cost of a used slot, in parts of a usual time, so that an idle leaf goes first.
 	busyCost = 0.15
+	// farCost is the factor of a leaf in another zone, where bytes are dear and a round trip takes a
+	// millisecond more; it is small, so that the load stays even.
+	farCost = 1.1
 	// coldPace is the pace of a leaf in its warm-up before it has answered.
 	coldPace = 1.6
 	// noiseUsual is the figure by which a leaf reports that its work takes as long as usual.
@@ -202,7 +205,7 @@
 		cost += float64(stood) // a leaf that stood still for so long is likely to do so as long again
 	}
 	if !c.Near {
-		cost *= 1 + 0.02 // ties go to the own zone: bytes between zones are dear
+		cost *= farCost
 	}
 	return cost
 }
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,43 +1,57 @@
-// Package retrybudget bounds the extra calls (hedges, and retries of failed or refused calls) that one
-// VM sends to a service. The platform bounds them over the whole fleet: a ratio of the service's
-// requests in a window, plus a slack. Each VM takes the ratio of the requests it sees itself, and its
-// part of the slack, so that the sum holds however the callers are spread over the VMs.
+// Package retrybudget bounds the extra calls (hedges, and repeats of failed or refused calls) that one
+// VM sends to a service. The platform bounds them over the whole fleet, in any span of a window's
+// length: a ratio of the service's requests, plus a slack. Each VM takes the ratio of the requests it
+// sees itself, and its part of the slack, so that the sum holds however the callers are spread.
 package retrybudget
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// ratioUsed is the part of the allowed ratio that is used: what a window's edge cuts off of its
 	// requests is given away beforehand.
 	ratioUsed = 0.95
-	// slackUsed is the part of the allowed slack that is used. The rest is for VMs that start or wake
-	// with a full bucket while the others still count them as absent.
-	slackUsed = 0.6
-	// lowMark is the part of a bucket below which extra calls that can wait are held back for those
-	// that can't.
-	lowMark = 0.3
+	// slackUsed is the part of the allowed slack that is used. The rest is for VMs that start anew with
+	// nothing spent while what they spent before still counts.
+	slackUsed = 0.7
+	// reserve is the part of what is allowed that extra calls which can wait leave to those that can't.
+	reserve = 0.25
+	// spans is how many spans a window is counted in; a window is at most one span too long.
+	spans = 20
 )
 
 // Limit is what the platform allows the whole fleet.
 type Limit struct {
-	// Ratio of extra calls to the requests of a service.
-	Ratio float64
-	// Slack is how many more there may be in a window.
-	Slack float64
+	// Ratio of extra calls to the requests of a service, and Slack how many more there may be, in any
+	// span of Window.
+	Ratio, Slack float64
+	Window       time.Duration
 }
 
-// Budgets holds a bucket for each service. It is safe for concurrent use.
+// Budgets counts the requests and extra calls of each service. It is safe for concurrent use.
 type Budgets struct {
 	limit Limit
+	clock func() time.Time
+	start time.Time
 
 	mu sync.Mutex
-	// vms in the fleet and tokens by service; guarded by mu.
-	vms     int
-	buckets map[string]float64
+	// vms in the fleet, and counts by service; guarded by mu.
+	vms      int
+	services map[string]*counts
+}
+
+// counts of one service in the latest spans, by the number of the span.
+type counts struct {
+	at              [spans + 1]int64
+	requests, extra [spans + 1]int
 }
 
-// New returns budgets of a fleet of one; buckets start empty, so that restarts in series add nothing.
-func New(l Limit) *Budgets { return &Budgets{limit: l, vms: 1, buckets: make(map[string]float64)} }
+// New returns budgets of a fleet of one in which nothing was spent.
+func New(l Limit, clock func() time.Time) *Budgets {
+	return &Budgets{limit: l, clock: clock, start: clock(), vms: 1, services: make(map[string]*counts)}
+}
 
 // SetFleet tells how many VMs share the slack.
 func (b *Budgets) SetFleet(vms int) {
@@ -46,35 +60,76 @@
 	b.vms = max(vms, 1)
 }
 
-// capacity of a bucket: in any window a VM sends at most the ratio of its requests plus this. Requires mu.
-func (b *Budgets) capacity() float64 { return max(1, b.limit.Slack*slackUsed/float64(b.vms)) }
+// span returns the number of the span that runs, and its place. Requires mu.
+func (b *Budgets) span() (number int64, place int) {
+	number = int64(b.clock().Sub(b.start) * spans / max(b.limit.Window, spans))
+	return number, int(number % (spans + 1))
+}
+
+// of returns the counts of the service with the span that runs cleared of older ones. Requires mu.
+func (b *Budgets) of(service string) (c *counts, number int64, place int) {
+	number, place = b.span()
+	c = b.services[service]
+	if c == nil {
+		c = new(counts)
+		b.services[service] = c
+	}
+	if c.at[place] != number {
+		c.at[place], c.requests[place], c.extra[place] = number, 0, 0
+	}
+	return c, number, place
+}
 
 // Request counts a request to the service.
 func (b *Budgets) Request(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.buckets[service] = min(b.capacity(), b.buckets[service]+b.limit.Ratio*ratioUsed)
+	c, _, place := b.of(service)
+	c.requests[place]++
 }
 
 // Take takes an extra call of the service, or refuses. One that can wait is refused sooner.
 func (b *Budgets) Take(service string, canWait bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	left := b.buckets[service] - 1
-	if left < 0 || canWait && left < lowMark*b.capacity() {
+	c, number, place := b.of(service)
+	allowed, spent := b.allowed(c, number)
+	if canWait {
+		allowed *= 1 - reserve
+	}
+	if float64(spent+1) > max(allowed, 1) {
 		return false
 	}
-	b.buckets[service] = left
+	c.extra[place]++
 	return true
 }
 
+// allowed returns how many extra calls the window allows, and how many were spent in it. Requests of
+// the oldest span are left out and its extra calls are counted, so that the sum holds in any window.
+// Requires mu.
+func (b *Budgets) allowed(c *counts, number int64) (allowed float64, spent int) {
+	requests := 0
+	for i, at := range c.at {
+		age := number - at
+		if age <= spans {
+			spent += c.extra[i]
+		}
+		if age < spans {
+			requests += c.requests[i]
+		}
+	}
+	return b.limit.Ratio*ratioUsed*float64(requests) + b.limit.Slack*slackUsed/float64(b.vms), spent
+}
+
 // Left returns the extra calls left for each service.
 func (b *Budgets) Left() map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]float64, len(b.buckets))
-	for s, n := range b.buckets {
-		out[s] = n
+	out := make(map[string]float64, len(b.services))
+	for s := range b.services {
+		c, number, _ := b.of(s)
+		allowed, spent := b.allowed(c, number)
+		out[s] = allowed - float64(spent)
 	}
 	return out
 }
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -17,15 +17,16 @@
 )
 
 const (
-	// wait is how long a poll waits for a change. A connection that went silent is noticed after it, and
-	// a change must be in force 3 s after its acknowledgement.
-	wait = 1500 * time.Millisecond
+	// waitPart is how long a poll waits for a change, as a part of the time in which a change must be in
+	// force everywhere: a connection that went silent is noticed only after it.
+	waitPart = 0.5
 	// answerTimeout bounds an answer beyond the wait of a poll; the store answers in 4 ms.
 	answerTimeout = 700 * time.Millisecond
-	// takeover is the age of the zone's newest contact from which the VM second in rank reads; the next
-	// ones follow turn by turn. It is above the wait and the time that word of a contact takes.
-	takeover = 2200 * time.Millisecond
-	turn     = 300 * time.Millisecond
+	// takeoverPart is the age of the zone's newest contact, as a part of that time, from which the VM
+	// second in rank reads; the next ones follow turn by turn. It is above the wait and the time that
+	// word of a contact takes.
+	takeoverPart = 0.75
+	turn         = 300 * time.Millisecond
 	// hold is how long a VM that took over goes on reading.
 	hold = 10 * time.Second
 	// batch is the pause after a change, so that a series of changes costs few calls.
@@ -34,8 +35,11 @@
 	idle = 100 * time.Millisecond
 	// retryMost is the longest wait after failures: once the store is back, a change is due in 3 s.
 	retryMost = time.Second
-	// settle is how long a new process waits for peers, which may know all it would read.
-	settle = 400 * time.Millisecond
+	// settle is how long a new process waits for word of the fleet: peers may know all it would read, and
+	// who is first by rank shows only once most of a zone is known. One of the seeds waits less, for
+	// where the whole fleet starts at once somebody has to read first.
+	settle     = 1500 * time.Millisecond
+	settleSeed = 200 * time.Millisecond
 )
 
 // ErrHistoryGone says that the store no longer holds the history from the revision on.
@@ -64,8 +68,11 @@
 	fleet  Fleet
 	self   string
 	zone   string
-	log    *zap.Logger
-	reads  *prometheus.CounterVec
+	seed   bool
+	// wait and takeover by the bound of this deployment.
+	wait, takeover time.Duration
+	log            *zap.Logger
+	reads          *prometheus.CounterVec
 
 	// The rest belongs to the goroutine of Run.
 	backoff   platform.Backoff
@@ -75,22 +82,21 @@
 	read, fresh bool
 }
 
-// New returns a reader for the VM self.
-func New(s Store, m *mirror.Mirror, f Fleet, self, zone string, log *zap.Logger, reg prometheus.Registerer) *Reader {
+// New returns a reader for the VM self; seed tells whether the others ask it first.
+func New(s Store, m *mirror.Mirror, f Fleet, self, zone string, seed bool, bound time.Duration, log *zap.Logger, reg prometheus.Registerer) *Reader {
 	reads := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "burdock_store_reads_total", Help: "Reads of the platform's store by kind and end.",
 	}, []string{"kind", "result"})
 	reg.MustRegister(reads)
-	return &Reader{store: s, mirror: m, fleet: f, self: self, zone: zone, log: log, reads: reads, reachable: true, backoff: platform.Backoff{Most: retryMost}}
+	return &Reader{store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed,
+		wait: part(waitPart, bound), takeover: part(takeoverPart, bound), log: log, reads: reads, reachable: true, backoff: platform.Backoff{Most: retryMost}}
 }
 
+func part(p float64, of time.Duration) time.Duration { return time.Duration(p * float64(of)) }
+
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
-	for end := time.Now().Add(settle); r.fleet.Live() == 0 && time.Now().Before(end); {
-		if !sleep(ctx, settle/8) {
-			return nil
-		}
-	}
+	r.settle(ctx)
 	for {
 		pause := idle
 		if r.active(time.Now()) {
@@ -102,18 +108,27 @@
 	}
 }
 
+// settle waits until the fleet is known, or for long enough.
+func (r *Reader) settle(ctx context.Context) {
+	limit := settle
+	if r.seed {
+		limit = settleSeed
+	}
+	sleep(ctx, limit)
+}
+
 // active tells whether this VM reads now.
 func (r *Reader) active(now time.Time) bool {
 	members, contact := r.fleet.Zone(now)
 	rank := readers.Rank(r.zone, members, r.self)
-	return active(rank, contact, r.tookOver, now)
+	return r.isActive(rank, contact, now)
 }
 
-func active(rank int, contact time.Duration, tookOver, now time.Time) bool {
-	if rank == 0 || !tookOver.IsZero() && now.Sub(tookOver) < hold {
+func (r *Reader) isActive(rank int, contact time.Duration, now time.Time) bool {
+	if rank == 0 || !r.tookOver.IsZero() && now.Sub(r.tookOver) < hold {
 		return true
 	}
-	return contact > takeover+time.Duration(rank-1)*turn
+	return contact > r.takeover+time.Duration(rank-1)*turn
 }
 
 // readOnce makes one call, or a snapshot's, and returns how long to wait before the next.
@@ -153,9 +168,9 @@
 		}
 		return "snapshot", d, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.wait+answerTimeout)
 	defer cancel()
-	d, err := r.store.Watch(ctx, after, wait)
+	d, err := r.store.Watch(ctx, after, r.wait)
 	return "watch", d, err
 }
 
@@ -172,7 +187,7 @@
 	}
 	r.reachable = true
 	members, contact := r.fleet.Zone(now)
-	if contact > takeover && readers.Rank(r.zone, members, r.self) > 0 {
+	if contact > r.takeover && readers.Rank(r.zone, members, r.self) > 0 {
 		r.log.Info("reading in place of the first by rank", zap.Duration("contact_age", contact))
 		r.tookOver = now
 	}
