Let VMs tell each other of failed and slow calls of leaves

Ruled out: the processor (0.008 cores in the mean). Change: slow answers and failures are tallied apart from the pace, and told with each exchange.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 	d.directory = directory.New(d.mirror, changed, updated, p.Decoder, log)
 	d.peers = peers.New(peers.Config{
 		Self: s.Peers, Zone: s.Zone, Incarnation: uint64(time.Now().UnixNano()),
-		Seeds: func() []string { return *d.seeds.Load() }, Mirror: d.mirror, Changed: changed,
+		Seeds: func() []string { return *d.seeds.Load() }, Mirror: d.mirror, Evidence: d.table, Changed: changed,
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
 	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.Peers, s.Zone, slices.Contains(s.Seeds, s.Peers), s.ConfigBound, log, reg)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -17,6 +17,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/notify"
+	"github.com/burdockplank/burdockplank/internal/replica"
 )
 
 const (
@@ -55,6 +56,12 @@
 	Exchange(ctx context.Context, req *pb.FleetExchange) (*pb.FleetExchange, error)
 }
 
+// Evidence is what VMs tell each other of leaves in trouble.
+type Evidence interface {
+	Troubles(now time.Time) []replica.Trouble
+	Told(vm string, list []replica.Trouble, now time.Time)
+}
+
 // Crash says that a leaf ended while it ran a request.
 type Crash struct {
 	Digest uint64
@@ -71,6 +78,7 @@
 	// Seeds returns addresses of VMs to ask first; they may be stale.
 	Seeds    func() []string
 	Mirror   *mirror.Mirror
+	Evidence Evidence
 	Changed  *notify.Notifier
 	Dial     Dial
 	Log      *zap.Logger
@@ -392,12 +400,16 @@
 // message is what a peer that is complete to the revision is told.
 func (m *Manager) message(to uint64, now time.Time) *pb.FleetExchange {
 	d := m.cfg.Mirror.Since(to)
+	troubles := m.cfg.Evidence.Troubles(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Members: m.sampleMembers(now), CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
 	for _, it := range d.Items {
 		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
 	}
+	for _, t := range troubles {
+		msg.Troubles = append(msg.Troubles, &pb.FleetTrouble{Leaf: t.Leaf, Calls: float32(t.Calls), Failed: float32(t.Failed), Slow: float32(t.Slow)})
+	}
 	for k, at := range m.seenCrash {
 		msg.Crashes = append(msg.Crashes, &pb.FleetCrash{Digest: k.digest, Leaf: k.leaf, AgeMs: now.Sub(at).Milliseconds()})
 	}
@@ -450,6 +462,7 @@
 		m.noteCrash(Crash{Digest: c.GetDigest(), Leaf: c.GetLeaf(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
 	}
 	m.mu.Unlock()
+	m.takeTroubles(msg, now)
 	d := mirror.Delta{CompleteFrom: msg.GetCompleteFrom(), CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull()}
 	for _, it := range msg.GetItems() {
 		d.Items = append(d.Items, mirror.Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Deleted: it.GetDeleted()})
@@ -457,6 +470,17 @@
 	m.cfg.Mirror.Merge(d, now)
 }
 
+// takeTroubles passes on what the peer saw of leaves.
+func (m *Manager) takeTroubles(msg *pb.FleetExchange, now time.Time) {
+	var list []replica.Trouble
+	for _, t := range msg.GetTroubles() {
+		list = append(list, replica.Trouble{Leaf: t.GetLeaf(), Calls: float64(t.GetCalls()), Failed: float64(t.GetFailed()), Slow: float64(t.GetSlow())})
+	}
+	if len(list) > 0 {
+		m.cfg.Evidence.Told(msg.GetSender().GetAddress(), list, now)
+	}
+}
+
 // merge takes a record of a member; the higher incarnation and heartbeat wins. Requires mu.
 func (m *Manager) merge(r *pb.FleetMember, now time.Time) {
 	if r.GetAddress() == "" || r.GetAddress() == m.cfg.Self {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,18 +9,22 @@
 )
 
 const (
-	// paceWeight is the weight of a new answer in a leaf's pace. At 12 calls a second to a leaf it
-	// follows a leaf that turns slow within half a second.
-	paceWeight = 0.25
-	// paceForget is the time constant by which a pace goes back to 1, so that a leaf that was slow is
-	// tried again.
+	// paceWeight is the weight of a new answer in a leaf's pace; at 12 calls a second to a leaf it follows
+	// a neighbour's load within half a second.
+	paceWeight = 0.2
+	// paceForget is the time constant by which a pace goes back to 1.
 	paceForget = 4 * time.Second
-	// paceMost bounds a pace; slower leaves are all last.
-	paceMost = 20
-	// failWeight is the weight of a new result in a leaf's rate of failure.
-	failWeight = 0.3
-	// failForget is the time constant by which failures are forgotten.
-	failForget = 3 * time.Second
+	// slowFrom is the multiple of the usual time from which an answer counts as slow, and tells of its
+	// leaf's pause or trouble and not of its pace: with a spread of 0.35 about 1 in 1,000 healthy ones.
+	slowFrom = 3
+	// slowCost is what a slow call costs in usual times: most are hedged after two to three, and what the
+	// hedge takes from the budget is missing elsewhere.
+	slowCost = 6
+	// failCost is what a failed call costs in usual times: the wait for its end and for the call after
+	// it, and the extra call that is missing elsewhere then.
+	failCost = 6
+	// failMost bounds the rate of failure in a cost, which would be endless for a leaf that always fails.
+	failMost = 0.9
 	// loadForget is the time constant by which a leaf's own report of its load ages.
 	loadForget = 150 * time.Millisecond
 	// usualWeight is the weight of a new answer in the usual time of a route.
@@ -28,9 +32,6 @@
 	// overdueAfter is how many times the expected time a call is in flight before its leaf is taken
 	// to be paused.
 	overdueAfter = 2.5
-	// failCost is what a failed call costs in usual times: the wait for its end and for the call after
-	// it, and the extra call that is missing elsewhere then.
-	failCost = 6
 	// busyCost is the cost of a used slot, in parts of a usual time, so that an idle leaf goes first.
 	busyCost = 0.15
 	// farCost is the factor of a leaf in another zone, where bytes are dear and a round trip takes a
@@ -85,10 +86,13 @@
 }
 
 type leaf struct {
-	pace, fail     float64
-	paceAt, failAt time.Time
-	load           Load
-	loadAt         time.Time
+	pace   float64
+	paceAt time.Time
+	// own counts this VM's calls, told those of others by VM.
+	own    tally
+	told   map[string]tally
+	load   Load
+	loadAt time.Time
 	// begun are the starts of the calls in flight, with the time expected of each.
 	begun map[*Call]struct{}
 	seen  time.Time
@@ -127,7 +131,7 @@
 func (t *Table) leaf(c Candidate, now time.Time) *leaf {
 	l := t.leaves[c.ID]
 	if l == nil {
-		l = &leaf{pace: 1, begun: make(map[*Call]struct{}), paceAt: now, failAt: now}
+		l = &leaf{pace: 1, begun: make(map[*Call]struct{}), paceAt: now}
 		if c.Cold {
 			l.pace = coldPace
 		}
@@ -199,8 +203,8 @@
 func (l *leaf) cost(now time.Time, usual time.Duration, c Candidate) float64 {
 	cost := float64(l.expected(now, usual, c))
 	cost += float64(usual) * busyCost * l.queue(now) / float64(max(c.Slots, 1))
-	fail := toward(l.fail, 0, now.Sub(l.failAt), failForget)
-	cost += float64(usual) * failCost * fail / max(1-fail, 0.1)
+	fail, slow := l.rates(now)
+	cost += float64(usual) * (failCost*fail/(1-min(fail, failMost)) + slowCost*slow)
 	if stood := l.overdue(now); stood > 0 {
 		cost += float64(stood) // a leaf that stood still for so long is likely to do so as long again
 	}
@@ -258,11 +262,12 @@
 	switch r {
 	case OK:
 		c.t.learn(l, c, took, now)
-		l.result(0, now)
 	case Late:
-		l.setPace(max(float64(took)/float64(max(c.t.usualOf(c.route, took), 1)), l.pace), now)
+		if float64(took) > slowFrom*float64(c.t.usualOf(c.route, took)) {
+			l.own.add(now, 0, 1)
+		}
 	case Refused, Failed:
-		l.result(1, now)
+		l.own.add(now, 1, 0)
 	case Neutral:
 	}
 }
@@ -272,21 +277,19 @@
 	usual, ok := t.usual[c.route]
 	if !ok {
 		t.usual[c.route] = took
+		l.own.add(now, 0, 0)
 		return
 	}
-	l.setPace(float64(took)/float64(max(usual, 1)), now)
 	// An answer far beyond the usual tells of its leaf, not of the route.
-	t.usual[c.route] = usual + time.Duration(usualWeight*float64(min(took, 3*usual)-usual))
-}
-
-func (l *leaf) setPace(pace float64, now time.Time) {
+	t.usual[c.route] = usual + time.Duration(usualWeight*float64(min(took, slowFrom*usual)-usual))
+	ratio := float64(took) / float64(max(usual, 1))
+	if ratio >= slowFrom {
+		l.own.add(now, 0, 1)
+		return
+	}
+	l.own.add(now, 0, 0)
 	was := toward(l.pace, 1, now.Sub(l.paceAt), paceForget)
-	l.pace, l.paceAt = was+paceWeight*(min(pace, paceMost)-was), now
-}
-
-func (l *leaf) result(failed float64, now time.Time) {
-	was := toward(l.fail, 0, now.Sub(l.failAt), failForget)
-	l.fail, l.failAt = was+failWeight*(failed-was), now
+	l.pace, l.paceAt = was+paceWeight*(ratio-was), now
 }
 
 // forgetAfter is how long a leaf is kept that is no candidate any more.
--- /dev/null
+++ b/internal/replica/tally.go
@@ -0,0 +1,120 @@
+package replica
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// tallyForget is the time constant by which calls are forgotten.
+	tallyForget = 4 * time.Second
+	// tallyMost bounds the calls that rates are drawn from, so that a leaf of which many VMs told bad is
+	// tried again once nobody has called it for some 8 s.
+	tallyMost = 8
+	// toldKeep is how long what another VM told is kept, toldMost how many of them.
+	toldKeep = 10 * time.Second
+	toldMost = 64
+	// reportLeast is the least of failed and slow calls for which a leaf is told of.
+	reportLeast = 0.3
+	// reportMost bounds the leaves told of at once, the worst first.
+	reportMost = 64
+)
+
+// tally counts calls, weighted by their age.
+type tally struct {
+	calls, failed, slow float64
+	at                  time.Time
+}
+
+// aged returns the tally as it counts now.
+func (t tally) aged(now time.Time) tally {
+	f := math.Exp(-float64(now.Sub(t.at)) / float64(tallyForget))
+	return tally{t.calls * f, t.failed * f, t.slow * f, now}
+}
+
+// add counts one call.
+func (t *tally) add(now time.Time, failed, slow float64) {
+	*t = t.aged(now)
+	t.calls++
+	t.failed += failed
+	t.slow += slow
+}
+
+// rates returns the parts of failed and of slow calls by what this VM and the others saw. One good call
+// more is assumed, so that a single bad one doesn't condemn a leaf.
+func (l *leaf) rates(now time.Time) (failed, slow float64) {
+	sum := l.own.aged(now)
+	for _, t := range l.told {
+		if now.Sub(t.at) > toldKeep {
+			continue
+		}
+		a := t.aged(now)
+		sum.calls += a.calls
+		sum.failed += a.failed
+		sum.slow += a.slow
+	}
+	if sum.calls == 0 {
+		return 0, 0
+	}
+	weight := min(sum.calls, tallyMost) / (min(sum.calls, tallyMost) + 1)
+	return weight * sum.failed / sum.calls, weight * sum.slow / sum.calls
+}
+
+// Trouble is what a VM saw of a leaf with failed or slow calls: a VM that sees few calls of each leaf
+// learns from the others which ones to go around.
+type Trouble struct {
+	Leaf string
+	// Calls, and Failed and Slow among them, weighted by their age.
+	Calls, Failed, Slow float64
+}
+
+// Troubles returns what this VM itself saw of leaves in trouble, the worst first.
+func (t *Table) Troubles(now time.Time) []Trouble {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Trouble
+	for id, l := range t.leaves {
+		if a := l.own.aged(now); a.failed+a.slow >= reportLeast {
+			out = append(out, Trouble{id, a.calls, a.failed, a.slow})
+		}
+	}
+	slices.SortFunc(out, func(a, b Trouble) int {
+		if d := b.Failed + b.Slow - a.Failed - a.Slow; d != 0 {
+			return int(math.Copysign(1, d))
+		}
+		return strings.Compare(a.Leaf, b.Leaf)
+	})
+	return out[:min(reportMost, len(out))]
+}
+
+// Told takes what another VM saw, in place of what it told before.
+func (t *Table) Told(vm string, list []Trouble, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tr := range list {
+		l := t.leaves[tr.Leaf]
+		if l == nil {
+			continue // of no leaf that this VM has called
+		}
+		if l.told == nil {
+			l.told = make(map[string]tally)
+		}
+		if _, known := l.told[vm]; !known && len(l.told) >= toldMost {
+			l.dropOldest()
+		}
+		l.told[vm] = tally{tr.Calls, tr.Failed, tr.Slow, now}
+	}
+}
+
+// dropOldest drops what was told longest ago.
+func (l *leaf) dropOldest() {
+	oldest := ""
+	for vm, t := range l.told {
+		if oldest == "" || t.at.Before(l.told[oldest].at) {
+			oldest = vm
+		}
+	}
+	delete(l.told, oldest)
+}
