--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,317 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/deployment"
+	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/logging"
+	"github.com/burdockplank/burdockplank/internal/node"
+	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/retrybudget"
+	"github.com/burdockplank/burdockplank/internal/standin/hosted"
+	"github.com/burdockplank/burdockplank/platform"
+)
+
+// vm is one daemon under test.
+type vm struct {
+	settings *deployment.Settings
+	metrics  string
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+// site is a small deployment on loopback: a store, leaves, and VMs.
+type site struct {
+	t       *testing.T
+	store   *hosted.Store
+	leaves  map[string]*hosted.Leaf
+	vms     []*vm
+	version int
+}
+
+// freeAddress returns an address of loopback that is free now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newSite starts three shards s0 to s2 of two leaves each, and a service x of two leaves.
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: hosted.NewStore(), leaves: make(map[string]*hosted.Leaf)}
+	t.Cleanup(s.store.Close)
+	for _, service := range []string{"s0", "s1", "s2", "x", "later"} {
+		for _, replica := range []string{"a", "b"} {
+			id := service + "-" + replica
+			body := fmt.Sprintf("%-16s", service)
+			l := hosted.NewLeaf(id, 4, func(int, *http.Request) hosted.Reply {
+				return hosted.Reply{Delay: 5 * time.Millisecond, Body: []byte(body)}
+			})
+			t.Cleanup(l.Close)
+			s.leaves[id] = l
+			s.store.PutJSON("servers/"+id, l.Entry(service, "z", "ready"))
+		}
+	}
+	s.configure("x")
+	return s
+}
+
+// configure puts the next version in force, in which /x/ goes to the service.
+func (s *site) configure(single string) {
+	s.version++
+	var services []map[string]any
+	for _, n := range []string{"s0", "s1", "s2", "x", "later"} {
+		services = append(services, map[string]any{"name": n, "health_check_path": "/health", "connection_limit": 30, "protocol": "h1"})
+	}
+	s.store.PutJSON("op/config", map[string]any{
+		"version": s.version,
+		"routes": []map[string]any{
+			{"name": "s", "host": "h", "prefix": "/s/", "kind": "idempotent", "timeout_ms": 800, "target_latency_ms": 150, "priority": 1,
+				"gather": []string{"s0", "s1", "s2"}, "max_attempts": 2, "top_k": 2, "min_shard_share": 0.6},
+			{"name": "x", "host": "h", "prefix": "/x/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 600, "priority": 2,
+				"service": single, "max_attempts": 2},
+		},
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+// start runs a VM; one without a store is refused by it.
+func (s *site) start(withStore bool) *vm {
+	s.t.Helper()
+	address := s.store.Address()
+	if !withStore {
+		address = freeAddress(s.t) // nobody listens there
+	}
+	v := &vm{
+		settings: &deployment.Settings{
+			VM: fmt.Sprintf("vm%d", len(s.vms)), Zone: "z", IP: "127.0.0.1",
+			Callers: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t), Store: address, MemoryBytes: 256 << 20,
+			Extra: retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: 6 * time.Second, ConfigBound: 3 * time.Second,
+		},
+		metrics: freeAddress(s.t),
+		ended:   make(chan error, 1),
+	}
+	v.settings.Seeds = []string{v.settings.Peers}
+	if len(s.vms) > 0 {
+		v.settings.Seeds = []string{s.vms[0].settings.Peers}
+	}
+	p := node.Platform{
+		Store: platform.NewStore(address, "127.0.0.1"), Decoder: platform.Decoder{}, Dialer: platform.NewLeafDialer("127.0.0.1"),
+		Callers: func(e *dispatch.Engine, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
+			return platform.NewEdge(e, limits, leaving, refused)
+		},
+		Ready: platform.Ready, ConnContext: platform.ConnContext,
+		Reload: func() ([]string, error) { return v.settings.Seeds, nil },
+	}
+	d := node.New(v.settings, p, node.MetricsAddress(v.metrics), zap.NewNop(), logging.NewAsync(io.Discard), operator.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	go func() { v.ended <- d.Run(ctx) }()
+	s.vms = append(s.vms, v)
+	s.t.Cleanup(func() {
+		cancel()
+		select {
+		case <-v.ended:
+		case <-time.After(10 * time.Second):
+			s.t.Error("a VM does not end")
+		}
+	})
+	return v
+}
+
+// get asks the VM and returns the status, the headers and the body.
+func (v *vm) get(method, path, id string) (int, http.Header, string, error) {
+	req, err := http.NewRequest(method, "http://"+v.settings.Callers+path, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	req.Host = "h"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Remaining-Milliseconds", "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header, string(body), err
+}
+
+func (v *vm) ready() bool {
+	resp, err := http.Get("http://" + v.settings.Ready + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func within(t *testing.T, d time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(d); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", d, what)
+		}
+	}
+}
+
+func TestServesCallers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	v := s.start(true)
+	within(t, 3*time.Second, "ready", v.ready)
+	status, header, body, err := v.get(http.MethodGet, "/s/1", "r1")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(header.Get("Missing-Parts"), "0")
+	is.Equal(body, "s2              s1              ")
+	status, header, body, err = v.get(http.MethodPost, "/x/1", "r2")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(header.Get("Request-Id"), "r2")
+	is.Equal(body, "x               ")
+	status, _, _, err = v.get(http.MethodGet, "/nowhere", "r3")
+	is.NoErr(err)
+	is.Equal(status, http.StatusNotFound)
+	resp, err := http.Get("http://" + v.metrics + "/metrics")
+	is.NoErr(err)
+	text, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.True(len(text) > 0)
+	resp, err = http.Get("http://" + v.metrics + "/dump")
+	is.NoErr(err)
+	var dump map[string]any
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&dump))
+	is.NoErr(resp.Body.Close())
+	is.True(dump["connections"] != nil)
+}
+
+// A VM without any configuration refuses as not run, never as an unknown route, and isn't ready.
+func TestWithoutConfiguration(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.store.SetFault(hosted.Fault{Status: http.StatusServiceUnavailable})
+	v := s.start(true)
+	within(t, 3*time.Second, "serves", func() bool {
+		status, header, _, err := v.get(http.MethodGet, "/s/1", "r1")
+		return err == nil && status == http.StatusServiceUnavailable && header.Get("Retry-After") != ""
+	})
+	is.True(!v.ready())
+	s.store.SetFault(hosted.Fault{})
+	within(t, 3*time.Second, "ready once the store is back", v.ready)
+}
+
+// A VM that the store refuses serves by what its peers tell, and takes changes within the bound.
+func TestVMThatTheStoreRefuses(t *testing.T) {
+	s := newSite(t)
+	first := s.start(true)
+	within(t, 3*time.Second, "first ready", first.ready)
+	refused := s.start(false)
+	within(t, 3*time.Second, "the refused one ready", refused.ready)
+	s.configure("later")
+	begun := time.Now()
+	within(t, 3*time.Second, "both use the change", func() bool {
+		for _, v := range s.vms {
+			if _, _, body, err := v.get(http.MethodPost, "/x/1", "r"); err != nil || body != "later           " {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("after %v", time.Since(begun))
+}
+
+// A leaf that drains gets nothing soon after.
+func TestDrainingLeaf(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	v := s.start(true)
+	within(t, 3*time.Second, "ready", v.ready)
+	leaf := s.leaves["x-a"]
+	s.store.PutJSON("servers/x-a", leaf.Entry("x", "z", "draining"))
+	time.Sleep(time.Second)
+	before := len(leaf.Requests())
+	for i := range 20 {
+		status, _, _, err := v.get(http.MethodPost, "/x/1", fmt.Sprintf("r%d", i))
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+	is.Equal(len(leaf.Requests()), before)
+}
+
+// SIGHUP in the middle of requests cuts none of them.
+func TestSignalToReload(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	v := s.start(true)
+	within(t, 3*time.Second, "ready", v.ready)
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			status, _, _, err := v.get(http.MethodGet, "/s/1", fmt.Sprintf("r%d", i))
+			if err != nil || status != http.StatusOK {
+				t.Errorf("status %d, error %v", status, err)
+			}
+		})
+	}
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	wg.Wait()
+}
+
+// A stop answers what runs, says at once that it isn't ready, serves new connections until the balancer
+// must have noticed, closes kept ones after their answers, and ends within the grace period.
+func TestOrderlyStop(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	for _, id := range []string{"x-a", "x-b"} {
+		s.leaves[id].SetScript(func(int, *http.Request) hosted.Reply {
+			return hosted.Reply{Delay: 800 * time.Millisecond, Body: []byte("slow")}
+		})
+	}
+	v := s.start(true)
+	within(t, 3*time.Second, "ready", v.ready)
+	running := make(chan string, 1)
+	go func() {
+		_, _, body, err := v.get(http.MethodPost, "/x/1", "r1")
+		running <- fmt.Sprint(body, err)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	v.stop()
+	within(t, 500*time.Millisecond, "not ready", func() bool { return !v.ready() })
+	is.Equal(<-running, "slow<nil>")
+	for time.Since(begun) < 2500*time.Millisecond {
+		status, _, _, err := v.get(http.MethodGet, "/s/1", "r2")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		time.Sleep(50 * time.Millisecond)
+	}
+	select {
+	case err := <-v.ended:
+		is.NoErr(err)
+		v.ended <- nil
+	case <-time.After(6*time.Second - time.Since(begun)):
+		t.Fatal("not ended within the grace period")
+	}
+}
