Leave room at the leaves' connection limits, and send news without the list of members

Each change of the store went around with all members and troubles: 0.68 GB between zones. Ruled out: the budget (denied calls fell only with the resets); a missing configuration after the restart (in force 1 to 2 s after it).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -97,8 +97,8 @@
 // Leaves makes calls.
 type Leaves interface {
 	Do(ctx context.Context, id string, r *leafcall.Request) (*leafcall.Response, error)
-	// Free tells whether a call would find a connection.
-	Free(id string) bool
+	// Free tells whether a call would find a connection, and whether that is open already.
+	Free(id string) (free, open bool)
 }
 
 // Crashes knows which requests crash leaves, over the whole fleet.
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -59,10 +59,10 @@
 
 func (w *world) Current() *directory.View { return w.view }
 
-func (w *world) Free(id string) bool {
+func (w *world) Free(id string) (free, open bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.full[id]
+	return !w.full[id], true
 }
 
 func (w *world) Do(ctx context.Context, id string, r *leafcall.Request) (*leafcall.Response, error) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -315,7 +315,7 @@
 func (r *run) free(from []catalog.Leaf) []catalog.Leaf {
 	var out []catalog.Leaf
 	for _, l := range from {
-		if r.e.leaves.Free(l.ID) {
+		if free, _ := r.e.leaves.Free(l.ID); free {
 			out = append(out, l)
 		}
 	}
@@ -361,7 +361,8 @@
 func (r *run) candidatesOf(from []catalog.Leaf) []replica.Candidate {
 	out := make([]replica.Candidate, 0, len(from))
 	for _, l := range from {
-		out = append(out, replica.Candidate{ID: l.ID, Slots: l.Slots, Cold: l.Warmup > 0, Near: l.Zone == r.e.zone})
+		_, open := r.e.leaves.Free(l.ID)
+		out = append(out, replica.Candidate{ID: l.ID, Slots: l.Slots, Cold: l.Warmup > 0, Near: l.Zone == r.e.zone, Open: open})
 	}
 	return out
 }
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -26,8 +26,18 @@
 	dialTimeout = 500 * time.Millisecond
 	// retryDial is how long after a failed opening ahead the next one is tried.
 	retryDial = time.Second
-	// openPeriod is how often connections are opened ahead.
+	// refusedFor is how long no connection is opened to a leaf after it reset a new one: it is at its
+	// limit, and each further one would be reset as well.
+	refusedFor = 300 * time.Millisecond
+	// openPeriod is how often connections are opened ahead, and idle ones looked at.
 	openPeriod = 250 * time.Millisecond
+	// roomy is the number of connections that a VM may have to a leaf from which they are opened ahead to
+	// all leaves, and kept. Below it the fleet would fill the leaves' limits, and after a loss of power
+	// the dead connections of all VMs would keep the new ones out: then only leaves of the own zone are
+	// connected to ahead, and others as long as they are in use.
+	roomy = 2
+	// farIdle is how long an idle connection to a leaf of another zone is kept in such a fleet.
+	farIdle = 2 * time.Second
 	// openAtOnce bounds the connections that are opened ahead at the same time.
 	openAtOnce = 8
 )
@@ -38,6 +48,7 @@
 // Pool holds the connections. It is safe for concurrent use.
 type Pool struct {
 	dialer  leafcall.Dialer
+	zone    string
 	metrics *metrics
 
 	mu sync.Mutex
@@ -50,12 +61,18 @@
 // peer is a leaf with its connections.
 type peer struct {
 	leaf catalog.Leaf
-	idle []leafcall.Conn
+	idle []idleConn
 	// open counts all connections, those in use and being opened included.
 	open int
-	// failedAt is when a connection last could not be opened.
-	failedAt time.Time
-	gone     bool
+	// failedAt is when a connection last could not be opened, refusedAt when a new one was reset.
+	failedAt, refusedAt time.Time
+	gone                bool
+}
+
+// idleConn is a connection that waits for a call.
+type idleConn struct {
+	leafcall.Conn
+	since time.Time
 }
 
 type metrics struct {
@@ -63,8 +80,8 @@
 	open   prometheus.Gauge
 }
 
-// New returns a pool without connections.
-func New(d leafcall.Dialer, reg prometheus.Registerer) *Pool {
+// New returns a pool without connections, of a VM in the zone.
+func New(d leafcall.Dialer, zone string, reg prometheus.Registerer) *Pool {
 	m := &metrics{
 		opened: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_leaf_connections_opened_total", Help: "Connections to leaves by how opening them ended.",
@@ -72,14 +89,14 @@
 		open: prometheus.NewGauge(prometheus.GaugeOpts{Name: "burdock_leaf_connections", Help: "Open connections to leaves."}),
 	}
 	reg.MustRegister(m.opened, m.open)
-	return &Pool{dialer: d, metrics: m, leaves: make(map[string]*peer), vms: 1, limits: make(map[string]int)}
+	return &Pool{dialer: d, zone: zone, metrics: m, leaves: make(map[string]*peer), vms: 1, limits: make(map[string]int)}
 }
 
 // SetLeaves tells which leaves may be called, and the connection limit of each service. Connections to
 // others are closed once they are idle.
 func (p *Pool) SetLeaves(leaves []catalog.Leaf, limits map[string]int, vms int) {
 	p.mu.Lock()
-	var drop []leafcall.Conn
+	var drop []idleConn
 	known := make(map[string]bool, len(leaves))
 	p.limits, p.vms = limits, max(vms, 1)
 	for _, l := range leaves {
@@ -103,11 +120,12 @@
 		}
 	}
 	p.mu.Unlock()
-	closeAll(drop)
+	p.closeAll(drop)
 }
 
-func closeAll(conns []leafcall.Conn) {
+func (p *Pool) closeAll(conns []idleConn) {
 	for _, c := range conns {
+		p.metrics.open.Dec()
 		c.Close()
 	}
 }
@@ -121,51 +139,72 @@
 	return min(max(1, int(float64(limit)*limitUsed)/p.vms), mostPerLeaf)
 }
 
-// Free tells whether a call to the leaf would find a connection, open or to be opened.
-func (p *Pool) Free(id string) bool {
+// Free tells whether a call to the leaf would find a connection, and whether that is open already.
+func (p *Pool) Free(id string) (free, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.leaves[id]
-	return e != nil && (len(e.idle) > 0 || e.open < p.most(e.leaf))
+	if e == nil {
+		return false, false
+	}
+	if len(e.idle) > 0 {
+		return true, true
+	}
+	return e.open < p.most(e.leaf) && time.Since(e.refusedAt) >= refusedFor, false
 }
 
 // Do makes the call. An error is a *leafcall.Error.
 func (p *Pool) Do(ctx context.Context, id string, r *leafcall.Request) (*leafcall.Response, error) {
-	c, e, err := p.take(ctx, id)
+	c, e, fresh, err := p.take(ctx, id)
 	if err != nil {
 		return nil, err
 	}
 	resp, reusable, err := c.Do(ctx, r)
+	if fresh && err != nil {
+		p.noteRefusal(e, err)
+	}
 	p.give(e, c, reusable && err == nil)
 	return resp, err
 }
 
-// take returns an idle connection, or a new one.
-func (p *Pool) take(ctx context.Context, id string) (leafcall.Conn, *peer, error) {
+// noteRefusal remembers a leaf that ended a new connection without an answer.
+func (p *Pool) noteRefusal(e *peer, err error) {
+	var failure *leafcall.Error
+	if !errors.As(err, &failure) || failure.Cause != leafcall.ConnectionLost {
+		return
+	}
 	p.mu.Lock()
-	e := p.leaves[id]
+	defer p.mu.Unlock()
+	e.refusedAt = time.Now()
+}
+
+// take returns an idle connection, or a fresh one.
+func (p *Pool) take(ctx context.Context, id string) (c leafcall.Conn, e *peer, fresh bool, err error) {
+	p.mu.Lock()
+	e = p.leaves[id]
 	if e == nil {
 		p.mu.Unlock()
-		return nil, nil, &leafcall.Error{Cause: leafcall.NoConnection, Step: Step, Peer: id, Err: errors.New("leaf is not known")}
+		return nil, nil, false, &leafcall.Error{Cause: leafcall.NoConnection, Step: Step, Peer: id, Err: errors.New("leaf is not known")}
 	}
 	for len(e.idle) > 0 {
 		c := e.idle[len(e.idle)-1]
 		e.idle = e.idle[:len(e.idle)-1]
 		if c.Alive() {
 			p.mu.Unlock()
-			return c, e, nil
+			return c.Conn, e, false, nil
 		}
 		e.open--
+		p.metrics.open.Dec()
 		c.Close()
 	}
-	if e.open >= p.most(e.leaf) {
+	if e.open >= p.most(e.leaf) || time.Since(e.refusedAt) < refusedFor {
 		p.mu.Unlock()
-		return nil, nil, &leafcall.Error{Cause: leafcall.ConnectionFull, Step: Step, Peer: id, Err: errors.New("at this VM's part of the limit")}
+		return nil, nil, false, &leafcall.Error{Cause: leafcall.ConnectionFull, Step: Step, Peer: id, Err: errors.New("at this VM's part of the limit")}
 	}
 	e.open++
 	p.mu.Unlock()
-	c, err := p.dial(ctx, e)
-	return c, e, err
+	c, err = p.dial(ctx, e)
+	return c, e, true, err
 }
 
 // dial opens a connection that is counted already.
@@ -191,7 +230,7 @@
 	p.mu.Lock()
 	keep := reusable && !e.gone
 	if keep {
-		e.idle = append(e.idle, c)
+		e.idle = append(e.idle, idleConn{c, time.Now()})
 	} else {
 		e.open--
 	}
@@ -205,12 +244,13 @@
 	}
 }
 
-// Run opens a connection ahead to each leaf that has none, until ctx ends.
+// Run opens a connection ahead to each leaf that needs one, and closes idle ones, until ctx ends.
 func (p *Pool) Run(ctx context.Context) error {
 	t := time.NewTicker(openPeriod)
 	defer t.Stop()
 	slots := make(chan struct{}, openAtOnce)
 	for {
+		p.closeAll(p.unused(time.Now()))
 		for _, e := range p.bare(time.Now()) {
 			select {
 			case slots <- struct{}{}:
@@ -232,13 +272,36 @@
 	}
 }
 
+// ahead tells whether a connection to the leaf is opened before it is needed, and kept. Requires mu.
+func (p *Pool) ahead(l catalog.Leaf) bool { return l.Zone == p.zone || p.most(l) >= roomy }
+
+// unused takes out the idle connections that have ended, and those that aren't kept.
+func (p *Pool) unused(now time.Time) []idleConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []idleConn
+	for _, e := range p.leaves {
+		kept := e.idle[:0]
+		for _, c := range e.idle {
+			if c.Alive() && (p.ahead(e.leaf) || now.Sub(c.since) < farIdle) {
+				kept = append(kept, c)
+				continue
+			}
+			out = append(out, c)
+			e.open--
+		}
+		e.idle = kept
+	}
+	return out
+}
+
 // bare returns leaves without a connection, each counted as having one from now on.
 func (p *Pool) bare(now time.Time) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*peer
 	for _, e := range p.leaves {
-		if e.open == 0 && !e.gone && now.Sub(e.failedAt) >= retryDial {
+		if e.open == 0 && !e.gone && p.ahead(e.leaf) && now.Sub(e.failedAt) >= retryDial && now.Sub(e.refusedAt) >= retryDial {
 			e.open++
 			out = append(out, e)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,7 @@
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
 	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.Peers, s.Zone, slices.Contains(s.Seeds, s.Peers), s.ConfigBound, log, reg)
-	d.pool = leafpool.New(p.Dialer, reg)
+	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
 	d.recorder = decision.New(log, sink, reg)
 	guard := crashguard.New(d.peers, time.Now, log)
 	d.engine = dispatch.New(s.Zone, d.directory, d.pool, d.table, d.budgets, guard, d.recorder)
@@ -300,18 +300,13 @@
 	return true
 }
 
-// callable returns the leaves that may be called: those of services that the configuration names.
+// callable returns the leaves that may be called, those included that no route names yet: their
+// connections are open when one does.
 func callable(v *directory.View) []catalog.Leaf {
-	if v.Config == nil {
-		return nil
-	}
-	used := v.Config.Used()
 	var out []catalog.Leaf
 	for _, lists := range []map[string][]catalog.Leaf{v.Leaves, v.Lapsed} {
-		for service, list := range lists {
-			if used[service] {
-				out = append(out, list...)
-			}
+		for _, list := range lists {
+			out = append(out, list...)
 		}
 	}
 	return out
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -37,8 +37,9 @@
 	forgetAfter = time.Minute
 	// pushAll is the size of a fleet up to which news goes to all at once; larger ones pass it on.
 	pushAll = 10
-	// pushFanout is to how many peers news goes in a larger fleet.
-	pushFanout = 4
+	// pushNear and pushFar are to how many peers of the own zone and of others news goes in a larger
+	// fleet, each of which passes it on.
+	pushNear, pushFar = 3, 1
 	// sample bounds the members that an exchange names.
 	sample = 80
 	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
@@ -157,8 +158,8 @@
 			return
 		}
 		m.beat(time.Now(), silentRounds*round)
-		if p := m.pick(1); len(p) > 0 {
-			go m.exchange(ctx, p[0])
+		if p, ok := m.pick(); ok {
+			go m.exchange(ctx, p, false)
 		}
 	}
 }
@@ -181,13 +182,9 @@
 		case <-changed:
 		case <-crashed:
 		}
-		n := pushFanout
-		if m.Live() < pushAll {
-			n = pushAll
-		}
-		for _, p := range m.pick(n) {
+		for _, p := range m.audience() {
 			if m.behind(p) {
-				go m.exchange(ctx, p)
+				go m.exchange(ctx, p, true)
 			}
 		}
 		if !sleep(ctx, newsGap) {
@@ -207,7 +204,7 @@
 			seeds = []string{seeds[rand.N(len(seeds))]}
 		}
 		for _, s := range seeds {
-			go m.exchange(ctx, s)
+			go m.exchange(ctx, s, false)
 		}
 		wait := seedPeriod
 		if m.Live() == 0 {
@@ -311,9 +308,8 @@
 // never is an age longer than any process runs.
 const never = 1 << 62
 
-// pick returns random peers, mostly live ones, and where it is one mostly of the own zone; a silent one
-// in a tenth of the cases.
-func (m *Manager) pick(n int) []string {
+// pick returns a random peer, mostly a live one of the own zone; a silent one in a tenth of the cases.
+func (m *Manager) pick() (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var live, near, silent []string
@@ -328,15 +324,39 @@
 			live = append(live, address)
 		}
 	}
-	if n == 1 && len(near) > 0 && rand.Float64() < ownZone {
+	if len(near) > 0 && rand.Float64() < ownZone {
 		live = near
 	}
 	const trySilent = 10
-	if n == 1 && len(silent) > 0 && (len(live) == 0 || rand.N(trySilent) == 0) {
-		return []string{silent[rand.N(len(silent))]}
+	if len(silent) > 0 && (len(live) == 0 || rand.N(trySilent) == 0) {
+		live = silent
+	}
+	if len(live) == 0 {
+		return "", false
 	}
-	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return live[:min(n, len(live))]
+	return live[rand.N(len(live))], true
+}
+
+// audience returns the peers that are told of news at once.
+func (m *Manager) audience() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []string
+	for address, e := range m.members {
+		switch {
+		case !e.live:
+		case e.record.GetZone() == m.cfg.Zone:
+			near = append(near, address)
+		default:
+			far = append(far, address)
+		}
+	}
+	if len(near)+len(far) < pushAll {
+		return append(near, far...)
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near[:min(pushNear, len(near))], far[:min(pushFar, len(far))]...)
 }
 
 // behind tells whether the peer may lack something.
@@ -349,21 +369,21 @@
 }
 
 // exchange tells the peer what it lacks and takes what it tells. A peer of which nothing is known yet is
-// asked first, so that nothing goes to one that has it.
-func (m *Manager) exchange(ctx context.Context, address string) {
+// asked first, so that nothing goes to one that has it. A brief exchange carries news only.
+func (m *Manager) exchange(ctx context.Context, address string, brief bool) {
 	for range 2 {
 		client, to, known := m.clientOf(address)
-		if !m.exchangeOnce(ctx, client, to, known) || known || !m.behind(address) {
+		if !m.exchangeOnce(ctx, client, to, known, brief) || known || !m.behind(address) {
 			return
 		}
 	}
 }
 
-func (m *Manager) exchangeOnce(ctx context.Context, client Client, to uint64, known bool) bool {
+func (m *Manager) exchangeOnce(ctx context.Context, client Client, to uint64, known, brief bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	now := time.Now()
-	req := m.message(to, now)
+	req := m.message(to, now, brief)
 	if !known {
 		req.Items, req.Full, req.CompleteFrom = nil, false, req.GetCompleteTo()
 	}
@@ -395,16 +415,22 @@
 func (m *Manager) Answer(req *pb.FleetExchange) *pb.FleetExchange {
 	now := time.Now()
 	m.take(req, now)
-	return m.message(req.GetCompleteTo(), now)
+	return m.message(req.GetCompleteTo(), now, req.GetBrief())
 }
 
 // message is what a peer that is complete to the revision is told.
-func (m *Manager) message(to uint64, now time.Time) *pb.FleetExchange {
+func (m *Manager) message(to uint64, now time.Time, brief bool) *pb.FleetExchange {
 	d := m.cfg.Mirror.Since(to)
-	troubles := m.cfg.Evidence.Troubles(now)
+	var troubles []replica.Trouble
+	if !brief {
+		troubles = m.cfg.Evidence.Troubles(now)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Members: m.sampleMembers(now), CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
+	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Brief: brief, CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
+	if !brief {
+		msg.Members = m.sampleMembers(now)
+	}
 	for _, it := range d.Items {
 		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -149,14 +149,14 @@
 	a, copyA := n.vm("a", "z", 1)
 	old, copyOld := n.vm("b", "z", 1)
 	copyA.Merge(item(5), time.Now())
-	a.exchange(t.Context(), "b")
+	a.exchange(t.Context(), "b", false)
 	is.Equal(copyOld.CompleteTo(), uint64(5))
 	is.Equal(old.Live(), 1)
 	_, copyNew := n.vm("b", "z", 2)
 	copyA.Merge(mirror.Delta{Items: []mirror.Item{{Key: "x", Revision: 6}}, CompleteFrom: 5, CompleteTo: 6}, time.Now())
-	a.exchange(t.Context(), "b")
+	a.exchange(t.Context(), "b", false)
 	is.True(copyNew.CompleteTo() != 6 || len(copyNew.All()) == 2)
-	a.exchange(t.Context(), "b")
+	a.exchange(t.Context(), "b", false)
 	is.Equal(copyNew.CompleteTo(), uint64(6))
 	is.Equal(len(copyNew.All()), 2)
 }
@@ -170,7 +170,7 @@
 	copyA.Merge(item(5), time.Now())
 	copyB.Merge(item(5), time.Now())
 	for range 5 {
-		a.exchange(t.Context(), "b")
+		a.exchange(t.Context(), "b", false)
 	}
 	is.Equal(n.sent["b"], 0)
 }
@@ -185,17 +185,17 @@
 	_, contact := a.Zone(now)
 	is.True(contact > time.Hour)
 	c.Contact(now)
-	c.exchange(t.Context(), "a")
+	c.exchange(t.Context(), "a", false)
 	members, contact := a.Zone(now)
 	is.Equal(members, []string{"a"})
 	is.True(contact > time.Hour) // another zone's contact is of no use when the zones are cut apart
 	b.Contact(now.Add(-time.Second))
-	b.exchange(t.Context(), "a")
+	b.exchange(t.Context(), "a", false)
 	members, contact = a.Zone(now)
 	is.Equal(len(members), 2)
 	is.True(contact > 900*time.Millisecond && contact < 2*time.Second)
 	b.Leave()
-	b.exchange(t.Context(), "a")
+	b.exchange(t.Context(), "a", false)
 	members, _ = a.Zone(now)
 	is.Equal(members, []string{"a"})
 }
@@ -209,7 +209,7 @@
 	a.ReportCrash(Crash{Digest: 7, Leaf: "i-1", At: now})
 	a.ReportCrash(Crash{Digest: 7, Leaf: "i-2", At: now})
 	b.ReportCrash(Crash{Digest: 7, Leaf: "i-2", At: now}) // the same crash
-	a.exchange(t.Context(), "b")
+	a.exchange(t.Context(), "b", false)
 	is.Equal(a.Crashes(7, now.Add(-time.Minute)), 2)
 	is.Equal(b.Crashes(7, now.Add(-time.Minute)), 2)
 	is.Equal(b.Crashes(7, now.Add(time.Minute)), 0)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -35,8 +35,10 @@
 	// busyCost is the cost of a used slot, in parts of a usual time, so that an idle leaf goes first.
 	busyCost = 0.15
 	// farCost is the factor of a leaf in another zone, where bytes are dear and a round trip takes a
-	// millisecond more; it is small, so that the load stays even.
-	farCost = 1.1
+	// millisecond more; it is less than a queue costs, so that no leaf fills up while others idle.
+	farCost = 1.3
+	// openCost is what opening a connection takes: a round trip, and 6 ms in which it holds a slot.
+	openCost = 7 * time.Millisecond
 	// coldPace is the pace of a leaf in its warm-up before it has answered.
 	coldPace = 1.6
 	// noiseUsual is the figure by which a leaf reports that its work takes as long as usual.
@@ -75,6 +77,8 @@
 	Cold bool
 	// Near is set where the leaf is in the availability zone of this VM.
 	Near bool
+	// Open is set where a connection to the leaf is open.
+	Open bool
 }
 
 // Table keeps what was learned. It is safe for concurrent use.
@@ -211,6 +215,9 @@
 	if !c.Near {
 		cost *= farCost
 	}
+	if !c.Open {
+		cost += float64(openCost)
+	}
 	return cost
 }
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -13,7 +13,7 @@
 
 // group is three replicas of a shard, of 3 slots each.
 func group() []Candidate {
-	return []Candidate{{ID: "a", Slots: 3, Near: true}, {ID: "b", Slots: 3}, {ID: "c", Slots: 3}}
+	return []Candidate{{ID: "a", Slots: 3, Near: true, Open: true}, {ID: "b", Slots: 3, Open: true}, {ID: "c", Slots: 3, Open: true}}
 }
 
 // answer makes a call to the chosen leaf that takes as long as given for it.
