--- /dev/null
+++ b/internal/leafpool/leafpool_test.go
@@ -0,0 +1,215 @@
+package leafpool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/leafcall"
+)
+
+// fakeDialer opens fake connections; fail lets it refuse, and end is what calls on new ones return.
+type fakeDialer struct {
+	mu     sync.Mutex
+	opened map[string]int
+	conns  []*fakeConn
+	fail   error
+	end    error
+}
+
+func newDialer() *fakeDialer { return &fakeDialer{opened: make(map[string]int)} }
+
+func (d *fakeDialer) Dial(_ context.Context, address string) (leafcall.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.opened[address]++
+	if d.fail != nil {
+		return nil, d.fail
+	}
+	c := &fakeConn{d: d, alive: true, end: d.end}
+	d.conns = append(d.conns, c)
+	return c, nil
+}
+
+func (d *fakeDialer) count(address string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.opened[address]
+}
+
+type fakeConn struct {
+	d      *fakeDialer
+	alive  bool
+	closed bool
+	end    error
+	block  chan struct{}
+}
+
+func (c *fakeConn) Do(context.Context, *leafcall.Request) (*leafcall.Response, bool, error) {
+	if c.block != nil {
+		<-c.block
+	}
+	if c.end != nil {
+		return nil, false, c.end
+	}
+	return &leafcall.Response{Status: 200}, true, nil
+}
+
+func (c *fakeConn) Alive() bool {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	return c.alive
+}
+
+func (c *fakeConn) Close() {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	c.closed = true
+}
+
+var (
+	nearLeaf = catalog.Leaf{ID: "near", Service: "x", Address: "near", Zone: "z"}
+	farLeaf  = catalog.Leaf{ID: "far", Service: "x", Address: "far", Zone: "other"}
+)
+
+// newPool has both leaves, of which a fleet of the size shares 30 connections each.
+func newPool(d *fakeDialer, vms int) *Pool {
+	p := New(d, "z", prometheus.NewRegistry())
+	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, vms)
+	return p
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 6)
+	for range 5 {
+		_, err := p.Do(t.Context(), "near", &leafcall.Request{})
+		is.NoErr(err)
+	}
+	is.Equal(d.count("near"), 1)
+	free, open := p.Free("near")
+	is.True(free && open)
+	d.conns[0].alive = false
+	_, err := p.Do(t.Context(), "near", &leafcall.Request{})
+	is.NoErr(err)
+	is.Equal(d.count("near"), 2)
+	is.True(d.conns[0].closed)
+	_, err = p.Do(t.Context(), "unknown", &leafcall.Request{})
+	is.True(err != nil)
+}
+
+// All VMs together stay below a leaf's limit, with room for connections that it still counts of VMs
+// that are gone.
+func TestPartOfTheLimit(t *testing.T) {
+	for vms, want := range map[int]int{1: 4, 6: 4, 8: 3, 9: 2, 12: 2, 24: 1, 61: 1} {
+		is := is.New(t)
+		p := newPool(newDialer(), vms)
+		is.Equal(p.most(nearLeaf), want)
+		is.True(vms > 24 || vms*want <= 24)
+	}
+}
+
+func TestBusyConnections(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 24)
+	c, e, fresh, err := p.take(t.Context(), "near")
+	is.NoErr(err)
+	is.True(fresh)
+	free, _ := p.Free("near")
+	is.True(!free)
+	_, err = p.Do(t.Context(), "near", &leafcall.Request{})
+	var full *leafcall.Error
+	is.True(errors.As(err, &full))
+	is.Equal(full.Cause, leafcall.ConnectionFull)
+	is.True(!full.Sent)
+	p.give(e, c, true)
+	free, _ = p.Free("near")
+	is.True(free)
+}
+
+// Where a VM may have one connection to a leaf, only those of the own zone are opened ahead, and far
+// ones end soon after their use; with more room all are opened and kept.
+func TestConnectionsAhead(t *testing.T) {
+	for name, tt := range map[string]struct {
+		vms       int
+		far, kept int
+	}{"roomy": {6, 1, 1}, "tight": {61, 0, 0}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(newDialer(), tt.vms)
+			now := time.Now()
+			bare := p.bare(now)
+			is.Equal(len(bare), 1+tt.far)
+			is.Equal(len(p.bare(now)), 0) // they are being opened
+			for _, e := range bare {
+				c, err := p.dial(t.Context(), e)
+				is.NoErr(err)
+				p.give(e, c, true)
+			}
+			_, err := p.Do(t.Context(), "far", &leafcall.Request{})
+			is.NoErr(err)
+			is.Equal(len(p.unused(time.Now())), 0)
+			is.Equal(len(p.unused(time.Now().Add(2*farIdle))), 1-tt.kept)
+			is.Equal(p.leaves["near"].open, 1)
+			is.Equal(p.leaves["far"].open, tt.kept)
+		})
+	}
+}
+
+// A leaf at its limit resets what is new: it is left alone for a moment, so that calls go elsewhere
+// without being sent.
+func TestLeafAtItsLimit(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	d.end = &leafcall.Error{Cause: leafcall.ConnectionLost, Sent: true}
+	p := newPool(d, 6)
+	_, err := p.Do(t.Context(), "near", &leafcall.Request{})
+	is.True(err != nil)
+	free, _ := p.Free("near")
+	is.True(!free)
+	_, err = p.Do(t.Context(), "near", &leafcall.Request{})
+	var full *leafcall.Error
+	is.True(errors.As(err, &full))
+	is.True(!full.Sent)
+	is.Equal(d.count("near"), 1)
+	time.Sleep(refusedFor)
+	free, _ = p.Free("near")
+	is.True(free)
+}
+
+func TestFailedOpeningIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	d.fail = &leafcall.Error{Cause: leafcall.NoConnection}
+	p := newPool(d, 6)
+	for range 10 {
+		_, err := p.Do(t.Context(), "near", &leafcall.Request{})
+		is.True(err != nil)
+	}
+	is.Equal(p.leaves["near"].open, 0)
+	is.Equal(len(p.bare(time.Now())), 1) // only the other one: it has just failed here
+}
+
+func TestLeafThatIsGone(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 6)
+	_, err := p.Do(t.Context(), "near", &leafcall.Request{})
+	is.NoErr(err)
+	c, e, _, err := p.take(t.Context(), "far")
+	is.NoErr(err)
+	p.SetLeaves(nil, nil, 6)
+	is.True(d.conns[0].closed)
+	is.Equal(len(p.leaves), 1) // a call is in flight at the other
+	p.give(e, c, true)
+	is.True(d.conns[1].closed)
+	is.Equal(len(p.leaves), 0)
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -37,7 +37,7 @@
 
 // site is a small deployment on loopback: a store, leaves, and VMs.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	store   *hosted.Store
 	leaves  map[string]*hosted.Leaf
 	vms     []*vm
@@ -45,7 +45,7 @@
 }
 
 // freeAddress returns an address of loopback that is free now.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -56,7 +56,7 @@
 }
 
 // newSite starts three shards s0 to s2 of two leaves each, and a service x of two leaves.
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	s := &site{t: t, store: hosted.NewStore(), leaves: make(map[string]*hosted.Leaf)}
 	t.Cleanup(s.store.Close)
 	for _, service := range []string{"s0", "s1", "s2", "x", "later"} {
@@ -166,7 +166,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func within(t *testing.T, d time.Duration, what string, ok func() bool) {
+func within(t testing.TB, d time.Duration, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(d); !ok(); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
