Announce large news instead of sending it; poll less in a series of changes

Ruled out: the list of members (3 KB an exchange, mostly in the own zone). Change: news of 1 KB and more is announced and asked for once; the pause after a change is a twelfth of the bound.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,6 +45,11 @@
 	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
 	// fleet was cut in two.
 	seedPeriod = 2 * time.Second
+	// announceFrom is the size of news in bytes from which it is only announced: a peer that lacks it asks
+	// for it, so that a large configuration goes to each VM about once instead of three times.
+	announceFrom = 1 << 10
+	// pullsMost bounds the announcements that wait to be asked for.
+	pullsMost = 8
 	// crashKeep is how long a crash is told.
 	crashKeep = 2 * time.Minute
 )
@@ -91,6 +96,8 @@
 	cfg     Config
 	metrics *metrics
 	crashed *notify.Notifier
+	// pulls holds peers that announced news.
+	pulls chan string
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
@@ -136,6 +143,7 @@
 	cfg.Registry.MustRegister(m.exchanges, m.live)
 	return &Manager{
 		cfg: cfg, metrics: m, members: make(map[string]*member), crashed: notify.New(),
+		pulls:     make(chan string, pullsMost),
 		self:      pb.FleetMember{Address: cfg.Self, Zone: cfg.Zone, Incarnation: cfg.Incarnation},
 		seenCrash: make(map[crashKey]time.Time),
 	}
@@ -147,6 +155,7 @@
 	wg.Go(func() { m.runRounds(ctx) })
 	wg.Go(func() { m.runNews(ctx) })
 	wg.Go(func() { m.runSeeds(ctx) })
+	wg.Go(func() { m.runPulls(ctx) })
 	wg.Wait()
 	return nil
 }
@@ -384,7 +393,7 @@
 	defer cancel()
 	now := time.Now()
 	req := m.message(to, now, brief)
-	if !known {
+	if !known || brief && itemBytes(req) >= announceFrom {
 		req.Items, req.Full, req.CompleteFrom = nil, false, req.GetCompleteTo()
 	}
 	got, err := client.Exchange(ctx, req)
@@ -397,6 +406,38 @@
 	return true
 }
 
+// itemBytes is about what the items of the message take.
+func itemBytes(msg *pb.FleetExchange) int {
+	n := 0
+	for _, it := range msg.GetItems() {
+		n += len(it.GetKey()) + len(it.GetValue())
+	}
+	return n
+}
+
+// runPulls asks peers for the news that they announced, one after the other.
+func (m *Manager) runPulls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-m.pulls:
+			if m.ahead(address) {
+				m.exchange(ctx, address, true)
+			}
+		}
+	}
+}
+
+// ahead tells whether the peer said that it has more than this VM.
+func (m *Manager) ahead(address string) bool {
+	to := m.cfg.Mirror.CompleteTo()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.members[address]
+	return e != nil && e.completeTo > to
+}
+
 // clientOf returns the client of the address, and to which revision the peer there is known to be
 // complete.
 func (m *Manager) clientOf(address string) (client Client, to uint64, known bool) {
@@ -415,6 +456,12 @@
 func (m *Manager) Answer(req *pb.FleetExchange) *pb.FleetExchange {
 	now := time.Now()
 	m.take(req, now)
+	if from := req.GetSender().GetAddress(); req.GetBrief() && m.ahead(from) {
+		select {
+		case m.pulls <- from:
+		default: // the next round asks
+		}
+	}
 	return m.message(req.GetCompleteTo(), now, req.GetBrief())
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -25,6 +25,8 @@
 	vms  map[string]*Manager
 	cut  map[string]bool
 	sent map[string]int
+	// answered counts the items in answers, and those sent in requests.
+	answered int
 }
 
 func newNetwork() *network {
@@ -44,7 +46,11 @@
 	if peer == nil || cut {
 		return nil, errors.New("no answer")
 	}
-	return peer.Answer(req), nil
+	got := peer.Answer(req)
+	l.n.mu.Lock()
+	l.n.answered += len(got.GetItems()) + len(req.GetItems())
+	l.n.mu.Unlock()
+	return got, nil
 }
 
 func (n *network) setCut(address string, cut bool) {
@@ -175,6 +181,48 @@
 	is.Equal(n.sent["b"], 0)
 }
 
+// A large change is announced, and each VM asks one peer for it: it travels to each about once.
+func TestLargeNewsTravelsOnce(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	const vms = 20
+	var copies []*mirror.Mirror
+	var all []*Manager
+	for i := range vms {
+		m, mi := n.vm(fmt.Sprintf("vm%d", i), "z", 1, "vm0")
+		copies, all = append(copies, mi), append(all, m)
+		wg.Go(func() { _ = m.Run(ctx) })
+	}
+	within(t, 10*time.Second, "all know all", func() bool {
+		for _, m := range all {
+			if m.Live() < vms-1 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * period) // each has said to others what it has
+	d := item(5)
+	d.Items[0].Value = make([]byte, 50<<10)
+	copies[3].Merge(d, time.Now())
+	within(t, 2*time.Second, "all have the change", func() bool {
+		for _, c := range copies {
+			if c.CompleteTo() < 5 {
+				return false
+			}
+		}
+		return true
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t.Logf("%d copies moved", n.answered)
+	is.True(n.answered < 3*vms/2) // 37 where all is sent at once
+}
+
 func TestContactOfTheZone(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork()
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -29,8 +29,9 @@
 	turn         = 300 * time.Millisecond
 	// hold is how long a VM that took over goes on reading.
 	hold = 10 * time.Second
-	// batch is the pause after a change, so that a series of changes costs few calls.
-	batch = 150 * time.Millisecond
+	// batchPart is the pause after a change, as a part of the bound, so that a series of changes costs few
+	// calls: 162 leaves that start one after the other cost 7 calls a second at a pause of 150 ms.
+	batchPart = 1. / 12
 	// idle is how often a VM that doesn't read looks whether it should.
 	idle = 100 * time.Millisecond
 	// retryMost is the longest wait after failures: once the store is back, a change is due in 3 s.
@@ -69,10 +70,10 @@
 	self   string
 	zone   string
 	seed   bool
-	// wait and takeover by the bound of this deployment.
-	wait, takeover time.Duration
-	log            *zap.Logger
-	reads          *prometheus.CounterVec
+	// wait, takeover and batch by the bound of this deployment.
+	wait, takeover, batch time.Duration
+	log                   *zap.Logger
+	reads                 *prometheus.CounterVec
 
 	// The rest belongs to the goroutine of Run.
 	backoff   platform.Backoff
@@ -89,7 +90,7 @@
 	}, []string{"kind", "result"})
 	reg.MustRegister(reads)
 	return &Reader{store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed,
-		wait: part(waitPart, bound), takeover: part(takeoverPart, bound), log: log, reads: reads, reachable: true, backoff: platform.Backoff{Most: retryMost}}
+		wait: part(waitPart, bound), takeover: part(takeoverPart, bound), batch: part(batchPart, bound), log: log, reads: reads, reachable: true, backoff: platform.Backoff{Most: retryMost}}
 }
 
 func part(p float64, of time.Duration) time.Duration { return time.Duration(p * float64(of)) }
@@ -150,7 +151,7 @@
 	r.regained(now)
 	r.backoff.Reset()
 	if r.mirror.Merge(d, now) {
-		return batch
+		return r.batch
 	}
 	return 0
 }
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -67,8 +67,8 @@
 	}}
 	fleet := &fakeFleet{members: []string{"one"}, contact: time.Hour}
 	r, m := newReader(store, fleet, "one")
-	is.Equal(r.readOnce(t.Context()), batch) // a series of changes costs few calls
-	is.Equal(r.readOnce(t.Context()), batch)
+	is.Equal(r.readOnce(t.Context()), bound/12) // a series of changes costs few calls
+	is.Equal(r.readOnce(t.Context()), bound/12)
 	is.Equal(store.calls, []string{"stale", "watch"})
 	is.Equal(m.CompleteTo(), uint64(6))
 	is.Equal(fleet.noted, 2)
