--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,19 +64,19 @@
 
 // The reasons.
 const (
-	ReasonNone          Reason = ""
-	ReasonNoConfig      Reason = "no_configuration"
-	ReasonNoRoute       Reason = "no_route"
-	ReasonNoLeaf        Reason = "no_leaf"
-	ReasonRefused       Reason = "refused_by_leaves"
-	ReasonNoRoom        Reason = "no_connection_free"
-	ReasonFewShards     Reason = "too_few_shards"
-	ReasonDeadline      Reason = "deadline"
-	ReasonLost          Reason = "connection_lost"
-	ReasonCrashing      Reason = "crashed_leaves"
-	ReasonCallerGone    Reason = "caller_gone"
-	ReasonPartial       Reason = "partial"
-	ReasonRepeatRefused Reason = "budget"
+	ReasonNone     Reason = ""
+	ReasonNoConfig Reason = "no_configuration"
+	ReasonNoRoute  Reason = "no_route"
+	// ReasonNoLeaf: no leaf is known, or none of those known took a connection.
+	ReasonNoLeaf     Reason = "no_leaf"
+	ReasonRefused    Reason = "refused_by_leaves"
+	ReasonFewShards  Reason = "too_few_shards"
+	ReasonDeadline   Reason = "deadline"
+	ReasonLost       Reason = "connection_lost"
+	ReasonCrashing   Reason = "crashed_leaves"
+	ReasonCallerGone Reason = "caller_gone"
+	// ReasonPartial: served without some of the shards.
+	ReasonPartial Reason = "partial"
 )
 
 // Answer is what the caller gets.
@@ -203,7 +203,7 @@
 	Calls, Hedges, Repeats int
 	// Refusals and Failures of leaves; Denied extra calls that the budget refused.
 	Refusals, Failures, Denied int
-	// Last names the leaf of the last refusal or failure, and LastError what it was.
+	// LastLeaf is the leaf of the last refusal or failure, and LastError what it was.
 	LastLeaf  string
 	LastError string
 }
--- /dev/null
+++ b/internal/peers/crashes.go
@@ -0,0 +1,46 @@
+package peers
+
+import (
+	"time"
+)
+
+// Crash says that a leaf ended while it ran a request.
+type Crash struct {
+	Digest uint64
+	Leaf   string
+	At     time.Time
+}
+
+type crashKey struct {
+	digest uint64
+	leaf   string
+}
+
+// ReportCrash tells the fleet of a crash that this VM saw.
+func (m *Manager) ReportCrash(c Crash) {
+	m.mu.Lock()
+	m.noteCrash(c)
+	m.mu.Unlock()
+	m.crashed.Fire()
+}
+
+// noteCrash requires mu.
+func (m *Manager) noteCrash(c Crash) {
+	k := crashKey{c.Digest, c.Leaf}
+	if _, ok := m.seenCrash[k]; !ok {
+		m.seenCrash[k] = c.At
+	}
+}
+
+// Crashes returns at how many leaves the request was in flight when they ended, since the given time.
+func (m *Manager) Crashes(digest uint64, since time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for k, at := range m.seenCrash {
+		if k.digest == digest && at.After(since) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/peers/exchange.go
@@ -0,0 +1,156 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/mirror"
+	"github.com/burdockplank/burdockplank/internal/replica"
+)
+
+// exchange tells the peer what it lacks and takes what it tells. A peer of which nothing is known yet is
+// asked first, so that nothing goes to one that has it. A brief exchange carries news only.
+func (m *Manager) exchange(ctx context.Context, address string, brief bool) {
+	for range 2 {
+		client, to, known := m.clientOf(address)
+		if !m.exchangeOnce(ctx, client, to, known, brief) || known || !m.behind(address) {
+			return
+		}
+	}
+}
+
+func (m *Manager) exchangeOnce(ctx context.Context, client Client, to uint64, known, brief bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	now := time.Now()
+	req := m.message(to, now, brief)
+	if !known || brief && itemBytes(req) >= announceFrom {
+		req.Items, req.Full, req.CompleteFrom = nil, false, req.GetCompleteTo()
+	}
+	got, err := client.Exchange(ctx, req)
+	if err != nil {
+		m.metrics.exchanges.WithLabelValues("failed").Inc()
+		return false
+	}
+	m.metrics.exchanges.WithLabelValues("answered").Inc()
+	m.take(got, time.Now())
+	return true
+}
+
+// itemBytes is about what the items of the message take.
+func itemBytes(msg *pb.FleetExchange) int {
+	n := 0
+	for _, it := range msg.GetItems() {
+		n += len(it.GetKey()) + len(it.GetValue())
+	}
+	return n
+}
+
+// runPulls asks peers for the news that they announced, one after the other.
+func (m *Manager) runPulls(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-m.pulls:
+			if m.ahead(address) {
+				m.exchange(ctx, address, true)
+			}
+		}
+	}
+}
+
+// ahead tells whether the peer said that it has more than this VM.
+func (m *Manager) ahead(address string) bool {
+	to := m.cfg.Mirror.CompleteTo()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.members[address]
+	return e != nil && e.completeTo > to
+}
+
+// clientOf returns the client of the address, and to which revision the peer there is known to be
+// complete.
+func (m *Manager) clientOf(address string) (client Client, to uint64, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.members[address]; e != nil {
+		if e.client == nil {
+			e.client = m.cfg.Dial(address)
+		}
+		return e.client, e.completeTo, e.told
+	}
+	return m.cfg.Dial(address), 0, false
+}
+
+// Answer takes an exchange that a peer began, and returns this VM's part.
+func (m *Manager) Answer(req *pb.FleetExchange) *pb.FleetExchange {
+	now := time.Now()
+	m.take(req, now)
+	if from := req.GetSender().GetAddress(); req.GetBrief() && m.ahead(from) {
+		select {
+		case m.pulls <- from:
+		default: // the next round asks
+		}
+	}
+	return m.message(req.GetCompleteTo(), now, req.GetBrief())
+}
+
+// message is what a peer that is complete to the revision is told.
+func (m *Manager) message(to uint64, now time.Time, brief bool) *pb.FleetExchange {
+	d := m.cfg.Mirror.Since(to)
+	var troubles []replica.Trouble
+	if !brief {
+		troubles = m.cfg.Evidence.Troubles(now)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Brief: brief, CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
+	if !brief {
+		msg.Members = m.sampleMembers(now)
+	}
+	for _, it := range d.Items {
+		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
+	}
+	for _, t := range troubles {
+		msg.Troubles = append(msg.Troubles, &pb.FleetTrouble{Leaf: t.Leaf, Calls: float32(t.Calls), Failed: float32(t.Failed), Slow: float32(t.Slow)})
+	}
+	for k, at := range m.seenCrash {
+		msg.Crashes = append(msg.Crashes, &pb.FleetCrash{Digest: k.digest, Leaf: k.leaf, AgeMs: now.Sub(at).Milliseconds()})
+	}
+	return msg
+}
+
+// take merges what a peer told.
+func (m *Manager) take(msg *pb.FleetExchange, now time.Time) {
+	m.mu.Lock()
+	m.merge(msg.GetSender(), now)
+	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
+		e.completeTo, e.told = msg.GetCompleteTo(), true
+	}
+	for _, r := range msg.GetMembers() {
+		m.merge(r, now)
+	}
+	for _, c := range msg.GetCrashes() {
+		m.noteCrash(Crash{Digest: c.GetDigest(), Leaf: c.GetLeaf(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
+	}
+	m.mu.Unlock()
+	m.takeTroubles(msg, now)
+	d := mirror.Delta{CompleteFrom: msg.GetCompleteFrom(), CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull()}
+	for _, it := range msg.GetItems() {
+		d.Items = append(d.Items, mirror.Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Deleted: it.GetDeleted()})
+	}
+	m.cfg.Mirror.Merge(d, now)
+}
+
+// takeTroubles passes on what the peer saw of leaves.
+func (m *Manager) takeTroubles(msg *pb.FleetExchange, now time.Time) {
+	var list []replica.Trouble
+	for _, t := range msg.GetTroubles() {
+		list = append(list, replica.Trouble{Leaf: t.GetLeaf(), Calls: float64(t.GetCalls()), Failed: float64(t.GetFailed()), Slow: float64(t.GetSlow())})
+	}
+	if len(list) > 0 {
+		m.cfg.Evidence.Told(msg.GetSender().GetAddress(), list, now)
+	}
+}
--- /dev/null
+++ b/internal/peers/members.go
@@ -0,0 +1,233 @@
+package peers
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+)
+
+// member is what is known of another VM.
+type member struct {
+	record *pb.FleetMember
+	// aliveAt is when its heartbeat was last seen to rise.
+	aliveAt time.Time
+	// contactAt is when it last had an answer of the store, by this VM's clock; zero for never.
+	contactAt time.Time
+	// completeTo is the revision it last said to be complete to.
+	completeTo uint64
+	// told is true once it said so in this incarnation.
+	told   bool
+	client Client
+	live   bool
+}
+
+// round is the time between two exchanges that this VM begins.
+func (m *Manager) round() time.Duration {
+	if m.Live() > smallFleet {
+		return longPeriod
+	}
+	return period
+}
+
+// beat raises the own heartbeat and lets time pass over the others.
+func (m *Manager) beat(now time.Time, silentAfter time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.Heartbeat++
+	live := 0
+	for address, e := range m.members {
+		alive := now.Sub(e.aliveAt) < silentAfter
+		if alive != e.live {
+			e.live = alive
+			m.cfg.Log.Info("peer changed", zap.String("peer", address), zap.Bool("live", alive), zap.Duration("silent_for", now.Sub(e.aliveAt)))
+		}
+		if alive {
+			live++
+		}
+		if now.Sub(e.aliveAt) > forgetAfter {
+			delete(m.members, address)
+		}
+	}
+	m.metrics.live.Set(float64(live))
+	for k, at := range m.seenCrash {
+		if now.Sub(at) > crashKeep {
+			delete(m.seenCrash, k)
+		}
+	}
+}
+
+// Leave tells the peers, with what is sent from now on, that this VM is about to end.
+func (m *Manager) Leave() {
+	m.mu.Lock()
+	m.self.Leaving = true
+	m.self.Heartbeat++ // so that the word counts as newer
+	m.mu.Unlock()
+	m.crashed.Fire()
+}
+
+// Contact notes that the store has answered this VM.
+func (m *Manager) Contact(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contactAt = now
+}
+
+// Live returns how many other VMs show signs of life.
+func (m *Manager) Live() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for _, e := range m.members {
+		if e.live && !e.record.GetLeaving() {
+			n++
+		}
+	}
+	return n
+}
+
+// Zone returns the live members of the own zone, this VM included, and the age of the newest contact of
+// any of them with the store; a very long one where there was none.
+func (m *Manager) Zone(now time.Time) (members []string, contact time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := m.contactAt
+	members = append(members, m.cfg.Self)
+	for address, e := range m.members {
+		if !e.live || e.record.GetLeaving() || e.record.GetZone() != m.cfg.Zone {
+			continue
+		}
+		members = append(members, address)
+		if e.contactAt.After(newest) {
+			newest = e.contactAt
+		}
+	}
+	if newest.IsZero() {
+		return members, never
+	}
+	return members, now.Sub(newest)
+}
+
+// never is an age longer than any process runs.
+const never = 1 << 62
+
+// pick returns a random peer, mostly a live one of the own zone; a silent one in a tenth of the cases.
+func (m *Manager) pick() (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var live, near, silent []string
+	for address, e := range m.members {
+		switch {
+		case !e.live:
+			silent = append(silent, address)
+		case e.record.GetZone() == m.cfg.Zone:
+			near = append(near, address)
+			live = append(live, address)
+		default:
+			live = append(live, address)
+		}
+	}
+	if len(near) > 0 && rand.Float64() < ownZone {
+		live = near
+	}
+	const trySilent = 10
+	if len(silent) > 0 && (len(live) == 0 || rand.N(trySilent) == 0) {
+		live = silent
+	}
+	if len(live) == 0 {
+		return "", false
+	}
+	return live[rand.N(len(live))], true
+}
+
+// audience returns the peers that are told of news at once.
+func (m *Manager) audience() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var near, far []string
+	for address, e := range m.members {
+		switch {
+		case !e.live:
+		case e.record.GetZone() == m.cfg.Zone:
+			near = append(near, address)
+		default:
+			far = append(far, address)
+		}
+	}
+	if len(near)+len(far) < pushAll {
+		return append(near, far...)
+	}
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	return append(near[:min(pushNear, len(near))], far[:min(pushFar, len(far))]...)
+}
+
+// behind tells whether the peer may lack something.
+func (m *Manager) behind(address string) bool {
+	to := m.cfg.Mirror.CompleteTo()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.members[address]
+	return e == nil || e.completeTo < to || len(m.seenCrash) > 0 || m.self.GetLeaving()
+}
+
+// selfRecord requires mu.
+func (m *Manager) selfRecord(now time.Time) *pb.FleetMember {
+	return &pb.FleetMember{
+		Address: m.self.Address, Zone: m.self.Zone, Incarnation: m.self.Incarnation,
+		Heartbeat: m.self.Heartbeat, Leaving: m.self.Leaving, ContactAgeMs: age(m.contactAt, now),
+	}
+}
+
+func age(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// sampleMembers requires mu.
+func (m *Manager) sampleMembers(now time.Time) []*pb.FleetMember {
+	var out []*pb.FleetMember
+	for _, e := range m.members {
+		if !e.live {
+			continue
+		}
+		r := e.record
+		out = append(out, &pb.FleetMember{
+			Address: r.GetAddress(), Zone: r.GetZone(), Incarnation: r.GetIncarnation(),
+			Heartbeat: r.GetHeartbeat(), Leaving: r.GetLeaving(), ContactAgeMs: age(e.contactAt, now),
+		})
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(sample, len(out))]
+}
+
+// merge takes a record of a member; the higher incarnation and heartbeat wins. Requires mu.
+func (m *Manager) merge(r *pb.FleetMember, now time.Time) {
+	if r.GetAddress() == "" || r.GetAddress() == m.cfg.Self {
+		return
+	}
+	e := m.members[r.GetAddress()]
+	if e != nil && cmp.Or(cmp.Compare(r.GetIncarnation(), e.record.GetIncarnation()), cmp.Compare(r.GetHeartbeat(), e.record.GetHeartbeat())) <= 0 {
+		return
+	}
+	if e == nil {
+		e = &member{}
+		m.members[r.GetAddress()] = e
+	} else if e.record.GetIncarnation() != r.GetIncarnation() {
+		e.completeTo, e.told, e.contactAt = 0, false, time.Time{}
+	}
+	if !e.live {
+		m.cfg.Log.Info("peer changed", zap.String("peer", r.GetAddress()), zap.Bool("live", true), zap.Uint64("incarnation", r.GetIncarnation()))
+	}
+	e.record, e.aliveAt, e.live = r, now, true
+	if r.GetContactAgeMs() >= 0 {
+		if at := now.Add(-time.Duration(r.GetContactAgeMs()) * time.Millisecond); at.After(e.contactAt) {
+			e.contactAt = at
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,7 +4,6 @@
 package peers
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -18,6 +17,7 @@
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/notify"
 	"github.com/burdockplank/burdockplank/internal/replica"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -68,13 +68,6 @@
 	Told(vm string, list []replica.Trouble, now time.Time)
 }
 
-// Crash says that a leaf ended while it ran a request.
-type Crash struct {
-	Digest uint64
-	Leaf   string
-	At     time.Time
-}
-
 // Config is what the duty works on.
 type Config struct {
 	// Self is the address (HOST:PORT) of this VM, Zone its availability zone.
@@ -107,26 +100,6 @@
 	seenCrash map[crashKey]time.Time
 }
 
-type crashKey struct {
-	digest uint64
-	leaf   string
-}
-
-// member is what is known of another VM.
-type member struct {
-	record *pb.FleetMember
-	// aliveAt is when its heartbeat was last seen to rise.
-	aliveAt time.Time
-	// contactAt is when it last had an answer of the store, by this VM's clock; zero for never.
-	contactAt time.Time
-	// completeTo is the revision it last said to be complete to.
-	completeTo uint64
-	// told is true once it said so in this incarnation.
-	told   bool
-	client Client
-	live   bool
-}
-
 type metrics struct {
 	exchanges *prometheus.CounterVec
 	live      prometheus.Gauge
@@ -163,7 +136,7 @@
 func (m *Manager) runRounds(ctx context.Context) {
 	for {
 		round := m.round()
-		if !sleep(ctx, round-round/10+rand.N(round/5)) {
+		if !wait.For(ctx, round-round/10+rand.N(round/5)) {
 			return
 		}
 		m.beat(time.Now(), silentRounds*round)
@@ -173,14 +146,6 @@
 	}
 }
 
-// round is the time between two exchanges that this VM begins.
-func (m *Manager) round() time.Duration {
-	if m.Live() > smallFleet {
-		return longPeriod
-	}
-	return period
-}
-
 // runNews tells others at once when the mirror changed or a crash was seen.
 func (m *Manager) runNews(ctx context.Context) {
 	for {
@@ -196,7 +161,7 @@
 				go m.exchange(ctx, p, true)
 			}
 		}
-		if !sleep(ctx, newsGap) {
+		if !wait.For(ctx, newsGap) {
 			return
 		}
 	}
@@ -215,401 +180,16 @@
 		for _, s := range seeds {
 			go m.exchange(ctx, s, false)
 		}
-		wait := seedPeriod
+		pause := seedPeriod
 		if m.Live() == 0 {
-			wait = period
-		}
-		if !sleep(ctx, wait) {
-			return
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
-// beat raises the own heartbeat and lets time pass over the others.
-func (m *Manager) beat(now time.Time, silentAfter time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.self.Heartbeat++
-	live := 0
-	for address, e := range m.members {
-		alive := now.Sub(e.aliveAt) < silentAfter
-		if alive != e.live {
-			e.live = alive
-			m.cfg.Log.Info("peer changed", zap.String("peer", address), zap.Bool("live", alive), zap.Duration("silent_for", now.Sub(e.aliveAt)))
-		}
-		if alive {
-			live++
-		}
-		if now.Sub(e.aliveAt) > forgetAfter {
-			delete(m.members, address)
-		}
-	}
-	m.metrics.live.Set(float64(live))
-	for k, at := range m.seenCrash {
-		if now.Sub(at) > crashKeep {
-			delete(m.seenCrash, k)
-		}
-	}
-}
-
-// Leave tells the peers, with what is sent from now on, that this VM is about to end.
-func (m *Manager) Leave() {
-	m.mu.Lock()
-	m.self.Leaving = true
-	m.self.Heartbeat++ // so that the word counts as newer
-	m.mu.Unlock()
-	m.crashed.Fire()
-}
-
-// Contact notes that the store has answered this VM.
-func (m *Manager) Contact(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.contactAt = now
-}
-
-// Live returns how many other VMs show signs of life.
-func (m *Manager) Live() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := 0
-	for _, e := range m.members {
-		if e.live && !e.record.GetLeaving() {
-			n++
+			pause = period
 		}
-	}
-	return n
-}
-
-// Zone returns the live members of the own zone, this VM included, and the age of the newest contact of
-// any of them with the store; a very long one where there was none.
-func (m *Manager) Zone(now time.Time) (members []string, contact time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	newest := m.contactAt
-	members = append(members, m.cfg.Self)
-	for address, e := range m.members {
-		if !e.live || e.record.GetLeaving() || e.record.GetZone() != m.cfg.Zone {
-			continue
-		}
-		members = append(members, address)
-		if e.contactAt.After(newest) {
-			newest = e.contactAt
-		}
-	}
-	if newest.IsZero() {
-		return members, never
-	}
-	return members, now.Sub(newest)
-}
-
-// never is an age longer than any process runs.
-const never = 1 << 62
-
-// pick returns a random peer, mostly a live one of the own zone; a silent one in a tenth of the cases.
-func (m *Manager) pick() (string, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var live, near, silent []string
-	for address, e := range m.members {
-		switch {
-		case !e.live:
-			silent = append(silent, address)
-		case e.record.GetZone() == m.cfg.Zone:
-			near = append(near, address)
-			live = append(live, address)
-		default:
-			live = append(live, address)
-		}
-	}
-	if len(near) > 0 && rand.Float64() < ownZone {
-		live = near
-	}
-	const trySilent = 10
-	if len(silent) > 0 && (len(live) == 0 || rand.N(trySilent) == 0) {
-		live = silent
-	}
-	if len(live) == 0 {
-		return "", false
-	}
-	return live[rand.N(len(live))], true
-}
-
-// audience returns the peers that are told of news at once.
-func (m *Manager) audience() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var near, far []string
-	for address, e := range m.members {
-		switch {
-		case !e.live:
-		case e.record.GetZone() == m.cfg.Zone:
-			near = append(near, address)
-		default:
-			far = append(far, address)
-		}
-	}
-	if len(near)+len(far) < pushAll {
-		return append(near, far...)
-	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near[:min(pushNear, len(near))], far[:min(pushFar, len(far))]...)
-}
-
-// behind tells whether the peer may lack something.
-func (m *Manager) behind(address string) bool {
-	to := m.cfg.Mirror.CompleteTo()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	e := m.members[address]
-	return e == nil || e.completeTo < to || len(m.seenCrash) > 0 || m.self.GetLeaving()
-}
-
-// exchange tells the peer what it lacks and takes what it tells. A peer of which nothing is known yet is
-// asked first, so that nothing goes to one that has it. A brief exchange carries news only.
-func (m *Manager) exchange(ctx context.Context, address string, brief bool) {
-	for range 2 {
-		client, to, known := m.clientOf(address)
-		if !m.exchangeOnce(ctx, client, to, known, brief) || known || !m.behind(address) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
 }
 
-func (m *Manager) exchangeOnce(ctx context.Context, client Client, to uint64, known, brief bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	now := time.Now()
-	req := m.message(to, now, brief)
-	if !known || brief && itemBytes(req) >= announceFrom {
-		req.Items, req.Full, req.CompleteFrom = nil, false, req.GetCompleteTo()
-	}
-	got, err := client.Exchange(ctx, req)
-	if err != nil {
-		m.metrics.exchanges.WithLabelValues("failed").Inc()
-		return false
-	}
-	m.metrics.exchanges.WithLabelValues("answered").Inc()
-	m.take(got, time.Now())
-	return true
-}
-
-// itemBytes is about what the items of the message take.
-func itemBytes(msg *pb.FleetExchange) int {
-	n := 0
-	for _, it := range msg.GetItems() {
-		n += len(it.GetKey()) + len(it.GetValue())
-	}
-	return n
-}
-
-// runPulls asks peers for the news that they announced, one after the other.
-func (m *Manager) runPulls(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case address := <-m.pulls:
-			if m.ahead(address) {
-				m.exchange(ctx, address, true)
-			}
-		}
-	}
-}
-
-// ahead tells whether the peer said that it has more than this VM.
-func (m *Manager) ahead(address string) bool {
-	to := m.cfg.Mirror.CompleteTo()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	e := m.members[address]
-	return e != nil && e.completeTo > to
-}
-
-// clientOf returns the client of the address, and to which revision the peer there is known to be
-// complete.
-func (m *Manager) clientOf(address string) (client Client, to uint64, known bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if e := m.members[address]; e != nil {
-		if e.client == nil {
-			e.client = m.cfg.Dial(address)
-		}
-		return e.client, e.completeTo, e.told
-	}
-	return m.cfg.Dial(address), 0, false
-}
-
-// Answer takes an exchange that a peer began, and returns this VM's part.
-func (m *Manager) Answer(req *pb.FleetExchange) *pb.FleetExchange {
-	now := time.Now()
-	m.take(req, now)
-	if from := req.GetSender().GetAddress(); req.GetBrief() && m.ahead(from) {
-		select {
-		case m.pulls <- from:
-		default: // the next round asks
-		}
-	}
-	return m.message(req.GetCompleteTo(), now, req.GetBrief())
-}
-
-// message is what a peer that is complete to the revision is told.
-func (m *Manager) message(to uint64, now time.Time, brief bool) *pb.FleetExchange {
-	d := m.cfg.Mirror.Since(to)
-	var troubles []replica.Trouble
-	if !brief {
-		troubles = m.cfg.Evidence.Troubles(now)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Brief: brief, CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
-	if !brief {
-		msg.Members = m.sampleMembers(now)
-	}
-	for _, it := range d.Items {
-		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
-	}
-	for _, t := range troubles {
-		msg.Troubles = append(msg.Troubles, &pb.FleetTrouble{Leaf: t.Leaf, Calls: float32(t.Calls), Failed: float32(t.Failed), Slow: float32(t.Slow)})
-	}
-	for k, at := range m.seenCrash {
-		msg.Crashes = append(msg.Crashes, &pb.FleetCrash{Digest: k.digest, Leaf: k.leaf, AgeMs: now.Sub(at).Milliseconds()})
-	}
-	return msg
-}
-
-// selfRecord requires mu.
-func (m *Manager) selfRecord(now time.Time) *pb.FleetMember {
-	return &pb.FleetMember{
-		Address: m.self.Address, Zone: m.self.Zone, Incarnation: m.self.Incarnation,
-		Heartbeat: m.self.Heartbeat, Leaving: m.self.Leaving, ContactAgeMs: age(m.contactAt, now),
-	}
-}
-
-func age(at, now time.Time) int64 {
-	if at.IsZero() {
-		return -1
-	}
-	return now.Sub(at).Milliseconds()
-}
-
-// sampleMembers requires mu.
-func (m *Manager) sampleMembers(now time.Time) []*pb.FleetMember {
-	var out []*pb.FleetMember
-	for _, e := range m.members {
-		if !e.live {
-			continue
-		}
-		r := e.record
-		out = append(out, &pb.FleetMember{
-			Address: r.GetAddress(), Zone: r.GetZone(), Incarnation: r.GetIncarnation(),
-			Heartbeat: r.GetHeartbeat(), Leaving: r.GetLeaving(), ContactAgeMs: age(e.contactAt, now),
-		})
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:min(sample, len(out))]
-}
-
-// take merges what a peer told.
-func (m *Manager) take(msg *pb.FleetExchange, now time.Time) {
-	m.mu.Lock()
-	m.merge(msg.GetSender(), now)
-	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
-		e.completeTo, e.told = msg.GetCompleteTo(), true
-	}
-	for _, r := range msg.GetMembers() {
-		m.merge(r, now)
-	}
-	for _, c := range msg.GetCrashes() {
-		m.noteCrash(Crash{Digest: c.GetDigest(), Leaf: c.GetLeaf(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
-	}
-	m.mu.Unlock()
-	m.takeTroubles(msg, now)
-	d := mirror.Delta{CompleteFrom: msg.GetCompleteFrom(), CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull()}
-	for _, it := range msg.GetItems() {
-		d.Items = append(d.Items, mirror.Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Deleted: it.GetDeleted()})
-	}
-	m.cfg.Mirror.Merge(d, now)
-}
-
-// takeTroubles passes on what the peer saw of leaves.
-func (m *Manager) takeTroubles(msg *pb.FleetExchange, now time.Time) {
-	var list []replica.Trouble
-	for _, t := range msg.GetTroubles() {
-		list = append(list, replica.Trouble{Leaf: t.GetLeaf(), Calls: float64(t.GetCalls()), Failed: float64(t.GetFailed()), Slow: float64(t.GetSlow())})
-	}
-	if len(list) > 0 {
-		m.cfg.Evidence.Told(msg.GetSender().GetAddress(), list, now)
-	}
-}
-
-// merge takes a record of a member; the higher incarnation and heartbeat wins. Requires mu.
-func (m *Manager) merge(r *pb.FleetMember, now time.Time) {
-	if r.GetAddress() == "" || r.GetAddress() == m.cfg.Self {
-		return
-	}
-	e := m.members[r.GetAddress()]
-	if e != nil && cmp.Or(cmp.Compare(r.GetIncarnation(), e.record.GetIncarnation()), cmp.Compare(r.GetHeartbeat(), e.record.GetHeartbeat())) <= 0 {
-		return
-	}
-	if e == nil {
-		e = &member{}
-		m.members[r.GetAddress()] = e
-	} else if e.record.GetIncarnation() != r.GetIncarnation() {
-		e.completeTo, e.told, e.contactAt = 0, false, time.Time{}
-	}
-	if !e.live {
-		m.cfg.Log.Info("peer changed", zap.String("peer", r.GetAddress()), zap.Bool("live", true), zap.Uint64("incarnation", r.GetIncarnation()))
-	}
-	e.record, e.aliveAt, e.live = r, now, true
-	if r.GetContactAgeMs() >= 0 {
-		if at := now.Add(-time.Duration(r.GetContactAgeMs()) * time.Millisecond); at.After(e.contactAt) {
-			e.contactAt = at
-		}
-	}
-}
-
-// ReportCrash tells the fleet of a crash that this VM saw.
-func (m *Manager) ReportCrash(c Crash) {
-	m.mu.Lock()
-	m.noteCrash(c)
-	m.mu.Unlock()
-	m.crashed.Fire()
-}
-
-// noteCrash requires mu.
-func (m *Manager) noteCrash(c Crash) {
-	k := crashKey{c.Digest, c.Leaf}
-	if _, ok := m.seenCrash[k]; !ok {
-		m.seenCrash[k] = c.At
-	}
-}
-
-// Crashes returns at how many leaves the request was in flight when they ended, since the given time.
-func (m *Manager) Crashes(digest uint64, since time.Time) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := 0
-	for k, at := range m.seenCrash {
-		if k.digest == digest && at.After(since) {
-			n++
-		}
-	}
-	return n
-}
-
 // Dump shows the members.
 func (m *Manager) Dump() any {
 	m.mu.Lock()
--- a/internal/spread/manager.go
+++ b/internal/spread/manager.go
@@ -18,6 +18,7 @@
 	"github.com/burdockplank/burdockplank/internal/evidence"
 	"github.com/burdockplank/burdockplank/internal/membership"
 	"github.com/burdockplank/burdockplank/internal/notify"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -147,13 +148,13 @@
 func (m *Manager) runContacts(ctx context.Context) {
 	var beats time.Duration
 	for {
-		wait := contactPeriod - contactPeriod/10 + rand.N(contactPeriod/5)
-		if !sleep(ctx, wait) {
+		pause := contactPeriod - contactPeriod/10 + rand.N(contactPeriod/5)
+		if !wait.For(ctx, pause) {
 			return
 		}
 		now := time.Now()
 		m.cfg.CheckPause(now)
-		beats += wait
+		beats += pause
 		if beats >= beatPeriod {
 			beats = 0
 			m.beat(now)
@@ -232,15 +233,3 @@
 		}
 	}
 }
-
-// sleep waits for d and tells whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -14,6 +14,7 @@
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/platform"
 	"github.com/burdockplank/burdockplank/internal/readers"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -37,10 +38,11 @@
 	// retryMost is the longest wait after failures: once the store is back, a change is due in 3 s.
 	retryMost = time.Second
 	// settle is how long a new process waits for word of the fleet: peers may know all it would read, and
-	// who is first by rank shows only once most of a zone is known. One of the seeds waits less, for
-	// where the whole fleet starts at once somebody has to read first.
-	settle     = 1500 * time.Millisecond
-	settleSeed = 200 * time.Millisecond
+	// who is first by rank shows only once most of a zone is known. A seed waits less, for where the whole
+	// fleet starts at once somebody has to read first, and so does one whose seeds don't answer.
+	settle      = 1500 * time.Millisecond
+	settleSeed  = 200 * time.Millisecond
+	settleAlone = 400 * time.Millisecond
 )
 
 // ErrHistoryGone says that the store no longer holds the history from the revision on.
@@ -103,7 +105,7 @@
 		if r.active(time.Now()) {
 			pause = r.readOnce(ctx)
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return nil
 		}
 	}
@@ -111,11 +113,14 @@
 
 // settle waits until the fleet is known, or for long enough.
 func (r *Reader) settle(ctx context.Context) {
-	limit := settle
 	if r.seed {
-		limit = settleSeed
+		wait.For(ctx, settleSeed)
+		return
+	}
+	wait.For(ctx, settleAlone)
+	if r.fleet.Live() > 0 {
+		wait.For(ctx, settle-settleAlone)
 	}
-	sleep(ctx, limit)
 }
 
 // active tells whether this VM reads now.
@@ -194,17 +199,3 @@
 	}
 	r.fleet.Contact(now)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
