Let no stale copy bring back an item whose deletion was forgotten

Ruled out: the full difference; it deletes what is absent as it should. Change: an unknown item at or below what the copy is complete to is an old one; deletions above that are kept.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -112,6 +112,8 @@
 	for _, it := range d.Items {
 		if h, ok := m.items[it.Key]; ok && h.item.Revision >= it.Revision {
 			continue
+		} else if !ok && it.Revision <= m.completeTo {
+			continue // it was deleted since, and the deletion is forgotten
 		}
 		m.items[it.Key] = held{it, now}
 		changed = true
@@ -143,10 +145,11 @@
 	return changed
 }
 
-// forget drops old deletions. Requires mu.
+// forget drops old deletions, but none beyond what the copy is complete to: only below that an unknown
+// item is known to be an old one. Requires mu.
 func (m *Mirror) forget(now time.Time) {
 	for key, h := range m.items {
-		if h.item.Deleted && now.Sub(h.since) > keepDeleted {
+		if h.item.Deleted && h.item.Revision <= m.completeTo && now.Sub(h.since) > keepDeleted {
 			m.forgotten = max(m.forgotten, h.item.Revision)
 			delete(m.items, key)
 		}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -73,6 +73,20 @@
 	is.Equal(b.CompleteTo(), uint64(5))
 }
 
+// A copy that has forgotten a deletion is told the item by one that never learned of it. Found by
+// TestCopiesConverge.
+func TestStaleCopyDoesNotBringBackWhatWasDeleted(t *testing.T) {
+	is := is.New(t)
+	m := New(notify.New())
+	now := time.Now()
+	m.Merge(Delta{Items: []Item{{Key: "b", Revision: 2, Deleted: true}}, CompleteTo: 2}, now)
+	later := now.Add(keepDeleted + time.Second)
+	m.Merge(Delta{CompleteFrom: 2, CompleteTo: 3}, later)
+	is.Equal(len(m.All()), 0)
+	m.Merge(Delta{Items: []Item{{Key: "b", Revision: 1}}, CompleteTo: 1}, later)
+	is.Equal(shown(m), "")
+}
+
 // Copies that exchange differences in any order, with a store that goes on changing, never go back and
 // agree with the store in the end.
 func TestCopiesConverge(t *testing.T) {
