Tell all to a copy that is behind one which began with a full delta

Cause (found by TestCopiesConverge after 22,025 checks): a copy that began with a full delta knows no deletion before it, and told one that was behind only what came after; the deleted item stayed. Change: after a full delta, deletions up to it count as unknown.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -40,7 +40,7 @@
 	// What follows is guarded by mu.
 	items      map[string]held
 	completeTo uint64
-	// forgotten is the highest revision of a deletion that was forgotten.
+	// forgotten is the revision up to which deletions may be unknown here.
 	forgotten uint64
 }
 
@@ -118,8 +118,10 @@
 		m.items[it.Key] = held{it, now}
 		changed = true
 	}
-	if d.Full && m.deleteAbsent(d, now) {
-		changed = true
+	if d.Full {
+		changed = m.deleteAbsent(d, now) || changed
+		// What was deleted before isn't known here, so a copy that is behind must be told all, too.
+		m.forgotten = max(m.forgotten, d.CompleteTo)
 	}
 	if d.Full || m.completeTo >= d.CompleteFrom {
 		m.completeTo = max(m.completeTo, d.CompleteTo)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -87,6 +87,19 @@
 	is.Equal(shown(m), "")
 }
 
+// A copy that began with a full delta knows of no deletion before it, so one that is behind is told all.
+// Found by TestCopiesConverge.
+func TestCopyThatBeganFullTellsAll(t *testing.T) {
+	is := is.New(t)
+	began, behind := New(notify.New()), New(notify.New())
+	now := time.Now()
+	behind.Merge(Delta{Items: []Item{{Key: "a", Revision: 2}}, CompleteTo: 3}, now)
+	began.Merge(Delta{Items: []Item{{Key: "b", Revision: 6}}, CompleteTo: 6, Full: true}, now) // a was deleted at 4
+	behind.Merge(began.Since(behind.CompleteTo()), now)
+	is.Equal(shown(behind), "b@6=")
+	is.Equal(behind.CompleteTo(), uint64(6))
+}
+
 // Copies that exchange differences in any order, with a store that goes on changing, never go back and
 // agree with the store in the end.
 func TestCopiesConverge(t *testing.T) {
