--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -81,11 +81,12 @@
 	} else {
 		r.note(ev, string(e.Cause))
 	}
-	r.unsent(ev.group)
+	r.send(ev.group)
 }
 
-// unsent sends a call on that reached no leaf, which takes nothing from the budget.
-func (r *run) unsent(i int) {
+// send sends the first call of a group, also in place of one that reached no leaf, which takes nothing
+// from the budget.
+func (r *run) send(i int) {
 	g := &r.groups[i]
 	if g.part != nil || g.inFlight > 0 {
 		return
@@ -146,10 +147,10 @@
 		g := &r.groups[i]
 		switch {
 		case g.part != nil || g.dead:
-		case g.pending && g.sent && g.refusals+g.runs > 0:
+		case g.pending && g.refusals+g.runs > 0:
 			r.tryRepeat(i)
 		case g.pending:
-			r.unsent(i)
+			r.send(i)
 		case r.mayHedge(g) && !now.Before(g.hedgeAt):
 			r.hedge(i, now)
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -91,8 +91,6 @@
 	// runs counts calls that may have run, refusals those that did not.
 	runs, refusals int
 	inFlight       int
-	// sent is true once the first call was sent.
-	sent bool
 	// pending is true while a first call waits for a connection, or a repeat for the budget.
 	pending bool
 	hedged  bool
@@ -150,7 +148,7 @@
 		return a
 	}
 	for i := range r.groups {
-		r.first(i)
+		r.send(i)
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -270,17 +268,6 @@
 	return a
 }
 
-// first sends the first call of a group.
-func (r *run) first(i int) {
-	g := &r.groups[i]
-	from := r.candidates(g)
-	if len(from) == 0 {
-		r.kill(g, ReasonNoLeaf)
-		return
-	}
-	r.launch(i, r.free(from))
-}
-
 // kill ends a group without a part.
 func (r *run) kill(g *group, why Reason) {
 	if g.dead {
@@ -324,24 +311,23 @@
 }
 
 // launch sends a call of the group to the best of the leaves; without any it stays pending.
-func (r *run) launch(i int, from []catalog.Leaf) bool {
+func (r *run) launch(i int, from []catalog.Leaf) {
 	g := &r.groups[i]
 	if len(from) == 0 {
 		g.pending = true
-		return false
+		return
 	}
 	now := time.Now()
 	chosen, call := r.e.table.Choose(now, r.route.Name, r.guess, r.candidatesOf(from))
 	leaf := from[chosen]
 	g.tried[leaf.ID] = true
-	g.sent, g.pending = true, false
+	g.pending = false
 	g.runs++
 	g.inFlight++
 	r.trace.Calls++
 	g.hedgeAt = r.hedgeTime(now, call.Expected())
 	r.e.flights.Add(1)
 	go r.call(i, leaf, call)
-	return true
 }
 
 // hedgeTime is when a call that began now is hedged: after a multiple of the time expected, but no
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
 	"github.com/burdockplank/burdockplank/internal/rpc"
 	"github.com/burdockplank/burdockplank/internal/storeread"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -239,12 +240,7 @@
 func (d *Daemon) drain(ctx context.Context) {
 	d.leaving.Store(true)
 	d.peers.Leave()
-	t := time.NewTimer(unnoticed)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	wait.For(ctx, unnoticed)
 	if err := d.server.Shutdown(ctx); err != nil {
 		d.log.Warn("requests were cut off by the end of the process", zap.Error(err))
 		_ = d.server.Close()
