Follow a pause of the sync before anyone else goes on

Cause: checkPause noted the pause as seen before it had followed it. Ruled out: the feed's own pause check (it concerns the process that reads), packets that waited in the socket (ignored until caught up). Change: one mutex over the look and the following. Before: TestAPauseIsFollowedBeforeAnyoneGoesOn fails. After: passes, with -race; the scenario three times beside five busy cores.

--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -54,11 +54,7 @@
 // bubble.
 func newFleet(t *testing.T, n, zones int) *fleet {
 	t.Helper()
-	f := &fleet{
-		t: t, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
-		nodes: make(map[string]*node), byAddr: make(map[string]*node),
-	}
-	f.platform = newFakePlatform(f)
+	f := unstartedFleet(t)
 	for i := range n {
 		f.add(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("az-%d", i%zones+1))
 	}
@@ -76,6 +72,16 @@
 	return f
 }
 
+// unstartedFleet returns a fleet without a sync, for those that add makes.
+func unstartedFleet(t *testing.T) *fleet {
+	f := &fleet{
+		t: t, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
+		nodes: make(map[string]*node), byAddr: make(map[string]*node),
+	}
+	f.platform = newFakePlatform(f)
+	return f
+}
+
 func (f *fleet) all() []*node {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/syncd/manager.go
+++ b/internal/syncd/manager.go
@@ -53,11 +53,13 @@
 	metrics   *metrics
 	started   time.Time
 
-	mu sync.Mutex
-	// handledPause is the end of the newest pause that was seen to; draining is true from SIGTERM
-	// on. Both are guarded by mu.
+	pauses sync.Mutex
+	// handledPause is the end of the newest pause that was seen to, guarded by pauses.
 	handledPause time.Time
-	draining     bool
+
+	mu sync.Mutex
+	// draining is true from SIGTERM on, guarded by mu.
+	draining bool
 	// wake holds a value while catching up is due.
 	wake chan struct{}
 }
@@ -121,25 +123,26 @@
 }
 
 // checkPause notices a pause of the process. It is called before anything that would show what the
-// process knew before.
+// process knew before. A caller that comes while another follows the pause waits for it: what it
+// shows next must already count as old. Without the wait a stream that woke at the same moment sent
+// its view from before the pause, and the VM served it for feed.FreshFor.
 func (m *Manager) checkPause(now time.Time) {
 	ended := m.pause.LastPause(now)
-	m.mu.Lock()
-	seen := !ended.After(m.handledPause)
-	m.handledPause = ended
-	m.mu.Unlock()
-	if seen {
+	m.pauses.Lock()
+	defer m.pauses.Unlock()
+	if !ended.After(m.handledPause) {
 		return
 	}
 	m.paused(now)
+	m.handledPause = ended
 }
 
-// paused follows a pause of the process that ended now.
+// paused follows a pause of the process that ended now. It is called with pauses held.
 func (m *Manager) paused(now time.Time) {
-	m.cfg.Log.Warn("process was paused")
 	m.processes.paused(now)
 	m.spread.Paused(now)
 	m.askAgain()
+	m.cfg.Log.Warn("process was paused")
 }
 
 // askAgain makes catching up due.
