Take the median of calls for a route's usual time

Cause: the usual time was a mean with answers counted up to three times itself. With 15% of the leaves 8.5 times slower it ran away, to between 8 and 118 ms on different VMs where the median was 20 ms. Slow leaves then no longer counted as slow, and hedges were sent late. Ruled out: a budget that denies hedges (0.1 denied a search), slow spread of evidence (a leaf is known by 16 VMs after 2 s). Change: a running median in steps of 2%. Test: TestSlowLeavesDoNotMoveTheUsualTime failed first. Two tests of dispatch relied on the order among equal leaves; now whichever is asked first is slow.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -35,10 +35,7 @@
 		for range 20 {
 			w.ask(t.Context(), "/s/q")
 		}
-		for _, id := range []string{"s4-a", "s4-b", "s4-c"} {
-			w.set(id, func(n int) reply { return reply{after: 10 * ms} })
-		}
-		w.set("s4-a", ok(200*ms))
+		w.slowFirst(200*ms, "s4-a", "s4-b", "s4-c")
 		a, took := w.ask(t.Context(), "/s/q")
 		is.Equal(a.Missing, 0)
 		is.True(took < 80*ms)
@@ -247,7 +244,7 @@
 		for range 10 {
 			w.ask(t.Context(), "/s/q")
 		}
-		w.set("s4-a", ok(time.Hour))
+		w.slowFirst(time.Hour, "s4-a", "s4-b", "s4-c")
 		_, took := w.ask(t.Context(), "/s/q")
 		begun := time.Now()
 		w.engine.Wait()
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -37,6 +37,17 @@
 func refuses() behaviour                    { return always(reply{after: ms, refuse: true}) }
 func (w *world) set(id string, b behaviour) { w.leaves[id] = b }
 
+// slowFirst lets whichever of the leaves is asked first take the time, and the others 10 ms.
+func (w *world) slowFirst(after time.Duration, ids ...string) {
+	asked := 0 // Do calls behaviours with mu held
+	for _, id := range ids {
+		w.set(id, func(int) reply {
+			asked++
+			return reply{after: map[bool]time.Duration{true: after, false: 10 * ms}[asked == 1]}
+		})
+	}
+}
+
 const ms = time.Millisecond
 
 // world is an engine on fake leaves, in virtual time.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,8 +27,11 @@
 	failMost = 0.9
 	// loadForget is the time constant by which a leaf's own report of its load ages.
 	loadForget = 150 * time.Millisecond
-	// usualWeight is the weight of a new answer in the usual time of a route.
-	usualWeight = 0.05
+	// usualStep is the part by which an answer moves the usual time of its route, up where it took longer
+	// and down where not: a search of 36 shards brings it from twice the median to it. The median, and not
+	// a mean: where one leaf in seven was nine times slower, a mean with answers counted up to slowFrom
+	// ran away to three times the median, and slow leaves no longer counted as slow.
+	usualStep = 0.02
 	// overdueAfter is how many times the expected time a call is in flight before its leaf is taken
 	// to be paused.
 	overdueAfter = 2.5
@@ -272,6 +275,7 @@
 	case Late:
 		if float64(took) > slowFrom*float64(c.t.usualOf(c.route, took)) {
 			l.own.add(now, 0, 1)
+			c.t.step(c.route, took)
 		}
 	case Refused, Failed:
 		l.own.add(now, 1, 0)
@@ -287,8 +291,7 @@
 		l.own.add(now, 0, 0)
 		return
 	}
-	// An answer far beyond the usual tells of its leaf, not of the route.
-	t.usual[c.route] = usual + time.Duration(usualWeight*float64(min(took, slowFrom*usual)-usual))
+	t.step(c.route, took)
 	ratio := float64(took) / float64(max(usual, 1))
 	if ratio >= slowFrom {
 		l.own.add(now, 0, 1)
@@ -299,6 +302,17 @@
 	l.pace, l.paceAt = was+paceWeight*(ratio-was), now
 }
 
+// step moves the usual time of a route, which is known, toward the median of the times that calls
+// take. Requires mu.
+func (t *Table) step(route string, took time.Duration) {
+	usual := t.usual[route]
+	if took > usual {
+		t.usual[route] = time.Duration(float64(usual) * (1 + usualStep))
+		return
+	}
+	t.usual[route] = max(1, time.Duration(float64(usual)*(1-usualStep)))
+}
+
 // forgetAfter is how long a leaf is kept that is no candidate any more.
 const forgetAfter = 2 * time.Minute
 
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -206,3 +206,25 @@
 	table.Forget(now.Add(forgetAfter + time.Second))
 	is.Equal(len(table.leaves), 0)
 }
+
+// TestSlowLeavesDoNotMoveTheUsualTime sends each search to four shards of which one has only slow leaves
+// left. The usual time stays that of the others, and the slow shard's leaf goes on counting as slow.
+func TestSlowLeavesDoNotMoveTheUsualTime(t *testing.T) {
+	is := is.New(t)
+	table, now := New(), time.Now()
+	for range 500 {
+		for _, id := range []string{"a", "b", "c", "slow"} {
+			_, call := table.Choose(now, "r", usual, []Candidate{{ID: id, Slots: 4, Near: true, Open: true}})
+			took := usual
+			if id == "slow" {
+				took = 9 * usual
+			}
+			call.End(OK, now.Add(took))
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	is.True(table.Usual("r", usual) < usual*13/10)
+	troubles := table.Troubles(now)
+	is.Equal(len(troubles), 1)
+	is.Equal(troubles[0].Leaf, "slow")
+}
