Hold repeats back where they decide nothing

Cause: where half of the leaves refuse 45% of their calls, about five shards of 36 have none other. Their budgets were spent on every refused call alike: of searches that were whole enough, of late ones, of those that lacked far too much. Ruled out: a like restraint on hedges. Change: three urgencies of an extra call; a repeat is needed only where its search lacks one or two shards too many and isn't late. Test: TestScarceRepeatsGoWhereTheyDecide; TestReserveIsLeftToRepeats has the third urgency. slowFirst became oddFirst, for refusals too.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/retrybudget"
 )
 
 func TestWholeSearch(t *testing.T) {
@@ -35,7 +37,7 @@
 		for range 20 {
 			w.ask(t.Context(), "/s/q")
 		}
-		w.slowFirst(200*ms, "s4-a", "s4-b", "s4-c")
+		w.oddFirst("s4", reply{after: 200 * ms})
 		a, took := w.ask(t.Context(), "/s/q")
 		is.Equal(a.Missing, 0)
 		is.True(took < 80*ms)
@@ -111,7 +113,7 @@
 func TestBudgetBoundsRepeats(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
 		is := is.New(t)
-		for w.budgets.Take("s1", false) { //nolint:revive // spends all
+		for w.budgets.Take("s1", retrybudget.Needed) { //nolint:revive // spends all
 		}
 		w.set("s1-a", refuses())
 		w.set("s1-b", refuses())
@@ -123,6 +125,31 @@
 	})
 }
 
+// Under refusals everywhere the budget goes to the repeats that decide: a search that covers enough
+// shards does without, and one that lacks two too many gets just those two.
+func TestScarceRepeatsGoWhereTheyDecide(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		for i := range shards {
+			for w.budgets.Take(fmt.Sprintf("s%d", i), retrybudget.Optional) { //nolint:revive // leaves the half
+			}
+		}
+		refusal := reply{after: ms, refuse: true}
+		w.oddFirst("s1", refusal)
+		a, _ := w.ask(t.Context(), "/s/q")
+		is.Equal(a.Missing, 1)
+		is.Equal(w.traces[0].Repeats, 0)
+
+		w.oddFirst("s1", refusal)
+		w.oddFirst("s2", refusal)
+		w.oddFirst("s3", refusal)
+		a, took := w.ask(t.Context(), "/s/q")
+		is.Equal(a.Missing, 1)
+		is.True(took <= 140*ms)
+		is.Equal(w.traces[1].Repeats, 2)
+	})
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
 		is := is.New(t)
@@ -244,7 +271,7 @@
 		for range 10 {
 			w.ask(t.Context(), "/s/q")
 		}
-		w.slowFirst(time.Hour, "s4-a", "s4-b", "s4-c")
+		w.oddFirst("s4", reply{after: time.Hour})
 		_, took := w.ask(t.Context(), "/s/q")
 		begun := time.Now()
 		w.engine.Wait()
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/retrybudget"
 )
 
 // take goes on after a call has ended.
@@ -129,18 +130,66 @@
 		g.pending = true
 		return
 	}
-	if !r.e.budgets.Take(g.service, false) {
-		g.pending = true
-		if !g.denied {
-			g.denied = true
-			r.trace.Denied++
-		}
+	now := time.Now()
+	g.pending = true
+	if !r.takeExtra(g, r.repeatUrgency(now)) {
 		return
 	}
 	r.trace.Repeats++
 	r.launch(i, from)
 }
 
+// takeExtra takes an extra call of the group from its service's budget.
+func (r *run) takeExtra(g *group, u retrybudget.Urgency) bool {
+	if r.e.budgets.Take(g.service, u) {
+		return true
+	}
+	if u != retrybudget.Waiting && !g.denied {
+		g.denied = true
+		r.trace.Denied++
+	}
+	return false
+}
+
+// repeatUrgency says how much depends on one repeat more. A search that covers enough shards can do
+// without it, and one that lacks many more or is late leaves the budget to those that it can still save:
+// with repeats for every refused call, five refusing shards of 36 left half of the searches one short.
+func (r *run) repeatUrgency(now time.Time) retrybudget.Urgency {
+	if !r.route.Search() {
+		return retrybudget.Needed
+	}
+	short := r.lacking(now) - (len(r.groups) - r.needed())
+	if short <= 0 || short > shortMost || !now.Before(r.soft) {
+		return retrybudget.Optional
+	}
+	return retrybudget.Needed
+}
+
+// hedgeUrgency says how much depends on a hedge: it can wait until the latest moment at which it is of
+// use, and one of a search that is late already is worth less than those of others.
+func (r *run) hedgeUrgency(now time.Time) retrybudget.Urgency {
+	latest := r.soft.Add(-time.Duration(hedgeRoom * float64(r.e.table.Usual(r.route.Name, r.guess))))
+	switch {
+	case r.route.Search() && !now.Before(r.soft):
+		return retrybudget.Optional
+	case now.Before(latest):
+		return retrybudget.Waiting
+	}
+	return retrybudget.Needed
+}
+
+// lacking counts the groups without a part and without a call that is likely to bring one in time.
+func (r *run) lacking(now time.Time) int {
+	n := 0
+	for i := range r.groups {
+		g := &r.groups[i]
+		if g.part == nil && (g.dead || g.pending || !g.hedged && !now.Before(g.hedgeAt)) {
+			n++
+		}
+	}
+	return n
+}
+
 // tick does what is due: calls that wait, and hedges.
 func (r *run) tick(now time.Time) {
 	for i := range r.groups {
@@ -151,7 +200,7 @@
 			r.tryRepeat(i)
 		case g.pending:
 			r.send(i)
-		case r.mayHedge(g) && !now.Before(g.hedgeAt):
+		case r.mayHedge(g) && !now.Before(g.hedgeDue()):
 			r.hedge(i, now)
 		}
 	}
@@ -161,18 +210,20 @@
 	return r.route.Idempotent && !g.hedged && g.inFlight == 1 && g.runs < r.route.MaxAttempts && g.refusals < refusedMost
 }
 
+// hedgeDue is when a hedge is due, or is tried again.
+func (g *group) hedgeDue() time.Time {
+	if g.retryAt.After(g.hedgeAt) {
+		return g.retryAt
+	}
+	return g.hedgeAt
+}
+
 // hedge asks a second leaf beside a call that takes long.
 func (r *run) hedge(i int, now time.Time) {
 	g := &r.groups[i]
 	from := r.free(r.candidates(g))
-	latest := r.soft.Add(-time.Duration(hedgeRoom * float64(r.e.table.Usual(r.route.Name, r.guess))))
-	canWait := now.Before(latest)
-	if len(from) == 0 || !r.e.budgets.Take(g.service, canWait) {
-		g.hedgeAt = now.Add(poll)
-		if len(from) > 0 && !canWait && !g.denied {
-			g.denied = true
-			r.trace.Denied++
-		}
+	if len(from) == 0 || !r.takeExtra(g, r.hedgeUrgency(now)) {
+		g.retryAt = now.Add(poll)
 		return
 	}
 	g.hedged = true
@@ -193,7 +244,7 @@
 		case g.pending:
 			due = earlier(due, now.Add(poll))
 		case r.mayHedge(g):
-			due = earlier(due, g.hedgeAt)
+			due = earlier(due, g.hedgeDue())
 		}
 	}
 	return max(0, due.Sub(now))
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -37,13 +37,13 @@
 func refuses() behaviour                    { return always(reply{after: ms, refuse: true}) }
 func (w *world) set(id string, b behaviour) { w.leaves[id] = b }
 
-// slowFirst lets whichever of the leaves is asked first take the time, and the others 10 ms.
-func (w *world) slowFirst(after time.Duration, ids ...string) {
+// oddFirst lets whichever leaf of the shard is asked first from now on answer so, and the others as usual.
+func (w *world) oddFirst(shard string, odd reply) {
 	asked := 0 // Do calls behaviours with mu held
-	for _, id := range ids {
-		w.set(id, func(int) reply {
+	for _, r := range []string{"-a", "-b", "-c"} {
+		w.set(shard+r, func(int) reply {
 			asked++
-			return reply{after: map[bool]time.Duration{true: after, false: 10 * ms}[asked == 1]}
+			return pick(asked == 1, odd, reply{after: 10 * ms})
 		})
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -30,6 +30,9 @@
 	// refusedMost bounds how often one shard of a request is sent on after leaves refused it. A refusal
 	// has not run, so it doesn't count toward the route's attempts, but it counts toward the budget.
 	refusedMost = 3
+	// shortMost is how many shards too few a search may have and still be repeated for before others: of
+	// five that refuse 45% of their calls each third search lacks two too many, which costs 3.6 repeats.
+	shortMost = 2
 	// hedgeAfter is how many times the expected time a call takes before another leaf is asked beside it.
 	// With a spread of 0.35 about 1 in 15 calls take 1.7 times the mean, which the budget of 1 in 5 allows;
 	// at 2.2 a grown search that met a pause was whole 15 ms later.
@@ -94,8 +97,10 @@
 	// pending is true while a first call waits for a connection, or a repeat for the budget.
 	pending bool
 	hedged  bool
-	hedgeAt time.Time
-	// denied is true once the budget refused an extra call.
+	// hedgeAt is from when on the call in flight counts as late, retryAt when a hedge that had no
+	// connection or budget is tried again.
+	hedgeAt, retryAt time.Time
+	// denied is true once the budget refused an extra call, other than one that could wait.
 	denied bool
 	part   *leafcall.Response
 	dead   bool
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -16,12 +16,39 @@
 	// slackUsed is the part of the allowed slack that is used. The rest is for VMs that start anew with
 	// nothing spent while what they spent before still counts.
 	slackUsed = 0.7
-	// reserve is the part of what is allowed that extra calls which can wait leave to those that can't.
-	reserve = 0.25
+	// waitingPart and optionalPart are the parts of what is allowed that extra calls of these urgencies
+	// may use. Where half of the leaves refused 45% of their calls, a budget that served all alike left
+	// five shards of 36 unserved in half of the searches.
+	waitingPart  = 0.75
+	optionalPart = 0.5
 	// spans is how many spans a window is counted in; a window is at most one span too long.
 	spans = 20
 )
 
+// Urgency says how much depends on an extra call.
+type Urgency int
+
+// The urgencies, from the least on.
+const (
+	// Optional: the request is answered in time without it, or is late already.
+	Optional Urgency = iota
+	// Waiting: it is needed, but a little later would do.
+	Waiting
+	// Needed: without it now the request isn't answered in time.
+	Needed
+)
+
+// part returns the part of what is allowed that may be used.
+func (u Urgency) part() float64 {
+	switch u {
+	case Optional:
+		return optionalPart
+	case Waiting:
+		return waitingPart
+	}
+	return 1
+}
+
 // Limit is what the platform allows the whole fleet.
 type Limit struct {
 	// Ratio of extra calls to the requests of a service, and Slack how many more there may be, in any
@@ -88,16 +115,13 @@
 	c.requests[place]++
 }
 
-// Take takes an extra call of the service, or refuses. One that can wait is refused sooner.
-func (b *Budgets) Take(service string, canWait bool) bool {
+// Take takes an extra call of the service, or refuses. A less urgent one is refused sooner.
+func (b *Budgets) Take(service string, u Urgency) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, number, place := b.of(service)
 	allowed, spent := b.allowed(c, number)
-	if canWait {
-		allowed *= 1 - reserve
-	}
-	if float64(spent+1) > max(allowed, 1) {
+	if float64(spent+1) > max(allowed*u.part(), 1) {
 		return false
 	}
 	c.extra[place]++
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -27,13 +27,13 @@
 		b.Request("x")
 	}
 	taken := 0
-	for b.Take("x", false) {
+	for b.Take("x", Needed) {
 		taken++
 	}
 	is.Equal(taken, 25)            // 0.95 * 0.2 * 100 and 0.7 * 52 / 6
-	is.True(b.Take("y", false))    // each service has its own
+	is.True(b.Take("y", Needed))   // each service has its own
 	c.pass(11 * time.Second)       // the window has passed, with its requests
-	is.True(b.Take("x", false))    // the slack is back
+	is.True(b.Take("x", Needed))   // the slack is back
 	is.True(b.Left()["x"] < 52./6) // and counted
 }
 
@@ -43,12 +43,17 @@
 	is := is.New(t)
 	b := New(fleetLimit, newClock().read)
 	b.SetFleet(1)
-	waiting := 0
-	for b.Take("x", true) {
+	optional := 0
+	for b.Take("x", Optional) {
+		optional++
+	}
+	is.Equal(optional, 18)
+	waiting := optional
+	for b.Take("x", Waiting) {
 		waiting++
 	}
 	urgent := 0
-	for b.Take("x", false) {
+	for b.Take("x", Needed) {
 		urgent++
 	}
 	is.Equal(waiting, 27)
@@ -60,8 +65,8 @@
 	is := is.New(t)
 	b := New(fleetLimit, newClock().read)
 	b.SetFleet(500)
-	is.True(b.Take("x", false))
-	is.True(!b.Take("x", false))
+	is.True(b.Take("x", Needed))
+	is.True(!b.Take("x", Needed))
 }
 
 // However the callers are spread over the VMs and the time, the fleet stays within what the platform
@@ -88,7 +93,7 @@
 				events = append(events, event{at: c.now})
 			}
 			for range rapid.IntRange(0, 20).Draw(t, "extra") {
-				if b.Take("x", false) {
+				if b.Take("x", Needed) {
 					events = append(events, event{c.now, true})
 				}
 			}
