Count calls in flight as slow once they are

Cause: a leaf that hangs gave evidence only when its calls were given up, 440 ms after they began, and other VMs heard of it half a second later still. Change: what a VM sees of a leaf includes the calls in flight that are slow. Test: TestHangingCallsAreToldBeforeTheyEnd; nothing was told of calls in flight before.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -158,7 +158,7 @@
 	usual := t.usualOf(route, guess)
 	best, least := -1, math.Inf(1)
 	for i, c := range from {
-		if cost := t.leaf(c, now).cost(now, usual, c); cost < least {
+		if cost := t.cost(t.leaf(c, now), now, usual, c); cost < least {
 			best, least = i, cost
 		}
 	}
@@ -175,7 +175,7 @@
 	usual := t.usualOf(route, guess)
 	out := make([]float64, 0, len(from))
 	for _, c := range from {
-		out = append(out, t.leaf(c, now).cost(now, usual, c))
+		out = append(out, t.cost(t.leaf(c, now), now, usual, c))
 	}
 	return out
 }
@@ -207,10 +207,11 @@
 }
 
 // cost is the expected time, with what failures cost and how long a leaf that stands still already has.
-func (l *leaf) cost(now time.Time, usual time.Duration, c Candidate) float64 {
+// Requires mu.
+func (t *Table) cost(l *leaf, now time.Time, usual time.Duration, c Candidate) float64 {
 	cost := float64(l.expected(now, usual, c))
 	cost += float64(usual) * busyCost * l.queue(now) / float64(max(c.Slots, 1))
-	fail, slow := l.rates(now)
+	fail, slow := t.rates(l, now)
 	cost += float64(usual) * (failCost*fail/(1-min(fail, failMost)) + slowCost*slow)
 	if stood := l.overdue(now); stood > 0 {
 		cost += float64(stood) // a leaf that stood still for so long is likely to do so as long again
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -144,15 +144,15 @@
 
 func TestOneBadCallDoesNotCondemn(t *testing.T) {
 	is := is.New(t)
-	var l leaf
+	table, l := New(), new(leaf)
 	now := time.Now()
 	l.own.add(now, 1, 0)
-	failed, _ := l.rates(now)
+	failed, _ := table.rates(l, now)
 	is.Equal(failed, 0.5)
 	for range 20 {
 		l.own.add(now, 0, 0)
 	}
-	failed, _ = l.rates(now)
+	failed, _ = table.rates(l, now)
 	is.True(failed < 0.05)
 }
 
@@ -228,3 +228,28 @@
 	is.Equal(len(troubles), 1)
 	is.Equal(troubles[0].Leaf, "slow")
 }
+
+// TestHangingCallsAreToldBeforeTheyEnd has three calls at a leaf that answers none. The other VMs hear of
+// it once the calls are slow, not when they are given up.
+func TestHangingCallsAreToldBeforeTheyEnd(t *testing.T) {
+	is := is.New(t)
+	table, now := New(), time.Now()
+	for range 100 { // the usual time is known
+		_, call := table.Choose(now, "r", usual, []Candidate{{ID: "well", Slots: 4, Near: true, Open: true}})
+		call.End(OK, now.Add(usual))
+	}
+	hung := []Candidate{{ID: "hung", Slots: 4, Near: true, Open: true}}
+	var calls []*Call
+	for range 3 {
+		_, call := table.Choose(now, "r", usual, hung)
+		calls = append(calls, call)
+	}
+	is.Equal(len(table.Troubles(now.Add(2*usual))), 0)
+	is.Equal(table.Troubles(now.Add(4*usual)), []Trouble{{Leaf: "hung", Calls: 3, Slow: 3}})
+	for _, c := range calls { // they count once
+		c.End(Late, now.Add(20*usual))
+	}
+	after := table.Troubles(now.Add(20 * usual))
+	is.Equal(len(after), 1)
+	is.True(after[0].Slow > 2.9 && after[0].Slow <= 3)
+}
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -42,10 +42,24 @@
 	t.slow += slow
 }
 
-// rates returns the parts of failed and of slow calls by what this VM and the others saw. One good call
-// more is assumed, so that a single bad one doesn't condemn a leaf.
-func (l *leaf) rates(now time.Time) (failed, slow float64) {
+// seen returns what this VM itself saw of the leaf: the calls that ended, and as slow ones those in flight
+// that are slow already. A leaf that hangs is known from them some 400 ms before its calls are given up.
+// Requires mu.
+func (t *Table) seen(l *leaf, now time.Time) tally {
 	sum := l.own.aged(now)
+	for c := range l.begun {
+		if usual, ok := t.usual[c.route]; ok && now.Sub(c.begun) > slowFrom*usual {
+			sum.calls++
+			sum.slow++
+		}
+	}
+	return sum
+}
+
+// rates returns the parts of failed and of slow calls by what this VM and the others saw. One good call
+// more is assumed, so that a single bad one doesn't condemn a leaf. Requires mu.
+func (t *Table) rates(l *leaf, now time.Time) (failed, slow float64) {
+	sum := t.seen(l, now)
 	for _, t := range l.told {
 		if now.Sub(t.at) > toldKeep {
 			continue
@@ -76,7 +90,7 @@
 	defer t.mu.Unlock()
 	var out []Trouble
 	for id, l := range t.leaves {
-		if a := l.own.aged(now); a.failed+a.slow >= reportLeast {
+		if a := t.seen(l, now); a.failed+a.slow >= reportLeast {
 			out = append(out, Trouble{id, a.calls, a.failed, a.slow})
 		}
 	}
