Tell a request's story from the log files of several VMs

burdockctl story ID FILE... prints, in the order of their times, the lines that name the request and what its VMs and the leaves of its bad calls went through around it. Names of fields live in package decision, which the logs use too.

--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -23,6 +23,7 @@
 	Dump     DumpCmd     `cmd:"" help:"Print the state of one process as JSON."`
 	Search   SearchCmd   `cmd:"" help:"Send one search."`
 	Order    OrderCmd    `cmd:"" help:"Send one order."`
+	Story    StoryCmd    `cmd:"" help:"Tell what became of one request, from log files."`
 }
 
 // SettingsCmd groups the commands about settings files.
--- /dev/null
+++ b/internal/ctl/story.go
@@ -0,0 +1,123 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/decision"
+	"github.com/burdockplank/burdockplank/internal/story"
+)
+
+// StoryCmd tells what became of one request, from log files.
+type StoryCmd struct {
+	ID     string        `arg:"" help:"Id of the request."`
+	Files  []string      `arg:"" help:"Log files of the VMs, in any order."`
+	Around time.Duration `help:"How long before and after the request to look for what its VMs and leaves went through." default:"10s"`
+}
+
+// Run implements the command.
+func (c *StoryCmd) Run(app *App) error {
+	if c.Around < 0 {
+		return usage("--around: want 0s or more, got %v", c.Around)
+	}
+	var lines []story.Line
+	skipped := 0
+	for _, name := range c.Files {
+		log, err := readLog(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, log.Lines...)
+		skipped += log.Skipped
+	}
+	told, err := story.Tell(lines, c.ID, c.Around)
+	var unknown *story.UnknownError
+	if errors.As(err, &unknown) {
+		return usage("%v (%d lines read, %d passed over)", err, len(lines), skipped)
+	}
+	if err != nil {
+		return err
+	}
+	return app.print(newStoryReport(c.ID, told))
+}
+
+func readLog(name string) (*story.Log, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("read log: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	return story.Read(name, f)
+}
+
+// storyReport is the request's story; times count from its first own line.
+type storyReport struct {
+	ID    string      `json:"id"`
+	Lines []storyLine `json:"lines"`
+}
+
+type storyLine struct {
+	AfterSeconds float64        `json:"after_seconds"`
+	VM           string         `json:"vm"`
+	Msg          string         `json:"msg"`
+	Own          bool           `json:"own"`
+	Fields       map[string]any `json:"fields"`
+	Where        string         `json:"where"`
+}
+
+// told are the fields of a line that the report shows apart, or that every line of a log has.
+var told = []string{decision.FieldTime, decision.FieldVM, decision.FieldMsg, "level", "program"}
+
+func newStoryReport(id string, lines []story.Line) storyReport {
+	own := func(l story.Line) bool { return l.Fields[decision.FieldID] == id }
+	first := lines[slices.IndexFunc(lines, own)].At
+	r := storyReport{ID: id}
+	for _, l := range lines {
+		fields := make(map[string]any)
+		for k, v := range l.Fields {
+			if !slices.Contains(told, k) && !empty(v) {
+				fields[k] = v
+			}
+		}
+		r.Lines = append(r.Lines, storyLine{
+			AfterSeconds: l.At.Sub(first).Seconds(), VM: l.VM, Msg: l.Msg, Own: own(l), Fields: fields,
+			Where: fmt.Sprintf("%s:%d", l.File, l.Number),
+		})
+	}
+	return r
+}
+
+// empty tells whether a field says nothing.
+func empty(v any) bool { return v == nil || v == "" || v == 0.0 }
+
+func (r storyReport) writeText(w io.Writer) {
+	t := newTable(w)
+	for _, l := range r.Lines {
+		mark := " "
+		if l.Own {
+			mark = ">"
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%+.3fs\t%s\t%s\t%s\n", mark, l.AfterSeconds, l.VM, l.Msg, fieldText(l.Fields))
+	}
+	_ = t.Flush()
+}
+
+// fieldText writes fields in the order of their names.
+func fieldText(fields map[string]any) string {
+	var out []string
+	for k, v := range fields {
+		text, err := json.Marshal(v)
+		if err != nil {
+			text = []byte(fmt.Sprint(v))
+		}
+		out = append(out, k+"="+string(text))
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
--- /dev/null
+++ b/internal/ctl/story_test.go
@@ -0,0 +1,42 @@
+package ctl
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestStory(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		f := filepath.Join(dir, name)
+		is.NoErr(os.WriteFile(f, []byte(text), 0o600))
+		return f
+	}
+	a := write("a", `{"level":"info","time":"2026-01-27T11:00:10.000Z","msg":"request","vm":"vm-1","id":"r-1","outcome":"not_run","missing":0,"bad_calls":[{"service":"s","leaf":"i-7","what":"refused"}]}`+"\n")
+	b := write("b", `{"level":"info","time":"2026-01-27T11:00:09.000Z","msg":"leaf gone","vm":"vm-2","leaf":"i-7","service":"s"}`+"\n")
+
+	got := burdockctl(t, "story", "r-1", a, b)
+	is.Equal(got.code, ExitOK)
+	lines := strings.Split(strings.TrimSpace(got.out), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "-1.000s") && strings.Contains(lines[0], "leaf gone"))
+	is.True(strings.HasPrefix(lines[1], ">") && strings.Contains(lines[1], `outcome="not_run"`))
+	is.True(!strings.Contains(lines[1], "missing")) // zeros say nothing
+
+	got = burdockctl(t, "--json", "story", "r-1", b, a)
+	var r storyReport
+	is.NoErr(json.Unmarshal([]byte(got.out), &r))
+	is.Equal(len(r.Lines), 2)
+	is.Equal(r.Lines[0].AfterSeconds, -1.0)
+
+	is.Equal(burdockctl(t, "story", "r-2", a, b).code, ExitUsage)
+	is.Equal(burdockctl(t, "story", "r-1", filepath.Join(dir, "none")).code, ExitFailure)
+	is.Equal(burdockctl(t, "story", "--around=-1s", "r-1", a).code, ExitUsage)
+	is.Equal(burdockctl(t, "story", "r-1").code, ExitUsage)
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -121,13 +121,13 @@
 }
 
 func (r *Recorder) write(req *dispatch.Request, a *dispatch.Answer, t *dispatch.Trace, took time.Duration, route string) {
-	r.log.Info("request",
-		zap.String("id", req.ID), zap.String("route", route), zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
+	r.log.Info(MsgRequest,
+		zap.String(FieldID, req.ID), zap.String("route", route), zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
 		zap.Duration("took", took), zap.Duration("remaining", req.Remaining),
 		zap.Uint64("config_version", t.Version), zap.Uint64("store_revision", t.Revision),
 		zap.Int("calls", t.Calls), zap.Int("hedges", t.Hedges), zap.Int("repeats", t.Repeats),
 		zap.Int("refusals", t.Refusals), zap.Int("failures", t.Failures), zap.Int("denied", t.Denied), zap.Int("missing", a.Missing),
-		zap.Duration("retry_after", a.RetryAfter), zap.Array("bad_calls", badCalls(t.Bad)))
+		zap.Duration("retry_after", a.RetryAfter), zap.Array(FieldBadCalls, badCalls(t.Bad)))
 }
 
 // badCalls writes bad calls as an array of objects.
@@ -147,8 +147,8 @@
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (b badCall) MarshalLogObject(enc zapcore.ObjectEncoder) error {
-	enc.AddString("service", b.Service)
-	enc.AddString("leaf", b.Leaf)
+	enc.AddString(FieldService, b.Service)
+	enc.AddString(FieldLeaf, b.Leaf)
 	enc.AddString("what", b.What)
 	enc.AddDuration("after", b.After)
 	return nil
--- /dev/null
+++ b/internal/decision/fields.go
@@ -0,0 +1,14 @@
+package decision
+
+// The names under which records of decisions hold what they tell of; the logs write them and the tools
+// that read logs look for them.
+const (
+	// MsgRequest is the message of a request's line.
+	MsgRequest = "request"
+	// FieldID is the id of the request.
+	FieldID = "id"
+	// FieldVM is the VM that wrote the line, FieldTime when by its clock, FieldMsg what it is about.
+	FieldVM, FieldTime, FieldMsg = "vm", "time", "msg"
+	// FieldBadCalls holds the bad calls of a request, FieldService and FieldLeaf what each was to.
+	FieldBadCalls, FieldService, FieldLeaf = "bad_calls", "service", "leaf"
+)
