Move the handling of processes out of the scenarios, for the soak to share

internal/child starts programs, freezes, wakes and ends them by their ids. The scenarios use it; nothing else changed in them.

--- a/scenarios/await_test.go
+++ b/scenarios/await_test.go
@@ -39,11 +39,11 @@
 // ready returns what isn't ready among the processes; one that has ended is an error at once.
 func (f *fleet) ready(daemons []*daemon) error {
 	for _, d := range daemons {
-		if !d.running() {
-			return fmt.Errorf("%s has ended; its log ends:\n%s", d.name, d.logTail())
+		if !d.Running() {
+			return fmt.Errorf("%s has ended; its log ends:\n%s", d.Name(), d.LogTail())
 		}
-		if err := f.processReady(d.name); err != nil {
-			return fmt.Errorf("%s isn't ready: %w", d.name, err)
+		if err := f.processReady(d.Name()); err != nil {
+			return fmt.Errorf("%s isn't ready: %w", d.Name(), err)
 		}
 	}
 	return nil
@@ -111,12 +111,12 @@
 // atVersion returns an error until each of the VMs' processes has the bundle version in force.
 func (f *fleet) atVersion(version float64, daemons []*daemon) error {
 	for _, d := range daemons {
-		v, err := f.metric(d.name, "burdock_bundle_version")
+		v, err := f.metric(d.Name(), "burdock_bundle_version")
 		if err != nil {
 			return err
 		}
 		if v != version {
-			return fmt.Errorf("%s has bundle version %g, want %g", d.name, v, version)
+			return fmt.Errorf("%s has bundle version %g, want %g", d.Name(), v, version)
 		}
 	}
 	return nil
@@ -125,12 +125,12 @@
 // refused returns an error until each of the processes has refused a bundle at least that often.
 func (f *fleet) refused(times float64, daemons []*daemon) error {
 	for _, d := range daemons {
-		n, err := f.metric(d.name, "burdock_bundle_refused_total")
+		n, err := f.metric(d.Name(), "burdock_bundle_refused_total")
 		if err != nil {
 			return err
 		}
 		if n < times {
-			return fmt.Errorf("%s has refused %g bundles, want %g", d.name, n, times)
+			return fmt.Errorf("%s has refused %g bundles, want %g", d.Name(), n, times)
 		}
 	}
 	return nil
@@ -140,7 +140,7 @@
 func (f *fleet) counted(metric string, least float64, daemons []*daemon) error {
 	sum := 0.0
 	for _, d := range daemons {
-		n, err := f.metric(d.name, metric)
+		n, err := f.metric(d.Name(), metric)
 		if err == nil { // one that wasn't counted yet isn't shown
 			sum += n
 		}
@@ -155,7 +155,7 @@
 func vmProcesses(daemons []*daemon) []*daemon {
 	var all []*daemon
 	for _, d := range daemons {
-		if role, _, _ := strings.Cut(d.name, "/"); operatorPorts[role] != 0 && d.running() && !d.isFrozen() {
+		if role, _, _ := strings.Cut(d.Name(), "/"); operatorPorts[role] != 0 && d.Running() && !d.Frozen() {
 			all = append(all, d)
 		}
 	}
@@ -164,8 +164,8 @@
 
 func allEnded(daemons []*daemon) error {
 	for _, d := range daemons {
-		if d.running() {
-			return fmt.Errorf("%s is still running", d.name)
+		if d.Running() {
+			return fmt.Errorf("%s is still running", d.Name())
 		}
 	}
 	return nil
@@ -173,8 +173,8 @@
 
 func allRunning(daemons []*daemon) error {
 	for _, d := range daemons {
-		if !d.running() {
-			return fmt.Errorf("%s has ended", d.name)
+		if !d.Running() {
+			return fmt.Errorf("%s has ended", d.Name())
 		}
 	}
 	return nil
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -204,8 +204,8 @@
 // startRole starts all processes of a role.
 func (f *fleet) startRole(role string) error {
 	for _, d := range f.daemons {
-		if d.name == role || strings.HasPrefix(d.name, role+"/") {
-			if err := d.start(); err != nil {
+		if d.Name() == role || strings.HasPrefix(d.Name(), role+"/") {
+			if err := d.Start(); err != nil {
 				return err
 			}
 		}
@@ -299,8 +299,8 @@
 	var found []*daemon
 	what = f.alias(what)
 	for _, d := range f.daemons {
-		role, of, _ := strings.Cut(d.name, "/")
-		if what == "everywhere" || slices.Contains([]string{d.name, role, of}, what) {
+		role, of, _ := strings.Cut(d.Name(), "/")
+		if what == "everywhere" || slices.Contains([]string{d.Name(), role, of}, what) {
 			found = append(found, d)
 		}
 	}
@@ -373,16 +373,16 @@
 		problems = f.watcher.finish()
 	}
 	for _, d := range slices.Backward(f.daemons) {
-		if !d.running() {
+		if !d.Running() {
 			continue
 		}
-		if err := d.terminate(); err != nil {
+		if err := d.Terminate(); err != nil {
 			problems = errors.Join(problems, err)
 		}
 	}
 	for _, d := range f.daemons {
-		if d.running() {
-			problems = errors.Join(problems, d.ended())
+		if d.Running() {
+			problems = errors.Join(problems, d.Ended())
 		}
 	}
 	if f.relay != nil {
--- a/scenarios/mischief_test.go
+++ b/scenarios/mischief_test.go
@@ -131,7 +131,7 @@
 func eachOf(ds []*daemon, action func(*daemon) error) error {
 	for _, d := range ds {
 		if err := action(d); err != nil {
-			return fmt.Errorf("%s: %w", d.name, err)
+			return fmt.Errorf("%s: %w", d.Name(), err)
 		}
 	}
 	return nil
@@ -140,7 +140,7 @@
 // allUntouched is an error where one of the processes is gone or frozen by another fault.
 func allUntouched(ds []*daemon) error {
 	return eachOf(ds, func(d *daemon) error {
-		if !d.running() || d.frozen {
+		if !d.Running() || d.Frozen() {
 			return errors.New("taken by another fault")
 		}
 		return nil
@@ -152,8 +152,8 @@
 	name, ds := m.processes()
 	return mishap{
 		name: "crash " + name, hold: m.between(0, 2*time.Second),
-		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).kill)) },
-		end:   func() error { return eachOf(ds, (*daemon).start) },
+		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).Kill)) },
+		end:   func() error { return eachOf(ds, (*daemon).Start) },
 	}
 }
 
@@ -170,8 +170,8 @@
 	name, ds := m.processes()
 	return mishap{
 		name: "freeze " + name, hold: m.between(200*time.Millisecond, 4*time.Second),
-		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).freeze)) },
-		end:   func() error { return eachOf(ds, (*daemon).wake) },
+		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).Freeze)) },
+		end:   func() error { return eachOf(ds, (*daemon).Wake) },
 	}
 }
 
@@ -180,12 +180,12 @@
 	name, ds := m.processes()
 	return mishap{
 		name: "restart " + name, hold: m.between(0, time.Second),
-		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).terminate)) },
+		begin: func() error { return errors.Join(allUntouched(ds), eachIfFree(ds, (*daemon).Terminate)) },
 		end: func() error {
-			if err := eachOf(ds, (*daemon).ended); err != nil {
+			if err := eachOf(ds, (*daemon).Ended); err != nil {
 				return err
 			}
-			return eachOf(ds, (*daemon).start)
+			return eachOf(ds, (*daemon).Start)
 		},
 	}
 }
--- a/scenarios/post_test.go
+++ b/scenarios/post_test.go
@@ -102,9 +102,9 @@
 // verbPause is: pause PROCESS... for=D. It freezes processes for that long.
 func verbPause(f *fleet, a *arguments) error {
 	lasts := a.duration("for", 0)
-	if err := each((*daemon).freeze)(f, a); err != nil {
+	if err := each((*daemon).Freeze)(f, a); err != nil {
 		return err
 	}
 	time.Sleep(lasts)
-	return each((*daemon).wake)(f, a)
+	return each((*daemon).Wake)(f, a)
 }
--- a/scenarios/respawn_test.go
+++ b/scenarios/respawn_test.go
@@ -36,14 +36,14 @@
 		select {
 		case <-r.stop:
 			return
-		case <-d.end():
+		case <-d.Done():
 		}
 		select {
 		case <-r.stop:
 			return
 		case <-time.After(r.after):
 		}
-		if err := d.start(); err != nil {
+		if err := d.Start(); err != nil {
 			return // the script itself has started it
 		}
 	}
--- a/scenarios/verbs_platform_test.go
+++ b/scenarios/verbs_platform_test.go
@@ -45,18 +45,18 @@
 	if err != nil {
 		return err
 	}
-	if err := eachOf(ds, (*daemon).kill); err != nil {
+	if err := eachOf(ds, (*daemon).Kill); err != nil {
 		return err
 	}
 	n.name = name
 	for _, d := range ds {
-		role, _, _ := strings.Cut(d.name, "/")
+		role, _, _ := strings.Cut(d.Name(), "/")
 		file, err := f.writeSettings(role+"-"+name, f.vmSettings(role, n))
 		if err != nil {
 			return err
 		}
 		*d = *newDaemon(role+"/"+name, f.dir, "burdock-"+role, "--settings", file)
-		if err := d.start(); err != nil {
+		if err := d.Start(); err != nil {
 			return err
 		}
 	}
--- a/scenarios/verbs_test.go
+++ b/scenarios/verbs_test.go
@@ -45,9 +45,9 @@
 func verbs() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]func(*testscript.TestScript, bool, []string){"fleet": verbFleet}
 	for name, v := range map[string]verb{
-		"start": each((*daemon).start), "crash": each((*daemon).kill),
-		"freeze": each((*daemon).freeze), "wake": each((*daemon).wake),
-		"shutdown": verbShutdown, "terminate": each((*daemon).terminate),
+		"start": each((*daemon).Start), "crash": each((*daemon).Kill),
+		"freeze": each((*daemon).Freeze), "wake": each((*daemon).Wake),
+		"shutdown": verbShutdown, "terminate": each((*daemon).Terminate),
 		"cut": verbCut, "heal": verbHeal, "silence": verbSilence, "sever": verbSever,
 		"fault": verbFault, "snapshots": verbSnapshots, "list": verbList, "replace": verbReplace, "lag": verbLag,
 		"publish": verbPublish, "stale": verbStale, "watch": verbWatch, "bundles": verbBundles,
@@ -136,10 +136,10 @@
 
 // verbShutdown asks all named processes to end, then waits until each has ended with exit code 0.
 func verbShutdown(f *fleet, a *arguments) error {
-	if err := each((*daemon).terminate)(f, a); err != nil {
+	if err := each((*daemon).Terminate)(f, a); err != nil {
 		return err
 	}
-	return each((*daemon).ended)(f, a)
+	return each((*daemon).Ended)(f, a)
 }
 
 // pair resolves the two sides of a cut or silence; the relay must be there.
--- a/scenarios/verbs_traffic_test.go
+++ b/scenarios/verbs_traffic_test.go
@@ -49,7 +49,7 @@
 	d := newDaemon("traffic/"+name, f.dir, "burdock-load", "--settings", file, "--out", result)
 	f.daemons = append(f.daemons, d)
 	f.traffic[name] = &trafficRun{daemon: d, duration: duration, result: result}
-	return d.start()
+	return d.Start()
 }
 
 func (f *fleet) trafficSettings(rate, orders, resend string, duration, lag time.Duration) (string, error) {
@@ -100,7 +100,7 @@
 	if err := await("the end of the traffic", bound, func() error { return allEnded([]*daemon{run.daemon}) }); err != nil {
 		return err
 	}
-	if err := run.daemon.ended(); err != nil {
+	if err := run.daemon.Ended(); err != nil {
 		return err
 	}
 	data, err := os.ReadFile(run.result)
@@ -117,7 +117,7 @@
 			want = strconv.FormatUint(got["requests"], 10)
 		}
 		if n := strconv.FormatUint(got[key], 10); n != want {
-			return fmt.Errorf("%s is %s, want %s:\n%s", key, n, want, run.daemon.logTail())
+			return fmt.Errorf("%s is %s, want %s:\n%s", key, n, want, run.daemon.LogTail())
 		}
 	}
 	return nil
--- a/scenarios/watch_test.go
+++ b/scenarios/watch_test.go
@@ -88,13 +88,13 @@
 	for _, role := range roles {
 		name := role + "/" + n.name
 		d := w.fleet.daemon(name)
-		start := d.startCount()
-		if d.isFrozen() || !d.running() {
+		start := d.Starts()
+		if d.Frozen() || !d.Running() {
 			continue
 		}
 		ready := w.fleet.processReady(name) == nil
 		dump, err := w.fleet.bundleDump(name)
-		if err != nil || d.startCount() != start {
+		if err != nil || d.Starts() != start {
 			continue
 		}
 		w.saw(name, start, ready, dump)
@@ -132,7 +132,7 @@
 // ask searches through a VM's entry and compares the answer's version with those of the answers
 // before it.
 func (w *watcher) ask(n *node) {
-	if d := w.fleet.daemon("entry/" + n.name); d.isFrozen() || !d.running() {
+	if d := w.fleet.daemon("entry/" + n.name); d.Frozen() || !d.Running() {
 		return
 	}
 	rep := (&request{
@@ -162,7 +162,7 @@
 // daemon returns the process of that full name, which must be there.
 func (f *fleet) daemon(name string) *daemon {
 	for _, d := range f.daemons {
-		if d.name == name {
+		if d.Name() == name {
 			return d
 		}
 	}
@@ -233,9 +233,9 @@
 
 func (f *fleet) eachDump(daemons []*daemon, check dumpCheck) error {
 	for _, d := range daemons {
-		dump, err := f.bundleDump(d.name)
+		dump, err := f.bundleDump(d.Name())
 		if err == nil {
-			err = check(d.name, dump)
+			err = check(d.Name(), dump)
 		}
 		if err != nil {
 			return err
