Add burdock-soak: seeded faults against real processes, and a check of eleven promises

Several burdock-node processes run on loopback on the platform's wire, before stand-ins of store and leaves, with relays on the links. A seed draws leaves that are slow, hang, refuse, fail, lose or spoil answers, crash, drain or give their address to another service; a store that is busy, silent, slow, loses answers or forgets; links cut, silent or slow; processes frozen, killed, stopped in order, reloaded; changes of configuration and of the set of shards. Callers go on over kept connections until a process is gone.

--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Violation is a promise that was broken.
+type Violation struct {
+	Check  string `json:"check"`
+	Detail string `json:"detail"`
+}
+
+// check is one promise; it returns what broke it.
+type check struct {
+	name string
+	run  func(h *History, x *index) []string
+}
+
+// checks are the promises, in the order of the report.
+var checks = []check{
+	{"own whole true answers", checkOwn},
+	{"nothing unasked runs", checkUnasked},
+	{"orders run once at most", checkOnce},
+	{"not run means not run", checkNotRun},
+	{"extra calls keep the budget", checkBudget},
+	{"leaving leaves get no new work", checkDrain},
+	{"configuration in force in time", checkConfig},
+	{"configuration never goes back", checkBack},
+	{"orderly ends cut nothing", checkCut},
+	{"orderly ends end", checkEnds},
+	{"service recovers", checkRecovery},
+}
+
+// detailsMost bounds the details of one check in a report.
+const detailsMost = 5
+
+// Check returns what broke the promises in a history.
+func Check(h *History) []Violation {
+	x := newIndex(h)
+	var out []Violation
+	for _, c := range checks {
+		details := c.run(h, x)
+		for _, d := range details[:min(detailsMost, len(details))] {
+			out = append(out, Violation{c.name, d})
+		}
+		if n := len(details); n > detailsMost {
+			out = append(out, Violation{c.name, fmt.Sprintf("and %d more", n-detailsMost)})
+		}
+	}
+	return out
+}
+
+// index finds the calls and runs of an id.
+type index struct {
+	calls map[string]*Call
+	runs  map[string][]*Run
+}
+
+func newIndex(h *History) *index {
+	x := &index{calls: make(map[string]*Call), runs: make(map[string][]*Run)}
+	for i := range h.Calls {
+		x.calls[h.Calls[i].ID] = &h.Calls[i]
+	}
+	for i := range h.Runs {
+		r := &h.Runs[i]
+		x.runs[r.ID] = append(x.runs[r.ID], r)
+	}
+	return x
+}
+
+// ran returns how often a leaf began to work on the request.
+func (x *index) ran(id string) int {
+	n := 0
+	for _, r := range x.runs[id] {
+		if r.Ran {
+			n++
+		}
+	}
+	return n
+}
+
+// signed returns the run that a signature stands for; nil where no leaf signed so.
+func (x *index) signed(id, stamp string) *Run {
+	for _, r := range x.runs[id] {
+		if r.Ran && r.Leaf+"."+id == stamp {
+			return r
+		}
+	}
+	return nil
+}
+
+// checkOwn: a success bears the signatures of leaves that ran this request, and holds just what they
+// answered.
+func checkOwn(h *History, x *index) []string {
+	var out []string
+	for i := range h.Calls {
+		c := &h.Calls[i]
+		if c.Status != 200 {
+			continue
+		}
+		if why := wrongAnswer(h, x, c); why != "" {
+			out = append(out, fmt.Sprintf("%s %s at VM %d: %s", c.Kind, c.ID, c.VM, why))
+		}
+	}
+	return out
+}
+
+// wrongAnswer says what is wrong with a success; empty where nothing is.
+func wrongAnswer(h *History, x *index, c *Call) string {
+	var services []string
+	for _, stamp := range c.Stamps {
+		r := x.signed(c.ID, stamp)
+		if r == nil {
+			return fmt.Sprintf("no leaf signed %q", stamp)
+		}
+		services = append(services, r.Service)
+	}
+	if c.Kind == Search {
+		return wrongSearch(h, c, services)
+	}
+	if len(services) != 1 {
+		return fmt.Sprintf("%d signatures", len(services))
+	}
+	if want := answer(services[0], c.ID, c.Target); c.Body != want {
+		return fmt.Sprintf("body %q, want %q", c.Body, want)
+	}
+	return ""
+}
+
+// wrongSearch says what is wrong with a search whose parts are of the shards.
+func wrongSearch(h *History, c *Call, shards []string) string {
+	slices.Sort(shards)
+	if len(slices.Compact(slices.Clone(shards))) != len(shards) {
+		return fmt.Sprintf("a shard twice: %v", shards)
+	}
+	fits := func(f Config) bool {
+		within := func(s string) bool { return slices.Contains(f.Shards, s) }
+		return !slices.ContainsFunc(shards, func(s string) bool { return !within(s) }) && len(f.Shards)-len(shards) == c.Missing
+	}
+	if !slices.ContainsFunc(h.Configs, fits) {
+		return fmt.Sprintf("parts %v and %d missing fit no configuration", shards, c.Missing)
+	}
+	if want := merge(shards, c.Target); c.Body != want {
+		return fmt.Sprintf("body %q, want %q of %v", c.Body, want, shards)
+	}
+	return ""
+}
+
+func checkUnasked(h *History, x *index) []string {
+	var out []string
+	for i := range h.Runs {
+		r := &h.Runs[i]
+		c := x.calls[r.ID]
+		if r.Ran && (c == nil || c.Target != r.Target) {
+			out = append(out, fmt.Sprintf("leaf %s ran %q of id %q", r.Leaf, r.Target, r.ID))
+		}
+	}
+	return out
+}
+
+func checkOnce(h *History, x *index) []string {
+	return each(h, func(c *Call) string {
+		if n := x.ran(c.ID); c.Kind == Order && n > 1 {
+			return fmt.Sprintf("order %s ran %d times", c.ID, n)
+		}
+		return ""
+	})
+}
+
+func checkNotRun(h *History, x *index) []string {
+	return each(h, func(c *Call) string {
+		if c.Kind == Order && (c.Status == 503 || c.Status == 429) && x.ran(c.ID) > 0 {
+			return fmt.Sprintf("order %s was answered %d and ran", c.ID, c.Status)
+		}
+		return ""
+	})
+}
+
+// each returns what the function says of the calls.
+func each(h *History, f func(*Call) string) []string {
+	var out []string
+	for i := range h.Calls {
+		if s := f(&h.Calls[i]); s != "" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// checkDrain: nothing that was sent and taken by a VM in touch reaches a leaf past the bound.
+func checkDrain(h *History, x *index) []string {
+	left := make(map[string]time.Time)
+	for _, d := range h.Drains {
+		left[d.Leaf] = d.At
+	}
+	var out []string
+	for i := range h.Runs {
+		r := &h.Runs[i]
+		at, leaves := left[r.Leaf]
+		c := x.calls[r.ID]
+		if !leaves || c == nil || r.At.Before(at.Add(drainBound+slack)) || !h.inTouch(c.VM, at, r.At) {
+			continue
+		}
+		out = append(out, fmt.Sprintf("request %s of VM %d reached leaf %s %v after it was marked as leaving", r.ID, c.VM, r.Leaf, r.At.Sub(at).Round(time.Millisecond)))
+	}
+	return out
+}
+
+// checkCut: an orderly end, and a VM that nothing happens to, leaves no request unanswered that a leaf got.
+// Neither can a VM that stands still answer a caller before it gives up.
+func checkCut(h *History, x *index) []string {
+	return each(h, func(c *Call) string {
+		switch {
+		case c.Err == "", strings.HasPrefix(c.Err, notSent), len(x.runs[c.ID]) == 0, h.killedWithin(c.VM, c.Sent, c.Ended):
+			return ""
+		case strings.HasPrefix(c.Err, gaveUp) && h.frozenWithin(c.VM, c.Sent, c.Ended):
+			return ""
+		}
+		return fmt.Sprintf("%s %s at VM %d, passed on to a leaf, got no answer: %s", c.Kind, c.ID, c.VM, c.Err)
+	})
+}
+
+func checkEnds(h *History, _ *index) []string {
+	var out []string
+	for _, e := range h.Ends {
+		if e.Err != "" {
+			out = append(out, fmt.Sprintf("VM %d: %s", e.VM, e.Err))
+		}
+	}
+	return out
+}
+
+// recoveredShare is the least share of requests served once recovery is due. Leaves fail none of them then.
+const recoveredShare = 0.95
+
+func checkRecovery(h *History, _ *index) []string {
+	sent, served := 0, 0
+	for i := range h.Calls {
+		if c := &h.Calls[i]; c.Sent.After(h.Calm.Add(recoveryBound)) && c.Ended.Before(h.Closing) {
+			sent++
+			if c.Status == 200 {
+				served++
+			}
+		}
+	}
+	if float64(served) >= recoveredShare*float64(sent) && sent > 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d of %d requests were served from %v after the last fault on", served, sent, recoveryBound)}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Size of a run.
+type Size struct {
+	// VMs and Zones, and for how long faults are injected.
+	VMs, Zones int
+	Faults     time.Duration
+}
+
+// DefaultSize is a dozen processes' worth of work in half a minute.
+func DefaultSize() Size { return Size{VMs: 6, Zones: 3, Faults: 14 * time.Second} }
+
+// Fault names a sort of fault.
+type Fault string
+
+// The faults.
+const (
+	LeafSlow      Fault = "leaf_slow"
+	LeafHang      Fault = "leaf_hang"
+	LeafRefuse    Fault = "leaf_refuse"
+	LeafErrors    Fault = "leaf_errors"
+	LeafLose      Fault = "leaf_lose_answers"
+	LeafGarble    Fault = "leaf_garble"
+	LeafExtra     Fault = "leaf_extra_answers"
+	LeafCrash     Fault = "leaf_crash"
+	LeafDrain     Fault = "leaf_drain"
+	LeafReuse     Fault = "leaf_address_reused"
+	StoreBusy     Fault = "store_busy"
+	StoreSilent   Fault = "store_silent"
+	StoreSlow     Fault = "store_slow"
+	StoreLose     Fault = "store_lose_answers"
+	StoreCompact  Fault = "store_compact"
+	LinkStoreCut  Fault = "link_store_cut"
+	LinkLeafCut   Fault = "link_leaf_cut"
+	LinkLeafMute  Fault = "link_leaf_silent"
+	LinkLeafDelay Fault = "link_leaf_delay"
+	LinkConnsMute Fault = "link_conns_silent"
+	VMFreeze      Fault = "vm_freeze"
+	VMKill        Fault = "vm_kill"
+	VMTerminate   Fault = "vm_terminate"
+	VMReload      Fault = "vm_reload"
+	Rolling       Fault = "vm_rolling"
+	PowerOff      Fault = "vm_kill_all"
+	ConfigChange  Fault = "config_change"
+	ConfigReshard Fault = "config_reshard"
+)
+
+// faults are those that a plan draws from, by weight.
+var faults = []struct {
+	fault  Fault
+	weight int
+}{
+	{LeafSlow, 3}, {LeafHang, 2}, {LeafRefuse, 3}, {LeafErrors, 2}, {LeafLose, 3}, {LeafGarble, 3}, {LeafExtra, 3},
+	{LeafCrash, 3}, {LeafDrain, 5}, {LeafReuse, 3},
+	{StoreBusy, 1}, {StoreSilent, 1}, {StoreSlow, 1}, {StoreLose, 1}, {StoreCompact, 2},
+	{LinkStoreCut, 3}, {LinkLeafCut, 2}, {LinkLeafMute, 2}, {LinkLeafDelay, 2}, {LinkConnsMute, 2},
+	{VMFreeze, 3}, {VMKill, 3}, {VMTerminate, 4}, {VMReload, 2}, {Rolling, 1},
+}
+
+// Event is a fault at a time from the start of the faults.
+type Event struct {
+	At, For time.Duration
+	Fault   Fault
+	// Share of the things that it may strike, and Pick, which of them are struck first.
+	Share float64
+	Pick  uint64
+}
+
+// String says the event in a line of a report.
+func (e Event) String() string {
+	return fmt.Sprintf("%6.2fs %-20s for %.2fs share %.2f", e.At.Seconds(), e.Fault, e.For.Seconds(), e.Share)
+}
+
+const (
+	// Times between faults and between changes of the configuration are drawn up to twice these.
+	faultGap, configGap = 350 * time.Millisecond, 900 * time.Millisecond
+	// faultMost bounds how long a fault lasts.
+	faultMost = 3 * time.Second
+	// powerOffOdds: one run in so many ends its faults with the loss of all VMs.
+	powerOffOdds = 4
+)
+
+// NewPlan returns the events of a seed. The same seed and size give the same plan.
+func NewPlan(seed uint64, size Size) []Event {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var plan []Event
+	for at := drawn(rng, faultGap); at < size.Faults; at += drawn(rng, faultGap) {
+		plan = append(plan, Event{At: at, For: min(drawn(rng, faultMost/2), size.Faults-at), Fault: drawFault(rng), Share: rng.Float64() / 2, Pick: rng.Uint64()})
+	}
+	for at := drawn(rng, configGap); at < size.Faults; at += drawn(rng, configGap) {
+		f := ConfigChange
+		if rng.IntN(5) == 0 {
+			f = ConfigReshard
+		}
+		plan = append(plan, Event{At: at, Fault: f})
+	}
+	if rng.IntN(powerOffOdds) == 0 {
+		plan = append(plan, Event{At: size.Faults, For: time.Second, Fault: PowerOff})
+	}
+	return plan
+}
+
+// drawn is between a tenth of the mean and nearly twice it.
+func drawn(rng *rand.Rand, mean time.Duration) time.Duration {
+	return mean/10 + time.Duration(rng.Float64()*float64(2*mean-mean/5))
+}
+
+func drawFault(rng *rand.Rand) Fault {
+	sum := 0
+	for _, f := range faults {
+		sum += f.weight
+	}
+	n := rng.IntN(sum)
+	for _, f := range faults {
+		if n -= f.weight; n < 0 {
+			return f.fault
+		}
+	}
+	return LeafSlow
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,35 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestShortRun plays one small seed with real processes: 3 VMs, 6 s of faults, and the recovery after them.
+func TestShortRun(t *testing.T) {
+	if testing.Short() {
+		t.Skip("half a minute of real time")
+	}
+	is := is.New(t)
+	dir := t.TempDir()
+	program := filepath.Join(dir, "burdock-node")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/burdockplank/burdockplank/cmd/burdock-node").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	r, err := Play(t.Context(), Options{
+		Seed: 11, Size: Size{VMs: 3, Zones: 3, Faults: 6 * time.Second}, Program: program, Net: 71, Out: dir, Keep: true,
+	})
+	is.NoErr(err)
+	var words strings.Builder
+	r.WriteText(&words)
+	t.Log(words.String())
+	is.Equal(r.Violations, nil)
+	is.Equal(len(r.Uninjected), 0)
+	is.True(r.Calls["search 200"] > 100 && r.Calls["order 200"] > 100)
+}
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -67,13 +67,22 @@
 
 // NewLeaf starts a leaf at a free port of loopback with as many slots. Close ends it.
 func NewLeaf(id string, slots int, script Script) *Leaf {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	leaf, err := NewLeafAt("127.0.0.1:0", id, slots, script)
 	if err != nil {
 		panic(err)
 	}
+	return leaf
+}
+
+// NewLeafAt starts a leaf at the address, such as that of one that has ended.
+func NewLeafAt(address, id string, slots int, script Script) (*Leaf, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	leaf := &Leaf{ID: id, listener: l, slots: make(chan struct{}, slots), script: script, conns: make(map[net.Conn]struct{})}
 	leaf.ended.Go(leaf.accept)
-	return leaf
+	return leaf, nil
 }
 
 // Address returns IP:PORT of the leaf.
