--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -40,6 +40,11 @@
 			p.misbehave(misbehaviour{fault: e.Fault, until: time.Now().Add(e.For), share: 0.1 + e.Share})
 		}
 		wait.For(ctx, e.For)
+	case LeafStorm:
+		for _, p := range w.placesOf(some(w.places, e)[0].serves()) {
+			p.misbehave(misbehaviour{fault: LeafRefuse, until: time.Now().Add(e.For), share: stormShare})
+		}
+		wait.For(ctx, e.For)
 	case LeafCrash, LeafDrain, LeafReuse:
 		w.replace(ctx, some(w.places, e), e)
 	case StoreBusy, StoreSilent, StoreSlow, StoreLose, StoreCompact:
@@ -53,6 +58,10 @@
 	}
 }
 
+// stormShare is the part of requests that all leaves of a service refuse in a storm: with three repeats of
+// each the budget is all that keeps the rest from the leaves.
+const stormShare = 0.9
+
 // some draws the event's share of the things, one at least.
 func some[T any](all []T, e Event) []T {
 	rng := rand.New(rand.NewPCG(e.Pick, 1))
@@ -66,10 +75,8 @@
 	struck := make(map[string]bool)
 	var open sync.WaitGroup
 	for _, p := range places {
-		p.mu.Lock()
-		service, there := p.service, p.leaf != nil
-		p.mu.Unlock()
-		if struck[service] || !there || e.Fault == LeafReuse && w.placesOf(service) < replicas {
+		service := p.serves()
+		if struck[service] || p.current() == nil || e.Fault == LeafReuse && len(w.placesOf(service)) < replicas {
 			continue // another replica of it goes already, or went for good
 		}
 		struck[service] = true
@@ -78,17 +85,15 @@
 	open.Wait()
 }
 
-// placesOf counts the places of a service.
-func (w *world) placesOf(service string) int {
-	n := 0
+// placesOf returns the places of a service.
+func (w *world) placesOf(service string) []*place {
+	var out []*place
 	for _, p := range w.places {
-		p.mu.Lock()
-		if p.service == service {
-			n++
+		if p.serves() == service {
+			out = append(out, p)
 		}
-		p.mu.Unlock()
 	}
-	return n
+	return out
 }
 
 func (w *world) replaceOne(ctx context.Context, p *place, service string, e Event) {
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -98,6 +98,13 @@
 	return p.leaf
 }
 
+// serves returns the service of the place.
+func (p *place) serves() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service
+}
+
 func (p *place) misbehave(m misbehaviour) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,6 +24,7 @@
 	LeafSlow      Fault = "leaf_slow"
 	LeafHang      Fault = "leaf_hang"
 	LeafRefuse    Fault = "leaf_refuse"
+	LeafStorm     Fault = "leaf_refuse_all"
 	LeafErrors    Fault = "leaf_errors"
 	LeafLose      Fault = "leaf_lose_answers"
 	LeafGarble    Fault = "leaf_garble"
@@ -56,7 +57,7 @@
 	fault  Fault
 	weight int
 }{
-	{LeafSlow, 3}, {LeafHang, 2}, {LeafRefuse, 3}, {LeafErrors, 2}, {LeafLose, 3}, {LeafGarble, 3}, {LeafExtra, 3},
+	{LeafSlow, 3}, {LeafHang, 2}, {LeafRefuse, 3}, {LeafStorm, 2}, {LeafErrors, 2}, {LeafLose, 3}, {LeafGarble, 3}, {LeafExtra, 3},
 	{LeafCrash, 3}, {LeafDrain, 5}, {LeafReuse, 3},
 	{StoreBusy, 1}, {StoreSilent, 1}, {StoreSlow, 1}, {StoreLose, 1}, {StoreCompact, 2},
 	{LinkStoreCut, 3}, {LinkLeafCut, 2}, {LinkLeafMute, 2}, {LinkLeafDelay, 2}, {LinkConnsMute, 2},
