--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -41,10 +41,10 @@
 		}
 		wait.For(ctx, e.For)
 	case LeafStorm:
-		for _, p := range w.placesOf(some(w.places, e)[0].serves()) {
-			p.misbehave(misbehaviour{fault: LeafRefuse, until: time.Now().Add(e.For), share: stormShare})
+		for _, p := range w.placesOf(w.shardInForce(e)) {
+			p.misbehave(misbehaviour{fault: LeafRefuse, until: time.Now().Add(e.For + stormLeast), share: stormShare})
 		}
-		wait.For(ctx, e.For)
+		wait.For(ctx, e.For+stormLeast)
 	case LeafCrash, LeafDrain, LeafReuse:
 		w.replace(ctx, some(w.places, e), e)
 	case StoreBusy, StoreSilent, StoreSlow, StoreLose, StoreCompact:
@@ -58,9 +58,19 @@
 	}
 }
 
-// stormShare is the part of requests that all leaves of a service refuse in a storm: with three repeats of
-// each the budget is all that keeps the rest from the leaves.
-const stormShare = 0.9
+const (
+	// stormShare is the part of requests that all leaves of a shard refuse in a storm, which lasts stormLeast
+	// at least: with two repeats of each the budget is all that keeps the rest from the leaves.
+	stormShare = 0.9
+	stormLeast = 2 * time.Second
+)
+
+// shardInForce draws one of the shards that searches go to now.
+func (w *world) shardInForce(e Event) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return some(w.configs[len(w.configs)-1].Shards, e)[0]
+}
 
 // some draws the event's share of the things, one at least.
 func some[T any](all []T, e Event) []T {
