--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -94,7 +94,7 @@
 }
 
 // empty tells whether a field says nothing.
-func empty(v any) bool { return v == nil || v == "" || v == 0.0 }
+func empty(v any) bool { return v == nil || v == "" || v == json.Number("0") }
 
 func (r storyReport) writeText(w io.Writer) {
 	t := newTable(w)
--- a/internal/ctl/story_test.go
+++ b/internal/ctl/story_test.go
@@ -18,7 +18,7 @@
 		is.NoErr(os.WriteFile(f, []byte(text), 0o600))
 		return f
 	}
-	a := write("a", `{"level":"info","time":"2026-01-27T11:00:10.000Z","msg":"request","vm":"vm-1","id":"r-1","outcome":"not_run","missing":0,"bad_calls":[{"service":"s","leaf":"i-7","what":"refused"}]}`+"\n")
+	a := write("a", `{"level":"info","time":"2026-01-27T11:00:10.000Z","msg":"request","vm":"vm-1","id":"r-1","outcome":"not_run","missing":0,"digest":13747339570290540557,"bad_calls":[{"service":"s","leaf":"i-7","what":"refused"}]}`+"\n")
 	b := write("b", `{"level":"info","time":"2026-01-27T11:00:09.000Z","msg":"leaf gone","vm":"vm-2","leaf":"i-7","service":"s"}`+"\n")
 
 	got := burdockctl(t, "story", "r-1", a, b)
@@ -28,6 +28,7 @@
 	is.True(strings.Contains(lines[0], "-1.000s") && strings.Contains(lines[0], "leaf gone"))
 	is.True(strings.HasPrefix(lines[1], ">") && strings.Contains(lines[1], `outcome="not_run"`))
 	is.True(!strings.Contains(lines[1], "missing")) // zeros say nothing
+	is.True(strings.Contains(lines[1], "digest=13747339570290540557"))
 
 	got = burdockctl(t, "--json", "story", "r-1", b, a)
 	var r storyReport
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -65,7 +65,9 @@
 		return Line{}, false
 	}
 	var l Line
-	if json.Unmarshal(text[brace:], &l.Fields) != nil {
+	d := json.NewDecoder(bytes.NewReader(text[brace:]))
+	d.UseNumber() // a digest has more digits than a float64
+	if d.Decode(&l.Fields) != nil {
 		return Line{}, false
 	}
 	at, err := time.Parse(time.RFC3339Nano, l.text(decision.FieldTime))
