--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -42,7 +42,7 @@
 		wait.For(ctx, e.For)
 	case LeafStorm:
 		for _, p := range w.placesOf(w.shardInForce(e)) {
-			p.misbehave(misbehaviour{fault: LeafRefuse, until: time.Now().Add(e.For + stormLeast), share: stormShare})
+			p.misbehave(misbehaviour{fault: LeafRefuse, until: time.Now().Add(e.For + stormLeast), share: stormShare, firm: true})
 		}
 		wait.For(ctx, e.For+stormLeast)
 	case LeafCrash, LeafDrain, LeafReuse:
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -39,6 +39,8 @@
 	fault Fault
 	until time.Time
 	share float64
+	// firm is set where no other may take its place before its time is over.
+	firm bool
 }
 
 // past are the leaves that there were, for what they have seen.
@@ -108,7 +110,9 @@
 func (p *place) misbehave(m misbehaviour) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.misbehaviour = m
+	if !p.firm || time.Now().After(p.until) {
+		p.misbehaviour = m
+	}
 }
 
 // script answers requests of the service, with the faults of the place.
