--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -30,7 +30,7 @@
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
-	ready     bool
+	ready bool
 	// served is true once the newest start has counted as ready.
 	served    bool
 	misses    int
