--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -17,6 +17,7 @@
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/process"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -131,7 +132,7 @@
 		}
 		m.metrics.streamEnds.WithLabelValues(endReason(err)).Inc()
 		m.cfg.Log.Debug("feed stream ended", zap.Error(err))
-		if !sleep(ctx, reconnectMin+rand.N(reconnectMax-reconnectMin)) {
+		if !wait.For(ctx, reconnectMin+rand.N(reconnectMax-reconnectMin)) {
 			return
 		}
 	}
@@ -225,18 +226,6 @@
 	return connect.CodeOf(err).String()
 }
 
-// sleep waits for d and tells whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // stamp is a time shared by the reader and the guard of a stream.
 type stamp struct {
 	mu sync.Mutex
--- a/internal/feed/report.go
+++ b/internal/feed/report.go
@@ -9,6 +9,8 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -55,7 +57,7 @@
 		case <-t.C:
 		case <-m.reports.woken:
 		}
-		if err := m.report(ctx, reportTimeout); err != nil && sleep(ctx, reportRetry) {
+		if err := m.report(ctx, reportTimeout); err != nil && wait.For(ctx, reportRetry) {
 			m.reports.wake()
 		}
 	}
--- a/internal/order/attempt.go
+++ b/internal/order/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/burdockplank/burdockplank/internal/outcome"
 	"github.com/burdockplank/burdockplank/internal/ticket"
 	"github.com/burdockplank/burdockplank/internal/upstream"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const stepExecute = "order.execute"
@@ -97,7 +98,7 @@
 		if !a.m.now().Before(limit) {
 			return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, stepPlace, "all replicas are at their limit, take a new ticket").After(a.m.cfg.RetryAfter)
 		}
-		sleep(ctx, a.m.cfg.PickEvery)
+		wait.For(ctx, a.m.cfg.PickEvery)
 	}
 }
 
--- a/internal/order/ends.go
+++ b/internal/order/ends.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/balance"
@@ -41,13 +40,3 @@
 		return balance.ResultError
 	}
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/order/net_test.go
+++ b/internal/order/net_test.go
@@ -8,6 +8,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/upstream"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 var errLost = errors.New("lost")
@@ -122,7 +123,7 @@
 		return nil, &upstream.CallError{Leaf: leaf, Err: errLost}
 	}
 	if f.refusal != pb.LeafRefusalReason_LEAF_REFUSAL_REASON_UNSPECIFIED {
-		if sleep(ctx, f.delay); ctx.Err() != nil {
+		if wait.For(ctx, f.delay); ctx.Err() != nil {
 			return nil, &upstream.CallError{Leaf: leaf, Wrote: true, Err: ctx.Err()}
 		}
 		return nil, &upstream.CallError{Leaf: leaf, Wrote: true, Refusal: f.refusal, Err: errLost}
--- a/internal/syncd/catchup.go
+++ b/internal/syncd/catchup.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockplank/burdockplank/internal/platform"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -45,7 +46,7 @@
 	pauses := m.spread.Pauses()
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if sleep(limited, settle) {
+	if wait.For(limited, settle) {
 		m.askAll(limited)
 	}
 	if ctx.Err() != nil {
@@ -70,7 +71,7 @@
 		if answered > 0 || asked == 0 && len(answer) > 0 {
 			break
 		}
-		if !sleep(ctx, askAgainMin+rand.N(askAgainMax-askAgainMin)) {
+		if !wait.For(ctx, askAgainMin+rand.N(askAgainMax-askAgainMin)) {
 			break
 		}
 	}
@@ -97,7 +98,7 @@
 	var backoff platform.Backoff
 	for {
 		manifest, ok := m.reader.readOnce(ctx)
-		if ok || !sleep(ctx, backoff.Next()) {
+		if ok || !wait.For(ctx, backoff.Next()) {
 			return manifest
 		}
 	}
--- a/internal/syncd/drain.go
+++ b/internal/syncd/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -30,21 +32,9 @@
 		if !busy && (!ready || now.Sub(started) >= restartGrace) {
 			break
 		}
-		if !sleep(ctx, drainTick) {
+		if !wait.For(ctx, drainTick) {
 			break
 		}
 	}
 	m.spread.PushNow(time.Now())
 }
-
-// sleep waits for d and tells whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/syncd/feed.go
+++ b/internal/syncd/feed.go
@@ -10,6 +10,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -82,7 +83,7 @@
 		return true
 	case <-changed:
 	}
-	return sleep(ctx, feedGap)
+	return wait.For(ctx, feedGap)
 }
 
 // send sends what the process doesn't have yet.
--- a/internal/syncd/network_test.go
+++ b/internal/syncd/network_test.go
@@ -10,6 +10,8 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 // latency of the fake network, one way.
@@ -84,7 +86,7 @@
 			<-ctx.Done()
 			return none, errUnreachable
 		}
-		if !sleep(ctx, latency) {
+		if !wait.For(ctx, latency) {
 			return none, ctx.Err()
 		}
 	}
--- a/internal/syncd/platform_test.go
+++ b/internal/syncd/platform_test.go
@@ -10,6 +10,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/platform"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 // fakePlatform holds one manifest, its sections and the list.
@@ -83,12 +84,12 @@
 	nd *node
 }
 
-func (n *nodePlatform) read(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
-	end := time.Now().Add(wait)
+func (n *nodePlatform) read(ctx context.Context, key string, after uint64, most time.Duration) (platform.Value, error) {
+	end := time.Now().Add(most)
 	n.p.mu.Lock()
 	n.p.reads++
 	n.p.mu.Unlock()
-	if !sleep(ctx, latency) {
+	if !wait.For(ctx, latency) {
 		return platform.Value{}, ctx.Err()
 	}
 	for {
@@ -99,7 +100,7 @@
 		left := time.Until(end)
 		switch {
 		case cut:
-			sleep(ctx, 2*time.Second)
+			wait.For(ctx, 2*time.Second)
 			return platform.Value{}, errUnreachable
 		case v.Revision > after:
 			return v, nil
@@ -123,14 +124,14 @@
 	return n.read(ctx, key, 0, 0)
 }
 
-func (n *nodePlatform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Value, error) {
-	return n.read(ctx, key, after, wait)
+func (n *nodePlatform) Watch(ctx context.Context, key string, after uint64, most time.Duration) (platform.Value, error) {
+	return n.read(ctx, key, after, most)
 }
 
 func (n *nodePlatform) List(ctx context.Context) (platform.Value, error) {
 	return n.read(ctx, listKey, 0, 0)
 }
 
-func (n *nodePlatform) WatchList(ctx context.Context, after uint64, wait time.Duration) (platform.Value, error) {
-	return n.read(ctx, listKey, after, wait)
+func (n *nodePlatform) WatchList(ctx context.Context, after uint64, most time.Duration) (platform.Value, error) {
+	return n.read(ctx, listKey, after, most)
 }
--- a/internal/syncd/reader.go
+++ b/internal/syncd/reader.go
@@ -17,6 +17,7 @@
 	"github.com/burdockplank/burdockplank/internal/listing"
 	"github.com/burdockplank/burdockplank/internal/platform"
 	"github.com/burdockplank/burdockplank/internal/readers"
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -70,7 +71,7 @@
 			stop()
 			stop = nil
 		}
-		if !sleep(ctx, turnPeriod) {
+		if !wait.For(ctx, turnPeriod) {
 			if stop != nil {
 				stop()
 			}
@@ -118,15 +119,15 @@
 	var after uint64
 	for ctx.Err() == nil {
 		next, err := once(ctx, after)
-		wait := minWatchGap
+		gap := minWatchGap
 		if err != nil {
-			wait = backoff.Next()
+			gap = backoff.Next()
 			r.m.cfg.Log.Debug("platform read failed", zap.Error(err))
 		} else {
 			backoff.Reset()
 			after = next
 		}
-		if !sleep(ctx, wait) {
+		if !wait.For(ctx, gap) {
 			return
 		}
 	}
