Let who asked a process to end not wait for its next start; give one place of a service at most

Ruled out: a gather that doesn't end (its start that was asked had been killed). Ended now goes by the start that was asked.

--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -32,6 +32,8 @@
 	// Guarded by mu. cmd is the newest start, nil before the first; done is closed when it has ended.
 	cmd  *exec.Cmd
 	done chan struct{}
+	// asked is the number of the start that was asked to end, killed of the newest that was killed.
+	asked, killed int
 	// frozen is true between freeze and wake.
 	frozen bool
 	// starts counts the starts so far; woken is just before the newest wake.
@@ -182,6 +184,9 @@
 
 // Kill ends the process without notice.
 func (p *Process) Kill() error {
+	p.mu.Lock()
+	p.killed = p.starts
+	p.mu.Unlock()
 	if err := p.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -196,18 +201,32 @@
 			return err
 		}
 	}
+	p.mu.Lock()
+	p.asked = p.starts
+	p.mu.Unlock()
 	return p.Signal(syscall.SIGTERM)
 }
 
-// Ended waits until the process has ended after Terminate, and wants exit code 0.
+// killedSinceAsked tells whether the start that was asked to end was killed, and so has nothing to show.
+func (p *Process) killedSinceAsked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed >= p.asked && p.asked > 0
+}
+
+// Ended waits until the start that was asked to end by Terminate has ended, and wants exit code 0. One that was
+// killed meanwhile, and perhaps started again, has ended.
 func (p *Process) Ended() error {
+	if p.killedSinceAsked() {
+		return nil
+	}
 	select {
 	case <-p.Done():
 	case <-time.After(endBound):
 		_ = p.Kill()
 		return fmt.Errorf("%s didn't end within %s of SIGTERM; killed", p.name, endBound)
 	}
-	if state := p.ExitState(); state.ExitCode() != 0 {
+	if state := p.ExitState(); state.ExitCode() != 0 && !p.killedSinceAsked() {
 		return fmt.Errorf("%s ended with %s; its log ends:\n%s", p.name, state, p.LogTail())
 	}
 	return nil
--- /dev/null
+++ b/internal/child/child_test.go
@@ -0,0 +1,52 @@
+package child
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// slowToEnd is a program that takes longer to end than any test waits, as one does that drains.
+func slowToEnd(t *testing.T) *Process {
+	p := New("slow", t.TempDir(), "/bin/sh", "-c", "trap '' TERM; echo up; while :; do sleep 0.05; done")
+	t.Cleanup(func() { _ = p.Kill() }) // it may have ended
+	return p
+}
+
+func up(t *testing.T, p *Process) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); p.LogTail() == ""; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the program doesn't run")
+		}
+	}
+}
+
+// A process that is killed while it ends in order, and started again, has ended: who asked it to end must not
+// wait for the new start.
+func TestEndedAfterAKillMeanwhile(t *testing.T) {
+	is := is.New(t)
+	p := slowToEnd(t)
+	is.NoErr(p.Start())
+	up(t, p)
+	is.NoErr(p.Terminate())
+	is.NoErr(p.Kill())
+	is.NoErr(p.Start())
+	began := time.Now()
+	is.NoErr(p.Ended())
+	is.True(time.Since(began) < time.Second)
+	is.True(p.Running())
+}
+
+// A process that ends with a failure after Terminate is told of, also where an earlier start was killed.
+func TestEndedTellsOfFailures(t *testing.T) {
+	is := is.New(t)
+	p := New("failing", t.TempDir(), "/bin/sh", "-c", "trap 'exit 3' TERM; echo up; while :; do sleep 0.05; done")
+	is.NoErr(p.Start())
+	is.NoErr(p.Kill())
+	is.NoErr(p.Start())
+	up(t, p)
+	is.NoErr(p.Terminate())
+	is.True(p.Ended() != nil)
+}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -86,7 +86,7 @@
 	var open sync.WaitGroup
 	for _, p := range places {
 		service := p.serves()
-		if struck[service] || p.current() == nil || e.Fault == LeafReuse && len(w.placesOf(service)) < replicas {
+		if struck[service] || p.current() == nil || e.Fault == LeafReuse && !w.mayGive(service) {
 			continue // another replica of it goes already, or went for good
 		}
 		struck[service] = true
@@ -95,6 +95,18 @@
 	open.Wait()
 }
 
+// mayGive tells whether a place of the service may go to another, and notes that it does: one of its replicas
+// at most, so that none is left without a leaf.
+func (w *world) mayGive(service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gave[service] {
+		return false
+	}
+	w.gave[service] = true
+	return true
+}
+
 // placesOf returns the places of a service.
 func (w *world) placesOf(service string) []*place {
 	var out []*place
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -40,6 +40,8 @@
 	configs []Config
 	drains  []Drain
 	ends    []End
+	// gave holds the services of which a place went to another.
+	gave map[string]bool
 	// errs are faults that could not be injected.
 	errs []string
 }
@@ -73,7 +75,7 @@
 
 // newWorld opens everything; no VM runs yet.
 func newWorld(o Options, dir string) (*world, error) {
-	w := &world{o: o, dir: dir, store: hosted.NewStore()}
+	w := &world{o: o, dir: dir, store: hosted.NewStore(), gave: make(map[string]bool)}
 	forwards := []relay.Forward{{Listen: fmt.Sprintf("%s:%d", w.address(3, 1), entryPort), Target: w.store.Address(), Networks: []relay.Network{relay.TCP}}}
 	host := 1
 	for _, service := range services() {
--- a/scenarios/mischief_test.go
+++ b/scenarios/mischief_test.go
@@ -185,11 +185,19 @@
 			if err := eachOf(ds, (*daemon).Ended); err != nil {
 				return err
 			}
-			return eachOf(ds, (*daemon).Start)
+			return eachOf(ds, startIfDown)
 		},
 	}
 }
 
+// startIfDown starts a process, unless another fault killed it meanwhile and has started it again.
+func startIfDown(d *daemon) error {
+	if d.Running() {
+		return nil
+	}
+	return d.Start()
+}
+
 // cuts cuts two VMs, a VM from a leaf, or two availability zones from each other.
 func cuts(m *mischief) mishap {
 	pairs := [][2]string{{m.vm().name, m.vm().name}, {m.vm().name, m.leaf().name}, {m.f.vms[0].zone, m.f.vms[1].zone}}
