Keep the platform's names in its stand-ins, and say the rest once

Names of the platform's wire stood in the soak (callers, configuration, entries, settings file, readiness, an answer to another request), the configuration and the question for readiness a second time in the tests of internal/node. They stand in internal/standin/hosted now, which serves both. Also: the soak ends processes through internal/child, with its own bound; it woke a frozen process before it killed it, which SIGKILL doesn't need; the report counts served calls where it counts calls, not from text; defaults of the command line come from soak.DefaultSize; a fourth copy of wait.For in internal/load is gone. Nothing that burdock-node is built of changed.

--- a/cmd/burdock-soak/main.go
+++ b/cmd/burdock-soak/main.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -28,9 +29,9 @@
 // common is what both commands take.
 type common struct {
 	Program string        `help:"Path of burdock-node." default:"bin/burdock-node" placeholder:"FILE"`
-	VMs     int           `name:"vms" help:"Number of VMs." default:"6"`
-	Zones   int           `help:"Number of availability zones." default:"3"`
-	Faults  time.Duration `help:"How long faults are injected." default:"14s"`
+	VMs     int           `name:"vms" help:"Number of VMs." default:"${vms}"`
+	Zones   int           `help:"Number of availability zones." default:"${zones}"`
+	Faults  time.Duration `help:"How long faults are injected." default:"${faults}"`
 	Net     int           `help:"Second number of the loopback addresses 127.NET.x.y." default:"70"`
 	Out     string        `help:"Directory of reports and logs." default:"soak-out" placeholder:"DIR"`
 	JSON    bool          `name:"json" help:"Print reports as JSON."`
@@ -67,7 +68,11 @@
 
 func main() {
 	var c commandLine
-	parser := kong.Must(&c, kong.Name("burdock-soak"), kong.Vars{"version": version.Version},
+	size := soak.DefaultSize()
+	parser := kong.Must(&c, kong.Name("burdock-soak"),
+		kong.Vars{
+			"version": version.Version, "vms": strconv.Itoa(size.VMs), "zones": strconv.Itoa(size.Zones), "faults": size.Faults.String(),
+		},
 		kong.Description("Seeded faults against burdock-node, and a check of its promises."))
 	k, err := parser.Parse(os.Args[1:])
 	if err != nil {
--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -214,15 +214,23 @@
 	return p.killed >= p.asked && p.asked > 0
 }
 
+// AwaitEnd waits until the newest start has ended, at most for the given time, and tells whether it has.
+func (p *Process) AwaitEnd(most time.Duration) bool {
+	select {
+	case <-p.Done():
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
 // Ended waits until the start that was asked to end by Terminate has ended, and wants exit code 0. One that was
 // killed meanwhile, and perhaps started again, has ended.
 func (p *Process) Ended() error {
 	if p.killedSinceAsked() {
 		return nil
 	}
-	select {
-	case <-p.Done():
-	case <-time.After(endBound):
+	if !p.AwaitEnd(endBound) {
 		_ = p.Kill()
 		return fmt.Errorf("%s didn't end within %s of SIGTERM; killed", p.name, endBound)
 	}
--- a/internal/load/rotation.go
+++ b/internal/load/rotation.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
@@ -63,7 +65,7 @@
 func (r *rotation) watch(ctx context.Context, entry int) {
 	// changed is when the entry was first seen to differ from what the rotation says.
 	var changed time.Time
-	for sleepUntil(ctx, time.Now().Add(probeEvery)) {
+	for wait.For(ctx, probeEvery) {
 		out := !r.ready(ctx, r.operators[entry])
 		switch {
 		case out == r.isOut(entry):
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -7,6 +7,8 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+
+	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 // resendPause bounds how fast a caller that resends at once can spin on a dead entry.
@@ -54,7 +56,7 @@
 	schedule := NewSchedule(r.settings.phases(), r.settings.weights(), r.settings.Load.Seed)
 	for range r.settings.Load.MaxRequests {
 		a, ok := schedule.Next()
-		if !ok || !sleepUntil(ctx, start.Add(a.At)) {
+		if !ok || !wait.For(ctx, time.Until(start.Add(a.At))) {
 			return
 		}
 		if r.inFlight.Load() >= int64(r.settings.Load.MaxInFlight) {
@@ -77,7 +79,7 @@
 		reply := r.sender.Send(context.WithoutCancel(ctx), r.rotation.pick(), req)
 		r.recorder.Sent(a, reply, time.Since(from))
 		pause, again := r.resendAfter(reply, resends)
-		if !again || !sleepUntil(ctx, time.Now().Add(pause)) {
+		if !again || !wait.For(ctx, pause) {
 			r.recorder.Ended(a, reply, time.Since(intended))
 			return
 		}
@@ -110,19 +112,3 @@
 	}
 	return false
 }
-
-// sleepUntil returns false where ctx ended first.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -69,7 +69,7 @@
 			})
 			t.Cleanup(l.Close)
 			s.leaves[id] = l
-			s.store.PutJSON("servers/"+id, l.Entry(service, "z", "ready"))
+			s.store.Enter(l, service, "z", "ready", l.Address())
 		}
 	}
 	s.configure("x")
@@ -79,20 +79,13 @@
 // configure puts the next version in force, in which /x/ goes to the service.
 func (s *site) configure(single string) {
 	s.version++
-	var services []map[string]any
-	for _, n := range []string{"s0", "s1", "s2", "x", "later"} {
-		services = append(services, map[string]any{"name": n, "health_check_path": "/health", "connection_limit": 30, "protocol": "h1"})
-	}
-	s.store.PutJSON("op/config", map[string]any{
-		"version": s.version,
-		"routes": []map[string]any{
-			{"name": "s", "host": "h", "prefix": "/s/", "kind": "idempotent", "timeout_ms": 800, "target_latency_ms": 150, "priority": 1,
-				"gather": []string{"s0", "s1", "s2"}, "max_attempts": 2, "top_k": 2, "min_shard_share": 0.6},
-			{"name": "x", "host": "h", "prefix": "/x/", "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 600, "priority": 2,
-				"service": single, "max_attempts": 2},
+	s.store.Configure(hosted.Config{
+		Version: s.version, Services: []string{"s0", "s1", "s2", "x", "later"}, Connections: 30,
+		Routes: []hosted.Route{
+			{Name: "s", Host: "h", Prefix: "/s/", Idempotent: true, Timeout: 800 * time.Millisecond, Target: 150 * time.Millisecond,
+				Shards: []string{"s0", "s1", "s2"}, Priority: 1, MaxAttempts: 2, Top: 2, LeastPart: 0.6},
+			{Name: "x", Host: "h", Prefix: "/x/", Timeout: 3 * time.Second, Target: 600 * time.Millisecond, Service: single, Priority: 2, MaxAttempts: 2},
 		},
-		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
 
@@ -158,14 +151,7 @@
 	return resp.StatusCode, resp.Header, string(body), err
 }
 
-func (v *vm) ready() bool {
-	resp, err := http.Get("http://" + v.settings.Ready + "/-/readiness")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
+func (v *vm) ready() bool { return hosted.Ready(http.DefaultClient, v.settings.Ready) }
 
 func within(t testing.TB, d time.Duration, what string, ok func() bool) {
 	t.Helper()
@@ -250,7 +236,7 @@
 	v := s.start(true)
 	within(t, 3*time.Second, "ready", v.ready)
 	leaf := s.leaves["x-a"]
-	s.store.PutJSON("servers/x-a", leaf.Entry("x", "z", "draining"))
+	s.store.Enter(leaf, "x", "z", "draining", leaf.Address())
 	time.Sleep(time.Second)
 	before := len(leaf.Requests())
 	for i := range 20 {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -5,16 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"github.com/burdockplank/burdockplank/internal/standin/hosted"
 	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
@@ -124,18 +122,18 @@
 		body = "one of " + out.ID
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callLimit + time.Second))
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRemaining-Milliseconds: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, out.Target, out.ID, callLimit.Milliseconds(), len(body), body)
-	if _, err := c.conn.Write([]byte(text)); err != nil {
+	ask := hosted.Ask{ID: out.ID, Method: method, Host: host, Target: out.Target, Body: body, Wait: callLimit}
+	if err := ask.Write(c.conn); err != nil {
 		out.Err = notSent + err.Error()
 		return false
 	}
-	resp, err := http.ReadResponse(c.reader, nil)
+	a, err := hosted.ReadAnswer(c.reader)
 	if err != nil {
 		out.Err = readError(err)
 		return false
 	}
-	return take(resp, out)
+	out.take(a)
+	return a.Keep
 }
 
 // choose draws the kind of the next request.
@@ -149,25 +147,17 @@
 	return Search, http.MethodGet, "/s/"
 }
 
-// take reads an answer into the call and tells whether the connection goes on.
-func take(resp *http.Response, out *Call) (keep bool) {
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		out.Err = readError(err)
-		return false
-	}
-	out.Status, out.Body, out.Stamps = resp.StatusCode, string(body), resp.Header.Values("Server-Stamp")
-	if got := resp.Header.Get("Request-Id"); out.Kind != Search && out.Status == http.StatusOK && got != out.ID {
-		out.Stamps = []string{"answer to " + got}
+// take notes an answer.
+func (c *Call) take(a *hosted.Answer) {
+	c.Status, c.Body = a.Status, a.Body
+	switch {
+	case c.Kind == Search:
+		c.Stamps, c.Missing = a.Parts, a.Missing
+	case a.Status == http.StatusOK && a.ID != c.ID:
+		c.Stamps = []string{"answer to " + a.ID}
+	default:
+		c.Stamps = a.Stamps
 	}
-	if out.Kind == Search {
-		out.Stamps = split(resp.Header.Get("Part-Stamps"))
-		out.Missing, err = strconv.Atoi(resp.Header.Get("Missing-Parts"))
-		if err != nil {
-			out.Missing = -1 // fits no configuration
-		}
-	}
-	return !resp.Close
 }
 
 // readError says why no whole answer was read.
@@ -177,8 +167,3 @@
 	}
 	return err.Error()
 }
-
-// split takes a list of words apart.
-func split(s string) []string {
-	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
-}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -130,7 +130,7 @@
 	if e.Fault != LeafDrain {
 		wait.For(ctx, entryLapse)
 	}
-	w.store.Delete("servers/" + leaf.ID)
+	w.store.Remove(leaf)
 	if e.Fault == LeafReuse {
 		service = single(int(e.Pick % singles))
 		wait.For(ctx, reuseAfter)
@@ -192,12 +192,12 @@
 	for _, v := range vms {
 		v.disturb(Span{time.Now(), time.Now().Add(e.For), string(e.Fault)})
 		if e.Fault == LinkStoreCut {
-			rules = append(rules, relay.Rule{From: v.ip, To: w.address(3, 1), Mode: relay.ModeCut})
+			rules = append(rules, relay.Rule{From: v.settings.IP, To: w.address(3, 1), Mode: relay.ModeCut})
 			continue
 		}
 		for _, p := range some(w.places, e) {
 			to := p.entry[:len(p.entry)-len(fmt.Sprintf(":%d", entryPort))]
-			rules = append(rules, linkRule(e.Fault, v.ip, to))
+			rules = append(rules, linkRule(e.Fault, v.settings.IP, to))
 		}
 	}
 	w.changeRules(func(old []relay.Rule) []relay.Rule { return append(old, rules...) })
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -118,7 +118,7 @@
 // script answers requests of the service, with the faults of the place.
 func (p *place) script(service string) hosted.Script {
 	return func(_ int, r *http.Request) hosted.Reply {
-		reply := hosted.Reply{Delay: leafWork, Body: []byte(answer(service, r.Header.Get("Request-Id"), r.RequestURI))}
+		reply := hosted.Reply{Delay: leafWork, Body: []byte(answer(service, hosted.RequestID(r), r.RequestURI))}
 		if strings.HasPrefix(r.RequestURI, "/s/") {
 			reply.Body = []byte(part(service, r.RequestURI))
 		}
@@ -148,6 +148,6 @@
 	case LeafGarble:
 		reply.Truncate = max(1, len(reply.Body)/2)
 	case LeafExtra:
-		reply.Then = []byte("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: other.other\r\nContent-Length: 5\r\n\r\nother")
+		reply.Then = hosted.ForeignAnswer()
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -35,9 +36,12 @@
 	Uninjected []string       `json:"uninjected"`
 	Events     []string       `json:"events"`
 	Calls      map[string]int `json:"calls"`
-	Runs       int            `json:"runs"`
-	Versions   int            `json:"versions"`
-	Directory  string         `json:"directory"`
+	// Asked are all calls, Served those that got a success.
+	Asked     int    `json:"asked"`
+	Served    int    `json:"served"`
+	Runs      int    `json:"runs"`
+	Versions  int    `json:"versions"`
+	Directory string `json:"directory"`
 }
 
 // Failed tells whether a promise was broken.
@@ -67,7 +71,7 @@
 func newReport(o Options, h *History, plan []Event, uninjected []string, dir string) *Report {
 	r := &Report{
 		Seed: o.Seed, Violations: Check(h), Uninjected: uninjected, Calls: make(map[string]int), Runs: len(h.Runs),
-		Versions: len(h.Configs), Directory: dir,
+		Versions: len(h.Configs), Asked: len(h.Calls), Directory: dir,
 	}
 	for _, e := range plan {
 		r.Events = append(r.Events, e.String())
@@ -79,6 +83,9 @@
 			key = fmt.Sprintf("%s without an answer", c.Kind)
 		}
 		r.Calls[key]++
+		if c.Status == http.StatusOK {
+			r.Served++
+		}
 	}
 	return r
 }
@@ -112,15 +119,8 @@
 	if r.Failed() {
 		verdict = "FAILED"
 	}
-	total, served := 0, 0
-	for key, n := range r.Calls {
-		total += n
-		if len(key) > 4 && key[len(key)-4:] == " 200" {
-			served += n
-		}
-	}
 	_, _ = fmt.Fprintf(w, "seed %d %s: %d events, %d versions, %d of %d requests served, %d calls to leaves, %.0f s\n",
-		r.Seed, verdict, len(r.Events), r.Versions, served, total, r.Runs, r.Took.Seconds())
+		r.Seed, verdict, len(r.Events), r.Versions, r.Served, r.Asked, r.Runs, r.Took.Seconds())
 	for _, v := range r.Violations {
 		_, _ = fmt.Fprintf(w, "  broken: %s: %s\n", v.Check, v.Detail)
 	}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -3,16 +3,17 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/child"
+	"github.com/burdockplank/burdockplank/internal/deployment"
+	"github.com/burdockplank/burdockplank/internal/retrybudget"
+	"github.com/burdockplank/burdockplank/internal/standin/hosted"
 )
 
 const (
@@ -25,7 +26,7 @@
 // vm is one VM: its process and what the balancer thinks of it.
 type vm struct {
 	number   int
-	ip, zone string
+	settings *deployment.Settings
 	process  *child.Process
 
 	mu sync.Mutex
@@ -59,34 +60,19 @@
 	v.busy = false
 }
 
-// newVM writes the settings of a VM. The seeds are the control addresses of all.
-func newVM(number int, ip, zone, store string, seeds []string, program, dir string) (*vm, error) {
-	name := fmt.Sprintf("vm-%d", number)
-	file := filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(`node_name = %q
-ip = %q
-zone = %q
-seeds = ["%s"]
-[listen]
-frontend = "%s:%d"
-ready = "%s:%d"
-control = "%s:%d"
-[limits]
-memory_mb = 192
-[bounds]
-grace_period_s = %g
-retry_budget_ratio = %g
-retry_budget_slack = %d
-retry_window_s = %g
-config_apply_ms = %d
-[platform]
-address = %q
-`, name, ip, zone, strings.Join(seeds, `", "`), ip, callersPort, ip, readyPort, ip, controlPort,
-		graceBound.Seconds(), budgetRatio, budgetSlack, budgetWindow.Seconds(), configBound.Milliseconds(), store)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+// memoryBytes is the memory of a VM.
+const memoryBytes = 192 << 20
+
+// newVM writes the settings of a VM, completed by what all have in common.
+func newVM(number int, program, dir string, s *deployment.Settings) (*vm, error) {
+	s.Callers, s.Ready, s.Peers = hostPort(s.IP, callersPort), hostPort(s.IP, readyPort), hostPort(s.IP, controlPort)
+	s.MemoryBytes, s.Grace, s.ConfigBound = memoryBytes, graceBound, configBound
+	s.Extra = retrybudget.Limit{Ratio: budgetRatio, Slack: budgetSlack, Window: budgetWindow}
+	file := filepath.Join(dir, s.VM+".toml")
+	if err := hosted.WriteSettings(file, s); err != nil {
 		return nil, err
 	}
-	return &vm{number: number, ip: ip, zone: zone, process: child.New(name, dir, program, "--settings", file)}, nil
+	return &vm{number: number, settings: s, process: child.New(s.VM, dir, program, "--settings", file)}, nil
 }
 
 func (v *vm) start() error {
@@ -109,11 +95,6 @@
 	v.mu.Lock()
 	v.killed = append(v.killed, Span{time.Now(), time.Now(), "killed"})
 	v.mu.Unlock()
-	if v.process.Frozen() {
-		if err := v.process.Wake(); err != nil {
-			return err
-		}
-	}
 	return v.process.Kill()
 }
 
@@ -122,17 +103,16 @@
 	v.mu.Lock()
 	e, served := End{VM: v.number, Start: v.starts, Asked: time.Now()}, v.served
 	v.mu.Unlock()
-	if err := v.process.Signal(syscall.SIGTERM); err != nil {
+	if err := v.process.Terminate(); err != nil {
 		e.Err = err.Error()
 		return e
 	}
-	select {
-	case <-v.process.Done():
-		e.Err = endError(v.process.ExitState(), served)
-	case <-time.After(graceBound + slack):
+	if !v.process.AwaitEnd(graceBound + slack) {
 		e.Err = fmt.Sprintf("still runs %v after SIGTERM; killed", graceBound+slack)
 		_ = v.kill()
+		return e
 	}
+	e.Err = endError(v.process.ExitState(), served)
 	return e
 }
 
@@ -148,11 +128,7 @@
 
 // ask asks for readiness as the balancer does.
 func (v *vm) ask(client *http.Client) {
-	resp, err := client.Get("http://" + net.JoinHostPort(v.ip, fmt.Sprint(readyPort)) + "/-/readiness")
-	ok := err == nil && resp.StatusCode == http.StatusOK
-	if err == nil {
-		_ = resp.Body.Close()
-	}
+	ok := hosted.Ready(client, v.settings.Ready)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if ok {
@@ -180,5 +156,5 @@
 	v := ready[rng.IntN(len(ready))]
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.number, v.starts, net.JoinHostPort(v.ip, fmt.Sprint(callersPort)), true
+	return v.number, v.starts, v.settings.Callers, true
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/burdockplank/burdockplank/internal/deployment"
 	"github.com/burdockplank/burdockplank/internal/relay"
 	"github.com/burdockplank/burdockplank/internal/standin/hosted"
 	"github.com/burdockplank/burdockplank/internal/wait"
@@ -18,6 +21,9 @@
 	entryPort = 7000
 	// replicas of each shard and of each other service, one a zone.
 	replicas = 3
+	// leafConnections is how many connections a leaf takes, host what callers ask for.
+	leafConnections = 60
+	host            = "h"
 	// singles are the services that single requests go to, in turn from version to version.
 	singles = 5
 	// shardsNeeded is the least share of a search's shards.
@@ -51,6 +57,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", w.o.Net, part, host)
 }
 
+// hostPort joins an IP number and a port.
+func hostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
 // setOf are the shards of the search before or after a reshard.
 func setOf(second bool) []string {
 	if second {
@@ -76,12 +85,12 @@
 // newWorld opens everything; no VM runs yet.
 func newWorld(o Options, dir string) (*world, error) {
 	w := &world{o: o, dir: dir, store: hosted.NewStore(), gave: make(map[string]bool)}
-	forwards := []relay.Forward{{Listen: fmt.Sprintf("%s:%d", w.address(3, 1), entryPort), Target: w.store.Address(), Networks: []relay.Network{relay.TCP}}}
-	host := 1
+	forwards := []relay.Forward{{Listen: hostPort(w.address(3, 1), entryPort), Target: w.store.Address(), Networks: []relay.Network{relay.TCP}}}
+	number := 1
 	for _, service := range services() {
 		for i := range replicas {
-			p := &place{listen: "127.0.0.1:0", entry: fmt.Sprintf("%s:%d", w.address(2, host), entryPort), zone: zone(i % o.Size.Zones)}
-			host++
+			p := &place{listen: "127.0.0.1:0", entry: hostPort(w.address(2, number), entryPort), zone: zone(i % o.Size.Zones)}
+			number++
 			leaf, err := p.open(&w.past, service)
 			if err != nil {
 				return nil, err
@@ -103,10 +112,13 @@
 func (w *world) makeVMs() error {
 	var seeds []string
 	for i := range w.o.Size.VMs {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", w.address(1, i+1), controlPort))
+		seeds = append(seeds, hostPort(w.address(1, i+1), controlPort))
 	}
 	for i := range w.o.Size.VMs {
-		v, err := newVM(i, w.address(1, i+1), zone(i%w.o.Size.Zones), fmt.Sprintf("%s:%d", w.address(3, 1), entryPort), seeds, w.o.Program, w.dir)
+		v, err := newVM(i, w.o.Program, w.dir, &deployment.Settings{
+			VM: fmt.Sprintf("vm-%d", i), Zone: zone(i % w.o.Size.Zones), IP: w.address(1, i+1), Seeds: seeds,
+			Store: hostPort(w.address(3, 1), entryPort),
+		})
 		if err != nil {
 			return err
 		}
@@ -118,9 +130,7 @@
 // enter writes the entry of the place's leaf.
 func (w *world) enter(p *place, state string) {
 	if leaf := p.current(); leaf != nil {
-		entry := leaf.Entry(p.service, p.zone, state)
-		entry["address"] = p.entry
-		w.store.PutJSON("servers/"+leaf.ID, entry)
+		w.store.Enter(leaf, p.service, p.zone, state, p.entry)
 	}
 }
 
@@ -133,29 +143,23 @@
 	if n := len(w.configs); n > 0 {
 		next.Shards = setOf((w.configs[n-1].Shards[0] == setOf(true)[0]) != reshard)
 	}
-	var list []map[string]any
-	for _, name := range services() {
-		list = append(list, map[string]any{"name": name, "health_check_path": "/health", "connection_limit": 60, "protocol": "h1"})
-	}
-	route := func(name, prefix, kind string, more map[string]any) map[string]any {
-		out := map[string]any{"name": name, "host": "h", "prefix": prefix, "kind": kind, "timeout_ms": 1500, "target_latency_ms": 300, "priority": 1, "max_attempts": 3}
-		for k, v := range more {
-			out[k] = v
-		}
-		return out
-	}
-	text := map[string]any{
-		"version": next.Version, "services": list,
-		"routes": []map[string]any{
-			route("s", "/s/", "idempotent", map[string]any{"gather": next.Shards, "top_k": topRecords, "min_shard_share": shardsNeeded}),
-			route("v", "/v/", "idempotent", map[string]any{"service": next.Service}),
-			route("o", "/o/", "non_idempotent", map[string]any{"service": orderService}),
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	}
+	search, single, order := route("s"), route("v"), route("o")
+	search.Shards, search.Top, search.LeastPart = next.Shards, topRecords, shardsNeeded
+	single.Service = next.Service
+	order.Service, order.Idempotent = orderService, false
 	next.At = time.Now()
 	w.configs = append(w.configs, next)
-	w.store.PutJSON("op/config", text)
+	w.store.Configure(hosted.Config{
+		Version: next.Version, Routes: []hosted.Route{search, single, order}, Services: services(), Connections: leafConnections,
+	})
+}
+
+// route is what the routes have in common.
+func route(name string) hosted.Route {
+	return hosted.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Idempotent: true, Timeout: 1500 * time.Millisecond,
+		Target: 300 * time.Millisecond, Priority: 1, MaxAttempts: 3,
+	}
 }
 
 // run plays the plan and returns what was seen.
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -62,6 +62,14 @@
 	Early bool
 }
 
+// RequestID returns the attempt's id that a request carries.
+func RequestID(r *http.Request) string { return r.Header.Get("Request-Id") }
+
+// ForeignAnswer is a success that belongs to another attempt, signed by nobody.
+func ForeignAnswer() []byte {
+	return []byte("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: other.other\r\nContent-Length: 5\r\n\r\nother")
+}
+
 // Script decides what a leaf does with its n-th request, from 0.
 type Script func(n int, r *http.Request) Reply
 
@@ -177,7 +185,7 @@
 	}
 	remaining, _ := strconv.Atoi(r.Header.Get("Remaining-Milliseconds"))
 	seen := Seen{
-		ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Expected: r.Header.Get("Expected-Instance"),
+		ID: RequestID(r), Method: r.Method, Target: r.RequestURI, Host: r.Host, Expected: r.Header.Get("Expected-Instance"),
 		Remaining: remaining, Header: r.Header, Body: body, At: time.Now(),
 	}
 	moved := seen.Expected != "" && seen.Expected != l.ID
--- /dev/null
+++ b/internal/standin/hosted/operator.go
@@ -0,0 +1,105 @@
+package hosted
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/deployment"
+)
+
+// Route is a route as the operator writes it.
+type Route struct {
+	Name, Host, Prefix string
+	Idempotent         bool
+	Timeout, Target    time.Duration
+	// Priority is the rank of the route, 0 the most urgent.
+	Priority, MaxAttempts int
+	// Service of single requests; or the Shards of a search, how many records it returns and the least
+	// share of the shards.
+	Service   string
+	Shards    []string
+	Top       int
+	LeastPart float64
+}
+
+// Config is a version of the configuration as the operator writes it.
+type Config struct {
+	Version int
+	Routes  []Route
+	// Services by name, each with so many connections to a leaf.
+	Services    []string
+	Connections int
+}
+
+// Configure puts a version in force.
+func (s *Store) Configure(c Config) {
+	var routes, services []map[string]any
+	for i := range c.Routes {
+		routes = append(routes, c.Routes[i].wire())
+	}
+	for _, name := range c.Services {
+		services = append(services, map[string]any{
+			"name": name, "health_check_path": "/health", "connection_limit": c.Connections, "protocol": "h1",
+		})
+	}
+	s.PutJSON("op/config", map[string]any{
+		"version": c.Version, "routes": routes, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+func (r *Route) wire() map[string]any {
+	kind := "non_idempotent"
+	if r.Idempotent {
+		kind = "idempotent"
+	}
+	out := map[string]any{
+		"name": r.Name, "host": r.Host, "prefix": r.Prefix, "kind": kind, "priority": r.Priority, "max_attempts": r.MaxAttempts,
+		"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.Target.Milliseconds(),
+	}
+	if len(r.Shards) == 0 {
+		out["service"] = r.Service
+		return out
+	}
+	out["gather"], out["top_k"], out["min_shard_share"] = r.Shards, r.Top, r.LeastPart
+	return out
+}
+
+// Enter writes the entry of a leaf that is reached at the address.
+func (s *Store) Enter(l *Leaf, service, zone, state, address string) {
+	entry := l.Entry(service, zone, state)
+	entry["address"] = address
+	s.PutJSON(entryKey(l), entry)
+}
+
+// Remove deletes the entry of a leaf.
+func (s *Store) Remove(l *Leaf) { s.Delete(entryKey(l)) }
+
+func entryKey(l *Leaf) string { return "servers/" + l.ID }
+
+// WriteSettings writes a VM's settings file as the platform does.
+func WriteSettings(file string, s *deployment.Settings) error {
+	text := fmt.Sprintf(`node_name = %q
+ip = %q
+zone = %q
+seeds = ["%s"]
+[listen]
+frontend = %q
+ready = %q
+control = %q
+[limits]
+memory_mb = %d
+[bounds]
+grace_period_s = %g
+retry_budget_ratio = %g
+retry_budget_slack = %g
+retry_window_s = %g
+config_apply_ms = %d
+[platform]
+address = %q
+`, s.VM, s.IP, s.Zone, strings.Join(s.Seeds, `", "`), s.Callers, s.Ready, s.Peers, s.MemoryBytes>>20,
+		s.Grace.Seconds(), s.Extra.Ratio, s.Extra.Slack, s.Extra.Window.Seconds(), s.ConfigBound.Milliseconds(), s.Store)
+	return os.WriteFile(file, []byte(text), 0o600)
+}
