End a process one of whose listeners can't be opened

A VM whose readiness address was taken ended its duties, but the duty that serves callers followed only an orderly stop: the process stayed, never ready and deaf to its stop. In the test the address was one that had been free a moment before at the shared 127.0.0.1, which any connection of a test beside may get. Ruled out: a slow machine; the failure had the whole pattern (3 s + 10 s) of a taken address, and the new test with a listener at the readiness address fails in just these two lines. VMs under test have a loopback address of their own and fixed ports below those of outgoing connections. Before: TestTakenAddressEndsTheProcess fails after 15 s. After: the package passes (22 s).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,7 +189,7 @@
 			{Name: "directory", Run: d.directory.Run},
 			{Name: "pool", Run: d.pool.Run},
 			{Name: "follow", Run: d.follow},
-			{Name: "callers", Run: func(context.Context) error { return d.serveCallers(callers) }},
+			{Name: "callers", Run: func(ctx context.Context) error { return serveUntil(ctx, d.server, callers) }},
 			{Name: "readiness", Run: d.serve(d.settings.Ready, d.platform.Ready(d.ready))},
 		},
 	}
@@ -220,19 +220,17 @@
 		if err != nil {
 			return eris.Wrapf(err, "node: listen at %s", address)
 		}
-		server := rpc.NewServer(h)
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return eris.Wrapf(err, "node: serve at %s", address)
-		}
-		return nil
+		return serveUntil(ctx, rpc.NewServer(h), l)
 	}
 }
 
-func (d *Daemon) serveCallers(l net.Listener) error {
-	if err := d.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "node: serve callers")
+// serveUntil serves until ctx ends or the server is shut down. The end of ctx cuts off what still runs:
+// an orderly stop has shut the server down before.
+func serveUntil(ctx context.Context, server *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "node: serve at %s", l.Addr())
 	}
 	return nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -45,15 +46,20 @@
 	version int
 }
 
-// freeAddress returns an address of loopback that is free now.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// The ports of a VM under test, below those that the kernel gives to outgoing connections.
+const (
+	callersPort = "8226"
+	readyPort   = "8227"
+	peersPort   = "8224"
+	metricsPort = "9464"
+	// closedPort has no listener.
+	closedPort = "8229"
+)
+
+// ownIP returns an address of loopback that no other VM has, of this or another run: a port that was free
+// a moment ago at a shared address may be taken by a connection of a test beside.
+func ownIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
 }
 
 // newSite starts three shards s0 to s2 of two leaves each, and a service x of two leaves.
@@ -92,25 +98,39 @@
 // start runs a VM; one without a store is refused by it.
 func (s *site) start(withStore bool) *vm {
 	s.t.Helper()
+	v := s.prepare(withStore)
+	s.run(v)
+	return v
+}
+
+// prepare returns a VM that doesn't run yet.
+func (s *site) prepare(withStore bool) *vm {
+	s.t.Helper()
+	ip := ownIP()
 	address := s.store.Address()
 	if !withStore {
-		address = freeAddress(s.t) // nobody listens there
+		address = net.JoinHostPort(ip, closedPort)
 	}
 	v := &vm{
 		settings: &deployment.Settings{
-			VM: fmt.Sprintf("vm%d", len(s.vms)), Zone: "z", IP: "127.0.0.1",
-			Callers: freeAddress(s.t), Ready: freeAddress(s.t), Peers: freeAddress(s.t), Store: address, MemoryBytes: 256 << 20,
+			VM: fmt.Sprintf("vm%d", len(s.vms)), Zone: "z", IP: ip,
+			Callers: net.JoinHostPort(ip, callersPort), Ready: net.JoinHostPort(ip, readyPort), Peers: net.JoinHostPort(ip, peersPort), Store: address, MemoryBytes: 256 << 20,
 			Extra: retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, Grace: 6 * time.Second, ConfigBound: 3 * time.Second,
 		},
-		metrics: freeAddress(s.t),
+		metrics: net.JoinHostPort(ip, metricsPort),
 		ended:   make(chan error, 1),
 	}
 	v.settings.Seeds = []string{v.settings.Peers}
 	if len(s.vms) > 0 {
 		v.settings.Seeds = []string{s.vms[0].settings.Peers}
 	}
+	return v
+}
+
+// run runs the VM until the test ends.
+func (s *site) run(v *vm) {
 	p := node.Platform{
-		Store: platform.NewStore(address, "127.0.0.1"), Decoder: platform.Decoder{}, Dialer: platform.NewLeafDialer("127.0.0.1"),
+		Store: platform.NewStore(v.settings.Store, v.settings.IP), Decoder: platform.Decoder{}, Dialer: platform.NewLeafDialer(v.settings.IP),
 		Callers: func(e *dispatch.Engine, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
 			return platform.NewEdge(e, limits, leaving, refused)
 		},
@@ -130,7 +150,6 @@
 			s.t.Error("a VM does not end")
 		}
 	})
-	return v
 }
 
 // get asks the VM and returns the status, the headers and the body.
--- /dev/null
+++ b/internal/node/start_test.go
@@ -0,0 +1,28 @@
+package node_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A VM whose readiness address is taken ends with the error, and doesn't go on half started: never
+// ready, and deaf to its stop.
+func TestTakenAddressEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	v := s.prepare(true)
+	taken, err := net.Listen("tcp", v.settings.Ready)
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	s.run(v)
+	select {
+	case err := <-v.ended:
+		is.True(err != nil)
+		v.ended <- nil
+	case <-time.After(5 * time.Second):
+		t.Fatal("goes on without its readiness address")
+	}
+}
