--- a/api/burdock/v1/burdockv1connect/fleet.connect.go
+++ b/api/burdock/v1/burdockv1connect/fleet.connect.go
@@ -35,12 +35,20 @@
 const (
 	// FleetServiceExchangeProcedure is the fully-qualified name of the FleetService's Exchange RPC.
 	FleetServiceExchangeProcedure = "/burdock.v1.FleetService/Exchange"
+	// FleetServiceSearchProcedure is the fully-qualified name of the FleetService's Search RPC.
+	FleetServiceSearchProcedure = "/burdock.v1.FleetService/Search"
+	// FleetServicePingProcedure is the fully-qualified name of the FleetService's Ping RPC.
+	FleetServicePingProcedure = "/burdock.v1.FleetService/Ping"
 )
 
 // FleetServiceClient is a client for the burdock.v1.FleetService service.
 type FleetServiceClient interface {
 	// Exchange tells the peer what it lacks, and returns what the sender lacks.
 	Exchange(context.Context, *v1.FleetExchange) (*v1.FleetExchange, error)
+	// Search answers a caller's search for another VM, or says that it doesn't take it.
+	Search(context.Context, *v1.FleetSearch) (*v1.FleetSearchAnswer, error)
+	// Ping tells that the VM runs and how far behind its processor is.
+	Ping(context.Context, *v1.FleetPing) (*v1.FleetPong, error)
 }
 
 // NewFleetServiceClient constructs a client for the burdock.v1.FleetService service. By default, it
@@ -60,12 +68,26 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		search: connect.NewClient[v1.FleetSearch, v1.FleetSearchAnswer](
+			httpClient,
+			baseURL+FleetServiceSearchProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Search")),
+			connect.WithClientOptions(opts...),
+		),
+		ping: connect.NewClient[v1.FleetPing, v1.FleetPong](
+			httpClient,
+			baseURL+FleetServicePingProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
 	exchange *connect.Client[v1.FleetExchange, v1.FleetExchange]
+	search   *connect.Client[v1.FleetSearch, v1.FleetSearchAnswer]
+	ping     *connect.Client[v1.FleetPing, v1.FleetPong]
 }
 
 // Exchange calls burdock.v1.FleetService.Exchange.
@@ -77,10 +99,32 @@
 	return nil, err
 }
 
+// Search calls burdock.v1.FleetService.Search.
+func (c *fleetServiceClient) Search(ctx context.Context, req *v1.FleetSearch) (*v1.FleetSearchAnswer, error) {
+	response, err := c.search.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// Ping calls burdock.v1.FleetService.Ping.
+func (c *fleetServiceClient) Ping(ctx context.Context, req *v1.FleetPing) (*v1.FleetPong, error) {
+	response, err := c.ping.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // FleetServiceHandler is an implementation of the burdock.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange tells the peer what it lacks, and returns what the sender lacks.
 	Exchange(context.Context, *v1.FleetExchange) (*v1.FleetExchange, error)
+	// Search answers a caller's search for another VM, or says that it doesn't take it.
+	Search(context.Context, *v1.FleetSearch) (*v1.FleetSearchAnswer, error)
+	// Ping tells that the VM runs and how far behind its processor is.
+	Ping(context.Context, *v1.FleetPing) (*v1.FleetPong, error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -96,10 +140,26 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceSearchHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceSearchProcedure,
+		svc.Search,
+		connect.WithSchema(fleetServiceMethods.ByName("Search")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServicePingHandler := connect.NewUnaryHandlerSimple(
+		FleetServicePingProcedure,
+		svc.Ping,
+		connect.WithSchema(fleetServiceMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/burdock.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
 			fleetServiceExchangeHandler.ServeHTTP(w, r)
+		case FleetServiceSearchProcedure:
+			fleetServiceSearchHandler.ServeHTTP(w, r)
+		case FleetServicePingProcedure:
+			fleetServicePingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -112,3 +172,11 @@
 func (UnimplementedFleetServiceHandler) Exchange(context.Context, *v1.FleetExchange) (*v1.FleetExchange, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.v1.FleetService.Exchange is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Search(context.Context, *v1.FleetSearch) (*v1.FleetSearchAnswer, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.v1.FleetService.Search is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) Ping(context.Context, *v1.FleetPing) (*v1.FleetPong, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.v1.FleetService.Ping is not implemented"))
+}
--- a/cmd/burdock-node/providers.go
+++ b/cmd/burdock-node/providers.go
@@ -34,8 +34,8 @@
 		Store:   platform.NewStore(s.Store, s.IP),
 		Decoder: platform.Decoder{},
 		Dialer:  platform.NewLeafDialer(s.IP),
-		Callers: func(e *dispatch.Engine, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
-			return platform.NewEdge(e, limits, leaving, refused)
+		Callers: func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
+			return platform.NewEdge(s, limits, leaving, refused)
 		},
 		Ready: platform.Ready,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -114,20 +114,21 @@
 	return nil
 }
 
-// Used returns the names of all services that a route leads to.
-func (c *Config) Used() map[string]bool {
-	used := make(map[string]bool)
+// Used returns the names of the services that a route of single requests leads to, and of those that are
+// shards of a search.
+func (c *Config) Used() (single, shards map[string]bool) {
+	single, shards = make(map[string]bool), make(map[string]bool)
 	for _, list := range c.routes {
 		for _, r := range list {
 			for _, s := range r.Shards {
-				used[s] = true
+				shards[s] = true
 			}
 			for _, w := range r.Split {
-				used[w.Service] = true
+				single[w.Service] = true
 			}
 		}
 	}
-	return used
+	return single, shards
 }
 
 // Leaf is one incarnation of an upstream process, as it registered itself.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -42,5 +42,7 @@
 func TestUsed(t *testing.T) {
 	is := is.New(t)
 	c := New(1, []*Route{{Host: "h", Shards: []string{"s1", "s2"}}, {Host: "h", Split: []Weighted{{Service: "x"}}}}, nil, Limits{})
-	is.Equal(c.Used(), map[string]bool{"s1": true, "s2": true, "x": true})
+	single, shards := c.Used()
+	is.Equal(single, map[string]bool{"x": true})
+	is.Equal(shards, map[string]bool{"s1": true, "s2": true})
 }
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -83,8 +83,10 @@
 	if a.Route != nil {
 		route, kind = a.Route.Name, kindOf(a.Route)
 	}
-	r.requests.WithLabelValues(route, string(a.Outcome), string(a.Reason)).Inc()
-	r.latency.WithLabelValues(kind).Observe(took.Seconds())
+	if req.From == "" { // the VM that took it from the caller counts it
+		r.requests.WithLabelValues(route, string(a.Outcome), string(a.Reason)).Inc()
+		r.latency.WithLabelValues(kind).Observe(took.Seconds())
+	}
 	r.calls.WithLabelValues(route, "first").Add(float64(t.Calls - t.Hedges - t.Repeats))
 	r.calls.WithLabelValues(route, "hedge").Add(float64(t.Hedges))
 	r.calls.WithLabelValues(route, "repeat").Add(float64(t.Repeats))
@@ -123,6 +125,7 @@
 func (r *Recorder) write(req *dispatch.Request, a *dispatch.Answer, t *dispatch.Trace, took time.Duration, route string) {
 	r.log.Info(MsgRequest,
 		zap.String(FieldID, req.ID), zap.String("route", route), zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
+		zap.String(FieldFrom, req.From), zap.String(FieldGatherer, t.Gatherer),
 		zap.Duration("took", took), zap.Duration("remaining", req.Remaining),
 		zap.Uint64("config_version", t.Version), zap.Uint64("store_revision", t.Revision),
 		zap.Int("calls", t.Calls), zap.Int("hedges", t.Hedges), zap.Int("repeats", t.Repeats),
--- a/internal/decision/fields.go
+++ b/internal/decision/fields.go
@@ -9,6 +9,9 @@
 	FieldID = "id"
 	// FieldVM is the VM that wrote the line, FieldTime when by its clock, FieldMsg what it is about.
 	FieldVM, FieldTime, FieldMsg = "vm", "time", "msg"
+	// FieldFrom is the VM that took a search from its caller, where it isn't the one that writes; FieldGatherer
+	// the one that made its calls, where it isn't.
+	FieldFrom, FieldGatherer = "from", "gatherer"
 	// FieldBadCalls holds the bad calls of a request, FieldService and FieldLeaf what each was to.
 	FieldBadCalls, FieldService, FieldLeaf = "bad_calls", "service", "leaf"
 )
--- /dev/null
+++ b/internal/delegate/gatherer.go
@@ -0,0 +1,141 @@
+package delegate
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/wait"
+)
+
+// The reasons why a search is not taken.
+const (
+	notTakenLeaving = "leaving"
+	notTakenConfig  = "older configuration"
+	notTakenRoute   = "no such search"
+	notTakenBusy    = "busy"
+)
+
+const (
+	// searchesMost bounds the searches that are answered for others at once. Each holds some 200 KB of buffers
+	// and parts; a burst of twice the usual load keeps a gatherer at 10.
+	searchesMost = 96
+	// lagTick is how often the lag is measured; on half a core it takes 0.1% of it.
+	lagTick = 20 * time.Millisecond
+	// lagWeight is the weight of a new measurement.
+	lagWeight = 0.25
+	// idleTick is how often a VM that gathers for nobody looks whether it still does.
+	idleTick = 500 * time.Millisecond
+)
+
+// Gatherer answers searches of other VMs. It is safe for concurrent use.
+type Gatherer struct {
+	local     dispatch.Server
+	directory dispatch.Directory
+	leaving   func() bool
+	gathers   atomic.Bool
+	lag       atomic.Int64
+
+	mu sync.Mutex
+	// running counts the searches; closed refuses more, and idle is closed once none runs then. Guarded by mu.
+	running int
+	closed  bool
+	idle    chan struct{}
+}
+
+// NewGatherer returns a gatherer; leaving tells whether this VM is about to end.
+func NewGatherer(local dispatch.Server, d dispatch.Directory, leaving func() bool) *Gatherer {
+	return &Gatherer{local: local, directory: d, leaving: leaving, idle: make(chan struct{})}
+}
+
+// SetPlan tells whether others hand searches to this VM.
+func (g *Gatherer) SetPlan(p Plan) { g.gathers.Store(p.Gathers) }
+
+// Search answers a search for another VM, or says why it doesn't take it.
+func (g *Gatherer) Search(ctx context.Context, msg *pb.FleetSearch) *pb.FleetSearchAnswer {
+	out := g.search(ctx, msg)
+	out.Load = g.Ping()
+	return out
+}
+
+func (g *Gatherer) search(ctx context.Context, msg *pb.FleetSearch) *pb.FleetSearchAnswer {
+	config := g.directory.Current().Config
+	if config == nil || config.Version < msg.GetVersionLeast() {
+		return &pb.FleetSearchAnswer{NotTaken: notTakenConfig}
+	}
+	path, _, _ := strings.Cut(msg.GetTarget(), "?")
+	req := decodeSearch(msg, path, time.Now())
+	if route := dispatch.Match(config, req); route == nil || !route.Search() {
+		return &pb.FleetSearchAnswer{NotTaken: notTakenRoute}
+	}
+	if why := g.begin(); why != "" {
+		return &pb.FleetSearchAnswer{NotTaken: why}
+	}
+	defer g.end()
+	a := g.local.Serve(ctx, req)
+	return encodeAnswer(a, config.Version)
+}
+
+// begin counts a search, or says why there is no room for it.
+func (g *Gatherer) begin() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.closed:
+		return notTakenLeaving
+	case g.running >= searchesMost:
+		return notTakenBusy
+	}
+	g.running++
+	return ""
+}
+
+func (g *Gatherer) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	if g.closed && g.running == 0 {
+		close(g.idle)
+	}
+}
+
+// Close takes no more searches and waits for those that run, as long as ctx lasts.
+func (g *Gatherer) Close(ctx context.Context) {
+	g.mu.Lock()
+	if !g.closed {
+		g.closed = true
+		if g.running == 0 {
+			close(g.idle)
+		}
+	}
+	g.mu.Unlock()
+	select {
+	case <-g.idle:
+	case <-ctx.Done():
+	}
+}
+
+// Ping tells of this VM's load.
+func (g *Gatherer) Ping() *pb.FleetPong {
+	return &pb.FleetPong{LagUs: g.lag.Load(), Leaving: g.leaving()}
+}
+
+// Run measures how late the processor gets to what is due, until ctx ends.
+func (g *Gatherer) Run(ctx context.Context) error {
+	for {
+		tick := lagTick
+		if !g.gathers.Load() {
+			tick = idleTick
+		}
+		due := time.Now().Add(tick)
+		if !wait.For(ctx, tick) {
+			return nil
+		}
+		old, late := float64(g.lag.Load()), float64(time.Since(due).Microseconds())
+		g.lag.Store(int64(old + lagWeight*(max(0, late)-old)))
+	}
+}
--- /dev/null
+++ b/internal/delegate/messages.go
@@ -0,0 +1,57 @@
+package delegate
+
+import (
+	"net/http"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/dispatch"
+)
+
+// encodeSearch returns the message that hands the request over at now.
+func encodeSearch(from string, req *dispatch.Request, versionLeast uint64, now time.Time) *pb.FleetSearch {
+	msg := &pb.FleetSearch{
+		From: from, Id: req.ID, Method: req.Method, Host: req.Host, Target: req.Target, Body: req.Body,
+		RemainingUs: req.Remaining.Microseconds(), ElapsedUs: now.Sub(req.Arrived).Microseconds(),
+		NewConnection: req.NewConnection, VersionLeast: versionLeast,
+	}
+	for name, values := range req.Header {
+		msg.Headers = append(msg.Headers, &pb.FleetHeader{Name: name, Values: values})
+	}
+	return msg
+}
+
+// decodeSearch returns the request as if it had come from the caller itself.
+func decodeSearch(msg *pb.FleetSearch, path string, now time.Time) *dispatch.Request {
+	req := &dispatch.Request{
+		ID: msg.GetId(), Method: msg.GetMethod(), Host: msg.GetHost(), Path: path, Target: msg.GetTarget(),
+		Header: make(http.Header, len(msg.GetHeaders())), Body: msg.GetBody(),
+		Remaining: microseconds(msg.GetRemainingUs()), Arrived: now.Add(-microseconds(msg.GetElapsedUs())),
+		NewConnection: msg.GetNewConnection(), From: msg.GetFrom(),
+	}
+	for _, h := range msg.GetHeaders() {
+		req.Header[h.GetName()] = h.GetValues()
+	}
+	return req
+}
+
+// encodeAnswer returns the message of a search's end.
+func encodeAnswer(a *dispatch.Answer, version uint64) *pb.FleetSearchAnswer {
+	if a.Leaf != nil { // the configuration made a single request of it meanwhile, and it may have run
+		a = &dispatch.Answer{Outcome: dispatch.Unknown, Reason: a.Reason}
+	}
+	return &pb.FleetSearchAnswer{
+		Outcome: string(a.Outcome), Reason: string(a.Reason), Signatures: a.Signatures, Missing: uint32(a.Missing),
+		Records: a.Records, RetryAfterUs: a.RetryAfter.Microseconds(), Version: version,
+	}
+}
+
+// decodeAnswer returns the answer of a search that was taken.
+func decodeAnswer(msg *pb.FleetSearchAnswer) *dispatch.Answer {
+	return &dispatch.Answer{
+		Outcome: dispatch.Outcome(msg.GetOutcome()), Reason: dispatch.Reason(msg.GetReason()), Signatures: msg.GetSignatures(),
+		Missing: int(msg.GetMissing()), Records: msg.GetRecords(), RetryAfter: microseconds(msg.GetRetryAfterUs()),
+	}
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/internal/delegate/plan.go
@@ -0,0 +1,90 @@
+// Package delegate hands the searches that a weak VM gets from callers to a strong VM of its availability
+// zone. A search makes a call to each of 36 or 54 shards, which takes some 5 ms of a core: 25 ms of a VM that
+// has a fifth of one, out of a target of 80 to 150 ms. And the few VMs that make all calls see each leaf often
+// enough to know its state, and need few connections.
+package delegate
+
+import (
+	"cmp"
+	"slices"
+)
+
+// strongFrom is the multiple of the weakest VM's processor from which a VM of the same zone counts as strong:
+// below it the hop of 1 to 2 ms at both ends takes what the stronger processor gains.
+const strongFrom = 2
+
+// gatherersPart is the part of what the fleet may spend in extra calls and connections of searches that the
+// VMs which gather share. The rest is for searches that the others make where they reach none of these.
+const gatherersPart = 0.8
+
+// VM is one VM of the fleet as the others know it.
+type VM struct {
+	Address, Zone string
+	// Millicores of its processor; 0 where not known.
+	Millicores int
+}
+
+// Plan says which VMs make the calls of searches.
+type Plan struct {
+	// To are the strong VMs of the own zone, in order of their addresses; empty where this VM gathers itself.
+	To []string
+	// Gathers is set where VMs of the own zone hand their searches to this one.
+	Gathers bool
+	// Gatherers is how many VMs of the fleet make the calls of searches, Others how many hand theirs over.
+	Gatherers, Others int
+}
+
+// NewPlan returns the plan of the VM self among the fleet, which holds the live VMs with or without self.
+func NewPlan(self VM, fleet []VM) Plan {
+	zones := map[string][]VM{self.Zone: {self}}
+	for _, vm := range fleet {
+		if vm.Address != self.Address {
+			zones[vm.Zone] = append(zones[vm.Zone], vm)
+		}
+	}
+	var p Plan
+	for zone, vms := range zones {
+		strong := strongOf(vms)
+		if len(strong) == 0 {
+			p.Gatherers += len(vms)
+			continue
+		}
+		p.Gatherers += len(strong)
+		p.Others += len(vms) - len(strong)
+		if zone != self.Zone {
+			continue
+		}
+		p.Gathers = slices.Contains(strong, self.Address)
+		if !p.Gathers {
+			p.To = strong
+		}
+	}
+	return p
+}
+
+// strongOf returns the addresses of the VMs that are strong beside the weakest, in order.
+func strongOf(vms []VM) []string {
+	weakest := slices.MinFunc(vms, func(a, b VM) int { return cmp.Compare(a.Millicores, b.Millicores) }).Millicores
+	if weakest <= 0 {
+		return nil // of one nothing is known
+	}
+	var out []string
+	for _, vm := range vms {
+		if vm.Millicores >= strongFrom*weakest {
+			out = append(out, vm.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Part is the part of the fleet's extra calls of searches that this VM may send.
+func (p Plan) Part() float64 {
+	if p.Others == 0 {
+		return 1 / float64(max(p.Gatherers, 1))
+	}
+	if len(p.To) > 0 {
+		return (1 - gatherersPart) / float64(p.Others)
+	}
+	return gatherersPart / float64(p.Gatherers)
+}
--- /dev/null
+++ b/internal/delegate/plan_test.go
@@ -0,0 +1,63 @@
+package delegate
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func vm(address, zone string, millicores int) VM { return VM{address, zone, millicores} }
+
+func TestPlan(t *testing.T) {
+	strongZone := []VM{vm("s2", "z", 800), vm("s1", "z", 800), vm("w1", "z", 192), vm("w2", "z", 192)}
+	for name, tt := range map[string]struct {
+		self  VM
+		fleet []VM
+		want  Plan
+	}{
+		"alone":                  {vm("a", "z", 400), nil, Plan{Gatherers: 1}},
+		"all alike":              {vm("a", "z", 400), []VM{vm("b", "z", 400), vm("c", "y", 400)}, Plan{Gatherers: 3}},
+		"weak beside strong":     {vm("w1", "z", 192), strongZone, Plan{To: []string{"s1", "s2"}, Gatherers: 2, Others: 2}},
+		"strong beside weak":     {vm("s1", "z", 800), strongZone, Plan{Gathers: true, Gatherers: 2, Others: 2}},
+		"strong in another zone": {vm("w3", "y", 192), strongZone, Plan{Gatherers: 3, Others: 2}},
+		"a little stronger":      {vm("a", "z", 400), []VM{vm("b", "z", 700)}, Plan{Gatherers: 2}},
+		"unknown":                {vm("a", "z", 0), []VM{vm("b", "z", 800)}, Plan{Gatherers: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(NewPlan(tt.self, tt.fleet), tt.want)
+		})
+	}
+}
+
+// However strong the VMs are, what all of them may spend in extra calls is what the fleet may, and a VM that
+// hands over hands to VMs that take it.
+func TestPartsAreOneWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var fleet []VM
+		for i := range rapid.IntRange(1, 40).Draw(t, "vms") {
+			zone := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "zone"))
+			fleet = append(fleet, vm(fmt.Sprint(i), zone, rapid.SampledFrom([]int{0, 100, 192, 300, 400, 800}).Draw(t, "millicores")))
+		}
+		gathers := make(map[string]bool)
+		for _, self := range fleet {
+			gathers[self.Address] = NewPlan(self, fleet).Gathers
+		}
+		sum := 0.0
+		for _, self := range fleet {
+			p := NewPlan(self, fleet)
+			sum += p.Part()
+			for _, to := range p.To {
+				if !gathers[to] {
+					t.Fatalf("%v hands to %s, which doesn't gather", self, to)
+				}
+			}
+		}
+		if math.Abs(sum-1) > 1e-9 {
+			t.Fatalf("parts of %v are %v together", fleet, sum)
+		}
+	})
+}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -23,6 +23,8 @@
 	Seeds []string
 	// Store is the address of the platform's store.
 	Store string
+	// Millicores of the processor that the VM has; 0 where it isn't told.
+	Millicores int
 	// MemoryBytes is the process's memory limit.
 	MemoryBytes int64
 	// Extra is what the whole fleet may send in extra calls to a service.
@@ -47,6 +49,7 @@
 	for _, seed := range s.Seeds {
 		checkAddress(c, "seed", seed)
 	}
+	c.Require(s.Millicores >= 0 && s.Millicores <= millicoresMost, "processor", "want 0 to %d millicores, got %d", millicoresMost, s.Millicores)
 	c.Require(s.MemoryBytes >= memoryLeast, "memory", "want %d bytes at least, got %d", memoryLeast, s.MemoryBytes)
 	c.Require(s.Extra.Ratio >= 0 && s.Extra.Ratio <= 1, "retry budget's ratio", "want 0 to 1, got %g", s.Extra.Ratio)
 	c.Require(s.Extra.Slack >= 0, "retry budget's slack", "want 0 or more, got %g", s.Extra.Slack)
@@ -58,6 +61,8 @@
 const (
 	// memoryLeast is what the process takes without load, with room for its runtime.
 	memoryLeast = 32 << 20
+	// millicoresMost is far above any VM.
+	millicoresMost = 1_000_000
 	// graceLeast is what the balancer's two missed checks and a request need; graceMost is far above any
 	// orderly stop.
 	graceLeast, graceMost = time.Second, time.Hour
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,14 @@
 	Arrived   time.Time
 	// NewConnection is set for the first request of a connection, which took longer to get here.
 	NewConnection bool
+	// From is the address of the VM that took the request from the caller and handed it to this one; empty
+	// where this VM took it.
+	From string
+}
+
+// Server answers requests.
+type Server interface {
+	Serve(ctx context.Context, r *Request) *Answer
 }
 
 // Outcome says how a request ended.
@@ -75,6 +83,8 @@
 	ReasonLost       Reason = "connection_lost"
 	ReasonCrashing   Reason = "crashed_leaves"
 	ReasonCallerGone Reason = "caller_gone"
+	// ReasonGathererLost: the VM that was to answer a search for this one was lost.
+	ReasonGathererLost Reason = "gatherer_lost"
 	// ReasonPartial: served without some of the shards.
 	ReasonPartial Reason = "partial"
 )
@@ -157,7 +167,7 @@
 		return &Answer{Outcome: NotRun, Reason: ReasonNoConfig, RetryAfter: comeBack(retryNoConfig)}
 	}
 	trace.Version = view.Config.Version
-	route := match(view.Config, req)
+	route := Match(view.Config, req)
 	if route == nil {
 		return &Answer{Outcome: NoRoute, Reason: ReasonNoRoute}
 	}
@@ -169,8 +179,9 @@
 	return r.serve()
 }
 
-// match selects the route; a port in the host that no route names is ignored.
-func match(c *catalog.Config, req *Request) *catalog.Route {
+// Match selects the route of a request, nil where there is none; a port in the host that no route names is
+// ignored.
+func Match(c *catalog.Config, req *Request) *catalog.Route {
 	if r := c.Match(req.Host, req.Path); r != nil {
 		return r
 	}
@@ -199,6 +210,8 @@
 type Trace struct {
 	// Version of the configuration and Revision of the store that the request was served by.
 	Version, Revision uint64
+	// Gatherer is the address of the VM that made the calls, empty where this one did.
+	Gatherer string
 	// Calls sent, and how many of them were hedges and repeats.
 	Calls, Hedges, Repeats int
 	// Refusals and Failures of leaves; Denied extra calls that the budget refused.
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -22,6 +22,8 @@
 	// mostPerLeaf bounds the connections of one VM to a leaf: a leaf runs few requests at once, and
 	// what it can't run would only wait there.
 	mostPerLeaf = 4
+	// rareMost is how many connections a VM may have to a leaf that it calls in exceptional cases only.
+	rareMost = 1
 	// dialTimeout bounds opening a connection; a round trip takes milliseconds.
 	dialTimeout = 500 * time.Millisecond
 	// retryDial is how long after a failed opening ahead the next one is tried.
@@ -36,7 +38,7 @@
 	// the dead connections of all VMs would keep the new ones out: then only leaves of the own zone are
 	// connected to ahead, and others as long as they are in use.
 	roomy = 2
-	// farIdle is how long an idle connection to a leaf of another zone is kept in such a fleet.
+	// farIdle is how long an idle connection is kept that isn't opened ahead.
 	farIdle = 2 * time.Second
 	// openAtOnce bounds the connections that are opened ahead at the same time.
 	openAtOnce = 8
@@ -54,10 +56,19 @@
 	mu sync.Mutex
 	// What follows is guarded by mu.
 	leaves map[string]*peer
-	vms    int
+	share  func(service string) Share
 	limits map[string]int
 }
 
+// Share is this VM's part in the connections to the leaves of a service.
+type Share struct {
+	// VMs that call them as a rule, this one among them or beside them.
+	VMs int
+	// Rare is set where this VM calls them in exceptional cases only: it opens a connection when it needs one,
+	// and closes it soon after.
+	Rare bool
+}
+
 // peer is a leaf with its connections.
 type peer struct {
 	leaf catalog.Leaf
@@ -89,16 +100,17 @@
 		open: prometheus.NewGauge(prometheus.GaugeOpts{Name: "burdock_leaf_connections", Help: "Open connections to leaves."}),
 	}
 	reg.MustRegister(m.opened, m.open)
-	return &Pool{dialer: d, zone: zone, metrics: m, leaves: make(map[string]*peer), vms: 1, limits: make(map[string]int)}
+	return &Pool{dialer: d, zone: zone, metrics: m, leaves: make(map[string]*peer), limits: make(map[string]int),
+		share: func(string) Share { return Share{VMs: 1} }}
 }
 
-// SetLeaves tells which leaves may be called, and the connection limit of each service. Connections to
-// others are closed once they are idle.
-func (p *Pool) SetLeaves(leaves []catalog.Leaf, limits map[string]int, vms int) {
+// SetLeaves tells which leaves may be called, the connection limit of each service, and this VM's share.
+// Connections to others are closed once they are idle.
+func (p *Pool) SetLeaves(leaves []catalog.Leaf, limits map[string]int, share func(service string) Share) {
 	p.mu.Lock()
 	var drop []idleConn
 	known := make(map[string]bool, len(leaves))
-	p.limits, p.vms = limits, max(vms, 1)
+	p.limits, p.share = limits, share
 	for _, l := range leaves {
 		known[l.ID] = true
 		if e := p.leaves[l.ID]; e != nil {
@@ -132,11 +144,15 @@
 
 // most is how many connections this VM may have to the leaf. Requires mu.
 func (p *Pool) most(l catalog.Leaf) int {
+	share := p.share(l.Service)
+	if share.Rare {
+		return rareMost
+	}
 	limit := p.limits[l.Service]
 	if limit <= 0 {
 		return mostPerLeaf
 	}
-	return min(max(1, int(float64(limit)*limitUsed)/p.vms), mostPerLeaf)
+	return min(max(1, int(float64(limit)*limitUsed)/max(share.VMs, 1)), mostPerLeaf)
 }
 
 // Free tells whether a call to the leaf would find a connection, and whether that is open already.
@@ -273,7 +289,9 @@
 }
 
 // ahead tells whether a connection to the leaf is opened before it is needed, and kept. Requires mu.
-func (p *Pool) ahead(l catalog.Leaf) bool { return l.Zone == p.zone || p.most(l) >= roomy }
+func (p *Pool) ahead(l catalog.Leaf) bool {
+	return !p.share(l.Service).Rare && (l.Zone == p.zone || p.most(l) >= roomy)
+}
 
 // unused takes out the idle connections that have ended, and those that aren't kept.
 func (p *Pool) unused(now time.Time) []idleConn {
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -78,10 +78,32 @@
 	farLeaf  = catalog.Leaf{ID: "far", Service: "x", Address: "far", Zone: "other"}
 )
 
+// evenly shares the connections among so many VMs.
+func evenly(vms int) func(string) Share { return func(string) Share { return Share{VMs: vms} } }
+
+// A VM that calls a leaf in exceptional cases only opens no connection ahead, one where it needs it, and
+// doesn't keep that: its part of the leaf's limit is with those that call it all the time.
+func TestRarelyCalledLeaf(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := New(d, "z", prometheus.NewRegistry())
+	p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 30}, func(string) Share { return Share{VMs: 6, Rare: true} })
+	is.Equal(len(p.bare(time.Now())), 0)
+	_, err := p.Do(t.Context(), "near", &leafcall.Request{})
+	is.NoErr(err)
+	is.Equal(d.count("near"), 1)
+	free, open := p.Free("near")
+	is.True(free && open)
+	p.closeAll(p.unused(time.Now().Add(farIdle / 2)))
+	is.True(!d.conns[0].closed)
+	p.closeAll(p.unused(time.Now().Add(2 * farIdle)))
+	is.True(d.conns[0].closed)
+}
+
 // newPool has both leaves, of which a fleet of the size shares 30 connections each.
 func newPool(d *fakeDialer, vms int) *Pool {
 	p := New(d, "z", prometheus.NewRegistry())
-	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, vms)
+	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, evenly(vms))
 	return p
 }
 
@@ -206,7 +228,7 @@
 	is.NoErr(err)
 	c, e, _, err := p.take(t.Context(), "far")
 	is.NoErr(err)
-	p.SetLeaves(nil, nil, 6)
+	p.SetLeaves(nil, nil, evenly(6))
 	is.True(d.conns[0].closed)
 	is.Equal(len(p.leaves), 1) // a call is in flight at the other
 	p.give(e, c, true)
--- /dev/null
+++ b/internal/node/delegate_test.go
@@ -0,0 +1,67 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// metric returns the value of a metric with its labels as it stands in the text of a scrape, empty where it
+// doesn't.
+func (v *vm) metric(name string) string {
+	resp, err := http.Get("http://" + v.metrics + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+// A weak VM hands its searches to the strong one of its zone and its callers get what they would get from
+// that; once it ends, orderly, the weak one makes them itself and no caller notices.
+func TestSearchesGoToTheStrongVM(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	strong := s.startSized(800)
+	weak := s.startSized(200)
+	const answered = `burdock_handed_over_total{end="answered"}`
+	n := 0
+	search := func() {
+		n++
+		status, header, body, err := weak.get(http.MethodGet, "/s/1", fmt.Sprintf("r%d", n))
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(header.Get("Missing-Parts"), "0")
+		is.Equal(body, "s2              s1              ")
+	}
+	within(t, 5*time.Second, "both ready", func() bool { return strong.ready() && weak.ready() })
+	within(t, 5*time.Second, "searches go to the strong VM", func() bool {
+		search()
+		return weak.metric(answered) != ""
+	})
+	status, _, body, err := weak.get(http.MethodPost, "/x/1", "single")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "x               ")
+	strong.stop()
+	for begun := time.Now(); time.Since(begun) < 4*time.Second; time.Sleep(20 * time.Millisecond) {
+		search()
+	}
+	before := weak.metric(answered)
+	search()
+	is.Equal(weak.metric(answered), before)
+}
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,10 +3,29 @@
 import (
 	"context"
 
+	"github.com/burdockplank/burdockplank/internal/delegate"
+	"github.com/burdockplank/burdockplank/internal/peers"
+
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 )
 
+// fleetService serves other VMs.
+type fleetService struct {
+	peers    *peers.Manager
+	gatherer *delegate.Gatherer
+}
+
 // Exchange implements burdockv1connect.FleetServiceHandler.
 func (s fleetService) Exchange(_ context.Context, req *pb.FleetExchange) (*pb.FleetExchange, error) {
-	return s.Answer(req), nil
+	return s.peers.Answer(req), nil
+}
+
+// Search implements burdockv1connect.FleetServiceHandler.
+func (s fleetService) Search(ctx context.Context, req *pb.FleetSearch) (*pb.FleetSearchAnswer, error) {
+	return s.gatherer.Search(ctx, req), nil
+}
+
+// Ping implements burdockv1connect.FleetServiceHandler.
+func (s fleetService) Ping(context.Context, *pb.FleetPing) (*pb.FleetPong, error) {
+	return s.gatherer.Ping(), nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/decision"
+	"github.com/burdockplank/burdockplank/internal/delegate"
 	"github.com/burdockplank/burdockplank/internal/deployment"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
@@ -62,6 +63,11 @@
 	headerMost = 10 * time.Second
 	// peerIdle is how long an idle connection to another VM is kept.
 	peerIdle = 10 * time.Second
+	// gathererDial bounds opening a connection to a stronger VM of the zone, gathererSilent how long bytes
+	// sent there may stay unacknowledged: a round trip takes 0.2 ms.
+	gathererDial, gathererSilent = 100 * time.Millisecond, 250 * time.Millisecond
+	// gathererIdle is how many idle connections to each are kept: a burst brings a weak VM some 5 searches at once.
+	gathererIdle = 8
 	// logCloseLimit bounds writing the last lines.
 	logCloseLimit = 200 * time.Millisecond
 )
@@ -72,7 +78,7 @@
 	Decoder directory.Decoder
 	Dialer  leafcall.Dialer
 	// Callers builds the handler for callers, Ready the one for the balancer.
-	Callers     func(e *dispatch.Engine, limits func() catalog.Limits, leaving func() bool, refused func(reason string)) http.Handler
+	Callers     func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(reason string)) http.Handler
 	Ready       func(ready func() bool) http.Handler
 	ConnContext func(ctx context.Context, c net.Conn) context.Context
 	// Reload reads the seeds anew, which may have changed.
@@ -101,6 +107,8 @@
 	budgets   *retrybudget.Budgets
 	recorder  *decision.Recorder
 	engine    *dispatch.Engine
+	delegate  *delegate.Manager
+	gatherer  *delegate.Gatherer
 	refused   *prometheus.CounterVec
 	server    *http.Server
 	leaving   atomic.Bool
@@ -122,7 +130,7 @@
 	d.seeds.Store(&s.Seeds)
 	d.directory = directory.New(d.mirror, changed, updated, p.Decoder, log)
 	d.peers = peers.New(peers.Config{
-		Self: s.Peers, Zone: s.Zone, Incarnation: uint64(time.Now().UnixNano()),
+		Self: s.Peers, Zone: s.Zone, Millicores: s.Millicores, Incarnation: uint64(time.Now().UnixNano()),
 		Seeds: func() []string { return *d.seeds.Load() }, Mirror: d.mirror, Evidence: d.table, Changed: changed,
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
@@ -131,11 +139,30 @@
 	d.recorder = decision.New(log, sink, lines, reg)
 	guard := crashguard.New(d.peers, time.Now, log)
 	d.engine = dispatch.New(s.Zone, d.directory, d.pool, d.table, d.budgets, guard, d.recorder)
+	d.delegate = delegate.New(delegate.Config{
+		Self: s.Peers, Local: d.engine, Directory: d.directory, Observer: d.recorder, Dial: dialGatherers(s.IP), Behind: d.peers.Fetch,
+		Log: log, Registry: reg,
+	})
+	d.gatherer = delegate.NewGatherer(d.engine, d.directory, d.leaving.Load)
 	d.server = d.callersServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
 }
 
+// dialGatherers returns clients for searches handed over. Their connections find within some tenths of a
+// second that the other end is gone: a search waits for it.
+func dialGatherers(bind string) func(address string) delegate.Client {
+	dialer := rpc.Dialer(bind)
+	dialer.Timeout = gathererDial
+	dialer.Control = rpc.EndSilent(gathererSilent)
+	shared := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: gathererIdle, IdleConnTimeout: peerIdle,
+	}}
+	return func(address string) delegate.Client {
+		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address)
+	}
+}
+
 // dialPeers returns clients that share one transport. It speaks HTTP/1.1: a connection gone silent is
 // found and closed by the timeout of its exchange, while the pings of HTTP/2 over the connections of 60
 // VMs to each other took more bytes than all exchanges.
@@ -149,7 +176,7 @@
 }
 
 func (d *Daemon) callersServer() *http.Server {
-	edge := d.platform.Callers(d.engine, d.limits, d.leaving.Load, func(reason string) { d.refused.WithLabelValues(reason).Inc() })
+	edge := d.platform.Callers(d.delegate, d.limits, d.leaving.Load, func(reason string) { d.refused.WithLabelValues(reason).Inc() })
 	n := negroni.New()
 	n.UseHandler(edge)
 	return &http.Server{Handler: n, ReadHeaderTimeout: headerMost, IdleTimeout: idleMost, ConnContext: d.platform.ConnContext}
@@ -189,6 +216,8 @@
 			{Name: "directory", Run: d.directory.Run},
 			{Name: "pool", Run: d.pool.Run},
 			{Name: "follow", Run: d.follow},
+			{Name: "delegate", Run: d.delegate.Run},
+			{Name: "gatherer", Run: d.gatherer.Run},
 			{Name: "callers", Run: func(ctx context.Context) error { return serveUntil(ctx, d.server, callers) }},
 			{Name: "readiness", Run: d.serve(d.settings.Ready, d.platform.Ready(d.ready))},
 		},
@@ -204,12 +233,9 @@
 	return operator.Handler(d.registry, dumps, func() (bool, string) { return d.ready(), "no configuration, no leaves or leaving" })
 }
 
-// fleetService serves other VMs.
-type fleetService struct{ *peers.Manager }
-
 func (d *Daemon) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(burdockv1connect.NewFleetServiceHandler(fleetService{d.peers}))
+	mux.Handle(burdockv1connect.NewFleetServiceHandler(fleetService{d.peers, d.gatherer}))
 	return mux
 }
 
@@ -240,6 +266,7 @@
 	d.leaving.Store(true)
 	d.peers.Leave()
 	wait.For(ctx, unnoticed)
+	d.gatherer.Close(ctx)
 	if err := d.server.Shutdown(ctx); err != nil {
 		d.log.Warn("requests were cut off by the end of the process", zap.Error(err))
 		_ = d.server.Close()
@@ -252,9 +279,7 @@
 	defer t.Stop()
 	for {
 		next := d.updated.Changed()
-		vms := d.peers.Live() + 1
-		d.budgets.SetFleet(vms)
-		d.pool.SetLeaves(callable(d.directory.Current()), connectionLimits(d.directory.Current().Config), vms)
+		vms := d.applyPlan()
 		d.table.Forget(time.Now())
 		if vms == 1 {
 			d.reload() // the seeds may have changed without a signal
@@ -268,6 +293,25 @@
 	}
 }
 
+// applyPlan divides the work among the VMs that are known now, and returns how many there are.
+func (d *Daemon) applyPlan() int {
+	var fleet []delegate.VM
+	for _, vm := range d.peers.VMs() {
+		fleet = append(fleet, delegate.VM(vm))
+	}
+	plan := delegate.NewPlan(delegate.VM{Address: d.settings.Peers, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet)
+	d.delegate.SetPlan(plan)
+	d.gatherer.SetPlan(plan)
+	view := d.directory.Current()
+	s := shares{plan: plan, vms: len(fleet) + 1}
+	if view.Config != nil {
+		s.single, s.shards = view.Config.Used()
+	}
+	d.budgets.SetPart(s.extra)
+	d.pool.SetLeaves(callable(view), connectionLimits(view.Config), s.connections)
+	return s.vms
+}
+
 // reloadOnSignal reads the settings anew at each SIGHUP until ctx ends. Requests go on meanwhile: only
 // the seeds may change in a running process.
 func (d *Daemon) reloadOnSignal(ctx context.Context) error {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -103,6 +103,15 @@
 	return v
 }
 
+// startSized runs a VM with so much of a processor.
+func (s *site) startSized(millicores int) *vm {
+	s.t.Helper()
+	v := s.prepare(true)
+	v.settings.Millicores = millicores
+	s.run(v)
+	return v
+}
+
 // prepare returns a VM that doesn't run yet.
 func (s *site) prepare(withStore bool) *vm {
 	s.t.Helper()
@@ -131,8 +140,8 @@
 func (s *site) run(v *vm) {
 	p := node.Platform{
 		Store: platform.NewStore(v.settings.Store, v.settings.IP), Decoder: platform.Decoder{}, Dialer: platform.NewLeafDialer(v.settings.IP),
-		Callers: func(e *dispatch.Engine, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
-			return platform.NewEdge(e, limits, leaving, refused)
+		Callers: func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
+			return platform.NewEdge(s, limits, leaving, refused)
 		},
 		Ready: platform.Ready, ConnContext: platform.ConnContext,
 		Reload: func() ([]string, error) { return v.settings.Seeds, nil },
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -47,15 +47,32 @@
 	return n
 }
 
+// pull is a peer to ask for news.
+type pull struct {
+	address string
+	// certain is set where it is known to have some; otherwise it is asked if it said that it has more.
+	certain bool
+}
+
+// Fetch asks the peer for what it has and this VM lacks, without waiting for it.
+func (m *Manager) Fetch(address string) { m.pull(pull{address, true}) }
+
+func (m *Manager) pull(p pull) {
+	select {
+	case m.pulls <- p:
+	default: // the next round asks
+	}
+}
+
 // runPulls asks peers for the news that they announced, one after the other.
 func (m *Manager) runPulls(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case address := <-m.pulls:
-			if m.ahead(address) {
-				m.exchange(ctx, address, true)
+		case p := <-m.pulls:
+			if p.certain || m.ahead(p.address) {
+				m.exchange(ctx, p.address, true)
 			}
 		}
 	}
@@ -89,10 +106,7 @@
 	now := time.Now()
 	m.take(req, now)
 	if from := req.GetSender().GetAddress(); req.GetBrief() && m.ahead(from) {
-		select {
-		case m.pulls <- from:
-		default: // the next round asks
-		}
+		m.pull(pull{address: from})
 	}
 	return m.message(req.GetCompleteTo(), now, req.GetBrief())
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -77,16 +77,26 @@
 }
 
 // Live returns how many other VMs show signs of life.
-func (m *Manager) Live() int {
+func (m *Manager) Live() int { return len(m.VMs()) }
+
+// VM is another VM that shows signs of life.
+type VM struct {
+	Address, Zone string
+	// Millicores of its processor; 0 where not known.
+	Millicores int
+}
+
+// VMs returns the other VMs that show signs of life and aren't about to end.
+func (m *Manager) VMs() []VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
-	for _, e := range m.members {
+	var out []VM
+	for address, e := range m.members {
 		if e.live && !e.record.GetLeaving() {
-			n++
+			out = append(out, VM{address, e.record.GetZone(), int(e.record.GetMillicores())})
 		}
 	}
-	return n
+	return out
 }
 
 // Zone returns the live members of the own zone, this VM included, and the age of the newest contact of
@@ -178,7 +188,7 @@
 func (m *Manager) selfRecord(now time.Time) *pb.FleetMember {
 	return &pb.FleetMember{
 		Address: m.self.Address, Zone: m.self.Zone, Incarnation: m.self.Incarnation,
-		Heartbeat: m.self.Heartbeat, Leaving: m.self.Leaving, ContactAgeMs: age(m.contactAt, now),
+		Heartbeat: m.self.Heartbeat, Leaving: m.self.Leaving, ContactAgeMs: age(m.contactAt, now), Millicores: m.self.Millicores,
 	}
 }
 
@@ -199,7 +209,7 @@
 		r := e.record
 		out = append(out, &pb.FleetMember{
 			Address: r.GetAddress(), Zone: r.GetZone(), Incarnation: r.GetIncarnation(),
-			Heartbeat: r.GetHeartbeat(), Leaving: r.GetLeaving(), ContactAgeMs: age(e.contactAt, now),
+			Heartbeat: r.GetHeartbeat(), Leaving: r.GetLeaving(), ContactAgeMs: age(e.contactAt, now), Millicores: r.GetMillicores(),
 		})
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -72,6 +72,8 @@
 type Config struct {
 	// Self is the address (HOST:PORT) of this VM, Zone its availability zone.
 	Self, Zone string
+	// Millicores of this VM's processor; 0 where not known.
+	Millicores int
 	// Incarnation of this process, rising with each start.
 	Incarnation uint64
 	// Seeds returns addresses of VMs to ask first; they may be stale.
@@ -89,8 +91,8 @@
 	cfg     Config
 	metrics *metrics
 	crashed *notify.Notifier
-	// pulls holds peers that announced news.
-	pulls chan string
+	// pulls holds peers that have news.
+	pulls chan pull
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
@@ -116,8 +118,8 @@
 	cfg.Registry.MustRegister(m.exchanges, m.live)
 	return &Manager{
 		cfg: cfg, metrics: m, members: make(map[string]*member), crashed: notify.New(),
-		pulls:     make(chan string, pullsMost),
-		self:      pb.FleetMember{Address: cfg.Self, Zone: cfg.Zone, Incarnation: cfg.Incarnation},
+		pulls:     make(chan pull, pullsMost),
+		self:      pb.FleetMember{Address: cfg.Self, Zone: cfg.Zone, Incarnation: cfg.Incarnation, Millicores: uint32(max(cfg.Millicores, 0))},
 		seenCrash: make(map[crashKey]time.Time),
 	}
 }
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -68,8 +68,8 @@
 	start time.Time
 
 	mu sync.Mutex
-	// vms in the fleet, and counts by service; guarded by mu.
-	vms      int
+	// part of the fleet's slack that this VM may use of each service, and counts by service; guarded by mu.
+	part     func(service string) float64
 	services map[string]*counts
 }
 
@@ -83,14 +83,14 @@
 
 // New returns budgets of a fleet of one in which nothing was spent.
 func New(l Limit, clock func() time.Time) *Budgets {
-	return &Budgets{limit: l, clock: clock, start: clock(), vms: 1, services: make(map[string]*counts)}
+	return &Budgets{limit: l, clock: clock, start: clock(), part: func(string) float64 { return 1 }, services: make(map[string]*counts)}
 }
 
-// SetFleet tells how many VMs share the slack.
-func (b *Budgets) SetFleet(vms int) {
+// SetPart tells which part of a service's slack this VM may use; the parts of all VMs are to be 1 together.
+func (b *Budgets) SetPart(part func(service string) float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.vms = max(vms, 1)
+	b.part = part
 	b.forget()
 }
 
@@ -139,7 +139,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, number, place := b.of(service)
-	allowed, spent := b.allowed(c, number)
+	allowed, spent := b.allowed(service, c, number)
 	if float64(spent+1) > max(allowed*u.part(), 1) {
 		return false
 	}
@@ -151,7 +151,7 @@
 // allowed returns how many extra calls the window allows, and how many were spent in it. Requests of
 // the oldest span are left out and its extra calls are counted, so that the sum holds in any window.
 // Requires mu.
-func (b *Budgets) allowed(c *counts, number int64) (allowed float64, spent int) {
+func (b *Budgets) allowed(service string, c *counts, number int64) (allowed float64, spent int) {
 	requests := 0
 	for i, at := range c.at {
 		age := number - at
@@ -162,7 +162,7 @@
 			requests += c.requests[i]
 		}
 	}
-	allowed = b.limit.Ratio*ratioUsed*float64(requests) + b.limit.Slack*slackUsed/float64(b.vms)
+	allowed = b.limit.Ratio*ratioUsed*float64(requests) + b.limit.Slack*slackUsed*b.part(service)
 	if number < spans {
 		allowed *= freshPart
 	}
@@ -176,7 +176,7 @@
 	out := make(map[string]float64, len(b.services))
 	for s := range b.services {
 		c, number, _ := b.of(s)
-		allowed, spent := b.allowed(c, number)
+		allowed, spent := b.allowed(s, c, number)
 		out[s] = allowed - float64(spent)
 	}
 	return out
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -18,12 +18,33 @@
 
 var fleetLimit = Limit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}
 
+// evenly divides the slack among so many VMs.
+func evenly(vms int) func(string) float64 { return func(string) float64 { return 1 / float64(vms) } }
+
+// The slack of a service is divided by who sends its calls: the VMs that make all calls of searches may use
+// more of theirs than of others.
+func TestPartByService(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	b := New(fleetLimit, c.read)
+	c.pass(10 * time.Second) // past the first window
+	b.SetPart(func(service string) float64 { return map[string]float64{"shard": 0.5, "x": 0.1}[service] })
+	count := func(service string) (n int) {
+		for b.Take(service, Needed) {
+			n++
+		}
+		return n
+	}
+	is.Equal(count("shard"), 18) // 0.7 * 52 * 0.5
+	is.Equal(count("x"), 3)
+}
+
 func TestRatioAndSlack(t *testing.T) {
 	is := is.New(t)
 	c := newClock()
 	b := New(fleetLimit, c.read)
 	c.pass(10 * time.Second) // past the first window
-	b.SetFleet(6)
+	b.SetPart(evenly(6))
 	for range 100 {
 		b.Request("x")
 	}
@@ -45,7 +66,7 @@
 	c := newClock()
 	b := New(fleetLimit, c.read)
 	c.pass(10 * time.Second) // past the first window
-	b.SetFleet(1)
+	b.SetPart(evenly(1))
 	optional := 0
 	for b.Take("x", Optional) {
 		optional++
@@ -67,7 +88,7 @@
 func TestOneIsAlwaysAllowed(t *testing.T) {
 	is := is.New(t)
 	b := New(fleetLimit, newClock().read)
-	b.SetFleet(500)
+	b.SetPart(evenly(500))
 	is.True(b.Take("x", Needed))
 	is.True(!b.Take("x", Needed))
 }
@@ -81,7 +102,7 @@
 		budgets := make([]*Budgets, vms)
 		for i := range budgets {
 			budgets[i] = New(fleetLimit, c.read)
-			budgets[i].SetFleet(vms)
+			budgets[i].SetPart(evenly(vms))
 		}
 		type event struct {
 			at    time.Time
@@ -125,10 +146,10 @@
 	b.Request("old")
 	c.pass(15 * time.Second)
 	b.Request("new")
-	b.SetFleet(3)
+	b.SetPart(evenly(3))
 	is.Equal(len(b.Left()), 2)
 	c.pass(6 * time.Second)
-	b.SetFleet(3)
+	b.SetPart(evenly(3))
 	left := b.Left()
 	is.Equal(len(left), 1)
 	is.True(left["new"] > 0)
@@ -144,7 +165,7 @@
 		var fleet []*Budgets
 		for range vms {
 			b := New(fleetLimit, c.read)
-			b.SetFleet(vms)
+			b.SetPart(evenly(vms))
 			fleet = append(fleet, b)
 		}
 		return fleet
--- /dev/null
+++ b/internal/rpc/silent.go
@@ -0,0 +1,21 @@
+package rpc
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// EndSilent returns a net.Dialer's Control that ends a connection whose sent bytes stay unacknowledged for
+// the given time: an open connection can go silent without a reset.
+func EndSilent(after time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
+}
