Let a search in doubt wait for the evidence that clears it

Evidence of that may come up to 0.3 s later: a search under way waited for it, one that came in that time was refused at once. Ruled out: another fault of the registry; after the wait the text was cleared and all later ones were answered. Change: a search that comes in doubt waits like one under way. Before: TestInnocentInDoubtWaitsForEvidence fails. After: passes.

--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -26,7 +26,8 @@
 	// request, and is not hedged.
 	Suspect
 	// Doubted: it was in flight at two crashes just now; evidence that another request caused both
-	// may still be on its way. A run that is under way waits for it, a new one is refused.
+	// may still be on its way, and is waited for: known texts that had been in flight beside crashing ones
+	// were refused for 0.3 s otherwise, though they would have been answered.
 	Doubted
 	// Quarantined: it is refused.
 	Quarantined
--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -15,6 +15,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/feed"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/quarantine"
 	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
@@ -177,6 +178,32 @@
 	})
 }
 
+// TestInnocentInDoubtWaitsForEvidence: a request comes while its text, of which two crashes are known, may
+// still turn out to be innocent of them. It waits for that, as those do that came before, and is answered.
+func TestInnocentInDoubtWaitsForEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(3)
+		r := newRig("az-a", service, fleet, nil)
+		tell := func(digest uint64) {
+			var crashes []*pb.Crash
+			for _, leaf := range []string{"leaf-0-b", "leaf-1-c"} {
+				crashes = append(crashes, &pb.Crash{RequestDigest: digest, Leaf: leaf, Incarnation: 77})
+			}
+			r.guard.Take(&feed.View{Bundle: r.feed.Current().Bundle, Crashes: crashes, Received: time.Now()})
+		}
+		key := quarantine.SearchKey(service.Name, "innocent", 1, 1)
+		tell(key.Digest)
+		const evidence = 200 * time.Millisecond // within the time that it is waited for
+		time.AfterFunc(evidence, func() { tell(99) })
+		begun := time.Now()
+		a, err := r.ask("r1", "claim", "innocent", 4*time.Second)
+		is.NoErr(err)
+		is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+		is.True(time.Since(begun) >= evidence)
+	})
+}
+
 // TestInnocentSuspectWaitsForItsPlacesToComeBack: a request is in flight at a crash that another one
 // caused, while its other places are down by crashes of that one. It is answered by the first of them
 // that comes back.
--- a/internal/search/run.go
+++ b/internal/search/run.go
@@ -84,7 +84,7 @@
 	standing, after := r.e.guard.Standing(r.key)
 	r.e.metrics.standings.WithLabelValues(r.q.service.Name, standing.String()).Inc()
 	switch standing {
-	case quarantine.Quarantined, quarantine.Doubted:
+	case quarantine.Quarantined:
 		r.cancel()
 		return quarantined(after)
 	case quarantine.Proven:
@@ -93,7 +93,7 @@
 	case quarantine.Unproven:
 		r.released = true
 	default:
-		r.trial = newTrial(r, standing == quarantine.Suspect)
+		r.trial = newTrial(r, standing >= quarantine.Suspect)
 	}
 	return nil
 }
