Know failures of a leaf by its latest few calls

Cause: a VM that makes the calls of many others sees 13 calls a second of each leaf. Change: besides the tally of the last seconds the part of failures over the latest five or so calls counts, here and in what is told to others. Before: TestFailuresAfterManyGoodCalls: 20 of 50 calls to the failing leaf.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -95,8 +95,9 @@
 type leaf struct {
 	pace   float64
 	paceAt time.Time
-	// own counts this VM's calls, told those of others by VM.
+	// own counts this VM's calls, lately follows the latest of them, told counts those of others by VM.
 	own    tally
+	lately lately
 	told   map[string]tally
 	load   Load
 	loadAt time.Time
@@ -286,30 +287,36 @@
 		c.t.learn(l, c, took, now)
 	case Late:
 		if float64(took) > slowFrom*float64(c.t.usualOf(c.route, took)) {
-			l.own.add(now, 0, 1)
+			l.count(now, 0, 1)
 			c.t.step(c.route, took)
 		}
 	case Refused, Failed:
-		l.own.add(now, 1, 0)
+		l.count(now, 1, 0)
 	case Neutral:
 	}
 }
 
+// count counts a call that has ended.
+func (l *leaf) count(now time.Time, failed, slow float64) {
+	l.own.add(now, failed, slow)
+	l.lately.add(now, failed)
+}
+
 // learn takes the time of an answer into the leaf's pace and the route's usual time. Requires mu.
 func (t *Table) learn(l *leaf, c *Call, took time.Duration, now time.Time) {
 	usual, ok := t.usual[c.route]
 	if !ok {
 		t.usual[c.route] = took
-		l.own.add(now, 0, 0)
+		l.count(now, 0, 0)
 		return
 	}
 	t.step(c.route, took)
 	ratio := float64(took) / float64(max(usual, 1))
 	if ratio >= slowFrom {
-		l.own.add(now, 0, 1)
+		l.count(now, 0, 1)
 		return
 	}
-	l.own.add(now, 0, 0)
+	l.count(now, 0, 0)
 	was := toward(l.pace, 1, now.Sub(l.paceAt), paceForget)
 	l.pace, l.paceAt = was+paceWeight*(ratio-was), now
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -253,3 +253,26 @@
 	is.Equal(len(after), 1)
 	is.True(after[0].Slow > 2.9 && after[0].Slow <= 3)
 }
+
+// A leaf that answered many calls well and begins to lose 4 of 10 answers is gone around after a few: a VM
+// that makes the calls of many others sees 13 calls a second of each leaf, of which the good ones of the last
+// seconds must not outweigh what it sees now.
+func TestFailuresAfterManyGoodCalls(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	const runs = 50
+	for range runs {
+		table := New()
+		now := time.Now()
+		share(table, &now, 200, "a", even)
+		losing := func(id string) (time.Duration, Result) {
+			if id == "a" && rand.Float64() < 0.4 {
+				return usual, Failed
+			}
+			return usual, OK
+		}
+		calls += int(50 * share(table, &now, 50, "a", losing))
+	}
+	t.Logf("%.1f of 50 calls", float64(calls)/runs)
+	is.True(calls < 8*runs)
+}
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -10,6 +10,10 @@
 const (
 	// tallyForget is the time constant by which calls are forgotten.
 	tallyForget = 4 * time.Second
+	// latelyWeight is the weight of one call in the part that failed lately. A VM that makes the calls of others
+	// sees 13 a second of each leaf; by the tally alone, where 50 good ones of the last 4 s weigh against a new
+	// failure, a leaf that begins to lose 4 of 10 answers got 20 of the next 50 calls of its shard, with it 2.
+	latelyWeight = 0.2
 	// tallyMost bounds the calls that rates are drawn from, so that a leaf of which many VMs told bad is
 	// tried again once nobody has called it for some 8 s.
 	tallyMost = 8
@@ -28,6 +32,21 @@
 	at                  time.Time
 }
 
+// lately follows the part of failed calls over the latest few.
+type lately struct {
+	failed float64
+	at     time.Time
+}
+
+// now returns the part as it counts now.
+func (l lately) now(now time.Time) float64 { return toward(l.failed, 0, now.Sub(l.at), tallyForget) }
+
+// add counts one call.
+func (l *lately) add(now time.Time, failed float64) {
+	was := l.now(now)
+	*l = lately{was + latelyWeight*(failed-was), now}
+}
+
 // aged returns the tally as it counts now.
 func (t tally) aged(now time.Time) tally {
 	f := math.Exp(-float64(now.Sub(t.at)) / float64(tallyForget))
@@ -47,6 +66,7 @@
 // Requires mu.
 func (t *Table) seen(l *leaf, now time.Time) tally {
 	sum := l.own.aged(now)
+	sum.failed = max(sum.failed, l.lately.now(now)*sum.calls)
 	for c := range l.begun {
 		if usual, ok := t.usual[c.route]; ok && now.Sub(c.begun) > slowFrom*usual {
 			sum.calls++
