Let two envoys of each zone talk to other zones in a large fleet

Cause: each of 64 VMs spent a quarter of its exchanges on other zones, sent news there, and asked a seed every 2 s, mostly in another zone. Ruled out: shorter lists of members, for a heartbeat has to come around in 6 s. Change: the two strongest VMs of a zone, by rank among equals, spend half of their rounds on those of other zones and send news there, the others 3 of 100; seeds are asked every 20 s there; a VM of another zone may be silent twice as long. Fleets below 20 VMs are as they were. Before: TestFewExchangesCrossZones: 102 exchanges a second between zones.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -41,7 +41,11 @@
 	m.self.Heartbeat++
 	live := 0
 	for address, e := range m.members {
-		alive := now.Sub(e.aliveAt) < silentAfter
+		limit := silentAfter
+		if e.record.GetZone() != m.cfg.Zone && len(m.members) >= smallFleet {
+			limit *= farSilent
+		}
+		alive := now.Sub(e.aliveAt) < limit
 		if alive != e.live {
 			e.live = alive
 			m.cfg.Log.Info("peer changed", zap.String("peer", address), zap.Bool("live", alive), zap.Duration("silent_for", now.Sub(e.aliveAt)))
@@ -136,57 +140,6 @@
 // Never is an age longer than any process runs.
 const Never = 1 << 62
 
-// pick returns a random peer, mostly a live one of the own zone; a silent one in a tenth of the cases.
-func (m *Manager) pick() (string, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var live, near, silent []string
-	for address, e := range m.members {
-		switch {
-		case !e.live:
-			silent = append(silent, address)
-		case e.record.GetZone() == m.cfg.Zone:
-			near = append(near, address)
-			live = append(live, address)
-		default:
-			live = append(live, address)
-		}
-	}
-	if len(near) > 0 && rand.Float64() < ownZone {
-		live = near
-	}
-	const trySilent = 10
-	if len(silent) > 0 && (len(live) == 0 || rand.N(trySilent) == 0) {
-		live = silent
-	}
-	if len(live) == 0 {
-		return "", false
-	}
-	return live[rand.N(len(live))], true
-}
-
-// audience returns the peers that are told of news at once.
-func (m *Manager) audience() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var near, far []string
-	for address, e := range m.members {
-		switch {
-		case !e.live:
-		case e.record.GetZone() == m.cfg.Zone:
-			near = append(near, address)
-		default:
-			far = append(far, address)
-		}
-	}
-	if len(near)+len(far) < pushAll {
-		return append(near, far...)
-	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	return append(near[:min(pushNear, len(near))], far[:min(pushFar, len(far))]...)
-}
-
 // behind tells whether the peer may lack something.
 func (m *Manager) behind(address string) bool {
 	to := m.cfg.Mirror.CompleteTo()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,9 +25,6 @@
 	// names all members, so that its bytes grow with the fleet.
 	period     = 250 * time.Millisecond
 	longPeriod = 500 * time.Millisecond
-	smallFleet = 20
-	// ownZone is the part of the rounds that stays in the own zone: bytes between zones are dear.
-	ownZone = 0.75
 	// exchangeTimeout bounds an exchange: a few round trips between zones, and a VM that stood still.
 	exchangeTimeout = 800 * time.Millisecond
 	// silentRounds is the age of the newest sign of life, in rounds, from which a peer counts as gone: a
@@ -35,16 +32,12 @@
 	silentRounds = 12
 	// forgetAfter is how long a silent peer is still tried.
 	forgetAfter = time.Minute
-	// pushAll is the size of a fleet up to which news goes to all at once; larger ones pass it on.
-	pushAll = 10
-	// pushNear and pushFar are to how many peers of the own zone and of others news goes in a larger
-	// fleet, each of which passes it on.
-	pushNear, pushFar = 3, 1
 	// sample bounds the members that an exchange names.
 	sample = 80
 	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
-	// fleet was cut in two.
+	// fleet was cut in two; seedSeldom in a large fleet, where silent peers are tried often enough.
 	seedPeriod = 2 * time.Second
+	seedSeldom = 20 * time.Second
 	// announceFrom is the size of news in bytes from which it is only announced: a peer that lacks it asks
 	// for it, so that a large configuration goes to each VM about once instead of three times.
 	announceFrom = 1 << 10
@@ -183,8 +176,11 @@
 			go m.exchange(ctx, s, false)
 		}
 		pause := seedPeriod
-		if m.Live() == 0 {
+		switch live := m.Live(); {
+		case live == 0:
 			pause = period
+		case live >= smallFleet:
+			pause = seedSeldom
 		}
 		if !wait.For(ctx, pause) {
 			return
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -27,6 +27,8 @@
 	sent map[string]int
 	// answered counts the items in answers, and those sent in requests.
 	answered int
+	// crossed counts exchanges between zones.
+	crossed int
 }
 
 func newNetwork() *network {
@@ -42,6 +44,9 @@
 	l.n.mu.Lock()
 	peer, cut := l.n.vms[l.to], l.n.cut[l.to] || l.n.cut[l.from]
 	l.n.sent[l.to] += len(req.GetItems())
+	if peer != nil && peer.cfg.Zone != req.GetSender().GetZone() {
+		l.n.crossed++
+	}
 	l.n.mu.Unlock()
 	if peer == nil || cut {
 		return nil, errors.New("no answer")
@@ -128,6 +133,87 @@
 	t.Logf("after %v", time.Since(begun))
 }
 
+// largeFleet runs 48 VMs in 4 zones, two of each of which are strong, until the test ends, and waits until all
+// know all.
+func largeFleet(t *testing.T, n *network) (vms []*Manager, copies []*mirror.Mirror) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	const size, zones = 48, 4
+	for i := range size {
+		m, mi := n.vm(fmt.Sprintf("vm%d", i), fmt.Sprintf("z%d", i%zones), 1, "vm0", "vm9", "vm18")
+		m.self.Millicores = 192
+		if i < 2*zones {
+			m.self.Millicores = 800
+		}
+		vms, copies = append(vms, m), append(copies, mi)
+	}
+	for _, m := range vms {
+		wg.Go(func() { _ = m.Run(ctx) })
+	}
+	within(t, 15*time.Second, "all know all", func() bool {
+		for _, m := range vms {
+			if m.Live() < size-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return vms, copies
+}
+
+// In a large fleet few exchanges cross zones, where bytes are dear, and news reaches all nevertheless.
+func TestFewExchangesCrossZones(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	vms, copies := largeFleet(t, n)
+	crossed := func() int {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.crossed
+	}
+	before := crossed()
+	const span = 4
+	for i := range span {
+		begun := time.Now()
+		copies[17].Merge(item(uint64(5+i)), begun)
+		within(t, time.Second, "all have the change", func() bool {
+			for _, c := range copies {
+				if c.CompleteTo() < uint64(5+i) {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(time.Until(begun.Add(time.Second)))
+	}
+	rate := float64(crossed()-before) / span
+	t.Logf("%.1f exchanges a second cross zones", rate)
+	is.True(rate < 45) // 102 where all VMs talk to those of other zones, most with lists of all members
+	for _, m := range vms {
+		is.Equal(m.Live(), len(vms)-1) // nobody was taken for gone
+	}
+}
+
+// Where the strong VMs of a zone are lost, the others bring its news to the fleet.
+func TestNewsWithoutEnvoys(t *testing.T) {
+	n := newNetwork()
+	_, copies := largeFleet(t, n)
+	for _, envoy := range []string{"vm1", "vm5"} { // of z1
+		n.setCut(envoy, true)
+	}
+	copies[17].Merge(item(5), time.Now())
+	within(t, 5*time.Second, "all but those cut off have the change", func() bool {
+		for i, c := range copies {
+			if i != 1 && i != 5 && c.CompleteTo() < 5 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func TestCutVMCatchesUp(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork()
