Refuse at once the searches that mute leaves make hopeless

Change: a leaf is mute once two calls waited 0.4 s and nothing came back; a search whose shards are mute beyond what it may lack is refused as not run before anything is sent, with a time to come back as long as that has lasted. One search each 250 ms is made nevertheless and finds the end of it. Before: TestSearchOfMuteShardsIsRefusedAtOnce fails. The fakes of dispatch are safe for the race detector now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,7 +76,9 @@
 	ReasonNoConfig Reason = "no_configuration"
 	ReasonNoRoute  Reason = "no_route"
 	// ReasonNoLeaf: no leaf is known, or none of those known took a connection.
-	ReasonNoLeaf     Reason = "no_leaf"
+	ReasonNoLeaf Reason = "no_leaf"
+	// ReasonMuteLeaves: no leaf of too many shards has given a sign of life for a while.
+	ReasonMuteLeaves Reason = "mute_leaves"
 	ReasonRefused    Reason = "refused_by_leaves"
 	ReasonFewShards  Reason = "too_few_shards"
 	ReasonDeadline   Reason = "deadline"
@@ -140,6 +142,7 @@
 	flights   sync.WaitGroup
 	moved     movedSet
 	splits    splits
+	probes    probes
 }
 
 // Observer is told of decisions.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -99,6 +100,52 @@
 	})
 }
 
+// While no leaf of too many shards gives a sign of life, as in a zone that is cut off from those of others,
+// searches are refused at once, as not run and with a time to come back, instead of waiting until their time is
+// over; now and then one tries, so that the end of it is found.
+func TestSearchOfMuteShardsIsRefusedAtOnce(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		mute := func(shards ...string) {
+			for _, s := range shards {
+				for _, r := range []string{"-a", "-b", "-c"} {
+					w.set(s+r, ok(time.Hour))
+				}
+			}
+		}
+		mute("s4")
+		for range 20 {
+			a, _ := w.ask(t.Context(), "/s/q")
+			is.Equal(a.Outcome, Served) // one may be missing
+		}
+		mute("s4", "s5")
+		var tried, refused atomic.Int64
+		for begun := time.Now(); time.Since(begun) < 6*time.Second; time.Sleep(20 * ms) {
+			go func() {
+				a, took := w.ask(t.Context(), "/s/q")
+				if a.Outcome != NotRun {
+					tried.Add(1)
+					return
+				}
+				refused.Add(1)
+				is.Equal(a.Reason, ReasonMuteLeaves)
+				is.True(a.RetryAfter > 0)
+				is.Equal(took, time.Duration(0))
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		is.True(refused.Load() > tried.Load()/2)
+		is.True(tried.Load() > 0)
+		for _, s := range []string{"s4", "s5"} {
+			for _, r := range []string{"-a", "-b", "-c"} {
+				w.set(s+r, ok(10*ms))
+			}
+		}
+		a, _ := w.ask(t.Context(), "/s/q")
+		is.Equal(a.Missing, 0) // well again
+	})
+}
+
 // A refused part goes to another leaf at once, and a failure of a leaf is no part.
 func TestRefusedAndFailedPartsAreRepeated(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
@@ -359,6 +406,8 @@
 		time.AfterFunc(50*ms, func() {
 			left := *w.view
 			left.Leaves = map[string][]catalog.Leaf{"x": {w.view.Leaves["x"][0], w.view.Leaves["x"][2]}}
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			w.view = &left
 		})
 		a, _ := w.ask(t.Context(), "/i/1")
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -29,13 +29,18 @@
 	body   string
 }
 
-func ok(after time.Duration) behaviour      { return func(int) reply { return reply{after: after} } }
-func always(r reply) behaviour              { return func(int) reply { return r } }
-func fail(cause leafcall.Cause) behaviour   { return always(reply{after: ms, cause: cause}) }
-func first(r reply, then reply) behaviour   { return func(n int) reply { return pick(n == 0, r, then) } }
-func pick(first bool, a, b reply) reply     { return map[bool]reply{true: a, false: b}[first] }
-func refuses() behaviour                    { return always(reply{after: ms, refuse: true}) }
-func (w *world) set(id string, b behaviour) { w.leaves[id] = b }
+func ok(after time.Duration) behaviour    { return func(int) reply { return reply{after: after} } }
+func always(r reply) behaviour            { return func(int) reply { return r } }
+func fail(cause leafcall.Cause) behaviour { return always(reply{after: ms, cause: cause}) }
+func first(r reply, then reply) behaviour { return func(n int) reply { return pick(n == 0, r, then) } }
+func pick(first bool, a, b reply) reply   { return map[bool]reply{true: a, false: b}[first] }
+func refuses() behaviour                  { return always(reply{after: ms, refuse: true}) }
+
+func (w *world) set(id string, b behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaves[id] = b
+}
 
 // oddFirst lets whichever leaf of the shard is asked first from now on answer so, and the others as usual.
 func (w *world) oddFirst(shard string, odd reply) {
@@ -68,7 +73,11 @@
 	traces []Trace
 }
 
-func (w *world) Current() *directory.View { return w.view }
+func (w *world) Current() *directory.View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.view
+}
 
 func (w *world) Free(id string) (free, open bool) {
 	w.mu.Lock()
@@ -117,6 +126,8 @@
 func (w *world) Answered(uint64) {}
 func (w *world) Down(string)     {}
 func (w *world) Ended(_ *Request, _ *Answer, t *Trace) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.traces = append(w.traces, *t)
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -51,6 +53,9 @@
 	retryRefused  = 60 * time.Millisecond
 	retryNoLeaf   = 250 * time.Millisecond
 	retryCrashing = 10 * time.Second
+	// retryMuteMost bounds the time told for mute shards: their return is found within half a second, and a
+	// person at a counter tries again by then anyway.
+	retryMuteMost = 5 * time.Second
 )
 
 // comeBack spreads the return of callers that were refused together over as long again.
@@ -176,19 +181,47 @@
 	}
 }
 
-// hopeless refuses a request at once where too few of its services have a leaf at all.
+// hopeless refuses a request at once where too few of its services have a leaf at all, or one that gives a
+// sign of life: in a zone that is cut off from the others, and lacks leaves of some shards, all searches waited
+// until their time was over. Now and then one is made nevertheless, to find the end of it.
 func (r *run) hopeless() *Answer {
-	without := 0
+	now := time.Now()
+	without, mute, longest := 0, 0, time.Duration(0)
 	for i := range r.groups {
 		s := r.groups[i].service
-		if len(r.view.Leaves[s]) == 0 && len(r.view.Lapsed[s]) == 0 {
+		leaves := append(slices.Clone(r.view.Leaves[s]), r.view.Lapsed[s]...)
+		if len(leaves) == 0 {
 			without++
+			continue
+		}
+		if d := r.muteFor(leaves, now); d > 0 && r.route.Search() {
+			mute++
+			longest = max(longest, d)
 		}
 	}
-	if len(r.groups)-without >= r.needed() {
+	if len(r.groups)-without-mute >= r.needed() {
+		return nil
+	}
+	switch {
+	case mute == 0:
+		return r.answer(&Answer{Outcome: NotRun, Reason: ReasonNoLeaf, RetryAfter: comeBack(retryNoLeaf)})
+	case r.e.probes.due(now):
 		return nil
 	}
-	return r.answer(&Answer{Outcome: NotRun, Reason: ReasonNoLeaf, RetryAfter: comeBack(retryNoLeaf)})
+	return r.answer(&Answer{Outcome: NotRun, Reason: ReasonMuteLeaves, RetryAfter: comeBack(retryMute(longest))})
+}
+
+// retryMute is when to come back to shards that have been mute for the given time: what has lasted for a while
+// is likely to do so as long again.
+func retryMute(mute time.Duration) time.Duration { return min(max(mute, retryNoLeaf), retryMuteMost) }
+
+// muteFor returns how long all of the leaves have been mute, 0 where one isn't.
+func (r *run) muteFor(leaves []catalog.Leaf, now time.Time) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, l := range leaves {
+		shortest = min(shortest, r.e.table.Mute(l.ID, now))
+	}
+	return shortest
 }
 
 // needed is how many groups have to be served.
@@ -418,6 +451,10 @@
 		return replica.Late
 	case leafcall.ConnectionFull:
 		return replica.Neutral
+	case leafcall.NoConnection:
+		if !failure.Refused {
+			return replica.Unreached
+		}
 	}
 	return replica.Failed
 }
--- /dev/null
+++ b/internal/replica/mute_test.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A leaf is mute once two calls or more have waited for longer than a pause lasts and nothing came back, and for
+// half a second after the latest call; any sign of life ends that.
+func TestMute(t *testing.T) {
+	const late = 433 * time.Millisecond // when an abandoned call ends
+	type end func(c []*Call, begun time.Time)
+	one := func(r Result, after time.Duration) end {
+		return func(c []*Call, begun time.Time) { c[0].End(r, begun.Add(after)) }
+	}
+	all := func(r Result, after time.Duration) end {
+		return func(c []*Call, begun time.Time) {
+			for _, call := range c {
+				call.End(r, begun.Add(after))
+			}
+		}
+	}
+	for name, tt := range map[string]struct {
+		calls int
+		// end ends some of the calls.
+		end  end
+		at   time.Duration
+		want bool
+	}{
+		"waits for long":         {2, nil, muteAfter, true},
+		"one call":               {1, nil, muteAfter, false},
+		"a pause":                {2, nil, muteAfter - 1, false},
+		"all connections wait":   {2, nil, muteKeep + muteAfter, true},
+		"nothing asked since":    {3, all(Late, late), late + muteKeep, false},
+		"given up":               {3, one(Late, late), late, true},
+		"an answer":              {3, one(OK, usual), muteAfter, false},
+		"a refusal":              {3, one(Refused, usual), muteAfter, false},
+		"a reset":                {3, one(Failed, usual), muteAfter, false},
+		"no way there":           {3, one(Unreached, usual), muteAfter, true},
+		"a silent connection":    {3, one(Failed, late), late, true},
+		"never sent, one waits":  {2, one(Neutral, 0), muteAfter, false},
+		"never sent, two do too": {3, one(Neutral, 0), muteAfter, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := New()
+			now := time.Now()
+			only := group()[:1]
+			var calls []*Call
+			for range tt.calls {
+				_, c := table.Choose(now, "r", usual, only)
+				calls = append(calls, c)
+			}
+			if tt.end != nil {
+				tt.end(calls, now)
+			}
+			is.Equal(table.Mute("a", now.Add(tt.at)) > 0, tt.want)
+		})
+	}
+	is.New(t).Equal(New().Mute("unknown", time.Now()), time.Duration(0))
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -61,6 +61,8 @@
 	Failed
 	// Late is a call that was given up after it took far longer than usual.
 	Late
+	// Unreached is a call for which no connection could be opened, and nobody refused it either.
+	Unreached
 	// Neutral says nothing of the leaf, such as a call that its caller gave up.
 	Neutral
 )
@@ -101,6 +103,8 @@
 	told   map[string]tally
 	load   Load
 	loadAt time.Time
+	// mute follows calls that stay without an answer.
+	mute mute
 	// begun are the starts of the calls in flight, with the time expected of each.
 	begun map[*Call]struct{}
 	seen  time.Time
@@ -166,6 +170,7 @@
 	l := t.leaves[from[best].ID]
 	call := &Call{t: t, id: from[best].ID, route: route, begun: now, expected: l.expected(now, usual, from[best])}
 	l.begun[call] = struct{}{}
+	l.mute.begin(now)
 	return best, call
 }
 
@@ -282,6 +287,7 @@
 	}
 	delete(l.begun, c)
 	took := now.Sub(c.begun)
+	l.mute.end(r, took)
 	switch r {
 	case OK:
 		c.t.learn(l, c, took, now)
@@ -290,7 +296,7 @@
 			l.count(now, 0, 1)
 			c.t.step(c.route, took)
 		}
-	case Refused, Failed:
+	case Refused, Failed, Unreached:
 		l.count(now, 1, 0)
 	case Neutral:
 	}
