First run: look at a leaf's use before its place

Cause: a first run asked the quarantine for a leaf's place and then whether the leaf is of use. A leaf that crashed between the two looks was free by the first and of no use by the second, so it passed for out of use for another cause, and the next in rank was asked in its stead: a fourth leaf for a text that crashes each. Ruled out: evidence on its way (it isn't needed for a place that is held), a restart (leaves are back after 300 ms). Change: use first, then the place. Before: TestLeafThatCrashesWhileItsPlaceIsLookedAt fails on each leaf. After: passes.

--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -178,6 +178,43 @@
 	})
 }
 
+// breakingView is a fleet in which a leaf crashes right after it was last seen connected.
+type breakingView struct {
+	*fakeFleet
+	breaks string
+}
+
+func (v *breakingView) State(leaf string) (upstream.State, bool) {
+	s, ok := v.fakeFleet.State(leaf)
+	if leaf == v.breaks {
+		v.breaks = ""
+		v.crash(leaf, s.Incarnation, "another")
+	}
+	return s, ok
+}
+
+// TestLeafThatCrashesWhileItsPlaceIsLookedAt: a leaf whose connection breaks between two looks at it keeps its
+// place. Were it taken for out of use, the next in rank would be asked, and a crashing text that runs through
+// several gathers at once would end a fourth leaf.
+func TestLeafThatCrashesWhileItsPlaceIsLookedAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(3)
+		view := &breakingView{fakeFleet: fleet}
+		r := newRigOver("az-a", service, view, fleet, nil)
+		for leaf := range service.Leaves {
+			r.guard.Look()
+			first := &trial{r: &run{
+				e: r.engine, fleet: r.engine.fleet(), plan: choose(service, r.engine.fleet()),
+				key: quarantine.SearchKey(service.Name, "new", 1, 1),
+			}}
+			is.Equal(first.place(leaf), quarantine.PlaceFree)
+			view.breaks = leaf
+			is.Equal(first.place(leaf), quarantine.PlaceHeld)
+		}
+	})
+}
+
 // TestInnocentInDoubtWaitsForEvidence: a request comes while its text, of which two crashes are known, may
 // still turn out to be innocent of them. It waits for that, as those do that came before, and is answered.
 func TestInnocentInDoubtWaitsForEvidence(t *testing.T) {
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -108,10 +108,14 @@
 	return left
 }
 
+// place says how a leaf stands for the first run. Whether it is of use is looked at first: a leaf that crashes
+// between the two looks is found lost by the second and keeps its place, where the other way round it passed for
+// out of use and the next in rank was asked, and crashed, in its stead.
 func (t *trial) place(leaf string) quarantine.Place {
+	usable := t.r.fleet.usable(leaf, t.r.plan.snapshot.Version)
 	p := t.r.e.guard.Place(leaf, t.r.key.Digest)
 	switch {
-	case p == quarantine.PlaceFree && !t.r.fleet.usable(leaf, t.r.plan.snapshot.Version):
+	case p == quarantine.PlaceFree && !usable:
 		return quarantine.PlaceAbsent
 	case p == quarantine.PlaceAbsent && t.solo && t.r.e.guard.LostLately(leaf):
 		return quarantine.PlaceHeld // no other may take its place, so it is waited for
