Split run.go and node.go by duty; show the gatherers in the dump

Moves: what makes a search hopeless and what a call's end teaches leave dispatch/run.go, the clients of other VMs and the division of work leave node/node.go. The dump shows the gatherers of the plan with their state.

--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -292,3 +292,20 @@
 	}
 	t.lost = false
 }
+
+// Dump shows the gatherers of the plan.
+func (m *Manager) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	type shown struct {
+		Lost    bool  `json:"lost"`
+		Leaving bool  `json:"leaving"`
+		LagUs   int64 `json:"lag_us"`
+		Flights int   `json:"searches_in_flight"`
+	}
+	out := make(map[string]shown, len(m.plan))
+	for _, t := range m.plan {
+		out[t.address] = shown{t.lost, t.leaving, t.lag.Microseconds(), len(t.flights)}
+	}
+	return out
+}
--- a/internal/delegate/manager_test.go
+++ b/internal/delegate/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptrace"
@@ -246,6 +247,9 @@
 		is.Equal(a.Outcome, dispatch.Served)
 		is.Equal(took, time.Duration(0))
 		is.Equal(w.local, 1)
+		shown, err := json.Marshal(w.m.Dump())
+		is.NoErr(err)
+		is.True(strings.Contains(string(shown), `"s1":{"lost":true`))
 		w.s1.silent.Store(false)
 		time.Sleep(2*lostPeriod + 2*pingTimeout)
 		before := len(w.s1.searches)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"math"
 	"math/rand/v2"
-	"net/http"
-	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -181,49 +177,6 @@
 	}
 }
 
-// hopeless refuses a request at once where too few of its services have a leaf at all, or one that gives a
-// sign of life: in a zone that is cut off from the others, and lacks leaves of some shards, all searches waited
-// until their time was over. Now and then one is made nevertheless, to find the end of it.
-func (r *run) hopeless() *Answer {
-	now := time.Now()
-	without, mute, longest := 0, 0, time.Duration(0)
-	for i := range r.groups {
-		s := r.groups[i].service
-		leaves := append(slices.Clone(r.view.Leaves[s]), r.view.Lapsed[s]...)
-		if len(leaves) == 0 {
-			without++
-			continue
-		}
-		if d := r.muteFor(leaves, now); d > 0 && r.route.Search() {
-			mute++
-			longest = max(longest, d)
-		}
-	}
-	if len(r.groups)-without-mute >= r.needed() {
-		return nil
-	}
-	switch {
-	case mute == 0:
-		return r.answer(&Answer{Outcome: NotRun, Reason: ReasonNoLeaf, RetryAfter: comeBack(retryNoLeaf)})
-	case r.e.probes.due(now):
-		return nil
-	}
-	return r.answer(&Answer{Outcome: NotRun, Reason: ReasonMuteLeaves, RetryAfter: comeBack(retryMute(longest))})
-}
-
-// retryMute is when to come back to shards that have been mute for the given time: what has lasted for a while
-// is likely to do so as long again.
-func retryMute(mute time.Duration) time.Duration { return min(max(mute, retryNoLeaf), retryMuteMost) }
-
-// muteFor returns how long all of the leaves have been mute, 0 where one isn't.
-func (r *run) muteFor(leaves []catalog.Leaf, now time.Time) time.Duration {
-	shortest := time.Duration(math.MaxInt64)
-	for _, l := range leaves {
-		shortest = min(shortest, r.e.table.Mute(l.ID, now))
-	}
-	return shortest
-}
-
 // needed is how many groups have to be served.
 func (r *run) needed() int {
 	if r.route.Search() {
@@ -410,51 +363,3 @@
 	case <-r.over:
 	}
 }
-
-// learn takes what the end of a call tells of its leaf.
-func (r *run) learn(leaf catalog.Leaf, call *replica.Call, resp *leafcall.Response, err error) {
-	now := time.Now()
-	if resp != nil && resp.Load != nil {
-		r.e.table.Report(leaf.ID, *resp.Load, now)
-	}
-	call.End(resultOf(resp, err), now)
-	var failure *leafcall.Error
-	switch {
-	case resp != nil && resp.Moved:
-		r.e.moved.add(leaf.ID, now)
-	case resp != nil && !resp.NotRun:
-		r.e.crashes.Answered(r.digest)
-	case errors.As(err, &failure) && failure.Cause == leafcall.ConnectionLost:
-		r.e.crashes.Lost(r.digest, leaf.ID)
-	case failure != nil && failure.Refused:
-		r.e.crashes.Down(leaf.ID)
-	}
-}
-
-// resultOf says what the end of a call tells of its leaf.
-func resultOf(resp *leafcall.Response, err error) replica.Result {
-	if resp != nil {
-		switch {
-		case resp.Moved, resp.NotRun:
-			return replica.Refused
-		case resp.Status >= http.StatusInternalServerError:
-			return replica.Failed
-		}
-		return replica.OK
-	}
-	var failure *leafcall.Error
-	if !errors.As(err, &failure) {
-		return replica.Failed
-	}
-	switch failure.Cause {
-	case leafcall.Abandoned, leafcall.TimedOut:
-		return replica.Late
-	case leafcall.ConnectionFull:
-		return replica.Neutral
-	case leafcall.NoConnection:
-		if !failure.Refused {
-			return replica.Unreached
-		}
-	}
-	return replica.Failed
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,13 +61,6 @@
 	idleMost = 75 * time.Second
 	// headerMost bounds how long the head of a request may take.
 	headerMost = 10 * time.Second
-	// peerIdle is how long an idle connection to another VM is kept.
-	peerIdle = 10 * time.Second
-	// gathererDial bounds opening a connection to a stronger VM of the zone, gathererSilent how long bytes
-	// sent there may stay unacknowledged: a round trip takes 0.2 ms.
-	gathererDial, gathererSilent = 100 * time.Millisecond, 250 * time.Millisecond
-	// gathererIdle is how many idle connections to each are kept: a burst brings a weak VM some 5 searches at once.
-	gathererIdle = 8
 	// logCloseLimit bounds writing the last lines.
 	logCloseLimit = 200 * time.Millisecond
 )
@@ -149,32 +142,6 @@
 	return d
 }
 
-// dialGatherers returns clients for searches handed over. Their connections find within some tenths of a
-// second that the other end is gone: a search waits for it.
-func dialGatherers(bind string) func(address string) delegate.Client {
-	dialer := rpc.Dialer(bind)
-	dialer.Timeout = gathererDial
-	dialer.Control = rpc.EndSilent(gathererSilent)
-	shared := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: gathererIdle, IdleConnTimeout: peerIdle,
-	}}
-	return func(address string) delegate.Client {
-		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address)
-	}
-}
-
-// dialPeers returns clients that share one transport. It speaks HTTP/1.1: a connection gone silent is
-// found and closed by the timeout of its exchange, while the pings of HTTP/2 over the connections of 60
-// VMs to each other took more bytes than all exchanges.
-func dialPeers(bind string) peers.Dial {
-	shared := &http.Client{Transport: &http.Transport{
-		DialContext: rpc.Dialer(bind).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle,
-	}}
-	return func(address string) peers.Client {
-		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address)
-	}
-}
-
 func (d *Daemon) callersServer() *http.Server {
 	edge := d.platform.Callers(d.delegate, d.limits, d.leaving.Load, func(reason string) { d.refused.WithLabelValues(reason).Inc() })
 	n := negroni.New()
@@ -228,6 +195,7 @@
 func (d *Daemon) operatorHandler() http.Handler {
 	dumps := operator.NewDumps()
 	dumps.Add("peers", d.peers)
+	dumps.Add("gatherers", d.delegate)
 	dumps.Add("connections", d.pool)
 	dumps.Add("budgets", operator.DumpFunc(func() any { return d.budgets.Left() }))
 	return operator.Handler(d.registry, dumps, func() (bool, string) { return d.ready(), "no configuration, no leaves or leaving" })
@@ -293,25 +261,6 @@
 	}
 }
 
-// applyPlan divides the work among the VMs that are known now, and returns how many there are.
-func (d *Daemon) applyPlan() int {
-	var fleet []delegate.VM
-	for _, vm := range d.peers.VMs() {
-		fleet = append(fleet, delegate.VM(vm))
-	}
-	plan := delegate.NewPlan(delegate.VM{Address: d.settings.Peers, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet)
-	d.delegate.SetPlan(plan)
-	d.gatherer.SetPlan(plan)
-	view := d.directory.Current()
-	s := shares{plan: plan, vms: len(fleet) + 1}
-	if view.Config != nil {
-		s.single, s.shards = view.Config.Used()
-	}
-	d.budgets.SetPart(s.extra)
-	d.pool.SetLeaves(callable(view), connectionLimits(view.Config), s.connections)
-	return s.vms
-}
-
 // reloadOnSignal reads the settings anew at each SIGHUP until ctx ends. Requests go on meanwhile: only
 // the seeds may change in a running process.
 func (d *Daemon) reloadOnSignal(ctx context.Context) error {
@@ -338,26 +287,3 @@
 	d.seeds.Store(&seeds)
 	return true
 }
-
-// callable returns the leaves that may be called, those included that no route names yet: their
-// connections are open when one does.
-func callable(v *directory.View) []catalog.Leaf {
-	var out []catalog.Leaf
-	for _, lists := range []map[string][]catalog.Leaf{v.Leaves, v.Lapsed} {
-		for _, list := range lists {
-			out = append(out, list...)
-		}
-	}
-	return out
-}
-
-func connectionLimits(c *catalog.Config) map[string]int {
-	out := make(map[string]int)
-	if c == nil {
-		return out
-	}
-	for name, s := range c.Services {
-		out[name] = s.ConnectionLimit
-	}
-	return out
-}
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/delegate"
+	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafpool"
 )
 
@@ -30,3 +32,45 @@
 	}
 	return leafpool.Share{VMs: s.plan.Gatherers, Rare: len(s.plan.To) > 0}
 }
+
+// applyPlan divides the work among the VMs that are known now, and returns how many there are.
+func (d *Daemon) applyPlan() int {
+	var fleet []delegate.VM
+	for _, vm := range d.peers.VMs() {
+		fleet = append(fleet, delegate.VM(vm))
+	}
+	plan := delegate.NewPlan(delegate.VM{Address: d.settings.Peers, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet)
+	d.delegate.SetPlan(plan)
+	d.gatherer.SetPlan(plan)
+	view := d.directory.Current()
+	s := shares{plan: plan, vms: len(fleet) + 1}
+	if view.Config != nil {
+		s.single, s.shards = view.Config.Used()
+	}
+	d.budgets.SetPart(s.extra)
+	d.pool.SetLeaves(callable(view), connectionLimits(view.Config), s.connections)
+	return s.vms
+}
+
+// callable returns the leaves that may be called, those included that no route names yet: their
+// connections are open when one does.
+func callable(v *directory.View) []catalog.Leaf {
+	var out []catalog.Leaf
+	for _, lists := range []map[string][]catalog.Leaf{v.Leaves, v.Lapsed} {
+		for _, list := range lists {
+			out = append(out, list...)
+		}
+	}
+	return out
+}
+
+func connectionLimits(c *catalog.Config) map[string]int {
+	out := make(map[string]int)
+	if c == nil {
+		return out
+	}
+	for name, s := range c.Services {
+		out[name] = s.ConnectionLimit
+	}
+	return out
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -174,18 +174,6 @@
 	return best, call
 }
 
-// Costs returns the cost of each candidate, for records of decisions.
-func (t *Table) Costs(now time.Time, route string, guess time.Duration, from []Candidate) []float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	usual := t.usualOf(route, guess)
-	out := make([]float64, 0, len(from))
-	for _, c := range from {
-		out = append(out, t.cost(t.leaf(c, now), now, usual, c))
-	}
-	return out
-}
-
 // toward moves a value to its rest by the time passed.
 func toward(value, rest float64, age, constant time.Duration) float64 {
 	return rest + (value-rest)*math.Exp(-float64(age)/float64(constant))
@@ -253,14 +241,6 @@
 	return n
 }
 
-// Overdue tells whether the leaf seems to stand still.
-func (t *Table) Overdue(id string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l := t.leaves[id]
-	return l != nil && l.overdue(now) > 0
-}
-
 // Report takes a leaf's own report of its load.
 func (t *Table) Report(id string, load Load, now time.Time) {
 	t.mu.Lock()
