Bound a search that was handed over, and ping its gatherer while it goes on

Cause, found by reading: a gatherer was pinged once, 40 ms after it got a search. One that went silent after its answer, while this VM sent it no other search, kept the caller waiting until that left. Change: pings every 150 ms while a search goes on, and the search ends with the caller's time at the latest. Before: TestGathererSilentLater and TestSearchWithoutEnd fail (they wait an hour).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -52,6 +52,14 @@
 // Search tells whether requests of the route go to many shards.
 func (r *Route) Search() bool { return len(r.Shards) > 0 }
 
+// Waits returns how long a caller is kept waiting that said how long it will wait, or 0 where it didn't.
+func (r *Route) Waits(remaining time.Duration) time.Duration {
+	if remaining <= 0 {
+		return r.Timeout
+	}
+	return min(r.Timeout, remaining)
+}
+
 // Needed returns how many shards of the route a successful search covers at least.
 func (r *Route) Needed() int {
 	n := len(r.Shards)
--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -22,6 +22,8 @@
 	// pingTimeout is how long a gatherer may take to say that it runs. The way there and back takes 0.2 ms in a
 	// zone; a gatherer that takes longer than this serves nobody in time.
 	pingTimeout = 100 * time.Millisecond
+	// pingPeriod is the time between two pings while a search goes on.
+	pingPeriod = 150 * time.Millisecond
 	// lostPeriod is the time between two pings of a gatherer that is lost.
 	lostPeriod = 250 * time.Millisecond
 	// triesMost bounds the gatherers that one search is offered to.
@@ -118,7 +120,7 @@
 			break
 		}
 		tried = t
-		a, version, why := m.handOver(ctx, t, req, least)
+		a, version, why := m.handOver(ctx, t, req, least, route.Waits(req.Remaining))
 		if a != nil {
 			a.Route = route
 			m.cfg.Observer.Ended(req, a, &dispatch.Trace{Version: version, Gatherer: t.address})
@@ -139,10 +141,10 @@
 // handOver lets the gatherer answer the search, and returns by which configuration it did; nil and why where it
 // surely has not run any of it. A search that may have run is not sent again: its calls would come on top of
 // those that each shard may get of one attempt.
-func (m *Manager) handOver(ctx context.Context, t *target, req *dispatch.Request, least uint64) (*dispatch.Answer, uint64, string) {
-	callCtx, f := m.begin(ctx, t)
+func (m *Manager) handOver(ctx context.Context, t *target, req *dispatch.Request, least uint64, waits time.Duration) (*dispatch.Answer, uint64, string) {
+	callCtx, f := m.begin(ctx, t, req.Arrived.Add(waits))
 	defer m.end(t, f)
-	quiet := time.AfterFunc(quietAfter, func() { m.ping(callCtx, t) })
+	quiet := time.AfterFunc(quietAfter, func() { m.watch(callCtx, t) })
 	defer quiet.Stop()
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
@@ -160,9 +162,18 @@
 	return decodeAnswer(msg), msg.GetVersion(), ""
 }
 
-// begin notes a search in flight and returns its context.
-func (m *Manager) begin(ctx context.Context, t *target) (context.Context, *flight) {
-	ctx, cancel := context.WithCancel(ctx)
+// watch pings the gatherer until the search is over.
+func (m *Manager) watch(ctx context.Context, t *target) {
+	for ctx.Err() == nil {
+		m.ping(ctx, t)
+		wait.For(ctx, pingPeriod)
+	}
+}
+
+// begin notes a search in flight and returns its context, which ends at the deadline: the gatherer answers a
+// little sooner, whatever its leaves do.
+func (m *Manager) begin(ctx context.Context, t *target, deadline time.Time) (context.Context, *flight) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	f := &flight{cancel}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/delegate/manager_test.go
+++ b/internal/delegate/manager_test.go
@@ -258,6 +258,32 @@
 	})
 }
 
+// A gatherer that goes silent later, after it has answered a ping, is found all the same.
+func TestGathererSilentLater(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.s1.after, w.s2.after = time.Hour, time.Hour
+		time.AfterFunc(100*ms, func() {
+			w.s1.silent.Store(true)
+			w.s2.silent.Store(true)
+		})
+		a, took := w.ask(t.Context(), "/s/1")
+		is.Equal(a.Outcome, dispatch.Unknown)
+		is.True(took > 100*ms && took < 100*ms+pingPeriod+2*pingTimeout)
+	})
+}
+
+// A search of which a gatherer that answers pings never tells the end gets its final answer in time.
+func TestSearchWithoutEnd(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.s1.after, w.s2.after = time.Hour, time.Hour
+		a, took := w.ask(t.Context(), "/s/1")
+		is.Equal(a.Outcome, dispatch.Unknown)
+		is.True(took <= 800*ms) // the route's timeout
+	})
+}
+
 // Pings don't go out for searches that are answered soon.
 func TestQuickSearchesNeedNoPing(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -124,10 +124,7 @@
 		events: make(chan event), over: make(chan struct{}),
 		guess: time.Duration(float64(route.Target) * guessPart),
 	}
-	left := route.Timeout
-	if req.Remaining > 0 {
-		left = min(left, req.Remaining)
-	}
+	left := route.Waits(req.Remaining)
 	r.deadline = req.Arrived.Add(left - min(answerMargin, left/4))
 	r.soft = req.Arrived.Add(route.Target - min(wayBack, route.Target/4))
 	if req.NewConnection {
