--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -89,13 +89,11 @@
 	number := 1
 	for _, service := range services() {
 		for i := range replicas {
-			p := &place{listen: "127.0.0.1:0", entry: hostPort(w.address(2, number), entryPort), zone: zone(i % o.Size.Zones)}
+			p := &place{listen: hostPort(w.address(4, number), entryPort), entry: hostPort(w.address(2, number), entryPort), zone: zone(i % o.Size.Zones)}
 			number++
-			leaf, err := p.open(&w.past, service)
-			if err != nil {
+			if _, err := p.open(&w.past, service); err != nil {
 				return nil, err
 			}
-			p.listen = leaf.Address()
 			w.places = append(w.places, p)
 			forwards = append(forwards, relay.Forward{Listen: p.entry, Target: p.listen, Networks: []relay.Network{relay.TCP}})
 			w.enter(p, "ready")
