One type for a VM of the fleet; less work for each search that isn't hopeless

Found on reading the change again; behaviour stays as it is. - delegate.VM, peers.VM and the peer of peers/choose.go were three copies of one type: peers.VM serves all. - The check for hopeless searches copied two lists a shard and took the table's lock for each of up to 162 leaves, for single requests in vain: it ends at the first leaf of a shard that isn't mute, and leaves single requests out. - delegate's targets by address said again what its plan holds. - Config.Used walked all routes twice a second, though a configuration never changes: it is worked out when it is built. - The path of a search handed over is cut off in the decoder; "all know all" stood three times in the tests. Checks: lint; delegate, peers, catalog, dispatch and replica with the race detector; node.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,6 +18,8 @@
 	// routes by host, longest prefix first.
 	routes map[string][]*Route
 	count  int
+	// single and shards are the services of single requests and of searches.
+	single, shards map[string]bool
 }
 
 // Route says where requests of one host and path prefix go.
@@ -96,12 +98,18 @@
 // New builds a configuration of the routes and services.
 func New(version uint64, routes []*Route, services []Service, limits Limits) *Config {
 	c := &Config{Version: version, Limits: limits, Services: make(map[string]Service, len(services)),
-		routes: make(map[string][]*Route), count: len(routes)}
+		routes: make(map[string][]*Route), count: len(routes), single: make(map[string]bool), shards: make(map[string]bool)}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
 	for _, r := range routes {
 		c.routes[r.Host] = append(c.routes[r.Host], r)
+		for _, s := range r.Shards {
+			c.shards[s] = true
+		}
+		for _, w := range r.Split {
+			c.single[w.Service] = true
+		}
 	}
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -123,21 +131,8 @@
 }
 
 // Used returns the names of the services that a route of single requests leads to, and of those that are
-// shards of a search.
-func (c *Config) Used() (single, shards map[string]bool) {
-	single, shards = make(map[string]bool), make(map[string]bool)
-	for _, list := range c.routes {
-		for _, r := range list {
-			for _, s := range r.Shards {
-				shards[s] = true
-			}
-			for _, w := range r.Split {
-				single[w.Service] = true
-			}
-		}
-	}
-	return single, shards
-}
+// shards of a search. They are not to be changed.
+func (c *Config) Used() (single, shards map[string]bool) { return c.single, c.shards }
 
 // Leaf is one incarnation of an upstream process, as it registered itself.
 type Leaf struct {
--- a/internal/delegate/gatherer.go
+++ b/internal/delegate/gatherer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,8 +66,7 @@
 	if config == nil || config.Version < msg.GetVersionLeast() {
 		return &pb.FleetSearchAnswer{NotTaken: notTakenConfig}
 	}
-	path, _, _ := strings.Cut(msg.GetTarget(), "?")
-	req := decodeSearch(msg, path, time.Now())
+	req := decodeSearch(msg, time.Now())
 	if route := dispatch.Match(config, req); route == nil || !route.Search() {
 		return &pb.FleetSearchAnswer{NotTaken: notTakenRoute}
 	}
--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -62,9 +62,8 @@
 	wake chan struct{}
 
 	mu sync.Mutex
-	// targets by address, and those of the plan; guarded by mu.
-	targets map[string]*target
-	plan    []*target
+	// plan holds the gatherers that searches may go to; guarded by mu.
+	plan []*target
 }
 
 // flight is a search in flight at a gatherer.
@@ -76,30 +75,28 @@
 		Name: "burdock_handed_over_total", Help: "Searches offered to a stronger VM of the zone, by their end.",
 	}, []string{"end"})
 	cfg.Registry.MustRegister(ended)
-	return &Manager{cfg: cfg, ended: ended, targets: make(map[string]*target), wake: make(chan struct{}, 1)}
+	return &Manager{cfg: cfg, ended: ended, wake: make(chan struct{}, 1)}
 }
 
 // SetPlan takes a new plan. Searches in flight at gatherers that left it go on.
 func (m *Manager) SetPlan(p Plan) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	keep := make(map[string]*target, len(p.To))
-	m.plan = m.plan[:0]
+	plan := make([]*target, 0, len(p.To))
 	for _, address := range p.To {
-		t := m.targets[address]
+		t := targetAt(m.plan, address)
 		if t == nil {
 			t = &target{address: address, client: m.cfg.Dial(address), flights: make(map[*flight]struct{})}
 			m.cfg.Log.Info("searches may go to a stronger VM", zap.String("peer", address), zap.Int("gatherers", p.Gatherers))
 		}
-		keep[address] = t
-		m.plan = append(m.plan, t)
+		plan = append(plan, t)
 	}
-	for address := range m.targets {
-		if keep[address] == nil {
-			m.cfg.Log.Info("searches no longer go to a VM", zap.String("peer", address), zap.Int("gatherers", p.Gatherers))
+	for _, t := range m.plan {
+		if targetAt(plan, t.address) == nil {
+			m.cfg.Log.Info("searches no longer go to a VM", zap.String("peer", t.address), zap.Int("gatherers", p.Gatherers))
 		}
 	}
-	m.targets = keep
+	m.plan = plan
 }
 
 // Serve implements dispatch.Server.
--- a/internal/delegate/messages.go
+++ b/internal/delegate/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
@@ -22,7 +23,8 @@
 }
 
 // decodeSearch returns the request as if it had come from the caller itself.
-func decodeSearch(msg *pb.FleetSearch, path string, now time.Time) *dispatch.Request {
+func decodeSearch(msg *pb.FleetSearch, now time.Time) *dispatch.Request {
+	path, _, _ := strings.Cut(msg.GetTarget(), "?")
 	req := &dispatch.Request{
 		ID: msg.GetId(), Method: msg.GetMethod(), Host: msg.GetHost(), Path: path, Target: msg.GetTarget(),
 		Header: make(http.Header, len(msg.GetHeaders())), Body: msg.GetBody(),
--- a/internal/delegate/plan.go
+++ b/internal/delegate/plan.go
@@ -7,6 +7,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/burdockplank/burdockplank/internal/peers"
 )
 
 // strongFrom is the multiple of the weakest VM's processor from which a VM of the same zone counts as strong:
@@ -17,13 +19,6 @@
 // VMs which gather share. The rest is for searches that the others make where they reach none of these.
 const gatherersPart = 0.8
 
-// VM is one VM of the fleet as the others know it.
-type VM struct {
-	Address, Zone string
-	// Millicores of its processor; 0 where not known.
-	Millicores int
-}
-
 // Plan says which VMs make the calls of searches.
 type Plan struct {
 	// To are the strong VMs of the own zone, in order of their addresses; empty where this VM gathers itself.
@@ -35,8 +30,8 @@
 }
 
 // NewPlan returns the plan of the VM self among the fleet, which holds the live VMs with or without self.
-func NewPlan(self VM, fleet []VM) Plan {
-	zones := map[string][]VM{self.Zone: {self}}
+func NewPlan(self peers.VM, fleet []peers.VM) Plan {
+	zones := map[string][]peers.VM{self.Zone: {self}}
 	for _, vm := range fleet {
 		if vm.Address != self.Address {
 			zones[vm.Zone] = append(zones[vm.Zone], vm)
@@ -63,8 +58,8 @@
 }
 
 // strongOf returns the addresses of the VMs that are strong beside the weakest, in order.
-func strongOf(vms []VM) []string {
-	weakest := slices.MinFunc(vms, func(a, b VM) int { return cmp.Compare(a.Millicores, b.Millicores) }).Millicores
+func strongOf(vms []peers.VM) []string {
+	weakest := slices.MinFunc(vms, func(a, b peers.VM) int { return cmp.Compare(a.Millicores, b.Millicores) }).Millicores
 	if weakest <= 0 {
 		return nil // of one nothing is known
 	}
--- a/internal/delegate/plan_test.go
+++ b/internal/delegate/plan_test.go
@@ -7,24 +7,28 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/burdockplank/burdockplank/internal/peers"
 )
 
-func vm(address, zone string, millicores int) VM { return VM{address, zone, millicores} }
+func vm(address, zone string, millicores int) peers.VM {
+	return peers.VM{Address: address, Zone: zone, Millicores: millicores}
+}
 
 func TestPlan(t *testing.T) {
-	strongZone := []VM{vm("s2", "z", 800), vm("s1", "z", 800), vm("w1", "z", 192), vm("w2", "z", 192)}
+	strongZone := []peers.VM{vm("s2", "z", 800), vm("s1", "z", 800), vm("w1", "z", 192), vm("w2", "z", 192)}
 	for name, tt := range map[string]struct {
-		self  VM
-		fleet []VM
+		self  peers.VM
+		fleet []peers.VM
 		want  Plan
 	}{
 		"alone":                  {vm("a", "z", 400), nil, Plan{Gatherers: 1}},
-		"all alike":              {vm("a", "z", 400), []VM{vm("b", "z", 400), vm("c", "y", 400)}, Plan{Gatherers: 3}},
+		"all alike":              {vm("a", "z", 400), []peers.VM{vm("b", "z", 400), vm("c", "y", 400)}, Plan{Gatherers: 3}},
 		"weak beside strong":     {vm("w1", "z", 192), strongZone, Plan{To: []string{"s1", "s2"}, Gatherers: 2, Others: 2}},
 		"strong beside weak":     {vm("s1", "z", 800), strongZone, Plan{Gathers: true, Gatherers: 2, Others: 2}},
 		"strong in another zone": {vm("w3", "y", 192), strongZone, Plan{Gatherers: 3, Others: 2}},
-		"a little stronger":      {vm("a", "z", 400), []VM{vm("b", "z", 700)}, Plan{Gatherers: 2}},
-		"unknown":                {vm("a", "z", 0), []VM{vm("b", "z", 800)}, Plan{Gatherers: 2}},
+		"a little stronger":      {vm("a", "z", 400), []peers.VM{vm("b", "z", 700)}, Plan{Gatherers: 2}},
+		"unknown":                {vm("a", "z", 0), []peers.VM{vm("b", "z", 800)}, Plan{Gatherers: 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -37,7 +41,7 @@
 // hands over hands to VMs that take it.
 func TestPartsAreOneWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var fleet []VM
+		var fleet []peers.VM
 		for i := range rapid.IntRange(1, 40).Draw(t, "vms") {
 			zone := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "zone"))
 			fleet = append(fleet, vm(fmt.Sprint(i), zone, rapid.SampledFrom([]int{0, 100, 192, 300, 400, 800}).Draw(t, "millicores")))
--- a/internal/delegate/target.go
+++ b/internal/delegate/target.go
@@ -26,6 +26,16 @@
 	lagAt   time.Time
 }
 
+// targetAt returns the target at the address, nil where there is none.
+func targetAt(targets []*target, address string) *target {
+	for _, t := range targets {
+		if t.address == address {
+			return t
+		}
+	}
+	return nil
+}
+
 // usable tells whether it may get a search.
 func (t *target) usable(now time.Time) bool {
 	busy := t.lag > lagMost && now.Sub(t.lagAt) < lagKeep
--- a/internal/dispatch/hopeless.go
+++ b/internal/dispatch/hopeless.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -16,12 +15,15 @@
 	without, mute, longest := 0, 0, time.Duration(0)
 	for i := range r.groups {
 		s := r.groups[i].service
-		leaves := append(slices.Clone(r.view.Leaves[s]), r.view.Lapsed[s]...)
-		if len(leaves) == 0 {
+		ready, lapsed := r.view.Leaves[s], r.view.Lapsed[s]
+		if len(ready)+len(lapsed) == 0 {
 			without++
 			continue
 		}
-		if d := r.muteFor(leaves, now); d > 0 && r.route.Search() {
+		if !r.route.Search() {
+			continue
+		}
+		if d := r.muteFor(now, ready, lapsed); d > 0 {
 			mute++
 			longest = max(longest, d)
 		}
@@ -42,11 +44,18 @@
 // is likely to do so as long again.
 func retryMute(mute time.Duration) time.Duration { return min(max(mute, retryNoLeaf), retryMuteMost) }
 
-// muteFor returns how long all of the leaves have been mute, 0 where one isn't.
-func (r *run) muteFor(leaves []catalog.Leaf, now time.Time) time.Duration {
+// muteFor returns how long all of the leaves have been mute; 0 as soon as one isn't, which is the first of them
+// for nearly every shard.
+func (r *run) muteFor(now time.Time, lists ...[]catalog.Leaf) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
-	for _, l := range leaves {
-		shortest = min(shortest, r.e.table.Mute(l.ID, now))
+	for _, leaves := range lists {
+		for _, l := range leaves {
+			mute := r.e.table.Mute(l.ID, now)
+			if mute == 0 {
+				return 0
+			}
+			shortest = min(shortest, mute)
+		}
 	}
 	return shortest
 }
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -5,6 +5,7 @@
 	"github.com/burdockplank/burdockplank/internal/delegate"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafpool"
+	"github.com/burdockplank/burdockplank/internal/peers"
 )
 
 // shares says which part this VM has in what the fleet may use of each service.
@@ -35,11 +36,8 @@
 
 // applyPlan divides the work among the VMs that are known now, and returns how many there are.
 func (d *Daemon) applyPlan() int {
-	var fleet []delegate.VM
-	for _, vm := range d.peers.VMs() {
-		fleet = append(fleet, delegate.VM(vm))
-	}
-	plan := delegate.NewPlan(delegate.VM{Address: d.settings.Peers, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet)
+	fleet := d.peers.VMs()
+	plan := delegate.NewPlan(peers.VM{Address: d.settings.Peers, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet)
 	d.delegate.SetPlan(plan)
 	d.gatherer.SetPlan(plan)
 	view := d.directory.Current()
--- a/internal/peers/choose.go
+++ b/internal/peers/choose.go
@@ -32,18 +32,12 @@
 	pushNear = 3
 )
 
-// peer is a member that may be chosen.
-type peer struct {
-	address, zone string
-	millicores    uint32
-}
-
 // view is what the choice is made from.
 type view struct {
-	near, far []peer
+	near, far []VM
 	silent    []string
 	// envoys of all zones, those of the own zone apart; self may be one of these.
-	nearEnvoys, farEnvoys []peer
+	nearEnvoys, farEnvoys []VM
 	// envoy is set where this VM is one.
 	envoy bool
 }
@@ -55,20 +49,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := new(view)
-	zones := map[string][]peer{m.cfg.Zone: {{m.cfg.Self, m.cfg.Zone, m.self.GetMillicores()}}}
+	zones := map[string][]VM{m.cfg.Zone: {vmOf(&m.self)}}
 	for address, e := range m.members {
 		if !e.live {
 			v.silent = append(v.silent, address)
 			continue
 		}
-		p := peer{address, e.record.GetZone(), e.record.GetMillicores()}
-		if p.zone == m.cfg.Zone {
+		p := vmOf(e.record)
+		if p.Zone == m.cfg.Zone {
 			v.near = append(v.near, p)
 		} else {
 			v.far = append(v.far, p)
 		}
 		if !e.record.GetLeaving() {
-			zones[p.zone] = append(zones[p.zone], p)
+			zones[p.Zone] = append(zones[p.Zone], p)
 		}
 	}
 	for zone, peers := range zones {
@@ -83,13 +77,13 @@
 	return v
 }
 
-func (m *Manager) isSelf(p peer) bool { return p.address == m.cfg.Self }
+func (m *Manager) isSelf(p VM) bool { return p.Address == m.cfg.Self }
 
 // envoys returns the VMs of a zone that talk to those of others: the strongest, which also see most of the
 // leaves, and among equals by a rank on which all agree.
-func envoys(zone []peer) []peer {
-	slices.SortFunc(zone, func(a, b peer) int {
-		return cmp.Or(cmp.Compare(b.millicores, a.millicores), cmp.Compare(xxhash.Sum64String(a.address), xxhash.Sum64String(b.address)))
+func envoys(zone []VM) []VM {
+	slices.SortFunc(zone, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(b.Millicores, a.Millicores), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)))
 	})
 	return zone[:min(envoysPerZone, len(zone))]
 }
@@ -114,7 +108,7 @@
 	if len(far) == 0 {
 		return "", false
 	}
-	return far[rand.N(len(far))].address, true
+	return far[rand.N(len(far))].Address, true
 }
 
 // audience returns the peers that are told of news at once.
@@ -137,21 +131,21 @@
 }
 
 // onePerZone returns one peer of each zone by chance.
-func onePerZone(peers []peer) []peer {
+func onePerZone(peers []VM) []VM {
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	var out []peer
+	var out []VM
 	for _, p := range peers {
-		if !slices.ContainsFunc(out, func(o peer) bool { return o.zone == p.zone }) {
+		if !slices.ContainsFunc(out, func(o VM) bool { return o.Zone == p.Zone }) {
 			out = append(out, p)
 		}
 	}
 	return out
 }
 
-func addresses(peers []peer) []string {
+func addresses(peers []VM) []string {
 	out := make([]string, 0, len(peers))
 	for _, p := range peers {
-		out = append(out, p.address)
+		out = append(out, p.Address)
 	}
 	return out
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -84,21 +84,23 @@
 // Live returns how many other VMs show signs of life.
 func (m *Manager) Live() int { return len(m.VMs()) }
 
-// VM is another VM that shows signs of life.
+// VM is a VM of the fleet as the others know it.
 type VM struct {
 	Address, Zone string
 	// Millicores of its processor; 0 where not known.
 	Millicores int
 }
 
+func vmOf(r *pb.FleetMember) VM { return VM{r.GetAddress(), r.GetZone(), int(r.GetMillicores())} }
+
 // VMs returns the other VMs that show signs of life and aren't about to end.
 func (m *Manager) VMs() []VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []VM
-	for address, e := range m.members {
+	for _, e := range m.members {
 		if e.live && !e.record.GetLeaving() {
-			out = append(out, VM{address, e.record.GetZone(), int(e.record.GetMillicores())})
+			out = append(out, vmOf(e.record))
 		}
 	}
 	return out
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -89,6 +90,14 @@
 	}
 }
 
+// allKnowAll waits until each of the VMs knows all others.
+func allKnowAll(t *testing.T, d time.Duration, vms []*Manager) {
+	t.Helper()
+	within(t, d, "all know all", func() bool {
+		return !slices.ContainsFunc(vms, func(m *Manager) bool { return m.Live() < len(vms)-1 })
+	})
+}
+
 func item(revision uint64) mirror.Delta {
 	return mirror.Delta{
 		Items:        []mirror.Item{{Key: "op/config", Revision: revision, Value: []byte(fmt.Sprint(revision))}},
@@ -112,14 +121,7 @@
 		vms, copies = append(vms, m), append(copies, mi)
 		wg.Go(func() { _ = m.Run(ctx) })
 	}
-	within(t, 10*time.Second, "all know all", func() bool {
-		for _, m := range vms {
-			if m.Live() < len(vms)-1 {
-				return false
-			}
-		}
-		return true
-	})
+	allKnowAll(t, 10*time.Second, vms)
 	begun := time.Now()
 	copies[7].Merge(item(5), begun)
 	within(t, 2*time.Second, "all have the change", func() bool {
@@ -152,14 +154,7 @@
 	for _, m := range vms {
 		wg.Go(func() { _ = m.Run(ctx) })
 	}
-	within(t, 15*time.Second, "all know all", func() bool {
-		for _, m := range vms {
-			if m.Live() < size-1 {
-				return false
-			}
-		}
-		return true
-	})
+	allKnowAll(t, 15*time.Second, vms)
 	return vms, copies
 }
 
@@ -283,14 +278,7 @@
 		copies, all = append(copies, mi), append(all, m)
 		wg.Go(func() { _ = m.Run(ctx) })
 	}
-	within(t, 10*time.Second, "all know all", func() bool {
-		for _, m := range all {
-			if m.Live() < vms-1 {
-				return false
-			}
-		}
-		return true
-	})
+	allKnowAll(t, 10*time.Second, all)
 	time.Sleep(2 * period) // each has said to others what it has
 	d := item(5)
 	d.Items[0].Value = make([]byte, 50<<10)
