Let a refused order give the reason that its witness holds

Cause: a gather that wakes from a pause with an order in hand and no fresh news refuses it in order.place before it asks the ticket's witness, which may have sealed the ticket meanwhile: two records of one ticket with two reasons. Ruled out: asking also for expired tickets; TestExpiryAndForgetting holds that the witness isn't asked in vain there. Change: the witness is asked before such a refusal becomes the record; a record that it holds counts, and where it has none it is told this one.

--- a/internal/order/intent.go
+++ b/internal/order/intent.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/ticket"
 )
 
 const stepIntent = "order.intent"
@@ -43,9 +46,22 @@
 // without would break the witness's "never run", and a new ticket with another witness is one round
 // trip away.
 func (a *attempt) noteIntent(ctx context.Context) *pb.TicketRecord {
+	stop, err := a.askWitness(ctx)
+	if err != nil {
+		return a.noWitness(err)
+	}
+	return stop
+}
+
+// errWitnessEnded says that the ticket's witness isn't known, or has started anew.
+var errWitnessEnded = errors.New("the witness has ended")
+
+// askWitness notes the intent at the witness, and returns the record that it holds already, if any. Its
+// answer counts only where it has one: an error says that it couldn't be asked.
+func (a *attempt) askWitness(ctx context.Context) (*pb.TicketRecord, error) {
 	vm := findVM(a.m.source.Current(), a.t.WitnessVM)
 	if vm == nil || gatherOf(vm).GetIncarnation() != a.t.WitnessIncarnation {
-		return a.noWitness(nil)
+		return nil, errWitnessEnded
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.m.cfg.NoteTimeout)
 	defer cancel()
@@ -55,14 +71,39 @@
 		Ticket: a.m.table.id(a.t.Sequence), WitnessIncarnation: a.t.WitnessIncarnation,
 		Expires: timestamppb.New(a.t.Expires), OrderDigest: a.e.digest, Caller: a.e.caller,
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		a.m.witnesses.Failed(a.t.WitnessVM)
-		return a.noWitness(err)
-	case resp.GetSealed():
-		return a.ended(outcome.NotRun(pb.Reason_REASON_SEALED, stepIntent, "the ticket was sealed, take a new one").At(a.t.WitnessVM))
+		return nil, err
+	}
+	if resp.GetSealed() {
+		return a.ended(outcome.NotRun(pb.Reason_REASON_SEALED, stepIntent, "the ticket was sealed, take a new one").At(a.t.WitnessVM)), nil
+	}
+	return resp.GetRecord(), nil
+}
+
+// refuse ends an order that is not tried. The witness is asked first, for after a pause of this process it
+// may have sealed the ticket, and both are to give one reason; where it has no record it is told this one.
+func (m *Manager) refuse(t *ticket.Ticket, e *entry, end *outcome.Error) {
+	a := &attempt{m: m, t: t, e: e}
+	record := a.ended(end)
+	if t.HasWitness() {
+		switch held, err := a.askWitness(context.Background()); {
+		case err != nil:
+			m.log.Info("order refused without its witness", zap.Uint64("ticket", t.Sequence), zap.String("witness", t.WitnessVM),
+				zap.String("reason", outcome.ReasonName(end.Reason)), zap.Error(err))
+		case held != nil:
+			record = held
+		}
+	}
+	m.record(a, record)
+}
+
+// record makes the record of an attempt final, and tells the witness where that knows of the order.
+func (m *Manager) record(a *attempt, r *pb.TicketRecord) {
+	m.finish(a.t, a.e, r)
+	if a.noted {
+		m.spread(identity{a.t.WitnessVM, a.t.WitnessIncarnation}, r)
 	}
-	return resp.GetRecord()
 }
 
 func (a *attempt) noWitness(cause error) *pb.TicketRecord {
--- a/internal/order/place.go
+++ b/internal/order/place.go
@@ -19,7 +19,7 @@
 func (m *Manager) run(t *ticket.Ticket, e *entry, order *pb.OrderRequest, who *pb.Identity) {
 	p, end := m.place(order)
 	if end != nil {
-		m.end(t, e, end)
+		m.refuse(t, e, end)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), p.kind.Timeout)
@@ -27,11 +27,7 @@
 	linger, stop := context.WithTimeout(context.Background(), p.kind.Timeout+m.cfg.Linger)
 	defer stop()
 	a := &attempt{m: m, t: t, e: e, order: order, who: who, place: p, linger: linger}
-	record := a.do(ctx)
-	m.finish(t, e, record)
-	if a.noted {
-		m.spread(identity{t.WitnessVM, t.WitnessIncarnation}, record)
-	}
+	m.record(a, a.do(ctx))
 }
 
 // place is where an order may run: the replicas of the group that its key falls on.
--- a/internal/order/witness_test.go
+++ b/internal/order/witness_test.go
@@ -90,3 +90,20 @@
 		m.kill(m.node(id))
 	}
 }
+
+// A gather that wakes with an order in its hands and no fresh news of the fleet refuses it before it asks the
+// witness, which may have sealed the ticket meanwhile: both tell one reason.
+func TestRefusalAfterAPauseGivesTheWitnessesReason(t *testing.T) {
+	inWorld(t, func(is *is.I, m *machine) {
+		n := m.node("vm-1")
+		sealed, free := m.ticket(), m.ticket()
+		is.Equal(m.askAround(sealed), "not_run sealed")
+		n.stale = true
+		is.Equal(m.ask(sealed, "p"), "not_run sealed")
+		is.Equal(m.ask(free, "p"), "not_run paused")
+		time.Sleep(time.Second)
+		m.rumourEnded("vm-1") // only the witness is asked from now on
+		is.Equal(m.askAround(free), "not_run paused")
+		is.Equal(m.runsOf(sealed.text)+m.runsOf(free.text), 0)
+	})
+}
--- a/internal/order/world_test.go
+++ b/internal/order/world_test.go
@@ -79,6 +79,8 @@
 	lag            time.Duration
 	// pauseSeen is when the node last saw a pause of its own end.
 	pauseSeen time.Time
+	// stale is true while the node has no fresh news of the fleet; set before it runs orders.
+	stale bool
 	// full and leaving are what leaves look like to the node; set before it runs orders.
 	full    bool
 	leaving map[string]bool
@@ -249,7 +251,7 @@
 }
 
 func (n *node) Changed() <-chan struct{} { return nil }
-func (n *node) Fresh() bool              { return true }
+func (n *node) Fresh() bool              { return !n.stale }
 
 // entrySource is the feed.Source of an entry.
 type entrySource struct{ w *world }
