Read the store as soon as no VM has word, and let requests wait for it

Cause: after a loss of power a VM waited 0.2 s (a seed) or 0.4 to 1.5 s for word of the fleet before it read the store, which answers in 4 ms; callers were refused meanwhile, to come back after 0.5 to 1 s. Ruled out: the store (4 ms), the connections to leaves (6 ms each). Asking the seeds each 50 ms for 2 s: a large change then went to each VM 1.6 times (TestLargeNewsTravelsOnce), so that is done for 0.3 s only. Change: a process without any word reads after 20 ms (seed), 40 to 80 ms (nobody answers) or 150 to 300 ms (others answer, without word); with word it leaves the store alone for 1.5 s as before. Seeds are asked each 50 ms at first.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -84,6 +84,23 @@
 // Current returns the newest view.
 func (d *Directory) Current() *View { return d.current.Load() }
 
+// Await returns the newest view once it has a configuration, or after the time.
+func (d *Directory) Await(ctx context.Context, limit time.Duration) *View {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		next := d.updated.Changed()
+		if v := d.Current(); v.Config != nil {
+			return v
+		}
+		select {
+		case <-ctx.Done():
+			return d.Current()
+		case <-next:
+		}
+	}
+}
+
 // Run follows the mirror until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	for {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -126,6 +126,15 @@
 	is.Equal(f.Current().Config.Version, uint64(5))
 }
 
+func TestAwaitReturnsWithTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	is.True(f.Await(t.Context(), time.Millisecond).Config == nil)
+	time.AfterFunc(10*time.Millisecond, func() { f.put("config", "3") })
+	is.Equal(f.Await(t.Context(), 10*time.Second).Config.Version, uint64(3))
+	is.Equal(f.Await(t.Context(), 10*time.Second).Config.Version, uint64(3))
+}
+
 func TestBadEntryIsIgnored(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -132,10 +132,17 @@
 	Current() *directory.View
 }
 
+// StartingDirectory lets wait for the first configuration.
+type StartingDirectory interface {
+	Directory
+	// Await returns the newest view once it has a configuration, or after the time.
+	Await(ctx context.Context, limit time.Duration) *directory.View
+}
+
 // Engine answers requests. It is safe for concurrent use.
 type Engine struct {
 	zone      string
-	directory Directory
+	directory StartingDirectory
 	leaves    Leaves
 	table     *replica.Table
 	budgets   *retrybudget.Budgets
@@ -145,6 +152,8 @@
 	moved     movedSet
 	splits    splits
 	probes    probes
+	// started is when the engine was made.
+	started time.Time
 }
 
 // Observer is told of decisions.
@@ -153,8 +162,8 @@
 }
 
 // New returns an engine of a VM in the zone.
-func New(zone string, d Directory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, o Observer) *Engine {
-	return &Engine{zone: zone, directory: d, leaves: l, table: t, budgets: b, crashes: c, observer: o}
+func New(zone string, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, o Observer) *Engine {
+	return &Engine{zone: zone, directory: d, leaves: l, table: t, budgets: b, crashes: c, observer: o, started: time.Now()}
 }
 
 // Serve answers a request.
@@ -166,10 +175,10 @@
 }
 
 func (e *Engine) serve(ctx context.Context, req *Request, trace *Trace) *Answer {
-	view := e.directory.Current()
+	view := e.view(ctx, req)
 	trace.Revision = view.Revision
 	if view.Config == nil {
-		return &Answer{Outcome: NotRun, Reason: ReasonNoConfig, RetryAfter: comeBack(retryNoConfig)}
+		return &Answer{Outcome: NotRun, Reason: ReasonNoConfig, RetryAfter: comeBack(e.retryNoConfig())}
 	}
 	trace.Version = view.Config.Version
 	route := Match(view.Config, req)
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -79,6 +79,14 @@
 	return w.view
 }
 
+// Await looks each millisecond.
+func (w *world) Await(ctx context.Context, limit time.Duration) *directory.View {
+	for end := time.Now().Add(limit); w.Current().Config == nil && time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(ms)
+	}
+	return w.Current()
+}
+
 func (w *world) Free(id catalog.LeafID) (free, open bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -42,10 +42,8 @@
 	hedgeLeast = 8 * time.Millisecond
 	// guessPart is the part of the target that a call is guessed to take before any was measured.
 	guessPart = 0.25
-	// Times to come back after, by what has to change: a configuration arrives within a second or so of
-	// the start; leaves that refuse are less busy some tenths of a second later; a leaf that crashed is
-	// back after some seconds.
-	retryNoConfig = 500 * time.Millisecond
+	// Times to come back after, by what has to change: leaves that refuse are less busy some tenths of a second
+	// later; a leaf that crashed is back after some seconds.
 	retryRefused  = 60 * time.Millisecond
 	retryNoLeaf   = 250 * time.Millisecond
 	retryCrashing = 10 * time.Second
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,6 +38,11 @@
 	// fleet was cut in two; seedSeldom in a large fleet, where silent peers are tried often enough.
 	seedPeriod = 2 * time.Second
 	seedSeldom = 20 * time.Second
+	// seedStart is how often the seeds are asked by a process that has no word at all, one of them where any VM
+	// answers, during the first startSpan, after which it has read the store itself: VMs that lost power together
+	// start within some tenths of a second. Asked for longer, a large change went to each VM 1.6 times.
+	seedStart = 50 * time.Millisecond
+	startSpan = 300 * time.Millisecond
 	// announceFrom is the size of news in bytes from which it is only announced: a peer that lacks it asks
 	// for it, so that a large configuration goes to each VM about once instead of three times.
 	announceFrom = 1 << 10
@@ -167,6 +172,7 @@
 
 // runSeeds asks the seeds at the start, and later one at a time.
 func (m *Manager) runSeeds(ctx context.Context) {
+	begun := time.Now()
 	for first := true; ; first = false {
 		seeds := slices.DeleteFunc(slices.Clone(m.cfg.Seeds()), func(a string) bool { return a == m.cfg.Self })
 		if !first && m.Live() > 0 && len(seeds) > 0 {
@@ -177,6 +183,8 @@
 		}
 		pause := seedPeriod
 		switch live := m.Live(); {
+		case m.cfg.Mirror.CompleteTo() == 0 && time.Since(begun) < startSpan:
+			pause = seedStart
 		case live == 0:
 			pause = period
 		case live >= smallFleet:
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -44,12 +45,19 @@
 	idle = 100 * time.Millisecond
 	// retryMost is the longest wait after failures: once the store is back, a change is due in 3 s.
 	retryMost = time.Second
-	// settle is how long a new process waits for word of the fleet: peers may know all it would read, and
-	// who is first by rank shows only once most of a zone is known. A seed waits less, for where the whole
-	// fleet starts at once somebody has to read first, and so does one whose seeds don't answer.
-	settle      = 1500 * time.Millisecond
-	settleSeed  = 200 * time.Millisecond
-	settleAlone = 400 * time.Millisecond
+	// settle is how long a new process that has word of the fleet doesn't read: who is first by rank shows only
+	// once most of a zone is known.
+	settle = 1500 * time.Millisecond
+	// Without any word it reads after one of these times, for callers get nothing until somebody has read. A
+	// seed, which the others ask, reads first; an exchange takes 3 ms. One that other VMs answer without word
+	// leaves it to the seeds; one that nobody answers is alone, or the first to start. Spread over as long again,
+	// so that a fleet that starts at once, or a zone without seeds, doesn't read as one. With 200, 400 and 1,500
+	// ms, after a loss of power, 0.4 s of requests to each VM were refused.
+	settleSeed  = 20 * time.Millisecond
+	settleAlone = 40 * time.Millisecond
+	settleTold  = 150 * time.Millisecond
+	// settleLook is how often it looks for word.
+	settleLook = 5 * time.Millisecond
 )
 
 // ErrHistoryGone says that the store no longer holds the history from the revision on.
@@ -123,16 +131,27 @@
 	}
 }
 
-// settle waits until the fleet is known, or for long enough.
+// settle waits until there is reason to read: no word has come for long enough, or the fleet is known.
 func (r *Reader) settle(ctx context.Context) {
-	if r.seed {
-		wait.For(ctx, settleSeed)
-		return
+	begun, spread := time.Now(), 1+rand.Float64()
+	for wait.For(ctx, settleLook) {
+		if time.Since(begun) >= r.patience(spread) {
+			return
+		}
 	}
-	wait.For(ctx, settleAlone)
-	if r.fleet.Live() > 0 {
-		wait.For(ctx, settle-settleAlone)
+}
+
+// patience is how long after its start this process doesn't read, by what it knows by now.
+func (r *Reader) patience(spread float64) time.Duration {
+	switch {
+	case r.mirror.CompleteTo() > 0:
+		return settle
+	case r.seed:
+		return settleSeed
+	case r.fleet.Live() == 0:
+		return time.Duration(spread * float64(settleAlone))
 	}
+	return time.Duration(spread * float64(settleTold))
 }
 
 // active tells whether this VM reads now.
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -156,6 +156,34 @@
 	is.True(!r.reachable)
 }
 
+// After a loss of all VMs nobody has word: the seeds read first, then those that nobody answers; whoever has word
+// leaves the store alone until the fleet is known.
+func TestPatienceAfterTheStart(t *testing.T) {
+	for name, tt := range map[string]struct {
+		word, seed bool
+		live       int
+		want       time.Duration
+	}{
+		"a seed":               {seed: true, live: 5, want: settleSeed},
+		"a seed with word":     {seed: true, word: true, live: 5, want: settle},
+		"alone":                {want: settleAlone},
+		"others without word":  {live: 5, want: settleTold},
+		"others with word":     {live: 5, word: true, want: settle},
+		"a lone one with word": {word: true, want: settle},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, m := newReader(&fakeStore{}, &fakeFleet{members: make([]string, tt.live+1)}, "one")
+			r.seed = tt.seed
+			if tt.word {
+				m.Merge(mirror.Delta{CompleteTo: 7, Full: true}, time.Now())
+			}
+			is.Equal(r.patience(1), tt.want)
+			is.True(r.patience(2) <= 2*tt.want)
+		})
+	}
+}
+
 // One VM of a zone reads; the next one does so only while nobody of the zone has an answer.
 func TestWhoReads(t *testing.T) {
 	now := time.Now()
