Learn what a call takes without the wait for a slot

Cause: the usual time of a route followed what calls took with their waits in queues, and the time expected multiplied it with the queue again: in a burst it was 600 to 1,500 ms where calls took 80 to 160. Ruled out: the reported queues, which fit. Change: usual times and paces are learned net of the queue that a call met. TestQueuesDontCountTwice failed first.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -34,6 +34,9 @@
 	// a mean: where one leaf in seven was nine times slower, a mean with answers counted up to slowFrom
 	// ran away to three times the median, and slow leaves no longer counted as slow.
 	usualStep = 0.02
+	// usualFirst bounds the steps of the first answers, which are larger: the very first one may be of a small
+	// request, or of one that found a pause.
+	usualFirst = 0.2
 	// overdueAfter is how many times the expected time a call is in flight before its leaf is taken
 	// to be paused.
 	overdueAfter = 2.5
@@ -91,9 +94,10 @@
 // Table keeps what was learned. It is safe for concurrent use.
 type Table struct {
 	mu sync.Mutex
-	// leaves by id and the usual time by route; guarded by mu.
-	leaves map[catalog.LeafID]*leaf
-	usual  map[string]time.Duration
+	// leaves by id, and the usual time and the number of answers by route; guarded by mu.
+	leaves   map[catalog.LeafID]*leaf
+	usual    map[string]time.Duration
+	answered map[string]int
 }
 
 type leaf struct {
@@ -119,12 +123,14 @@
 	route    string
 	begun    time.Time
 	expected time.Duration
-	ended    bool
+	// crowd is how many times as long as on an idle leaf the call was expected to take for want of a slot.
+	crowd float64
+	ended bool
 }
 
 // New returns a table that has learned nothing.
 func New() *Table {
-	return &Table{leaves: make(map[catalog.LeafID]*leaf), usual: make(map[string]time.Duration)}
+	return &Table{leaves: make(map[catalog.LeafID]*leaf), usual: make(map[string]time.Duration), answered: make(map[string]int)}
 }
 
 // Usual returns the usual time of a call of the route, first guessed as the given time.
@@ -163,17 +169,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	usual := t.usualOf(route, guess)
-	best, least := -1, math.Inf(1)
+	best := t.cheapest(now, usual, from)
+	l := t.leaves[from[best].ID]
+	call := &Call{t: t, id: from[best].ID, route: route, begun: now, expected: l.expected(now, usual, from[best]), crowd: l.crowd(now, from[best])}
+	l.begun[call] = struct{}{}
+	l.mute.begin(now)
+	return best, call
+}
+
+// cheapest returns the index of the cheapest of some candidates. Requires mu.
+func (t *Table) cheapest(now time.Time, usual time.Duration, from []Candidate) int {
+	best, least := 0, math.Inf(1)
 	for i, c := range from {
 		if cost := t.cost(t.leaf(c, now), now, usual, c); cost < least {
 			best, least = i, cost
 		}
 	}
-	l := t.leaves[from[best].ID]
-	call := &Call{t: t, id: from[best].ID, route: route, begun: now, expected: l.expected(now, usual, from[best])}
-	l.begun[call] = struct{}{}
-	l.mute.begin(now)
-	return best, call
+	return best
 }
 
 // toward moves a value to its rest by the time passed.
@@ -193,13 +205,17 @@
 
 // expected is the time that a call to the leaf would take.
 func (l *leaf) expected(now time.Time, usual time.Duration, c Candidate) time.Duration {
-	slots := float64(max(c.Slots, 1))
 	pace := toward(l.pace, 1, now.Sub(l.paceAt), paceForget)
 	if l.load.Noise > 0 {
 		pace *= toward(float64(l.load.Noise)/noiseUsual, 1, now.Sub(l.loadAt), loadForget)
 	}
-	queued := max(0, l.queue(now)+1-slots) / slots
-	return time.Duration(float64(usual) * pace * (1 + queued))
+	return time.Duration(float64(usual) * pace * l.crowd(now, c))
+}
+
+// crowd is how many times as long as on an idle leaf a call takes that finds the queue of this moment.
+func (l *leaf) crowd(now time.Time, c Candidate) float64 {
+	slots := float64(max(c.Slots, 1))
+	return 1 + max(0, l.queue(now)+1-slots)/slots
 }
 
 // cost is the expected time, with what failures cost and how long a leaf that stands still already has.
@@ -277,7 +293,7 @@
 	case OK:
 		c.t.learn(l, c, took, now)
 	case Late:
-		if float64(took) > slowFrom*float64(c.t.usualOf(c.route, took)) {
+		if float64(took) > slowFrom*c.crowd*float64(c.t.usualOf(c.route, took)) {
 			l.count(now, 0, 1)
 			c.t.step(c.route, took)
 		}
@@ -293,8 +309,11 @@
 	l.lately.add(now, failed)
 }
 
-// learn takes the time of an answer into the leaf's pace and the route's usual time. Requires mu.
+// learn takes the time of an answer into the leaf's pace and the route's usual time, less what the wait for a slot
+// took: a usual time that grows with the queues counted them twice, and after a burst the time expected was ten
+// times the real one. Requires mu.
 func (t *Table) learn(l *leaf, c *Call, took time.Duration, now time.Time) {
+	took = time.Duration(float64(took) / c.crowd)
 	usual, ok := t.usual[c.route]
 	if !ok {
 		t.usual[c.route] = took
@@ -316,11 +335,13 @@
 // take. Requires mu.
 func (t *Table) step(route string, took time.Duration) {
 	usual := t.usual[route]
+	t.answered[route]++
+	step := max(usualStep, min(usualFirst, 1/float64(t.answered[route])))
 	if took > usual {
-		t.usual[route] = time.Duration(float64(usual) * (1 + usualStep))
+		t.usual[route] = time.Duration(float64(usual) * (1 + step))
 		return
 	}
-	t.usual[route] = max(1, time.Duration(float64(usual)*(1-usualStep)))
+	t.usual[route] = max(1, time.Duration(float64(usual)*(1-step)))
 }
 
 // forgetAfter is how long a leaf is kept that is no candidate any more.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -280,3 +280,48 @@
 	t.Logf("%.1f of 50 calls", float64(calls)/runs)
 	is.True(calls < 8*runs)
 }
+
+// In a burst each call waits for four others, and takes five times as long. That is the queue's doing: what a call
+// takes by itself stays known, so that with the queue's end the expected time is the real one again.
+func TestQueuesDontCountTwice(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	now := time.Now()
+	only := []Candidate{{ID: leafID("a"), Slots: 3, Near: true, Open: true}}
+	call := func(load Load, took time.Duration) time.Duration {
+		_, c := table.Choose(now, "r", usual, only)
+		now = now.Add(took)
+		table.Report(leafID("a"), load, now)
+		c.End(OK, now)
+		return c.Expected()
+	}
+	for range 20 {
+		call(Load{Running: 1, Slots: 3}, usual)
+	}
+	for i := range 200 {
+		expected := call(Load{Running: 3, Waiting: 12, Slots: 3}, 5*usual)
+		is.True(i == 0 || expected > 3*usual && expected < 7*usual) // 20 times after a while, where both count
+	}
+	is.True(table.Usual("r", 0) < usual*3/2)
+	now = now.Add(time.Second)
+	is.True(call(Load{Running: 1, Slots: 3}, usual) < 2*usual)
+}
+
+// The first answer may be of a request ten times as large, or as small, as the usual one.
+func TestUsualTimeIsKnownAfterAFewAnswers(t *testing.T) {
+	for _, first := range []time.Duration{usual / 6, 6 * usual} {
+		is := is.New(t)
+		table := New()
+		now := time.Now()
+		for i := range 30 {
+			_, c := table.Choose(now, "r", usual, []Candidate{{ID: leafID("a"), Slots: 3, Near: true, Open: true}})
+			took := usual
+			if i == 0 {
+				took = first
+			}
+			now = now.Add(took)
+			c.End(OK, now)
+		}
+		is.True(table.Usual("r", 0) > usual/3 && table.Usual("r", 0) < 3*usual)
+	}
+}
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -34,19 +34,19 @@
 	at                  time.Time
 }
 
-// lately follows the part of failed calls over the latest few.
+// lately follows the part of failed, or of slow, calls over the latest few.
 type lately struct {
-	failed float64
-	at     time.Time
+	part float64
+	at   time.Time
 }
 
 // now returns the part as it counts now.
-func (l lately) now(now time.Time) float64 { return toward(l.failed, 0, now.Sub(l.at), tallyForget) }
+func (l lately) now(now time.Time) float64 { return toward(l.part, 0, now.Sub(l.at), tallyForget) }
 
 // add counts one call.
-func (l *lately) add(now time.Time, failed float64) {
+func (l *lately) add(now time.Time, bad float64) {
 	was := l.now(now)
-	*l = lately{was + latelyWeight*(failed-was), now}
+	*l = lately{was + latelyWeight*(bad-was), now}
 }
 
 // aged returns the tally as it counts now.
@@ -70,7 +70,7 @@
 	sum := l.own.aged(now)
 	sum.failed = max(sum.failed, l.lately.now(now)*sum.calls)
 	for c := range l.begun {
-		if usual, ok := t.usual[c.route]; ok && now.Sub(c.begun) > slowFrom*usual {
+		if usual, ok := t.usual[c.route]; ok && float64(now.Sub(c.begun)) > slowFrom*c.crowd*float64(usual) {
 			sum.calls++
 			sum.slow++
 		}
