Answer without parts that hardly come in time any more

Cause: with a dead shard each search waited until shortly before its target for a part that didn't come: the median of the full search was 66 ms in place of 14. Ruled out: the leaves known as mute alone; a shard whose parts come after the target is no better. Change: each VM follows for each shard how many late parts still come in time. Once all that are missing are late and their odds are under 0.1, and enough is in, the search is answered.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -129,7 +129,7 @@
 		zap.Duration("took", took), zap.Duration("remaining", req.Remaining),
 		zap.Uint64("config_version", t.Version), zap.Uint64("store_revision", t.Revision),
 		zap.Int("calls", t.Calls), zap.Int("hedges", t.Hedges), zap.Int("repeats", t.Repeats),
-		zap.Int("refusals", t.Refusals), zap.Int("failures", t.Failures), zap.Int("denied", t.Denied), zap.Int("missing", a.Missing),
+		zap.Int("refusals", t.Refusals), zap.Int("failures", t.Failures), zap.Int("denied", t.Denied), zap.Int("missing", a.Missing), zap.Int("given_up", t.GivenUp),
 		zap.Duration("retry_after", a.RetryAfter), zap.Array(FieldBadCalls, badCalls(t.Bad)))
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -152,6 +152,7 @@
 	moved     movedSet
 	splits    splits
 	probes    probes
+	odds      odds
 	// started is when the engine was made.
 	started time.Time
 }
@@ -230,6 +231,8 @@
 	Calls, Hedges, Repeats int
 	// Refusals and Failures of leaves; Denied extra calls that the budget refused.
 	Refusals, Failures, Denied int
+	// GivenUp parts were late and unlikely to come, and not waited for.
+	GivenUp int
 	// Bad holds what went wrong at which leaves, the first badMost of them.
 	Bad []BadCall
 }
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -62,6 +62,7 @@
 
 // takePart keeps a success; a second one of the same group is dropped.
 func (r *run) takePart(ev event, g *group) {
+	r.noteLate(g, true, time.Now())
 	if g.part != nil {
 		return
 	}
@@ -230,6 +231,9 @@
 		case r.mayHedge(g):
 			due = earlier(due, r.hedgeDue(g))
 		}
+		if g.part == nil && !g.dead && !g.late && r.mayAnswer() {
+			due = earlier(due, r.doubtAt(g))
+		}
 	}
 	return max(0, due.Sub(now))
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -101,6 +101,8 @@
 	denied bool
 	part   *leafcall.Response
 	dead   bool
+	// late is set once the part was late with all that the search needs in, noted once what became of it is.
+	late, noted bool
 }
 
 // event is the end of a call.
@@ -200,7 +202,7 @@
 	}
 	open := len(r.groups) - r.done - r.dead
 	switch {
-	case r.done == len(r.groups), r.done >= r.needed() && (open == 0 || !now.Before(r.soft)):
+	case r.done == len(r.groups), r.mayAnswer() && (open == 0 || r.enough(now)):
 		return r.merged()
 	case r.done+open < r.needed():
 		return r.failed(ReasonFewShards)
@@ -342,5 +344,6 @@
 	select {
 	case r.events <- event{group: i, leaf: leaf.ID, call: call, took: call.Took(time.Now()), resp: resp, err: err}:
 	case <-r.over:
+		r.learnLate(i, resp)
 	}
 }
