Refuse at once the searches that queues at leaves would make late

Cause: every search was let in and scattered at once. Up to the number of shards that it can do without, those that can't answer in time get no call.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -82,6 +82,8 @@
 	// ReasonMuteLeaves: no leaf of too many shards has given a sign of life for a while.
 	ReasonMuteLeaves Reason = "mute_leaves"
 	ReasonRefused    Reason = "refused_by_leaves"
+	// ReasonBusyLeaves: the queues at the leaves are too long for an answer in time.
+	ReasonBusyLeaves Reason = "busy_leaves"
 	ReasonFewShards  Reason = "too_few_shards"
 	ReasonDeadline   Reason = "deadline"
 	ReasonLost       Reason = "connection_lost"
@@ -153,6 +155,7 @@
 	splits    splits
 	probes    probes
 	odds      odds
+	kinds     kinds
 	// started is when the engine was made.
 	started time.Time
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -151,8 +151,13 @@
 	if a := r.hopeless(); a != nil {
 		return a
 	}
+	if a := r.overloaded(); a != nil {
+		return a
+	}
 	for i := range r.groups {
-		r.send(i)
+		if !r.groups[i].dead {
+			r.send(i)
+		}
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,9 @@
 	// slowFrom is the multiple of the usual time from which an answer counts as slow, and tells of its
 	// leaf's pause or trouble and not of its pace: with a spread of 0.35 about 1 in 1,000 healthy ones.
 	slowFrom = 3
+	// mostlySlow is the part of slow calls among the latest from which a leaf is expected to be slow again: five in
+	// a row, more than a pause strikes of one VM.
+	mostlySlow = 0.6
 	// slowCost is what a slow call costs in usual times: most are hedged after two to three, and what the
 	// hedge takes from the budget is missing elsewhere.
 	slowCost = 6
@@ -106,9 +109,12 @@
 	// own counts this VM's calls, lately follows the latest of them, told counts those of others by VM.
 	own    tally
 	lately lately
-	told   map[string]tally
-	load   Load
-	loadAt time.Time
+	// slowly follows the part of slow ones, and slowPace how slow these are, as a multiple of the usual time.
+	slowly   lately
+	slowPace float64
+	told     map[string]tally
+	load     Load
+	loadAt   time.Time
 	// mute follows calls that stay without an answer.
 	mute mute
 	// begun are the starts of the calls in flight, with the time expected of each.
@@ -188,6 +194,17 @@
 	return best
 }
 
+// Expect returns how long a call to the cheapest of some candidates is expected to take, and by what factor that
+// is for want of a slot there.
+func (t *Table) Expect(now time.Time, route string, guess time.Duration, from []Candidate) (takes time.Duration, crowd float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usual := t.usualOf(route, guess)
+	best := from[t.cheapest(now, usual, from)]
+	l := t.leaves[best.ID]
+	return l.expected(now, usual, best), l.crowd(now, best)
+}
+
 // toward moves a value to its rest by the time passed.
 func toward(value, rest float64, age, constant time.Duration) float64 {
 	return rest + (value-rest)*math.Exp(-float64(age)/float64(constant))
@@ -206,6 +223,9 @@
 // expected is the time that a call to the leaf would take.
 func (l *leaf) expected(now time.Time, usual time.Duration, c Candidate) time.Duration {
 	pace := toward(l.pace, 1, now.Sub(l.paceAt), paceForget)
+	if l.slowly.now(now) > mostlySlow {
+		pace = max(pace, l.slowPace)
+	}
 	if l.load.Noise > 0 {
 		pace *= toward(float64(l.load.Noise)/noiseUsual, 1, now.Sub(l.loadAt), loadForget)
 	}
@@ -293,8 +313,8 @@
 	case OK:
 		c.t.learn(l, c, took, now)
 	case Late:
-		if float64(took) > slowFrom*c.crowd*float64(c.t.usualOf(c.route, took)) {
-			l.count(now, 0, 1)
+		if ratio := float64(took) / (c.crowd * float64(max(c.t.usualOf(c.route, took), 1))); ratio > slowFrom {
+			l.countSlow(now, ratio)
 			c.t.step(c.route, took)
 		}
 	case Refused, Failed, Unreached:
@@ -307,6 +327,16 @@
 func (l *leaf) count(now time.Time, failed, slow float64) {
 	l.own.add(now, failed, slow)
 	l.lately.add(now, failed)
+	l.slowly.add(now, slow)
+}
+
+// countSlow counts a call that took so many times as long as usual.
+func (l *leaf) countSlow(now time.Time, ratio float64) {
+	if l.slowPace == 0 {
+		l.slowPace = ratio
+	}
+	l.slowPace += paceWeight * (ratio - l.slowPace)
+	l.count(now, 0, 1)
 }
 
 // learn takes the time of an answer into the leaf's pace and the route's usual time, less what the wait for a slot
@@ -323,7 +353,7 @@
 	t.step(c.route, took)
 	ratio := float64(took) / float64(max(usual, 1))
 	if ratio >= slowFrom {
-		l.count(now, 0, 1)
+		l.countSlow(now, ratio)
 		return
 	}
 	l.count(now, 0, 0)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -307,6 +307,35 @@
 	is.True(call(Load{Running: 1, Slots: 3}, usual) < 2*usual)
 }
 
+// A leaf all of whose calls are slow is expected to be slow, and one that has paused isn't.
+func TestSlowLeafIsExpectedToBeSlow(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	now := time.Now()
+	only := []Candidate{{ID: leafID("a"), Slots: 3, Near: true, Open: true}}
+	call := func(took time.Duration) {
+		_, c := table.Choose(now, "r", usual, only)
+		now = now.Add(took)
+		c.End(OK, now)
+	}
+	for range 50 {
+		call(usual)
+	}
+	call(8 * usual)
+	takes, _ := table.Expect(now, "r", usual, only)
+	is.True(takes < 2*usual)
+	for range 6 {
+		call(8 * usual)
+	}
+	takes, _ = table.Expect(now, "r", usual, only)
+	is.True(takes > 6*usual)
+	for range 6 {
+		call(usual)
+	}
+	takes, _ = table.Expect(now, "r", usual, only)
+	is.True(takes < 2*usual)
+}
+
 // The first answer may be of a request ten times as large, or as small, as the usual one.
 func TestUsualTimeIsKnownAfterAFewAnswers(t *testing.T) {
 	for _, first := range []time.Duration{usual / 6, 6 * usual} {
