burdockctl losses: count requests without a whole answer in time by their cause

Cause: where worth is lost had to be put together by hand from log lines. Change: burdockctl losses FILES counts refused, failed, partial and late requests by cause, with the first ids of each to begin a walk at, and says how many lines the logs' limits left out. The request's line now tells its target.

--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -24,6 +24,7 @@
 	Search   SearchCmd   `cmd:"" help:"Send one search."`
 	Order    OrderCmd    `cmd:"" help:"Send one order."`
 	Story    StoryCmd    `cmd:"" help:"Tell what became of one request, from log files."`
+	Losses   LossesCmd   `cmd:"" help:"Count the requests that got no whole answer in time, by cause, from log files."`
 }
 
 // SettingsCmd groups the commands about settings files.
--- a/internal/ctl/story_test.go
+++ b/internal/ctl/story_test.go
@@ -41,3 +41,25 @@
 	is.Equal(burdockctl(t, "story", "--around=-1s", "r-1", a).code, ExitUsage)
 	is.Equal(burdockctl(t, "story", "r-1").code, ExitUsage)
 }
+
+func TestLosses(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "a")
+	text := `{"time":"2026-01-27T11:00:10.000Z","msg":"request","vm":"vm-1","id":"r-1","outcome":"not_run","reason":"busy_leaves","took":0,"target":0.08}` + "\n" +
+		`{"time":"2026-01-27T11:00:11.000Z","msg":"log lines left out","vm":"vm-1","lines":3}` + "\n"
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+
+	got := burdockctl(t, "losses", file)
+	is.Equal(got.code, ExitOK)
+	is.True(strings.Contains(got.out, "not_run: busy_leaves") && strings.Contains(got.out, "r-1") && strings.Contains(got.out, "3 lines were left out"))
+
+	got = burdockctl(t, "--json", "losses", "--from", "2026-01-27T11:00:11Z", file)
+	var r lossesReport
+	is.NoErr(json.Unmarshal([]byte(got.out), &r))
+	is.Equal(len(r.Causes), 0)
+
+	is.Equal(burdockctl(t, "losses", "--from", "2026-01-27T11:00:11Z", "--to", "2026-01-27T11:00:10Z", file).code, ExitUsage)
+	is.Equal(burdockctl(t, "losses", "--from", "yesterday", file).code, ExitUsage)
+	is.Equal(burdockctl(t, "losses", file+"-none").code, ExitFailure)
+	is.Equal(burdockctl(t, "losses").code, ExitUsage)
+}
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -124,15 +124,23 @@
 
 func (r *Recorder) write(req *dispatch.Request, a *dispatch.Answer, t *dispatch.Trace, took time.Duration, route string) {
 	r.log.Info(MsgRequest,
-		zap.String(FieldID, req.ID), zap.String("route", route), zap.String("outcome", string(a.Outcome)), zap.String("reason", string(a.Reason)),
+		zap.String(FieldID, req.ID), zap.String("route", route), zap.String(FieldOutcome, string(a.Outcome)), zap.String(FieldReason, string(a.Reason)),
 		zap.String(FieldFrom, req.From), zap.String(FieldGatherer, t.Gatherer), zap.String(FieldDeclined, req.Declined),
-		zap.Duration("took", took), zap.Duration("remaining", req.Remaining),
+		zap.Duration(FieldTook, took), zap.Duration(FieldTarget, targetOf(a.Route)), zap.Duration("remaining", req.Remaining),
 		zap.Uint64("config_version", t.Version), zap.Uint64("store_revision", t.Revision),
 		zap.Int("calls", t.Calls), zap.Int("hedges", t.Hedges), zap.Int("repeats", t.Repeats),
 		zap.Int("refusals", t.Refusals), zap.Int("failures", t.Failures), zap.Int("denied", t.Denied), zap.Int("missing", a.Missing), zap.Int("given_up", t.GivenUp),
 		zap.Duration("retry_after", a.RetryAfter), zap.Array(FieldBadCalls, badCalls(t.Bad)))
 }
 
+// targetOf is the target of a route; 0 where there is none.
+func targetOf(r *catalog.Route) time.Duration {
+	if r == nil {
+		return 0
+	}
+	return r.Target
+}
+
 // badCalls writes bad calls as an array of objects.
 type badCalls []dispatch.BadCall
 
@@ -152,7 +160,7 @@
 func (b badCall) MarshalLogObject(enc zapcore.ObjectEncoder) error {
 	enc.AddString(FieldService, b.Service)
 	enc.AddString(FieldLeaf, b.Leaf.String())
-	enc.AddString("what", b.What)
+	enc.AddString(FieldWhat, b.What)
 	enc.AddDuration("after", b.After)
 	return nil
 }
@@ -169,7 +177,7 @@
 		case <-t.C:
 		}
 		if n := r.leftOut.Load() + r.sink.Dropped(); n > told {
-			r.log.Warn("log lines left out", zap.Uint64("lines", n-told), zap.Duration("within", reportPeriod))
+			r.log.Warn(MsgLeftOut, zap.Uint64(FieldLines, n-told), zap.Duration("within", reportPeriod))
 			told = n
 		}
 	}
--- a/internal/decision/fields.go
+++ b/internal/decision/fields.go
@@ -14,6 +14,12 @@
 	FieldFrom, FieldGatherer = "from", "gatherer"
 	// FieldDeclined says which stronger VMs didn't take a search, and why.
 	FieldDeclined = "declined"
-	// FieldBadCalls holds the bad calls of a request, FieldService and FieldLeaf what each was to.
-	FieldBadCalls, FieldService, FieldLeaf = "bad_calls", "service", "leaf"
+	// FieldOutcome and FieldReason say how a request ended, FieldTook after how long, FieldTarget within which time
+	// its answer is worth most.
+	FieldOutcome, FieldReason, FieldTook, FieldTarget = "outcome", "reason", "took", "target"
+	// FieldBadCalls holds the bad calls of a request, FieldService and FieldLeaf what each was to, FieldWhat what
+	// happened.
+	FieldBadCalls, FieldService, FieldLeaf, FieldWhat = "bad_calls", "service", "leaf", "what"
+	// MsgLeftOut is the message of a line that tells of lines left out, FieldLines how many.
+	MsgLeftOut, FieldLines = "log lines left out", "lines"
 )
