Soak: leaves that start again under their ids, swapped ones, and foreign entries

Change: three more faults, drawn apart: a crash and a start under the same id, two replicas that start again at each other's address, and entries that name no leaf but point to a trap; checks that nothing reaches the trap, and that a drain counts for the start that was drained. TestPlanRepeats counts the new faults as well.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,7 @@
 	{"orderly ends cut nothing", checkCut},
 	{"orderly ends end", checkEnds},
 	{"service recovers", checkRecovery},
+	{"foreign entries name no leaf", checkForeign},
 }
 
 // detailsMost bounds the details of one check in a report.
@@ -192,14 +193,18 @@
 
 // checkDrain: nothing that was sent and taken by a VM in touch reaches a leaf past the bound.
 func checkDrain(h *History, x *index) []string {
-	left := make(map[string]time.Time)
+	type start struct {
+		leaf string
+		born int64
+	}
+	left := make(map[start]time.Time)
 	for _, d := range h.Drains {
-		left[d.Leaf] = d.At
+		left[start{d.Leaf, d.Born}] = d.At
 	}
 	var out []string
 	for i := range h.Runs {
 		r := &h.Runs[i]
-		at, leaves := left[r.Leaf]
+		at, leaves := left[start{r.Leaf, r.Born}]
 		c := x.calls[r.ID]
 		if !leaves || c == nil || r.At.Before(at.Add(drainBound+slack)) || !h.inTouch(c.VM, at, r.At) {
 			continue
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -101,8 +101,9 @@
 			h.Runs = append(h.Runs, Run{ID: "c", Leaf: orderService + "-x", Service: orderService, Target: "/o/c", At: at(20), Ran: true})
 			h.Calls = append(h.Calls, Call{ID: "c", Kind: Order, Target: "/o/c", Sent: at(20), Ended: at(20.1), Err: "EOF"})
 		}},
-		"no end":      {"orderly ends end", func(h *History) { h.Ends[0].Err = "still runs" }},
-		"no recovery": {"service recovers", func(h *History) { c := h.call("s3"); c.Status, c.Stamps = 503, nil }},
+		"a foreign entry used": {"foreign entries name no leaf", func(h *History) { h.Trapped = []string{"request s1 reached it"} }},
+		"no end":               {"orderly ends end", func(h *History) { h.Ends[0].Err = "still runs" }},
+		"no recovery":          {"service recovers", func(h *History) { c := h.call("s3"); c.Status, c.Stamps = 503, nil }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -137,6 +138,9 @@
 			h.Runs = append(h.Runs, Run{ID: "s3", Leaf: "v0-gone", Service: "v1", At: at(6.7)})
 			h.Disturbed[0] = []Span{{at(4), at(5), "cut"}}
 		},
+		"a leaf that left and started again": func(h *History) {
+			h.Runs = append(h.Runs, Run{ID: "s3", Leaf: "v0-gone", Born: 7, Service: "v1", Target: "/v/s3", At: at(30)})
+		},
 		"a refusal without a run": func(h *History) {
 			h.Calls = append(h.Calls, Call{ID: "r", Kind: Order, Status: 503, Sent: at(7), Ended: at(7)})
 		},
@@ -164,5 +168,6 @@
 			is.True(e.At <= DefaultSize().Faults && e.For <= faultMost)
 		}
 	}
-	is.Equal(len(seen), len(faults)+3) // and the changes of the configuration and the loss of all VMs
+	again := map[Fault]bool{LeafRestart: true, LeafSwap: true, StoreForeign: true}
+	is.Equal(len(seen), len(faults)+len(again)+3) // and the changes of the configuration and the loss of all VMs
 }
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -54,7 +54,9 @@
 // Run is a request as a leaf saw it.
 type Run struct {
 	ID, Leaf, Service, Target string
-	At                        time.Time
+	// Born is when the leaf started, in Unix milliseconds: it may start again under its id.
+	Born int64
+	At   time.Time
 	// Ran is false where the leaf refused it.
 	Ran bool
 }
@@ -71,6 +73,7 @@
 // Drain is a leaf that was marked as leaving.
 type Drain struct {
 	Leaf string
+	Born int64
 	At   time.Time
 }
 
@@ -95,6 +98,8 @@
 	Configs []Config
 	Drains  []Drain
 	Ends    []End
+	// Trapped is what reached the address that foreign entries name.
+	Trapped []string
 	// Disturbed holds by VM when it was killed, stopped, frozen or cut off, or the store was disturbed.
 	Disturbed map[int][]Span
 	// Killed holds by VM when its process ended without notice.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -47,6 +47,10 @@
 		wait.For(ctx, e.For+stormLeast)
 	case LeafCrash, LeafDrain, LeafReuse:
 		w.replace(ctx, some(w.places, e), e)
+	case LeafRestart, LeafSwap:
+		w.startAgain(ctx, some(w.places, e), e)
+	case StoreForeign:
+		w.writeForeign(e)
 	case StoreBusy, StoreSilent, StoreSlow, StoreLose, StoreCompact:
 		w.disturbStore(ctx, e)
 	case LinkStoreCut, LinkLeafCut, LinkLeafMute, LinkLeafDelay, LinkConnsMute:
@@ -158,7 +162,7 @@
 	}
 	w.enter(p, "draining")
 	w.mu.Lock()
-	w.drains = append(w.drains, Drain{Leaf: leaf.ID, At: time.Now()})
+	w.drains = append(w.drains, Drain{Leaf: leaf.ID, Born: leaf.Born, At: time.Now()})
 	w.mu.Unlock()
 	wait.For(ctx, drainBound+2*slack)
 }
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -61,7 +61,7 @@
 	var out []Run
 	for _, l := range p.leaves {
 		for _, s := range l.leaf.Requests() {
-			out = append(out, Run{ID: s.ID, Leaf: l.leaf.ID, Service: l.service, Target: s.Target, At: s.At, Ran: s.Ran})
+			out = append(out, Run{ID: s.ID, Leaf: l.leaf.ID, Born: l.leaf.Born, Service: l.service, Target: s.Target, At: s.At, Ran: s.Ran})
 		}
 	}
 	return out
@@ -70,10 +70,17 @@
 // open starts the next leaf at the place.
 func (p *place) open(all *past, service string) (*hosted.Leaf, error) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.number++
-	p.service, p.misbehaviour = service, misbehaviour{}
 	id := fmt.Sprintf("%s-%s-%d", service, strings.ReplaceAll(p.entry, ":", "."), p.number)
+	p.mu.Unlock()
+	return p.openAs(all, service, id)
+}
+
+// openAs starts a leaf of the id at the place.
+func (p *place) openAs(all *past, service, id string) (*hosted.Leaf, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service, p.misbehaviour = service, misbehaviour{}
 	leaf, err := hosted.NewLeafAt(p.listen, id, leafSlots, p.script(service))
 	if err != nil {
 		return nil, err
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,9 @@
 	LeafCrash     Fault = "leaf_crash"
 	LeafDrain     Fault = "leaf_drain"
 	LeafReuse     Fault = "leaf_address_reused"
+	LeafRestart   Fault = "leaf_starts_again"
+	LeafSwap      Fault = "leaves_start_again_swapped"
+	StoreForeign  Fault = "store_foreign_entries"
 	StoreBusy     Fault = "store_busy"
 	StoreSilent   Fault = "store_silent"
 	StoreSlow     Fault = "store_slow"
@@ -97,6 +100,7 @@
 	for at := drawn(rng, faultGap); at < size.Faults; at += drawn(rng, faultGap) {
 		plan = append(plan, Event{At: at, For: min(drawn(rng, faultMost/2), size.Faults-at), Fault: drawFault(rng), Share: rng.Float64() / 2, Pick: rng.Uint64()})
 	}
+	plan = append(plan, laterFaults(seed, size)...)
 	for at := drawn(rng, configGap); at < size.Faults; at += drawn(rng, configGap) {
 		f := ConfigChange
 		if rng.IntN(5) == 0 {
@@ -110,6 +114,20 @@
 	return plan
 }
 
+// laterGap is the mean time between faults of the sorts that were added after seeds had been kept as tests: they
+// are drawn apart, so that the other events of a seed stay the same.
+const laterGap = 2 * time.Second
+
+func laterFaults(seed uint64, size Size) []Event {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	sorts := []Fault{LeafRestart, LeafRestart, LeafSwap, StoreForeign}
+	var out []Event
+	for at := drawn(rng, laterGap); at < size.Faults; at += drawn(rng, laterGap) {
+		out = append(out, Event{At: at, For: drawn(rng, faultMost/4), Fault: sorts[rng.IntN(len(sorts))], Share: rng.Float64() / 4, Pick: rng.Uint64()})
+	}
+	return out
+}
+
 // drawn is between a tenth of the mean and nearly twice it.
 func drawn(rng *rand.Rand, mean time.Duration) time.Duration {
 	return mean/10 + time.Duration(rng.Float64()*float64(2*mean-mean/5))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -38,7 +38,9 @@
 	places []*place
 	past   past
 	relay  *relay.Relay
-	vms    []*vm
+	// trap listens where only foreign entries point to.
+	trap *hosted.Leaf
+	vms  []*vm
 
 	mu sync.Mutex
 	// What follows is guarded by mu: rules of the links in force, and what the operator did.
@@ -100,6 +102,9 @@
 		}
 	}
 	var err error
+	if w.trap, err = hosted.NewLeafAt(hostPort(w.address(5, 1), entryPort), "trap", leafSlots, func(int, *http.Request) hosted.Reply { return hosted.Reply{} }); err != nil {
+		return nil, err
+	}
 	if w.relay, err = relay.New(relay.Settings{Control: w.address(3, 1) + ":0", Forwards: forwards}); err != nil {
 		return nil, err
 	}
@@ -255,6 +260,7 @@
 			leaf.Close()
 		}
 	}
+	w.trap.Close()
 	w.store.Close()
 }
 
@@ -267,6 +273,6 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	h.Configs, h.Drains, h.Ends = w.configs, w.drains, w.ends
+	h.Configs, h.Drains, h.Ends, h.Trapped = w.configs, w.drains, w.ends, w.trapped()
 	return h
 }
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -16,7 +16,9 @@
 // Leaf plays a leaf of the platform: it serves one request at a time on a connection, slots of them at
 // once, and refuses what it has no room for. It is safe for concurrent use.
 type Leaf struct {
-	ID       string
+	ID string
+	// Born is when it started, in Unix milliseconds.
+	Born     int64
 	listener net.Listener
 	slots    chan struct{}
 	ended    sync.WaitGroup
@@ -88,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	leaf := &Leaf{ID: id, listener: l, slots: make(chan struct{}, slots), script: script, conns: make(map[net.Conn]struct{})}
+	leaf := &Leaf{ID: id, Born: time.Now().UnixMilli(), listener: l, slots: make(chan struct{}, slots), script: script, conns: make(map[net.Conn]struct{})}
 	leaf.ended.Go(leaf.accept)
 	return leaf, nil
 }
@@ -100,7 +102,7 @@
 func (l *Leaf) Entry(service, zone, state string) map[string]any {
 	return map[string]any{
 		"service": service, "address": l.Address(), "zone": zone, "version": "v1", "slots": cap(l.slots),
-		"state": state, "warmup_remaining_ms": 0, "sequence": 1,
+		"state": state, "warmup_remaining_ms": 0, "sequence": 1, "born": l.Born,
 	}
 }
 
--- a/internal/standin/hosted/operator.go
+++ b/internal/standin/hosted/operator.go
@@ -77,7 +77,10 @@
 // Remove deletes the entry of a leaf.
 func (s *Store) Remove(l *Leaf) { s.Delete(entryKey(l)) }
 
-func entryKey(l *Leaf) string { return "servers/" + l.ID }
+func entryKey(l *Leaf) string { return ForeignKey(l.ID) }
+
+// ForeignKey is a key as of a leaf of the name, for entries that no leaf wrote.
+func ForeignKey(name string) string { return "servers/" + name }
 
 // WriteSettings writes a VM's settings file as the platform does.
 func WriteSettings(file string, s *deployment.Settings) error {
