--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -354,3 +354,17 @@
 		is.True(table.Usual("r", 0) > usual/3 && table.Usual("r", 0) < 3*usual)
 	}
 }
+
+// Routes that got no answer for long are dropped like leaves, for names change with each version.
+func TestOldRoutesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	table := New()
+	now := time.Now()
+	for _, route := range []string{"old", "new"} {
+		_, c := table.Choose(now, route, usual, group())
+		now = now.Add(forgetAfter)
+		c.End(OK, now)
+	}
+	table.Forget(now.Add(time.Second))
+	is.Equal(len(table.routes), 1)
+}
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -70,7 +70,7 @@
 	sum := l.own.aged(now)
 	sum.failed = max(sum.failed, l.lately.now(now)*sum.calls)
 	for c := range l.begun {
-		if usual, ok := t.usual[c.route]; ok && float64(now.Sub(c.begun)) > slowFrom*c.crowd*float64(usual) {
+		if r := t.routes[c.route]; r != nil && float64(now.Sub(c.begun)) > slowFrom*c.crowd*float64(r.usual) {
 			sum.calls++
 			sum.slow++
 		}
