Refuse single requests at once whose service has no leaf within reach

Ruled out: leaves that are slow: a service counts as out of reach only after ten usual times without a sign of life. Change: what holds for searches of mute shards holds for single requests; opening a connection is given up after 0.25 s in place of 0.5. TestSingleRequestWithoutReachableLeafIsRefusedAtOnce failed first.

--- a/internal/dispatch/hopeless.go
+++ b/internal/dispatch/hopeless.go
@@ -9,7 +9,8 @@
 
 // hopeless refuses a request at once where too few of its services have a leaf at all, or one that gives a
 // sign of life: in a zone that is cut off from the others, and lacks leaves of some shards, all searches waited
-// until their time was over. Now and then one is made nevertheless, to find the end of it.
+// until their time was over, and single requests half a second for each leaf beyond the cut. Now and then one is
+// made nevertheless, to find the end of it.
 func (r *run) hopeless() *Answer {
 	now := time.Now()
 	without, mute, longest := 0, 0, time.Duration(0)
@@ -20,10 +21,7 @@
 			without++
 			continue
 		}
-		if !r.route.Search() {
-			continue
-		}
-		if d := r.muteFor(now, ready, lapsed); d > 0 {
+		if d := r.muteFor(now, ready, lapsed); d > 0 && d >= r.muteLeast() {
 			mute++
 			longest = max(longest, d)
 		}
@@ -40,6 +38,18 @@
 	return r.answer(&Answer{Outcome: NotRun, Reason: ReasonMuteLeaves, RetryAfter: comeBack(retryMute(longest))})
 }
 
+// singleMute is how many usual times of a call all leaves of a single request's service have been mute until it is
+// refused: its work takes longer than a search's, and a leaf that is slow may answer in the end.
+const singleMute = 10
+
+// muteLeast is for how long leaves have to have been mute besides what counts as mute.
+func (r *run) muteLeast() time.Duration {
+	if r.route.Search() {
+		return 0
+	}
+	return singleMute * r.e.table.Usual(r.route.Name, r.guess)
+}
+
 // retryMute is when to come back to shards that have been mute for the given time: what has lasted for a while
 // is likely to do so as long again.
 func retryMute(mute time.Duration) time.Duration { return min(max(mute, retryNoLeaf), retryMuteMost) }
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -24,8 +24,10 @@
 	mostPerLeaf = 4
 	// rareMost is how many connections a VM may have to a leaf that it calls in exceptional cases only.
 	rareMost = 1
-	// dialTimeout bounds opening a connection; a round trip takes milliseconds.
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout bounds opening a connection. A round trip takes milliseconds, a VM that has used up its quota
+	// of a processor stands still for a tenth of a second, and a lost packet is sent again after a second only:
+	// what isn't open by then won't be soon.
+	dialTimeout = 250 * time.Millisecond
 	// retryDial is how long after a failed opening ahead the next one is tried.
 	retryDial = time.Second
 	// refusedFor is how long no connection is opened to a leaf after it reset a new one: it is at its
