--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -56,6 +56,7 @@
 	}
 	same := k.by[route.Shards[0]]
 	if same == nil {
+		k.forget(now)
 		same = make(map[string]kind)
 		k.by[route.Shards[0]] = same
 	}
@@ -71,10 +72,8 @@
 	return admitUpTo * least * (1 + urgentMore*float64(last-route.Priority))
 }
 
-// forget drops shards that no route searches any more.
+// forget drops shards that no route searches any more. Requires mu.
 func (k *kinds) forget(now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	for shard, same := range k.by {
 		for name, other := range same {
 			if now.Sub(other.at) > kindKeep {
