Leave room at the leaves for the connections of VMs that start together

Cause: after a loss of power a leaf counts the dead connections of all VMs for some seconds more. Ruled out: the leaves (they run all that reaches them), the budget. Change: in the first 6 s after its start a VM has one connection to a leaf, opened ahead in its own zone only. TestYoungVMHasFewConnections failed first; the other tests of the pool look at a VM past its first seconds, as they did.

--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -22,6 +22,12 @@
 	// mostPerLeaf bounds the connections of one VM to a leaf: a leaf runs few requests at once, and
 	// what it can't run would only wait there.
 	mostPerLeaf = 4
+	// youngFor is how long after its start a VM has youngMost connections to a leaf at most, opened ahead in its own
+	// zone only. After a loss of power a leaf counts the dead connections of all VMs for some seconds more: of 26
+	// that it takes 20 were dead, the first VMs to start took the other 6, and the searches of five of ten VMs
+	// found no leaf for five seconds.
+	youngFor  = 6 * time.Second
+	youngMost = 1
 	// rareMost is how many connections a VM may have to a leaf that it calls in exceptional cases only.
 	rareMost = 1
 	// dialTimeout bounds opening a connection. A round trip takes milliseconds, a VM that has used up its quota
@@ -54,6 +60,8 @@
 	dialer  leafcall.Dialer
 	zone    string
 	metrics *metrics
+	// started is when the pool was made, at the start of the process.
+	started time.Time
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
@@ -104,7 +112,7 @@
 		open: prometheus.NewGauge(prometheus.GaugeOpts{Name: "burdock_leaf_connections", Help: "Open connections to leaves."}),
 	}
 	reg.MustRegister(m.opened, m.open)
-	return &Pool{dialer: d, zone: zone, metrics: m, leaves: make(map[catalog.LeafID]*peer), limits: make(map[string]int),
+	return &Pool{dialer: d, zone: zone, metrics: m, started: time.Now(), leaves: make(map[catalog.LeafID]*peer), limits: make(map[string]int),
 		share: func(string) Share { return Share{VMs: 1} }}
 }
 
@@ -159,12 +167,14 @@
 // most is how many connections this VM may have to the leaf. Requires mu.
 func (p *Pool) most(l catalog.Leaf) int {
 	share := p.share(l.Service)
-	if share.Rare {
-		return rareMost
-	}
 	limit := p.limits[l.Service]
-	if limit <= 0 {
+	switch {
+	case share.Rare:
+		return rareMost
+	case limit <= 0:
 		return mostPerLeaf
+	case time.Since(p.started) < youngFor:
+		return youngMost
 	}
 	return min(max(1, int(float64(limit)*limitUsed)/max(share.VMs, 1)), mostPerLeaf)
 }
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -105,6 +105,7 @@
 // newPool has both leaves, of which a fleet of the size shares 30 connections each.
 func newPool(d *fakeDialer, vms int) *Pool {
 	p := New(d, "z", prometheus.NewRegistry())
+	p.started = p.started.Add(-youngFor) // as after the first seconds
 	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, evenly(vms))
 	return p
 }
@@ -276,3 +277,15 @@
 		})
 	}
 }
+
+// Right after its start a VM leaves room for the others: a leaf may still count the connections of VMs that lost
+// power with it.
+func TestYoungVMHasFewConnections(t *testing.T) {
+	is := is.New(t)
+	p := newPool(newDialer(), 6)
+	p.started = time.Now()
+	is.Equal(p.most(nearLeaf), youngMost)
+	is.Equal(len(p.bare(time.Now())), 1) // the one in the own zone
+	p.started = time.Now().Add(-youngFor)
+	is.True(p.most(nearLeaf) > youngMost)
+}
