--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -98,7 +99,7 @@
 	left := r.soft.Sub(now)
 	limit := r.e.kinds.limit(r.route, float64(left)/float64(max(usual, 1)), now)
 	expected := r.crowded(now)
-	slices.SortFunc(expected, func(a, b expectation) int { return int(b.takes - a.takes) })
+	slices.SortFunc(expected, func(a, b expectation) int { return cmp.Compare(b.takes, a.takes) })
 	spare := len(r.groups) - r.needed()
 	if spare < len(expected) && r.turnAway(float64(expected[spare].takes)/float64(usual), limit) {
 		for _, x := range expected[:spare+1] {
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -23,7 +23,7 @@
 // view returns the newest view, right after the start as soon as there is a configuration.
 func (e *Engine) view(ctx context.Context, req *Request) *directory.View {
 	v := e.directory.Current()
-	left := min(startWait-time.Since(e.started), time.Duration(startPart*float64(req.Remaining)))
+	left := min(startWait-time.Since(e.started), part(startPart, req.Remaining))
 	if v.Config != nil || left <= 0 {
 		return v
 	}
--- a/internal/soak/again.go
+++ b/internal/soak/again.go
@@ -18,19 +18,20 @@
 	if e.Fault == LeafSwap {
 		struck = append(struck, w.otherReplica(p, service)...)
 	}
-	ids := make([]string, 0, len(struck))
+	var emptied []*place
+	var ids []string
 	for _, s := range struck {
 		leaf := s.empty()
 		if leaf == nil {
 			continue // gone by another event
 		}
 		leaf.Close()
-		ids = append(ids, leaf.ID)
+		emptied, ids = append(emptied, s), append(ids, leaf.ID)
 		defer w.lapse(ctx, leaf, e)()
 	}
 	wait.For(ctx, e.For)
 	for i, id := range ids {
-		at := struck[len(ids)-1-i]
+		at := emptied[len(ids)-1-i]
 		if _, err := at.openAs(&w.past, service, id); err != nil {
 			w.fail("%s at %s: %v", e.Fault, at.entry, err)
 			continue
