Search: send no call without fresh news, also where the search was let in before a pause

Cause: news were asked for when a search was let in. A process that is frozen between that and a call of the search sends it when it wakes: the first ones of a search let in just before, and those to the other shards once the answer of the first run, which waited in the socket, is read.

Ruled out: a stream of the sync from before the pause (Fresh compares when it was asked for); the sync itself.

Change: each call asks right before it is sent. A search of which nothing was sent is refused as paused and not run; one with parts answers with what it has and names the rest.

--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -58,7 +58,7 @@
 func (r *run) call(ctx context.Context, i int, asked *pb.LeafSearchRequest, call balance.Call, gate string) {
 	defer r.e.calls.Done()
 	leaf := call.Leaf()
-	got, err := r.e.caller.Search(ctx, leaf, asked)
+	got, err := r.send(ctx, leaf, asked)
 	ev := r.judge(ctx, asked, leaf, got, err)
 	ev.shard, ev.trial = i, gate != ""
 	result := balance.ResultOK
@@ -79,6 +79,18 @@
 	}
 }
 
+// errStale ends a call that isn't sent.
+var errStale = errors.New("no fresh news of the fleet")
+
+// send makes the call, unless the process may have been paused since the search was let in: leaves, index version
+// and callers may have changed meanwhile.
+func (r *run) send(ctx context.Context, leaf string, asked *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	if !r.e.source.Fresh() {
+		return nil, &upstream.CallError{Leaf: leaf, Err: errStale}
+	}
+	return r.e.caller.Search(ctx, leaf, asked)
+}
+
 // judge turns the end of a call into an event; only an answer that matches its question counts.
 func (r *run) judge(ctx context.Context, asked *pb.LeafSearchRequest, leaf string, got *pb.LeafSearchResponse, err error) event {
 	if err != nil {
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -21,6 +21,8 @@
 	failLost
 	// failSilent: the connection went silent, which says nothing about the leaf.
 	failSilent
+	// failStale: the call was not sent, for the process was paused or hears nothing since it was planned.
+	failStale
 	// failShed: the leaf refused for load.
 	failShed
 	// failDraining: the leaf is leaving.
@@ -60,6 +62,8 @@
 		return f
 	}
 	switch {
+	case errors.Is(ce.Err, errStale):
+		return failStale
 	case ce.ConnectionSilent:
 		return failSilent
 	case ce.ConnectionLost && ctx.Err() == nil:
@@ -98,6 +102,7 @@
 	failNotSent:   {name: "not_sent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true, free: true},
 	failLost:      {name: "lost", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, again: true},
 	failSilent:    {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultNeutral, again: true, free: true},
+	failStale:     {name: "stale", reason: pb.Reason_REASON_PAUSED, result: balance.ResultNeutral},
 	failShed:      {name: "shed", reason: pb.Reason_REASON_OVERLOAD, result: balance.ResultShed, again: true},
 	failDraining:  {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultNeutral, again: true},
 	failSnapshot:  {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultNeutral, again: true},
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -288,11 +289,12 @@
 	})
 }
 
-// fakeFeed is a source with a fixed view and a reporter that hands crashes to hear.
+// fakeFeed is a source with a fixed view, fresh until stale is set, and a reporter that hands crashes to hear.
 type fakeFeed struct {
-	mu   sync.Mutex
-	view *feed.View
-	hear func(*pb.Crash)
+	mu    sync.Mutex
+	view  *feed.View
+	hear  func(*pb.Crash)
+	stale atomic.Bool
 }
 
 func (f *fakeFeed) Current() *feed.View {
@@ -301,7 +303,7 @@
 	return f.view
 }
 func (f *fakeFeed) Changed() <-chan struct{}      { return nil }
-func (f *fakeFeed) Fresh() bool                   { return true }
+func (f *fakeFeed) Fresh() bool                   { return !f.stale.Load() }
 func (f *fakeFeed) ReportDeparture(*pb.Departure) {}
 func (f *fakeFeed) SetState(pb.ProcessState)      {}
 func (f *fakeFeed) ReportCrash(c *pb.Crash)       { f.hear(c) }
