Refuse a single request at once for which no extra call is allowed in time

Cause: a request refused by its leaves stayed pending until its deadline while the retry budget said no.

Ruled out: a budget that is too small for the fleet (the service took 76 extra calls of 678 allowed in 10 s); searches, whose gatherers see enough requests for it to grow while they wait.

Change: the budget tells whether an extra call comes by what its window forgets until the target; if not, the request ends with its own reason no_budget, as not run where that is true.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,6 +87,8 @@
 	// ReasonMuteLeaves: no leaf of too many shards has given a sign of life for a while.
 	ReasonMuteLeaves Reason = "mute_leaves"
 	ReasonRefused    Reason = "refused_by_leaves"
+	// ReasonNoBudget: leaves refused or lost it, and no extra call is allowed in time.
+	ReasonNoBudget Reason = "no_budget"
 	// ReasonBusyLeaves: the queues at the leaves are too long for an answer in time.
 	ReasonBusyLeaves Reason = "busy_leaves"
 	ReasonFewShards  Reason = "too_few_shards"
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -177,6 +177,40 @@
 	})
 }
 
+// A single request that leaves refused, and that no extra call will come for in time, is told so at once: its caller
+// may still be served in time by another VM. One for which an extra call comes soon waits for it.
+func TestSingleRequestDoesNotWaitForABudgetInVain(t *testing.T) {
+	for _, path := range []string{"/i/q", "/o/q"} {
+		play(t, func(t *testing.T, w *world) {
+			is := is.New(t)
+			for w.budgets.Take("x", retrybudget.Needed) { //nolint:revive // spends all
+			}
+			for _, leaf := range []string{"x-a", "x-b", "x-c"} {
+				w.set(leaf, refuses())
+			}
+			a, took := w.ask(t.Context(), path)
+			is.Equal(a.Outcome, NotRun)
+			is.Equal(a.Reason, ReasonNoBudget)
+			is.True(a.RetryAfter > 0)
+			is.True(took < 10*ms)
+		})
+	}
+}
+
+func TestSingleRequestWaitsForABudgetThatComes(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		time.Sleep(20 * time.Second)                  // past the first window
+		for w.budgets.Take("x", retrybudget.Needed) { //nolint:revive // spends all
+		}
+		time.Sleep(10400 * ms) // the next span begins in 100 ms
+		w.oddFirst("x", reply{after: ms, refuse: true})
+		a, took := w.ask(t.Context(), "/i/q")
+		is.Equal(a.Outcome, Served)
+		is.True(took > 50*ms && took < 150*ms)
+	})
+}
+
 // Under refusals everywhere the budget goes to the repeats that decide: a search that covers enough
 // shards does without, and one that lacks two too many gets just those two.
 func TestScarceRepeatsGoWhereTheyDecide(t *testing.T) {
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -155,11 +155,14 @@
 	}
 	now := time.Now()
 	g.pending = true
-	if !r.takeExtra(g, r.repeatUrgency(now)) {
-		return
+	urgency := r.repeatUrgency(now)
+	switch {
+	case r.takeExtra(g, urgency):
+		r.trace.Repeats++
+		r.launch(i, from)
+	case !r.route.Search() && !r.e.budgets.Comes(g.service, urgency, r.soft.Sub(now)):
+		r.kill(g, ReasonNoBudget)
 	}
-	r.trace.Repeats++
-	r.launch(i, from)
 }
 
 // takeExtra takes an extra call of the group from its service's budget.
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -107,10 +107,15 @@
 
 // span returns the number of the span that runs, and its place. Requires mu.
 func (b *Budgets) span() (number int64, place int) {
-	number = int64(b.clock().Sub(b.start) * spans / max(b.limit.Window, spans))
+	number = b.spanAt(b.clock())
 	return number, int(number % (spans + 1))
 }
 
+// spanAt returns the number of the span at the time.
+func (b *Budgets) spanAt(at time.Time) int64 {
+	return int64(at.Sub(b.start) * spans / max(b.limit.Window, spans))
+}
+
 // of returns the counts of the service with the span that runs cleared of older ones. Requires mu.
 func (b *Budgets) of(service string) (c *counts, number int64, place int) {
 	number, place = b.span()
@@ -148,8 +153,25 @@
 	return true
 }
 
-// allowed returns how many extra calls the window allows, and how many were spent in it. Requests of
-// the oldest span are left out and its extra calls are counted, so that the sum holds in any window.
+// Comes tells whether an extra call of the service that is refused now will be allowed within the time, by what
+// the window forgets until then. What requests that come meanwhile would bring isn't counted: a VM that sees one
+// in some seconds would wait for them in vain.
+func (b *Budgets) Comes(service string, u Urgency, within time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, number, _ := b.of(service)
+	until := b.spanAt(b.clock().Add(within))
+	for later := number; later <= until; later++ {
+		allowed, spent := b.allowed(service, c, later)
+		if float64(spent+1) <= max(allowed*u.part(), 1) {
+			return true
+		}
+	}
+	return false
+}
+
+// allowed returns how many extra calls the window allows in the span with the number, and how many were spent in
+// it. Requests of the oldest span are left out and its extra calls are counted, so that the sum holds in any window.
 // Requires mu.
 func (b *Budgets) allowed(service string, c *counts, number int64) (allowed float64, spent int) {
 	requests := 0
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -138,6 +138,26 @@
 	})
 }
 
+// Whoever is refused learns whether it is worth a wait: what was spent long ago is soon forgotten, what was spent
+// just now isn't.
+func TestWhetherAnExtraCallComes(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	b := New(fleetLimit, c.read)
+	b.SetPart(evenly(500)) // one extra call in a window
+	c.pass(10 * time.Second)
+	is.True(b.Comes("x", Needed, 0))
+	is.True(b.Take("x", Needed))
+	c.pass(time.Second)
+	is.True(!b.Comes("x", Needed, 4*time.Second))
+	c.pass(8 * time.Second)
+	is.True(!b.Comes("x", Needed, 500*time.Millisecond))
+	is.True(b.Comes("x", Needed, 2*time.Second))
+	is.True(!b.Take("x", Needed))
+	c.pass(2 * time.Second)
+	is.True(b.Take("x", Needed))
+}
+
 // Services that nobody asks any more are forgotten; others stay.
 func TestIdleServicesAreForgotten(t *testing.T) {
 	is := is.New(t)
