Open no connections ahead before the fleet is known

Change: a share in the connections says whether the fleet is settled (no new VM for a second, or 3 s after the start); until then connections are opened as calls need them.

--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -77,6 +77,8 @@
 	// Rare is set where this VM calls them in exceptional cases only: it opens a connection when it needs one,
 	// and closes it soon after.
 	Rare bool
+	// Unsettled is set while it isn't known yet who calls them: no connection is opened ahead.
+	Unsettled bool
 }
 
 // peer is a leaf with its connections.
@@ -314,7 +316,8 @@
 
 // ahead tells whether a connection to the leaf is opened before it is needed, and kept. Requires mu.
 func (p *Pool) ahead(l catalog.Leaf) bool {
-	return !p.share(l.Service).Rare && (l.Zone == p.zone || p.most(l) >= roomy)
+	share := p.share(l.Service)
+	return !share.Rare && !share.Unsettled && (l.Zone == p.zone || p.most(l) >= roomy)
 }
 
 // unused takes out the idle connections that have ended, and those that aren't kept.
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -289,3 +289,18 @@
 	p.started = time.Now().Add(-youngFor)
 	is.True(p.most(nearLeaf) > youngMost)
 }
+
+// A VM that doesn't know the fleet yet opens no connection ahead: of 295 that started together 280 were to hand
+// their searches over, and opened one to each leaf of their zone before they knew it.
+func TestNoConnectionsAheadBeforeTheFleetIsKnown(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 6)
+	unsettled := true
+	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, func(string) Share { return Share{VMs: 6, Unsettled: unsettled} })
+	is.Equal(len(p.bare(time.Now())), 0)
+	_, err := p.Do(t.Context(), nearLeaf.ID, &leafcall.Request{})
+	is.NoErr(err) // what is needed is opened
+	unsettled = false
+	is.True(len(p.bare(time.Now())) > 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,8 @@
 	server    *http.Server
 	leaving   atomic.Bool
 	seeds     atomic.Pointer[[]string]
+	// size belongs to follow.
+	size fleetSize
 }
 
 // New builds the duties; nothing runs yet.
@@ -114,7 +116,7 @@
 	d := &Daemon{
 		settings: s, platform: p, metricsAt: metricsAt, log: log, sink: sink, registry: reg,
 		mirror: mirror.New(changed), updated: updated,
-		table: replica.New(), budgets: retrybudget.New(s.Extra, time.Now),
+		table: replica.New(), budgets: retrybudget.New(s.Extra, time.Now), size: fleetSize{started: time.Now()},
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_requests_refused_total", Help: "Requests refused at the callers' edge by reason.",
 		}, []string{"reason"}),
