Hand searches to strong VMs of other zones where those of the own zone can't take them

Cause: where all strong VMs of a zone are lost, busy or about to end, each weak one made the 90 or 135 calls of a search itself, on a fifth of a core and with connections that it opened for them; and each VM found each lost gatherer by a search of its own, so that a cut or a kill of several cost one search for each.

Change: the plan names the strong VMs of other zones as the last to ask.

Weighed and not built: strong VMs of a zone without leaves handing all searches on to zones that have them.

--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,23 +13,10 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
-	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
-const (
-	// quietAfter is how long a search may be with a gatherer until that is asked whether it runs. Half of the
-	// searches are answered by then or soon after; pings of all would double the messages.
-	quietAfter = 40 * time.Millisecond
-	// pingTimeout is how long a gatherer may take to say that it runs. The way there and back takes 0.2 ms in a
-	// zone; a gatherer that takes longer than this serves nobody in time.
-	pingTimeout = 100 * time.Millisecond
-	// pingPeriod is the time between two pings while a search goes on.
-	pingPeriod = 150 * time.Millisecond
-	// lostPeriod is the time between two pings of a gatherer that is lost.
-	lostPeriod = 250 * time.Millisecond
-	// triesMost bounds the gatherers that one search is offered to.
-	triesMost = 2
-)
+// triesMost bounds the gatherers that one search is offered to.
+const triesMost = 2
 
 // Client is what is needed of a gatherer.
 type Client interface {
@@ -84,13 +72,14 @@
 func (m *Manager) SetPlan(p Plan) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	plan := make([]*target, 0, len(p.To))
-	for _, address := range p.To {
+	plan := make([]*target, 0, len(p.To)+len(p.Else))
+	for i, address := range slices.Concat(p.To, p.Else) {
 		t := targetAt(m.plan, address)
 		if t == nil {
 			t = &target{address: address, client: m.cfg.Dial(address), flights: make(map[*flight]struct{})}
-			m.cfg.Log.Info("searches may go to a stronger VM", zap.String("peer", address), zap.Int("gatherers", p.Gatherers))
+			m.cfg.Log.Info("searches may go to a stronger VM", zap.String("peer", address), zap.Bool("last", i >= len(p.To)), zap.Int("gatherers", p.Gatherers))
 		}
+		t.last = i >= len(p.To)
 		plan = append(plan, t)
 	}
 	for _, t := range m.plan {
@@ -163,14 +152,6 @@
 	return decodeAnswer(msg), msg.GetVersion(), ""
 }
 
-// watch pings the gatherer until the search is over.
-func (m *Manager) watch(ctx context.Context, t *target) {
-	for ctx.Err() == nil {
-		m.ping(ctx, t)
-		wait.For(ctx, pingPeriod)
-	}
-}
-
 // begin notes a search in flight and returns its context, which ends at the deadline: the gatherer answers a
 // little sooner, whatever its leaves do.
 func (m *Manager) begin(ctx context.Context, t *target, deadline time.Time) (context.Context, *flight) {
@@ -204,48 +185,6 @@
 	return &dispatch.Answer{Outcome: dispatch.Unknown, Reason: dispatch.ReasonGathererLost}
 }
 
-// lose gives a gatherer no more searches until it answers a ping, and ends those that it has: a caller that
-// hears at once may still be served in time by another VM.
-func (m *Manager) lose(t *target, err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if t.lost {
-		return
-	}
-	t.lost = true
-	m.cfg.Log.Warn("stronger VM lost", zap.String("peer", t.address), zap.Int("searches", len(t.flights)), zap.Error(err))
-	for f := range t.flights {
-		f.cancel()
-	}
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
-}
-
-// ping asks a gatherer that has been quiet whether it runs, and loses it where it doesn't say so.
-func (m *Manager) ping(ctx context.Context, t *target) {
-	pong, err := m.pingOnce(ctx, t)
-	switch {
-	case err == nil:
-		m.noteLoad(t, pong)
-	case ctx.Err() == nil: // the search still waits
-		m.lose(t, err)
-	}
-}
-
-func (m *Manager) pingOnce(ctx context.Context, t *target) (*pb.FleetPong, error) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	return t.client.Ping(ctx, &pb.FleetPing{})
-}
-
-func (m *Manager) noteLoad(t *target, load *pb.FleetPong) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	t.note(microseconds(load.GetLagUs()), load.GetLeaving(), time.Now())
-}
-
 // noteVersion remembers by which configuration a search was served: none of this VM's is served by an older
 // one from then on.
 func (m *Manager) noteVersion(t *target, version uint64) {
@@ -257,54 +196,6 @@
 	}
 }
 
-// Run pings gatherers that are lost or about to end until they answer, until ctx ends.
-func (m *Manager) Run(ctx context.Context) error {
-	for {
-		unusable := m.unusable()
-		for _, t := range unusable {
-			m.revive(ctx, t)
-		}
-		if len(unusable) > 0 {
-			if !wait.For(ctx, lostPeriod) {
-				return nil
-			}
-			continue
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-m.wake:
-		case <-time.After(lostPeriod):
-		}
-	}
-}
-
-func (m *Manager) unusable() []*target {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []*target
-	for _, t := range m.plan {
-		if t.lost || t.leaving {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
-func (m *Manager) revive(ctx context.Context, t *target) {
-	pong, err := m.pingOnce(ctx, t)
-	if err != nil {
-		return
-	}
-	m.noteLoad(t, pong)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if t.lost {
-		m.cfg.Log.Info("stronger VM regained", zap.String("peer", t.address), zap.Duration("lag", t.lag))
-	}
-	t.lost = false
-}
-
 // Dump shows the gatherers of the plan.
 func (m *Manager) Dump() any {
 	m.mu.Lock()
--- a/internal/delegate/plan.go
+++ b/internal/delegate/plan.go
@@ -23,6 +23,8 @@
 type Plan struct {
 	// To are the strong VMs of the own zone, in order of their addresses; empty where this VM gathers itself.
 	To []string
+	// Else are those of other zones, for searches that none of To can take.
+	Else []string
 	// Gathers is set where VMs of the own zone hand their searches to this one.
 	Gathers bool
 	// Gatherers is how many VMs of the fleet make the calls of searches, Others how many hand theirs over.
@@ -38,6 +40,7 @@
 		}
 	}
 	var p Plan
+	var elsewhere []string
 	for zone, vms := range zones {
 		strong := strongOf(vms)
 		if len(strong) == 0 {
@@ -47,6 +50,7 @@
 		p.Gatherers += len(strong)
 		p.Others += len(vms) - len(strong)
 		if zone != self.Zone {
+			elsewhere = append(elsewhere, strong...)
 			continue
 		}
 		p.Gathers = slices.Contains(strong, self.Address)
@@ -54,6 +58,10 @@
 			p.To = strong
 		}
 	}
+	if len(p.To) > 0 {
+		slices.Sort(elsewhere)
+		p.Else = elsewhere
+	}
 	return p
 }
 
--- a/internal/delegate/target.go
+++ b/internal/delegate/target.go
@@ -17,10 +17,14 @@
 type target struct {
 	address string
 	client  Client
+	// last is set for one that gets a search only where all others can't take it.
+	last bool
 	// flights holds what ends each search in flight there.
 	flights map[*flight]struct{}
 	// lost is set from a failure until a ping is answered.
-	lost    bool
+	lost bool
+	// doubted is set where it is to be asked whether it runs, for another one was lost.
+	doubted bool
 	leaving bool
 	lag     time.Duration
 	lagAt   time.Time
@@ -47,8 +51,8 @@
 	t.lag, t.lagAt, t.leaving = lag, now, leaving
 }
 
-// best returns the usable target with the fewest searches of this VM in flight, by chance among equals; nil
-// where there is none but the excepted one.
+// best returns the usable target with the fewest searches of this VM in flight, by chance among equals, the last
+// ones after all others; nil where there is none but the excepted one.
 func best(from []*target, except *target, now time.Time) *target {
 	var out *target
 	equal := 0
@@ -57,9 +61,9 @@
 			continue
 		}
 		switch {
-		case out == nil || len(t.flights) < len(out.flights):
+		case out == nil || t.before(out):
 			out, equal = t, 1
-		case len(t.flights) == len(out.flights):
+		case !out.before(t):
 			equal++
 			if rand.N(equal) == 0 {
 				out = t
@@ -68,3 +72,11 @@
 	}
 	return out
 }
+
+// before tells whether t is to get a search rather than the other one.
+func (t *target) before(other *target) bool {
+	if t.last != other.last {
+		return other.last
+	}
+	return len(t.flights) < len(other.flights)
+}
