--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -95,12 +95,12 @@
 		return nil
 	}
 	now := time.Now()
-	usual := r.e.table.Usual(r.route.Name, r.guess)
+	usual := r.usual
 	left := r.soft.Sub(now)
 	limit := r.e.kinds.limit(r.route, float64(left)/float64(max(usual, 1)), now)
 	expected := r.crowded(now)
 	slices.SortFunc(expected, func(a, b expectation) int { return cmp.Compare(b.takes, a.takes) })
-	spare := len(r.groups) - r.needed()
+	spare := len(r.groups) - r.needed
 	if spare < len(expected) && r.turnAway(float64(expected[spare].takes)/float64(usual), limit) {
 		for _, x := range expected[:spare+1] {
 			g := &r.groups[x.group]
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
 )
@@ -101,7 +103,7 @@
 	}
 	g.runs--
 	if e.Cause == leafcall.ConnectionFull {
-		delete(g.tried, ev.leaf)
+		g.tried = slices.DeleteFunc(g.tried, func(id catalog.LeafID) bool { return id == ev.leaf })
 	} else {
 		r.note(ev, string(e.Cause))
 	}
@@ -184,7 +186,7 @@
 	if !r.route.Search() {
 		return retrybudget.Needed
 	}
-	short := r.lacking(now) - (len(r.groups) - r.needed())
+	short := r.lacking(now) - (len(r.groups) - r.needed)
 	if short <= 0 || short > shortMost || !now.Before(r.soft) {
 		return retrybudget.Optional
 	}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -61,7 +61,7 @@
 	case r.route.Search():
 		after = hedgeBlind
 	}
-	usual := size * float64(r.e.table.Usual(r.route.Name, r.guess))
+	usual := size * float64(r.usual)
 	at := g.begun.Add(max(time.Duration(after*size*float64(g.expected)), hedgeLeast))
 	at = earlier(at, r.soft.Add(-time.Duration(hedgeRoom*usual)))
 	if soonest := g.begun.Add(max(time.Duration(hedgeSoonest*usual), hedgeLeast)); at.Before(soonest) {
@@ -99,7 +99,7 @@
 // hedgeUrgency says how much depends on a hedge: it can wait until the latest moment at which it is of use, and one
 // of a search that is late already, or of a call that isn't slow for its leaf, is worth less than those of others.
 func (r *run) hedgeUrgency(g *group, now time.Time) retrybudget.Urgency {
-	latest := r.soft.Add(-time.Duration(hedgeRoom * float64(r.e.table.Usual(r.route.Name, r.guess))))
+	latest := r.soft.Add(-time.Duration(hedgeRoom * float64(r.usual)))
 	switch {
 	case r.route.Search() && !now.Before(r.soft), now.Before(g.begun.Add(time.Duration(hedgeAfter * float64(g.expected)))):
 		return retrybudget.Optional
--- a/internal/dispatch/hopeless.go
+++ b/internal/dispatch/hopeless.go
@@ -26,7 +26,7 @@
 			longest = max(longest, d)
 		}
 	}
-	if len(r.groups)-without-mute >= r.needed() {
+	if len(r.groups)-without-mute >= r.needed {
 		return nil
 	}
 	switch {
--- a/internal/dispatch/odds.go
+++ b/internal/dispatch/odds.go
@@ -84,12 +84,12 @@
 // what the odds tell.
 func (r *run) doubtAt(g *group) time.Time {
 	size, _ := r.sizes.of(len(r.groups))
-	usual := size * float64(r.e.table.Usual(r.route.Name, r.guess))
+	usual := size * float64(r.usual)
 	return g.begun.Add(max(time.Duration(hedgeAfter*usual), hedgeLeast))
 }
 
 // mayAnswer tells whether a search covers enough shards.
-func (r *run) mayAnswer() bool { return r.route.Search() && r.done >= r.needed() }
+func (r *run) mayAnswer() bool { return r.route.Search() && r.done >= r.needed }
 
 // enough tells whether a search that covers enough shards is answered without the open ones: when its time is
 // over, or once all of them are late and unlikely to come in time.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -51,7 +52,7 @@
 	digest uint64
 	trace  *Trace
 	caller context.Context
-	// ctx is of the calls, which may outlive the answer by linger.
+	// ctx is of the calls, which may outlive the answer by linger. It ends with the caller's time.
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -60,7 +61,11 @@
 	// deadline is when the final answer is made.
 	deadline time.Time
 	guess    time.Duration
-	groups   []group
+	// usual is what calls of the route take, by the time of the latest event; needed is how many groups have to be
+	// served. Both are asked for each group at each event, 20,000 times in a search of 135 shards.
+	usual  time.Duration
+	needed int
+	groups []group
 	// sizes of the parts that are in, by which this request's calls are judged.
 	sizes  sizes
 	events chan event
@@ -78,7 +83,7 @@
 type group struct {
 	service string
 	// tried leaves get the request no second time; last is the latest of them.
-	tried map[catalog.LeafID]bool
+	tried []catalog.LeafID
 	last  catalog.LeafID
 	// runs counts calls that may have run, refusals those that did not.
 	runs, refusals int
@@ -111,14 +116,14 @@
 }
 
 func newRun(caller context.Context, e *Engine, req *Request, route *catalog.Route, view *directory.View, digest uint64, trace *Trace) *run {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
 	r := &run{
-		e: e, req: req, route: route, view: view, digest: digest, trace: trace, caller: caller, ctx: ctx, cancel: cancel,
+		e: e, req: req, route: route, view: view, digest: digest, trace: trace, caller: caller,
 		events: make(chan event), over: make(chan struct{}),
 		guess: time.Duration(float64(route.Target) * guessPart),
 	}
 	left := route.Waits(req.Remaining)
 	r.deadline = req.Arrived.Add(left - min(answerMargin, left/4))
+	r.ctx, r.cancel = context.WithDeadline(context.WithoutCancel(caller), r.deadline.Add(answerMargin))
 	r.soft = req.Arrived.Add(route.Target - e.wayBack(req, route.Target))
 	if r.soft.After(r.deadline) {
 		r.soft = r.deadline
@@ -128,11 +133,19 @@
 		services = []string{e.splits.choose(route)}
 	}
 	for _, s := range services {
-		r.groups = append(r.groups, group{service: s, tried: make(map[catalog.LeafID]bool)})
+		r.groups = append(r.groups, group{service: s})
 	}
+	r.needed = 1
+	if route.Search() {
+		r.needed = route.Needed()
+	}
+	r.look()
 	return r
 }
 
+// look notes what calls of the route take by now.
+func (r *run) look() { r.usual = r.e.table.Usual(r.route.Name, r.guess) }
+
 // serve runs the request to its answer.
 func (r *run) serve() *Answer {
 	defer r.finish()
@@ -153,6 +166,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		r.look()
 		if a := r.settled(time.Now()); a != nil {
 			return a
 		}
@@ -173,14 +187,6 @@
 	}
 }
 
-// needed is how many groups have to be served.
-func (r *run) needed() int {
-	if r.route.Search() {
-		return r.route.Needed()
-	}
-	return 1
-}
-
 // finish lets the calls that are left end by themselves for a while.
 func (r *run) finish() {
 	close(r.over)
@@ -204,7 +210,7 @@
 	switch {
 	case r.done == len(r.groups), r.mayAnswer() && (open == 0 || r.enough(now)):
 		return r.merged()
-	case r.done+open < r.needed():
+	case r.done+open < r.needed:
 		return r.failed(ReasonFewShards)
 	case !now.Before(r.deadline):
 		return r.failed(ReasonDeadline)
@@ -276,9 +282,9 @@
 func (r *run) candidates(g *group) []catalog.Leaf {
 	view := r.e.directory.Current()
 	for _, list := range [][]catalog.Leaf{view.Leaves[g.service], view.Lapsed[g.service]} {
-		var out []catalog.Leaf
+		out := make([]catalog.Leaf, 0, len(list))
 		for _, l := range list {
-			if !g.tried[l.ID] && !r.e.moved.has(l) {
+			if !slices.Contains(g.tried, l.ID) && !r.e.moved.has(l) {
 				out = append(out, l)
 			}
 		}
@@ -289,15 +295,12 @@
 	return nil
 }
 
-// free keeps the leaves to which a connection is free.
+// free keeps, in place, the leaves to which a connection is free.
 func (r *run) free(from []catalog.Leaf) []catalog.Leaf {
-	var out []catalog.Leaf
-	for _, l := range from {
-		if free, _ := r.e.leaves.Free(l.ID); free {
-			out = append(out, l)
-		}
-	}
-	return out
+	return slices.DeleteFunc(from, func(l catalog.Leaf) bool {
+		free, _ := r.e.leaves.Free(l.ID)
+		return !free
+	})
 }
 
 // launch sends a call of the group to the best of the leaves; without any it stays pending.
@@ -310,7 +313,7 @@
 	now := time.Now()
 	chosen, call := r.e.table.Choose(now, r.route.Name, r.guess, r.candidatesOf(from))
 	leaf := from[chosen]
-	g.tried[leaf.ID], g.last = true, leaf.ID
+	g.tried, g.last = append(g.tried, leaf.ID), leaf.ID
 	g.pending = false
 	g.runs++
 	g.inFlight++
@@ -334,9 +337,7 @@
 // call makes one call and hands its end to the run, if that still goes on.
 func (r *run) call(i int, leaf catalog.Leaf, call *replica.Call) {
 	defer r.e.flights.Done()
-	ctx, cancel := context.WithDeadline(r.ctx, r.deadline.Add(answerMargin))
-	defer cancel()
-	resp, err := r.e.leaves.Do(ctx, leaf.ID, &leafcall.Request{
+	resp, err := r.e.leaves.Do(r.ctx, leaf.ID, &leafcall.Request{
 		ID: r.req.ID, Method: r.req.Method, Target: r.req.Target, Host: r.req.Host, Header: r.req.Header, Body: r.req.Body,
 		Remaining: time.Until(r.deadline) + answerMargin, Leaf: leaf.ID.Name,
 	})
