A shard's connections belong to those who gather, also where single requests lead to it

Cause: routes of single requests lead to one of the 90 shards of the large deployment, too. Its leaves' connections were divided by all 295 VMs: each had one at most, those of the leaf's zone kept it open, and the 15 VMs that gather had one as well.

Change: a service that is a shard of a search has the shares of shards. Others open a connection to it where they need one.

Test: TestShardThatServesSingleRequestsToo, which failed before.

--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -30,9 +30,9 @@
 }
 
 // connections is the share in the connections to a service's leaves. Those of a service that no route names
-// yet may become shards.
+// yet may become shards, and a shard belongs to the VMs that gather, whatever else leads to it.
 func (s shares) connections(service string) leafpool.Share {
-	if s.single[service] {
+	if s.single[service] && !s.shards[service] {
 		return leafpool.Share{VMs: s.vms, Unsettled: s.unsettled}
 	}
 	return leafpool.Share{VMs: s.plan.Gatherers, Rare: len(s.plan.To) > 0, Unsettled: s.unsettled}
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/burdockplank/burdockplank/internal/delegate"
+	"github.com/burdockplank/burdockplank/internal/leafpool"
 )
 
 // The fleet counts as known once no VM shows up for a while, and some seconds after the start in any case.
@@ -19,3 +22,17 @@
 	is.True(f.unsettled(41, now.Add(2*time.Second)))
 	is.True(!f.unsettled(42, now.Add(settledMost)))
 }
+
+// A shard that a route of single requests leads to as well belongs to those who gather: with its leaves' connections
+// divided by all VMs each had one, and leaves of it reset a thousand a day where no other shard's did.
+func TestShardThatServesSingleRequestsToo(t *testing.T) {
+	is := is.New(t)
+	s := shares{vms: 295, single: map[string]bool{"x": true, "s0": true}, shards: map[string]bool{"s0": true, "s1": true}}
+	s.plan = delegate.Plan{Gathers: true, Gatherers: 15, Others: 280}
+	is.Equal(s.connections("s0"), leafpool.Share{VMs: 15})
+	is.Equal(s.connections("s1"), leafpool.Share{VMs: 15})
+	is.Equal(s.connections("x"), leafpool.Share{VMs: 295})
+	s.plan = delegate.Plan{To: []string{"strong"}, Gatherers: 15, Others: 280}
+	is.Equal(s.connections("s0"), leafpool.Share{VMs: 15, Rare: true})
+	is.Equal(s.connections("x"), leafpool.Share{VMs: 295})
+}
