An exchange of a large fleet prefers the newest contact and fewer of the own zone

Change: the newest contact, 28 of the own zone, the rest by chance; strong VMs have no places of their own.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -192,33 +192,30 @@
 	return out
 }
 
-// preferred moves to the front, in turn, the member of the own zone with the newest contact, whose word keeps others
-// from reading the store; the strongest VMs, which carry searches and word between zones; and members of the own
-// zone. Each kind but the first takes a part of the sample only, so that word of all others gets around as well.
-// Requires mu.
+// preferred moves to the front the member of the own zone with the newest contact, whose word keeps others from
+// reading the store, and after it some of the own zone. Requires mu.
 func (m *Manager) preferred(live []*member) {
-	front := live
-	take := func(most int, wanted func(e *member) bool) {
-		for i := 0; i < len(front) && most > 0; i++ {
-			if wanted(front[i]) {
-				front[0], front[i] = front[i], front[0]
-				front, most = front[1:], most-1
-				i--
-			}
-		}
-	}
 	near := func(e *member) bool { return e.record.GetZone() == m.cfg.Zone }
 	var newest *member
-	weakest := m.self.GetMillicores()
 	for _, e := range live {
-		weakest = min(weakest, e.record.GetMillicores())
 		if near(e) && (newest == nil || e.contactAt.After(newest.contactAt)) {
 			newest = e
 		}
 	}
-	take(1, func(e *member) bool { return e == newest })
-	take(sampleStrong, func(e *member) bool { return e.record.GetMillicores() > weakest })
-	take(sampleNear, near)
+	rest := toFront(live, 1, func(e *member) bool { return e == newest })
+	toFront(rest, sampleNear, near)
+}
+
+// toFront moves up to most of the wanted members to the front and returns the others.
+func toFront(list []*member, most int, wanted func(e *member) bool) []*member {
+	n := 0
+	for i, e := range list {
+		if n < most && wanted(e) {
+			list[n], list[i] = list[i], list[n]
+			n++
+		}
+	}
+	return list[n:]
 }
 
 // merge takes a record of a member; the higher incarnation and heartbeat wins. Requires mu.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -32,12 +32,11 @@
 	silentRounds = 12
 	// forgetAfter is how long a silent peer is still tried.
 	forgetAfter = time.Minute
-	// sample bounds the members that an exchange names, some 45 bytes each. In a fleet above it the strongest VMs
-	// and those of the own zone have sampleStrong and sampleNear places of it: with 80 by chance of 300 VMs, word of
-	// a zone's contact with the store was up to 10 s old, so that several VMs of each zone read beside the first.
-	sample       = 80
-	sampleStrong = 16
-	sampleNear   = 40
+	// sample bounds the members that an exchange names, some 45 bytes each. In a fleet above it those of the own zone
+	// have sampleNear places: by chance alone each was heard of so seldom among 300 VMs that one in 300 of the zone
+	// was taken for silent. With more places word of other zones gets around too slowly for the same.
+	sample     = 80
+	sampleNear = 28
 	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
 	// fleet was cut in two; seedSeldom in a large fleet, where silent peers are tried often enough.
 	seedPeriod = 2 * time.Second
