Prefer a leaf of the own zone with a free slot more

Leaves of a shard differ in speed by 1.6, so that at 1.3 times the cost a third of the shards with a leaf in the zone were asked elsewhere; a search waits for pauses and queues longer than for the slower leaf.

Change: a leaf elsewhere costs 1.7 times as much, and so does one of the own zone without a free slot, so that none fills up while others idle.

Tests: TestSlowerNearLeafGoesFirst failed before; TestBusyLeafIsGoneAround failed with 1.7 alone and holds with the second half.

--- a/internal/replica/cost.go
+++ b/internal/replica/cost.go
@@ -27,8 +27,10 @@
 	// busyCost is the cost of a used slot, in parts of a usual time, so that an idle leaf goes first.
 	busyCost = 0.15
 	// farCost is the factor of a leaf in another zone, where bytes are dear and a round trip takes a
-	// millisecond more; it is less than a queue costs, so that no leaf fills up while others idle.
-	farCost = 1.3
+	// millisecond more. Leaves of a shard differ in speed by up to 1.3 / 0.8 = 1.6: one of the own zone with a
+	// free slot goes before a faster one elsewhere. One without is worth no more than the others, so that no leaf fills
+	// up while others idle.
+	farCost = 1.7
 	// openCost is what opening a connection takes: a round trip, and 6 ms in which it holds a slot.
 	openCost = 7 * time.Millisecond
 	// noiseUsual is the figure by which a leaf reports that its work takes as long as usual.
@@ -100,7 +102,7 @@
 	if stood := l.overdue(now); stood > 0 {
 		cost += float64(stood) // a leaf that stood still for so long is likely to do so as long again
 	}
-	if !c.Near {
+	if !c.Near || l.crowd(now, c) > 1 {
 		cost *= farCost
 	}
 	if !c.Open {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -49,6 +49,33 @@
 	is.True(share(New(), &now, 50, "a", even) > 0.9)
 }
 
+// A leaf of the own zone that is a third slower than usual goes before one elsewhere that is a fifth faster: the
+// search waits for pauses and queues longer than for that, and its bytes stay in the zone. One twice as slow doesn't.
+func TestSlowerNearLeafGoesFirst(t *testing.T) {
+	for name, tt := range map[string]struct {
+		near float64
+		want bool
+	}{"a third slower": {1.3, true}, "twice as slow": {2, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now, table := time.Now(), New()
+			for range 200 { // each is called in turn, so that its pace is known
+				for _, c := range group() {
+					_, call := table.Choose(now, "r", usual, []Candidate{c})
+					took := time.Duration(0.8 * float64(usual))
+					if c.Near {
+						took = time.Duration(tt.near * float64(usual))
+					}
+					call.End(OK, now.Add(took))
+					now = now.Add(20 * time.Millisecond)
+				}
+			}
+			i, _ := table.Choose(now, "r", usual, group())
+			is.Equal(group()[i].Near, tt.want)
+		})
+	}
+}
+
 func TestBusyLeafIsGoneAround(t *testing.T) {
 	is := is.New(t)
 	table := New()
