--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -290,8 +290,8 @@
 	is.True(p.most(nearLeaf) > youngMost)
 }
 
-// A VM that doesn't know the fleet yet opens no connection ahead: of 295 that started together 280 were to hand
-// their searches over, and opened one to each leaf of their zone before they knew it.
+// A VM that doesn't know the fleet yet opens no connection ahead: of 295 that start together 280 hand their searches
+// over, and would open one to each leaf of their zone before they know it.
 func TestNoConnectionsAheadBeforeTheFleetIsKnown(t *testing.T) {
 	is := is.New(t)
 	d := newDialer()
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -24,7 +24,7 @@
 }
 
 // A shard that a route of single requests leads to as well belongs to those who gather: with its leaves' connections
-// divided by all VMs each had one, and leaves of it reset a thousand a day where no other shard's did.
+// divided by 295 VMs each may have one, which is more than the leaves take, and too few for those who gather.
 func TestShardThatServesSingleRequestsToo(t *testing.T) {
 	is := is.New(t)
 	s := shares{vms: 295, single: map[string]bool{"x": true, "s0": true}, shards: map[string]bool{"s0": true, "s1": true}}
--- a/internal/replica/cost.go
+++ b/internal/replica/cost.go
@@ -27,7 +27,7 @@
 	// busyCost is the cost of a used slot, in parts of a usual time, so that an idle leaf goes first.
 	busyCost = 0.15
 	// farCost is the factor of a leaf in another zone, where bytes are dear and a round trip takes a
-	// millisecond more. Leaves of a shard differ in speed by up to 1.3 / 0.8 = 1.6: one of the own zone with a
+	// millisecond more. Leaves of a shard differ in speed by up to 1.6: one of the own zone with a
 	// free slot goes before a faster one elsewhere. One without is worth no more than the others, so that no leaf fills
 	// up while others idle.
 	farCost = 1.7
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -30,8 +30,8 @@
 	takeoverPart = 0.75
 	turn         = 300 * time.Millisecond
 	// largeZone is the number of VMs of a zone from which word of a contact takes more than a second to reach all of
-	// them, largeTakeoverPart the part of the bound in place of takeoverPart then. With 0.75 one look in seven of a
-	// VM in a zone of 60 found the newest contact too old, and a second one read beside the first.
+	// them, largeTakeoverPart the part of the bound in place of takeoverPart then. With 0.75 one look in fifty of
+	// a VM in a zone of 60 found the newest contact too old, so that now and then a second one read beside the first.
 	largeZone         = 20
 	largeTakeoverPart = 0.9
 	// hold is how long a VM that took over goes on reading.
