Child processes: whoever asked a start to end waits for that start alone

The process itself had ended in order within 3 s.

Ruled out: a drain that hangs (the second fault saw all three processes of the VM end with code 0 before it started them).

Change: a start has its own end, exit code and whether it was killed; Ended is about the start that Terminate asked. It tells of that start's failure also where the process runs again, and a kill of a later start no longer excuses it. A fleet that is stopped now hears of each process that it asked, also of one that ends with a failure at once.

Before: TestEndedAfterARestartMeanwhile failed (bound cut to 3 s for the trial). After: internal/child passes three times with the race detector. Conclusion: a fault of the tests' tool, not of the program.

--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -29,11 +29,9 @@
 	logFile string
 
 	mu sync.Mutex
-	// Guarded by mu. cmd is the newest start, nil before the first; done is closed when it has ended.
-	cmd  *exec.Cmd
-	done chan struct{}
-	// asked is the number of the start that was asked to end, killed of the newest that was killed.
-	asked, killed int
+	// Guarded by mu. newest is nil before the first start; asked is the one that was asked to end last, nil
+	// for none.
+	newest, asked *start
 	// frozen is true between freeze and wake.
 	frozen bool
 	// starts counts the starts so far; woken is just before the newest wake.
@@ -41,6 +39,25 @@
 	woken  time.Time
 }
 
+// start is one run of the program.
+type start struct {
+	cmd *exec.Cmd
+	// done is closed when it has ended; cmd.ProcessState is set then.
+	done chan struct{}
+	// killed tells whether Kill ended it. It is guarded by the process's mu.
+	killed bool
+}
+
+// within waits until it has ended, at most for the given time, and tells whether it has.
+func (s *start) within(most time.Duration) bool {
+	select {
+	case <-s.done:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
 // New returns a process that isn't started. Its first argument is the path of the program; what it writes
 // goes to a file in logDir.
 func New(name, logDir string, args ...string) *Process {
@@ -60,11 +77,11 @@
 
 // runs is running for those who hold mu.
 func (p *Process) runs() bool {
-	if p.cmd == nil {
+	if p.newest == nil {
 		return false
 	}
 	select {
-	case <-p.done:
+	case <-p.newest.done:
 		return false
 	default:
 		return true
@@ -75,7 +92,10 @@
 func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.done
+	if p.newest == nil {
+		return nil
+	}
+	return p.newest.done
 }
 
 // Start starts the program; its output is added to the log file.
@@ -95,12 +115,12 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
-	done := make(chan struct{})
-	p.cmd, p.done, p.frozen = cmd, done, false
+	s := &start{cmd: cmd, done: make(chan struct{})}
+	p.newest, p.frozen = s, false
 	p.starts++
 	go func() {
-		_ = cmd.Wait()
-		close(done)
+		_ = cmd.Wait() // the exit code stands in the process's state
+		close(s.done)
 	}()
 	return nil
 }
@@ -113,7 +133,7 @@
 		return fmt.Errorf("%s isn't running", p.name)
 	}
 	p.frozen = s == syscall.SIGSTOP || p.frozen && s != syscall.SIGCONT
-	return p.cmd.Process.Signal(s)
+	return p.newest.cmd.Process.Signal(s)
 }
 
 // Frozen tells whether it stands still.
@@ -148,7 +168,7 @@
 // stopped returns an error while a thread of the process isn't stopped.
 func (p *Process) stopped() error {
 	p.mu.Lock()
-	pid := p.cmd.Process.Pid
+	pid := p.newest.cmd.Process.Pid
 	p.mu.Unlock()
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
 	if err != nil {
@@ -185,7 +205,9 @@
 // Kill ends the process without notice.
 func (p *Process) Kill() error {
 	p.mu.Lock()
-	p.killed = p.starts
+	if p.newest != nil {
+		p.newest.killed = true
+	}
 	p.mu.Unlock()
 	if err := p.Signal(syscall.SIGKILL); err != nil {
 		return err
@@ -202,49 +224,51 @@
 		}
 	}
 	p.mu.Lock()
-	p.asked = p.starts
+	p.asked = p.newest
 	p.mu.Unlock()
 	return p.Signal(syscall.SIGTERM)
 }
 
-// killedSinceAsked tells whether the start that was asked to end was killed, and so has nothing to show.
-func (p *Process) killedSinceAsked() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.killed >= p.asked && p.asked > 0
-}
-
 // AwaitEnd waits until the newest start has ended, at most for the given time, and tells whether it has.
 func (p *Process) AwaitEnd(most time.Duration) bool {
-	select {
-	case <-p.Done():
-		return true
-	case <-time.After(most):
-		return false
-	}
+	p.mu.Lock()
+	s := p.newest
+	p.mu.Unlock()
+	return s.within(most)
 }
 
-// Ended waits until the start that was asked to end by Terminate has ended, and wants exit code 0. One that was
-// killed meanwhile, and perhaps started again, has ended.
+// Ended waits until the start that Terminate asked to end has ended, and wants exit code 0 unless Kill ended it;
+// where none was asked it is the newest. The process may have been started again meanwhile.
 func (p *Process) Ended() error {
-	if p.killedSinceAsked() {
-		return nil
-	}
-	if !p.AwaitEnd(endBound) {
+	s := p.ending()
+	if !s.within(endBound) {
 		_ = p.Kill()
 		return fmt.Errorf("%s didn't end within %s of SIGTERM; killed", p.name, endBound)
 	}
-	if state := p.ExitState(); state.ExitCode() != 0 && !p.killedSinceAsked() {
+	p.mu.Lock()
+	killed := s.killed
+	p.mu.Unlock()
+	if state := s.cmd.ProcessState; state.ExitCode() != 0 && !killed {
 		return fmt.Errorf("%s ended with %s; its log ends:\n%s", p.name, state, p.LogTail())
 	}
 	return nil
 }
 
+// ending returns the start that Ended is about.
+func (p *Process) ending() *start {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asked != nil {
+		return p.asked
+	}
+	return p.newest
+}
+
 // ExitState is of the newest start, which must have ended.
 func (p *Process) ExitState() *os.ProcessState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cmd.ProcessState
+	return p.newest.cmd.ProcessState
 }
 
 // LogTail returns the last lines of the log.
--- a/internal/child/child_test.go
+++ b/internal/child/child_test.go
@@ -39,6 +39,37 @@
 	is.True(p.Running())
 }
 
+// A process that two have asked to end, and that one of them has started again, has ended: the other must not wait
+// for the new start, which nobody asked to end.
+func TestEndedAfterARestartMeanwhile(t *testing.T) {
+	is := is.New(t)
+	p := New("orderly", t.TempDir(), "/bin/sh", "-c", "trap 'exit 0' TERM; echo up; while :; do sleep 0.05; done")
+	t.Cleanup(func() { _ = p.Kill() }) // it may have ended
+	is.NoErr(p.Start())
+	up(t, p)
+	is.NoErr(p.Terminate())
+	is.NoErr(p.Terminate())
+	is.NoErr(p.Ended())
+	is.NoErr(p.Start())
+	began := time.Now()
+	is.NoErr(p.Ended())
+	is.True(time.Since(began) < time.Second)
+	is.True(p.Running())
+}
+
+// What the start that was asked to end failed with is told of, also where the process runs again.
+func TestEndedTellsOfFailuresAfterARestart(t *testing.T) {
+	is := is.New(t)
+	p := New("failing", t.TempDir(), "/bin/sh", "-c", "trap 'exit 3' TERM; echo up; while :; do sleep 0.05; done")
+	t.Cleanup(func() { _ = p.Kill() }) // it may have ended
+	is.NoErr(p.Start())
+	up(t, p)
+	is.NoErr(p.Terminate())
+	is.True(p.AwaitEnd(5 * time.Second))
+	is.NoErr(p.Start())
+	is.True(p.Ended() != nil)
+}
+
 // A process that ends with a failure after Terminate is told of, also where an earlier start was killed.
 func TestEndedTellsOfFailures(t *testing.T) {
 	is := is.New(t)
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -372,18 +372,19 @@
 	if f.watcher != nil {
 		problems = f.watcher.finish()
 	}
+	var asked []*daemon
 	for _, d := range slices.Backward(f.daemons) {
 		if !d.Running() {
 			continue
 		}
 		if err := d.Terminate(); err != nil {
 			problems = errors.Join(problems, err)
+			continue
 		}
+		asked = append(asked, d)
 	}
-	for _, d := range f.daemons {
-		if d.Running() {
-			problems = errors.Join(problems, d.Ended())
-		}
+	for _, d := range asked {
+		problems = errors.Join(problems, d.Ended())
 	}
 	if f.relay != nil {
 		f.relay.close()
