A leaf's queue is worked out once a candidate; a run's usual time once an event

Cause: with 405 candidates a search of 135 shards the queue, with two exponentials, was worked out three times each, and the usual time asked under the table's lock again for each look at mute leaves. No change of behaviour: the tests of both packages.

--- a/internal/dispatch/hopeless.go
+++ b/internal/dispatch/hopeless.go
@@ -47,7 +47,7 @@
 	if r.route.Search() {
 		return 0
 	}
-	return singleMute * r.e.table.Usual(r.route.Name, r.guess)
+	return singleMute * r.usual
 }
 
 // retryMute is when to come back to shards that have been mute for the given time: what has lasted for a while
--- a/internal/replica/cost.go
+++ b/internal/replica/cost.go
@@ -56,7 +56,8 @@
 	usual := t.usualOf(route, guess)
 	best := from[t.cheapest(now, usual, from)]
 	l := t.leaves[best.ID]
-	return l.expected(now, usual, best), l.crowd(now, best)
+	crowd = l.crowd(l.queue(now), best)
+	return l.expected(now, usual, crowd), crowd
 }
 
 // toward moves a value to its rest by the time passed.
@@ -74,8 +75,8 @@
 	return max(own, toward(reported, own, now.Sub(l.loadAt), loadForget))
 }
 
-// expected is the time that a call to the leaf would take.
-func (l *leaf) expected(now time.Time, usual time.Duration, c Candidate) time.Duration {
+// expected is the time that a call to the leaf would take where it is crowded by the given factor.
+func (l *leaf) expected(now time.Time, usual time.Duration, crowd float64) time.Duration {
 	pace := toward(l.pace, 1, now.Sub(l.paceAt), paceForget)
 	if l.slowly.now(now) > mostlySlow {
 		pace = max(pace, l.slowPace)
@@ -83,26 +84,28 @@
 	if l.load.Noise > 0 {
 		pace *= toward(float64(l.load.Noise)/noiseUsual, 1, now.Sub(l.loadAt), loadForget)
 	}
-	return time.Duration(float64(usual) * pace * l.crowd(now, c))
+	return time.Duration(float64(usual) * pace * crowd)
 }
 
-// crowd is how many times as long as on an idle leaf a call takes that finds the queue of this moment.
-func (l *leaf) crowd(now time.Time, c Candidate) float64 {
+// crowd is how many times as long as on an idle leaf a call takes that finds the queue.
+func (l *leaf) crowd(queue float64, c Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
-	return 1 + max(0, l.queue(now)+1-slots)/slots
+	return 1 + max(0, queue+1-slots)/slots
 }
 
 // cost is the expected time, with what failures cost and how long a leaf that stands still already has.
 // Requires mu.
 func (t *Table) cost(l *leaf, now time.Time, usual time.Duration, c Candidate) float64 {
-	cost := float64(l.expected(now, usual, c))
-	cost += float64(usual) * busyCost * l.queue(now) / float64(max(c.Slots, 1))
+	queue := l.queue(now)
+	crowd := l.crowd(queue, c)
+	cost := float64(l.expected(now, usual, crowd))
+	cost += float64(usual) * busyCost * queue / float64(max(c.Slots, 1))
 	fail, slow := t.rates(l, now)
 	cost += float64(usual) * (failCost*fail/(1-min(fail, failMost)) + slowCost*slow)
 	if stood := l.overdue(now); stood > 0 {
 		cost += float64(stood) // a leaf that stood still for so long is likely to do so as long again
 	}
-	if !c.Near || l.crowd(now, c) > 1 {
+	if !c.Near || crowd > 1 {
 		cost *= farCost
 	}
 	if !c.Open {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -140,7 +140,8 @@
 	usual := t.usualOf(route, guess)
 	best := t.cheapest(now, usual, from)
 	l := t.leaves[from[best].ID]
-	call := &Call{t: t, id: from[best].ID, route: route, begun: now, expected: l.expected(now, usual, from[best]), crowd: l.crowd(now, from[best])}
+	crowd := l.crowd(l.queue(now), from[best])
+	call := &Call{t: t, id: from[best].ID, route: route, begun: now, expected: l.expected(now, usual, crowd), crowd: crowd}
 	l.begun[call] = struct{}{}
 	l.mute.begin(now)
 	return best, call
