A search that waits for mute shards ends at its target

Cause: while a zone is cut off, one search each 250 ms at each VM that gathers is made nevertheless, to find the end of it, and those in flight when leaves fell silent are too; each waited to the end of its time (0.4 to 0.8 s) for shards that hadn't given a sign of life, and its caller heard nothing until then.

Ruled out: probes by opening connections in place of a caller's search. What marks a leaf as mute lapses three seconds after its latest call, so that all mute leaves would have to be dialled again and again, and a leaf that hangs takes connections.

Change: beyond its target a search looks every 25 ms whether enough shards can still come without those whose leaves are all mute, and ends if not.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -224,8 +224,12 @@
 // untilDue returns how long nothing is due.
 func (r *run) untilDue(now time.Time) time.Duration {
 	due := r.deadline
-	if r.route.Search() && now.Before(r.soft) {
+	switch {
+	case !r.route.Search():
+	case now.Before(r.soft):
 		due = r.soft
+	case r.done < r.needed:
+		due = earlier(due, now.Add(settlePoll))
 	}
 	for i := range r.groups {
 		g := &r.groups[i]
--- a/internal/dispatch/hopeless.go
+++ b/internal/dispatch/hopeless.go
@@ -38,6 +38,26 @@
 	return r.answer(&Answer{Outcome: NotRun, Reason: ReasonMuteLeaves, RetryAfter: comeBack(retryMute(longest))})
 }
 
+// settlePoll is how often a search beyond its target that lacks shards looks whether their leaves are mute: a caller
+// at a counter doesn't notice the difference.
+const settlePoll = 25 * time.Millisecond
+
+// waitsForMute tells whether a search beyond its target can't cover enough shards without those that give no sign of
+// life: what hasn't come by then doesn't come before its time is over.
+func (r *run) waitsForMute(now time.Time) bool {
+	if now.Before(r.soft) || r.done >= r.needed {
+		return false
+	}
+	short := r.needed - r.done
+	for i := range r.groups {
+		g := &r.groups[i]
+		if g.part == nil && !g.dead && r.muteFor(now, r.view.Leaves[g.service], r.view.Lapsed[g.service]) == 0 {
+			short--
+		}
+	}
+	return short > 0
+}
+
 // singleMute is how many usual times of a call all leaves of a single request's service have been mute until it is
 // refused: its work takes longer than a search's, and a leaf that is slow may answer in the end.
 const singleMute = 10
--- a/internal/dispatch/hopeless_test.go
+++ b/internal/dispatch/hopeless_test.go
@@ -47,3 +47,53 @@
 		is.Equal(a.Outcome, Served)
 	})
 }
+
+// Two of ten shards fall silent, one more than may be missing. A search that waits for them hears once its target is
+// over and their leaves have been mute for long enough, not at the end of its time.
+func TestSearchThatWaitsForMuteShardsEndsAtItsTarget(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.warm(t)
+		for _, s := range []string{"s4", "s5"} {
+			for _, r := range []string{"-a", "-b", "-c"} {
+				w.set(s+r, ok(time.Hour))
+			}
+		}
+		var longest, refused atomic.Int64
+		begun := time.Now()
+		for ; time.Since(begun) < 4*time.Second; time.Sleep(20 * ms) {
+			known := time.Since(begun) > time.Second
+			go func() {
+				a, took := w.ask(t.Context(), "/s/q")
+				is.True(a.Outcome != Served)
+				if a.Outcome == NotRun {
+					refused.Add(1)
+				}
+				if known {
+					longest.Store(max(longest.Load(), int64(took)))
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		is.True(refused.Load() > 100)                                 // most hear at once
+		is.True(time.Duration(longest.Load()) <= 150*ms+2*settlePoll) // those that look for the end of it, at their target
+	})
+}
+
+// Shards whose leaves are only slow, up to the pause of one of them, are waited for beyond the target.
+func TestSlowShardsAreWaitedFor(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.warm(t)
+		for _, s := range []string{"s4", "s5", "s6"} {
+			for _, r := range []string{"-a", "-b", "-c"} {
+				w.set(s+r, ok(300*ms))
+			}
+		}
+		for range 20 {
+			a, took := w.ask(t.Context(), "/s/q")
+			is.Equal(a.Outcome, Served)
+			is.True(took > 150*ms)
+		}
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -23,8 +23,8 @@
 	// refusedMost bounds how often one shard of a request is sent on after leaves refused it. A refusal
 	// has not run, so it doesn't count toward the route's attempts, but it counts toward the budget.
 	refusedMost = 3
-	// shortMost is how many shards too few a search may have and still be repeated for before others: of
-	// five that refuse 45% of their calls each third search lacks two too many, which costs 3.6 repeats.
+	// shortMost is how many shards too few a search may have and still be repeated for before others. Where leaves
+	// refuse every other call each shard takes two repeats; what a search that lacks more needs saves several others.
 	shortMost = 2
 	// guessPart is the part of the target that a call is guessed to take before any was measured.
 	guessPart = 0.25
@@ -213,6 +213,8 @@
 		return r.failed(ReasonFewShards)
 	case !now.Before(r.deadline):
 		return r.failed(ReasonDeadline)
+	case r.waitsForMute(now):
+		return r.failed(ReasonMuteLeaves)
 	}
 	return nil
 }
