--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -14,8 +14,7 @@
 const (
 	// admitUpTo is the part of a search's time that its calls may be expected to take where leaves have queues. A
 	// leaf works as much with a short queue as with a long one: what is let in beyond this is late, and makes all
-	// the rest late. Tried from 0.6 to 1.0, with worth of a burst of three times the traffic 0.61 to 0.65, and 0.01
-	// more on calmer days the higher it is.
+	// the rest late. The rest of the time is for what can't be expected: a pause, a repeat, the way back.
 	admitUpTo = 0.9
 	// admitBand is how far around that limit some are refused and some let in, so that the VMs, which see the same
 	// queues, don't close and open together.
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -9,17 +9,17 @@
 
 const (
 	// hedgeAfter is how many times the expected time a call takes before another leaf is asked beside it.
-	// With a spread of 0.35 about 1 in 15 calls take 1.7 times the mean, which the budget of 1 in 5 allows;
-	// at 2.2 a grown search that met a pause was whole 15 ms later.
+	// About 1 in 15 calls to a sound leaf take so long, which a budget of 1 in 5 allows; with more, a search that
+	// meets a pause of a leaf waits for it the longer.
 	hedgeAfter = 1.7
 	// hedgeJudged is the same where the parts that are in tell how much work the search is: nine of ten take less
 	// than 1.4 times their median where no leaf pauses. Until hedgeAfter such a hedge is worth less than others:
-	// served alike, hedges of small searches took the budget from repeats of refused calls, and in a storm of
-	// refusals 0.57 of the searches were in time in place of 0.66.
+	// served alike, hedges of small searches take the budget from repeats of refused calls, without which a search
+	// has no answer at all.
 	hedgeJudged = 1.45
 	// hedgeBlind is used in place of it while too few parts of a search are in to tell how much work it is: one
 	// that is much work is slow at all leaves alike, and so are all of a VM whose turn of a processor came late.
-	// A third of all hedges went to such searches, ten at a time, and brought nothing.
+	// Hedges of these go to many shards at once and bring nothing.
 	hedgeBlind = 3
 	// judgedBy is the part of a search's shards whose parts tell how much work it is.
 	judgedBy = 0.5
--- a/internal/dispatch/lag.go
+++ b/internal/dispatch/lag.go
@@ -12,8 +12,8 @@
 	// is read, before the answer is made, and before it is written.
 	turns = 3
 	// answerWork is what making and writing an answer takes besides, with what the turns of a busy VM come later
-	// than usual. With 4 ms, in a fleet of 78 VMs that gather 36 parts, one partial answer in seven came after its
-	// target and 0.02 of worth was lost, where without a charge for the processor none was.
+	// than usual: a VM of half a core that gathers dozens of parts takes 4 ms for it when idle, and while it sends
+	// the calls of the next searches one partial answer in seven takes longer.
 	answerWork = 11 * time.Millisecond
 	// wayMost and connectMost bound, as parts of the target, how much earlier a partial answer is made for its way
 	// back, and for the connection that the caller had to open first.
--- a/internal/dispatch/odds.go
+++ b/internal/dispatch/odds.go
@@ -16,8 +16,8 @@
 	oddsWeight = 0.3
 	// oddsForget is the time constant by which odds go back to oddsStart.
 	oddsForget = 4 * time.Second
-	// unlikely are odds that a caller isn't kept waiting for: a search of ten shards would gain 0.02 of an
-	// answer's worth in the mean, and takes three times as long.
+	// unlikely are odds that a caller isn't kept waiting for: nine in ten would wait three times as long as usual for
+	// a tenth of the records that doesn't come.
 	unlikely = 0.1
 	// oddsMost is the number of shards from which those of older sets are looked for.
 	oddsMost = 256
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -23,9 +23,8 @@
 	// what it can't run would only wait there.
 	mostPerLeaf = 4
 	// youngFor is how long after its start a VM has youngMost connections to a leaf at most, opened ahead in its own
-	// zone only. After a loss of power a leaf counts the dead connections of all VMs for some seconds more: of 26
-	// that it takes 20 were dead, the first VMs to start took the other 6, and the searches of five of ten VMs
-	// found no leaf for five seconds.
+	// zone only. After a loss of power a leaf counts the dead connections of all VMs for some seconds more, and what
+	// is left of its limit has to do for all of them: taken by the first to start, the others find no leaf.
 	youngFor  = 6 * time.Second
 	youngMost = 1
 	// rareMost is how many connections a VM may have to a leaf that it calls in exceptional cases only.
--- a/internal/peers/choose.go
+++ b/internal/peers/choose.go
@@ -12,8 +12,8 @@
 	// ownZone is the part of the rounds that stays in the own zone: bytes between zones are dear.
 	ownZone = 0.75
 	// smallFleet is the size up to which all VMs talk to those of other zones. In a larger one the envoys of
-	// each zone do, and the others seldom: with all of them exchanges and news between the zones of 64 VMs took
-	// half of all bytes between zones, 1.1 MB a second of 2.3.
+	// each zone do, and the others seldom: with all of them the exchanges and news of 64 VMs take as many bytes
+	// between zones as the calls to leaves do.
 	smallFleet = 20
 	// envoysPerZone is how many VMs of a zone talk to those of others; a second one stands in for the first.
 	envoysPerZone = 2
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -33,8 +33,8 @@
 	// forgetAfter is how long a silent peer is still tried.
 	forgetAfter = time.Minute
 	// sample bounds the members that an exchange names, some 45 bytes each. In a fleet above it those of the own zone
-	// have sampleNear places: by chance alone each was heard of so seldom among 300 VMs that one in 300 of the zone
-	// was taken for silent. With more places word of other zones gets around too slowly for the same.
+	// have sampleNear places: by chance alone each is heard of so seldom among 300 VMs that one of them is taken for
+	// silent at any time. With more places the same happens to those of other zones.
 	sample     = 80
 	sampleNear = 28
 	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
@@ -43,7 +43,7 @@
 	seedSeldom = 20 * time.Second
 	// seedStart is how often the seeds are asked by a process that has no word at all, one of them where any VM
 	// answers, during the first startSpan, after which it has read the store itself: VMs that lost power together
-	// start within some tenths of a second. Asked for longer, a large change went to each VM 1.6 times.
+	// start within some tenths of a second. Asked for longer, a large change reaches many VMs twice.
 	seedStart = 50 * time.Millisecond
 	startSpan = 300 * time.Millisecond
 	// announceFrom is the size of news in bytes from which it is only announced: a peer that lacks it asks
--- a/internal/replica/learn.go
+++ b/internal/replica/learn.go
@@ -7,7 +7,7 @@
 	// a neighbour's load within half a second.
 	paceWeight = 0.2
 	// slowFrom is the multiple of the usual time from which an answer counts as slow, and tells of its
-	// leaf's pause or trouble and not of its pace: with a spread of 0.35 about 1 in 1,000 healthy ones.
+	// leaf's pause or trouble and not of its pace: about 1 in 1,000 answers of sound leaves takes as long.
 	slowFrom = 3
 	// usualStep is the part by which an answer moves the usual time of its route, up where it took longer
 	// and down where not: a search of 36 shards brings it from twice the median to it. The median, and not
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -13,8 +13,8 @@
 	// tallyForget is the time constant by which calls are forgotten.
 	tallyForget = 4 * time.Second
 	// latelyWeight is the weight of one call in the part that failed lately. A VM that makes the calls of others
-	// sees 13 a second of each leaf; by the tally alone, where 50 good ones of the last 4 s weigh against a new
-	// failure, a leaf that begins to lose 4 of 10 answers got 20 of the next 50 calls of its shard, with it 2.
+	// sees a dozen a second of each leaf; in the tally alone the good ones of the last 4 s weigh against a new
+	// failure, and a leaf that begins to lose 4 of 10 answers keeps its share of the calls for a second or more.
 	latelyWeight = 0.2
 	// tallyMost bounds the calls that rates are drawn from, so that a leaf of which many VMs told bad is
 	// tried again once nobody has called it for some 8 s.
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -17,13 +17,13 @@
 	// nothing spent while what they spent before still counts.
 	slackUsed = 0.7
 	// waitingPart and optionalPart are the parts of what is allowed that extra calls of these urgencies
-	// may use. Where half of the leaves refused 45% of their calls, a budget that served all alike left
-	// five shards of 36 unserved in half of the searches.
+	// may use. Where many leaves refuse, a budget that serves all alike is spent on searches that can do without,
+	// and is missing where the one call makes the difference between an answer and none.
 	waitingPart  = 0.75
 	optionalPart = 0.5
 	// freshPart is the part of what is allowed that a process uses in its first window: what it spent
-	// before its start still counts, and nobody remembers it. After the kill of all VMs in an overload a
-	// shard's service got 504 extra calls in 10 s, for 2,125 requests, where 477 were allowed.
+	// before its start still counts, and nobody remembers it: where all VMs are killed in an overload, both windows
+	// together may not exceed what is allowed.
 	freshPart = 0.5
 	// spans is how many spans a window is counted in; a window is at most one span too long.
 	spans = 20
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -30,18 +30,18 @@
 	takeoverPart = 0.75
 	turn         = 300 * time.Millisecond
 	// largeZone is the number of VMs of a zone from which word of a contact takes more than a second to reach all of
-	// them, largeTakeoverPart the part of the bound in place of takeoverPart then. With 0.75 one look in fifty of
-	// a VM in a zone of 60 found the newest contact too old, so that now and then a second one read beside the first.
+	// them, largeTakeoverPart the part of the bound in place of takeoverPart then: of 60 VMs that look ten times a
+	// second one always has word that is somewhat older, and would read beside the first.
 	largeZone         = 20
 	largeTakeoverPart = 0.9
 	// hold is how long a VM that took over goes on reading.
 	hold = 10 * time.Second
 	// batchPart is the pause after a change, as a part of the bound, so that a series of changes costs few
-	// calls: 162 leaves that start one after the other cost 7 calls a second at a pause of 150 ms.
+	// calls: leaves that start one after the other, as in a roll, change the store ten times a second.
 	batchPart = 1. / 12
 	// secondPart is the pause after a change in the zones other than the first by rank, as a part of the bound.
 	// The first one's reader tells them of nearly every change; their own readers are there for the time in which
-	// it is lost or cut off from them. In a fleet of four zones 9 calls a second became 4.
+	// it is lost or cut off from them.
 	secondPart = 0.3
 	// contactPart bounds the time between two answers of a reader, as a part of the bound, so that the zone's
 	// contact stays younger than takeoverPart with the time that word of it takes.
@@ -55,14 +55,14 @@
 	settle = 1500 * time.Millisecond
 	// Without any word it reads after one of these times, for callers get nothing until somebody has read. A
 	// seed, which the others ask, reads first; an exchange takes 3 ms. One that other VMs answer without word
-	// leaves it to the seeds; one that nobody answers is alone, or the first to start. With 200, 400 and 1,500 ms,
-	// after a loss of power, 0.4 s of requests to each VM were refused.
+	// leaves it to the seeds; one that nobody answers is alone, or the first to start. After a loss of power callers
+	// are refused for as long.
 	settleSeed  = 20 * time.Millisecond
 	settleAlone = 40 * time.Millisecond
 	settleTold  = 200 * time.Millisecond
 	// aloneSpread and toldSpread are the spans over which the VMs' turns to read lie: the first one's word reaches
-	// the others in a few ms. VMs of a fleet start within half a second of each other, some of them before any seed;
-	// spread over 40 and 150 ms, nearly all of 78 read by themselves (71 calls more on a calm day).
+	// the others in a few ms. VMs of a fleet start within half a second of each other, some of them before any seed:
+	// over a shorter span nearly all of them read by themselves.
 	aloneSpread = 360 * time.Millisecond
 	toldSpread  = 800 * time.Millisecond
 	// settleLook is how often it looks for word.
