Peers: one log line for all VMs that an exchange or a round brings or loses

Change: 'peers live' names all that one exchange brought to life and who told of them, 'peers silent' all that a round found silent. Only word of a VM brings it back to life now; before, a longer bound in a growing fleet did so, too.

Before: TestOneLineForManyPeers failed (81 lines). After: it passes with the tests of the package.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/mirror"
@@ -140,13 +142,10 @@
 // take merges what a peer told.
 func (m *Manager) take(msg *pb.FleetExchange, now time.Time) {
 	m.mu.Lock()
-	m.merge(msg.GetSender(), now)
+	m.mergeAll(msg, now)
 	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
 		e.completeTo, e.told = msg.GetCompleteTo(), true
 	}
-	for _, r := range msg.GetMembers() {
-		m.merge(r, now)
-	}
 	for _, c := range msg.GetCrashes() {
 		m.noteCrash(Crash{
 			Digest: c.GetDigest(), Leaf: catalog.LeafID{Name: c.GetLeaf(), Born: c.GetLeafBorn()},
@@ -162,6 +161,19 @@
 	m.cfg.Mirror.Merge(d, now)
 }
 
+// mergeAll takes the sender's record and those that it names. Requires mu.
+func (m *Manager) mergeAll(msg *pb.FleetExchange, now time.Time) {
+	var back []string
+	for _, r := range append([]*pb.FleetMember{msg.GetSender()}, msg.GetMembers()...) {
+		if m.merge(r, now) {
+			back = append(back, r.GetAddress())
+		}
+	}
+	if len(back) > 0 {
+		m.cfg.Log.Info("peers live", zap.Strings("peers", back), zap.String("told_by", msg.GetSender().GetAddress()))
+	}
+}
+
 // takeTroubles passes on what the peer saw of leaves.
 func (m *Manager) takeTroubles(msg *pb.FleetExchange, now time.Time) {
 	var list []replica.Trouble
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -40,23 +40,27 @@
 	defer m.mu.Unlock()
 	m.self.Heartbeat++
 	live := 0
+	var silent []string
 	for address, e := range m.members {
 		limit := silentAfter
 		if e.record.GetZone() != m.cfg.Zone && len(m.members) >= smallFleet {
 			limit *= farSilent
 		}
-		alive := now.Sub(e.aliveAt) < limit
-		if alive != e.live {
-			e.live = alive
-			m.cfg.Log.Info("peer changed", zap.String("peer", address), zap.Bool("live", alive), zap.Duration("silent_for", now.Sub(e.aliveAt)))
+		// Only word of a VM, which merge takes, brings it back to life.
+		if e.live && now.Sub(e.aliveAt) >= limit {
+			e.live = false
+			silent = append(silent, address)
 		}
-		if alive {
+		if e.live {
 			live++
 		}
 		if now.Sub(e.aliveAt) > forgetAfter {
 			delete(m.members, address)
 		}
 	}
+	if len(silent) > 0 {
+		m.cfg.Log.Info("peers silent", zap.Strings("peers", silent), zap.Duration("silent_for", silentAfter), zap.Int("live", live))
+	}
 	m.metrics.live.Set(float64(live))
 	for k, at := range m.seenCrash {
 		if now.Sub(at) > crashKeep {
@@ -218,14 +222,15 @@
 	return list[n:]
 }
 
-// merge takes a record of a member; the higher incarnation and heartbeat wins. Requires mu.
-func (m *Manager) merge(r *pb.FleetMember, now time.Time) {
+// merge takes a record of a member; the higher incarnation and heartbeat wins. It tells whether that brings a VM to
+// life that was silent or not known. Requires mu.
+func (m *Manager) merge(r *pb.FleetMember, now time.Time) bool {
 	if r.GetAddress() == "" || r.GetAddress() == m.cfg.Self {
-		return
+		return false
 	}
 	e := m.members[r.GetAddress()]
 	if e != nil && cmp.Or(cmp.Compare(r.GetIncarnation(), e.record.GetIncarnation()), cmp.Compare(r.GetHeartbeat(), e.record.GetHeartbeat())) <= 0 {
-		return
+		return false
 	}
 	if e == nil {
 		e = &member{}
@@ -233,13 +238,12 @@
 	} else if e.record.GetIncarnation() != r.GetIncarnation() {
 		e.completeTo, e.told, e.contactAt = 0, false, time.Time{}
 	}
-	if !e.live {
-		m.cfg.Log.Info("peer changed", zap.String("peer", r.GetAddress()), zap.Bool("live", true), zap.Uint64("incarnation", r.GetIncarnation()))
-	}
+	back := !e.live
 	e.record, e.aliveAt, e.live = r, now, true
 	if r.GetContactAgeMs() >= 0 {
 		if at := now.Add(-time.Duration(r.GetContactAgeMs()) * time.Millisecond); at.After(e.contactAt) {
 			e.contactAt = at
 		}
 	}
+	return back
 }
