A leaf whose address refuses connections gives no sign of life

A refused connection counted as a sign of life, so the shards were never mute.

Ruled out: the plan and the view (both right), silence (the calls failed within a millisecond).

Change: the end of a call whose leaf's address refused the connection is a result of its own; it counts as a failure as before and leaves the leaf's silence as it was.

Before: TestSearchOfShardsThatNothingListensForIsRefusedAtOnce failed (more than 20 searches of 225 were made). After: both packages pass. The cases of TestMute are of the new result, which didn't exist before.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -26,6 +26,8 @@
 	refuse bool
 	moved  bool
 	cause  leafcall.Cause
+	// closed is set where nothing listens at the leaf's address.
+	closed bool
 	body   string
 }
 
@@ -111,7 +113,7 @@
 	switch {
 	case b.cause != "":
 		sent := b.cause != leafcall.NoConnection && b.cause != leafcall.ConnectionFull
-		return nil, &leafcall.Error{Cause: b.cause, Sent: sent, Peer: id, Err: context.Canceled}
+		return nil, &leafcall.Error{Cause: b.cause, Sent: sent, Refused: b.closed, Peer: id, Err: context.Canceled}
 	case b.refuse:
 		return &leafcall.Response{Status: http.StatusServiceUnavailable, NotRun: true, Signature: "s"}, nil
 	case b.moved:
--- a/internal/dispatch/hopeless_test.go
+++ b/internal/dispatch/hopeless_test.go
@@ -97,3 +97,46 @@
 		}
 	})
 }
+
+// A zone is cut off so that connections to the others are refused, not silent: three of ten shards have all of their
+// leaves there, where one may be missing. After half a second searches are refused at once, as not run, where each one
+// made calls to the seven other shards and to all leaves beyond the cut before; half a second after the cut all are
+// served.
+func TestSearchOfShardsThatNothingListensForIsRefusedAtOnce(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.warm(t)
+		var beyond []string
+		for _, s := range []string{"s4", "s5", "s6"} {
+			beyond = append(beyond, s+"-a", s+"-b", s+"-c")
+		}
+		for _, id := range beyond {
+			w.set(id, always(reply{after: ms, cause: leafcall.NoConnection, closed: true}))
+		}
+		var tried, refused atomic.Int64
+		for begun := time.Now(); time.Since(begun) < 5*time.Second; time.Sleep(20 * ms) {
+			if time.Since(begun) < 500*ms {
+				w.ask(t.Context(), "/s/q")
+				continue
+			}
+			a, took := w.ask(t.Context(), "/s/q")
+			if a.Reason != ReasonMuteLeaves || took > 0 {
+				tried.Add(1)
+				continue
+			}
+			is.Equal(a.Outcome, NotRun)
+			is.True(a.RetryAfter > 0)
+			refused.Add(1)
+		}
+		is.True(tried.Load() <= 5*int64(time.Second/probePeriod)) // those that look for the end of it
+		is.True(refused.Load() > 5*tried.Load())
+		for _, id := range beyond {
+			w.set(id, ok(10*ms))
+		}
+		time.Sleep(probePeriod)
+		a, _ := w.ask(t.Context(), "/s/q")
+		is.Equal(a.Missing, 0)
+		a, _ = w.ask(t.Context(), "/s/q")
+		is.Equal(a.Missing, 0)
+	})
+}
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -51,9 +51,10 @@
 	case leafcall.ConnectionFull:
 		return replica.Neutral
 	case leafcall.NoConnection:
-		if !failure.Refused {
-			return replica.Unreached
+		if failure.Refused {
+			return replica.Closed
 		}
+		return replica.Unreached
 	}
 	return replica.Failed
 }
--- a/internal/replica/learn.go
+++ b/internal/replica/learn.go
@@ -42,7 +42,7 @@
 			l.countSlow(now, ratio)
 			c.t.routes[c.route].step(took, now)
 		}
-	case Refused, Failed, Unreached:
+	case Refused, Failed, Unreached, Closed:
 		l.count(now, 1, 0)
 	case Neutral:
 	}
--- a/internal/replica/mute.go
+++ b/internal/replica/mute.go
@@ -33,8 +33,9 @@
 	m.latest = now
 }
 
-// end takes the end of a call. What fails soon has been answered, if only by a reset; what was given up, or
-// failed by the silence of its connection or found no way to the leaf, has not.
+// end takes the end of a call. What fails soon has been answered, if only by a reset of its connection; what was
+// given up, or failed by the silence of its connection, or found no way to the leaf or nothing that listens there,
+// has not.
 func (m *mute) end(r Result, took time.Duration) {
 	switch {
 	case r == OK, r == Refused, r == Failed && took < muteAfter:
--- a/internal/replica/mute_test.go
+++ b/internal/replica/mute_test.go
@@ -39,6 +39,8 @@
 		"a refusal":              {3, one(Refused, usual), muteAfter, false},
 		"a reset":                {3, one(Failed, usual), muteAfter, false},
 		"no way there":           {3, one(Unreached, usual), muteAfter, true},
+		"nothing listens":        {3, all(Closed, usual), muteAfter, true},
+		"nothing listened once":  {1, all(Closed, usual), muteAfter, false},
 		"a silent connection":    {3, one(Failed, late), late, true},
 		"never sent, one waits":  {2, one(Neutral, 0), muteAfter, false},
 		"never sent, two do too": {3, one(Neutral, 0), muteAfter, true},
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,6 +27,8 @@
 	Late
 	// Unreached is a call for which no connection could be opened, and nobody refused it either.
 	Unreached
+	// Closed is a call for which the leaf's address refused a connection, as after a crash or beyond a cut.
+	Closed
 	// Neutral says nothing of the leaf, such as a call that its caller gave up.
 	Neutral
 )
