Peers: who starts in a large fleet gets the state from its own zone

Change: in a large fleet a VM without state asks an envoy of its zone in place of a seed, from the first half second on; a VM that is asked by one of another zone names members of that zone first, and leaves the whole state to those of them that have it or have just got it (25 ms).

TestStartAfterALossOfPower and TestFleetThatDoubles failed before.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -27,9 +27,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	now := time.Now()
-	req := m.message(to, now, brief)
+	req := m.message(to, now, brief, m.cfg.Zone)
 	if !known || brief && itemBytes(req) >= announceFrom {
-		req.Items, req.Full, req.CompleteFrom = nil, false, req.GetCompleteTo()
+		withoutItems(req)
 	}
 	got, err := client.Exchange(ctx, req)
 	if err != nil {
@@ -41,6 +41,11 @@
 	return true
 }
 
+// withoutItems lets the message say how much its sender knows, but not what.
+func withoutItems(msg *pb.FleetExchange) {
+	msg.Items, msg.Full, msg.CompleteFrom = nil, false, msg.GetCompleteTo()
+}
+
 // itemBytes is about what the items of the message take.
 func itemBytes(msg *pb.FleetExchange) int {
 	n := 0
@@ -111,11 +116,20 @@
 	if from := req.GetSender().GetAddress(); req.GetBrief() && m.ahead(from) {
 		m.pull(pull{address: from})
 	}
-	return m.message(req.GetCompleteTo(), now, req.GetBrief())
+	if req.GetCompleteTo() > 0 {
+		return m.message(req.GetCompleteTo(), now, req.GetBrief(), m.cfg.Zone)
+	}
+	msg := m.message(0, now, req.GetBrief(), req.GetSender().GetZone())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(msg.GetItems()) > 0 && m.leaves(req.GetSender(), now) {
+		withoutItems(msg)
+	}
+	return msg
 }
 
-// message is what a peer that is complete to the revision is told.
-func (m *Manager) message(to uint64, now time.Time, brief bool) *pb.FleetExchange {
+// message is what a peer that is complete to the revision is told. Members of the zone are named first.
+func (m *Manager) message(to uint64, now time.Time, brief bool, zone string) *pb.FleetExchange {
 	d := m.cfg.Mirror.Since(to)
 	var troubles []replica.Trouble
 	if !brief {
@@ -125,7 +139,7 @@
 	defer m.mu.Unlock()
 	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Brief: brief, CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
 	if !brief {
-		msg.Members = m.sampleMembers(now)
+		msg.Members = m.sampleMembers(now, zone)
 	}
 	for _, it := range d.Items {
 		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
--- a/internal/peers/large_test.go
+++ b/internal/peers/large_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/mirror"
 )
 
 // zonesOfSixty runs five zones of 60 VMs, two strong ones in each, in virtual time, and calls look each 100 ms from
@@ -85,3 +86,135 @@
 		t.Fail()
 	}
 }
+
+// start is a large fleet whose VMs start, and take the platform's whole state from each other, 200 KB that cost the
+// giver a millisecond or more: five zones of 60 VMs, two strong ones in each, three seeds among those.
+type start struct {
+	n      *network
+	vms    []*Manager
+	copies []*mirror.Mirror
+}
+
+func newStart() *start {
+	s := &start{n: newNetwork()}
+	s.n.delay = time.Millisecond
+	for z := range 5 {
+		for i := range 60 {
+			m, mi := s.n.vm(fmt.Sprintf("%d-%d", z, i), fmt.Sprintf("zone-%d", z), 1, "0-0", "1-0", "2-0")
+			m.self.Millicores = 192
+			if i < 2 {
+				m.self.Millicores = 800
+			}
+			s.vms, s.copies = append(s.vms, m), append(s.copies, mi)
+		}
+	}
+	return s
+}
+
+// complete returns how many of the VMs have the state.
+func (s *start) complete() int {
+	n := 0
+	for _, c := range s.copies {
+		if c.CompleteTo() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// nearCopy and farCopy are what giving the state of 700 leaves takes of a processor (BenchmarkWholeState).
+	nearCopy, farCopy = 250 * time.Microsecond, 1300 * time.Microsecond
+	// givingMost is how long a VM may be busy with giving it: half of the time after which others that wait for a
+	// word take it for lost.
+	givingMost = 50 * time.Millisecond
+	// copiesMost is how many copies may cross zones, ten for each zone but the first.
+	copiesMost = 4 * 10
+)
+
+// check runs the VMs for three seconds. Those that lack the state must get it within the bound, with few copies across
+// zones, and no VM may be busy for long with giving it.
+func (s *start) check(t *testing.T, ctx context.Context, wg *sync.WaitGroup, from []*Manager, read func(), bound time.Duration) {
+	t.Helper()
+	s.n.mu.Lock()
+	s.n.copiesCrossed, s.n.near, s.n.far = 0, make(map[string]int), make(map[string]int)
+	s.n.mu.Unlock()
+	for _, m := range from {
+		wg.Go(func() {
+			time.Sleep(rand.N(100 * time.Millisecond))
+			_ = m.Run(ctx)
+		})
+	}
+	begun := time.Now()
+	time.Sleep(80 * time.Millisecond)
+	read()
+	for ; s.complete() < len(s.vms); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > bound {
+			t.Errorf("%d of %d VMs have the state after %v", s.complete(), len(s.vms), bound)
+			break
+		}
+	}
+	t.Logf("all have the state after %v", time.Since(begun))
+	time.Sleep(time.Until(begun.Add(3 * time.Second)))
+	s.n.mu.Lock()
+	defer s.n.mu.Unlock()
+	busiest, longest := "", time.Duration(0)
+	for _, m := range s.vms {
+		a := m.cfg.Self
+		if took := time.Duration(s.n.near[a])*nearCopy + time.Duration(s.n.far[a])*farCopy; took > longest {
+			busiest, longest = a, took
+		}
+	}
+	t.Logf("%d copies crossed zones; %s was busiest, %v with %d to its own and %d to other zones",
+		s.n.copiesCrossed, busiest, longest, s.n.near[busiest], s.n.far[busiest])
+	if s.n.copiesCrossed > copiesMost || longest > givingMost {
+		t.Errorf("more than %d copies, or %v of one VM", copiesMost, givingMost)
+	}
+}
+
+// After a loss of power the first VM to read the store tells a few of each zone, and these the others of theirs:
+// no seed, on which searches wait as well, has to give the state to a third of the fleet.
+func TestStartAfterALossOfPower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		s := newStart()
+		s.check(t, ctx, &wg, s.vms, func() { s.copies[0].Merge(large(5), time.Now()) }, 500*time.Millisecond)
+		cancel()
+		wg.Wait()
+		time.Sleep(10 * s.n.delay) // exchanges in flight end
+	})
+}
+
+// Where a fleet doubles, the new VMs get the state from those of their own zone, and no VM has to give it to many.
+func TestFleetThatDoubles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		s := newStart()
+		var old, added []*Manager
+		for i, m := range s.vms {
+			if i%60 < 30 {
+				old = append(old, m)
+				s.copies[i].Merge(large(5), time.Now())
+				continue
+			}
+			added = append(added, m)
+		}
+		for _, m := range old {
+			wg.Go(func() { _ = m.Run(ctx) })
+		}
+		time.Sleep(10 * time.Second)
+		s.check(t, ctx, &wg, added, func() {}, 500*time.Millisecond)
+		cancel()
+		wg.Wait()
+		time.Sleep(10 * s.n.delay) // exchanges in flight end
+	})
+}
+
+// large is an item that is announced first.
+func large(revision uint64) mirror.Delta {
+	d := item(revision)
+	d.Items[0].Value = make([]byte, 50<<10)
+	return d
+}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -172,8 +172,8 @@
 }
 
 // sampleMembers returns the members that an exchange names: all in a small fleet, else those of whom word matters
-// most, and a random choice of the others. Requires mu.
-func (m *Manager) sampleMembers(now time.Time) []*pb.FleetMember {
+// most, in the zone, and a random choice of the others. Requires mu.
+func (m *Manager) sampleMembers(now time.Time, zone string) []*pb.FleetMember {
 	live := make([]*member, 0, len(m.members))
 	for _, e := range m.members {
 		if e.live {
@@ -182,7 +182,7 @@
 	}
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	if len(live) > sample {
-		m.preferred(live)
+		preferred(live, zone)
 		live = live[:sample]
 	}
 	out := make([]*pb.FleetMember, 0, len(live))
@@ -196,10 +196,10 @@
 	return out
 }
 
-// preferred moves to the front the member of the own zone with the newest contact, whose word keeps others from
-// reading the store, and after it some of the own zone. Requires mu.
-func (m *Manager) preferred(live []*member) {
-	near := func(e *member) bool { return e.record.GetZone() == m.cfg.Zone }
+// preferred moves to the front the member of the zone with the newest contact, whose word keeps others from
+// reading the store, and after it some of the zone.
+func preferred(live []*member, zone string) {
+	near := func(e *member) bool { return e.record.GetZone() == zone }
 	var newest *member
 	for _, e := range live {
 		if near(e) && (newest == nil || e.contactAt.After(newest.contactAt)) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,15 +36,6 @@
 	// silent at any time. With more places the same happens to those of other zones.
 	sample     = 80
 	sampleNear = 28
-	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
-	// fleet was cut in two; seedSeldom in a large fleet, where silent peers are tried often enough.
-	seedPeriod = 2 * time.Second
-	seedSeldom = 20 * time.Second
-	// seedStart is how often the seeds are asked by a process that has no word at all, one of them where any VM
-	// answers, during the first startSpan, after which it has read the store itself: VMs that lost power together
-	// start within some tenths of a second. Asked for longer, a large change reaches many VMs twice.
-	seedStart = 50 * time.Millisecond
-	startSpan = 300 * time.Millisecond
 	// announceFrom is the size of news in bytes from which it is only announced: a peer that lacks it asks
 	// for it, so that a large configuration goes to each VM about once instead of three times.
 	announceFrom = 1 << 10
@@ -101,6 +91,8 @@
 	self      pb.FleetMember
 	contactAt time.Time
 	seenCrash map[crashKey]time.Time
+	// toldAt is when a VM of the zone last got the whole state from this one.
+	toldAt map[string]time.Time
 }
 
 type metrics struct {
@@ -121,7 +113,7 @@
 		cfg: cfg, metrics: m, members: make(map[string]*member), crashed: notify.New(),
 		pulls:     make(chan pull, pullsMost),
 		self:      pb.FleetMember{Address: cfg.Self, Zone: cfg.Zone, Incarnation: cfg.Incarnation, Millicores: uint32(max(cfg.Millicores, 0))},
-		seenCrash: make(map[crashKey]time.Time),
+		seenCrash: make(map[crashKey]time.Time), toldAt: make(map[string]time.Time),
 	}
 }
 
@@ -173,37 +165,6 @@
 // newsGap is the least time between two rounds of news, so that a series of changes travels together.
 const newsGap = 20 * time.Millisecond
 
-// runSeeds asks the seeds at the start, and later one at a time.
-func (m *Manager) runSeeds(ctx context.Context) {
-	begun := time.Now()
-	var asked time.Time
-	for first := true; ; first = false {
-		seeds := slices.DeleteFunc(slices.Clone(m.cfg.Seeds()), func(a string) bool { return a == m.cfg.Self })
-		if !first && m.Live() > 0 && len(seeds) > 0 {
-			seeds = []string{seeds[rand.N(len(seeds))]}
-		}
-		// A large fleet may have shown itself during the pause.
-		if first || m.Live() < smallFleet || time.Since(asked) >= seedSeldom {
-			asked = time.Now()
-			for _, s := range seeds {
-				go m.exchange(ctx, s, false)
-			}
-		}
-		pause := seedPeriod
-		switch live := m.Live(); {
-		case m.cfg.Mirror.CompleteTo() == 0 && time.Since(begun) < startSpan:
-			pause = seedStart
-		case live == 0:
-			pause = period
-		case live >= smallFleet:
-			pause = seedSeldom
-		}
-		if !wait.For(ctx, pause) {
-			return
-		}
-	}
-}
-
 // Dump shows the members.
 func (m *Manager) Dump() any {
 	m.mu.Lock()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -29,12 +29,16 @@
 	sent map[string]int
 	// answered counts the items in answers, and those sent in requests.
 	answered int
-	// crossed counts exchanges between zones.
-	crossed int
+	// crossed counts exchanges between zones, copiesCrossed the items that they carried.
+	crossed, copiesCrossed int
+	// near and far count the items that each VM sent to others of its zone, and of other zones.
+	near, far map[string]int
+	// delay of each exchange.
+	delay time.Duration
 }
 
 func newNetwork() *network {
-	return &network{vms: make(map[string]*Manager), cut: make(map[string]bool), sent: make(map[string]int)}
+	return &network{vms: make(map[string]*Manager), cut: make(map[string]bool), sent: make(map[string]int), near: make(map[string]int), far: make(map[string]int)}
 }
 
 type link struct {
@@ -46,16 +50,26 @@
 	l.n.mu.Lock()
 	peer, cut := l.n.vms[l.to], l.n.cut[l.to] || l.n.cut[l.from]
 	l.n.sent[l.to] += len(req.GetItems())
-	if peer != nil && peer.cfg.Zone != req.GetSender().GetZone() {
+	far := peer != nil && peer.cfg.Zone != req.GetSender().GetZone()
+	gave := l.n.near
+	if far {
+		gave = l.n.far
 		l.n.crossed++
 	}
+	gave[l.from] += len(req.GetItems())
+	delay := l.n.delay
 	l.n.mu.Unlock()
 	if peer == nil || cut {
 		return nil, errors.New("no answer")
 	}
+	time.Sleep(delay)
 	got := peer.Answer(req)
 	l.n.mu.Lock()
 	l.n.answered += len(got.GetItems()) + len(req.GetItems())
+	gave[l.to] += len(got.GetItems())
+	if far {
+		l.n.copiesCrossed += len(got.GetItems()) + len(req.GetItems())
+	}
 	l.n.mu.Unlock()
 	return got, nil
 }
--- /dev/null
+++ b/internal/peers/start.go
@@ -0,0 +1,111 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/wait"
+)
+
+const (
+	// seedPeriod is how often a seed is asked while few peers are known, or beside them in case the
+	// fleet was cut in two; seedSeldom in a large fleet, where silent peers are tried often enough.
+	seedPeriod = 2 * time.Second
+	seedSeldom = 20 * time.Second
+	// seedStart is how often the seeds are asked by a process that has no word at all, one of them where any VM
+	// answers, during the first startSpan, after which it has read the store itself: VMs that lost power together
+	// start within some tenths of a second. Asked for longer, a large change reaches many VMs twice.
+	seedStart = 50 * time.Millisecond
+	startSpan = 300 * time.Millisecond
+	// passOn is how long a VM of another zone that got the whole state has to pass some of it on, or to say that it
+	// has it, before a second one of that zone is told: five exchanges within the zone.
+	passOn = 25 * time.Millisecond
+)
+
+// runSeeds asks the seeds at the start, and later one at a time.
+func (m *Manager) runSeeds(ctx context.Context) {
+	begun := time.Now()
+	var asked time.Time
+	for first := true; ; first = false {
+		starting := m.cfg.Mirror.CompleteTo() == 0 && time.Since(begun) < startSpan
+		// A large fleet may have shown itself during the pause.
+		if first || starting || m.Live() < smallFleet || time.Since(asked) >= seedSeldom {
+			asked = time.Now()
+			for _, a := range m.toAsk(first, starting) {
+				go m.ask(ctx, a)
+			}
+		}
+		pause := seedPeriod
+		switch live := m.Live(); {
+		case starting:
+			pause = seedStart
+		case live == 0:
+			pause = period
+		case live >= smallFleet:
+			pause = seedSeldom
+		}
+		if !wait.For(ctx, pause) {
+			return
+		}
+	}
+}
+
+// toAsk returns all seeds as long as no VM is known, then one of them, or while this VM starts one that is likely to
+// have the platform's state and not too busy to tell.
+func (m *Manager) toAsk(first, starting bool) []string {
+	seeds := slices.DeleteFunc(slices.Clone(m.cfg.Seeds()), func(a string) bool { return a == m.cfg.Self })
+	if first || m.Live() == 0 {
+		return seeds
+	}
+	if near, ok := m.nearby(); starting && ok {
+		return []string{near}
+	}
+	if len(seeds) == 0 {
+		return nil
+	}
+	return []string{seeds[rand.N(len(seeds))]}
+}
+
+// nearby returns the VM that tells this one the platform's state in a large fleet: an envoy of the own zone, which is
+// among the first of it to know. The envoys themselves, and the VMs of a small fleet, ask the seeds.
+func (m *Manager) nearby() (string, bool) {
+	v := m.look()
+	if v.live() < smallFleet || v.envoy || len(v.nearEnvoys) == 0 {
+		return "", false
+	}
+	return v.nearEnvoys[rand.N(len(v.nearEnvoys))].Address, true
+}
+
+// ask exchanges with a VM, and where that leaves the platform's state to VMs of the own zone, with one of these.
+func (m *Manager) ask(ctx context.Context, address string) {
+	m.exchange(ctx, address, false)
+	if m.cfg.Mirror.CompleteTo() > 0 || !m.ahead(address) {
+		return
+	}
+	if near, ok := m.nearby(); ok && near != address {
+		m.exchange(ctx, near, false)
+	}
+}
+
+// leaves tells whether the whole state is left to be told by others: a VM of another zone in which somebody has it,
+// or has just got it from this VM, gets it there. Between zones its bytes are dear, and a seed that tells a third of
+// a fleet that starts stands still for as long as callers wait. Requires mu.
+func (m *Manager) leaves(to *pb.FleetMember, now time.Time) bool {
+	if len(m.members) < smallFleet || to.GetZone() == m.cfg.Zone {
+		return false
+	}
+	if now.Sub(m.toldAt[to.GetZone()]) < passOn {
+		return true
+	}
+	for address, e := range m.members {
+		r := e.record
+		if address != to.GetAddress() && r.GetZone() == to.GetZone() && e.live && !r.GetLeaving() && e.completeTo > 0 {
+			return true
+		}
+	}
+	m.toldAt[to.GetZone()] = now
+	return false
+}
