A VM whose turn came late reads what has come in before it hedges

Ruled out: no hedges at all before half of the parts are in. Where all leaves of the own zone die at once most first calls go there, and hedges save the search.

Change: a tick that comes 5 ms late or more hedges nothing; the next one, 4 ms later, does, with what came in meanwhile read. The time that sending the calls took counts as lateness of the first tick.

Before: TestVMThatStoodStillDoesNotHedge fails with the rule off (10 hedges). After: it passes.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -205,8 +205,8 @@
 	return n
 }
 
-// tick does what is due: calls that wait, and hedges.
-func (r *run) tick(now time.Time) {
+// tick does what is due: calls that wait, and hedges, unless it comes late itself.
+func (r *run) tick(now time.Time, late time.Duration) {
 	for i := range r.groups {
 		g := &r.groups[i]
 		switch {
@@ -215,7 +215,10 @@
 			r.tryRepeat(i)
 		case g.pending:
 			r.send(i)
-		case r.mayHedge(g) && !now.Before(r.hedgeDue(g)):
+		case !r.mayHedge(g) || now.Before(r.hedgeDue(g)):
+		case late > stoodStill:
+			g.retryAt = now.Add(poll)
+		default:
 			r.hedge(i, now)
 		}
 	}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -27,6 +27,10 @@
 	hedgeRoom = 1.6
 	// hedgeSoonest is how many usual times a hedge waits at least.
 	hedgeSoonest = 1.3
+	// stoodStill is by how much a turn of this VM's processor comes late from which its search hedges nothing until
+	// the next one: answers that came meanwhile wait to be read. A busy VM took all of a search's calls for late and
+	// sent each a second time, which made it busier. Where the processor is free a turn is late by a millisecond.
+	stoodStill = 5 * time.Millisecond
 	// hedgeLeast is the least delay of a hedge, above the turns of a small VM's processor.
 	hedgeLeast = 8 * time.Millisecond
 )
--- a/internal/dispatch/hedge_test.go
+++ b/internal/dispatch/hedge_test.go
@@ -58,3 +58,30 @@
 		})
 	}
 }
+
+// A VM whose processor's turn came late reads what has come in before it hedges: all of a search's calls look late
+// then, and hedges of them all would make it later still.
+func TestVMThatStoodStillDoesNotHedge(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.warm(t)
+		for id := range w.leaves {
+			w.set(id, ok(60*ms))
+		}
+		req := &Request{ID: "r1", Method: "GET", Host: "h", Path: "/s/q", Target: "/s/q", Remaining: 2 * time.Second, Arrived: time.Now()}
+		trace := new(Trace)
+		r := newRun(t.Context(), w.engine, req, Match(w.view.Config, req), w.view, 1, trace)
+		defer r.finish()
+		for i := range r.groups {
+			r.send(i)
+		}
+		time.Sleep(40 * ms)
+		r.tick(time.Now(), 20*ms)
+		is.Equal(trace.Hedges, 0)
+		r.tick(time.Now(), 0) // too soon: what came meanwhile isn't read yet
+		is.Equal(trace.Hedges, 0)
+		time.Sleep(poll)
+		r.tick(time.Now(), 0)
+		is.True(trace.Hedges > 0) // the leaves are late, not this VM
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -157,11 +157,13 @@
 	if a := r.overloaded(); a != nil {
 		return a
 	}
+	began := time.Now()
 	for i := range r.groups {
 		if !r.groups[i].dead {
 			r.send(i)
 		}
 	}
+	sending := time.Since(began) // nothing is read meanwhile
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -177,8 +179,10 @@
 			r.take(ev)
 		case <-timer.C:
 			now := time.Now()
-			r.e.lag.observe(now.Sub(asked) - wait)
-			r.tick(now)
+			late := now.Sub(asked) - wait
+			r.e.lag.observe(late)
+			r.tick(now, late+sending)
+			sending = 0
 		case <-r.caller.Done():
 			r.cancel()
 			return r.answer(&Answer{Outcome: CallerGone, Reason: ReasonCallerGone})
