Peers: an old word of a peer is no reason to send it much

Cause: an exchange carried all that changed since the peer last said what it has. Two VMs of a fleet of 300 meet every few minutes, so that each round of each VM sent what the other had long got from others; where a zone comes back after a cut, all the others send it the same changes at once.

Before: TestOldWordOfAPeerIsAskedAnew fails with the rule off (a copy is sent to a peer that has it). After: it passes with the tests of the package.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -12,33 +12,49 @@
 	"github.com/burdockplank/burdockplank/internal/replica"
 )
 
-// exchange tells the peer what it lacks and takes what it tells. A peer of which nothing is known yet is
-// asked first, so that nothing goes to one that has it. A brief exchange carries news only.
+// wordKeep is how long a peer's word of what it has counts for a large exchange: news gets around a fleet in a second,
+// so that what it lacked before it likely has by then. In a fleet of 300 two VMs meet every few minutes.
+const wordKeep = 2 * time.Second
+
+// exchange tells the peer what it lacks and takes what it tells. A peer that has said nothing of itself, or nothing
+// lately where much is to be told, is asked first, so that nothing goes to one that has it. A brief exchange
+// carries news only.
 func (m *Manager) exchange(ctx context.Context, address string, brief bool) {
 	for range 2 {
-		client, to, known := m.clientOf(address)
-		if !m.exchangeOnce(ctx, client, to, known, brief) || known || !m.behind(address) {
+		client, w := m.clientOf(address)
+		asked, ok := m.exchangeOnce(ctx, client, w, brief)
+		if !ok || !asked || !m.behind(address) {
 			return
 		}
 	}
 }
 
-func (m *Manager) exchangeOnce(ctx context.Context, client Client, to uint64, known, brief bool) bool {
+// word is what a peer said of itself.
+type word struct {
+	// completeTo is the revision up to which it knew every item, at when it said so, zero for never.
+	completeTo uint64
+	at         time.Time
+}
+
+// exchangeOnce tells whether the peer answered, and whether it was asked first, before it is told.
+func (m *Manager) exchangeOnce(ctx context.Context, client Client, w word, brief bool) (asked, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	now := time.Now()
-	req := m.message(to, now, brief, m.cfg.Zone)
-	if !known || brief && itemBytes(req) >= announceFrom {
+	req := m.message(w.completeTo, now, brief, m.cfg.Zone)
+	large := itemBytes(req) >= announceFrom
+	asked = w.at.IsZero() || large && !brief && now.Sub(w.at) >= wordKeep
+	if asked || large && brief {
 		withoutItems(req)
 	}
 	got, err := client.Exchange(ctx, req)
 	if err != nil {
 		m.metrics.exchanges.WithLabelValues("failed").Inc()
-		return false
+		return asked, false
 	}
 	m.metrics.exchanges.WithLabelValues("answered").Inc()
 	m.take(got, time.Now())
-	return true
+	return asked, true
 }
 
 // withoutItems lets the message say how much its sender knows, but not what.
@@ -92,21 +108,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.members[address]
-	return e != nil && e.completeTo > to
+	return e != nil && e.said.completeTo > to
 }
 
-// clientOf returns the client of the address, and to which revision the peer there is known to be
-// complete.
-func (m *Manager) clientOf(address string) (client Client, to uint64, known bool) {
+// clientOf returns the client of the address, and what the peer there last said of itself.
+func (m *Manager) clientOf(address string) (Client, word) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e := m.members[address]; e != nil {
 		if e.client == nil {
 			e.client = m.cfg.Dial(address)
 		}
-		return e.client, e.completeTo, e.told
+		return e.client, e.said
 	}
-	return m.cfg.Dial(address), 0, false
+	return m.cfg.Dial(address), word{}
 }
 
 // Answer takes an exchange that a peer began, and returns this VM's part.
@@ -158,7 +173,7 @@
 	m.mu.Lock()
 	m.mergeAll(msg, now)
 	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
-		e.completeTo, e.told = msg.GetCompleteTo(), true
+		e.said = word{msg.GetCompleteTo(), now}
 	}
 	for _, c := range msg.GetCrashes() {
 		m.noteCrash(Crash{
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -18,10 +18,8 @@
 	aliveAt time.Time
 	// contactAt is when it last had an answer of the store, by this VM's clock; zero for never.
 	contactAt time.Time
-	// completeTo is the revision it last said to be complete to.
-	completeTo uint64
-	// told is true once it said so in this incarnation.
-	told   bool
+	// said is what it last said of itself in this incarnation.
+	said   word
 	client Client
 	live   bool
 }
@@ -153,7 +151,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.members[address]
-	return e == nil || e.completeTo < to || len(m.seenCrash) > 0 || m.self.GetLeaving()
+	return e == nil || e.said.completeTo < to || len(m.seenCrash) > 0 || m.self.GetLeaving()
 }
 
 // selfRecord requires mu.
@@ -236,7 +234,7 @@
 		e = &member{}
 		m.members[r.GetAddress()] = e
 	} else if e.record.GetIncarnation() != r.GetIncarnation() {
-		e.completeTo, e.told, e.contactAt = 0, false, time.Time{}
+		e.said, e.contactAt = word{}, time.Time{}
 	}
 	back := !e.live
 	e.record, e.aliveAt, e.live = r, now, true
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -177,7 +177,7 @@
 	}
 	out := make(map[string]shown, len(m.members))
 	for a, e := range m.members {
-		out[a] = shown{e.record.GetZone(), e.live, e.record.GetLeaving(), e.completeTo}
+		out[a] = shown{e.record.GetZone(), e.live, e.record.GetLeaving(), e.said.completeTo}
 	}
 	return out
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -277,6 +278,34 @@
 	is.Equal(n.sent["b"], 0)
 }
 
+// What a peer said of itself a while ago, as before a cut or in a fleet in which two VMs seldom meet, is no reason to
+// send it all that changed since: it may have that from others.
+func TestOldWordOfAPeerIsAskedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		a, copyA := n.vm("a", "z", 1)
+		_, copyB := n.vm("b", "z", 1)
+		copyA.Merge(large(5), time.Now())
+		a.exchange(t.Context(), "b", false)
+		is.Equal(copyB.CompleteTo(), uint64(5))
+		before := n.answered
+		time.Sleep(wordKeep)
+		copyA.Merge(large(9), time.Now())
+		copyB.Merge(large(9), time.Now()) // from another VM
+		a.exchange(t.Context(), "b", false)
+		is.Equal(n.answered, before)
+		copyA.Merge(large(12), time.Now())
+		a.exchange(t.Context(), "b", false) // the word is fresh now
+		is.Equal(copyB.CompleteTo(), uint64(12))
+		is.Equal(n.sent["b"], 2)
+		time.Sleep(wordKeep)
+		copyA.Merge(large(15), time.Now())
+		a.exchange(t.Context(), "b", false) // it is asked, and then told
+		is.Equal(copyB.CompleteTo(), uint64(15))
+	})
+}
+
 // A large change is announced, and each VM asks one peer for it: it travels to each about once.
 func TestLargeNewsTravelsOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -102,7 +102,7 @@
 	}
 	for address, e := range m.members {
 		r := e.record
-		if address != to.GetAddress() && r.GetZone() == to.GetZone() && e.live && !r.GetLeaving() && e.completeTo > 0 {
+		if address != to.GetAddress() && r.GetZone() == to.GetZone() && e.live && !r.GetLeaving() && e.said.completeTo > 0 {
 			return true
 		}
 	}
