Crash guard: a request that any leaf answers is not what crashed the others

Cause: a cut that resets connections looks like the crash of all leaves beyond it. An answer cleared a request only where it came after a crash had been told, and on the VM that got it.

Ruled out: telling a cut from crashes by other leaves that are down as well; a herd of leaves that dies looks the same.

Change: a request that crashes leaves crashes each one that runs it, so a search of which a part is in, or comes in after the loss, is suspected of nothing.

Before: TestAnsweredRequestCrashesNobody and TestLossAfterAPartIsNoSuspicion failed. After: both pass with the tests of their packages.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -1,9 +1,12 @@
 // Package crashguard finds requests that crash the leaves that run them, and blocks them in the whole
 // fleet. A crash counts against a request where its connection to the leaf was lost while it ran and
-// the leaf's address takes no connections right after; a connection lost alone proves nothing.
+// the leaf's address takes no connections right after; a connection lost alone proves nothing. Such a request crashes
+// each leaf that runs it, so that one which any leaf answers isn't to blame: a cut that resets connections looks like
+// the crash of all leaves beyond it.
 package crashguard
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +40,9 @@
 	log   *zap.Logger
 
 	mu sync.Mutex
-	// lost requests by leaf, and answered when a suspect was last answered; guarded by mu.
+	// lost requests by leaf, when each was lost last, and answered when one of these was last answered; guarded by mu.
 	lost     map[catalog.LeafID][]loss
+	lostAt   map[uint64]time.Time
 	answered map[uint64]time.Time
 	swept    time.Time
 }
@@ -50,7 +54,10 @@
 
 // New returns a guard that suspects nothing.
 func New(f Fleet, clock func() time.Time, log *zap.Logger) *Guard {
-	return &Guard{fleet: f, clock: clock, log: log, lost: make(map[catalog.LeafID][]loss), answered: make(map[uint64]time.Time)}
+	return &Guard{
+		fleet: f, clock: clock, log: log,
+		lost: make(map[catalog.LeafID][]loss), lostAt: make(map[uint64]time.Time), answered: make(map[uint64]time.Time),
+	}
 }
 
 // Blocked tells whether the request has crashed too many leaves.
@@ -72,30 +79,30 @@
 	defer g.mu.Unlock()
 	g.sweep(now)
 	g.lost[leaf] = append(g.lost[leaf], loss{digest, now})
+	g.lostAt[digest] = now
 }
 
 // Answered notes that a leaf has answered the request.
 func (g *Guard) Answered(digest uint64) {
 	now := g.clock()
-	if g.fleet.Crashes(digest, now.Add(-blockFor)) == 0 {
-		return
-	}
+	told := g.fleet.Crashes(digest, now.Add(-blockFor)) > 0
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.answered[digest] = now
+	if _, lost := g.lostAt[digest]; lost || told {
+		g.answered[digest] = now
+	}
 }
 
 // Down notes that the leaf's address takes no connections.
 func (g *Guard) Down(leaf catalog.LeafID) {
 	now := g.clock()
 	g.mu.Lock()
-	losses := g.lost[leaf]
+	losses := slices.DeleteFunc(g.lost[leaf], func(l loss) bool {
+		return now.Sub(l.at) > downWithin || now.Sub(g.answered[l.digest]) < provenFor
+	})
 	delete(g.lost, leaf)
 	g.mu.Unlock()
 	for _, l := range losses {
-		if now.Sub(l.at) > downWithin {
-			continue
-		}
 		g.log.Warn("leaf crashed with a request in flight", zap.Stringer("leaf", leaf), zap.Uint64("digest", l.digest), zap.Duration("lost_before", now.Sub(l.at)))
 		g.fleet.ReportCrash(peers.Crash{Digest: l.digest, Leaf: leaf, At: l.at})
 	}
@@ -112,6 +119,11 @@
 			delete(g.lost, leaf)
 		}
 	}
+	for digest, at := range g.lostAt {
+		if now.Sub(at) > downWithin {
+			delete(g.lostAt, digest)
+		}
+	}
 	for digest, at := range g.answered {
 		if now.Sub(at) > provenFor {
 			delete(g.answered, digest)
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -104,3 +104,39 @@
 	}
 	is.True(len(f.lost) < 10)
 }
+
+// A cut that resets connections looks like the crash of all leaves beyond it. Searches in flight get their parts from
+// the leaves on this side, before or right after, and aren't what crashed the others.
+func TestAnsweredRequestCrashesNobody(t *testing.T) {
+	for name, answered := range map[string]func(f *fixture){
+		"after the loss": func(f *fixture) {
+			f.Lost(innocent, leafID("a"))
+			f.Lost(innocent, leafID("b"))
+			f.Lost(innocent, leafID("c"))
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.Answered(innocent)
+		},
+		"and lost once more": func(f *fixture) {
+			f.Lost(innocent, leafID("a"))
+			f.Lost(innocent, leafID("b"))
+			f.Answered(innocent)
+			f.now = f.now.Add(10 * time.Millisecond)
+			f.Lost(innocent, leafID("c"))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			answered(f)
+			f.Lost(poison, leafID("a"))
+			f.Lost(poison, leafID("b"))
+			f.Lost(poison, leafID("c"))
+			for _, leaf := range []string{"a", "b", "c"} {
+				f.Down(leafID(leaf))
+			}
+			is.True(!f.Blocked(innocent))
+			is.Equal(len(f.fleet.(*fleet).crashes), 3) // others are told of the poison alone
+			is.True(f.Blocked(poison))
+		})
+	}
+}
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -22,9 +22,12 @@
 	case resp != nil && resp.Moved:
 		r.e.moved.add(leaf, now)
 	case resp != nil && !resp.NotRun:
+		r.answered.Store(true)
 		r.e.crashes.Answered(r.digest)
 	case errors.As(err, &failure) && failure.Cause == leafcall.ConnectionLost:
-		r.e.crashes.Lost(r.digest, leaf.ID)
+		if !r.answered.Load() { // what a leaf has answered crashes none
+			r.e.crashes.Lost(r.digest, leaf.ID)
+		}
 	case failure != nil && failure.Refused:
 		r.e.crashes.Down(leaf.ID)
 	}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -85,3 +85,25 @@
 		is.True(took < 10*ms)
 	})
 }
+
+// A search of which a part is in has been run by a leaf that lives: the connections that it loses then count against
+// nobody.
+func TestLossAfterAPartIsNoSuspicion(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		for _, s := range []string{"s4", "s5", "s6"} {
+			for _, r := range []string{"-a", "-b", "-c"} {
+				w.set(s+r, always(reply{after: 15 * ms, cause: leafcall.ConnectionLost}))
+			}
+		}
+		w.ask(t.Context(), "/s/q") // the others answer in 10 ms
+		is.Equal(len(w.lost), 0)
+		for _, s := range []string{"s4", "s5", "s6"} {
+			for _, r := range []string{"-a", "-b", "-c"} {
+				w.set(s+r, always(reply{after: ms, cause: leafcall.ConnectionLost}))
+			}
+		}
+		w.ask(t.Context(), "/s/q")
+		is.True(len(w.lost) > 0) // nobody has answered yet
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -41,7 +42,7 @@
 // comeBack spreads the return of callers that were refused together over as long again.
 func comeBack(d time.Duration) time.Duration { return d + rand.N(d) }
 
-// run is one request being served. All fields belong to the goroutine of serve; calls hand it their
+// run is one request being served. All fields but answered belong to the goroutine of serve; calls hand it their
 // ends over events.
 type run struct {
 	e      *Engine
@@ -71,8 +72,9 @@
 	over   chan struct{}
 	// done and dead count the groups.
 	done, dead int
-	// ran is true where a leaf may have run the request.
-	ran bool
+	// ran is true where a leaf may have run the request; answered is set, by the calls, once one has answered it.
+	ran      bool
+	answered atomic.Bool
 	// failure is the last failure that a leaf answered with.
 	failure *leafcall.Response
 	reason  Reason
