A zone that has the state from others lets its first by rank read

Change: the age of the contact counts from the end of the wait at the start at most where the state is known, and a process's first poll waits 0.1 s in place of half of the bound, so that the zone hears of a contact soon.

Before: TestZoneThatHasItsStateFromOthers fails with the rule off. After: it passes.

--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -34,6 +34,8 @@
 	// second one always has word that is somewhat older, and would read beside the first.
 	largeZone         = 20
 	largeTakeoverPart = 0.9
+	// firstWait is how long the first poll of a process waits: the others of its zone wait for word of a contact.
+	firstWait = 100 * time.Millisecond
 	// hold is how long a VM that took over goes on reading.
 	hold = 10 * time.Second
 	// batchPart is the pause after a change, as a part of the bound, so that a series of changes costs few
@@ -107,6 +109,9 @@
 	backoff   platform.Backoff
 	tookOver  time.Time
 	reachable bool
+	// settled is when the wait for word at the start was over; answered is set once the store has answered.
+	settled  time.Time
+	answered bool
 	// read is set once a snapshot was read, fresh where the next one may not be stale.
 	read, fresh bool
 	// pause is how long it was waited before the call that is due.
@@ -129,6 +134,7 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
 	r.settle(ctx)
+	r.settled = time.Now()
 	for {
 		pause := idle
 		if r.active(time.Now()) {
@@ -165,11 +171,21 @@
 
 // active tells whether this VM reads now.
 func (r *Reader) active(now time.Time) bool {
-	members, contact := r.fleet.Zone(now)
+	members, contact := r.contactAge(now)
 	rank := readers.Rank(r.zone, members, r.self)
 	return r.isActive(rank, contact, r.takeoverOf(members), now)
 }
 
+// contactAge returns the members of the zone and the age of its newest contact. Where the state came from other
+// zones it counts from the start at most, when the first by rank begins to read.
+func (r *Reader) contactAge(now time.Time) (members []string, age time.Duration) {
+	members, age = r.fleet.Zone(now)
+	if r.mirror.CompleteTo() > 0 && !r.settled.IsZero() {
+		age = min(age, now.Sub(r.settled))
+	}
+	return members, age
+}
+
 // takeoverOf returns the age of the zone's newest contact from which the second by rank reads.
 func (r *Reader) takeoverOf(members []string) time.Duration {
 	if len(members) >= largeZone {
@@ -240,6 +256,9 @@
 		return "snapshot", d, err
 	}
 	wait := min(r.wait, r.contact-r.pause)
+	if !r.answered {
+		wait = firstWait
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
 	d, err := r.store.Watch(ctx, after, wait)
@@ -258,7 +277,8 @@
 		r.log.Info("store regained", zap.Uint64("complete_to", r.mirror.CompleteTo()))
 	}
 	r.reachable = true
-	members, contact := r.fleet.Zone(now)
+	r.answered = true
+	members, contact := r.contactAge(now)
 	if contact > r.takeoverOf(members) && readers.Rank(r.zone, members, r.self) > 0 {
 		r.log.Info("reading in place of the first by rank", zap.Duration("contact_age", contact))
 		r.tookOver = now
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/notify"
+	"github.com/burdockplank/burdockplank/internal/readers"
 )
 
 // fakeStore answers from a queue; without one, watches end without a change.
@@ -214,6 +215,27 @@
 	}
 }
 
+// After a loss of power a zone may get all that the store holds from others, before anybody of it has read. Its first by
+// rank reads then, and says so soon; the others wait for that as for any other contact, in place of all at once.
+func TestZoneThatHasItsStateFromOthers(t *testing.T) {
+	is := is.New(t)
+	members := []string{"one", "two", "three", "four", "five"}
+	now := time.Now()
+	for _, self := range members {
+		store := &fakeStore{next: func(string, uint64) (mirror.Delta, error) { return mirror.Delta{CompleteFrom: 7, CompleteTo: 7}, nil }}
+		r, m := newReader(store, &fakeFleet{members: members, contact: 1 << 62, zones: []string{"z"}}, self)
+		m.Merge(mirror.Delta{CompleteTo: 7, Full: true}, now)
+		r.settled = now
+		first := readers.Rank("z", members, self) == 0
+		is.Equal(r.active(now), first)
+		is.Equal(r.active(now.Add(r.takeover)), first)
+		is.True(r.active(now.Add(r.takeover + 4*turn))) // the first one can't read
+		r.readOnce(t.Context())
+		r.readOnce(t.Context())
+		is.Equal(store.waits, []time.Duration{firstWait, r.wait})
+	}
+}
+
 // The whole of a poll on a silent connection, word of it to the zone, and the next one's first answer
 // have to fit into the bound.
 func TestTakeoverFitsTheBound(t *testing.T) {
