The first poll after a failure of the store is short

Change: as at the start, the first poll after a failure waits 0.1 s.

Before: TestFirstPollAfterAFailureIsShort failed. After: it passes.

--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -34,7 +34,8 @@
 	// second one always has word that is somewhat older, and would read beside the first.
 	largeZone         = 20
 	largeTakeoverPart = 0.9
-	// firstWait is how long the first poll of a process waits: the others of its zone wait for word of a contact.
+	// firstWait is how long the first poll waits after the start or a failure: the others of the zone wait for word
+	// of a contact, and take over one after the other without it.
 	firstWait = 100 * time.Millisecond
 	// hold is how long a VM that took over goes on reading.
 	hold = 10 * time.Second
@@ -109,7 +110,8 @@
 	backoff   platform.Backoff
 	tookOver  time.Time
 	reachable bool
-	// settled is when the wait for word at the start was over; answered is set once the store has answered.
+	// settled is when the wait for word at the start was over; answered is set once the store has answered since
+	// the start or its latest failure.
 	settled  time.Time
 	answered bool
 	// read is set once a snapshot was read, fresh where the next one may not be stale.
@@ -269,7 +271,7 @@
 	if r.reachable {
 		r.log.Warn("store lost", zap.Error(err))
 	}
-	r.reachable = false
+	r.reachable, r.answered = false, false
 }
 
 func (r *Reader) regained(now time.Time) {
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -157,6 +157,27 @@
 	is.True(!r.reachable)
 }
 
+// Once the store is back the first poll tells so at once, before the next ones of the zone take over.
+func TestFirstPollAfterAFailureIsShort(t *testing.T) {
+	is := is.New(t)
+	fail := false
+	store := &fakeStore{next: func(_ string, after uint64) (mirror.Delta, error) {
+		if fail {
+			return mirror.Delta{}, errors.New("down")
+		}
+		return mirror.Delta{CompleteFrom: after, CompleteTo: max(after, 1), Full: after == 0}, nil
+	}}
+	r, _ := newReader(store, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
+	r.readOnce(t.Context()) // all of it
+	r.readOnce(t.Context())
+	fail = true
+	r.readOnce(t.Context())
+	fail = false
+	r.readOnce(t.Context())
+	r.readOnce(t.Context())
+	is.Equal(store.waits, []time.Duration{r.wait, r.wait, firstWait, r.wait})
+}
+
 // After a loss of all VMs nobody has word: the seeds read first, then those that nobody answers; whoever has word
 // leaves the store alone until the fleet is known.
 func TestPatienceAfterTheStart(t *testing.T) {
