--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -137,7 +137,7 @@
 	msg := m.message(0, now, req.GetBrief(), req.GetSender().GetZone())
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(msg.GetItems()) > 0 && m.leaves(req.GetSender(), now) {
+	if len(msg.GetItems()) > 0 && m.leftToOthers(req.GetSender(), now) {
 		withoutItems(msg)
 	}
 	return msg
