What is left to others isn't put together first; two simpler checks

A VM that left the whole platform state to others built the message with all of it and dropped it, at the moment at which many ask. It decides first now, and asks for what is new since its own revision, which is nothing. A reader's zero time needs no check of its own: an age since then is longer than any. Two tests of headers share their server.

No change of behaviour meant; the tests keep their assertions. Peers, storeread and the node's tests of compression pass.

--- a/internal/node/compress_test.go
+++ b/internal/node/compress_test.go
@@ -105,16 +105,22 @@
 	is.True(after.TotalAlloc-before.TotalAlloc < clients<<18) // a quarter of a megabyte each, for all that it takes
 }
 
-// Much of the state is compressed on its way to a peer as well.
-func TestLargeRequestsAreCompressed(t *testing.T) {
-	is := is.New(t)
-	encoding := make(chan string, 1)
+// refuseAll refuses one request and tells what a header of it said.
+func refuseAll(t *testing.T, header string) (address string, said <-chan string) {
+	values := make(chan string, 1)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		encoding <- r.Header.Get("Content-Encoding")
+		values <- r.Header.Get(header)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
-	defer s.Close()
-	_, err := dialPeers("127.0.0.1")(s.Listener.Addr().String()).Exchange(t.Context(), stateOf(700))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), values
+}
+
+// Much of the state is compressed on its way to a peer as well.
+func TestLargeRequestsAreCompressed(t *testing.T) {
+	is := is.New(t)
+	address, encoding := refuseAll(t, "Content-Encoding")
+	_, err := dialPeers("127.0.0.1")(address).Exchange(t.Context(), stateOf(700))
 	is.True(err != nil)
 	is.Equal(<-encoding, gzipName)
 }
@@ -122,13 +128,8 @@
 // Searches that are handed over stay in the zone, and so aren't compressed.
 func TestSearchesHandedOverAreNotCompressed(t *testing.T) {
 	is := is.New(t)
-	accepted := make(chan string, 1)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		accepted <- r.Header.Get("Accept-Encoding")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}))
-	defer s.Close()
-	_, err := dialGatherers("127.0.0.1")(s.Listener.Addr().String()).Ping(t.Context(), &pb.FleetPing{})
+	address, accepted := refuseAll(t, "Accept-Encoding")
+	_, err := dialGatherers("127.0.0.1")(address).Ping(t.Context(), &pb.FleetPing{})
 	is.True(err != nil)
 	is.True(!strings.Contains(<-accepted, gzipName))
 }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -131,16 +131,14 @@
 	if from := req.GetSender().GetAddress(); req.GetBrief() && m.ahead(from) {
 		m.pull(pull{address: from})
 	}
-	if req.GetCompleteTo() > 0 {
-		return m.message(req.GetCompleteTo(), now, req.GetBrief(), m.cfg.Zone)
-	}
-	msg := m.message(0, now, req.GetBrief(), req.GetSender().GetZone())
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(msg.GetItems()) > 0 && m.leftToOthers(req.GetSender(), now) {
-		withoutItems(msg)
+	to, zone := req.GetCompleteTo(), m.cfg.Zone
+	if to == 0 {
+		zone = req.GetSender().GetZone()
+		if own := m.cfg.Mirror.CompleteTo(); own > 0 && m.leftToOthers(req.GetSender(), now) {
+			to = own
+		}
 	}
-	return msg
+	return m.message(to, now, req.GetBrief(), zone)
 }
 
 // message is what a peer that is complete to the revision is told. Members of the zone are named first.
--- a/internal/peers/start.go
+++ b/internal/peers/start.go
@@ -96,8 +96,9 @@
 // leftToOthers tells whether the whole state is to be told by others. A VM of another zone in which somebody has it gets
 // it there, for between zones its bytes are dear; and who asks right after another of its zone gets it from that one, or
 // here a little later, for a seed that tells a third of a fleet that starts stands still for as long as callers wait.
-// Requires mu.
 func (m *Manager) leftToOthers(to *pb.FleetMember, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if len(m.members) < smallFleet {
 		return false
 	}
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -182,7 +182,7 @@
 // zones it counts from the start at most, when the first by rank begins to read.
 func (r *Reader) contactAge(now time.Time) (members []string, age time.Duration) {
 	members, age = r.fleet.Zone(now)
-	if r.mirror.CompleteTo() > 0 && !r.settled.IsZero() {
+	if r.mirror.CompleteTo() > 0 {
 		age = min(age, now.Sub(r.settled))
 	}
 	return members, age
