Stand-in of a leaf: two marked requests beside each other are one crash

The stand-in wrote a crash line and then ended its process, so that a second marked request that ran at that moment wrote another line for the same end. Change: a text has one crash for each start of the leaf. Before: TestRequestsBesideEachOtherCrashALeafOnce fails (2 crashes). After: passes.

--- a/internal/standin/leaf/journal.go
+++ b/internal/standin/leaf/journal.go
@@ -117,6 +117,14 @@
 	searches   []*Search
 	executions []Execution
 	counts     Counts
+	// lastCrash is the one written last.
+	lastCrash crash
+}
+
+// crash names a crash: the start of the leaf that it ended, and the text that did.
+type crash struct {
+	instance uint64
+	text     string
 }
 
 // newJournal returns an empty journal. Where path is not empty lines are appended to that file.
@@ -211,9 +219,16 @@
 	}
 }
 
-func (j *journal) crashed(requestID, text string) {
+// crashed notes that the leaf crashed at a text. Two requests with it may run beside each other at the moment of the
+// crash; they end one start of the leaf, so that the text has one crash.
+func (j *journal) crashed(instance uint64, requestID, text string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	c := crash{instance: instance, text: text}
+	if c == j.lastCrash {
+		return
+	}
+	j.lastCrash = c
 	j.counts.Crashes++
 	j.write(FileLine{Crash: &Crash{RequestID: requestID, Text: text, At: time.Now()}})
 }
--- a/internal/standin/leaf/leaf_test.go
+++ b/internal/standin/leaf/leaf_test.go
@@ -172,6 +172,22 @@
 	is.Equal(len(log.Searches), 1) // the marked search started
 }
 
+// TestRequestsBesideEachOtherCrashALeafOnce runs marked requests that begin before the first has ended the leaf.
+func TestRequestsBesideEachOtherCrashALeafOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := newLeaf(Settings{ID: "teachers-0-a", Slots: 3, Queue: new(int)}, zap.NewNop(), func(*Leaf) {})
+	is.NoErr(err)
+	f := &Faults{CrashMark: "boom"}
+	l.crashIfMarked(f, "first", "go boom")
+	l.crashIfMarked(f, "second", "go boom")
+	is.Equal(l.journal.snapshot().Counts.Crashes, uint64(1))
+	l.crashIfMarked(f, "third", "another boom")
+	is.Equal(l.journal.snapshot().Counts.Crashes, uint64(2)) // another text has crashes of its own
+	l.renewInstance()
+	l.crashIfMarked(f, "fourth", "another boom")
+	is.Equal(l.journal.snapshot().Counts.Crashes, uint64(3)) // so has another start
+}
+
 func TestControlReplacesFaultsAndClearsLog(t *testing.T) {
 	is := is.New(t)
 	l := serve(t)
--- a/internal/standin/leaf/service.go
+++ b/internal/standin/leaf/service.go
@@ -232,7 +232,7 @@
 
 func (l *Leaf) crashIfMarked(f *Faults, requestID, text string) {
 	if f.CrashMark != "" && strings.Contains(text, f.CrashMark) {
-		l.journal.crashed(requestID, text)
+		l.journal.crashed(l.incarnation(), requestID, text)
 		l.crash(l)
 	}
 }
