Gate: a standstill of all running searches is no load

Ruled out: the leaves (idle), the gates of the other gathers, admission at the entries. Change: where none of the running searches has ended for four times a usual one and at least the longest wait, as many again are let in; what searches of that time waited is left out of the window that sets the limit. In overload some end all along, so that nothing changes there; before the first window is known nothing is let in either.

--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -21,6 +21,9 @@
 	gateGrowth = 0.1
 	// gateLeast is the least limit.
 	gateLeast = 2
+	// standstillPaces is how many times the usual time of a search none may have ended for it to count as a
+	// standstill: queues and slow leaves make searches longer, but with several running some end all along.
+	standstillPaces = 4
 )
 
 // gate bounds the searches of one service that run at once at this gather. A search needs a slot in
@@ -28,7 +31,11 @@
 // and above capacity hardly one would get them all in time. The limit follows the time that
 // searches wait for slots, and not their latency: with a straggler more have to run at once, not
 // fewer. Those that don't fit wait in a short queue, heavier kinds first, and are refused at once
-// where it is full. It is safe for concurrent use.
+// where it is full.
+//
+// Where no search ends any more, as while all connections to leaves have gone silent and aren't given up yet, the
+// slots that the running ones hold say nothing of the load. As many again are let in then, and what searches of
+// that time waited is left out of the window. It is safe for concurrent use.
 type gate struct {
 	mu sync.Mutex
 	// The rest is guarded by mu. limit bounds running; queue is in the order in which searches start.
@@ -45,6 +52,10 @@
 	// it, so that it tells nothing of what can be done; longest is how long one may wait, fixed.
 	rate    float64
 	longest time.Duration
+	// pace is the mean time of a search in the last window, 0 before its end. ended is when a search ended last, or
+	// began where none ran; resumed is when the last standstill was over.
+	pace           time.Duration
+	ended, resumed time.Time
 }
 
 // place is a search in the queue.
@@ -104,6 +115,9 @@
 		g.start()
 		return nil, true
 	}
+	if len(g.queue) >= g.room(patience) && g.startStanding() {
+		return nil, true
+	}
 	if len(g.queue) >= g.room(patience) && !g.displace(weight) {
 		return nil, false
 	}
@@ -138,32 +152,56 @@
 	return true
 }
 
-// withdraw ends a wait; true where the turn came at the same moment.
+// withdraw ends a wait; true where the turn came at the same moment, or in a standstill.
 func (g *gate) withdraw(p *place) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if i := slices.Index(g.queue, p); i >= 0 {
 		g.queue = slices.Delete(g.queue, i, i+1)
-		return false
+		return g.startStanding()
 	}
 	return <-p.turn
 }
 
 // start counts a search in. Requires mu.
 func (g *gate) start() {
+	if g.running == 0 {
+		g.ended = time.Now()
+	}
 	g.running++
 	g.peak = max(g.peak, g.running)
 }
 
+// standsStill tells whether searches run and none has ended for long. Requires mu.
+func (g *gate) standsStill(now time.Time) bool {
+	return g.running > 0 && g.pace > 0 && now.Sub(g.ended) >= max(g.longest, standstillPaces*g.pace)
+}
+
+// startStanding lets a search in beyond the limit during a standstill; false where as many as the limit have been.
+// Requires mu.
+func (g *gate) startStanding() bool {
+	if g.running >= 2*int(g.limit) || !g.standsStill(time.Now()) {
+		return false
+	}
+	g.start()
+	return true
+}
+
 // leave ends a search that waited for slots for a part of the time it took.
 func (g *gate) leave(now time.Time, took, waited time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.standsStill(now) {
+		g.resumed = now
+	}
+	g.ended = now
 	g.running--
-	g.n++
-	g.waited += waited
-	g.busy += max(0, took-waited)
-	g.adapt(now)
+	if begun := now.Add(-took); begun.After(g.resumed) {
+		g.n++
+		g.waited += waited
+		g.busy += max(0, took-waited)
+		g.adapt(now)
+	}
 	for len(g.queue) > 0 && g.running < int(g.limit) {
 		g.queue[0].turn <- true
 		g.queue = slices.Delete(g.queue, 0, 1)
@@ -179,7 +217,7 @@
 	if g.n < gateSamples || now.Sub(g.opened) < gateWindow {
 		return
 	}
-	g.rate = 0
+	g.rate, g.pace = 0, (g.waited+g.busy)/time.Duration(g.n)
 	if g.peak >= int(g.limit) {
 		g.rate = float64(g.n) / now.Sub(g.opened).Seconds()
 	}
--- /dev/null
+++ b/internal/search/silence_test.go
@@ -0,0 +1,92 @@
+package search
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/upstream"
+)
+
+// silence plays leaves whose connections pass nothing from its beginning on: calls in flight then are given up as
+// silent after a while, later ones go over new connections and are answered.
+type silence struct {
+	began atomic.Bool
+	// begin is closed with began set; over is closed where the silent connections are given up.
+	begin, over chan struct{}
+}
+
+func (s *silence) answer(ctx context.Context, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	if s.began.Load() {
+		return answerAfter(serviceTime)(ctx, req)
+	}
+	select {
+	case <-time.After(serviceTime):
+		return goodAnswer(req), nil
+	case <-s.begin:
+	}
+	select {
+	case <-s.over:
+		return nil, &upstream.CallError{Wrote: true, ConnectionSilent: true, Err: errLost}
+	case <-ctx.Done():
+		return nil, &upstream.CallError{Wrote: true, Err: ctx.Err()}
+	}
+}
+
+// TestSilentConnectionsAreNoLoad keeps a few callers asking while all connections of a gather to its leaves go silent
+// for as long as it takes to give them up. The slots that silent calls hold until then say nothing of what the leaves
+// can do, so that nobody is refused for load, whether the gather has all slots of the leaves or a third.
+func TestSilentConnectionsAreNoLoad(t *testing.T) {
+	for _, tt := range []struct{ callers, slots int }{
+		{2, 3}, {9, 3}, {10, 3}, {12, 3}, {2, 1}, {3, 1}, {4, 1}, {5, 1}, {6, 1},
+	} {
+		t.Run(fmt.Sprintf("%d callers, %d slots a leaf", tt.callers, tt.slots), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { goSilent(t, tt.callers, tt.slots, 700*time.Millisecond) })
+		})
+	}
+}
+
+// goSilent counts what callers without pause get before, during and after the silence.
+func goSilent(t *testing.T, callers, slots int, silent time.Duration) {
+	const limit = 2 * time.Second
+	is := is.New(t)
+	service, fleet := groups(2)
+	service.Kinds["dawn"].Weight, service.Kinds["claim"].Weight = 10, 2
+	service.Kinds["dawn"].Timeout, service.Kinds["claim"].Timeout = limit, limit
+	r := newRig("az-a", service, fleet, anywhere)
+	r.replicas.slots = slots
+	s := &silence{begin: make(chan struct{}), over: make(chan struct{})}
+	for _, l := range fleet.leaves {
+		l.answer = s.answer
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	var refused atomic.Int32
+	for i := range callers {
+		kind := []string{"claim", "claim", "dawn"}[i%3]
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if _, err := r.ask("r", kind, "q", limit); err != nil {
+					t.Logf("%s: %v", kind, err)
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	s.began.Store(true)
+	close(s.begin)
+	time.AfterFunc(silent, func() { close(s.over) })
+	time.Sleep(1500 * time.Millisecond)
+	cancel()
+	wg.Wait()
+	r.engine.Wait()
+	is.Equal(refused.Load(), int32(0))
+}
