Gate: a standstill is known before the first window, and ends one

The refusals now show their text (a settle that fails prints the first reply that it doesn't allow): 'too many searches run' of the gate, after 54 ms and after 7 ms. The silence begins right after the load, before a first window told how long searches take; and a window that spans it had a rate of next to nothing, by which hardly any search may wait. Change: the pace is that of the quickest search, of the first one until a window is full; a window ends with a standstill; as many as at the start are let in where the limit is lower. 50 ms are the least standstill.

--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -21,9 +21,11 @@
 	gateGrowth = 0.1
 	// gateLeast is the least limit.
 	gateLeast = 2
-	// standstillPaces is how many times the usual time of a search none may have ended for it to count as a
+	// standstillPaces is how many times the time of a quick search none may have ended for it to count as a
 	// standstill: queues and slow leaves make searches longer, but with several running some end all along.
+	// standstillLeast is the least such time; a leaf's pause or a turn of the processor that comes late is shorter.
 	standstillPaces = 4
+	standstillLeast = 50 * time.Millisecond
 )
 
 // gate bounds the searches of one service that run at once at this gather. A search needs a slot in
@@ -34,8 +36,8 @@
 // where it is full.
 //
 // Where no search ends any more, as while all connections to leaves have gone silent and aren't given up yet, the
-// slots that the running ones hold say nothing of the load. As many again are let in then, and what searches of
-// that time waited is left out of the window. It is safe for concurrent use.
+// slots that the running ones hold say nothing of the load. As many again are let in then, or as many as at the start
+// where that is more, and what searches of that time waited is left out of the window. It is safe for concurrent use.
 type gate struct {
 	mu sync.Mutex
 	// The rest is guarded by mu. limit bounds running; queue is in the order in which searches start.
@@ -52,10 +54,13 @@
 	// it, so that it tells nothing of what can be done; longest is how long one may wait, fixed.
 	rate    float64
 	longest time.Duration
-	// pace is the mean time of a search in the last window, 0 before its end. ended is when a search ended last, or
-	// began where none ran; resumed is when the last standstill was over.
-	pace           time.Duration
+	// pace is the shortest time of a search in the last window, of the first search before its end, and 0 before
+	// that; shortest is that of the window under way. ended is when a search ended last, or began where none ran;
+	// resumed is when the last standstill was over.
+	pace, shortest time.Duration
 	ended, resumed time.Time
+	// most is how many may run in a standstill where the limit is low, fixed.
+	most int
 }
 
 // place is a search in the queue.
@@ -66,7 +71,8 @@
 }
 
 func newGate(start int, longest time.Duration) *gate {
-	return &gate{limit: float64(max(gateLeast, start)), longest: longest}
+	most := max(gateLeast, start)
+	return &gate{limit: float64(most), longest: longest, most: most}
 }
 
 // leastSlots returns the slots of the group that has the fewest: what can't run at once in the fleet
@@ -174,13 +180,13 @@
 
 // standsStill tells whether searches run and none has ended for long. Requires mu.
 func (g *gate) standsStill(now time.Time) bool {
-	return g.running > 0 && g.pace > 0 && now.Sub(g.ended) >= max(g.longest, standstillPaces*g.pace)
+	return g.running > 0 && now.Sub(g.ended) >= max(g.longest, standstillLeast, standstillPaces*g.pace)
 }
 
-// startStanding lets a search in beyond the limit during a standstill; false where as many as the limit have been.
-// Requires mu.
+// startStanding lets a search in beyond the limit during a standstill; false where enough have been, or where no
+// search has ended so far, so that the leaves may be what doesn't work. Requires mu.
 func (g *gate) startStanding() bool {
-	if g.running >= 2*int(g.limit) || !g.standsStill(time.Now()) {
+	if g.pace == 0 || g.running >= max(g.most, 2*int(g.limit)) || !g.standsStill(time.Now()) {
 		return false
 	}
 	g.start()
@@ -191,15 +197,10 @@
 func (g *gate) leave(now time.Time, took, waited time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.standsStill(now) {
-		g.resumed = now
-	}
-	g.ended = now
+	g.noteEnd(time.Now())
 	g.running--
 	if begun := now.Add(-took); begun.After(g.resumed) {
-		g.n++
-		g.waited += waited
-		g.busy += max(0, took-waited)
+		g.count(took, waited)
 		g.adapt(now)
 	}
 	for len(g.queue) > 0 && g.running < int(g.limit) {
@@ -209,6 +210,28 @@
 	}
 }
 
+// noteEnd notes the end of a search, and of a standstill where it is the first after one. Requires mu.
+func (g *gate) noteEnd(now time.Time) {
+	if g.standsStill(now) {
+		g.resumed = now
+		g.open(now)
+	}
+	g.ended = now
+}
+
+// count takes a search into the window. Requires mu.
+func (g *gate) count(took, waited time.Duration) {
+	g.n++
+	g.waited += waited
+	g.busy += max(0, took-waited)
+	if g.shortest == 0 || took < g.shortest {
+		g.shortest = took
+	}
+	if g.pace == 0 {
+		g.pace = took
+	}
+}
+
 // adapt sets the limit at the end of a window. Requires mu.
 func (g *gate) adapt(now time.Time) {
 	if g.opened.IsZero() {
@@ -217,7 +240,7 @@
 	if g.n < gateSamples || now.Sub(g.opened) < gateWindow {
 		return
 	}
-	g.rate, g.pace = 0, (g.waited+g.busy)/time.Duration(g.n)
+	g.rate, g.pace = 0, g.shortest
 	if g.peak >= int(g.limit) {
 		g.rate = float64(g.n) / now.Sub(g.opened).Seconds()
 	}
@@ -227,5 +250,10 @@
 	case g.peak >= int(g.limit):
 		g.limit += max(1, g.limit*gateGrowth)
 	}
-	g.opened, g.n, g.waited, g.busy, g.peak = now, 0, 0, 0, g.running
+	g.open(now)
+}
+
+// open begins a window. Requires mu.
+func (g *gate) open(now time.Time) {
+	g.opened, g.n, g.waited, g.busy, g.peak, g.shortest = now, 0, 0, 0, g.running, 0
 }
--- a/internal/search/silence_test.go
+++ b/internal/search/silence_test.go
@@ -41,20 +41,22 @@
 }
 
 // TestSilentConnectionsAreNoLoad keeps a few callers asking while all connections of a gather to its leaves go silent
-// for as long as it takes to give them up. The slots that silent calls hold until then say nothing of what the leaves
+// for as long as it takes to give them up, at once or later. The slots that silent calls hold until then say nothing of what the leaves
 // can do, so that nobody is refused for load, whether the gather has all slots of the leaves or a third.
 func TestSilentConnectionsAreNoLoad(t *testing.T) {
 	for _, tt := range []struct{ callers, slots int }{
 		{2, 3}, {9, 3}, {10, 3}, {12, 3}, {2, 1}, {3, 1}, {4, 1}, {5, 1}, {6, 1},
 	} {
-		t.Run(fmt.Sprintf("%d callers, %d slots a leaf", tt.callers, tt.slots), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { goSilent(t, tt.callers, tt.slots, 700*time.Millisecond) })
-		})
+		for _, after := range []time.Duration{4 * time.Millisecond, 500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d callers, %d slots a leaf, after %s", tt.callers, tt.slots, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { goSilent(t, tt.callers, tt.slots, after, 700*time.Millisecond) })
+			})
+		}
 	}
 }
 
 // goSilent counts what callers without pause get before, during and after the silence.
-func goSilent(t *testing.T, callers, slots int, silent time.Duration) {
+func goSilent(t *testing.T, callers, slots int, after, silent time.Duration) {
 	const limit = 2 * time.Second
 	is := is.New(t)
 	service, fleet := groups(2)
@@ -76,11 +78,12 @@
 				if _, err := r.ask("r", kind, "q", limit); err != nil {
 					t.Logf("%s: %v", kind, err)
 					refused.Add(1)
+					time.Sleep(100 * time.Millisecond)
 				}
 			}
 		})
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(after)
 	s.began.Store(true)
 	close(s.begin)
 	time.AfterFunc(silent, func() { close(s.over) })
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -151,6 +151,8 @@
 	total    int
 	outcomes map[string]int
 	reasons  map[string]int
+	// first holds the first reply of each outcome.
+	first map[string]*reply
 	// refusedForLoad counts those not run because queue or gate was full.
 	refusedForLoad int
 	// untyped is the error of one reply without an outcome.
@@ -165,7 +167,7 @@
 }
 
 func tallyOf(replies []*reply) *tally {
-	t := &tally{total: len(replies), outcomes: make(map[string]int), reasons: make(map[string]int)}
+	t := &tally{total: len(replies), outcomes: make(map[string]int), reasons: make(map[string]int), first: make(map[string]*reply)}
 	for _, r := range replies {
 		name := "untyped"
 		if r.err != nil {
@@ -177,7 +179,9 @@
 				t.refusedForLoad++
 			}
 		}
-		t.outcomes[name]++
+		if t.outcomes[name]++; t.outcomes[name] == 1 {
+			t.first[name] = r
+		}
 		t.longest = max(t.longest, r.took)
 	}
 	return t
@@ -207,7 +211,7 @@
 			continue
 		}
 		if !slices.Contains(only, name) {
-			return fmt.Errorf("%d replies are %s: %s", n, name, t)
+			return fmt.Errorf("%d replies are %s: %s; the first: %s", n, name, t, t.first[name])
 		}
 	}
 	for _, name := range saw {
