Leafpool: a connection that ended unused isn't opened again ahead

Ruled out: connections of VMs that don't gather, kept for rare calls (none was opened), and tests of a configuration. Change: a connection that ended without a call isn't opened ahead again before the next call to that leaf, once the VM has seen any call. One that ended right after it was opened, as leaves at their limit do, waits a second for the next. Before: TestUnusedConnectionIsNotOpenedAgain and TestLeafAtItsLimitIsNotOpenedAheadAtOnce fail.

--- a/internal/leafpool/ahead.go
+++ b/internal/leafpool/ahead.go
@@ -39,7 +39,7 @@
 			go func() {
 				defer func() { <-slots }()
 				if c, err := p.dial(ctx, e); err == nil {
-					p.give(e, c, true)
+					p.give(e, c, true, false)
 				}
 			}()
 		}
@@ -65,10 +65,14 @@
 	for _, e := range p.leaves {
 		kept := e.idle[:0]
 		for _, c := range e.idle {
-			if c.Alive() && (p.ahead(e.leaf) || now.Sub(c.since) < farIdle) {
+			alive := c.Alive()
+			if alive && (p.ahead(e.leaf) || now.Sub(c.since) < farIdle) {
 				kept = append(kept, c)
 				continue
 			}
+			if !alive && !c.used {
+				p.endedUnused(e, now.Sub(c.since), now)
+			}
 			out = append(out, c)
 			e.open--
 		}
@@ -77,13 +81,25 @@
 	return out
 }
 
+// endedUnused notes that a connection ended that had been opened ahead and never used: soon after it was opened, as
+// a leaf at its limit ends it, or after the time that leaves keep idle ones. Each of 300 VMs that sees ten requests in
+// two minutes for as many leaves would open them all anew every ten seconds. Before its first call a VM can't know
+// which ones it needs. Requires mu.
+func (p *Pool) endedUnused(e *peer, age time.Duration, now time.Time) {
+	if age < refusedFor+openPeriod {
+		e.refusedAt = now
+		return
+	}
+	e.idled = p.called
+}
+
 // bare returns leaves without a connection, each counted as having one from now on.
 func (p *Pool) bare(now time.Time) []*peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*peer
 	for _, e := range p.leaves {
-		if e.open == 0 && !e.gone && p.ahead(e.leaf) && now.Sub(e.failedAt) >= retryDial && now.Sub(e.refusedAt) >= retryDial {
+		if e.open == 0 && !e.gone && !e.idled && p.ahead(e.leaf) && now.Sub(e.failedAt) >= retryDial && now.Sub(e.refusedAt) >= retryDial {
 			e.open++
 			out = append(out, e)
 		}
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -54,6 +54,8 @@
 	leaves map[catalog.LeafID]*peer
 	share  func(service string) Share
 	limits map[string]int
+	// called is set from the first call on, to whichever leaf.
+	called bool
 }
 
 // Share is this VM's part in the connections to the leaves of a service.
@@ -78,12 +80,15 @@
 	// failedAt is when a connection last could not be opened, refusedAt when a new one was reset.
 	failedAt, refusedAt time.Time
 	gone                bool
+	// idled is set where a connection ended without having carried a call, until the next call.
+	idled bool
 }
 
-// idleConn is a connection that waits for a call.
+// idleConn is a connection that waits for a call since a time; used is set where it has carried one.
 type idleConn struct {
 	leafcall.Conn
 	since time.Time
+	used  bool
 }
 
 type metrics struct {
@@ -191,7 +196,7 @@
 	if fresh && err != nil {
 		p.noteRefusal(e, err)
 	}
-	p.give(e, c, reusable && err == nil)
+	p.give(e, c, reusable && err == nil, true)
 	return resp, err
 }
 
@@ -214,6 +219,7 @@
 		p.mu.Unlock()
 		return nil, nil, false, &leafcall.Error{Cause: leafcall.NoConnection, Step: Step, Peer: id.String(), Err: errors.New("leaf is not known")}
 	}
+	p.called, e.idled = true, false
 	for len(e.idle) > 0 {
 		c := e.idle[len(e.idle)-1]
 		e.idle = e.idle[:len(e.idle)-1]
@@ -253,12 +259,12 @@
 	return nil, err
 }
 
-// give takes a connection back.
-func (p *Pool) give(e *peer, c leafcall.Conn, reusable bool) {
+// give takes a connection back, used where it has carried a call.
+func (p *Pool) give(e *peer, c leafcall.Conn, reusable, used bool) {
 	p.mu.Lock()
 	keep := reusable && !e.gone
 	if keep {
-		e.idle = append(e.idle, idleConn{c, time.Now()})
+		e.idle = append(e.idle, idleConn{c, time.Now(), used})
 	} else {
 		e.open--
 	}
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -155,7 +155,7 @@
 	is.True(errors.As(err, &full))
 	is.Equal(full.Cause, leafcall.ConnectionFull)
 	is.True(!full.Sent)
-	p.give(e, c, true)
+	p.give(e, c, true, true)
 	free, _ = p.Free(leafID("near"))
 	is.True(free)
 }
@@ -177,7 +177,7 @@
 			for _, e := range bare {
 				c, err := p.dial(t.Context(), e)
 				is.NoErr(err)
-				p.give(e, c, true)
+				p.give(e, c, true, false)
 			}
 			_, err := p.Do(t.Context(), leafID("far"), &leafcall.Request{})
 			is.NoErr(err)
@@ -189,6 +189,73 @@
 	}
 }
 
+// openAhead opens the connections that are due ahead, and returns how many.
+func openAhead(t *testing.T, p *Pool, now time.Time) int {
+	bare := p.bare(now)
+	for _, e := range bare {
+		c, err := p.dial(t.Context(), e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.give(e, c, true, false)
+	}
+	return len(bare)
+}
+
+// endAll lets the leaves end all connections.
+func (d *fakeDialer) endAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.alive = false
+	}
+}
+
+// Leaves end idle connections after some seconds. A VM that has seen calls opens anew those that carried one; before
+// its first call it keeps one to each leaf. The others wait for a call.
+func TestUnusedConnectionIsNotOpenedAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 6)
+	now := time.Now()
+	is.Equal(openAhead(t, p, now), 2)
+	d.endAll()
+	now = now.Add(10 * time.Second)
+	is.Equal(len(p.unused(now)), 2)
+	is.Equal(openAhead(t, p, now), 2) // no call so far
+
+	_, err := p.Do(t.Context(), leafID("near"), &leafcall.Request{})
+	is.NoErr(err)
+	d.endAll()
+	now = now.Add(10 * time.Second)
+	is.Equal(len(p.unused(now)), 2)
+	is.Equal(openAhead(t, p, now), 1)
+	is.Equal(d.count("far"), 2)
+
+	_, err = p.Do(t.Context(), leafID("far"), &leafcall.Request{})
+	is.NoErr(err)
+	d.endAll()
+	now = now.Add(10 * time.Second)
+	is.Equal(len(p.unused(now)), 2)
+	is.Equal(openAhead(t, p, now), 1) // far again, near was not used
+	is.Equal(d.count("far"), 4)
+}
+
+// A leaf at its limit ends a connection that was opened ahead, too: the next one is opened a second later, not at
+// the next look.
+func TestLeafAtItsLimitIsNotOpenedAheadAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 6)
+	now := time.Now()
+	is.Equal(openAhead(t, p, now), 2)
+	d.endAll()
+	now = now.Add(openPeriod)
+	is.Equal(len(p.unused(now)), 2)
+	is.Equal(openAhead(t, p, now), 0)
+	is.Equal(openAhead(t, p, now.Add(retryDial)), 2)
+}
+
 // A leaf at its limit resets what is new: it is left alone for a moment, so that calls go elsewhere
 // without being sent.
 func TestLeafAtItsLimit(t *testing.T) {
@@ -234,7 +301,7 @@
 	p.SetLeaves(nil, nil, evenly(6))
 	is.True(d.conns[0].closed)
 	is.Equal(len(p.leaves), 1) // a call is in flight at the other
-	p.give(e, c, true)
+	p.give(e, c, true, true)
 	is.True(d.conns[1].closed)
 	is.Equal(len(p.leaves), 0)
 }
@@ -270,7 +337,7 @@
 			_, err = p.Do(t.Context(), again.ID, &leafcall.Request{})
 			is.NoErr(err)
 			is.Equal(len(d.conns), 3)
-			p.give(e, used, true)
+			p.give(e, used, true, true)
 			is.True(d.conns[0].closed)
 			is.Equal(p.leaves[again.ID].open, 1)
 			is.Equal(len(p.leaves), 1)
