Leafpool: VMs that started together open their connections one after the other

New ones hold a slot, and a leaf whose queue is long takes fewer than its limit. Ruled out: the sum over the fleet (at most 1,180 of 1,800), shards (none of their connections was reset), rare calls. Before: TestConnectionsOfALargeFleetAreSpread fails (300 in a quarter of a second). After: passes.

--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// is left of its limit has to do for all of them: taken by the first to start, the others find no leaf.
 	youngFor  = 6 * time.Second
 	youngMost = 1
+	// openEvery is the pace at which a leaf gets the connections that VMs open once they aren't young any more. Each
+	// holds a slot for 1 to 6 ms; of 300 that come at once a leaf with a full queue resets a quarter.
+	openEvery = 6 * time.Millisecond
 	// rareMost is how many connections a VM may have to a leaf that it calls in exceptional cases only.
 	rareMost = 1
 	// dialTimeout bounds opening a connection. A round trip takes milliseconds, a VM that has used up its quota
@@ -46,8 +50,10 @@
 	dialer  leafcall.Dialer
 	zone    string
 	metrics *metrics
-	// started is when the pool was made, at the start of the process.
+	// started is when the pool was made, at the start of the process; turn is the part of the VMs whose turn to open
+	// more connections comes before this one's, by chance.
 	started time.Time
+	turn    float64
 
 	mu sync.Mutex
 	// What follows is guarded by mu.
@@ -105,7 +111,7 @@
 		open: prometheus.NewGauge(prometheus.GaugeOpts{Name: "burdock_leaf_connections", Help: "Open connections to leaves."}),
 	}
 	reg.MustRegister(m.opened, m.open)
-	return &Pool{dialer: d, zone: zone, metrics: m, started: time.Now(), leaves: make(map[catalog.LeafID]*peer), limits: make(map[string]int),
+	return &Pool{dialer: d, zone: zone, metrics: m, started: time.Now(), turn: rand.Float64(), leaves: make(map[catalog.LeafID]*peer), limits: make(map[string]int),
 		share: func(string) Share { return Share{VMs: 1} }}
 }
 
@@ -157,6 +163,12 @@
 	}
 }
 
+// youngFor is how long this VM is young for the leaves of a service that so many VMs call. VMs that started together
+// open their connections one after the other then.
+func (p *Pool) youngFor(vms int) time.Duration {
+	return youngFor + time.Duration(p.turn*float64(vms)*float64(openEvery))
+}
+
 // most is how many connections this VM may have to the leaf. Requires mu.
 func (p *Pool) most(l catalog.Leaf) int {
 	share := p.share(l.Service)
@@ -166,7 +178,7 @@
 		return rareMost
 	case limit <= 0:
 		return mostPerLeaf
-	case time.Since(p.started) < youngFor:
+	case time.Since(p.started) < p.youngFor(share.VMs):
 		return youngMost
 	}
 	return min(max(1, int(float64(limit)*limitUsed)/max(share.VMs, 1)), mostPerLeaf)
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -105,7 +106,7 @@
 // newPool has both leaves, of which a fleet of the size shares 30 connections each.
 func newPool(d *fakeDialer, vms int) *Pool {
 	p := New(d, "z", prometheus.NewRegistry())
-	p.started = p.started.Add(-youngFor) // as after the first seconds
+	p.started, p.turn = p.started.Add(-youngFor), 0 // as after the first seconds
 	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, evenly(vms))
 	return p
 }
@@ -256,6 +257,31 @@
 	is.Equal(openAhead(t, p, now.Add(retryDial)), 2)
 }
 
+// VMs that started together and are young no more don't open their connections to the leaves of other zones at once.
+func TestConnectionsOfALargeFleetAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const vms = 300
+		var fleet []*Pool
+		for range vms {
+			p := New(newDialer(), "z", prometheus.NewRegistry())
+			p.SetLeaves([]catalog.Leaf{farLeaf}, map[string]int{"x": 1800}, evenly(vms))
+			fleet = append(fleet, p)
+		}
+		opened, most := 0, 0
+		for range int((youngFor+vms*openEvery)/openPeriod) + 1 {
+			time.Sleep(openPeriod)
+			now := 0
+			for _, p := range fleet {
+				now += openAhead(t, p, time.Now())
+			}
+			opened, most = opened+now, max(most, now)
+		}
+		is.Equal(opened, vms)
+		is.True(most < 2*int(openPeriod/openEvery)) // of 42 in a period
+	})
+}
+
 // A leaf at its limit resets what is new: it is left alone for a moment, so that calls go elsewhere
 // without being sent.
 func TestLeafAtItsLimit(t *testing.T) {
