--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -21,11 +21,6 @@
 	gateGrowth = 0.1
 	// gateLeast is the least limit.
 	gateLeast = 2
-	// standstillPaces is how many times the time of a quick search none may have ended for it to count as a
-	// standstill: queues and slow leaves make searches longer, but with several running some end all along.
-	// standstillLeast is the least such time; a leaf's pause or a turn of the processor that comes late is shorter.
-	standstillPaces = 4
-	standstillLeast = 50 * time.Millisecond
 )
 
 // gate bounds the searches of one service that run at once at this gather. A search needs a slot in
@@ -178,21 +173,6 @@
 	g.peak = max(g.peak, g.running)
 }
 
-// standsStill tells whether searches run and none has ended for long. Requires mu.
-func (g *gate) standsStill(now time.Time) bool {
-	return g.running > 0 && now.Sub(g.ended) >= max(g.longest, standstillLeast, standstillPaces*g.pace)
-}
-
-// startStanding lets a search in beyond the limit during a standstill; false where enough have been, or where no
-// search has ended so far, so that the leaves may be what doesn't work. Requires mu.
-func (g *gate) startStanding() bool {
-	if g.pace == 0 || g.running >= max(g.most, 2*int(g.limit)) || !g.standsStill(time.Now()) {
-		return false
-	}
-	g.start()
-	return true
-}
-
 // leave ends a search that waited for slots for a part of the time it took.
 func (g *gate) leave(now time.Time, took, waited time.Duration) {
 	g.mu.Lock()
@@ -210,15 +190,6 @@
 	}
 }
 
-// noteEnd notes the end of a search, and of a standstill where it is the first after one. Requires mu.
-func (g *gate) noteEnd(now time.Time) {
-	if g.standsStill(now) {
-		g.resumed = now
-		g.open(now)
-	}
-	g.ended = now
-}
-
 // count takes a search into the window. Requires mu.
 func (g *gate) count(took, waited time.Duration) {
 	g.n++
