Leafpool: a connection that ended right after it was opened ahead keeps no call from its leaf

Cause: such an end counted as a refusal, for which calls, too, avoid the leaf for 300 ms; where connections are reset by other causes that takes a leaf away from those who wait.

--- a/internal/leafpool/ahead.go
+++ b/internal/leafpool/ahead.go
@@ -87,7 +87,7 @@
 // which ones it needs. Requires mu.
 func (p *Pool) endedUnused(e *peer, age time.Duration, now time.Time) {
 	if age < refusedFor+openPeriod {
-		e.refusedAt = now
+		e.failedAt = now
 		return
 	}
 	e.idled = p.called
