--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -269,7 +269,7 @@
 			fleet = append(fleet, p)
 		}
 		opened, most := 0, 0
-		for range int((youngFor+vms*openEvery)/openPeriod) + 1 {
+		for range int((youngFor+vms*openSpacing)/openPeriod) + 1 {
 			time.Sleep(openPeriod)
 			now := 0
 			for _, p := range fleet {
@@ -278,7 +278,7 @@
 			opened, most = opened+now, max(most, now)
 		}
 		is.Equal(opened, vms)
-		is.True(most < 2*int(openPeriod/openEvery)) // of 42 in a period
+		is.True(most < 2*int(openPeriod/openSpacing)) // of 42 in a period
 	})
 }
 
--- a/internal/leafpool/share.go
+++ b/internal/leafpool/share.go
@@ -18,9 +18,9 @@
 	// is left of its limit has to do for all of them: taken by the first to start, the others find no leaf.
 	youngFor  = 6 * time.Second
 	youngMost = 1
-	// openEvery is the pace at which a leaf gets the connections that VMs open once they aren't young any more. Each
+	// openSpacing is the pace at which a leaf gets the connections that VMs open once they aren't young any more. Each
 	// holds a slot for 1 to 6 ms; of 300 that come at once a leaf with a full queue resets a quarter.
-	openEvery = 6 * time.Millisecond
+	openSpacing = 6 * time.Millisecond
 	// rareMost is how many connections a VM may have to a leaf that it calls in exceptional cases only.
 	rareMost = 1
 )
@@ -39,7 +39,7 @@
 // youngTime is how long this VM is young for the leaves of a service that so many VMs call. VMs that started together
 // open their connections one after the other then.
 func (p *Pool) youngTime(vms int) time.Duration {
-	return youngFor + time.Duration(p.turn*float64(vms)*float64(openEvery))
+	return youngFor + time.Duration(p.turn*float64(vms)*float64(openSpacing))
 }
 
 // most is how many connections this VM may have to the leaf. Requires mu.
