--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -56,7 +56,8 @@
 	idle    []idleConn
 	// open counts all connections, those in use and being opened included.
 	open int
-	// failedAt is when a connection last could not be opened, refusedAt when a new one was reset.
+	// failedAt is when a connection last could not be opened, or ended right after it was opened ahead; refusedAt is
+	// when a new one was reset under a call.
 	failedAt, refusedAt time.Time
 	gone                bool
 	// idled is set where a connection ended without having carried a call, until the next call.
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -175,11 +175,7 @@
 			bare := p.bare(now)
 			is.Equal(len(bare), 1+tt.far)
 			is.Equal(len(p.bare(now)), 0) // they are being opened
-			for _, e := range bare {
-				c, err := p.dial(t.Context(), e)
-				is.NoErr(err)
-				p.give(e, c, true, false)
-			}
+			openEach(t, p, bare)
 			_, err := p.Do(t.Context(), leafID("far"), &leafcall.Request{})
 			is.NoErr(err)
 			is.Equal(len(p.unused(time.Now())), 0)
@@ -193,6 +189,13 @@
 // openAhead opens the connections that are due ahead, and returns how many.
 func openAhead(t *testing.T, p *Pool, now time.Time) int {
 	bare := p.bare(now)
+	openEach(t, p, bare)
+	return len(bare)
+}
+
+// openEach opens a connection to each of the leaves that bare returned.
+func openEach(t *testing.T, p *Pool, bare []*peer) {
+	t.Helper()
 	for _, e := range bare {
 		c, err := p.dial(t.Context(), e)
 		if err != nil {
@@ -200,7 +203,6 @@
 		}
 		p.give(e, c, true, false)
 	}
-	return len(bare)
 }
 
 // endAll lets the leaves end all connections.
--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -116,10 +116,11 @@
 		g.start()
 		return nil, true
 	}
-	if len(g.queue) >= g.room(patience) && g.startStanding() {
+	full := len(g.queue) >= g.room(patience)
+	if full && g.startStanding() {
 		return nil, true
 	}
-	if len(g.queue) >= g.room(patience) && !g.displace(weight) {
+	if full && !g.displace(weight) {
 		return nil, false
 	}
 	p := &place{weight: weight, turn: make(chan bool, 1)}
@@ -177,7 +178,7 @@
 func (g *gate) leave(now time.Time, took, waited time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.noteEnd(time.Now())
+	g.noteEnd(time.Now()) // by the clock that start and startStanding go by
 	g.running--
 	if begun := now.Add(-took); begun.After(g.resumed) {
 		g.count(took, waited)
--- a/internal/search/silence_test.go
+++ b/internal/search/silence_test.go
@@ -41,8 +41,9 @@
 }
 
 // TestSilentConnectionsAreNoLoad keeps a few callers asking while all connections of a gather to its leaves go silent
-// for as long as it takes to give them up, at once or later. The slots that silent calls hold until then say nothing of what the leaves
-// can do, so that nobody is refused for load, whether the gather has all slots of the leaves or a third.
+// for as long as it takes to give them up, at once or later. The slots that silent calls hold until then say nothing
+// of what the leaves can do, so that nobody is refused for load, whether the gather has all slots of the leaves or a
+// third.
 func TestSilentConnectionsAreNoLoad(t *testing.T) {
 	for _, tt := range []struct{ callers, slots int }{
 		{2, 3}, {9, 3}, {10, 3}, {12, 3}, {2, 1}, {3, 1}, {4, 1}, {5, 1}, {6, 1},
