Calls to leaves: the leaf refuses one that comes long after the gather's check of its view

Change: the one who executes judges. A status answer carries the leaf's uptime; each call names the uptime by which it must arrive, 500 ms after the gather's check, which is the shortest freeze that counts as a pause; the leaf refuses a later one as TOO_LATE, whatever held it up. The call is then made again after a new check. For a leaf without an uptime an answer counts only if the process was not paused since the check. Orders carry the same limit.

--- a/cmd/burdock-gather/daemon.go
+++ b/cmd/burdock-gather/daemon.go
@@ -30,7 +30,7 @@
 	// The process counts as paused if a tick arrives later than expected by more than
 	// pauseThreshold.
 	pauseTick      = 50 * time.Millisecond
-	pauseThreshold = 500 * time.Millisecond
+	pauseThreshold = feed.MaxSendDelay
 )
 
 // incarnation identifies this start of the process.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -31,6 +31,10 @@
 	PlatformAge time.Duration
 }
 
+// MaxSendDelay is how long after the last check of its view a process may still send work by it. A
+// longer delay counts as a pause of the process, so that leaves refuse work that arrives later.
+const MaxSendDelay = 500 * time.Millisecond
+
 // NeverReached is the PlatformAge if no known VM has ever reached the platform.
 const NeverReached time.Duration = -1
 
--- a/internal/order/attempt.go
+++ b/internal/order/attempt.go
@@ -52,11 +52,12 @@
 			call.Done(balance.ResultCancelled)
 			return stop
 		}
+		decided := a.m.now()
 		if !a.m.source.FreshSince(a.placement.plannedAt) {
 			call.Done(balance.ResultCancelled)
 			return a.finalRecord(a.m.staleViewError())
 		}
-		resp, err := a.execute(ctx, call)
+		resp, err := a.execute(ctx, call, decided)
 		if err == nil {
 			return a.answerRecord(call, resp)
 		}
@@ -66,6 +67,9 @@
 			return a.finalRecord(unansweredError(a.answerCtx, call.Leaf(), err))
 		}
 		call.Done(balanceResult(ctx, ce))
+		if ce.TooLate() {
+			continue // the leaf may take the order after a new check
+		}
 		a.notStarted = append(a.notStarted, call.Leaf())
 		if lastErr = notStartedError(ce); lastErr.RetryAfter == 0 {
 			lastErr = lastErr.WithRetryAfter(a.m.cfg.RetryAfter)
@@ -76,13 +80,14 @@
 	}
 }
 
-// execute sends the order to the leaf. The leaf has until the deadline of ctx to work on it. The
+// execute sends the order to the leaf, which refuses it if it arrives too long after the gather
+// decided on it, as when the gather was paused before it sent the order. The leaf has until the deadline of ctx to work on it. The
 // answer is awaited until answerCtx ends, but the call stops counting as load of the leaf at the
 // end of ctx.
-func (a *attempt) execute(ctx context.Context, call balance.Call) (*pb.LeafExecuteResponse, error) {
+func (a *attempt) execute(ctx context.Context, call balance.Call, decided time.Time) (*pb.LeafExecuteResponse, error) {
 	stopTimeout := context.AfterFunc(ctx, func() { call.Done(balance.ResultTimeout) })
 	defer stopTimeout()
-	answerCtx := a.answerCtx
+	answerCtx := upstream.WithDecisionTime(a.answerCtx, decided)
 	if deadline, ok := ctx.Deadline(); ok {
 		answerCtx = upstream.WithWorkDeadline(answerCtx, deadline)
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -94,6 +94,7 @@
 func TestHowCallsToLeavesEnd(t *testing.T) {
 	shed := fault{refusal: pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED}
 	draining := fault{refusal: pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING}
+	late := fault{refusal: pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE}
 	cases := []struct {
 		name   string
 		faults []fault
@@ -107,6 +108,7 @@
 		{name: "not written anywhere", faults: []fault{{notWritten: true}, {notWritten: true}}, want: "not_run no_upstream"},
 		{name: "refused everywhere", faults: []fault{{notWritten: true}, draining}, want: "not_run upstream_refused"},
 		{name: "shed without a retry budget", faults: []fault{shed}, want: "not_run upstream_refused"},
+		{name: "too late everywhere, after a new check", faults: []fault{late, late, late}, want: "answered", runs: 1},
 		{name: "written and broken", faults: []fault{{broken: true}}, want: "unknown upstream_error", runs: 1},
 		{name: "written, answer lost", faults: []fault{{dropResponse: true}}, want: "unknown deadline", runs: 1},
 		{name: "written, never ran", faults: []fault{{dropRequest: true}}, want: "unknown deadline"},
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -81,17 +81,15 @@
 	}
 }
 
-// errStale is the error of a call that was not sent because the process may have been paused since the search was
-// planned, or no longer has a fresh view of the fleet.
-var errStale = errors.New("process paused or no fresh view of the fleet since the search was planned")
-
 // send makes the call unless the process may have been paused since the search was planned or has no fresh view.
-// Leaves, snapshots and callers may have changed meanwhile.
+// Leaves, snapshots and callers may have changed meanwhile. The process may also be paused after the check and send the
+// call when it resumes: the leaf refuses a call that arrives too long after the time of the check.
 func (r *run) send(ctx context.Context, leaf string, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	decided := time.Now()
 	if !r.e.source.FreshSince(r.q.plannedAt) {
-		return nil, &upstream.CallError{Leaf: leaf, Err: errStale}
+		return nil, &upstream.CallError{Leaf: leaf, Err: upstream.ErrStale}
 	}
-	return r.e.caller.Search(ctx, leaf, req)
+	return r.e.caller.Search(upstream.WithDecisionTime(ctx, decided), leaf, req)
 }
 
 // evaluate turns the end of a call into a callResult. An answer counts only if it matches its request.
--- a/internal/search/coverage_test.go
+++ b/internal/search/coverage_test.go
@@ -41,6 +41,7 @@
 	corrupt(func(a *pb.LeafSearchResponse) { a.Snapshot++ }),
 	corrupt(func(a *pb.LeafSearchResponse) { a.RequestId += "x" }),
 	corrupt(func(a *pb.LeafSearchResponse) { a.QueryDigest++ }),
+	refuseWith(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE),
 }
 
 // ignoreCancellation answers late, whether or not its call is cancelled.
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -60,7 +60,7 @@
 		return stepGiveUp // the group is overloaded
 	case !s.mayCallMore:
 		return stepPark
-	case f == failSilent && s.untried == 0 && s.usable > 0:
+	case (f == failSilent || f == failTooLate) && s.untried == 0 && s.usable > 0:
 		return stepRetryAnyReplica
 	case s.untried == 0:
 		return stepGiveUp
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -24,6 +24,8 @@
 	// failStale means that the call was not sent because the process was paused, or has received no updates, since the
 	// search was planned.
 	failStale
+	// failTooLate means that the call arrived at the leaf too long after the gather decided on it, and was not started.
+	failTooLate
 	// failShed means that the leaf refused for load.
 	failShed
 	// failDraining means that the leaf is leaving.
@@ -51,6 +53,7 @@
 	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE: failSnapshotGone,
 	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD:   failWrongShard,
 	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE:      failDeadline,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE:      failTooLate,
 }
 
 // classify returns the failure for the error of a call. ctx is the context of the call.
@@ -63,8 +66,10 @@
 		return f
 	}
 	switch {
-	case errors.Is(ce.Err, errStale):
+	case errors.Is(ce.Err, upstream.ErrStale):
 		return failStale
+	case ce.TooLate():
+		return failTooLate
 	case ce.ConnectionSilent:
 		return failSilent
 	case ce.ConnectionLost && ctx.Err() == nil:
@@ -90,8 +95,8 @@
 	result balance.Result
 	// retryable is true if another replica may be called.
 	retryable bool
-	// unbudgeted is true if the call, as far as can be known, cost no upstream anything: it was not sent, or went into a
-	// silent connection. Its retry needs no budget. The first retries of a shard after lost connections need none either:
+	// unbudgeted is true if the call, as far as can be known, cost no upstream anything: it was not sent, came too late to
+	// be started, or went into a silent connection. Its retry needs no budget. The first retries of a shard after lost connections need none either:
 	// only the calls in flight at one moment are lost that way, and the leaf that worked on them is gone.
 	unbudgeted bool
 	// survived is true if the leaf certainly ran the request without crashing.
@@ -103,6 +108,7 @@
 	failLost:         {name: "lost", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultError, retryable: true},
 	failSilent:       {name: "silent", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultNeutral, retryable: true, unbudgeted: true},
 	failStale:        {name: "stale", reason: pb.Reason_REASON_PAUSED, result: balance.ResultNeutral},
+	failTooLate:      {name: "too_late", reason: pb.Reason_REASON_UNREACHABLE, result: balance.ResultNeutral, retryable: true, unbudgeted: true},
 	failShed:         {name: "shed", reason: pb.Reason_REASON_OVERLOAD, result: balance.ResultShed, retryable: true},
 	failDraining:     {name: "draining", reason: pb.Reason_REASON_DRAINING, result: balance.ResultNeutral, retryable: true},
 	failSnapshotGone: {name: "snapshot_gone", reason: pb.Reason_REASON_NO_SNAPSHOT, result: balance.ResultNeutral, retryable: true},
--- a/internal/search/search_test.go
+++ b/internal/search/search_test.go
@@ -62,6 +62,7 @@
 		"group errs":                           {fault: wholeGroup(lost), missing: pb.Reason_REASON_UPSTREAM_ERROR, elapsed: serviceTime, calls: 5},
 		"replica sheds":                        {fault: firstReplica(refuseWith(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)), elapsed: serviceTime, calls: 4},
 		"group sheds, called twice only":       {fault: wholeGroup(refuseWith(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SHED)), missing: pb.Reason_REASON_OVERLOAD, elapsed: serviceTime, calls: 4},
+		"call comes too late at a replica":     {fault: firstReplica(refuseWith(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE)), elapsed: serviceTime, calls: 4},
 		"replica drains":                       {fault: firstReplica(refuseWith(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DRAINING)), elapsed: serviceTime, calls: 4},
 		"replica has another shard":            {fault: firstReplica(corrupt(func(a *pb.LeafSearchResponse) { a.Shard++ })), elapsed: serviceTime, calls: 4},
 		"replica has another snapshot":         {fault: firstReplica(corrupt(func(a *pb.LeafSearchResponse) { a.Snapshot++ })), elapsed: serviceTime, calls: 4},
--- a/internal/standin/leaf/journal.go
+++ b/internal/standin/leaf/journal.go
@@ -80,6 +80,7 @@
 	SnapshotGone uint64 `json:"snapshot_gone"`
 	WrongShard   uint64 `json:"wrong_shard"`
 	Deadline     uint64 `json:"deadline"`
+	TooLate      uint64 `json:"too_late"`
 }
 
 // Counts are counts since the start or the last DELETE /log.
@@ -220,6 +221,8 @@
 		r.WrongShard++
 	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE:
 		r.Deadline++
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE:
+		r.TooLate++
 	}
 }
 
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -179,6 +179,13 @@
 	return l.instance
 }
 
+// uptime returns how long the present incarnation has run at a time.
+func (l *Leaf) uptime(at time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return at.Sub(l.started)
+}
+
 // Snapshots returns the index versions that the leaf has.
 func (l *Leaf) Snapshots() []uint64 {
 	l.mu.Lock()
--- a/internal/standin/leaf/service.go
+++ b/internal/standin/leaf/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 )
@@ -19,6 +20,7 @@
 	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE: connect.CodeFailedPrecondition,
 	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD:   connect.CodeInvalidArgument,
 	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_DEADLINE:      connect.CodeDeadlineExceeded,
+	pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE:      connect.CodeFailedPrecondition,
 }
 
 // refuse counts a refusal and returns the error for a call that did not start.
@@ -49,6 +51,9 @@
 	if f.Stall {
 		return nil, l.stallSearch(ctx, req, now)
 	}
+	if l.isTooLate(req.GetArriveBy(), now) {
+		return nil, l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE)
+	}
 	if err := l.refuseSearch(req, from, &f); err != nil {
 		return nil, err
 	}
@@ -94,6 +99,11 @@
 	return nil
 }
 
+// isTooLate reports whether a call that arrived now came after its limit, an uptime. Nil is no limit.
+func (l *Leaf) isTooLate(arriveBy *durationpb.Duration, now time.Time) bool {
+	return arriveBy != nil && l.uptime(now) > arriveBy.AsDuration()
+}
+
 // acquireSlot waits for a slot. A call that finds the queue full or whose context ends first is refused,
 // since it has not started.
 func (l *Leaf) acquireSlot(ctx context.Context) error {
@@ -143,13 +153,16 @@
 
 // Execute implements LeafService. It does not deduplicate: each call that starts has an effect.
 func (l *Leaf) Execute(ctx context.Context, req *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
-	from := callerIP(ctx)
-	l.journal.arrived(req.GetRequestId(), from, time.Now())
+	now, from := time.Now(), callerIP(ctx)
+	l.journal.arrived(req.GetRequestId(), from, now)
 	f := l.Faults()
 	if f.Stall {
 		<-ctx.Done()
 		return nil, contextError(ctx.Err())
 	}
+	if l.isTooLate(req.GetArriveBy(), now) {
+		return nil, l.refuse(pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE)
+	}
 	if err := l.refuseOrder(req, from, &f); err != nil {
 		return nil, err
 	}
@@ -197,7 +210,7 @@
 	return &pb.LeafStatusResponse{
 		Leaf: l.settings.ID, Incarnation: l.incarnation(), Service: l.settings.Service,
 		Draining: l.reportsDrainTo(callerIP(ctx), &f), Slots: uint32(l.settings.Slots), ConnectionLimit: uint32(l.settings.Connections),
-		Snapshots: l.Snapshots(), Load: l.load(&f),
+		Snapshots: l.Snapshots(), Load: l.load(&f), Uptime: durationpb.New(l.uptime(time.Now())),
 	}, nil
 }
 
--- a/internal/standin/leaf/service_test.go
+++ b/internal/standin/leaf/service_test.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/settings"
@@ -92,6 +93,7 @@
 		{"snapshot refused", Faults{RefuseSnapshot: true}, nil, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE, connect.CodeFailedPrecondition},
 		{"snapshot not held", Faults{}, func(r *pb.LeafSearchRequest) { r.Snapshot = 2 }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE, connect.CodeFailedPrecondition},
 		{"shard not held", Faults{}, func(r *pb.LeafSearchRequest) { r.Shard = 1 }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD, connect.CodeInvalidArgument},
+		{"too late", Faults{}, func(r *pb.LeafSearchRequest) { r.ArriveBy = durationpb.New(-time.Nanosecond) }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE, connect.CodeFailedPrecondition},
 		{"another service", Faults{}, func(r *pb.LeafSearchRequest) { r.Service = "clips" }, pb.LeafRefusalReason_LEAF_REFUSAL_REASON_WRONG_SHARD, connect.CodeInvalidArgument},
 	}
 	for _, c := range cases {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/feed"
 )
 
 // maxOrderConns bounds how many connections are tried for one order.
@@ -26,15 +29,41 @@
 		return nil, err
 	}
 	defer l.release(c)
+	decided := decisionTime(ctx)
+	if tooLate(decided) {
+		return nil, l.notSentError(methodSearch, errTooLate)
+	}
+	arriveBy := l.arriveBy(c, decided)
 	xctx, x := withExchange(ctx, c)
-	res, rerr := l.client.Search(xctx, req)
+	res, rerr := l.client.Search(xctx, searchArrivingBy(req, arriveBy))
 	if rerr != nil {
 		return nil, l.callError(ctx, x, methodSearch, rerr)
 	}
+	if arriveBy == nil && !decided.IsZero() && !p.source.FreshSince(decided) {
+		// The leaf does not check when calls arrive: this one may have been sent after a pause.
+		return nil, &CallError{Leaf: id, Incarnation: l.state().Incarnation, Wrote: true, Err: ErrStale}
+	}
 	p.metrics.countCall(l.service, methodSearch, resultOK)
 	return res, nil
 }
 
+// errTooLate is the cause of a call that is not sent because it would arrive too long after the
+// sender's decision.
+var errTooLate = errors.New("too long since the call was decided on")
+
+// tooLate reports whether a call that was decided on at the given time may no longer be sent.
+func tooLate(decided time.Time) bool {
+	return !decided.IsZero() && time.Since(decided) > feed.MaxSendDelay
+}
+
+// searchArrivingBy returns a copy of the request with the limit, as several calls share a request.
+func searchArrivingBy(req *pb.LeafSearchRequest, limit *durationpb.Duration) *pb.LeafSearchRequest {
+	return &pb.LeafSearchRequest{
+		RequestId: req.GetRequestId(), Service: req.GetService(), Shard: req.GetShard(),
+		Snapshot: req.GetSnapshot(), Query: req.GetQuery(), TopK: req.GetTopK(), ArriveBy: limit,
+	}
+}
+
 // Execute implements Caller. A connection that was not heard from within maxUnverifiedAge is pinged
 // first. An order is thus rarely written to a silent connection, which would leave its outcome
 // unknown.
@@ -45,6 +74,12 @@
 		return nil, err
 	}
 	defer l.releaseOrder(c)
+	decided := decisionTime(ctx)
+	if tooLate(decided) {
+		return nil, l.notSentError(methodExecute, errTooLate)
+	}
+	req = proto.CloneOf(req)
+	req.ArriveBy = l.arriveBy(c, decided)
 	xctx, x := withExchange(ctx, c)
 	x.order, x.deadline = true, deadline
 	res, rerr := l.client.Execute(xctx, req)
@@ -63,8 +98,7 @@
 	}
 	c, err := l.acquireWait(ctx)
 	if err != nil {
-		p.metrics.countCall(l.service, method, resultNotSent)
-		return nil, nil, &CallError{Leaf: id, Incarnation: l.state().Incarnation, Err: err}
+		return nil, nil, l.notSentError(method, err)
 	}
 	return l, c, nil
 }
@@ -96,6 +130,12 @@
 	return nil, nil, &CallError{Leaf: id, Err: errNoConnection}
 }
 
+// notSentError returns the error of a call of which nothing was sent.
+func (l *leaf) notSentError(method string, err error) *CallError {
+	l.pool.metrics.countCall(l.service, method, resultNotSent)
+	return &CallError{Leaf: l.id, Incarnation: l.state().Incarnation, Err: err}
+}
+
 // callError turns the failure of a call into a *CallError, and applies what it shows about the
 // leaf.
 func (l *leaf) callError(ctx context.Context, x *exchange, method string, err error) *CallError {
--- a/internal/upstream/fake_test.go
+++ b/internal/upstream/fake_test.go
@@ -38,6 +38,8 @@
 	executions  atomic.Int64
 	// answer makes a search or order wait or fail; nil answers at once.
 	answer atomic.Pointer[func(context.Context) error]
+	// arrivals is set if the leaf reports its uptime and checks when calls arrive.
+	arrivals atomic.Pointer[arrivals]
 
 	mu sync.Mutex
 	// pipes are the leaf's ends of its open connections, maxOpen their highest number; guarded by mu.
@@ -203,6 +205,11 @@
 }
 
 func (f *fakeLeaf) Search(ctx context.Context, r *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	if a := f.arrivals.Load(); a != nil {
+		if err := a.arrive(r.GetRequestId(), r.GetArriveBy(), f.incarnation.Load()); err != nil {
+			return nil, err
+		}
+	}
 	if err := f.wait(ctx); err != nil {
 		return nil, err
 	}
@@ -210,6 +217,11 @@
 }
 
 func (f *fakeLeaf) Execute(ctx context.Context, r *pb.LeafExecuteRequest) (*pb.LeafExecuteResponse, error) {
+	if a := f.arrivals.Load(); a != nil {
+		if err := a.arrive(r.GetRequestId(), r.GetArriveBy(), f.incarnation.Load()); err != nil {
+			return nil, err
+		}
+	}
 	f.executions.Add(1)
 	if err := f.wait(ctx); err != nil {
 		return nil, err
@@ -218,10 +230,14 @@
 }
 
 func (f *fakeLeaf) Status(context.Context, *pb.LeafStatusRequest) (*pb.LeafStatusResponse, error) {
-	return &pb.LeafStatusResponse{
+	st := &pb.LeafStatusResponse{
 		Leaf: testLeaf, Incarnation: f.incarnation.Load(), Draining: f.draining.Load(),
 		Slots: 3, Snapshots: []uint64{7},
-	}, nil
+	}
+	if a := f.arrivals.Load(); a != nil {
+		st.Uptime = a.readUptime()
+	}
+	return st, nil
 }
 
 func (f *fakeLeaf) setAnswer(a func(context.Context) error) { f.answer.Store(&a) }
@@ -243,6 +259,8 @@
 	view       *feed.View
 	changed    chan struct{}
 	departures []*pb.Departure
+	// stale makes FreshSince return false.
+	stale atomic.Bool
 }
 
 func (f *fakeFeed) Current() *feed.View {
@@ -258,7 +276,7 @@
 }
 
 func (f *fakeFeed) Fresh() bool               { return true }
-func (f *fakeFeed) FreshSince(time.Time) bool { return true }
+func (f *fakeFeed) FreshSince(time.Time) bool { return !f.stale.Load() }
 
 func (f *fakeFeed) publish(v *feed.View) {
 	f.mu.Lock()
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -44,6 +44,7 @@
 	// conns are all open connections, including retired ones.
 	conns    []*conn
 	presence presence
+	clock    leafClock
 	// snapshots that the leaf reported, nil if it has not reported any.
 	snapshots []uint64
 	// opening is true while a connection is being opened; retryAt is the earliest time of the next
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -87,7 +87,7 @@
 
 // dial opens a connection and requests the status on it. A leaf that does not answer the status
 // request is accepted if it answers a ping: its status procedure may fail while its searches work.
-func (l *leaf) dial(ctx context.Context, opened time.Time) (*conn, *pb.LeafStatusResponse, error) {
+func (l *leaf) dial(ctx context.Context, opened time.Time) (*conn, *status, error) {
 	nc, err := l.pool.dial(ctx, l.address)
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "gather.upstream: dial %s", l.id)
@@ -102,8 +102,8 @@
 	}
 	c := &conn{leaf: l, tcp: w, h2: h2, opened: opened, silent: make(chan struct{})}
 	st, err := l.requestStatus(ctx, c)
-	if err == nil && st.GetLeaf() != "" && st.GetLeaf() != l.id {
-		err = eris.Errorf("gather.upstream: %s answers as %s", l.id, st.GetLeaf())
+	if err == nil && st.answer.GetLeaf() != "" && st.answer.GetLeaf() != l.id {
+		err = eris.Errorf("gather.upstream: %s answers as %s", l.id, st.answer.GetLeaf())
 	} else if err != nil && c.tcp.usable() && h2.Ping(ctx) == nil {
 		return c, nil, nil
 	}
@@ -114,12 +114,23 @@
 	return c, st, nil
 }
 
+// status is a leaf's answer to a status request, with the local times of request and answer.
+type status struct {
+	answer              *pb.LeafStatusResponse
+	requested, received time.Time
+}
+
 // requestStatus requests the status over the connection.
-func (l *leaf) requestStatus(ctx context.Context, c *conn) (*pb.LeafStatusResponse, error) {
+func (l *leaf) requestStatus(ctx context.Context, c *conn) (*status, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	ctx, _ = withExchange(ctx, c)
-	return l.client.Status(ctx, &pb.LeafStatusRequest{})
+	requested := time.Now()
+	answer, err := l.client.Status(ctx, &pb.LeafStatusRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return &status{answer: answer, requested: requested, received: time.Now()}, nil
 }
 
 // poll requests the status over an open connection on which a call was begun.
@@ -142,7 +153,8 @@
 // applyStatus applies a status received on the connection. All of it is a hint, except that a leaf
 // that reports draining is draining. A connection belongs to one incarnation: a status of another
 // incarnation on it is ignored. Requires mu.
-func (l *leaf) applyStatus(c *conn, st *pb.LeafStatusResponse) {
+func (l *leaf) applyStatus(c *conn, s *status) {
+	st := s.answer
 	n := st.GetIncarnation()
 	if n == 0 || (c.incarnation != 0 && c.incarnation != n) {
 		return
@@ -159,6 +171,9 @@
 	if n != l.presence.incarnation {
 		return
 	}
+	if up := st.GetUptime(); up != nil {
+		l.clock.observe(n, clockReading{uptime: up.AsDuration(), requested: s.requested, received: s.received})
+	}
 	l.snapshots = append([]uint64{}, st.GetSnapshots()...)
 	if st.GetSlots() > 0 {
 		l.slots = int(st.GetSlots())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,11 +4,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 )
 
+// ErrStale is the cause of a CallError if the process may have been paused, or had no fresh view of
+// the fleet, after the call was planned: the call was not sent, or nothing shows that it was sent
+// before the pause.
+var ErrStale = errors.New("process paused or no fresh view of the fleet since the call was planned")
+
 // Caller sends calls to leaves; *Pool implements it. All errors are *CallError.
 type Caller interface {
 	Search(ctx context.Context, leaf string, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error)
@@ -63,6 +69,12 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
+// TooLate reports whether the call was not started because it would have arrived, or arrived, too
+// long after the sender's decision.
+func (e *CallError) TooLate() bool {
+	return e.Refusal == pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE || errors.Is(e.Err, errTooLate)
+}
+
 // NotStarted reports whether it is certain that the leaf has not started the work.
 func (e *CallError) NotStarted() bool {
 	return !e.Wrote || e.Refusal != pb.LeafRefusalReason_LEAF_REFUSAL_REASON_UNSPECIFIED
