Feed: a view is as old as the sync's check before it, not as its reading

Change: a view carries the VM's boot time, read before the sync's check; the reader dates it from there. No delay or pause after the check makes it younger.

--- a/internal/feed/apply.go
+++ b/internal/feed/apply.go
@@ -17,7 +17,7 @@
 	old := m.Current()
 	next := *old
 	next.Bundle = m.cfg.Bundles.Current()
-	next.Heard, next.PlatformAge = now, platformAge(msg)
+	next.Heard, next.PlatformAge = now.Add(-m.ageOf(msg)), platformAge(msg)
 	next.HighestVersion = max(old.HighestVersion, msg.GetHighestVersion(), msg.GetBundleVersion())
 	if !msg.GetUnchanged() {
 		next.Received = now
@@ -31,6 +31,15 @@
 	}
 }
 
+// ageOf returns how long ago the sync checked that msg may be sent. A message may wait in a buffer,
+// and the sync may be paused between its check and the sending.
+func (m *Manager) ageOf(msg *pb.View) time.Duration {
+	if msg.GetAsOf() == nil {
+		return 0
+	}
+	return max(0, m.cfg.BootTime()-msg.GetAsOf().AsDuration())
+}
+
 // platformAge returns the age in msg, or NeverReached.
 func platformAge(msg *pb.View) time.Duration {
 	if msg.GetPlatformAge() == nil {
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// FreshFor is how long after the last message from the sync new work is accepted.
+	// FreshFor is how long after the sync last vouched for the view new work is accepted.
 	FreshFor = 2 * time.Second
 	// monitorPeriod is the interval at which a stream is checked for silence and for a pause of the
 	// process.
@@ -41,6 +41,8 @@
 	Client *http.Client
 	// Pause detects pauses of this process. If it is nil, Fresh ignores pauses.
 	Pause *process.PauseDetector
+	// BootTime is process.BootTime if it is nil.
+	BootTime func() time.Duration
 	// Bundles holds the bundle in force. It is made by bundle.NewFollowerStore for this feed only.
 	Bundles  *bundle.Store
 	Log      *zap.Logger
@@ -73,6 +75,9 @@
 
 // New returns a manager with an empty view. Run fills the view.
 func New(cfg Config) *Manager {
+	if cfg.BootTime == nil {
+		cfg.BootTime = process.BootTime
+	}
 	return &Manager{
 		cfg:     cfg,
 		service: burdockv1connect.NewFeedServiceClient(cfg.Client, "http://"+cfg.Sync, withoutCompression),
@@ -97,7 +102,7 @@
 	return m.changed
 }
 
-// Fresh implements Source. It is false if the sync has been silent for more than FreshFor, and
+// Fresh implements Source. It is false if the sync has not vouched for the view within FreshFor, and
 // after a pause of the process until a view arrives on a stream that was requested after the pause.
 func (m *Manager) Fresh() bool {
 	now := time.Now()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
@@ -124,3 +125,30 @@
 	is.True(!q.addCrash(&pb.Crash{RequestDigest: maxQueued}, start))
 	is.True(q.addCrash(&pb.Crash{RequestDigest: 0}, start)) // already queued
 }
+
+// TestViewIsAsOldAsTheSyncsCheck guards against work by an old view that was read late: its freshness
+// counts from the sync's check, by the VM's boot time.
+func TestViewIsAsOldAsTheSyncsCheck(t *testing.T) {
+	const booted = time.Hour
+	for name, tt := range map[string]struct {
+		asOf  *durationpb.Duration
+		age   time.Duration
+		fresh bool
+	}{
+		"at once":                {durationpb.New(booted), 0, true},
+		"late":                   {durationpb.New(booted - FreshFor + 100*time.Millisecond), FreshFor - 100*time.Millisecond, true},
+		"too late":               {durationpb.New(booted - FreshFor - time.Millisecond), FreshFor + time.Millisecond, false},
+		"of a later time":        {durationpb.New(booted + time.Second), 0, true},
+		"of a sync without date": {nil, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newManager()
+			m.cfg.BootTime = func() time.Duration { return booted }
+			now := time.Now()
+			m.apply(&pb.View{AsOf: tt.asOf}, now, now)
+			is.Equal(now.Sub(m.Current().Heard), tt.age)
+			is.Equal(m.Fresh(), tt.fresh)
+		})
+	}
+}
--- a/internal/syncd/feed.go
+++ b/internal/syncd/feed.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
@@ -65,13 +66,15 @@
 	}
 }
 
-// sendIfCaughtUp sends a view unless the sync's state may predate a pause.
+// sendIfCaughtUp sends a view unless the sync's state may predate a pause. A view that is sent late,
+// because the sync is paused after the check, is as old for its receiver as the check is.
 func (f *feedServer) sendIfCaughtUp(s *feedStream) error {
+	asOf := f.m.cfg.BootTime()
 	f.m.checkPause(time.Now())
 	if !f.m.spread.CaughtUp() {
 		return nil
 	}
-	return s.send(f.m)
+	return s.send(f.m, asOf)
 }
 
 // wait returns true at a change or when a heartbeat is due, and false when the stream has to end.
@@ -90,16 +93,18 @@
 	return wait.For(ctx, minFeedInterval)
 }
 
-// send sends what the process does not have yet.
-func (s *feedStream) send(m *Manager) error {
-	view, epoch := m.views.get(time.Now())
+// send sends what the process does not have yet. asOf is the boot time of the check before it.
+func (s *feedStream) send(m *Manager, asOf time.Duration) error {
+	shared, epoch := m.views.get(time.Now())
+	view := copyView(shared)
 	if s.sent && s.epoch == epoch {
 		view = m.views.unchanged(time.Now())
 	}
+	view.AsOf = durationpb.New(asOf)
 	b := m.content.Offered()
 	due := s.bundleDue(b)
 	if due {
-		view = withBundle(view, b.Signed, b.Text)
+		view.Manifest, view.BundleText = b.Signed, b.Text
 	}
 	if err := s.out.Send(view); err != nil {
 		return err
--- a/internal/syncd/feed_test.go
+++ b/internal/syncd/feed_test.go
@@ -109,7 +109,7 @@
 	pause := process.NewPauseDetector(pauseCheckPeriod, pauseTolerance)
 	m := feed.New(feed.Config{
 		VM: nd.id, Zone: nd.zone, Role: pb.ProcessRole_PROCESS_ROLE_GATHER, Incarnation: 77, Sync: "sync",
-		Client: client, Pause: pause, Bundles: bundle.NewFollowerStore(nil), Log: zap.NewNop(),
+		Client: client, Pause: pause, BootTime: bootTime, Bundles: bundle.NewFollowerStore(nil), Log: zap.NewNop(),
 		Registry: prometheus.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -206,6 +206,26 @@
 	})
 }
 
+// TestViewIsDatedFromTheSyncsCheck guards against an old view that counts as fresh from when it was read.
+// A view waits on its way for less time than it takes to end the stream, as when the sync is frozen after
+// its check, or when the message lies in a buffer.
+func TestViewIsDatedFromTheSyncsCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 1)
+		gather := feedOf(t, f.oneOf("az-1"))
+		f.waitFor(2*time.Second, "the first view", gather.Fresh)
+		gather.pipes.silence()
+		heard := gather.Current().Heard
+		time.Sleep(feed.FreshFor - 3*feedHeartbeatPeriod/2)
+		resumed := time.Now()
+		gather.pipes.resume()
+		synctest.Wait()
+		is.True(gather.Current().Heard != heard) // views that waited were read
+		is.True(gather.Current().Heard.Before(resumed))
+	})
+}
+
 func TestSyncSendsNoViewBeforeItCaughtUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/syncd/fleet_test.go
+++ b/internal/syncd/fleet_test.go
@@ -77,6 +77,11 @@
 }
 
 // unstartedFleet returns a fleet without any sync; use add to create them.
+// booted is the start of the VMs' boot time, bootTime the boot time by the test's clock.
+var booted = time.Unix(0, 0)
+
+func bootTime() time.Duration { return time.Since(booted) }
+
 func unstartedFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t: t, key: ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)),
@@ -111,6 +116,7 @@
 	s.Trust = bundle.TrustSettings{Threshold: 1, Reviewers: []bundle.ReviewerSettings{
 		{KeyID: bundle.KeyID(public), PublicKey: base64.StdEncoding.EncodeToString(public)}}}
 	nd.manager = New(Config{
+		BootTime: bootTime,
 		Settings: s, Incarnation: rand.Uint64(), Platform: &nodePlatform{f.platform, nd}, Transport: nd,
 		Dial: nd.dial, WrapBundles: func(b content.Bundles) content.Bundles { return slowBundles{b, f} }, Log: zap.NewNop(),
 	})
--- a/internal/syncd/manager.go
+++ b/internal/syncd/manager.go
@@ -37,8 +37,10 @@
 	// WrapBundles, if set, wraps the store of bundles. Tests use it to make the check of a bundle
 	// take time.
 	WrapBundles func(content.Bundles) content.Bundles
-	Log         *zap.Logger
-	Registry    prometheus.Registerer
+	// BootTime is process.BootTime if it is nil.
+	BootTime func() time.Duration
+	Log      *zap.Logger
+	Registry prometheus.Registerer
 }
 
 // Manager runs the components of a sync.
@@ -70,6 +72,9 @@
 
 // New returns a sync that has not caught up yet.
 func New(cfg Config) *Manager {
+	if cfg.BootTime == nil {
+		cfg.BootTime = process.BootTime
+	}
 	s, now := cfg.Settings, time.Now()
 	m := &Manager{
 		cfg: cfg, changed: notify.New(), evidence: evidence.New(), processes: newProcesses(),
--- a/internal/syncd/pause_test.go
+++ b/internal/syncd/pause_test.go
@@ -36,3 +36,18 @@
 	is.True(!<-caughtUp)
 	is.True(!<-caughtUp)
 }
+
+// TestAPauseAfterAViewIsDatedIsNoticed guards against an old view with a new date: the process is paused
+// right after it read the time that the view is to carry. The check after it sees the pause, and nothing
+// is sent.
+func TestAPauseAfterAViewIsDatedIsNoticed(t *testing.T) {
+	is := is.New(t)
+	m := unstartedFleet(t).add("vm-1", "az-1").manager
+	m.spread.SetCaughtUp(m.spread.Pauses())
+	m.cfg.BootTime = func() time.Duration {
+		m.pause.Observe(time.Now().Add(time.Minute))
+		return 0
+	}
+	is.NoErr((&feedServer{m: m}).sendIfCaughtUp(nil)) // a send would panic for want of a stream
+	is.True(!m.spread.CaughtUp())
+}
--- a/internal/syncd/view.go
+++ b/internal/syncd/view.go
@@ -84,10 +84,10 @@
 // highestVersion returns the highest bundle version known anywhere in the fleet.
 func (m *Manager) highestVersion() uint64 { return max(m.content.Highest(), m.spread.HighestVersion()) }
 
-// withBundle returns a copy of v with a bundle. The copy shares the lists of v.
-func withBundle(v *pb.View, signed *pb.SignedManifest, text []byte) *pb.View {
+// copyView returns a copy of a view without a bundle. The copy shares the lists of v.
+func copyView(v *pb.View) *pb.View {
 	return &pb.View{
-		Manifest: signed, BundleText: text, BundleVersion: v.GetBundleVersion(), Vms: v.GetVms(),
+		BundleVersion: v.GetBundleVersion(), Vms: v.GetVms(),
 		Departures: v.GetDepartures(), Crashes: v.GetCrashes(), PlatformAge: v.GetPlatformAge(),
 		Vm: v.GetVm(), Zone: v.GetZone(), Upstreams: v.GetUpstreams(),
 		HighestVersion: v.GetHighestVersion(), Unchanged: v.GetUnchanged(),
