--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -273,3 +273,30 @@
 		is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
 	})
 }
+
+// TestDoubtedSearchWaitsForItsCall guards against a loop that uses a whole core: while a call of the first run is
+// in flight, other VMs report two crashes, so that the request is in doubt, and the time for a hedge has come. The
+// search waits for its call, rather than look at the time for the hedge again at once.
+func TestDoubtedSearchWaitsForItsCall(t *testing.T) {
+	watchdog := time.AfterFunc(20*time.Second, func() { panic("the search never waits, so the bubble's time stands still") })
+	defer watchdog.Stop()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(1)
+		r := newRig("az-a", service, fleet, func(s *quarantine.Settings) { s.FirstRun = quarantine.ModeAlways })
+		for id := range fleet.leaves {
+			fleet.set(id, func(l *fakeLeaf) { l.answer = answerAfter(10 * r.replicas.hedgeAfter) })
+		}
+		time.AfterFunc(r.replicas.hedgeAfter/2, func() {
+			v := *r.feed.Current()
+			v.Received = time.Now()
+			for i, leaf := range []string{"leaf-0-a", "leaf-0-b"} {
+				v.Crashes = append(v.Crashes, &pb.Crash{RequestDigest: quarantine.SearchKey("teachers", "q", 1, 10).Digest, Leaf: leaf, Incarnation: uint64(100 + i)})
+			}
+			r.guard.ApplyView(&v)
+		})
+		a, err := r.search("r-1", "claim", "q", time.Second)
+		is.NoErr(err)
+		is.Equal(a.GetCoverage().GetShardsCovered(), uint32(1))
+	})
+}
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -45,7 +45,11 @@
 
 // advance calls the next leaf if one is due, and refuses the request if none remains.
 func (f *firstRun) advance() {
-	if f.inFlight > 0 && (f.exclusive || time.Now().Before(f.hedgeAt)) || !f.mayAdvance() {
+	if f.inFlight > 0 && (f.exclusive || time.Now().Before(f.hedgeAt)) {
+		return
+	}
+	if !f.mayAdvance() {
+		f.hedgeAt = time.Now().Add(hedgePollInterval)
 		return
 	}
 	callable, waitFor := f.partition(f.candidates())
