--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 // harness is a Balancer with a manual clock and a seeded random source.
--- a/internal/bundle/store_test.go
+++ b/internal/bundle/store_test.go
@@ -11,6 +11,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"pgregory.net/rapid"
+
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 // higher reports whether a store prefers a to b: the higher version or, with equal versions, the higher
--- a/internal/delegate/plan_test.go
+++ b/internal/delegate/plan_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/burdockplank/burdockplank/internal/peers"
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 func vm(address, zone string, millicores int) peers.VM {
--- a/internal/evidence/set_test.go
+++ b/internal/evidence/set_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 var testStart = time.Unix(1000, 0)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/burdockplank/burdockplank/internal/notify"
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 // itemsText returns the items as text, sorted.
--- a/internal/readers/readers_test.go
+++ b/internal/readers/readers_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 func vms(n int) (out []string) {
--- a/internal/retrybudget/change_test.go
+++ b/internal/retrybudget/change_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 // TestSeedsThatFailed plays the property of the fleet with the seeds that it once failed with: extra calls were paid
--- a/internal/search/coverage_test.go
+++ b/internal/search/coverage_test.go
@@ -16,6 +16,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 	"github.com/burdockplank/burdockplank/internal/upstream"
 )
 
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
+	_ "github.com/burdockplank/burdockplank/internal/rapidseed"
 )
 
 func service(limits ...int) *bundle.Service {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -35,4 +35,6 @@
   echo "known red, passed over:"
   cat "$known"
 fi
+# Drawn tests draw the same cases in every run. RAPID_SEED=0 draws others.
+export RAPID_SEED=${RAPID_SEED:-1}
 go test -count=1 "${skip[@]}" ./...
