Calls to leaves: read a leaf's clock again after it refused a call as too late

Found on reading the change: a VM that was suspended with its clock takes a leaf's uptime for less than it is, and each call would be refused until the next status request, up to 2.5 s later; an order would be sent again and again meanwhile. Now the refusal makes a status request due at once, an order waits for the poll interval of slots before it looks again, and a call without a decision time names no limit. TestLeafClockIsReadAgainAfterARefusal and TestCallWithoutADecisionTimeHasNoLimit are new; neither fault was seen in a run of the system.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// FreshFor is how long after the sync last vouched for the view new work is accepted.
+	// FreshFor is how long after the sync last confirmed the view new work is accepted.
 	FreshFor = 2 * time.Second
 	// monitorPeriod is the interval at which a stream is checked for silence and for a pause of the
 	// process.
@@ -102,7 +102,7 @@
 	return m.changed
 }
 
-// Fresh implements Source. It is false if the sync has not vouched for the view within FreshFor, and
+// Fresh implements Source. It is false if the sync has not confirmed the view within FreshFor, and
 // after a pause of the process until a view arrives on a stream that was requested after the pause.
 func (m *Manager) Fresh() bool {
 	now := time.Now()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -24,7 +24,7 @@
 	// Received is the local time at which the lists arrived. Ages of departures and crashes count
 	// from here.
 	Received time.Time
-	// Heard is the local time at which the sync last vouched for the view: that of its check before
+	// Heard is the local time at which the sync last confirmed the view: that of its check before
 	// the last message, which may have left the lists unchanged.
 	Heard time.Time
 	// PlatformAge is the age of the last platform contact at the time Heard, or NeverReached.
--- a/internal/order/attempt.go
+++ b/internal/order/attempt.go
@@ -68,6 +68,7 @@
 		}
 		call.Done(balanceResult(ctx, ce))
 		if ce.TooLate() {
+			wait.For(ctx, a.m.cfg.SlotPollInterval)
 			continue // the leaf may take the order after a new check
 		}
 		a.notStarted = append(a.notStarted, call.Leaf())
@@ -81,9 +82,9 @@
 }
 
 // execute sends the order to the leaf, which refuses it if it arrives too long after the gather
-// decided on it, as when the gather was paused before it sent the order. The leaf has until the deadline of ctx to work on it. The
-// answer is awaited until answerCtx ends, but the call stops counting as load of the leaf at the
-// end of ctx.
+// decided on it, as when the gather was paused before it sent the order. The leaf has until the
+// deadline of ctx to work on it. The answer is awaited until answerCtx ends, but the call stops
+// counting as load of the leaf at the end of ctx.
 func (a *attempt) execute(ctx context.Context, call balance.Call, decided time.Time) (*pb.LeafExecuteResponse, error) {
 	stopTimeout := context.AfterFunc(ctx, func() { call.Done(balance.ResultTimeout) })
 	defer stopTimeout()
--- a/internal/search/failure.go
+++ b/internal/search/failure.go
@@ -95,9 +95,10 @@
 	result balance.Result
 	// retryable is true if another replica may be called.
 	retryable bool
-	// unbudgeted is true if the call, as far as can be known, cost no upstream anything: it was not sent, came too late to
-	// be started, or went into a silent connection. Its retry needs no budget. The first retries of a shard after lost connections need none either:
-	// only the calls in flight at one moment are lost that way, and the leaf that worked on them is gone.
+	// unbudgeted is true if the call, as far as can be known, cost no upstream anything: it was not sent, came too late
+	// to be started, or went into a silent connection. Its retry needs no budget. The first retries of a shard after lost
+	// connections need none either: only the calls in flight at one moment are lost that way, and the leaf that worked on
+	// them is gone.
 	unbudgeted bool
 	// survived is true if the leaf certainly ran the request without crashing.
 	survived bool
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -176,6 +176,8 @@
 		l.pool.wakeLoop()
 	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_SNAPSHOT_GONE:
 		l.pollNow()
+	case pb.LeafRefusalReason_LEAF_REFUSAL_REASON_TOO_LATE:
+		l.pollNow() // this VM may have been suspended, so that its reading of the leaf's clock is wrong
 	}
 }
 
--- a/internal/upstream/clock.go
+++ b/internal/upstream/clock.go
@@ -49,8 +49,12 @@
 }
 
 // arriveBy returns the limit that a call on the connection names, in the leaf's uptime, for a call
-// that was decided on at the given local time. It returns nil if the leaf's uptime is not known.
+// that was decided on at the given local time. It returns nil if the leaf's uptime is not known, or if
+// the call has no decision time.
 func (l *leaf) arriveBy(c *conn, decided time.Time) *durationpb.Duration {
+	if decided.IsZero() {
+		return nil
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	uptime, ok := l.clock.uptimeAt(c.incarnation, decided.Add(feed.MaxSendDelay))
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -180,3 +180,36 @@
 		is.NoErr(err) // the leaf has judged it
 	})
 }
+
+// TestLeafClockIsReadAgainAfterARefusal guards against a leaf that refuses all calls until its next status request is
+// due: this VM was suspended with its clock, so that it takes the leaf's uptime for less than it is.
+func TestLeafClockIsReadAgainAfterARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		f.arrivals.Store(newArrivals(time.Hour))
+		p, _ := startPool(t, f.dial)
+		waitForConnections()
+		_, err := frozenCall{}.send(t.Context(), p, "before")
+		is.NoErr(err)
+		f.arrivals.Store(newArrivals(2 * time.Hour)) // the leaf's clock ran on
+		_, err = frozenCall{}.send(t.Context(), p, "first after")
+		is.True(asCallError(err).TooLate())
+		synctest.Wait()
+		_, err = frozenCall{}.send(t.Context(), p, "second after")
+		is.NoErr(err)
+	})
+}
+
+// TestCallWithoutADecisionTimeHasNoLimit guards against refusals of calls for which no limit was asked.
+func TestCallWithoutADecisionTimeHasNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		f.arrivals.Store(newArrivals(time.Hour))
+		p, _ := startPool(t, f.dial)
+		waitForConnections()
+		_, err := search(t.Context(), p)
+		is.NoErr(err)
+	})
+}
