--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -109,7 +109,8 @@
 		return e.answer(ctx, q)
 	}
 	if !q.state.limiter.enter(ctx, q.kind.Weight, q.queueWait()) {
-		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, Step, "too many searches run").WithRetryAfter(e.settings.RetryAfter.D())
+		message := "too many searches run: " + q.state.limiter.describe(time.Now())
+		return nil, outcome.NotRun(pb.Reason_REASON_OVERLOAD, Step, message).WithRetryAfter(e.settings.RetryAfter.D())
 	}
 	started := time.Now()
 	defer func() {
--- a/internal/search/gate_test.go
+++ b/internal/search/gate_test.go
@@ -209,3 +209,22 @@
 		wg.Wait()
 	})
 }
+
+// A refusal for load says what it went by: in a failed scenario its text told a gather under load from one whose
+// connections went silent before its first search ended.
+func TestRefusalSaysWhatItWentBy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLimiter(2, 50*time.Millisecond)
+		is.True(l.enter(t.Context(), 1, 0))
+		is.True(l.enter(t.Context(), 1, 0))
+		is.True(!l.enter(t.Context(), 1, 0))
+		is.Equal(l.describe(time.Now()), "2 running of 2, 0 waiting, none ended for 50ms, none ever but in a standstill")
+		l = newLimiter(2, 50*time.Millisecond)
+		is.True(l.enter(t.Context(), 1, 0))
+		time.Sleep(10 * time.Millisecond)
+		l.leave(time.Now(), 10*time.Millisecond, 0)
+		time.Sleep(time.Second)
+		is.Equal(l.describe(time.Now()), "0 running of 2, 0 waiting, none ended for 1s, the shortest took 10ms")
+	})
+}
--- a/internal/search/standstill.go
+++ b/internal/search/standstill.go
@@ -1,6 +1,9 @@
 package search
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// standstillFactor is how many times the time of a quick search must pass without a search ending to count as a
@@ -34,3 +37,15 @@
 	}
 	l.lastEnd = now
 }
+
+// describe returns what a refusal goes by: how many searches run and wait, the limit, and how long ago one ended.
+func (l *limiter) describe(now time.Time) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	load := fmt.Sprintf("%d running of %d, %d waiting", l.running, int(l.limit), len(l.queue))
+	idle := now.Sub(l.lastEnd).Round(time.Millisecond)
+	if l.shortestTime == 0 {
+		return fmt.Sprintf("%s, none ended for %s, none ever but in a standstill", load, idle)
+	}
+	return fmt.Sprintf("%s, none ended for %s, the shortest took %s", load, idle, l.shortestTime.Round(time.Millisecond))
+}
