--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -7,10 +7,8 @@
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
-	"github.com/burdockplank/burdockplank/internal/feed"
 )
 
 // maxOrderConns bounds how many connections are tried for one order.
@@ -41,29 +39,14 @@
 	}
 	if arriveBy == nil && !decided.IsZero() && !p.source.FreshSince(decided) {
 		// The leaf does not check when calls arrive: this one may have been sent after a pause.
-		return nil, &CallError{Leaf: id, Incarnation: l.state().Incarnation, Wrote: true, Err: ErrStale}
+		stale := &CallError{Leaf: id, Incarnation: l.state().Incarnation, Wrote: true, Err: ErrStale}
+		p.metrics.countCall(l.service, methodSearch, resultOf(stale))
+		return nil, stale
 	}
 	p.metrics.countCall(l.service, methodSearch, resultOK)
 	return res, nil
 }
 
-// errTooLate is the cause of a call that is not sent because it would arrive too long after the
-// sender's decision.
-var errTooLate = errors.New("too long since the call was decided on")
-
-// tooLate reports whether a call that was decided on at the given time may no longer be sent.
-func tooLate(decided time.Time) bool {
-	return !decided.IsZero() && time.Since(decided) > feed.MaxSendDelay
-}
-
-// searchArrivingBy returns a copy of the request with the limit, as several calls share a request.
-func searchArrivingBy(req *pb.LeafSearchRequest, limit *durationpb.Duration) *pb.LeafSearchRequest {
-	return &pb.LeafSearchRequest{
-		RequestId: req.GetRequestId(), Service: req.GetService(), Shard: req.GetShard(),
-		Snapshot: req.GetSnapshot(), Query: req.GetQuery(), TopK: req.GetTopK(), ArriveBy: limit,
-	}
-}
-
 // Execute implements Caller. A connection that was not heard from within maxUnverifiedAge is pinged
 // first. An order is thus rarely written to a silent connection, which would leave its outcome
 // unknown.
--- a/internal/upstream/clock.go
+++ b/internal/upstream/clock.go
@@ -1,12 +1,6 @@
 package upstream
 
-import (
-	"time"
-
-	"google.golang.org/protobuf/types/known/durationpb"
-
-	"github.com/burdockplank/burdockplank/internal/feed"
-)
+import "time"
 
 // clockWindow is how long a reading of a leaf's clock is preferred to less precise ones. Meanwhile
 // the clocks of two VMs drift apart by a few milliseconds at most.
@@ -47,19 +41,3 @@
 	}
 	return t.Sub(c.started), true
 }
-
-// arriveBy returns the limit that a call on the connection names, in the leaf's uptime, for a call
-// that was decided on at the given local time. It returns nil if the leaf's uptime is not known, or if
-// the call has no decision time.
-func (l *leaf) arriveBy(c *conn, decided time.Time) *durationpb.Duration {
-	if decided.IsZero() {
-		return nil
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	uptime, ok := l.clock.uptimeAt(c.incarnation, decided.Add(feed.MaxSendDelay))
-	if !ok {
-		return nil
-	}
-	return durationpb.New(uptime)
-}
--- a/internal/upstream/deadline.go
+++ b/internal/upstream/deadline.go
@@ -5,10 +5,7 @@
 	"time"
 )
 
-type (
-	workDeadlineKey struct{}
-	decidedKey      struct{}
-)
+type workDeadlineKey struct{}
 
 // WithWorkDeadline returns a context for an order whose leaf must give it up at the deadline, while
 // the sender waits for the answer until the context ends. Nothing is sent after the deadline. An
@@ -23,18 +20,3 @@
 	d, _ := ctx.Value(workDeadlineKey{}).(time.Time)
 	return d
 }
-
-// WithDecisionTime returns a context for a call that the sender decided on at the given time, when
-// its view of the fleet still held. The call is not sent, and a leaf that reports its uptime does
-// not start it, if it would arrive more than feed.MaxSendDelay later. This holds however long the
-// process is paused after its decision, because the leaf checks it. A call without a decision time
-// may be sent at any time.
-func WithDecisionTime(ctx context.Context, decided time.Time) context.Context {
-	return context.WithValue(ctx, decidedKey{}, decided)
-}
-
-// decisionTime returns the time set by WithDecisionTime, zero if none is set.
-func decisionTime(ctx context.Context) time.Time {
-	t, _ := ctx.Value(decidedKey{}).(time.Time)
-	return t
-}
