Dispatch: a route's requests stay in its regions

Change: the field is decoded, the zones' regions come from the settings, and first calls, repeats and hedges go to leaves of the route's regions only; a request without one there is refused at once. A zone of unknown region counts as elsewhere. Searches are handed over within the VM's own region, as it doesn't know the route when it hands them over.

Failed before: TestRequestsStayInTheRegionsOfTheirRoute, TestSearchesAreHandedOverWithinTheRegion.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,6 +45,13 @@
 	TopK int
 	// MinShare is the minimum share of shards, 0 to 1, that a successful search covers.
 	MinShare float64
+	// AllowedRegions are the regions whose leaves may get the route's requests. It is empty if all may.
+	AllowedRegions []string
+}
+
+// AllowsRegion reports whether leaves in the region may get the route's requests.
+func (r *Route) AllowsRegion(region string) bool {
+	return len(r.AllowedRegions) == 0 || slices.Contains(r.AllowedRegions, region)
 }
 
 // Weighted is a service with its weight in a split of requests.
--- a/internal/delegate/plan.go
+++ b/internal/delegate/plan.go
@@ -34,8 +34,9 @@
 	GathererCount, DelegatorCount int
 }
 
-// NewPlan returns the plan of the VM self. fleet holds the live VMs, with or without self.
-func NewPlan(self peers.VM, fleet []peers.VM) Plan {
+// NewPlan returns the plan of the VM self. fleet holds the live VMs, with or without self, regions the region of each
+// availability zone. Searches are handed over within the region only: the routes of some may not leave it.
+func NewPlan(self peers.VM, fleet []peers.VM, regions map[string]string) Plan {
 	zones := map[string][]peers.VM{self.Zone: {self}}
 	for _, vm := range fleet {
 		if vm.Address != self.Address {
@@ -53,7 +54,9 @@
 		p.GathererCount += len(larger)
 		p.DelegatorCount += len(vms) - len(larger)
 		if zone != self.Zone {
-			otherZones = append(otherZones, larger...)
+			if regions[zone] == regions[self.Zone] {
+				otherZones = append(otherZones, larger...)
+			}
 			continue
 		}
 		p.IsGatherer = slices.Contains(larger, self.Address)
--- a/internal/delegate/plan_test.go
+++ b/internal/delegate/plan_test.go
@@ -39,13 +39,25 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(NewPlan(tt.self, tt.fleet), tt.want)
+			is.Equal(NewPlan(tt.self, tt.fleet, nil), tt.want)
 		})
 	}
 }
 
 // Whatever the sizes of the VMs, the shares of all VMs add up to the fleet's allowance of extra calls, and a VM
 // hands searches over only to VMs that accept them.
+// A search may not leave the regions of its route, and this VM doesn't know them before it hands the search over.
+func TestSearchesAreHandedOverWithinTheRegion(t *testing.T) {
+	is := is.New(t)
+	self := peers.VM{Address: "small", Zone: "a", Millicores: 200}
+	fleet := []peers.VM{{Address: "a1", Zone: "a", Millicores: 800}}
+	for _, zone := range []string{"b", "c"} {
+		fleet = append(fleet, peers.VM{Address: zone + "1", Zone: zone, Millicores: 800}, peers.VM{Address: zone + "2", Zone: zone, Millicores: 200})
+	}
+	p := NewPlan(self, fleet, map[string]string{"a": "north", "b": "north", "c": "south"})
+	is.Equal(p.OtherZoneGatherers, []string{"b1"})
+}
+
 func TestSharesSumToOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var fleet []peers.VM
@@ -55,11 +67,11 @@
 		}
 		plans := make(map[string]Plan)
 		for _, self := range fleet {
-			plans[self.Address] = NewPlan(self, fleet)
+			plans[self.Address] = NewPlan(self, fleet, nil)
 		}
 		sum := 0.0
 		for _, self := range fleet {
-			p := NewPlan(self, fleet)
+			p := NewPlan(self, fleet, nil)
 			sum += p.Share()
 			for _, to := range slices.Concat(p.ZoneGatherers, p.OtherZoneGatherers) {
 				if !plans[to].IsGatherer {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -14,6 +14,8 @@
 type Settings struct {
 	// VMName is the VM's name, Zone its availability zone.
 	VMName, Zone string
+	// Regions holds the region of each availability zone of the deployment.
+	Regions map[string]string
 	// IP is the VM's own address, from which it opens connections.
 	IP string
 	// CallersAddress, ReadinessAddress and PeersAddress are the addresses (IP:PORT) that serve callers, the
--- a/internal/dispatch/callable.go
+++ b/internal/dispatch/callable.go
@@ -24,3 +24,20 @@
 	}
 	return shortest
 }
+
+// mayCallAny reports whether any of the leaves may get the request.
+func (r *run) mayCallAny(lists ...[]catalog.Leaf) bool {
+	for _, leaves := range lists {
+		for _, l := range leaves {
+			if r.allowsZone(l.Zone) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// allowsZone reports whether leaves in the availability zone may get the request.
+func (r *run) allowsZone(zone string) bool {
+	return len(r.route.AllowedRegions) == 0 || r.route.AllowsRegion(r.e.regions[zone])
+}
--- a/internal/dispatch/callable_test.go
+++ b/internal/dispatch/callable_test.go
@@ -72,3 +72,35 @@
 		is.Equal(w.callsTo("x-a", "x-b", "x-c"), 1)
 	})
 }
+
+// A request whose route names regions reaches no leaf elsewhere, also as a repeat, and is refused where its regions have
+// none. A zone of unknown region counts as elsewhere.
+func TestRequestsStayInTheRegionsOfTheirRoute(t *testing.T) {
+	for name, tt := range map[string]struct {
+		regions []string
+		zones   []string
+		served  bool
+		called  string
+	}{
+		"at home":        {[]string{"home"}, []string{"far", "z", "far"}, true, "x-b"},
+		"abroad":         {[]string{"abroad"}, []string{"far", "z", "z"}, true, "x-a"},
+		"nowhere":        {[]string{"abroad"}, []string{"z", "z", "z"}, false, ""},
+		"unknown region": {[]string{"home"}, []string{"new", "new", "new"}, false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, w *world) {
+				is := is.New(t)
+				w.view.Config.Match("h", "/i/").AllowedRegions = tt.regions
+				for i, zone := range tt.zones {
+					w.view.Leaves["x"][i].Zone = zone
+				}
+				for range 5 {
+					a, _ := w.ask(t.Context(), "/i/")
+					is.Equal(a.Outcome == Served, tt.served)
+				}
+				all := w.callsTo("x-a", "x-b", "x-c")
+				is.Equal(all, w.callsTo(tt.called))
+			})
+		})
+	}
+}
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -17,7 +17,7 @@
 	for _, list := range [][]catalog.Leaf{view.Leaves[g.service], view.Expired[g.service]} {
 		out := make([]catalog.Leaf, 0, len(list))
 		for _, l := range list {
-			if !slices.Contains(g.tried, l.ID) && !r.e.movedLeaves.has(l) {
+			if !slices.Contains(g.tried, l.ID) && !r.e.movedLeaves.has(l) && r.allowsZone(l.Zone) {
 				out = append(out, l)
 			}
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -158,6 +158,7 @@
 	table        *replica.Table
 	budgets      *retrybudget.Budgets
 	crashes      Crashes
+	regions      map[string]string
 	observer     Observer
 	calls        sync.WaitGroup
 	movedLeaves  movedSet
@@ -175,9 +176,19 @@
 	Ended(r *Request, a *Answer, trace *Trace)
 }
 
-// New returns an engine for a VM in the given availability zone.
-func New(zone string, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, o Observer) *Engine {
-	return &Engine{zone: zone, directory: d, leaves: l, table: t, budgets: b, crashes: c, observer: o, started: time.Now()}
+// Location says where this VM is.
+type Location struct {
+	// Zone is the availability zone of this VM.
+	Zone string
+	// Regions holds the region of each availability zone.
+	Regions map[string]string
+}
+
+// New returns an engine for a VM at the location.
+func New(at Location, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, o Observer) *Engine {
+	return &Engine{
+		zone: at.Zone, regions: at.Regions, directory: d, leaves: l, table: t, budgets: b, crashes: c, observer: o, started: time.Now(),
+	}
 }
 
 // Serve serves one request and reports it to the observer.
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -211,7 +211,7 @@
 	}
 	w.view = &directory.View{Config: catalog.New(3, routes, nil, catalog.Limits{}), Leaves: leaves, Revision: 9}
 	w.budgets = retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, time.Now)
-	w.engine = New("z", w, w, replica.New(), w.budgets, w, w)
+	w.engine = New(Location{Zone: "z", Regions: map[string]string{"z": "home", "far": "abroad"}}, w, w, replica.New(), w.budgets, w, w)
 	return w
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
 	guard := crashguard.New(d.peers, time.Now, log)
-	d.engine = dispatch.New(s.Zone, d.directory, d.pool, d.table, d.budgets, guard, d.recorder)
+	d.engine = dispatch.New(dispatch.Location{Zone: s.Zone, Regions: s.Regions}, d.directory, d.pool, d.table, d.budgets, guard, d.recorder)
 	d.delegate = delegate.New(delegate.Config{
 		Self: s.PeersAddress, Local: d.engine, Directory: d.directory, Observer: d.recorder, Dial: dialGatherers(s.IP), OnNewerConfig: d.peers.Fetch, Lag: d.engine.Lag,
 		Log: log, Registry: reg,
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -75,7 +75,7 @@
 	if view.Config != nil {
 		s.singleServices, s.shardServices = view.Config.UsedServices()
 	}
-	s.plan = delegate.NewPlan(peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet)
+	s.plan = delegate.NewPlan(peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet, d.settings.Regions)
 	d.delegate.SetPlan(s.plan)
 	d.gatherer.SetPlan(s.plan)
 	d.budgets.SetShare(s.extraCallShare)
