Cold leaves: the fleet sends them no more than they tolerate

Cause: a leaf's warm-up was taken for slowness, and a service's warmup_per_s wasn't decoded.

Change: the package warmup divides what a cold leaf tolerates among the VMs by what all of them see alike: whole requests, first among the zones of the settings, then among the zone's callers by rendezvous rank. A zone that is cut off keeps its part and no other; a VM that is no longer live keeps its part for ten minutes, one that has just started has none for five seconds, and half of the bound stays unused for VMs that start while they are cut off. The other way, an equal share for each VM, is less than one request for each of 85 VMs and leaves the leaf idle (TestPartsAddUp). A leaf counts as cold by its entry, and for its warm-up time after an evacuation of its zone is taken back. What doesn't fit goes to warm leaves or is refused at once as not run, with the time after which the leaves tolerate more. The soak draws evacuations, its leaves are cold after each start, and it checks both bounds.

A model of the fleet in virtual time keeps the bound in 4,000 drawn cases with VMs that are frozen, cut off, restarted there and late; without the division it breaks (TestModelNoticesAnUndividedBound).

Failed before: TestColdLeavesGetNoMoreThanTheyTolerate, TestLeavesAreColdAfterAnEvacuation, the model test.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -94,6 +94,11 @@
 	HealthPath string
 	// ConnectionLimit is how many connections a leaf accepts from all callers together.
 	ConnectionLimit int
+	// Warmup is how long a leaf is cold after its start.
+	Warmup time.Duration
+	// WarmupRate is how many requests per second a cold leaf tolerates from all callers together; 0 if there is no
+	// limit.
+	WarmupRate float64
 }
 
 // Limits bounds the requests and connections of a caller.
--- a/internal/catalog/leaf.go
+++ b/internal/catalog/leaf.go
@@ -35,4 +35,10 @@
 	Draining bool
 	// Warmup is the remaining time, at registration, for which the leaf is slow after its start.
 	Warmup time.Duration
+	// ColdUntil is when the leaf ceases to be cold, by this VM's clock. Until then it tolerates fewer requests, by
+	// the WarmupRate of its service. It is not part of the registration.
+	ColdUntil time.Time
 }
+
+// Cold reports whether the leaf is cold.
+func (l Leaf) Cold(now time.Time) bool { return now.Before(l.ColdUntil) }
--- a/internal/delegate/plan.go
+++ b/internal/delegate/plan.go
@@ -71,6 +71,18 @@
 	return p
 }
 
+// Gatherers returns the addresses of the VMs of one zone that make the calls of searches.
+func Gatherers(zone []peers.VM) []string {
+	if larger := largerVMs(zone); len(larger) > 0 {
+		return larger
+	}
+	all := make([]string, 0, len(zone))
+	for _, vm := range zone {
+		all = append(all, vm.Address)
+	}
+	return all
+}
+
 // largerVMs returns the sorted addresses of the VMs that are larger than the smallest one by largerVMRatio or
 // more.
 func largerVMs(vms []peers.VM) []string {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -8,6 +8,7 @@
 
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
 	"github.com/burdockplank/burdockplank/internal/settings"
+	"github.com/burdockplank/burdockplank/internal/warmup"
 )
 
 // Settings are the settings of one VM.
@@ -31,6 +32,8 @@
 	MemoryBytes int64
 	// RetryBudget limits the extra calls of the whole fleet to a service.
 	RetryBudget retrybudget.Limit
+	// Warmup limits the requests of the whole fleet to a cold leaf.
+	Warmup warmup.Limit
 	// GracePeriod is the time from SIGTERM to SIGKILL.
 	GracePeriod time.Duration
 	// ConfigApplyBound is the time within which a change of the configuration must be in force on all VMs.
@@ -56,6 +59,8 @@
 	c.Require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "retry budget's ratio", "want 0 to 1, got %g", s.RetryBudget.Ratio)
 	c.Require(s.RetryBudget.Slack >= 0, "retry budget's slack", "want 0 or more, got %g", s.RetryBudget.Slack)
 	c.Require(s.RetryBudget.Window >= minRetryWindow, "retry budget's window", "want at least %v, got %v", minRetryWindow, s.RetryBudget.Window)
+	c.Require(s.Warmup.Overage >= 0, "cold leaves' overage", "want 0 or more, got %g", s.Warmup.Overage)
+	c.Require(s.Warmup.Slack >= 0, "cold leaves' slack", "want 0 or more, got %g", s.Warmup.Slack)
 	c.Require(s.ConfigApplyBound >= minConfigApplyBound, "configuration's bound", "want at least %v, got %v", minConfigApplyBound, s.ConfigApplyBound)
 	c.Require(s.GracePeriod >= minGracePeriod && s.GracePeriod <= maxGracePeriod, "grace period", "want %v to %v, got %v", minGracePeriod, maxGracePeriod, s.GracePeriod)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -200,12 +200,13 @@
 	}
 }
 
-// addTo adds the leaf to the list, or to the withheld ones where its zone is evacuated. The caller must hold mu.
+// addTo adds the leaf to the list, or to the evacuated ones where its zone is. The caller must hold mu.
 func (d *Directory) addTo(v *View, list map[string][]catalog.Leaf, r registration, zones zoneStates) {
 	leaf := r.leaf
 	if _, evacuated := zones.evacuated[leaf.Zone]; evacuated {
 		list = v.EvacuatedLeaves
 	}
+	leaf.ColdUntil = d.coldUntil(r, zones)
 	list[leaf.Service] = append(list[leaf.Service], leaf)
 }
 
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -16,17 +16,23 @@
 	Since time.Time
 }
 
-// zoneStates are the availability zones that are evacuated.
+// zoneStates are the availability zones that are evacuated, and those whose evacuation was taken back.
 type zoneStates struct {
 	evacuated map[string]Evacuation
+	// returnedAt is when this VM learned that the evacuation was taken back.
+	returnedAt map[string]time.Time
 }
 
 // zonesOf returns the states of the availability zones that the items name.
 func (d *Directory) zonesOf(items []mirror.ReceivedItem) zoneStates {
-	z := zoneStates{evacuated: make(map[string]Evacuation)}
+	z := zoneStates{evacuated: make(map[string]Evacuation), returnedAt: make(map[string]time.Time)}
 	for _, it := range items {
 		zone, ok := d.decoder.Evacuation(it.Key)
-		if ok && !it.Deleted {
+		switch {
+		case !ok:
+		case it.Deleted:
+			z.returnedAt[zone] = it.ReceivedAt
+		default:
 			z.evacuated[zone] = Evacuation{Revision: it.Revision, Since: it.ReceivedAt}
 		}
 	}
@@ -60,3 +66,21 @@
 	}
 	return n
 }
+
+// coldUntil returns when the leaf ceases to be cold; the zero time if it has not been cold. A leaf of a zone whose
+// evacuation was taken back counts as cold from then on, since its entry says so only at its next heartbeat. This VM
+// may learn of a cold leaf late but not early, so the time is never too short. The caller must hold mu.
+func (d *Directory) coldUntil(r registration, zones zoneStates) time.Time {
+	var until time.Time
+	if r.leaf.Warmup > 0 {
+		until = r.receivedAt.Add(r.leaf.Warmup)
+	}
+	returnedAt, returned := zones.returnedAt[r.leaf.Zone]
+	if !returned || d.config == nil {
+		return until
+	}
+	if warm := returnedAt.Add(d.config.Services[r.leaf.Service].Warmup); warm.After(until) {
+		return warm
+	}
+	return until
+}
--- a/internal/directory/evacuation_test.go
+++ b/internal/directory/evacuation_test.go
@@ -10,7 +10,8 @@
 	"github.com/burdockplank/burdockplank/internal/mirror"
 )
 
-// zonedDecoder decodes leaves as textDecoder does, all of them in zone a and with a warm-up time.
+// zonedDecoder decodes leaves as textDecoder does, all of them in zone a and with a warm-up time, and configurations
+// whose service x warms up for 3 s.
 type zonedDecoder struct {
 	textDecoder
 	warmup time.Duration
@@ -24,7 +25,7 @@
 
 func (z zonedDecoder) Config(key string, value []byte) (*catalog.Config, bool, error) {
 	_, ok, err := z.textDecoder.Config(key, value)
-	return catalog.New(1, nil, []catalog.Service{{Name: "x"}}, catalog.Limits{}), ok, err
+	return catalog.New(1, nil, []catalog.Service{{Name: "x", Warmup: 3 * time.Second}}, catalog.Limits{}), ok, err
 }
 
 func zonedFixture(warmup time.Duration) *fixture {
@@ -35,7 +36,7 @@
 }
 
 // The leaves of an evacuated zone got work for as long as the evacuation lasted, because its key was never read.
-func TestLeavesOfAnEvacuatedZoneAreWithheld(t *testing.T) {
+func TestLeavesOfAnEvacuatedZoneGetNothing(t *testing.T) {
 	is := is.New(t)
 	f := zonedFixture(0)
 	f.put("leaf/1", "x ready")
@@ -63,3 +64,32 @@
 	f.Refresh(f.now)
 	is.Equal(ids(f.Current().Leaves["x"]), "")
 }
+
+// The leaves of a zone are cold when its evacuation ends, but their entries say so only at the next heartbeat.
+func TestLeavesAreColdAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	f := zonedFixture(0)
+	f.put("leaf/1", "x ready")
+	cold := func() bool { return f.Current().Leaves["x"][0].Cold(f.now) }
+	is.True(!cold())
+	f.put("evacuate/a", "")
+	f.remove("evacuate/a")
+	is.True(cold())
+	f.advance(3*time.Second - time.Millisecond)
+	is.True(cold())
+	f.advance(time.Millisecond)
+	is.True(!cold())
+}
+
+// A leaf that says for how long it is cold counts as cold for as long from the receipt of its entry.
+func TestLeafIsColdAsItsEntrySays(t *testing.T) {
+	is := is.New(t)
+	f := zonedFixture(1200 * time.Millisecond)
+	f.put("leaf/1", "x ready")
+	f.advance(time.Second)
+	is.True(f.Current().Leaves["x"][0].Cold(f.now))
+	f.advance(time.Second)
+	is.True(!f.Current().Leaves["x"][0].Cold(f.now))
+	f.put("leaf/1", "x ready") // cold again while it runs
+	is.True(f.Current().Leaves["x"][0].Cold(f.now))
+}
--- a/internal/directory/registration.go
+++ b/internal/directory/registration.go
@@ -14,7 +14,9 @@
 type registration struct {
 	// revision of the entry that the registration was made from.
 	revision uint64
-	leaf     catalog.Leaf
+	// receivedAt is when this VM received that entry.
+	receivedAt time.Time
+	leaf       catalog.Leaf
 	// usable is false if the entry does not name a usable leaf.
 	usable bool
 	// latestStart is the latest start time of the leaf in any accepted entry of the key, in Unix milliseconds; 0 if
@@ -56,7 +58,7 @@
 		d.log.Info("leaf started again", zap.Stringer("leaf", leaf.ID), zap.Int64("before", known.latestStart),
 			zap.String("service", leaf.Service), zap.Uint64("revision", it.Revision))
 	}
-	return registration{revision: it.Revision, leaf: leaf, usable: true, latestStart: born}
+	return registration{revision: it.Revision, receivedAt: it.ReceivedAt, leaf: leaf, usable: true, latestStart: born}
 }
 
 // ignore counts an entry that changes nothing or names no leaf, and logs it within the rate limit.
--- a/internal/dispatch/callable_test.go
+++ b/internal/dispatch/callable_test.go
@@ -73,6 +73,85 @@
 	})
 }
 
+// chill makes all leaves of the services cold for the time. Their services tolerate a rate, and each leaf gets the
+// given number of requests.
+func (w *world) chill(d time.Duration, requests int, services ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := *w.view
+	next.Leaves = make(map[string][]catalog.Leaf)
+	for s, leaves := range w.view.Leaves {
+		next.Leaves[s] = leaves
+	}
+	config := *w.view.Config
+	config.Services = make(map[string]catalog.Service)
+	for _, s := range services {
+		config.Services[s] = catalog.Service{Name: s, Warmup: d, WarmupRate: 4}
+		next.Leaves[s] = nil
+		for _, l := range w.view.Leaves[s] {
+			l.ColdUntil = time.Now().Add(d)
+			next.Leaves[s] = append(next.Leaves[s], l)
+			w.coldLeft[l.ID.Name] = requests
+		}
+	}
+	next.Config = &config
+	w.view = &next
+}
+
+// A service whose leaves all come back cold would crash under its callers. What the leaves don't tolerate is refused at
+// once, with a time to come back after which they tolerate more.
+func TestColdLeavesGetNoMoreThanTheyTolerate(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.chill(3*time.Second, 2, "x")
+		served, refused := 0, 0
+		for range 20 {
+			a, took := w.ask(t.Context(), "/i/")
+			if a.Outcome == Served {
+				served++
+				continue
+			}
+			refused++
+			is.Equal(a.Outcome, NotRun)
+			is.Equal(a.Reason, ReasonColdLeaves)
+			is.Equal(took, time.Duration(0))
+			is.True(a.RetryAfter >= coldWindow)
+		}
+		is.Equal(served, 6)
+		is.Equal(refused, 14)
+		time.Sleep(3 * time.Second)
+		a, _ := w.ask(t.Context(), "/i/")
+		is.Equal(a.Outcome, Served) // warm again
+	})
+}
+
+// A search whose shards are cold is refused before any call, as long as it can't cover enough shards.
+func TestSearchOverColdShards(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.chill(3*time.Second, 0, "s3", "s4")
+		a, _ := w.ask(t.Context(), "/s/")
+		is.Equal(a.Outcome, NotRun)
+		is.Equal(a.Reason, ReasonColdLeaves)
+		is.Equal(w.callsTo("s0-a", "s0-b", "s0-c"), 0)
+	})
+}
+
+// Warm leaves of a service take what its cold ones don't.
+func TestWarmLeavesTakeWhatColdOnesDont(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.chill(3*time.Second, 1, "x")
+		w.view.Leaves["x"][2].ColdUntil = time.Time{}
+		for range 10 {
+			a, _ := w.ask(t.Context(), "/i/")
+			is.Equal(a.Outcome, Served)
+		}
+		is.True(w.callsTo("x-a") <= 1)
+		is.True(w.callsTo("x-b") <= 1)
+	})
+}
+
 // A request whose route names regions reaches no leaf elsewhere, also as a repeat, and is refused where its regions have
 // none. A zone of unknown region counts as elsewhere.
 func TestRequestsStayInTheRegionsOfTheirRoute(t *testing.T) {
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -14,10 +14,11 @@
 // just expired.
 func (r *run) candidates(g *group) []catalog.Leaf {
 	view := r.e.directory.Current()
+	now := time.Now()
 	for _, list := range [][]catalog.Leaf{view.Leaves[g.service], view.Expired[g.service]} {
 		out := make([]catalog.Leaf, 0, len(list))
 		for _, l := range list {
-			if !slices.Contains(g.tried, l.ID) && !r.e.movedLeaves.has(l) && r.allowsZone(l.Zone) {
+			if !slices.Contains(g.tried, l.ID) && !r.e.movedLeaves.has(l) && r.mayCall(l, view, now) {
 				out = append(out, l)
 			}
 		}
@@ -46,6 +47,11 @@
 	now := time.Now()
 	chosen, call := r.e.table.Choose(now, r.route.Name, r.estimate, r.replicaCandidates(candidates))
 	leaf := candidates[chosen]
+	if !r.takeCold(leaf, now) {
+		call.End(replica.Neutral, now)
+		r.launch(i, slices.Delete(candidates, chosen, chosen+1))
+		return
+	}
 	g.tried, g.lastLeaf = append(g.tried, leaf.ID), leaf.ID
 	g.pending = false
 	g.runs++
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -85,6 +85,8 @@
 	ReasonNoLeaf Reason = "no_leaf"
 	// ReasonEvacuated: no leaf is left beside those whose availability zone is evacuated.
 	ReasonEvacuated Reason = "evacuated"
+	// ReasonColdLeaves: all leaves are cold and have got as many requests as they tolerate.
+	ReasonColdLeaves Reason = "cold_leaves"
 	// ReasonUnresponsiveLeaves: too many shards have no leaf that has responded for a while.
 	ReasonUnresponsiveLeaves Reason = "mute_leaves"
 	ReasonRefused            Reason = "refused_by_leaves"
@@ -138,6 +140,14 @@
 	Down(leaf catalog.LeafID)
 }
 
+// ColdLeaves bounds the requests to cold leaves.
+type ColdLeaves interface {
+	// Available reports whether a request may be sent to the cold leaf now; rate is what it tolerates per second.
+	Available(leaf catalog.Leaf, rate float64) bool
+	// Take counts a request to the cold leaf and reports whether it may be sent.
+	Take(leaf catalog.Leaf, rate float64) bool
+}
+
 // Directory returns the latest view.
 type Directory interface {
 	Current() *directory.View
@@ -158,6 +168,7 @@
 	table        *replica.Table
 	budgets      *retrybudget.Budgets
 	crashes      Crashes
+	coldLeaves   ColdLeaves
 	regions      map[string]string
 	observer     Observer
 	calls        sync.WaitGroup
@@ -185,9 +196,10 @@
 }
 
 // New returns an engine for a VM at the location.
-func New(at Location, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, o Observer) *Engine {
+func New(at Location, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, cold ColdLeaves, o Observer) *Engine {
 	return &Engine{
-		zone: at.Zone, regions: at.Regions, directory: d, leaves: l, table: t, budgets: b, crashes: c, observer: o, started: time.Now(),
+		zone: at.Zone, regions: at.Regions, directory: d, leaves: l, table: t, budgets: b, crashes: c, coldLeaves: cold, observer: o,
+		started: time.Now(),
 	}
 }
 
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -58,6 +58,12 @@
 
 const ms = time.Millisecond
 
+// noColdLeaves stands for loads without cold leaves. It allows nothing to be sent to one.
+type noColdLeaves struct{}
+
+func (noColdLeaves) Available(catalog.Leaf, float64) bool { return false }
+func (noColdLeaves) Take(catalog.Leaf, float64) bool      { return false }
+
 // world is an engine with fake leaves, in virtual time.
 type world struct {
 	engine  *Engine
@@ -74,6 +80,8 @@
 	lost      map[string]int
 	blocked   bool
 	traces    []Trace
+	// coldLeft is how many requests each cold leaf still gets, and coldSent how many each got.
+	coldLeft, coldSent map[string]int
 }
 
 func (w *world) Current() *directory.View {
@@ -129,6 +137,23 @@
 	return &leafcall.Response{Status: http.StatusOK, Signature: "sig-" + id, Body: []byte(body)}, nil
 }
 
+func (w *world) Available(l catalog.Leaf, _ float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.coldLeft[l.ID.Name] > 0
+}
+
+func (w *world) Take(l catalog.Leaf, _ float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.coldLeft[l.ID.Name] == 0 {
+		return false
+	}
+	w.coldLeft[l.ID.Name]--
+	w.coldSent[l.ID.Name]++
+	return true
+}
+
 func (w *world) Blocked(uint64) bool { return w.blocked }
 func (w *world) Lost(_ uint64, leaf catalog.LeafID) {
 	w.mu.Lock()
@@ -191,7 +216,7 @@
 // newWorld has a search route /s/ over ten shards that needs nine, an idempotent route /i/ and a non-idempotent
 // route /o/ to service x with leaves x-a, x-b and x-c, and a split route /w/. All leaves answer in 10 ms.
 func newWorld() *world {
-	w := &world{leaves: make(map[string]behaviour), calls: make(map[string]int), full: make(map[string]bool), lost: make(map[string]int)}
+	w := &world{leaves: make(map[string]behaviour), calls: make(map[string]int), full: make(map[string]bool), lost: make(map[string]int), coldLeft: make(map[string]int), coldSent: make(map[string]int)}
 	names := shardNames(shards)
 	leaves := replicasOf(append([]string{"x", "y"}, names...), 3, func(_ int, id string) { w.leaves[id] = ok(10 * ms) })
 	route := func(name string, idempotent bool, split ...catalog.Weighted) *catalog.Route {
@@ -211,7 +236,7 @@
 	}
 	w.view = &directory.View{Config: catalog.New(3, routes, nil, catalog.Limits{}), Leaves: leaves, Revision: 9}
 	w.budgets = retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, time.Now)
-	w.engine = New(Location{Zone: "z", Regions: map[string]string{"z": "home", "far": "abroad"}}, w, w, replica.New(), w.budgets, w, w)
+	w.engine = New(Location{Zone: "z", Regions: map[string]string{"z": "home", "far": "abroad"}}, w, w, replica.New(), w.budgets, w, w, w)
 	return w
 }
 
--- a/internal/dispatch/hopeless.go
+++ b/internal/dispatch/hopeless.go
@@ -18,7 +18,7 @@
 	for i := range r.groups {
 		s := r.groups[i].service
 		ready, expired := r.view.Leaves[s], r.view.Expired[s]
-		if !r.mayCallAny(ready, expired) {
+		if !r.mayCallAny(now, ready, expired) {
 			withoutLeaf++
 			lacking = s
 			continue
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -112,7 +112,7 @@
 	for range overloadVMs {
 		b := retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, time.Now)
 		b.SetShare(func(string) float64 { return 1. / overloadVMs })
-		o.engines = append(o.engines, New(Location{Zone: "z"}, o, o, replica.New(), b, o, o))
+		o.engines = append(o.engines, New(Location{Zone: "z"}, o, o, replica.New(), b, o, noColdLeaves{}, o))
 	}
 	return o
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -41,6 +42,7 @@
 	"github.com/burdockplank/burdockplank/internal/rpc"
 	"github.com/burdockplank/burdockplank/internal/storeread"
 	"github.com/burdockplank/burdockplank/internal/wait"
+	"github.com/burdockplank/burdockplank/internal/warmup"
 )
 
 const (
@@ -99,6 +101,7 @@
 	pool             *leafpool.Pool
 	table            *replica.Table
 	budgets          *retrybudget.Budgets
+	coldLeaves       *warmup.Allowance
 	recorder         *decision.Recorder
 	engine           *dispatch.Engine
 	delegate         *delegate.Manager
@@ -134,7 +137,9 @@
 	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
 	guard := crashguard.New(d.peers, time.Now, log)
-	d.engine = dispatch.New(dispatch.Location{Zone: s.Zone, Regions: s.Regions}, d.directory, d.pool, d.table, d.budgets, guard, d.recorder)
+	d.coldLeaves = warmup.New(s.PeersAddress, s.Zone, slices.Collect(maps.Keys(s.Regions)), s.Warmup, time.Now, reg)
+	at := dispatch.Location{Zone: s.Zone, Regions: s.Regions}
+	d.engine = dispatch.New(at, d.directory, d.pool, d.table, d.budgets, guard, d.coldLeaves, d.recorder)
 	d.delegate = delegate.New(delegate.Config{
 		Self: s.PeersAddress, Local: d.engine, Directory: d.directory, Observer: d.recorder, Dial: dialGatherers(s.IP), OnNewerConfig: d.peers.Fetch, Lag: d.engine.Lag,
 		Log: log, Registry: reg,
@@ -201,6 +206,7 @@
 	dumps.Add("peers", d.peers)
 	dumps.Add("gatherers", d.delegate)
 	dumps.Add("connections", d.pool)
+	dumps.Add("cold leaves", d.coldLeaves)
 	dumps.Add("evacuations", operator.DumpFunc(func() any { return d.directory.Current().Evacuations }))
 	dumps.Add("budgets", operator.DumpFunc(func() any { return d.budgets.Remaining() }))
 	return operator.Handler(d.registry, dumps, func() (bool, string) { return d.ready(), "no configuration, no leaves or leaving" })
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -8,6 +9,7 @@
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafpool"
 	"github.com/burdockplank/burdockplank/internal/peers"
+	"github.com/burdockplank/burdockplank/internal/warmup"
 )
 
 // shares holds this VM's share in what the fleet may use of each service.
@@ -43,6 +45,35 @@
 	return leafpool.Share{VMs: s.plan.GathererCount, OnDemand: len(s.plan.ZoneGatherers) > 0, FleetUnknown: s.unsettled}
 }
 
+// coldLeafKind returns which VMs call the leaves of the service while these are cold.
+func (s shares) coldLeafKind(service string) warmup.Kind {
+	if s.shardServices[service] {
+		return warmup.Shards
+	}
+	return warmup.Single
+}
+
+// hasOtherSeeds reports whether the settings name another VM. One that knows none of its fleet then may be cut off
+// from it.
+func (d *Daemon) hasOtherSeeds() bool {
+	return slices.ContainsFunc(*d.seeds.Load(), func(seed string) bool { return seed != d.settings.PeersAddress })
+}
+
+// coldLeafCallers returns the addresses of the VMs of the zone of self that call the services of each kind.
+func coldLeafCallers(self peers.VM, fleet []peers.VM) map[warmup.Kind][]string {
+	zone := []peers.VM{self}
+	for _, vm := range fleet {
+		if vm.Zone == self.Zone {
+			zone = append(zone, vm)
+		}
+	}
+	all := make([]string, 0, len(zone))
+	for _, vm := range zone {
+		all = append(all, vm.Address)
+	}
+	return map[warmup.Kind][]string{warmup.Single: all, warmup.Shards: delegate.Gatherers(zone)}
+}
+
 const (
 	// settleInterval is how long the number of VMs must stay the same before it counts as settled. In a fleet
 	// of 300 that start together, each VM hears of most of the others within a second, in about three
@@ -75,10 +106,14 @@
 	if view.Config != nil {
 		s.singleServices, s.shardServices = view.Config.UsedServices()
 	}
-	s.plan = delegate.NewPlan(peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}, fleet, d.settings.Regions)
+	self := peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}
+	s.plan = delegate.NewPlan(self, fleet, d.settings.Regions)
 	d.delegate.SetPlan(s.plan)
 	d.gatherer.SetPlan(s.plan)
 	d.budgets.SetShare(s.extraCallShare)
+	if len(fleet) > 0 || !d.hasOtherSeeds() {
+		d.coldLeaves.SetCallers(coldLeafCallers(self, fleet), s.coldLeafKind)
+	}
 	d.pool.SetLeaves(callableLeaves(view), connectionLimits(view.Config), s.connectionShare)
 	return s.vmCount
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -27,6 +27,8 @@
 	{"not run means not run", checkNotRun},
 	{"extra calls keep the budget", checkBudget},
 	{"leaving leaves get no new work", checkDrain},
+	{"evacuated zones get no new work", checkEvacuations},
+	{"cold leaves get no more than they tolerate", checkCold},
 	{"configuration in force in time", checkConfig},
 	{"configuration never goes back", checkRollback},
 	{"orderly ends cut nothing", checkUnanswered},
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -97,6 +97,16 @@
 		"request to a drained leaf": {"leaving leaves get no new work", func(h *History) {
 			h.Runs = append(h.Runs, Run{ID: "s3", Leaf: "v0-gone", Service: "v1", Target: "/v/s3", At: at(30)})
 		}},
+		"request to an evacuated zone": {"evacuated zones get no new work", func(h *History) {
+			h.Evacuations = []Evacuation{{"az-1", at(20), at(30)}}
+			h.Runs = append(h.Runs, Run{ID: "s3", Leaf: "v0-x", Zone: "az-1", Service: "v1", Target: "/v/s3", At: at(25)})
+		}},
+		"cold leaf overrun": {"cold leaves get no more than they tolerate", func(h *History) {
+			h.Colds = []Cold{{"v0-cold", 0, at(20), at(22)}}
+			for i := range 12 {
+				h.Runs = append(h.Runs, Run{ID: "s3", Leaf: "v0-cold", Service: "v1", Target: "/v/s3", At: at(20.1 + float64(i)/20)})
+			}
+		}},
 		"old version past the bound": {"configuration in force in time", func(h *History) { h.single("late", "v0", 13.6) }},
 		"return to an older version": {"configuration never goes back", func(h *History) { h.single("back", "v1", 11); h.single("again", "v0", 11.5) }},
 		"request without an answer": {"orderly ends cut nothing", func(h *History) {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -60,8 +60,11 @@
 	// Born is the start time of the leaf in Unix milliseconds. It distinguishes restarts under the same ID.
 	Born int64
 	At   time.Time
-	// Ran is false if the leaf refused the request.
-	Ran bool
+	// Ran is false if the leaf refused the request. Misdirected is set if that was because the request named another
+	// leaf.
+	Ran, Misdirected bool
+	// Zone is the availability zone of the leaf.
+	Zone string
 }
 
 // Config is a version of the configuration, with the time at which the operator put it in force.
@@ -101,7 +104,10 @@
 	Runs    []Run
 	Configs []Config
 	Drains  []Drain
-	Ends    []End
+	// Evacuations holds those that have ended.
+	Evacuations []Evacuation
+	Colds       []Cold
+	Ends        []End
 	// Trapped describes what reached the address that only foreign entries name.
 	Trapped []string
 	// Disturbed holds, by VM, the periods in which it was killed, stopped, frozen or cut off, or in which the
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -57,6 +57,8 @@
 		tb.disturbLinks(ctx, sample(tb.vms, e), e)
 	case VMFreeze, VMKill, VMTerminate, VMReload, VMRolling, VMKillAll:
 		tb.disturbVMs(ctx, e)
+	case ZoneEvacuate:
+		tb.evacuate(ctx, zone(int(e.Pick%uint64(tb.o.Size.Zones))), e.For)
 	case ConfigChange, ConfigReshard:
 		tb.publishConfig(e.Fault == ConfigReshard)
 	}
@@ -142,10 +144,12 @@
 	} else {
 		wait.For(ctx, e.For)
 	}
-	if _, err := p.startLeaf(&tb.started, service); err != nil {
+	next, err := p.startLeaf(&tb.started, service)
+	if err != nil {
 		tb.fail("%s at %s: %v", e.Fault, p.entry, err)
 		return
 	}
+	tb.setCold(next)
 	tb.writeEntry(p, "ready")
 }
 
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -51,8 +51,8 @@
 }
 
 type startedLeaf struct {
-	leaf    *hosted.Leaf
-	service string
+	leaf          *hosted.Leaf
+	service, zone string
 }
 
 // runs returns the requests that all leaves observed.
@@ -62,7 +62,10 @@
 	var out []Run
 	for _, l := range p.leaves {
 		for _, s := range l.leaf.Requests() {
-			out = append(out, Run{ID: s.ID, Leaf: l.leaf.ID, Born: l.leaf.Born, Service: l.service, Target: s.Target, At: s.At, Ran: s.Ran})
+			out = append(out, Run{
+				ID: s.ID, Leaf: l.leaf.ID, Born: l.leaf.Born, Service: l.service, Zone: l.zone, Target: s.Target, At: s.At, Ran: s.Ran,
+				Misdirected: s.ExpectedInstance != "" && s.ExpectedInstance != l.leaf.ID,
+			})
 		}
 	}
 	return out
@@ -88,7 +91,7 @@
 	}
 	p.leaf = leaf
 	started.mu.Lock()
-	started.leaves = append(started.leaves, startedLeaf{leaf, service})
+	started.leaves = append(started.leaves, startedLeaf{leaf, service, p.zone})
 	started.mu.Unlock()
 	return leaf, nil
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -57,6 +57,7 @@
 	VMKillAll        Fault = "vm_kill_all"
 	ConfigChange     Fault = "config_change"
 	ConfigReshard    Fault = "config_reshard"
+	ZoneEvacuate     Fault = "zone_evacuate"
 )
 
 // faults lists the faults that a plan draws from, with their weights.
@@ -103,6 +104,7 @@
 		plan = append(plan, Event{At: at, For: min(drawDuration(rng, maxFaultTime/2), size.Faults-at), Fault: drawFault(rng), Share: rng.Float64() / 2, Pick: rng.Uint64()})
 	}
 	plan = append(plan, addedFaults(seed, size)...)
+	plan = append(plan, evacuations(seed, size)...)
 	for at := drawDuration(rng, configGap); at < size.Faults; at += drawDuration(rng, configGap) {
 		f := ConfigChange
 		if rng.IntN(5) == 0 {
@@ -130,6 +132,20 @@
 	return out
 }
 
+// evacuationGap is the mean time between evacuations.
+const evacuationGap = 4 * time.Second
+
+// evacuations draws evacuations of availability zones from a random source of their own, as addedFaults does. A
+// deployment of one zone gets none: no leaf would be left.
+func evacuations(seed uint64, size Size) []Event {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var out []Event
+	for at := drawDuration(rng, evacuationGap); size.Zones > 1 && at < size.Faults; at += drawDuration(rng, evacuationGap) {
+		out = append(out, Event{At: at, For: drawDuration(rng, maxFaultTime), Fault: ZoneEvacuate, Pick: rng.Uint64()})
+	}
+	return out
+}
+
 // drawDuration returns a random duration between a tenth of the mean and nearly twice the mean.
 func drawDuration(rng *rand.Rand, mean time.Duration) time.Duration {
 	return mean/10 + time.Duration(rng.Float64()*float64(2*mean-mean/5))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -48,7 +48,11 @@
 	rules   []relay.Rule
 	configs []Config
 	drains  []Drain
-	ends    []End
+	// evacuating holds the zones that are evacuated now.
+	evacuating  map[string]bool
+	evacuations []Evacuation
+	colds       []Cold
+	ends        []End
 	// reassigned holds the services that lost a placement to another service.
 	reassigned map[string]bool
 	// errs lists the faults that could not be injected.
@@ -89,7 +93,7 @@
 
 // newTestbed starts the store and the leaves, sets up the relay and publishes the first configuration. No VM is started.
 func newTestbed(o Options, dir string) (*testbed, error) {
-	tb := &testbed{o: o, dir: dir, store: hosted.NewStore(), reassigned: make(map[string]bool)}
+	tb := &testbed{o: o, dir: dir, store: hosted.NewStore(), reassigned: make(map[string]bool), evacuating: make(map[string]bool)}
 	forwards := []relay.Forward{{Listen: hostPort(tb.address(3, 1), entryPort), Target: tb.store.Address(), Networks: []relay.Network{relay.TCP}}}
 	number := 1
 	for _, service := range services() {
@@ -123,7 +127,7 @@
 	for i := range tb.o.Size.VMs {
 		v, err := newVM(i, tb.o.Program, tb.dir, &deployment.Settings{
 			VMName: fmt.Sprintf("vm-%d", i), Zone: zone(i % tb.o.Size.Zones), IP: tb.address(1, i+1), Seeds: seeds,
-			StoreAddress: hostPort(tb.address(3, 1), entryPort), Millicores: tb.millicores(i),
+			StoreAddress: hostPort(tb.address(3, 1), entryPort), Millicores: tb.millicores(i), Regions: tb.regions(), Warmup: warmupLimit,
 		})
 		if err != nil {
 			return err
@@ -133,6 +137,15 @@
 	return nil
 }
 
+// regions returns the region of each availability zone, one for all.
+func (tb *testbed) regions() map[string]string {
+	out := make(map[string]string)
+	for i := range tb.o.Size.Zones {
+		out[zone(i)] = "region"
+	}
+	return out
+}
+
 // millicores returns the CPU size for the settings of a VM, 0 for none.
 func (tb *testbed) millicores(vm int) int {
 	const smaller, larger = 200, 800
@@ -169,6 +182,7 @@
 	tb.configs = append(tb.configs, next)
 	tb.store.Configure(hosted.Config{
 		Version: next.Version, Routes: []hosted.Route{search, single, order}, Services: services(), Connections: leafConnections,
+		Warmup: leafWarmup, WarmupRate: warmupRate,
 	})
 }
 
@@ -278,5 +292,6 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	h.Configs, h.Drains, h.Ends, h.Trapped = tb.configs, tb.drains, tb.ends, tb.trapped()
+	h.Evacuations, h.Colds = tb.evacuations, tb.colds
 	return h
 }
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -31,6 +31,8 @@
 	received []ReceivedRequest
 	opened   int
 	running  atomic.Int64
+	// coldUntil is when the leaf ceases to be cold; guarded by mu.
+	coldUntil time.Time
 }
 
 // ReceivedRequest is a request that reached the leaf. Ran reports whether the leaf ran it.
@@ -101,11 +103,25 @@
 // Address returns the IP:PORT of the leaf.
 func (l *Leaf) Address() string { return l.listener.Addr().String() }
 
+// SetCold makes the leaf cold for the time. Its entry says so once it is written again.
+func (l *Leaf) SetCold(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coldUntil = time.Now().Add(d)
+}
+
+// warmupRemaining returns how much longer the leaf is cold.
+func (l *Leaf) warmupRemaining() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, time.Until(l.coldUntil))
+}
+
 // Entry returns the leaf's entry in the store, under servers/ID.
 func (l *Leaf) Entry(service, zone, state string) map[string]any {
 	return map[string]any{
 		"service": service, "address": l.Address(), "zone": zone, "version": "v1", "slots": cap(l.slots),
-		"state": state, "warmup_remaining_ms": 0, "sequence": 1, "born": l.Born,
+		"state": state, "warmup_remaining_ms": l.warmupRemaining().Milliseconds(), "sequence": 1, "born": l.Born,
 	}
 }
 
--- a/internal/standin/hosted/operator.go
+++ b/internal/standin/hosted/operator.go
@@ -31,6 +31,10 @@
 	// Services are the names of the services. Connections is the connection limit to each leaf.
 	Services    []string
 	Connections int
+	// Warmup is how long a leaf is cold after its start, WarmupRate how many requests a second a cold leaf tolerates;
+	// 0 for no limit.
+	Warmup     time.Duration
+	WarmupRate float64
 }
 
 // Configure writes the configuration to the store under op/config.
@@ -42,6 +46,7 @@
 	for _, name := range c.Services {
 		services = append(services, map[string]any{
 			"name": name, "health_check_path": "/health", "connection_limit": c.Connections, "protocol": "h1",
+			"warmup_s": c.Warmup.Seconds(), "warmup_per_s": c.WarmupRate,
 		})
 	}
 	s.PutJSON("op/config", map[string]any{
@@ -109,10 +114,19 @@
 retry_budget_slack = %g
 retry_window_s = %g
 config_apply_ms = %d
+warmup_overage = %g
+warmup_slack = %g
 [platform]
 address = %q
 `, s.VMName, s.IP, s.Zone, strings.Join(s.Seeds, `", "`), s.CallersAddress, s.ReadinessAddress, s.PeersAddress,
 		float64(s.Millicores)/1000, s.MemoryBytes>>20,
-		s.GracePeriod.Seconds(), s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.Window.Seconds(), s.ConfigApplyBound.Milliseconds(), s.StoreAddress)
+		s.GracePeriod.Seconds(), s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.Window.Seconds(), s.ConfigApplyBound.Milliseconds(),
+		s.Warmup.Overage, s.Warmup.Slack, s.StoreAddress)
+	if len(s.Regions) > 0 {
+		text += "[zones]\n"
+	}
+	for zone, region := range s.Regions {
+		text += fmt.Sprintf("%q = %q\n", zone, region)
+	}
 	return os.WriteFile(file, []byte(text), 0o600)
 }
