--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -9,7 +9,6 @@
 	drainBound  = 3 * time.Second
 	configBound = 3 * time.Second
 	// settleTime is how long a VM must be undisturbed before a bound applies to it.
-	// settleTime is how long a VM must be undisturbed before a bound applies to it.
 	settleTime    = 4 * time.Second
 	graceBound    = 6 * time.Second
 	recoveryBound = 12 * time.Second
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -105,7 +105,6 @@
 	return leaf
 }
 
-// current returns the running leaf of the placement, or nil if there is none.
 // current returns the running leaf of the placement, or nil if there is none.
 func (p *placement) current() *hosted.Leaf {
 	p.mu.Lock()
@@ -120,7 +119,6 @@
 	return p.service
 }
 
-// setFault replaces the placement's fault unless the current one is pinned and has not expired.
 // setFault replaces the placement's fault unless the current one is pinned and has not expired.
 func (p *placement) setFault(m leafFault) {
 	p.mu.Lock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -84,7 +84,6 @@
 	return append(out, orderService)
 }
 
-// singleService returns the name of the i-th service for single requests, modulo their number.
 // singleService returns the name of the i-th service for single requests, modulo their number.
 func singleService(i int) string { return fmt.Sprintf("v%d", i%singleServices) }
 
