Peers: exchanges with another zone name the own zone's VMs and a few of third zones

Cause: an exchange names up to 80 members whoever gets it.

Change: in a large fleet, a VM of another zone that has been known for 10 s gets the members of the sender's zone and ten of third zones, for the case that it is cut off from them. One that has just started gets all as before: without that, VMs whose first peers are in other zones don't get to know their own (TestReconnectedZone, 57 copies across zones in place of 1).

Failed before: TestMembersForOtherZones.

--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -22,8 +22,8 @@
 // no items that it has. A brief exchange carries only updates.
 func (m *Manager) exchange(ctx context.Context, address string, brief bool) {
 	for range 2 {
-		client, known := m.clientOf(address)
-		probed, ok := m.exchangeOnce(ctx, client, known, brief)
+		client, known, zone := m.clientOf(address)
+		probed, ok := m.exchangeOnce(ctx, client, known, recipient{address: address, zone: zone}, brief)
 		if !ok || !probed || !m.needsPush(address) {
 			return
 		}
@@ -40,11 +40,11 @@
 
 // exchangeOnce makes one exchange. ok reports whether the peer answered. probed reports whether the request only
 // asked for the peer's progress, so that items may still have to be sent.
-func (m *Manager) exchangeOnce(ctx context.Context, client Client, known progress, brief bool) (probed, ok bool) {
+func (m *Manager) exchangeOnce(ctx context.Context, client Client, known progress, to recipient, brief bool) (probed, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	now := time.Now()
-	req := m.buildMessage(known.completeTo, now, brief, m.cfg.Zone)
+	req := m.buildMessage(known.completeTo, now, brief, to)
 	large := itemBytes(req) >= announceMinBytes
 	probed = known.reportedAt.IsZero() || large && !brief && now.Sub(known.reportedAt) >= progressMaxAge
 	if probed || large && brief {
@@ -116,17 +116,18 @@
 	return e != nil && e.progress.completeTo > to
 }
 
-// clientOf returns the client for the address and the last progress that the peer there reported.
-func (m *Manager) clientOf(address string) (Client, progress) {
+// clientOf returns the client for the address, the last progress that the peer there reported, and its availability
+// zone, which is empty if the peer is unknown.
+func (m *Manager) clientOf(address string) (Client, progress, string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e := m.members[address]; e != nil {
 		if e.client == nil {
 			e.client = m.cfg.Dial(address)
 		}
-		return e.client, e.progress
+		return e.client, e.progress, e.record.GetZone()
 	}
-	return m.cfg.Dial(address), progress{}
+	return m.cfg.Dial(address), progress{}, ""
 }
 
 // Answer handles an exchange that a peer began and returns this VM's part.
@@ -136,20 +137,28 @@
 	if from := req.GetSender().GetAddress(); req.GetBrief() && m.isAhead(from) {
 		m.enqueuePull(pull{address: from})
 	}
-	to, zone := req.GetCompleteTo(), m.cfg.Zone
+	to, asker := req.GetCompleteTo(), recipient{address: req.GetSender().GetAddress(), zone: req.GetSender().GetZone()}
 	if to == 0 {
-		zone = req.GetSender().GetZone()
+		asker.starting = true
 		if own := m.cfg.Mirror.CompleteTo(); own > 0 && m.deferFullState(req.GetSender(), now) {
 			to = own
 		}
 	}
-	return m.buildMessage(to, now, req.GetBrief(), zone)
+	return m.buildMessage(to, now, req.GetBrief(), asker)
 }
 
-// buildMessage returns the message for a peer that is complete up to the revision. Members of the zone take
-// precedence.
-func (m *Manager) buildMessage(to uint64, now time.Time, brief bool, zone string) *pb.FleetExchange {
-	d := m.cfg.Mirror.Since(to)
+// recipient is the VM that a message is for.
+type recipient struct {
+	address string
+	// zone is its availability zone; empty if unknown.
+	zone string
+	// starting is set if it has no state yet. It has to get to know its own zone first.
+	starting bool
+}
+
+// buildMessage returns the message for a recipient that is complete up to the revision.
+func (m *Manager) buildMessage(completeTo uint64, now time.Time, brief bool, to recipient) *pb.FleetExchange {
+	d := m.cfg.Mirror.Since(completeTo)
 	var troubles []replica.Trouble
 	if !brief {
 		troubles = m.cfg.Evidence.Troubles(now)
@@ -158,7 +167,7 @@
 	defer m.mu.Unlock()
 	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Brief: brief, CompleteFrom: d.CompleteFrom, CompleteTo: d.CompleteTo, Full: d.Full}
 	if !brief {
-		msg.Members = m.sampleMembers(now, zone)
+		msg.Members = m.sampleMembers(now, to)
 	}
 	for _, it := range d.Items {
 		msg.Items = append(msg.Items, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -14,8 +14,8 @@
 // member is the state of another VM.
 type member struct {
 	record *pb.FleetMember
-	// heartbeatAt is when its heartbeat last rose.
-	heartbeatAt time.Time
+	// heartbeatAt is when its heartbeat last rose, knownSince when this VM first heard of its incarnation.
+	heartbeatAt, knownSince time.Time
 	// contactAt is when the store last answered it, by this VM's clock; zero for never.
 	contactAt time.Time
 	// progress is what the peer last reported about itself in this incarnation.
@@ -171,9 +171,9 @@
 	return now.Sub(at).Milliseconds()
 }
 
-// sampleMembers returns the members for an exchange: all in a small fleet, otherwise those of the zone that matter
-// most and a random choice of the others. The caller must hold mu.
-func (m *Manager) sampleMembers(now time.Time, zone string) []*pb.FleetMember {
+// sampleMembers returns the members for an exchange: all in a small fleet, otherwise those of the zone that matters
+// most to the recipient and a random choice of the others. The caller must hold mu.
+func (m *Manager) sampleMembers(now time.Time, to recipient) []*pb.FleetMember {
 	live := make([]*member, 0, len(m.members))
 	for _, e := range m.members {
 		if e.live {
@@ -181,6 +181,13 @@
 		}
 	}
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	zone := m.cfg.Zone
+	if to.starting {
+		zone = to.zone
+	}
+	if m.knowsItsZone(to, now) && len(live) >= largeFleetSize {
+		live = membersForOtherZone(live, m.cfg.Zone, to.zone)
+	}
 	if len(live) > maxMembersPerExchange {
 		prioritizeZone(live, zone)
 		live = live[:maxMembersPerExchange]
@@ -196,6 +203,29 @@
 	return out
 }
 
+// knowsItsZone reports whether the recipient is in another zone and has run for long enough to know the VMs of its own.
+// The caller must hold mu.
+func (m *Manager) knowsItsZone(to recipient, now time.Time) bool {
+	e := m.members[to.address]
+	return e != nil && to.zone != m.cfg.Zone && !to.starting && now.Sub(e.knownSince) >= newMemberPeriod
+}
+
+// membersForOtherZone returns the members for an exchange of a large fleet with another zone: those of the own zone,
+// which that one learns of nowhere else, and a few of third zones, for the case that it is cut off from them.
+func membersForOtherZone(live []*member, own, other string) []*member {
+	var out, third []*member
+	for _, e := range live {
+		switch e.record.GetZone() {
+		case own:
+			out = append(out, e)
+		case other:
+		default:
+			third = append(third, e)
+		}
+	}
+	return append(out, third[:min(thirdZoneMemberSlots, len(third))]...)
+}
+
 // prioritizeZone moves to the front the member of the zone with the newest contact, since its record keeps others
 // from reading the store, and then some other members of the zone.
 func prioritizeZone(live []*member, zone string) {
@@ -233,10 +263,10 @@
 		return false
 	}
 	if e == nil {
-		e = &member{}
+		e = &member{knownSince: now}
 		m.members[r.GetAddress()] = e
 	} else if e.record.GetIncarnation() != r.GetIncarnation() {
-		e.progress, e.contactAt = progress{}, time.Time{}
+		e.progress, e.contactAt, e.knownSince = progress{}, time.Time{}, now
 	}
 	revived := !e.live
 	e.record, e.heartbeatAt, e.live = r, now, true
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -37,6 +37,11 @@
 	// of other zones.
 	maxMembersPerExchange = 80
 	ownZoneMemberSlots    = 28
+	// thirdZoneMemberSlots bounds the members of third zones that an exchange between two zones of a large fleet
+	// names. Each of 60 is named every few seconds, before it would count as silent.
+	thirdZoneMemberSlots = 10
+	// newMemberPeriod is how long after this VM first heard of another one that one may not know its own zone yet.
+	newMemberPeriod = 10 * time.Second
 	// announceMinBytes is the size of an update from which it is only announced. A peer that lacks it requests it,
 	// so that a large configuration goes to each VM about once instead of three times.
 	announceMinBytes = 1 << 10
