Retry budget: a VM that is silent keeps its part of the fleet's extra calls

Change: the package roster remembers the VMs for ten minutes after they were last live. The shares of extra calls and of requests to cold leaves go by it, and warmup's own memory of absent VMs goes; the plan of who makes calls and the connections go by the live ones as before.

Failed before: TestBothSidesOfAPartitionShareTheExtraCalls, in eight of ten cases. In TestNoShareOfExtraCallsWhileTheFleetIsUnknown the setup names the known VMs in place of the live ones; its checks are the same.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	"github.com/burdockplank/burdockplank/internal/process"
 	"github.com/burdockplank/burdockplank/internal/replica"
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
+	"github.com/burdockplank/burdockplank/internal/roster"
 	"github.com/burdockplank/burdockplank/internal/rpc"
 	"github.com/burdockplank/burdockplank/internal/storeread"
 	"github.com/burdockplank/burdockplank/internal/wait"
@@ -110,8 +111,9 @@
 	server           *http.Server
 	leaving          atomic.Bool
 	seeds            atomic.Pointer[[]string]
-	// fleetSize is used only by the goroutine of follow.
+	// fleetSize and roster are used only by the goroutine of follow.
 	fleetSize fleetSize
+	roster    *roster.Roster
 }
 
 // New builds the duties and starts none of them.
@@ -120,7 +122,7 @@
 	d := &Daemon{
 		settings: s, platform: p, metricsAddress: metricsAddress, log: log, sink: sink, registry: reg,
 		mirror: mirror.New(changed), directoryUpdated: updated,
-		table: replica.New(), budgets: retrybudget.New(s.RetryBudget, time.Now), fleetSize: fleetSize{startedAt: time.Now()},
+		table: replica.New(), budgets: retrybudget.New(s.RetryBudget, time.Now), fleetSize: fleetSize{startedAt: time.Now()}, roster: roster.New(),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_requests_refused_total", Help: "Requests refused at the callers' edge by reason.",
 		}, []string{"reason"}),
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -15,8 +15,12 @@
 // shares holds this VM's share in what the fleet may use of each service.
 type shares struct {
 	plan delegate.Plan
-	// vmCount is the number of VMs of the fleet, this one included.
+	// vmCount is the number of live VMs of the fleet, this one included.
 	vmCount int
+	// knownPlan and knownCount are the plan and the number of VMs with the silent ones. What the fleet may use together
+	// goes by them, so that the two sides of a network partition don't both take the whole.
+	knownPlan  delegate.Plan
+	knownCount int
 	// singleServices and shardServices are the services of single requests and of searches.
 	singleServices, shardServices map[string]bool
 	// unsettled is set while the number of VMs is still changing after the start.
@@ -30,9 +34,9 @@
 		return 0
 	}
 	if s.shardServices[service] {
-		return s.plan.Share()
+		return s.knownPlan.Share()
 	}
-	return 1 / float64(s.vmCount)
+	return 1 / float64(s.knownCount)
 }
 
 // connectionShare returns this VM's share in the connections to a service's leaves. A service that no route
@@ -60,9 +64,9 @@
 }
 
 // coldLeafCallers returns the addresses of the VMs of the zone of self that call the services of each kind.
-func coldLeafCallers(self peers.VM, fleet []peers.VM) map[warmup.Kind][]string {
+func coldLeafCallers(self peers.VM, known []peers.VM) map[warmup.Kind][]string {
 	zone := []peers.VM{self}
-	for _, vm := range fleet {
+	for _, vm := range known {
 		if vm.Zone == self.Zone {
 			zone = append(zone, vm)
 		}
@@ -97,22 +101,31 @@
 	return now.Sub(f.startedAt) < maxSettleTime && now.Sub(f.changedAt) < settleInterval
 }
 
-// applyPlan distributes the work among the VMs known now, and returns their number.
+// newShares returns the shares of the VM self. live holds the other VMs that are live, known also those that are silent.
+func newShares(self peers.VM, live, known []peers.VM, regions map[string]string) shares {
+	return shares{
+		plan: delegate.NewPlan(self, live, regions), vmCount: len(live) + 1,
+		knownPlan: delegate.NewPlan(self, known, regions), knownCount: len(known) + 1,
+	}
+}
+
+// applyPlan distributes the work among the VMs known now, and returns the number of live ones.
 func (d *Daemon) applyPlan() int {
-	fleet := d.peers.VMs()
+	now := time.Now()
+	live := d.peers.VMs()
+	known := d.roster.Update(live, now)
 	view := d.directory.Current()
-	s := shares{vmCount: len(fleet) + 1}
-	s.unsettled = d.fleetSize.observe(s.vmCount, time.Now())
+	self := peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}
+	s := newShares(self, live, known, d.settings.Regions)
+	s.unsettled = d.fleetSize.observe(s.vmCount, now)
 	if view.Config != nil {
 		s.singleServices, s.shardServices = view.Config.UsedServices()
 	}
-	self := peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}
-	s.plan = delegate.NewPlan(self, fleet, d.settings.Regions)
 	d.delegate.SetPlan(s.plan)
 	d.gatherer.SetPlan(s.plan)
 	d.budgets.SetShare(s.extraCallShare)
-	if len(fleet) > 0 || !d.hasOtherSeeds() {
-		d.coldLeaves.SetCallers(coldLeafCallers(self, fleet), s.coldLeafKind)
+	if len(known) > 0 || !d.hasOtherSeeds() {
+		d.coldLeaves.SetCallers(coldLeafCallers(self, known), s.coldLeafKind)
 	}
 	d.pool.SetLeaves(callableLeaves(view), connectionLimits(view.Config), s.connectionShare)
 	return s.vmCount
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -5,7 +5,6 @@
 package warmup
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -26,9 +25,6 @@
 	// startDelay is how long after its start a process sends nothing to cold leaves. Until then the other VMs may
 	// not know of it, and a process of the same VM may just have used its part.
 	startDelay = 5 * time.Second
-	// absentRetention is how long a VM that is no longer live keeps its part. It may be cut off from this VM and not
-	// from the leaf.
-	absentRetention = 10 * time.Minute
 )
 
 // Limit is the platform's bound: a cold leaf whose service tolerates a rate gets at most Overage times the rate plus
@@ -60,8 +56,8 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 
-	// seen holds when each VM of the own zone was last live among the callers of a kind, by address.
-	seen map[Kind]map[string]time.Time
+	// callers holds the addresses of the VMs of the own zone that call services of a kind.
+	callers map[Kind][]string
 	// sent holds the times of the requests of the latest window.
 	sent map[catalog.LeafID][]time.Time
 	// kindOf tells which VMs call a service.
@@ -88,31 +84,18 @@
 	reg.MustRegister(requests)
 	return &Allowance{
 		self: self, zone: zone, limit: limit, division: division{zones}, clock: clock, start: clock(), requests: requests,
-		seen: make(map[Kind]map[string]time.Time), sent: make(map[catalog.LeafID][]time.Time), kindOf: func(string) Kind { return Single },
+		sent: make(map[catalog.LeafID][]time.Time), kindOf: func(string) Kind { return Single },
 	}
 }
 
-// SetCallers sets the addresses of the live VMs of the own zone that call the services of each kind, with this VM's
-// where it is one, and the kind of each service. VMs that are absent now keep their parts for absentRetention.
+// SetCallers sets the addresses of the VMs of the own zone that call the services of each kind, with this VM's where it
+// is one, and the kind of each service. The VMs include silent ones, which may be cut off from this VM and not from the
+// leaves.
 func (a *Allowance) SetCallers(callers map[Kind][]string, kindOf func(service string) Kind) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.clock()
-	a.kindOf = kindOf
-	for kind, list := range callers {
-		if a.seen[kind] == nil {
-			a.seen[kind] = make(map[string]time.Time)
-		}
-		for _, c := range list {
-			a.seen[kind][c] = now
-		}
-		for c, at := range a.seen[kind] {
-			if now.Sub(at) > absentRetention {
-				delete(a.seen[kind], c)
-			}
-		}
-	}
-	a.dropOld(now)
+	a.callers, a.kindOf = callers, kindOf
+	a.dropOld(a.clock())
 }
 
 // dropOld drops the counts of leaves without a request in the latest window. Requires mu.
@@ -162,8 +145,7 @@
 
 // quota returns how many requests this VM may send to the cold leaf in a window. Requires mu.
 func (a *Allowance) quota(leaf catalog.Leaf, rate float64) int {
-	callers := slices.Collect(maps.Keys(a.seen[a.kindOf(leaf.Service)]))
-	return a.division.quota(leaf, a.limit.requests(rate), callers, a.self, a.zone)
+	return a.division.quota(leaf, a.limit.requests(rate), a.callers[a.kindOf(leaf.Service)], a.self, a.zone)
 }
 
 // Dump returns the requests of the latest window to each cold leaf.
