--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -29,6 +29,12 @@
 // Step names this component in errors.
 const Step = "leafpool"
 
+// Errors of a call that finds no connection.
+var (
+	errUnknownLeaf      = errors.New("leaf is unknown")
+	errNoFreeConnection = errors.New("this VM's connection quota is used up, or the leaf has just reset a new connection")
+)
+
 // Pool holds the connections to the leaves. It is safe for concurrent use.
 type Pool struct {
 	dialer  leafcall.Dialer
@@ -85,8 +91,10 @@
 		open: prometheus.NewGauge(prometheus.GaugeOpts{Name: "burdock_leaf_connections", Help: "Open connections to leaves."}),
 	}
 	reg.MustRegister(m.opened, m.open)
-	return &Pool{dialer: d, zone: zone, metrics: m, started: time.Now(), startupStagger: rand.Float64(), leaves: make(map[catalog.LeafID]*leafConns), limits: make(map[string]int),
-		share: func(string) Share { return Share{VMs: 1} }}
+	return &Pool{
+		dialer: d, zone: zone, metrics: m, started: time.Now(), startupStagger: rand.Float64(),
+		leaves: make(map[catalog.LeafID]*leafConns), limits: make(map[string]int), share: func(string) Share { return Share{VMs: 1} },
+	}
 }
 
 // SetLeaves sets the leaves that may be called, the connection limit of each service, and this VM's share.
@@ -182,7 +190,7 @@
 	e = p.leaves[id]
 	if e == nil {
 		p.mu.Unlock()
-		return nil, nil, false, &leafcall.Error{Cause: leafcall.NoConnection, Step: Step, Peer: id.String(), Err: errors.New("leaf is unknown")}
+		return nil, nil, false, &leafcall.Error{Cause: leafcall.NoConnection, Step: Step, Peer: id.String(), Err: errUnknownLeaf}
 	}
 	p.anyCall, e.endedUnused = true, false
 	for len(e.idle) > 0 {
@@ -198,7 +206,7 @@
 	}
 	if e.open >= p.maxConns(e.leaf) || time.Since(e.resetAt) < resetBackoff {
 		p.mu.Unlock()
-		return nil, nil, false, &leafcall.Error{Cause: leafcall.ConnectionFull, Step: Step, Peer: id.String(), Err: errors.New("this VM's connection quota is used up, or the leaf has just reset a new connection")}
+		return nil, nil, false, &leafcall.Error{Cause: leafcall.ConnectionFull, Step: Step, Peer: id.String(), Err: errNoFreeConnection}
 	}
 	e.open++
 	p.mu.Unlock()
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -106,10 +106,9 @@
 	self   string
 	zone   string
 	seed   bool
-	// Durations derived from the bound of this deployment.
-	pollWait, takeoverAge, largeZoneTakeoverAge, batchPause, secondaryPause, contactInterval time.Duration
-	log                                                                                      *zap.Logger
-	reads                                                                                    *prometheus.CounterVec
+	timing
+	log   *zap.Logger
+	reads *prometheus.CounterVec
 
 	// The fields below are used only by the goroutine of Run.
 	backoff    platform.Backoff
@@ -131,9 +130,25 @@
 		Name: "burdock_store_reads_total", Help: "Reads of the platform's store by kind and end.",
 	}, []string{"kind", "result"})
 	reg.MustRegister(reads)
-	return &Reader{store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed,
-		pollWait: fraction(pollWaitFraction, bound), takeoverAge: fraction(takeoverFraction, bound), largeZoneTakeoverAge: fraction(largeZoneTakeoverFraction, bound), batchPause: fraction(batchPauseFraction, bound),
-		secondaryPause: fraction(secondaryPauseFraction, bound), contactInterval: fraction(contactIntervalFraction, bound), log: log, reads: reads, reachable: true, backoff: platform.Backoff{Max: maxRetryDelay}}
+	return &Reader{
+		store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed, timing: newTiming(bound), log: log, reads: reads,
+		reachable: true, backoff: platform.Backoff{Max: maxRetryDelay},
+	}
+}
+
+// timing holds the durations that follow from the bound within which a change must be in force everywhere.
+type timing struct {
+	pollWait, contactInterval         time.Duration
+	takeoverAge, largeZoneTakeoverAge time.Duration
+	batchPause, secondaryPause        time.Duration
+}
+
+func newTiming(bound time.Duration) timing {
+	return timing{
+		pollWait: fraction(pollWaitFraction, bound), contactInterval: fraction(contactIntervalFraction, bound),
+		takeoverAge: fraction(takeoverFraction, bound), largeZoneTakeoverAge: fraction(largeZoneTakeoverFraction, bound),
+		batchPause: fraction(batchPauseFraction, bound), secondaryPause: fraction(secondaryPauseFraction, bound),
+	}
 }
 
 func fraction(p float64, of time.Duration) time.Duration { return time.Duration(p * float64(of)) }
