Gather: pings tell silent connections from busy leaves before the first search has ended

The rule for standstills asks for an earlier end, since leaves that never answered may just be overloaded, and the ping that tells the two apart went out after 200 ms only.

Change: where a search has to wait and none has ended so far, the connections on which calls wait are pinged at once. At the end of its wait it starts in the standstill if one has left the ping unanswered for 20 ms, or was just found silent; a busy leaf answers. A connection is taken out of use no sooner than before.

--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -25,15 +25,25 @@
 	For(service string) balance.Replicas
 }
 
+// Connections tells silent connections to leaves from busy leaves.
+type Connections interface {
+	// Probe pings the connections to the service's leaves on which calls wait.
+	Probe(service string)
+	// Silent reports whether such a connection has left a ping unanswered, or one was just found silent.
+	Silent(service string) bool
+}
+
 // Engine answers searches. It is safe for concurrent use.
 type Engine struct {
-	settings  Settings
-	source    feed.Source
-	caller    upstream.Caller
-	balancers Balancers
-	guard     *quarantine.Registry
-	metrics   *Metrics
-	calls     sync.WaitGroup
+	settings Settings
+	source   feed.Source
+	caller   upstream.Caller
+	// connections is nil if nothing is known of the connections.
+	connections Connections
+	balancers   Balancers
+	guard       *quarantine.Registry
+	metrics     *Metrics
+	calls       sync.WaitGroup
 
 	mu sync.Mutex
 	// services holds the state of each service by its name, missingSnapshots until when a leaf that refused a snapshot
@@ -55,10 +65,10 @@
 	version uint64
 }
 
-// New returns an engine without any learned state.
-func New(s Settings, source feed.Source, caller upstream.Caller, b Balancers, guard *quarantine.Registry, m *Metrics) *Engine {
+// New returns an engine without any learned state. connections may be nil.
+func New(s Settings, source feed.Source, caller upstream.Caller, connections Connections, b Balancers, guard *quarantine.Registry, m *Metrics) *Engine {
 	return &Engine{
-		settings: s, source: source, caller: caller, balancers: b, guard: guard, metrics: m,
+		settings: s, source: source, caller: caller, connections: connections, balancers: b, guard: guard, metrics: m,
 		services: make(map[string]*serviceState), missingSnapshots: make(map[leafSnapshot]time.Time),
 	}
 }
@@ -185,6 +195,7 @@
 		s = &serviceState{slots: newSlotQueue()}
 		if e.settings.Concurrency == ConcurrencyAdaptive {
 			s.limiter = newLimiter(minGroupSlots(b), e.settings.QueueWait.D())
+			s.limiter.service, s.limiter.connections = b.Name, e.connections
 		}
 		e.services[b.Name] = s
 	}
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -342,7 +342,7 @@
 	}
 	r.guard = quarantine.New(qs, r.feed, caller.State, time.Now, quarantine.NewMetrics(r.registry))
 	r.guard.ApplyView(r.feed.Current())
-	r.engine = New(DefaultSettings(), r.feed, caller, r.replicas, r.guard, NewMetrics(r.registry))
+	r.engine = New(DefaultSettings(), r.feed, caller, nil, r.replicas, r.guard, NewMetrics(r.registry))
 	return r
 }
 
--- a/internal/search/gate.go
+++ b/internal/search/gate.go
@@ -54,6 +54,9 @@
 	// is when a search last ended, or when one started while none ran. standstillEnd is when the last standstill ended.
 	shortestTime, windowShortest time.Duration
 	lastEnd, standstillEnd       time.Time
+	// connections to the leaves of the service; nil if nothing is known of them. Both are fixed.
+	connections Connections
+	service     string
 	// minStandstillLimit is the fixed number of searches that may run in a standstill even if the limit is lower.
 	minStandstillLimit int
 }
@@ -123,6 +126,7 @@
 	if full && !l.displace(weight) {
 		return nil, false
 	}
+	l.probeConnections()
 	entry := &queueEntry{weight: weight, decision: make(chan bool, 1)}
 	at, _ := slices.BinarySearchFunc(l.queue, weight, func(o *queueEntry, w int) int {
 		if o.weight >= w {
--- a/internal/search/gate_test.go
+++ b/internal/search/gate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,3 +229,37 @@
 		is.Equal(l.describe(time.Now()), "0 running of 2, 0 waiting, none ended for 1s, the shortest took 10ms")
 	})
 }
+
+// fakeConnections are all silent or all alive.
+type fakeConnections struct {
+	silent bool
+	probes atomic.Int64
+}
+
+func (c *fakeConnections) Probe(string)       { c.probes.Add(1) }
+func (c *fakeConnections) Silent(string) bool { return c.silent }
+
+// TestSilentConnectionsBeforeTheFirstEnd guards against refusals for load of searches that come while all connections
+// are silent, at a gather of which no search has ended yet. Leaves that are busy are told by their answers to pings.
+func TestSilentConnectionsBeforeTheFirstEnd(t *testing.T) {
+	for name, silent := range map[string]bool{"silent": true, "busy": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := newLimiter(3, 50*time.Millisecond)
+				connections := &fakeConnections{silent: silent}
+				l.connections = connections
+				for range 3 {
+					is.True(l.enter(t.Context(), 1, 0))
+				}
+				is.Equal(connections.probes.Load(), int64(0))
+				is.Equal(l.enter(t.Context(), 1, 0), silent)
+				is.Equal(connections.probes.Load(), int64(1))
+				for range 5 {
+					_ = l.enter(t.Context(), 1, 0)
+				}
+				is.True(!l.enter(t.Context(), 1, 0)) // no more than twice the limit
+			})
+		})
+	}
+}
--- a/internal/search/sim_test.go
+++ b/internal/search/sim_test.go
@@ -103,7 +103,7 @@
 		replicas.SetCapacity(id, l.Slots, simGathers)
 		replicas.SetIncarnation(id, 1)
 	}
-	s.engines = append(s.engines, New(DefaultSettings(), f, s.fleet, simBalancer{replicas}, guard, NewMetrics(reg)))
+	s.engines = append(s.engines, New(DefaultSettings(), f, s.fleet, nil, simBalancer{replicas}, guard, NewMetrics(reg)))
 	s.admissions = append(s.admissions, admission.New(admission.DefaultSettings(), prometheus.NewRegistry(), time.Now, float))
 }
 
--- a/internal/search/standstill.go
+++ b/internal/search/standstill.go
@@ -19,15 +19,26 @@
 }
 
 // startInStandstill starts a search beyond the limit during a standstill. It returns false if enough searches run, or
-// if none has ended so far, because then the leaves may be what fails. Requires mu.
+// if none has ended so far and no connection is silent, because then the leaves may be what fails. Requires mu.
 func (l *limiter) startInStandstill() bool {
-	if l.shortestTime == 0 || l.running >= max(l.minStandstillLimit, 2*int(l.limit)) || !l.inStandstill(time.Now()) {
+	if l.shortestTime == 0 && !l.showsSilence() || l.running >= max(l.minStandstillLimit, 2*int(l.limit)) || !l.inStandstill(time.Now()) {
 		return false
 	}
 	l.start()
 	return true
 }
 
+// probeConnections pings the connections to the leaves where no search has ended so far. By the end of its wait, a search
+// in the queue then knows whether the running ones wait for busy leaves or on silent connections. Requires mu.
+func (l *limiter) probeConnections() {
+	if l.shortestTime == 0 && l.connections != nil {
+		l.connections.Probe(l.service)
+	}
+}
+
+// showsSilence reports whether a connection to the leaves is silent. Requires mu.
+func (l *limiter) showsSilence() bool { return l.connections != nil && l.connections.Silent(l.service) }
+
 // recordEnd records the end of a search, and the end of a standstill if the search is the first to end after one.
 // Requires mu.
 func (l *limiter) recordEnd(now time.Time) {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -100,7 +100,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		verified := time.Since(c.tcp.lastHeard()) < maxUnverifiedAge || c.probe(ctx)
+		verified := time.Since(c.tcp.lastHeard()) < maxUnverifiedAge || c.probe(ctx, pingTimeout)
 		if verified && ctx.Err() == nil && l.beginOrder(c) {
 			return l, c, nil
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -57,7 +57,9 @@
 	orders int
 	// unansweredSince is when the first call after the last received byte was sent.
 	unansweredSince time.Time
-	pinging         bool
+	// pinging is set while a ping is unanswered; it was sent at pingedAt.
+	pinging  bool
+	pingedAt time.Time
 	// suspectAt is when another connection to the leaf was last pinged without an answer. This
 	// connection is suspect until a byte arrives on it after that time.
 	suspectAt time.Time
@@ -100,18 +102,18 @@
 	return c.inFlight > 0 && now.Sub(heard) >= busyPingAfter
 }
 
-// probe pings the connection, and takes it out of use if no answer comes. It returns whether the
-// connection is known to be alive.
-func (c *conn) probe(ctx context.Context) bool {
+// probe pings the connection, and takes it out of use if no answer comes within the limit. It returns
+// whether the connection is known to be alive.
+func (c *conn) probe(ctx context.Context, limit time.Duration) bool {
 	start := time.Now()
-	pctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	pctx, cancel := context.WithTimeout(ctx, limit)
 	err := c.h2.Ping(pctx)
 	cancel()
 	elapsed := time.Since(start)
 	if err == nil || c.tcp.lastHeard().After(start) {
 		return true
 	}
-	if ctx.Err() != nil || elapsed > pingTimeout+maxPingTimerDelay {
+	if ctx.Err() != nil || elapsed > limit+maxPingTimerDelay {
 		return false
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,3 +60,35 @@
 		}
 	})
 }
+
+// What tells a silent connection from a busy leaf came only with the ping after 200 ms, and a gather refused searches
+// for load by then. Probe tells within the round trip of a ping, without taking a connection out of use sooner.
+func TestProbeTellsSilentConnectionsFromBusyLeaves(t *testing.T) {
+	for name, silent := range map[string]bool{"silent connections": true, "a busy leaf": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFakeLeaf(t)
+				p, _ := startPool(t, f.dial)
+				waitForConnections()
+				slow := func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+				f.answer.Store(&slow)
+				if silent {
+					f.silenceAll()
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				defer cancel()
+				go func() { _, _ = search(ctx, p) }()
+				time.Sleep(10 * time.Millisecond)
+				is.True(!p.Silent("teachers"))
+				p.Probe("teachers")
+				time.Sleep(answerTime)
+				synctest.Wait()
+				is.Equal(p.Silent("teachers"), silent)
+				is.True(!p.Silent("another service"))
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(p.Silent("teachers"), silent)
+			})
+		})
+	}
+}
--- a/internal/upstream/tend.go
+++ b/internal/upstream/tend.go
@@ -66,15 +66,20 @@
 
 // pingIfQuiet starts a ping if the connection needs one. Requires mu.
 func (l *leaf) pingIfQuiet(c *conn, now time.Time) {
-	if c.pinging || c.foundSilent || c.tcp.closing.Load() || c.tcp.lost.Load() {
-		return
+	if c.needsPing(now) {
+		l.ping(c, now, pingTimeout)
 	}
-	if !c.needsPing(now) {
+}
+
+// ping starts a ping that may stay unanswered for the limit, unless one is under way or the connection is
+// ending. Requires mu.
+func (l *leaf) ping(c *conn, now time.Time, limit time.Duration) {
+	if c.pinging || c.foundSilent || c.tcp.closing.Load() || c.tcp.lost.Load() {
 		return
 	}
-	c.pinging = true
+	c.pinging, c.pingedAt = true, now
 	l.pool.spawn(func() {
-		alive := c.probe(l.pool.ctx)
+		alive := c.probe(l.pool.ctx, limit)
 		l.pool.metrics.countPing(l.service, alive)
 		l.mu.Lock()
 		c.pinging = false
