--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/burdockplank/burdockplank/internal/standin/hosted"
+	"github.com/burdockplank/burdockplank/internal/warmup"
 )
 
 // An evacuation was never read: the zone's leaves got work for as long as it lasted. It is in force on all VMs soon,
@@ -58,3 +59,32 @@
 	}
 	return n
 }
+
+// A VM that starts right after an evacuation ended finds no trace of it in the store, and the leaves' entries say that they
+// are cold only at their next heartbeat: it sends them as much as to warm ones.
+func TestStartRightAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	limit := warmup.Limit{Overage: 1.5, Slack: 5}
+	const rate = 1
+	c.version++
+	c.store.Configure(hosted.Config{
+		Version: c.version, Services: []string{"x"}, Connections: 30, Warmup: 3 * time.Second, WarmupRate: rate,
+		Routes: []hosted.Route{{
+			Name: "x", Host: "h", Prefix: "/x/", Timeout: 3 * time.Second, TargetLatency: 600 * time.Millisecond, Service: "x", MaxAttempts: 2,
+		}},
+	})
+	c.store.Evacuate("z")
+	c.store.EndEvacuation("z")
+	v := c.prepare(true)
+	v.settings.Warmup, v.settings.Regions = limit, map[string]string{"z": "region"}
+	c.run(v)
+	within(t, 3*time.Second, "ready", v.ready)
+	for i := range 40 {
+		_, _, _, err := v.get(http.MethodPost, "/x/1", fmt.Sprintf("r%d", i))
+		is.NoErr(err)
+	}
+	for _, id := range []string{"x-a", "x-b"} {
+		is.True(len(c.leaves[id].Requests()) <= int(rate*limit.Overage+limit.Slack))
+	}
+}
