Store reader: a fleet that starts right after an evacuation ended knows of it

They read a store without its key, none remembers it, and the leaves' entries say that they are cold only at their next heartbeat: cold leaves got up to 26 requests in a second where 11 are allowed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -145,6 +145,16 @@
 	return nil
 }
 
+// BoundsColdLeaves reports whether a service names what its cold leaves tolerate.
+func (c *Config) BoundsColdLeaves() bool {
+	for _, s := range c.Services {
+		if s.WarmupRate != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // UsedServices returns the names of the services that routes of single requests go to, and of those
 // that are shards of searches. The caller must not modify the maps.
 func (c *Config) UsedServices() (single, shards map[string]bool) { return c.single, c.shards }
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -60,8 +60,8 @@
 	return n
 }
 
-// A VM that starts right after an evacuation ended finds no trace of it in the store, and the leaves' entries say that they
-// are cold only at their next heartbeat: it sends them as much as to warm ones.
+// A fleet that started as a whole right after an evacuation ended sent its cold leaves as much as warm ones: no VM
+// remembered the evacuation, and the leaves' entries say that they are cold only at their next heartbeat.
 func TestStartRightAfterAnEvacuation(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 		Seeds: func() []string { return *d.seeds.Load() }, Mirror: d.mirror, Evidence: d.table, Changed: changed,
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
-	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.PeersAddress, s.Zone, slices.Contains(s.Seeds, s.PeersAddress), s.ConfigApplyBound, log, reg)
+	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.PeersAddress, s.Zone, slices.Contains(s.Seeds, s.PeersAddress), d.boundsColdLeaves, s.ConfigApplyBound, log, reg)
 	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
 	guard := crashguard.New(d.peers, time.Now, log)
@@ -152,6 +152,17 @@
 	return d
 }
 
+// boundsColdLeaves reports whether the configuration among the items names what a cold leaf tolerates.
+func (d *Daemon) boundsColdLeaves(items []mirror.Item) bool {
+	for _, it := range items {
+		c, ok, err := d.platform.Decoder.Config(it.Key, it.Value)
+		if ok && err == nil && c.BoundsColdLeaves() {
+			return true
+		}
+	}
+	return false
+}
+
 // newCallerServer returns the HTTP server for callers.
 func (d *Daemon) newCallerServer() *http.Server {
 	edge := d.platform.NewCallerHandler(d.delegate, d.limits, d.leaving.Load, func(reason string) { d.refusals.WithLabelValues(reason).Inc() })
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -83,6 +83,8 @@
 	// Watch returns what changed after the revision, as soon as something has changed or the wait is over. An error
 	// wraps ErrHistoryGone if the history no longer goes back to the revision.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error)
+	// EndedEvacuations returns the deletions of evacuations up to the revision, as far back as the store's history goes.
+	EndedEvacuations(ctx context.Context, upTo uint64) ([]mirror.Item, error)
 }
 
 // Fleet provides what is known of the other VMs.
@@ -106,6 +108,8 @@
 	self   string
 	zone   string
 	seed   bool
+	// needsHistory reports whether the items of a snapshot make it matter which evacuations ended before it.
+	needsHistory func(items []mirror.Item) bool
 	timing
 	log   *zap.Logger
 	reads *prometheus.CounterVec
@@ -124,14 +128,16 @@
 	lastPause time.Duration
 }
 
-// New returns a reader for the VM self. seed is set if the other VMs ask this one first.
-func New(s Store, m *mirror.Mirror, f Fleet, self, zone string, seed bool, bound time.Duration, log *zap.Logger, reg prometheus.Registerer) *Reader {
+// New returns a reader for the VM self. seed is set if the other VMs ask this one first. needsHistory reports whether the
+// items of a snapshot make it matter which evacuations ended before it.
+func New(s Store, m *mirror.Mirror, f Fleet, self, zone string, seed bool, needsHistory func(items []mirror.Item) bool,
+	bound time.Duration, log *zap.Logger, reg prometheus.Registerer) *Reader {
 	reads := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "burdock_store_reads_total", Help: "Reads of the platform's store by kind and end.",
 	}, []string{"kind", "result"})
 	reg.MustRegister(reads)
 	return &Reader{
-		store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed, timing: newTiming(bound), log: log, reads: reads,
+		store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed, needsHistory: needsHistory, timing: newTiming(bound), log: log, reads: reads,
 		reachable: true, backoff: platform.Backoff{Max: maxRetryDelay},
 	}
 }
@@ -276,7 +282,7 @@
 	if after == 0 || r.needFresh && !r.snapshotRead {
 		ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 		defer cancel()
-		d, err := r.store.Snapshot(ctx, !r.needFresh)
+		d, err := r.snapshot(ctx)
 		if err == nil {
 			r.snapshotRead, r.needFresh = true, false
 		}
@@ -292,6 +298,21 @@
 	return "watch", d, err
 }
 
+// snapshot reads a snapshot, with the evacuations that ended before it where they matter: no VM may remember them if all
+// have just started.
+func (r *Reader) snapshot(ctx context.Context) (mirror.Delta, error) {
+	d, err := r.store.Snapshot(ctx, !r.needFresh)
+	if err != nil || !r.needsHistory(d.Items) {
+		return d, err
+	}
+	ended, err := r.store.EndedEvacuations(ctx, d.CompleteTo)
+	if err != nil {
+		return mirror.Delta{}, err
+	}
+	d.Items = append(d.Items, ended...)
+	return d, nil
+}
+
 // noteFailure records that the store did not answer.
 func (r *Reader) noteFailure(err error) {
 	if r.reachable {
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -43,6 +43,11 @@
 	return f.answer("watch", after)
 }
 
+func (f *fakeStore) EndedEvacuations(context.Context, uint64) ([]mirror.Item, error) {
+	_, err := f.answer("ended", 0)
+	return []mirror.Item{{Key: "ended", Revision: 3, Deleted: true}}, err
+}
+
 type fakeFleet struct {
 	members          []string
 	contact          time.Duration
@@ -59,7 +64,7 @@
 
 func newReader(s Store, f Fleet, self string) (*Reader, *mirror.Mirror) {
 	m := mirror.New(notify.New())
-	return New(s, m, f, self, "z", false, bound, zap.NewNop(), prometheus.NewRegistry()), m
+	return New(s, m, f, self, "z", false, func([]mirror.Item) bool { return false }, bound, zap.NewNop(), prometheus.NewRegistry()), m
 }
 
 func TestStaleSnapshotThenWatch(t *testing.T) {
@@ -79,6 +84,30 @@
 	is.Equal(fleet.contactsRecorded, 2)
 }
 
+// A fleet that started as a whole knew nothing of an evacuation that had just ended, and took the zone's leaves for warm.
+// The evacuations that ended are read with the snapshot, before anything is merged, and go to the other VMs with it.
+func TestSnapshotWithEndedEvacuations(t *testing.T) {
+	is := is.New(t)
+	down := true
+	store := &fakeStore{next: func(call string, _ uint64) (mirror.Delta, error) {
+		if call == "ended" && down {
+			return mirror.Delta{}, errors.New("503")
+		}
+		return mirror.Delta{Items: []mirror.Item{{Key: "a", Revision: 4}}, CompleteTo: 5, Full: true}, nil
+	}}
+	r, m := newReader(store, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
+	r.needsHistory = func(items []mirror.Item) bool { return len(items) == 1 && items[0].Key == "a" }
+	r.readOnce(t.Context())
+	is.Equal(m.CompleteTo(), uint64(0)) // it is read again
+	down = false
+	r.readOnce(t.Context())
+	is.Equal(store.calls, []string{"stale", "ended", "stale", "ended"})
+	is.Equal(m.CompleteTo(), uint64(5))
+	told := m.Since(0)
+	is.Equal(len(told.Items), 2)
+	is.True(told.Items[0].Deleted != told.Items[1].Deleted)
+}
+
 // Items of other systems change often, too. They cost no more calls than changes that matter.
 func TestForeignChangesCostFewCalls(t *testing.T) {
 	is := is.New(t)
