Store reader: a slow store delays no configuration for the sake of its history

Reading which evacuations ended has a time of its own, and what fails of it is left out with a log line: with answers of 240 ms both reads wouldn't fit into the 700 ms of one, and a fleet that starts would get no configuration.

--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -84,6 +84,7 @@
 	// wraps ErrHistoryGone if the history no longer goes back to the revision.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error)
 	// EndedEvacuations returns the deletions of evacuations up to the revision, as far back as the store's history goes.
+	// With an error it returns those that it has found.
 	EndedEvacuations(ctx context.Context, upTo uint64) ([]mirror.Item, error)
 }
 
@@ -280,10 +281,11 @@
 func (r *Reader) callStore(ctx context.Context) (string, mirror.Delta, error) {
 	after := r.mirror.CompleteTo()
 	if after == 0 || r.needFresh && !r.snapshotRead {
-		ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+		answerCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 		defer cancel()
-		d, err := r.snapshot(ctx)
+		d, err := r.store.Snapshot(answerCtx, !r.needFresh)
 		if err == nil {
+			r.addEndedEvacuations(ctx, &d)
 			r.snapshotRead, r.needFresh = true, false
 		}
 		return "snapshot", d, err
@@ -298,19 +300,20 @@
 	return "watch", d, err
 }
 
-// snapshot reads a snapshot, with the evacuations that ended before it where they matter: no VM may remember them if all
-// have just started.
-func (r *Reader) snapshot(ctx context.Context) (mirror.Delta, error) {
-	d, err := r.store.Snapshot(ctx, !r.needFresh)
-	if err != nil || !r.needsHistory(d.Items) {
-		return d, err
+// addEndedEvacuations adds the evacuations that ended before the snapshot, where they matter: no VM may remember them if
+// all have just started. A store that is slow or lossy may leave some out; the leaves' entries then say later that they
+// are cold.
+func (r *Reader) addEndedEvacuations(ctx context.Context, d *mirror.Delta) {
+	if !r.needsHistory(d.Items) {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	ended, err := r.store.EndedEvacuations(ctx, d.CompleteTo)
 	if err != nil {
-		return mirror.Delta{}, err
+		r.log.Warn("ended evacuations not read in full", zap.Uint64("complete_to", d.CompleteTo), zap.Error(err))
 	}
 	d.Items = append(d.Items, ended...)
-	return d, nil
 }
 
 // noteFailure records that the store did not answer.
