--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -141,7 +141,7 @@
 	rng := rand.New(rand.NewPCG(seed, 3))
 	var out []Event
 	for at := drawDuration(rng, evacuationGap); size.Zones > 1 && at < size.Faults; at += drawDuration(rng, evacuationGap) {
-		out = append(out, Event{At: at, For: drawDuration(rng, maxFaultTime), Fault: ZoneEvacuate, Pick: rng.Uint64()})
+		out = append(out, Event{At: at, For: drawDuration(rng, maxFaultTime/2), Fault: ZoneEvacuate, Pick: rng.Uint64()})
 	}
 	return out
 }
