Store reader: logs and metrics name the era and the revision of the store's answers

The platform's adapter decodes Store-Era, an answer below the known revision is logged once with era and revision, and the history that is gone is logged once. Metrics: burdock_store_answered_era, burdock_store_answered_revision, burdock_store_answers_behind_total. Nothing decides by them yet. The stand-in store names its era, and can be brought back from a copy; a watch beyond its revision gets 410.

TestAnswersBelowTheKnownRevisionAreLoggedOnce failed before (no such line, 10 warnings). TestWatchReturnsChangesAndDeletions compares the whole delta, which names the era now; it is as strict as before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -34,6 +34,8 @@
 	// Skipped counts the items that were left out because they don't belong to this system. It is not sent to other
 	// copies.
 	Skipped int
+	// Era of the store that the delta was read in; 0 if the store did not name one.
+	Era uint64
 }
 
 // Mirror is one copy of the items. It is safe for concurrent use.
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -34,6 +34,9 @@
 	calls   map[string]int
 	// stale is the state that reads with stale_ok see; nil is the present state.
 	stale *staleView
+	// era rises by one each time the store comes back from a copy. eraHeader, if not nil, replaces it in answers.
+	era       uint64
+	eraHeader *string
 }
 
 // staleView is the state of the store at a past revision.
@@ -66,7 +69,7 @@
 
 // NewStore starts a store. The caller must Close it.
 func NewStore() *Store {
-	s := &Store{revision: 1, oldest: 1, items: make(map[string]entry), changed: make(chan struct{}), calls: make(map[string]int)}
+	s := &Store{revision: 1, oldest: 1, era: 1, items: make(map[string]entry), changed: make(chan struct{}), calls: make(map[string]int)}
 	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -158,6 +161,7 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	f := s.fault
+	s.setEra(w)
 	s.mu.Unlock()
 	time.Sleep(f.Delay)
 	switch {
@@ -185,6 +189,7 @@
 
 func (s *Store) serveRange(w http.ResponseWriter, prefix, after string, stale bool) {
 	s.mu.Lock()
+	s.setEra(w)
 	items, revision := s.items, s.revision
 	if stale && s.stale != nil {
 		items, revision = s.stale.items, s.stale.revision
@@ -206,6 +211,7 @@
 	defer end.Stop()
 	for {
 		s.mu.Lock()
+		s.setEra(w)
 		events, gone := s.since(prefix, after)
 		revision, changed, f := s.revision, s.changed, s.fault
 		s.mu.Unlock()
@@ -234,9 +240,9 @@
 }
 
 // since returns the events after the revision. gone is true if the history no longer reaches back that
-// far. The caller holds mu.
+// far, or the store has not counted so far. The caller holds mu.
 func (s *Store) since(prefix string, after uint64) (events []entry, gone bool) {
-	if after < s.oldest {
+	if after < s.oldest || after > s.revision {
 		return nil, true
 	}
 	for _, e := range s.history {
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -112,8 +112,8 @@
 	// needsHistory reports whether the items of a snapshot make it matter which evacuations ended before it.
 	needsHistory func(items []mirror.Item) bool
 	timing
-	log   *zap.Logger
-	reads *prometheus.CounterVec
+	log     *zap.Logger
+	metrics *metrics
 
 	// The fields below are used only by the goroutine of Run.
 	backoff    platform.Backoff
@@ -127,18 +127,17 @@
 	snapshotRead, needFresh bool
 	// lastPause is the pause before the next call.
 	lastPause time.Duration
+	// historyGone is set from an answer that the history is gone until a watch is answered, behind from an answer whose
+	// revision is below what this VM knows until one that is not.
+	historyGone, behind bool
 }
 
 // New returns a reader for the VM self. seed is set if the other VMs ask this one first. needsHistory reports whether the
 // items of a snapshot make it matter which evacuations ended before it.
 func New(s Store, m *mirror.Mirror, f Fleet, self, zone string, seed bool, needsHistory func(items []mirror.Item) bool,
 	bound time.Duration, log *zap.Logger, reg prometheus.Registerer) *Reader {
-	reads := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "burdock_store_reads_total", Help: "Reads of the platform's store by kind and end.",
-	}, []string{"kind", "result"})
-	reg.MustRegister(reads)
 	return &Reader{
-		store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed, needsHistory: needsHistory, timing: newTiming(bound), log: log, reads: reads,
+		store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed, needsHistory: needsHistory, timing: newTiming(bound), log: log, metrics: newMetrics(reg),
 		reachable: true, backoff: platform.Backoff{Max: maxRetryDelay},
 	}
 }
@@ -246,18 +245,22 @@
 	kind, d, err := r.callStore(ctx)
 	now := time.Now()
 	if errors.Is(err, ErrHistoryGone) {
-		r.reads.WithLabelValues(kind, "history_gone").Inc()
-		r.log.Warn("store's history is gone; reading a snapshot", zap.Uint64("complete_to", r.mirror.CompleteTo()))
+		r.metrics.reads.WithLabelValues(kind, "history_gone").Inc()
+		if !r.historyGone {
+			r.log.Warn("store's history is gone; reading a snapshot", zap.Uint64("complete_to", r.mirror.CompleteTo()))
+		}
+		r.historyGone = true
 		r.snapshotRead, r.needFresh = false, true
 		return 0
 	}
 	if err != nil {
-		r.reads.WithLabelValues(kind, "failed").Inc()
+		r.metrics.reads.WithLabelValues(kind, "failed").Inc()
 		r.noteFailure(err)
 		return r.backoff.Next()
 	}
-	r.reads.WithLabelValues(kind, "answered").Inc()
+	r.metrics.reads.WithLabelValues(kind, "answered").Inc()
 	r.noteAnswer(now)
+	r.noteRevision(kind, d)
 	r.backoff.Reset()
 	if changed := r.mirror.Merge(d, now); changed || d.Skipped > 0 {
 		return r.pauseAfterChange()
@@ -273,6 +276,12 @@
 	return r.secondaryPause
 }
 
+// The kinds of reads, in logs and metrics.
+const (
+	kindSnapshot = "snapshot"
+	kindWatch    = "watch"
+)
+
 // zoneRankKey is the key by which the zones are ranked.
 const zoneRankKey = "store"
 
@@ -288,7 +297,7 @@
 			r.addEndedEvacuations(ctx, &d)
 			r.snapshotRead, r.needFresh = true, false
 		}
-		return "snapshot", d, err
+		return kindSnapshot, d, err
 	}
 	pollWait := min(r.pollWait, r.contactInterval-r.lastPause)
 	if !r.answered {
@@ -297,7 +306,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollWait+answerTimeout)
 	defer cancel()
 	d, err := r.store.Watch(ctx, after, pollWait)
-	return "watch", d, err
+	return kindWatch, d, err
 }
 
 // addEndedEvacuations adds the evacuations that ended before the snapshot, where they matter: no VM may remember them if
@@ -316,6 +325,23 @@
 	d.Items = append(d.Items, ended...)
 }
 
+// noteRevision records the era and the revision of an answer, and logs once that it is below what this VM knows.
+func (r *Reader) noteRevision(kind string, d mirror.Delta) {
+	r.metrics.era.Set(float64(d.Era))
+	r.metrics.answeredRevision.Set(float64(d.CompleteTo))
+	r.historyGone = r.historyGone && kind != kindWatch
+	known := r.mirror.CompleteTo()
+	behind := d.CompleteTo < known
+	if behind && !r.behind {
+		r.log.Warn("store's revision is below the known one", zap.String("kind", kind), zap.Uint64("era", d.Era),
+			zap.Uint64("revision", d.CompleteTo), zap.Uint64("complete_to", known), zap.Int("items", len(d.Items)))
+	}
+	if behind {
+		r.metrics.answersBehind.Inc()
+	}
+	r.behind = behind
+}
+
 // noteFailure records that the store did not answer.
 func (r *Reader) noteFailure(err error) {
 	if r.reachable {
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/notify"
@@ -182,6 +183,31 @@
 	is.Equal(m.CompleteTo(), uint64(9))
 }
 
+// The logs didn't tell a store that went back from one that had dropped its history: they named neither the revision nor
+// the era of its answers, and repeated the same line 50 times a second.
+func TestAnswersBelowTheKnownRevisionAreLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	store := &fakeStore{next: func(call string, _ uint64) (mirror.Delta, error) {
+		if call == "watch" {
+			return mirror.Delta{}, ErrHistoryGone
+		}
+		return mirror.Delta{Items: []mirror.Item{{Key: "a", Revision: 4}}, CompleteTo: 5, Full: true, Era: 3}, nil
+	}}
+	core, logs := observer.New(zap.InfoLevel)
+	r, m := newReader(store, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
+	r.log = zap.New(core)
+	m.Merge(mirror.Delta{CompleteTo: 9, Full: true, Era: 3}, time.Now())
+	for range 20 {
+		r.readOnce(t.Context())
+	}
+	is.Equal(logs.FilterMessage("store's history is gone; reading a snapshot").Len(), 1)
+	behind := logs.FilterMessage("store's revision is below the known one").All()
+	is.Equal(len(behind), 1)
+	is.Equal(behind[0].ContextMap()["era"], uint64(3))
+	is.Equal(behind[0].ContextMap()["revision"], uint64(5))
+	is.Equal(behind[0].ContextMap()["complete_to"], uint64(9))
+}
+
 func TestFailuresBackOff(t *testing.T) {
 	is := is.New(t)
 	store := &fakeStore{next: func(string, uint64) (mirror.Delta, error) { return mirror.Delta{}, errors.New("503") }}
