Soak: the store comes back from a copy

Each run has one more after the last fault, when little else is written, so that it counts the known revisions again one by one, and versions that must be in force then. Stand-in leaves count their writes.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -53,6 +53,8 @@
 		tb.writeForeign(e)
 	case StoreBusy, StoreSilent, StoreSlow, StoreLoseAnswers, StoreCompact:
 		tb.disturbStore(ctx, e)
+	case StoreRestore:
+		tb.restoreStore(ctx, e)
 	case LinkStoreCut, LinkLeafCut, LinkLeafSilent, LinkLeafDelay, LinkConnsSilent:
 		tb.disturbLinks(ctx, sample(tb.vms, e), e)
 	case VMFreeze, VMKill, VMTerminate, VMReload, VMRolling, VMKillAll:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -58,6 +58,7 @@
 	ConfigChange     Fault = "config_change"
 	ConfigReshard    Fault = "config_reshard"
 	ZoneEvacuate     Fault = "zone_evacuate"
+	StoreRestore     Fault = "store_restored_from_copy"
 )
 
 // faults lists the faults that a plan draws from, with their weights.
@@ -105,6 +106,7 @@
 	}
 	plan = append(plan, addedFaults(seed, size)...)
 	plan = append(plan, evacuations(seed, size)...)
+	plan = append(plan, restores(seed, size)...)
 	for at := drawDuration(rng, configGap); at < size.Faults; at += drawDuration(rng, configGap) {
 		f := ConfigChange
 		if rng.IntN(5) == 0 {
@@ -146,6 +148,20 @@
 	return out
 }
 
+// restoreGap is the mean time between the store's returns from a copy.
+const restoreGap = 4 * time.Second
+
+// restores draws the store's returns from a copy from a random source of their own, as addedFaults does. The copy is as
+// old as the event is long; Share is the part of maxFaultTime for which the store is away.
+func restores(seed uint64, size Size) []Event {
+	rng := rand.New(rand.NewPCG(seed, 4))
+	var out []Event
+	for at := drawDuration(rng, restoreGap); at < size.Faults; at += drawDuration(rng, restoreGap) {
+		out = append(out, Event{At: at, For: drawDuration(rng, maxFaultTime/2), Fault: StoreRestore, Share: rng.Float64() / 2, Pick: rng.Uint64()})
+	}
+	return out
+}
+
 // drawDuration returns a random duration between a tenth of the mean and nearly twice the mean.
 func drawDuration(rng *rand.Rand, mean time.Duration) time.Duration {
 	return mean/10 + time.Duration(rng.Float64()*float64(2*mean-mean/5))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -43,6 +43,9 @@
 	trap *hosted.Leaf
 	vms  []*vm
 
+	// restoring serializes the store's returns from a copy.
+	restoring sync.Mutex
+
 	mu sync.Mutex
 	// The fields below are guarded by mu: the relay rules in force, and the operator's actions.
 	rules   []relay.Rule
@@ -218,7 +221,8 @@
 	wait.For(ctx, startupTime)
 	tb.runPlan(ctx, plan)
 	calm := time.Now()
-	wait.For(ctx, recoveryBound+recoveryCheckTime)
+	tb.restoreAfterCalm(ctx)
+	wait.For(ctx, time.Until(calm.Add(recoveryBound+recoveryCheckTime)))
 	closing := time.Now()
 	tb.stopAll()
 	stopCallers()
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -33,6 +33,8 @@
 	running  atomic.Int64
 	// coldUntil is when the leaf ceases to be cold; guarded by mu.
 	coldUntil time.Time
+	// writes counts the entries that were made of the leaf.
+	writes atomic.Int64
 }
 
 // ReceivedRequest is a request that reached the leaf. Ran reports whether the leaf ran it.
@@ -121,7 +123,7 @@
 func (l *Leaf) Entry(service, zone, state string) map[string]any {
 	return map[string]any{
 		"service": service, "address": l.Address(), "zone": zone, "version": "v1", "slots": cap(l.slots),
-		"state": state, "warmup_remaining_ms": l.warmupRemaining().Milliseconds(), "sequence": 1, "born": l.Born,
+		"state": state, "warmup_remaining_ms": l.warmupRemaining().Milliseconds(), "sequence": l.writes.Add(1), "born": l.Born,
 	}
 }
 
