--- a/internal/peers/large_test.go
+++ b/internal/peers/large_test.go
@@ -256,3 +256,55 @@
 		time.Sleep(10 * s.n.delay) // exchanges in flight end
 	})
 }
+
+// After the store came back from a copy one VM of a large fleet reads it. All have the new era within a second, though each
+// of them needs the whole: few copies cross zones, and no VM is busy sending for long.
+func TestLargeFleetLearnsOfAReturnFromACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		s := newStartingFleet()
+		known, restored := large(9), large(5)
+		known.Era, restored.Era = 1, 2
+		for i, m := range s.vms {
+			s.copies[i].Merge(known, time.Now())
+			wg.Go(func() { _ = m.Run(ctx) })
+		}
+		time.Sleep(20 * time.Second)
+		s.n.mu.Lock()
+		s.n.itemsSent, s.n.itemsAcrossZones, s.n.sentWithinZone, s.n.sentAcrossZones = 0, 0, make(map[string]int), make(map[string]int)
+		s.n.mu.Unlock()
+		begun := time.Now()
+		s.copies[0].Merge(restored, begun)
+		for ; s.countInEra(2) < len(s.vms) && time.Since(begun) < time.Second; time.Sleep(time.Millisecond) {
+		}
+		t.Logf("%d of %d VMs have the era after %v", s.countInEra(2), len(s.vms), time.Since(begun))
+		is.Equal(s.countInEra(2), len(s.vms))
+		time.Sleep(3 * time.Second)
+		s.n.mu.Lock()
+		busiest := 0
+		for _, m := range s.vms {
+			busiest = max(busiest, s.n.sentWithinZone[m.cfg.Self]+s.n.sentAcrossZones[m.cfg.Self])
+		}
+		t.Logf("%d copies, %d across zones, %d by the busiest VM", s.n.itemsSent, s.n.itemsAcrossZones, busiest)
+		is.True(s.n.itemsSent <= 2*len(s.vms))
+		is.True(s.n.itemsAcrossZones <= maxCopiesAcrossZones)
+		is.True(time.Duration(busiest)*copyCPUTime <= maxSendTime)
+		s.n.mu.Unlock()
+		cancel()
+		wg.Wait()
+		time.Sleep(10 * s.n.delay) // exchanges in flight end
+	})
+}
+
+// countInEra returns the number of VMs that know the whole of the era.
+func (s *startingFleet) countInEra(era uint64) int {
+	n := 0
+	for _, c := range s.copies {
+		if at := c.Position(); at.Era >= era && at.Revision > 0 {
+			n++
+		}
+	}
+	return n
+}
