Sync: after a failed read of the platform the manifest is read anew

Bundles themselves are ordered by their version, and don't go back.

The list of VMs and upstreams is ordered by a revision of its own in the document, which can't be told from an old one; it is not changed.

--- a/internal/syncd/faults_test.go
+++ b/internal/syncd/faults_test.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
+	"github.com/burdockplank/burdockplank/internal/platform"
 )
 
 const (
@@ -155,6 +156,23 @@
 	}
 }
 
+// A platform that was away came back from a copy without the latest bundle and gave its revisions out again. The next
+// bundle had a revision that the readers knew, and was never in force.
+func TestVersionAfterThePlatformCameBackFromACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 2)
+		var before platform.Value
+		f.platform.set(func(p *fakePlatform) { before = p.values[manifestKey] })
+		f.publish(2)
+		f.waitFor(3*time.Second, "version 2 everywhere", f.allAt(2))
+		f.platform.set(func(p *fakePlatform) { p.refusing = true })
+		time.Sleep(500 * time.Millisecond) // no other VM takes over
+		f.platform.set(func(p *fakePlatform) { p.refusing, p.values[manifestKey] = false, before })
+		f.publish(3)
+		f.waitFor(3*time.Second, "version 3 everywhere", f.allAt(3))
+	})
+}
+
 func TestStalePlatformDoesNotLowerVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 8, 2)
--- a/internal/syncd/reader.go
+++ b/internal/syncd/reader.go
@@ -127,14 +127,14 @@
 	backoff := platform.Backoff{Max: maxDelay}
 	var after uint64
 	for ctx.Err() == nil {
-		next, err := once(ctx, after)
+		var err error
+		after, err = once(ctx, after)
 		gap := minWatchInterval
 		if err != nil {
 			gap = backoff.Next()
 			r.m.cfg.Log.Debug("platform read failed", zap.Error(err))
 		} else {
 			backoff.Reset()
-			after = next
 		}
 		if !wait.For(ctx, gap) {
 			return
@@ -157,18 +157,21 @@
 }
 
 // watchManifest waits for a change of the manifest and applies the bundle. It returns the revision to
-// watch from next. On an error the caller keeps the previous revision, so that a bundle that was not
-// available yet is requested again.
+// watch from next: the same one if the bundle was not available yet, and none after a failed read, since a
+// platform that was away may have come back from a copy and give its revisions out again.
 func (r *reader) watchManifest(ctx context.Context, after uint64) (uint64, error) {
 	v, err := r.m.cfg.Platform.Watch(ctx, manifestKey, after, watchWait)
 	if !platform.Answered(err) {
-		return after, err
+		return 0, err
 	}
 	r.recordContact(time.Now())
 	if !v.Changed {
 		return v.Revision, nil
 	}
-	return v.Revision, r.applyManifest(ctx, v.Body)
+	if err := r.applyManifest(ctx, v.Body); err != nil {
+		return after, err
+	}
+	return v.Revision, nil
 }
 
 // applyManifest puts the bundle of the manifest in force if it is higher. It returns nil for a
