--- a/internal/directory/carryover.go
+++ b/internal/directory/carryover.go
@@ -166,7 +166,7 @@
 	d.restore = r
 	items, _ := d.carryOver(eras, now)
 	d.metrics.restores.Inc()
-	d.log.Warn("store came back from a copy", zap.Uint64("era_before", r.EraBefore), zap.Uint64("era", r.Era),
+	d.log.Warn(MsgStoreRestored, zap.Uint64("era_before", r.EraBefore), zap.Uint64("era", r.Era),
 		zap.Uint64("known_to", r.KnownTo), zap.Uint64("revision", eras[0].CompleteTo), zap.Uint64("base", r.Base),
 		zap.Int("items", len(items)), zap.Int("carried_over", r.Carried), zap.Duration("known_for", now.Sub(r.LearnedAt)))
 }
--- a/internal/directory/carryover_test.go
+++ b/internal/directory/carryover_test.go
@@ -148,7 +148,7 @@
 	for range 3 {
 		f.advance(time.Millisecond)
 	}
-	lines := logs.FilterMessage("store came back from a copy").All()
+	lines := logs.FilterMessage(MsgStoreRestored).All()
 	is.Equal(len(lines), 1)
 	for field, want := range map[string]any{"era_before": uint64(4), "era": uint64(5), "known_to": uint64(20), "revision": uint64(15), "carried_over": int64(1)} {
 		is.Equal(lines[0].ContextMap()[field], want)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,12 @@
 	"github.com/burdockplank/burdockplank/internal/notify"
 )
 
+// Messages of log lines that tell what a VM goes by from then on. The tools that read the logs look them up.
+const (
+	MsgConfigInForce = "configuration in force"
+	MsgStoreRestored = "store came back from a copy"
+)
+
 // ExpiryGracePeriod is how long a leaf whose entry was removed without draining first may still be called if its
 // group has no other leaf. Entries expire while the store is unavailable and are back about 2 s after its return. A
 // leaf that is really leaving gets no work beyond the 3 s that the platform allows.
@@ -241,7 +247,7 @@
 		d.log.Warn("configuration ignored: a newer version is in force", append(at, zap.Uint64("version", c.Version), zap.Uint64("in_force", d.config.Version))...)
 	default:
 		d.config = c
-		d.log.Info("configuration in force", append(at, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes()))...)
+		d.log.Info(MsgConfigInForce, append(at, zap.Uint64("version", c.Version), zap.Int("routes", c.Routes()))...)
 	}
 	return true
 }
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -1,6 +1,6 @@
 // Package story collects the log lines about one request from the logs of several VMs and sorts them by time.
 // These are the lines that name the request and the lines around it about the VMs that served it and about the
-// leaves and services that it names.
+// leaves and services that it names, and what these VMs went by.
 package story
 
 import (
@@ -9,12 +9,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/burdockplank/burdockplank/internal/decision"
+	"github.com/burdockplank/burdockplank/internal/directory"
 )
 
 // maxLineBytes bounds the length of a log line. The longest lines that the programs write are a few kilobytes.
@@ -97,16 +99,24 @@
 // Collect returns the lines about the request, sorted by time. These are the lines that name the request and,
 // from margin before the first to margin after the last of those, two more kinds: lines of a VM that served
 // the request which name no leaf or service, and lines of any VM about a leaf or service that the request's
-// lines name. Each VM writes times by its own clock. It returns an *UnknownError if no line names the request.
+// lines name. However long before, there are also the latest lines of a VM that served the request about its configuration
+// and about a return of the store from a copy. Each VM writes times by its own clock. It returns an *UnknownError if no
+// line names the request.
 func Collect(lines []Line, id string, margin time.Duration) ([]Line, error) {
 	scope := newRequestScope(lines, id)
 	if scope == nil {
 		return nil, &UnknownError{ID: id}
 	}
 	var out []Line
-	for _, l := range lines {
-		if l.text(decision.FieldID) == id || scope.includes(&l, margin) {
-			out = append(out, l)
+	for i := range lines {
+		l := &lines[i]
+		if l.text(decision.FieldID) == id || scope.includes(l, margin) {
+			out = append(out, *l)
+		}
+	}
+	for _, l := range scope.wentBy(lines) {
+		if !scope.includes(l, margin) {
+			out = append(out, *l)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Line) int { return a.At.Compare(b.At) })
@@ -168,3 +178,20 @@
 	}
 	return s.leaves[leaf] || leaf == "" && s.services[service]
 }
+
+// wentBy returns, for each VM that served the request, its latest line before the request of each kind that tells what it
+// went by.
+func (s *requestScope) wentBy(lines []Line) []*Line {
+	type key struct{ vm, msg string }
+	latest := make(map[key]*Line)
+	for i := range lines {
+		l := &lines[i]
+		k := key{l.VM, l.Msg}
+		tells := l.Msg == directory.MsgConfigInForce || l.Msg == directory.MsgStoreRestored
+		if !tells || !s.vms[l.VM] || l.At.After(s.last) || latest[k] != nil && l.At.Before(latest[k].At) {
+			continue
+		}
+		latest[k] = l
+	}
+	return slices.Collect(maps.Values(latest))
+}
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+// A request was served by an older configuration because of what its VM had gone by for longer than the story looks back.
+func TestStoryTellsWhatAVMWentBy(t *testing.T) {
+	is := is.New(t)
+	const log = `{"level":"info","time":"2026-01-27T11:00:00.000Z","msg":"configuration in force","vm":"vm-1","version":4}
+{"level":"info","time":"2026-01-27T11:00:01.000Z","msg":"configuration in force","vm":"vm-1","version":5}
+{"level":"warn","time":"2026-01-27T11:00:02.000Z","msg":"store came back from a copy","vm":"vm-1","era":2}
+{"level":"warn","time":"2026-01-27T11:00:02.000Z","msg":"store came back from a copy","vm":"vm-2","era":2}
+{"level":"info","time":"2026-01-27T11:00:30.000Z","msg":"request","vm":"vm-1","id":"r-1","config_version":5}
+{"level":"info","time":"2026-01-27T11:00:31.000Z","msg":"configuration in force","vm":"vm-1","version":6}
+`
+	read, err := Read("one", strings.NewReader(log))
+	is.NoErr(err)
+	got, err := Collect(read.Lines, "r-1", 0)
+	is.NoErr(err)
+	var numbers []int
+	for _, l := range got {
+		numbers = append(numbers, l.Number)
+	}
+	is.Equal(numbers, []int{2, 3, 5})
+}
+
 func TestUnknownRequest(t *testing.T) {
 	is := is.New(t)
 	_, err := Collect(lines(t), "r-3", time.Second)
