Peers: a VM whose clock went back before its start raises its incarnation

A process draws its incarnation from the time of day, which may jump back by seconds; the others took the records of the new start for old ones, so that the VM counted as silent for a minute: no searches, no part of the work, no news pushed to it.

A VM that hears of a record of itself with a higher incarnation raises its own above it, and a VM tells a recipient the record that it has of it where that counts as silent.

--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -180,6 +180,7 @@
 			live = append(live, e)
 		}
 	}
+	own := m.silentRecordOf(to)
 	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	zone := m.cfg.Zone
 	if to.starting {
@@ -192,8 +193,8 @@
 		prioritizeZone(live, zone)
 		live = live[:maxMembersPerExchange]
 	}
-	out := make([]*pb.FleetMember, 0, len(live))
-	for _, e := range live {
+	out := make([]*pb.FleetMember, 0, len(live)+len(own))
+	for _, e := range append(live, own...) {
 		r := e.record
 		out = append(out, &pb.FleetMember{
 			Address: r.GetAddress(), Zone: r.GetZone(), Incarnation: r.GetIncarnation(),
@@ -203,6 +204,15 @@
 	return out
 }
 
+// silentRecordOf returns the recipient's own record if it counts as silent here: the recipient may be a later start of it
+// with a lower incarnation. The caller must hold mu.
+func (m *Manager) silentRecordOf(to recipient) []*member {
+	if e := m.members[to.address]; e != nil && !e.live {
+		return []*member{e}
+	}
+	return nil
+}
+
 // knowsItsZone reports whether the recipient is in another zone and has run for long enough to know the VMs of its own.
 // The caller must hold mu.
 func (m *Manager) knowsItsZone(to recipient, now time.Time) bool {
@@ -252,10 +262,22 @@
 	return list[n:]
 }
 
+// exceed raises this VM's incarnation above that of a record of an earlier start of it, which was drawn from a clock that
+// has gone back since. The caller must hold mu.
+func (m *Manager) exceed(earlier *pb.FleetMember) {
+	if earlier.GetIncarnation() > m.self.GetIncarnation() {
+		m.self.Incarnation = earlier.GetIncarnation() + 1
+	}
+}
+
 // mergeRecord merges a record of a member. The higher incarnation wins, then the higher heartbeat. It reports
 // whether the VM was silent or unknown and is live now. The caller must hold mu.
 func (m *Manager) mergeRecord(r *pb.FleetMember, now time.Time) bool {
-	if r.GetAddress() == "" || r.GetAddress() == m.cfg.Self {
+	if r.GetAddress() == m.cfg.Self {
+		m.exceed(r)
+		return false
+	}
+	if r.GetAddress() == "" {
 		return false
 	}
 	e := m.members[r.GetAddress()]
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -455,3 +455,42 @@
 		is.Equal(string(c.State(time.Now())[1].Items[0].Value), "known to one")
 	}
 }
+
+// A VM whose clock went back before its process started again has a lower incarnation than before. The others took its
+// records for old ones, so that it was silent to them for a minute.
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	for name, down := range map[string]time.Duration{"at once": 0, "after it counted as silent": 2 * silenceRounds * exchangeInterval} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork()
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			defer cancel()
+			var others []*Manager
+			for i := range 3 {
+				m, _ := n.vm(fmt.Sprintf("vm%d", i), "z", 7, "vm0")
+				others = append(others, m)
+				wg.Go(func() { _ = m.Run(ctx) })
+			}
+			firstCtx, kill := context.WithCancel(ctx)
+			first, _ := n.vm("vm3", "z", 7, "vm0")
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_ = first.Run(firstCtx)
+			}()
+			waitForFullMembership(t, 5*time.Second, append(others, first))
+			kill()
+			<-ended
+			n.setCut("vm3", true)
+			time.Sleep(down)
+			n.setCut("vm3", false)
+			again, _ := n.vm("vm3", "z", 5, "vm0")
+			wg.Go(func() { _ = again.Run(ctx) })
+			waitForFullMembership(t, 5*time.Second, append(others, again))
+			time.Sleep(2 * silenceRounds * exchangeInterval)
+			waitForFullMembership(t, time.Second, append(others, again))
+		})
+	}
+}
