Search: a shard whose connections are being replaced is waited for

A search whose calls and hedges had gone into silent connections called the third replica and then had none untried: each call waits 100 ms for a connection that replaces a silent one, and one that waited in vain gave the shard up.

Such a call was not sent and costs no leaf anything, so any usable replica is called again, four times at most; a leaf without a connection counts as usable for 300 ms.

--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -19,6 +19,9 @@
 	sheds int
 	// losses is the number of connections lost with a call of the shard.
 	losses int
+	// silences is the number of calls of the shard that went into a silent connection, unsent the number of those that
+	// were not sent.
+	silences, unsent int
 	// untried is the number of usable replicas that were not called yet.
 	untried int
 	// usable is the number of replicas that may be called, including those called before.
@@ -54,6 +57,8 @@
 	switch {
 	case s.inFlight > 0:
 		return stepWait
+	case s.awaitsReconnection(f):
+		return stepRetryAnyReplica
 	case !facts.retryable || s.attempts >= maxAttempts:
 		return stepGiveUp
 	case f == failShed && s.sheds > 1:
@@ -70,6 +75,16 @@
 	return stepRetry
 }
 
+// maxUnsentRetries is how many calls of a shard may wait in vain for connections that replace silent ones. Each of them
+// waits a tenth of a second at most, and a leaf counts as usable for three tenths without a connection.
+const maxUnsentRetries = 4
+
+// awaitsReconnection reports whether a call was not sent because the connections of the shard's leaves have been found
+// silent and are being replaced. No leaf is at work on the request then, and all of them may have been called in vain.
+func (s shardFacts) awaitsReconnection(f failure) bool {
+	return f == failNotSent && s.silences > 0 && s.untried == 0 && s.usable > 0 && s.unsent <= maxUnsentRetries && s.mayCallMore
+}
+
 // mayHedge reports whether a second call may be made beside one that takes long. The hedge budget is asked only if it
 // returns true.
 func mayHedge(s shardFacts) bool {
--- a/internal/search/silence_test.go
+++ b/internal/search/silence_test.go
@@ -94,3 +94,46 @@
 	r.engine.Wait()
 	is.Equal(refused.Load(), int32(0))
 }
+
+// replaced simulates a leaf whose connection is found silent and takes a while to be replaced: calls before the discovery
+// end then, and calls until the new connection is open wait for it in vain.
+func replaced(begun time.Time, found, open time.Duration) func(context.Context, *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+	const connWait = 100 * time.Millisecond // as the pool of connections waits
+	return func(ctx context.Context, req *pb.LeafSearchRequest) (*pb.LeafSearchResponse, error) {
+		switch since := time.Since(begun); {
+		case since < found:
+			time.Sleep(found - since)
+			return nil, &upstream.CallError{Wrote: true, ConnectionSilent: true, Err: errLost}
+		case since+connWait < open:
+			time.Sleep(connWait)
+			return nil, &upstream.CallError{Err: errRefused}
+		case since < open:
+			time.Sleep(open - since)
+		}
+		return answerAfter(serviceTime)(ctx, req)
+	}
+}
+
+// A search whose calls went into silent connections was answered without a shard after a third of its time, since all
+// replicas had been tried while their connections were replaced.
+func TestSearchWaitsForConnectionsThatAreReplaced(t *testing.T) {
+	for _, open := range []time.Duration{550 * time.Millisecond, 680 * time.Millisecond, 780 * time.Millisecond} {
+		t.Run(open.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const timeout = 2 * time.Second
+				service, fleet := groups(2)
+				service.Kinds["claim"].Timeout = timeout
+				r := newRig("az-a", service, fleet, anywhere)
+				begun := time.Now()
+				for _, l := range fleet.leaves {
+					l.answer = replaced(begun, 500*time.Millisecond, open)
+				}
+				res, err := r.search("r", "claim", "q", timeout)
+				is.NoErr(err)
+				is.Equal(res.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+				is.True(time.Since(begun) < open+200*time.Millisecond)
+			})
+		})
+	}
+}
