--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -203,6 +203,27 @@
 	return p.resumedAt
 }
 
+// Status returns the state and the number of threads of the newest start, as the kernel tells them, or why there is none.
+func (p *Process) Status() string {
+	p.mu.Lock()
+	s := p.newest
+	p.mu.Unlock()
+	if s == nil {
+		return "not started"
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.cmd.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	var out []string
+	for _, line := range strings.Split(string(text), "\n") {
+		if strings.HasPrefix(line, "State:") || strings.HasPrefix(line, "Threads:") {
+			out = append(out, strings.Join(strings.Fields(line), " "))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
 // Kill ends the process with SIGKILL and waits until it has exited.
 func (p *Process) Kill() error {
 	p.mu.Lock()
--- a/internal/child/child_test.go
+++ b/internal/child/child_test.go
@@ -1,6 +1,7 @@
 package child
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +26,18 @@
 	}
 }
 
+// What is left of a process that doesn't end was not known once it was killed.
+func TestStatus(t *testing.T) {
+	is := is.New(t)
+	p := newSIGTERMIgnorer(t)
+	is.Equal(p.Status(), "not started")
+	is.NoErr(p.Start())
+	awaitOutput(t, p)
+	is.True(strings.Contains(p.Status(), "State: ") && strings.Contains(p.Status(), "Threads: 1"))
+	is.NoErr(p.Kill())
+	is.True(strings.Contains(p.Status(), "no such file"))
+}
+
 // The terminated start is killed during its graceful shutdown, and the process is started again. WaitCleanExit must
 // return for the old start and not wait for the new one.
 func TestWaitCleanExitAfterKillAndRestart(t *testing.T) {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -110,7 +110,9 @@
 		return e
 	}
 	if !v.process.WaitExit(graceBound + slack) {
-		e.Err = fmt.Sprintf("still runs %v after SIGTERM; killed", graceBound+slack)
+		e.Err = fmt.Sprintf("still runs %v after SIGTERM (%s); killed", graceBound+slack, v.process.Status())
+		_ = v.process.Signal(syscall.SIGQUIT) // its goroutines go to the log
+		v.process.WaitExit(slack)
 		_ = v.kill()
 		return e
 	}
