--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -144,6 +144,9 @@
 	r.metrics.reads.WithLabelValues(kind, "answered").Inc()
 	r.noteAnswer(now)
 	d.Era = r.eraOf(d.Era, asked)
+	if kind == kindSnapshot {
+		r.newestEra = d.Era // an answer that named another one was late, or wrong
+	}
 	behind := r.noteRevision(kind, d, asked)
 	if kind == kindWatch && d.Era != asked.Era {
 		return 0 // the answer doesn't continue the era that the mirror was in; a newer one is read as a whole
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -393,6 +393,26 @@
 	is.Equal(store.calls, []string{"watch", "watch"})
 }
 
+// One answer named an era that the store is not in. The whole is read once for it, not with every call from then on.
+func TestEraThatTheSnapshotDoesNotConfirm(t *testing.T) {
+	is := is.New(t)
+	named := uint64(9)
+	store := &fakeStore{next: func(call string, after uint64) (mirror.Delta, error) {
+		if call == "watch" {
+			defer func() { named = 1 }()
+			return mirror.Delta{Era: named, CompleteFrom: after, CompleteTo: 9}, nil
+		}
+		return mirror.Delta{Era: 1, CompleteTo: 9, Full: true}, nil
+	}}
+	r, m := newReader(store, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
+	m.Merge(knownEra1(), time.Now())
+	for range 4 {
+		r.readOnce(t.Context())
+	}
+	is.Equal(store.calls, []string{"watch", "snapshot", "watch", "watch"})
+	is.Equal(m.Position(), mirror.Position{Era: 1, Revision: 9})
+}
+
 // A store that names no era may have come back from a copy, too. That can't be told, but costs few calls, and is logged
 // once.
 func TestStoreWithoutAnEra(t *testing.T) {
