Soak: a request counts as of a version that had come when it reached its leaf

Versions that came after it had reached its leaf are none of those that handled it, and of the others any may be, as long as they don't go back. TestAllowedCases has both, which failed before; a return to an older version is found as before (TestEachCheckFails), and the bound of a version in force in time is no wider.

--- a/internal/soak/check_config.go
+++ b/internal/soak/check_config.go
@@ -8,29 +8,40 @@
 	"github.com/anishathalye/porcupine"
 )
 
-// versionOf returns the newest version that was in force by the time known and routes single requests to the
-// service, or 0 if there is none.
-func (h *History) versionOf(service string, known time.Time) int {
-	for i := len(h.Configs) - 1; i >= 0; i-- {
-		if f := h.Configs[i]; f.Service == service && !f.At.After(known) {
-			return f.Version
+// versionsOf returns the versions, in rising order, that were in force by the time known and route single requests to
+// the service. There may be several, since services come again in later versions.
+func (h *History) versionsOf(service string, known time.Time) []int {
+	var out []int
+	for _, f := range h.Configs {
+		if f.Service == service && !f.At.After(known) {
+			out = append(out, f.Version)
 		}
 	}
-	return 0
+	return out
 }
 
-// handledVersion returns the configuration version by which a single request was handled, which the service of its
-// first run identifies. It returns 0 if no leaf ran the request, or if the call is of another kind.
-func (h *History) handledVersion(x *index, c *Call) int {
+// handledVersions returns the configuration versions by which a single request may have been handled, which the service
+// of its first run identifies: a version that came after the request had reached the leaf is none of them. It returns nil
+// if no leaf ran the request, or if the call is of another kind.
+func (h *History) handledVersions(x *index, c *Call) []int {
 	if c.Kind != Single {
-		return 0
+		return nil
 	}
 	for _, r := range x.runs[c.ID] {
 		if r.Ran {
-			return h.versionOf(r.Service, c.Ended)
+			return h.versionsOf(r.Service, r.At)
 		}
 	}
-	return 0
+	return nil
+}
+
+// handledVersion returns the newest of the versions by which a single request may have been handled, 0 for none.
+func (h *History) handledVersion(x *index, c *Call) int {
+	versions := h.handledVersions(x, c)
+	if len(versions) == 0 {
+		return 0
+	}
+	return versions[len(versions)-1]
 }
 
 // checkConfig reports requests that were sent later than configBound after a version came into force but were
@@ -50,15 +61,23 @@
 	})
 }
 
-// versionRead models one request as a read of the configuration version that a process uses.
-type versionRead struct{ version int }
+// versionRead models one request as a read of the configuration version that a process uses: one of the versions, in
+// rising order.
+type versionRead struct{ versions []int }
+
+// newest returns the newest version that may have been read.
+func (r versionRead) newest() int { return r.versions[len(r.versions)-1] }
 
 // versionModel models the configuration version of a process, which never decreases.
 var versionModel = porcupine.Model{
 	Init: func() any { return 0 },
 	Step: func(state, _, output any) (bool, any) {
-		got := output.(versionRead).version
-		return got >= state.(int), max(got, state.(int))
+		versions := output.(versionRead).versions
+		i, _ := slices.BinarySearch(versions, state.(int))
+		if i == len(versions) {
+			return false, state
+		}
+		return true, versions[i] // the lowest that is possible forbids the least of what follows
 	},
 	Equal: func(a, b any) bool { return a == b },
 }
@@ -74,7 +93,7 @@
 	reads := make(map[start][]porcupine.Operation)
 	for i := range h.Calls {
 		c := &h.Calls[i]
-		if got := h.handledVersion(x, c); got > 0 {
+		if got := h.handledVersions(x, c); len(got) > 0 {
 			key := start{c.VM, c.Start}
 			reads[key] = append(reads[key], porcupine.Operation{
 				ClientId: len(reads[key]), Call: c.Sent.UnixNano(), Output: versionRead{got}, Return: c.Ended.Add(rollbackSlack).UnixNano(),
@@ -91,8 +110,8 @@
 	return out
 }
 
-// showsRollback reports whether any request that started after another had ended shows an older version. Only then
-// is the linearizability check needed.
+// showsRollback reports whether any request that started after another had ended shows an older version, if each was
+// handled by the newest possible one. Only then is the linearizability check needed.
 func showsRollback(ops []porcupine.Operation) bool {
 	byEnd := slices.Clone(ops)
 	slices.SortFunc(byEnd, func(a, b porcupine.Operation) int { return int(a.Return - b.Return) })
@@ -101,9 +120,9 @@
 	newest, ended := 0, 0
 	for _, op := range byCall {
 		for ; ended < len(byEnd) && byEnd[ended].Return < op.Call; ended++ {
-			newest = max(newest, byEnd[ended].Output.(versionRead).version)
+			newest = max(newest, byEnd[ended].Output.(versionRead).newest())
 		}
-		if op.Output.(versionRead).version < newest {
+		if op.Output.(versionRead).newest() < newest {
 			return true
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -159,6 +159,21 @@
 		"request before recovery is due": func(h *History) {
 			h.Calls = append(h.Calls, Call{ID: "r", Kind: Single, Status: 503, Sent: at(20), Ended: at(20)})
 		},
+		// Seed 53007: the request had reached its leaf before the later version that has the same service.
+		"late answer, its service came again": func(h *History) {
+			h.Configs = append(h.Configs, Config{Version: 3, At: at(20), Shards: shardSet(false), Service: "v2"}, Config{Version: 4, At: at(22), Shards: shardSet(false), Service: "v1"})
+			h.single("hung", "v1", 19.9)
+			h.Calls[len(h.Calls)-1].Ended = at(22.1)
+			h.single("next", "v2", 22.5)
+			h.Disturbed[0] = []Span{{at(19), at(31), "cut"}}
+		},
+		// Seed 53012: five versions behind, a VM serves by one whose service came again.
+		"far behind, its service came again": func(h *History) {
+			h.Configs = append(h.Configs, Config{Version: 3, At: at(16), Shards: shardSet(false), Service: "v2"}, Config{Version: 4, At: at(18), Shards: shardSet(false), Service: "v1"})
+			h.single("behind", "v1", 19)
+			h.single("next", "v2", 20)
+			h.Disturbed[0] = []Span{{at(9), at(31), "cut"}}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := good()
