Crash guard: logs and metrics tell what became of a lost connection, and a request's line names its digest

Counters burdock_crash_losses_total and burdock_crash_evidence_total{outcome}, a bounded line for each loss that does not count, with its reason, and the digest in the line of each request. No decision changes.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/peers"
@@ -27,6 +29,21 @@
 	refusalWindow = 1500 * time.Millisecond
 	// answerValidity is how long an answer clears a request. Crashes within that time had another cause.
 	answerValidity = time.Minute
+	// maxLogsPerSecond limits the log lines about lost connections, which come by the dozen.
+	maxLogsPerSecond = 5
+)
+
+// outcome says what became of a lost connection with a request in flight.
+type outcome string
+
+// The outcomes.
+const (
+	// counted: the leaf has ended, and this counts against the request.
+	counted outcome = "counted"
+	// cleared: the request has been answered.
+	cleared outcome = "cleared"
+	// unconfirmed: nothing has shown in time that the leaf has ended.
+	unconfirmed outcome = "unconfirmed"
 )
 
 // Fleet shares crashes with the other VMs. Crashes returns the number of leaves that crashed
@@ -41,6 +58,10 @@
 	fleet Fleet
 	clock func() time.Time
 	log   *zap.Logger
+	// logLimiter limits the lines about lost connections.
+	logLimiter *rate.Limiter
+	lostTotal  prometheus.Counter
+	outcomes   *prometheus.CounterVec
 
 	mu sync.Mutex
 	// mu guards the fields below. losses holds the connection losses by leaf. lostAt is when each
@@ -57,10 +78,17 @@
 	at     time.Time
 }
 
-// New returns a guard without recorded losses.
-func New(f Fleet, clock func() time.Time, log *zap.Logger) *Guard {
+// New returns a guard without recorded losses that registers its metrics with reg.
+func New(f Fleet, clock func() time.Time, log *zap.Logger, reg prometheus.Registerer) *Guard {
+	lost := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "burdock_crash_losses_total", Help: "Requests in flight at lost connections to leaves.",
+	})
+	outcomes := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "burdock_crash_evidence_total", Help: "Requests in flight at lost connections by what became of the loss: counted against the request, cleared by an answer, or unconfirmed.",
+	}, []string{"outcome"})
+	reg.MustRegister(lost, outcomes)
 	return &Guard{
-		fleet: f, clock: clock, log: log,
+		fleet: f, clock: clock, log: log, logLimiter: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), lostTotal: lost, outcomes: outcomes,
 		losses: make(map[catalog.LeafID][]loss), lostAt: make(map[uint64]time.Time), answeredAt: make(map[uint64]time.Time),
 	}
 }
@@ -86,6 +114,7 @@
 	g.sweep(now)
 	g.losses[leaf] = append(g.losses[leaf], loss{digest, now})
 	g.lostAt[digest] = now
+	g.lostTotal.Inc()
 }
 
 // Answered records that a leaf has answered the request. It does nothing for a request without a
@@ -107,16 +136,34 @@
 	now := g.clock()
 	g.mu.Lock()
 	losses := slices.DeleteFunc(g.losses[leaf], func(l loss) bool {
-		return now.Sub(l.at) > refusalWindow || now.Sub(g.answeredAt[l.digest]) < answerValidity
+		switch {
+		case now.Sub(l.at) > refusalWindow:
+			g.dismiss(leaf, l, unconfirmed, now)
+			return true
+		case now.Sub(g.answeredAt[l.digest]) < answerValidity:
+			g.dismiss(leaf, l, cleared, now)
+			return true
+		}
+		return false
 	})
 	delete(g.losses, leaf)
 	g.mu.Unlock()
 	for _, l := range losses {
 		g.log.Warn("leaf crashed with a request in flight", zap.Stringer("leaf", leaf), zap.Uint64("digest", l.digest), zap.Duration("lost_before", now.Sub(l.at)))
+		g.outcomes.WithLabelValues(string(counted)).Inc()
 		g.fleet.ReportCrash(peers.Crash{Digest: l.digest, Leaf: leaf, At: l.at})
 	}
 }
 
+// dismiss records that a loss does not count against its request, and why. Requires mu.
+func (g *Guard) dismiss(leaf catalog.LeafID, l loss, why outcome, now time.Time) {
+	g.outcomes.WithLabelValues(string(why)).Inc()
+	if g.logLimiter.Allow() {
+		g.log.Info("lost connection does not count against its request",
+			zap.String("why", string(why)), zap.Stringer("leaf", leaf), zap.Uint64("digest", l.digest), zap.Duration("lost_before", now.Sub(l.at)))
+	}
+}
+
 // sweep removes entries that no longer have an effect, at most once per refusalWindow. Requires mu.
 func (g *Guard) sweep(now time.Time) {
 	if now.Sub(g.lastSweep) < refusalWindow {
@@ -125,6 +172,9 @@
 	g.lastSweep = now
 	for leaf, losses := range g.losses {
 		if now.Sub(losses[len(losses)-1].at) > refusalWindow {
+			for _, l := range losses {
+				g.dismiss(leaf, l, unconfirmed, now)
+			}
 			delete(g.losses, leaf)
 		}
 	}
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -33,7 +34,7 @@
 
 func newFixture() *fixture {
 	f := &fixture{now: time.Now()}
-	f.Guard = New(&fakeFleet{}, func() time.Time { return f.now }, zap.NewNop())
+	f.Guard = New(&fakeFleet{}, func() time.Time { return f.now }, zap.NewNop(), prometheus.NewRegistry())
 	return f
 }
 
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -129,6 +129,7 @@
 		zap.String(FieldFrom, req.From), zap.String(FieldGatherer, t.Gatherer), zap.String(FieldDeclined, req.Declined),
 		zap.Duration(FieldTook, elapsed), zap.Duration(FieldTarget, targetOf(a.Route)), zap.Duration("remaining", req.Remaining),
 		zap.Uint64("config_version", t.Version), zap.Uint64("store_era", t.Era), zap.Uint64("store_revision", t.Revision),
+		zap.Uint64(FieldDigest, t.Digest),
 		zap.Int("calls", t.Calls), zap.Int("hedges", t.Hedges), zap.Int("repeats", t.Repeats),
 		zap.Int("refusals", t.Refusals), zap.Int("failures", t.Failures), zap.Int("denied", t.Denied), zap.Int("missing", a.Missing), zap.Int("given_up", t.GivenUp),
 		zap.Duration("retry_after", a.RetryAfter), zap.Array(FieldBadCalls, badCalls(t.BadCalls)))
--- a/internal/decision/fields.go
+++ b/internal/decision/fields.go
@@ -9,6 +9,8 @@
 	FieldID = "id"
 	// FieldVM is the VM that wrote the line, FieldTime the time by its clock, and FieldMsg the message.
 	FieldVM, FieldTime, FieldMsg = "vm", "time", "msg"
+	// FieldDigest is what repetitions of a request share: the same method, host, path and body.
+	FieldDigest = "digest"
 	// FieldFrom is the VM that received a search from its caller, if it is not the VM that writes the line.
 	// FieldGatherer is the VM that made the calls, if it is not the one that writes the line.
 	FieldFrom, FieldGatherer = "from", "gatherer"
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -223,6 +223,7 @@
 		return &Answer{Outcome: NoRoute, Reason: ReasonNoRoute}
 	}
 	digest := digestOf(req)
+	trace.Digest = digest
 	if e.crashes.Blocked(digest) {
 		return &Answer{Outcome: NotRun, Reason: ReasonCrashedLeaves, Route: route, RetryAfter: retryCrashing}
 	}
@@ -261,6 +262,8 @@
 type Trace struct {
 	// Version is that of the configuration, Era and Revision those of the store by which the request was served.
 	Version, Era, Revision uint64
+	// Digest is what repetitions of the request share; 0 if the request has no route.
+	Digest uint64
 	// Gatherer is the address of the VM that made the calls; empty if this VM did.
 	Gatherer string
 	// Calls counts the calls sent; Hedges and Repeats are the hedges and repeats among them.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,7 @@
 	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.PeersAddress, s.Zone, slices.Contains(s.Seeds, s.PeersAddress), d.boundsColdLeaves, s.ConfigApplyBound, log, reg)
 	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
-	guard := crashguard.New(d.peers, time.Now, log)
+	guard := crashguard.New(d.peers, time.Now, log, reg)
 	d.coldLeaves = warmup.New(s.PeersAddress, s.Zone, slices.Collect(maps.Keys(s.Regions)), s.Warmup, time.Now, reg)
 	at := dispatch.Location{Zone: s.Zone, Regions: s.Regions}
 	d.engine = dispatch.New(at, d.directory, d.pool, d.table, d.budgets, guard, d.coldLeaves, d.recorder)
