--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -39,11 +39,13 @@
 
 // cluster is a small deployment on loopback: a store, leaves and VMs.
 type cluster struct {
-	t       testing.TB
-	store   *hosted.Store
-	leaves  map[string]*hosted.Leaf
-	vms     []*vm
-	version int
+	t     testing.TB
+	store *hosted.Store
+	// leavesMu guards leaves where leaves start during a test.
+	leavesMu sync.Mutex
+	leaves   map[string]*hosted.Leaf
+	vms      []*vm
+	version  int
 }
 
 // The ports of a VM under test, below those that the kernel gives to outgoing connections.
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -33,6 +33,8 @@
 	running  atomic.Int64
 	// coldUntil is when the leaf ceases to be cold; guarded by mu.
 	coldUntil time.Time
+	// ended is set once a request has ended the leaf; guarded by mu.
+	ended bool
 	// writes counts the entries that were made of the leaf.
 	writes atomic.Int64
 }
@@ -68,6 +70,18 @@
 	NoLength bool
 	// BeforeBody answers without reading the request's body first.
 	BeforeBody bool
+	// End, if set, ends the leaf after Delay in place of an answer.
+	End *End
+}
+
+// End is how a leaf ends that a request crashes. Nothing listens at its address afterwards.
+type End struct {
+	// Reset resets the leaf's connections in place of closing them.
+	Reset bool
+	// HalfAnswer sends half of the answer first.
+	HalfAnswer bool
+	// Ended, if set, is called once, when nothing listens at the address any more.
+	Ended func()
 }
 
 // RequestID returns the id of the attempt, which the request carries in its Request-Id header.
@@ -226,9 +240,45 @@
 	time.Sleep(reply.Delay)
 	<-l.slots
 	l.running.Add(-1)
+	if reply.End != nil {
+		l.end(c, &seen, reply)
+		return false
+	}
 	return l.write(c, &seen, reply)
 }
 
+// end ends the leaf as the reply says. It does not wait for the leaf's goroutines, of which it is one.
+func (l *Leaf) end(c net.Conn, seen *ReceivedRequest, reply Reply) {
+	l.mu.Lock()
+	again := l.ended
+	l.ended = true
+	l.mu.Unlock()
+	if again {
+		return
+	}
+	if reply.End.HalfAnswer {
+		answer := l.Answer(seen.ID, reply)
+		_, _ = c.Write(answer[:len(answer)-len(reply.Body)/2])
+	}
+	_ = l.listener.Close()
+	if reply.End.Reset {
+		l.resetConns()
+	}
+	l.CloseConns()
+	if reply.End.Ended != nil {
+		reply.End.Ended()
+	}
+}
+
+// resetConns makes the end of all open connections a reset.
+func (l *Leaf) resetConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
 func (l *Leaf) acquireSlot() bool {
 	select {
 	case l.slots <- struct{}{}:
