--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -1,13 +1,16 @@
 // Package crashguard detects requests that crash the leaves that run them and blocks them in the whole
-// fleet. A crash counts against a request if the connection to the leaf was lost while the request ran
-// and the leaf's address refuses connections right after. A lost connection alone proves nothing. A
-// crashing request crashes every leaf that runs it, so a request that any leaf answers is not the cause:
-// a network partition that resets connections looks like the crash of all leaves beyond it.
+// fleet. A connection that ends while a request runs makes the request a suspect. It counts as a crash once
+// something shows that the leaf has ended: its address refuses connections or takes none, or its id or its
+// address belongs to another start of a leaf. The guard looks for that itself: whether the leaf gets other
+// calls does not matter. A crashing request crashes every leaf that runs it, so a request that any leaf
+// answers is not the cause: a network partition that resets connections looks like the crash of all leaves
+// beyond it.
 package crashguard
 
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,177 +18,313 @@
 	"golang.org/x/time/rate"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/peers"
 )
 
 const (
 	// crashesToBlock is the number of crashed leaves at which a request is blocked.
 	crashesToBlock = 3
-	// blockPeriod is how long a crash counts towards the block of a request, because crashing requests
-	// are sent repeatedly.
-	blockPeriod = time.Minute
+	// blockPeriod is how long a crash counts towards the block of a request after the request last came,
+	// because crashing requests are sent repeatedly.
+	blockPeriod = 10 * time.Minute
 	// refusalWindow is how soon after a lost connection the leaf's address must refuse another one for
 	// the loss to count as a crash.
 	refusalWindow = 1500 * time.Millisecond
-	// answerValidity is how long an answer clears a request. Crashes within that time had another cause.
-	answerValidity = time.Minute
-	// maxLogsPerSecond limits the log lines about lost connections, which come by the dozen.
-	maxLogsPerSecond = 5
+	// replacementWindow is how soon after a lost connection another start of a leaf must have the leaf's id or
+	// address, or its entry must be gone, for the loss to count as a crash. An entry expires after three
+	// heartbeats of some 1.2 s.
+	replacementWindow = 6 * time.Second
+	// suspicionPeriod is how long after a lost connection the leaf may still turn out to have ended: the store's
+	// entries take about a second to reach all VMs.
+	suspicionPeriod = 2500 * time.Millisecond
+	// answerValidity is how long an answer clears a request. Losses within that time had another cause: those
+	// of a network partition come one after the other.
+	answerValidity = time.Second
+	// sweepInterval is how often losses without an effect are removed.
+	sweepInterval = 500 * time.Millisecond
+	// maxLossesPerLeaf bounds the losses at one leaf that are kept.
+	maxLossesPerLeaf = 64
 )
 
-// outcome says what became of a lost connection with a request in flight.
-type outcome string
-
-// The outcomes.
-const (
-	// counted: the leaf has ended, and this counts against the request.
-	counted outcome = "counted"
-	// cleared: the request has been answered.
-	cleared outcome = "cleared"
-	// unconfirmed: nothing has shown in time that the leaf has ended.
-	unconfirmed outcome = "unconfirmed"
-)
-
-// Fleet shares crashes with the other VMs. Crashes returns the number of leaves that crashed
-// with the request in flight since the given time.
+// Fleet shares crashes with the other VMs.
 type Fleet interface {
 	ReportCrash(c peers.Crash)
-	Crashes(digest uint64, since time.Time) int
+	// ReportAnswer reports that a leaf has answered the request.
+	ReportAnswer(digest uint64, at time.Time)
+	// ReportRefusal records that the request came and was refused.
+	ReportRefusal(digest uint64, at time.Time)
+	// Crashes returns the leaves that crashed with the request in flight since the given time and since its
+	// last answer.
+	Crashes(digest uint64, since time.Time) []peers.Crash
+	// Suspects returns the requests that were in flight at crashes.
+	Suspects() []uint64
+}
+
+// Loss is a call that ended without an answer while its leaf may have run the request.
+type Loss struct {
+	Digest uint64
+	Leaf   catalog.LeafID
+	// Address of the leaf; empty if unknown.
+	Address string
+	// Silent is set if the connection did not end: this VM gave up waiting. Such a loss makes the request no
+	// suspect, and counts only if the leaf's address refuses connections right after.
+	Silent bool
+	// Repeated is set if the request was a suspect already when it was sent.
+	Repeated bool
 }
 
 // Guard blocks requests that crash leaves. It is safe for concurrent use.
 type Guard struct {
-	fleet Fleet
-	clock func() time.Time
-	log   *zap.Logger
-	// logLimiter limits the lines about lost connections.
+	fleet   Fleet
+	clock   func() time.Time
+	log     *zap.Logger
+	metrics *metrics
+	// checks holds the leaves that Run is to check.
+	checks chan catalog.LeafID
+	view   atomic.Pointer[directory.View]
+	// logLimiter limits the lines about losses that do not count.
 	logLimiter *rate.Limiter
-	lostTotal  prometheus.Counter
-	outcomes   *prometheus.CounterVec
 
 	mu sync.Mutex
-	// mu guards the fields below. losses holds the connection losses by leaf. lostAt is when each
-	// request last lost its connection. answeredAt is when one of these requests, or one with a crash
-	// reported in the fleet, was last answered. lastSweep is when sweep last removed old entries.
-	losses     map[catalog.LeafID][]loss
-	lostAt     map[uint64]time.Time
-	answeredAt map[uint64]time.Time
-	lastSweep  time.Time
+	// mu guards the fields below. losses holds the losses by leaf, suspects the leaves at which each request was
+	// lost and whose end is neither shown nor ruled out. checking holds the leaves that are being checked.
+	losses   map[catalog.LeafID][]loss
+	suspects map[uint64]map[catalog.LeafID]bool
+	checking map[catalog.LeafID]bool
+	answers  answers
+	// lastSweep is when losses without an effect were last removed.
+	lastSweep time.Time
 }
 
 type loss struct {
-	digest uint64
-	at     time.Time
+	Loss
+	at time.Time
+	// alive is set once the leaf's address has taken a connection after the loss.
+	alive bool
+}
+
+type metrics struct {
+	lost, blocked prometheus.Counter
+	outcomes      *prometheus.CounterVec
+	checks        *prometheus.CounterVec
 }
 
 // New returns a guard without recorded losses that registers its metrics with reg.
 func New(f Fleet, clock func() time.Time, log *zap.Logger, reg prometheus.Registerer) *Guard {
-	lost := prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "burdock_crash_losses_total", Help: "Requests in flight at lost connections to leaves.",
-	})
-	outcomes := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "burdock_crash_evidence_total", Help: "Requests in flight at lost connections by what became of the loss: counted against the request, cleared by an answer, or unconfirmed.",
-	}, []string{"outcome"})
-	reg.MustRegister(lost, outcomes)
-	return &Guard{
-		fleet: f, clock: clock, log: log, logLimiter: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), lostTotal: lost, outcomes: outcomes,
-		losses: make(map[catalog.LeafID][]loss), lostAt: make(map[uint64]time.Time), answeredAt: make(map[uint64]time.Time),
+	g := &Guard{
+		fleet: f, clock: clock, log: log, metrics: newMetrics(reg), checks: make(chan catalog.LeafID, maxQueuedChecks),
+		logLimiter: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond),
+		losses:     make(map[catalog.LeafID][]loss), suspects: make(map[uint64]map[catalog.LeafID]bool),
+		checking: make(map[catalog.LeafID]bool), answers: newAnswers(),
 	}
+	g.view.Store(&directory.View{})
+	return g
 }
 
-// Blocked reports whether the request has crashed too many leaves since its last answer, within
-// blockPeriod.
+func newMetrics(reg prometheus.Registerer) *metrics {
+	m := &metrics{
+		lost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_crash_losses_total", Help: "Requests in flight at lost connections to leaves.",
+		}),
+		blocked: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_crash_refusals_total", Help: "Requests and calls refused because the request crashes leaves.",
+		}),
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_crash_evidence_total", Help: "Requests in flight at lost connections by what became of the loss: counted against the request, or why not.",
+		}, []string{"outcome"}),
+		checks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_crash_checks_total", Help: "Checks of leaves after a lost connection by result.",
+		}, []string{"result"}),
+	}
+	reg.MustRegister(m.lost, m.blocked, m.outcomes, m.checks)
+	return m
+}
+
+// Blocked reports whether the request has crashed too many leaves since its last answer, within blockPeriod. A
+// request that a leaf has answered before may have been in flight at several crashes at once by chance. It is
+// blocked only after it has crashed a leaf as a suspect.
 func (g *Guard) Blocked(digest uint64) bool {
+	if !g.crashedTooMany(digest) {
+		return false
+	}
+	g.fleet.ReportRefusal(digest, g.clock())
+	g.metrics.blocked.Inc()
+	return true
+}
+
+func (g *Guard) crashedTooMany(digest uint64) bool {
+	confirmed := 0
+	answered, repeated := false, false
+	for _, c := range g.fleet.Crashes(digest, g.clock().Add(-blockPeriod)) {
+		if c.Unconfirmed {
+			continue
+		}
+		confirmed++
+		answered, repeated = answered || c.Answered, repeated || c.Repeated
+	}
+	return confirmed >= crashesToBlock && (repeated || !answered && !g.hasAnswer(digest))
+}
+
+// Suspicion is what speaks against a request that is not blocked.
+type Suspicion struct {
+	// Ended are the leaves at which the request was in flight when they ended or may have ended.
+	Ended []catalog.LeafID
+	// Undecided is set if the request is to wait: once it is known which of these leaves have ended, it may be blocked.
+	Undecided bool
+}
+
+// Suspect reports whether the request may be crashing leaves.
+func (g *Guard) Suspect(digest uint64) (s Suspicion, suspect bool) {
 	now := g.clock()
-	since := now.Add(-blockPeriod)
+	undecided := false
+	for _, c := range g.fleet.Crashes(digest, now.Add(-blockPeriod)) {
+		if c.Unconfirmed && now.Sub(c.At) > suspicionPeriod {
+			continue
+		}
+		undecided = undecided || c.Unconfirmed
+		s.Ended = append(s.Ended, c.Leaf)
+	}
 	g.mu.Lock()
-	if at := g.answeredAt[digest]; at.After(since) {
-		since = at
+	defer g.mu.Unlock()
+	for leaf := range g.suspects[digest] {
+		if !slices.Contains(s.Ended, leaf) {
+			undecided = true
+			s.Ended = append(s.Ended, leaf)
+		}
 	}
-	g.mu.Unlock()
-	return g.fleet.Crashes(digest, since) >= crashesToBlock
+	s.Undecided = undecided && len(s.Ended) >= crashesToBlock
+	return s, len(s.Ended) > 0
 }
 
-// Lost records that the connection to the leaf was lost while the leaf ran the request.
-func (g *Guard) Lost(digest uint64, leaf catalog.LeafID) {
+// Lost records that a call ended without an answer, and has the leaf checked.
+func (g *Guard) Lost(l Loss) {
+	g.metrics.lost.Inc()
+	g.record(l)
+	if !l.Silent {
+		g.compareWithView(g.view.Load(), l.Leaf, l.Address)
+	}
+}
+
+func (g *Guard) record(l Loss) {
 	now := g.clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sweep(now)
-	g.losses[leaf] = append(g.losses[leaf], loss{digest, now})
-	g.lostAt[digest] = now
-	g.lostTotal.Inc()
+	if now.Sub(g.lastSweep) >= sweepInterval {
+		g.sweep(now)
+	}
+	if len(g.losses[l.Leaf]) >= maxLossesPerLeaf {
+		return
+	}
+	g.losses[l.Leaf] = append(g.losses[l.Leaf], loss{Loss: l, at: now})
+	if l.Silent {
+		return
+	}
+	if g.suspects[l.Digest] == nil {
+		g.suspects[l.Digest] = make(map[catalog.LeafID]bool)
+	}
+	g.suspects[l.Digest][l.Leaf] = true
+	g.enqueueCheck(l.Leaf)
 }
 
-// Answered records that a leaf has answered the request. It does nothing for a request without a
-// recorded loss or reported crash.
+// Answered records that a leaf has run the request and outlived it.
 func (g *Guard) Answered(digest uint64) {
 	now := g.clock()
-	reported := g.fleet.Crashes(digest, now.Add(-blockPeriod)) > 0
+	g.mu.Lock()
+	g.answers.add(digest, now)
+	delete(g.suspects, digest)
+	g.mu.Unlock()
+	g.fleet.ReportAnswer(digest, now)
+}
+
+func (g *Guard) hasAnswer(digest uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, lost := g.lostAt[digest]; lost || reported {
-		g.answeredAt[digest] = now
-	}
+	return !g.answers.at(digest).IsZero()
 }
 
-// Down records that the leaf's address refuses connections. It reports a crash to the fleet for each
-// request that lost its connection to the leaf within refusalWindow and was not answered within
-// answerValidity.
+// Down records that the leaf's address refuses connections.
 func (g *Guard) Down(leaf catalog.LeafID) {
+	g.conclude(leaf, "refuses connections", func(l *loss, age time.Duration) bool { return !l.alive && age <= refusalWindow })
+}
+
+// unresponsive records that the leaf's address takes no connection and refuses none.
+func (g *Guard) unresponsive(leaf catalog.LeafID) {
+	g.conclude(leaf, "takes no connections", func(l *loss, age time.Duration) bool { return !l.alive && !l.Silent && age <= refusalWindow })
+}
+
+// expired records that the leaf's entry is gone although it had not announced its shutdown.
+func (g *Guard) expired(leaf catalog.LeafID) {
+	g.conclude(leaf, "has no entry", func(l *loss, age time.Duration) bool { return !l.alive && !l.Silent && age <= replacementWindow })
+}
+
+// Replaced records that the leaf's id or address belongs to another start of a leaf.
+func (g *Guard) Replaced(leaf catalog.LeafID) {
+	g.conclude(leaf, "replaced", func(l *loss, age time.Duration) bool { return !l.Silent && age <= replacementWindow })
+}
+
+// conclude takes the losses at a leaf that has ended off the list. Those that are covered by the finding count as
+// crashes unless the request was answered or the leaf had announced its shutdown.
+func (g *Guard) conclude(leaf catalog.LeafID, finding string, covered func(l *loss, age time.Duration) bool) {
 	now := g.clock()
+	draining := g.view.Load().Draining[leaf]
+	var crashes []loss
 	g.mu.Lock()
-	losses := slices.DeleteFunc(g.losses[leaf], func(l loss) bool {
+	for i := range g.losses[leaf] {
+		l := &g.losses[leaf][i]
 		switch {
-		case now.Sub(l.at) > refusalWindow:
-			g.dismiss(leaf, l, unconfirmed, now)
-			return true
-		case now.Sub(g.answeredAt[l.digest]) < answerValidity:
-			g.dismiss(leaf, l, cleared, now)
-			return true
+		case !covered(l, now.Sub(l.at)):
+			g.dismiss(l, unconfirmed, now)
+		case g.clearedByAnswer(l):
+			g.dismiss(l, cleared, now)
+		case draining:
+			g.dismiss(l, leftInOrder, now)
+		default:
+			crashes = append(crashes, *l)
 		}
-		return false
-	})
-	delete(g.losses, leaf)
+	}
 	g.mu.Unlock()
-	for _, l := range losses {
-		g.log.Warn("leaf crashed with a request in flight", zap.Stringer("leaf", leaf), zap.Uint64("digest", l.digest), zap.Duration("lost_before", now.Sub(l.at)))
-		g.outcomes.WithLabelValues(string(counted)).Inc()
-		g.fleet.ReportCrash(peers.Crash{Digest: l.digest, Leaf: leaf, At: l.at})
+	for _, l := range crashes {
+		g.count(&l, finding, now)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.forget(leaf)
 }
 
-// dismiss records that a loss does not count against its request, and why. Requires mu.
-func (g *Guard) dismiss(leaf catalog.LeafID, l loss, why outcome, now time.Time) {
-	g.outcomes.WithLabelValues(string(why)).Inc()
-	if g.logLimiter.Allow() {
-		g.log.Info("lost connection does not count against its request",
-			zap.String("why", string(why)), zap.Stringer("leaf", leaf), zap.Uint64("digest", l.digest), zap.Duration("lost_before", now.Sub(l.at)))
-	}
+// clearedByAnswer reports whether an answer shows that the request did not cause the loss. Requires mu.
+func (g *Guard) clearedByAnswer(l *loss) bool {
+	at := g.answers.at(l.Digest)
+	return !at.IsZero() && l.at.Before(at.Add(answerValidity))
 }
 
-// sweep removes entries that no longer have an effect, at most once per refusalWindow. Requires mu.
-func (g *Guard) sweep(now time.Time) {
-	if now.Sub(g.lastSweep) < refusalWindow {
-		return
-	}
-	g.lastSweep = now
-	for leaf, losses := range g.losses {
-		if now.Sub(losses[len(losses)-1].at) > refusalWindow {
-			for _, l := range losses {
-				g.dismiss(leaf, l, unconfirmed, now)
-			}
-			delete(g.losses, leaf)
-		}
-	}
-	for digest, at := range g.lostAt {
-		if now.Sub(at) > refusalWindow {
-			delete(g.lostAt, digest)
-		}
+// count reports a loss as a crash.
+func (g *Guard) count(l *loss, finding string, now time.Time) {
+	g.metrics.outcomes.WithLabelValues(string(counted)).Inc()
+	g.log.Warn("leaf crashed with a request in flight", zap.Stringer("leaf", l.Leaf), zap.Uint64("digest", l.Digest), zap.String("leaf_now", finding),
+		zap.Duration("lost_before", now.Sub(l.at)), zap.Bool("repeated", l.Repeated))
+	g.report(l, false)
+}
+
+// report tells the fleet of a loss.
+func (g *Guard) report(l *loss, unconfirmed bool) {
+	g.fleet.ReportCrash(peers.Crash{
+		Digest: l.Digest, Leaf: l.Leaf, At: l.at, Repeated: l.Repeated, Unconfirmed: unconfirmed, Answered: g.hasAnswer(l.Digest),
+	})
+}
+
+// forget drops the losses at a leaf. Requires mu.
+func (g *Guard) forget(leaf catalog.LeafID) {
+	for _, l := range g.losses[leaf] {
+		g.clearSuspicion(l.Digest, leaf)
 	}
-	for digest, at := range g.answeredAt {
-		if now.Sub(at) > answerValidity {
-			delete(g.answeredAt, digest)
-		}
+	delete(g.losses, leaf)
+}
+
+// clearSuspicion ends the suspicion of a request at one leaf. Requires mu.
+func (g *Guard) clearSuspicion(digest uint64, leaf catalog.LeafID) {
+	delete(g.suspects[digest], leaf)
+	if len(g.suspects[digest]) == 0 {
+		delete(g.suspects, digest)
 	}
 }
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -13,20 +13,27 @@
 )
 
 // fakeFleet records crashes like a fleet with a single VM.
-type fakeFleet struct{ crashes []peers.Crash }
+type fakeFleet struct {
+	crashes  []peers.Crash
+	answered map[uint64]time.Time
+}
 
 func (f *fakeFleet) ReportCrash(c peers.Crash) { f.crashes = append(f.crashes, c) }
 
-func (f *fakeFleet) Crashes(digest uint64, since time.Time) int {
-	n := 0
+func (f *fakeFleet) Crashes(digest uint64, since time.Time) []peers.Crash {
+	var out []peers.Crash
 	for _, c := range f.crashes {
-		if c.Digest == digest && c.At.After(since) {
-			n++
+		if c.Digest == digest && c.At.After(since) && c.At.After(f.answered[digest]) {
+			out = append(out, c)
 		}
 	}
-	return n
+	return out
 }
 
+func (f *fakeFleet) ReportAnswer(digest uint64, at time.Time) { f.answered[digest] = at }
+func (f *fakeFleet) Suspects() []uint64                       { return nil }
+func (f *fakeFleet) ReportRefusal(uint64, time.Time)          {}
+
 type fixture struct {
 	*Guard
 	now time.Time
@@ -34,10 +41,16 @@
 
 func newFixture() *fixture {
 	f := &fixture{now: time.Now()}
-	f.Guard = New(&fakeFleet{}, func() time.Time { return f.now }, zap.NewNop(), prometheus.NewRegistry())
+	f.Guard = New(&fakeFleet{answered: make(map[uint64]time.Time)}, func() time.Time { return f.now }, zap.NewNop(), prometheus.NewRegistry())
 	return f
 }
 
+// Lost records a loss of a request that was whatever standing it has now.
+func (f *fixture) Lost(digest uint64, leaf catalog.LeafID) {
+	_, suspect := f.Suspect(digest)
+	f.Guard.Lost(Loss{Digest: digest, Leaf: leaf, Repeated: suspect})
+}
+
 func leafID(name string) catalog.LeafID { return catalog.LeafID{Name: name} }
 
 const crashing, innocent = 7, 8
--- /dev/null
+++ b/internal/crashguard/outcome.go
@@ -0,0 +1,66 @@
+package crashguard
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// outcome says what became of a lost connection with a request in flight.
+type outcome string
+
+// The outcomes.
+const (
+	// counted: the leaf has ended, and this counts against the request.
+	counted outcome = "counted"
+	// cleared: the request has been answered.
+	cleared outcome = "cleared"
+	// leftInOrder: the leaf had announced its shutdown.
+	leftInOrder outcome = "left_in_order"
+	// unconfirmed: nothing has shown in time that the leaf has ended.
+	unconfirmed outcome = "unconfirmed"
+)
+
+// maxLogsPerSecond limits the log lines about losses that do not count, which come by the dozen.
+const maxLogsPerSecond = 5
+
+// dismiss records that a loss does not count against its request, and why. Requires mu.
+func (g *Guard) dismiss(l *loss, why outcome, now time.Time) {
+	g.metrics.outcomes.WithLabelValues(string(why)).Inc()
+	if !l.Silent && g.logLimiter.Allow() {
+		g.log.Info("lost connection does not count against its request", zap.String("why", string(why)), zap.Stringer("leaf", l.Leaf),
+			zap.Uint64("digest", l.Digest), zap.Bool("leaf_takes_connections", l.alive), zap.Duration("lost_before", now.Sub(l.at)))
+	}
+}
+
+// sweep removes the losses that no longer have an effect. A loss that nothing explains in time ends its suspicion.
+// Requires mu.
+func (g *Guard) sweep(now time.Time) {
+	g.lastSweep = now
+	for leaf, losses := range g.losses {
+		kept := losses[:0]
+		for i := range losses {
+			l := losses[i]
+			if now.Sub(l.at) > suspicionPeriod {
+				g.clearSuspicion(l.Digest, leaf)
+			}
+			if now.Sub(l.at) <= l.relevantFor() {
+				kept = append(kept, l)
+				continue
+			}
+			g.dismiss(&l, unconfirmed, now)
+		}
+		g.losses[leaf] = kept
+		if len(kept) == 0 {
+			delete(g.losses, leaf)
+		}
+	}
+}
+
+// relevantFor returns how long the loss may still count.
+func (l *loss) relevantFor() time.Duration {
+	if l.Silent {
+		return refusalWindow
+	}
+	return replacementWindow
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -49,6 +49,8 @@
 	Expired map[string][]catalog.Leaf
 	// EvacuatedLeaves are leaves by service: they may take no work because their zone is evacuated.
 	EvacuatedLeaves map[string][]catalog.Leaf
+	// Draining holds the leaves that have announced their shutdown, until they are forgotten.
+	Draining map[catalog.LeafID]bool
 	// Evacuations are the evacuations in force, by zone.
 	Evacuations map[string]Evacuation
 	// Era of the store, and its revision up to which the view is complete.
@@ -143,6 +145,7 @@
 	defer d.mu.Unlock()
 	v := &View{
 		Leaves: make(map[string][]catalog.Leaf), Expired: make(map[string][]catalog.Leaf), EvacuatedLeaves: make(map[string][]catalog.Leaf),
+		Draining: make(map[catalog.LeafID]bool),
 	}
 	eras := d.mirror.State(now)
 	v.Era, v.Revision = eras[0].Era, eras[0].CompleteTo
@@ -176,6 +179,9 @@
 // the view changes. The caller must hold mu.
 func (d *Directory) addExpired(v *View, it mirror.ReceivedItem, zones zoneStates, now time.Time) time.Duration {
 	l, ok := d.leaves[it.Key]
+	if ok && l.leaf.Draining {
+		v.Draining[l.leaf.ID] = true
+	}
 	if !ok || !l.usable || l.leaf.Draining {
 		return maxRefreshInterval
 	}
@@ -200,7 +206,11 @@
 		known = d.register(it, leaf, err, now)
 		d.leaves[it.Key] = known
 	}
-	if known.usable && !known.leaf.Draining {
+	switch {
+	case !known.usable:
+	case known.leaf.Draining:
+		v.Draining[known.leaf.ID] = true
+	default:
 		d.addTo(v, v.Leaves, known, zones)
 	}
 }
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -40,6 +40,9 @@
 // launch sends a call of the group to the best of the given leaves. If there are none, the group stays pending.
 func (r *run) launch(i int, candidates []catalog.Leaf) {
 	g := &r.groups[i]
+	if g.failed {
+		return
+	}
 	if len(candidates) == 0 {
 		g.pending = true
 		return
@@ -61,7 +64,7 @@
 		g.sentAt, g.expectedTime = now, call.Expected()
 	}
 	r.e.calls.Add(1)
-	go r.call(i, leaf, call)
+	go r.call(i, leaf, call, r.suspect)
 }
 
 func (r *run) replicaCandidates(candidates []catalog.Leaf) []replica.Candidate {
@@ -73,14 +76,15 @@
 	return out
 }
 
-// call makes one call and passes its end to the run if the run has not ended yet.
-func (r *run) call(i int, leaf catalog.Leaf, call *replica.Call) {
+// call makes one call and passes its end to the run if the run has not ended yet. suspect is set if the request was a
+// suspect when the call was sent.
+func (r *run) call(i int, leaf catalog.Leaf, call *replica.Call, suspect bool) {
 	defer r.e.calls.Done()
 	resp, err := r.e.leaves.Do(r.ctx, leaf.ID, &leafcall.Request{
 		ID: r.req.ID, Method: r.req.Method, Target: r.req.Target, Host: r.req.Host, Header: r.req.Header, Body: r.req.Body,
 		Remaining: time.Until(r.deadline) + answerMargin, Leaf: leaf.ID.Name,
 	})
-	r.recordCallEnd(leaf, call, resp, err)
+	r.recordCallEnd(leaf, call, suspect, resp, err)
 	select {
 	case r.events <- event{group: i, leaf: leaf.ID, call: call, elapsed: call.Elapsed(time.Now()), resp: resp, err: err}:
 	case <-r.ended:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/replica"
@@ -132,12 +133,15 @@
 type Crashes interface {
 	// Blocked reports whether the request has crashed too many leaves.
 	Blocked(digest uint64) bool
-	// Lost records that the connection to the leaf was lost while it ran the request.
-	Lost(digest uint64, leaf catalog.LeafID)
-	// Answered records that a leaf has answered the request.
+	// Suspect reports whether the request may be crashing leaves.
+	Suspect(digest uint64) (s crashguard.Suspicion, suspect bool)
+	// Lost records that a call ended without an answer while the leaf may have run the request.
+	Lost(l crashguard.Loss)
+	// Answered records that a leaf has run the request and outlived it.
 	Answered(digest uint64)
-	// Down records that the leaf's address refuses connections.
+	// Down records that the leaf's address refuses connections, Replaced that it belongs to another leaf.
 	Down(leaf catalog.LeafID)
+	Replaced(leaf catalog.LeafID)
 }
 
 // ColdLeaves bounds the requests to cold leaves.
@@ -247,7 +251,7 @@
 // digestOf returns a digest that a repetition of the request shares with it.
 func digestOf(req *Request) uint64 {
 	d := xxhash.New()
-	for _, s := range []string{req.Method, req.Host, req.Target} {
+	for _, s := range []string{req.Method, hostName(req.Host), req.Target} {
 		_, _ = d.WriteString(s)
 		_, _ = d.Write([]byte{0})
 	}
@@ -255,6 +259,12 @@
 	return d.Sum64()
 }
 
+// hostName returns the host without a port.
+func hostName(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
 // Wait returns when no call to a leaf is in flight. It must not run concurrently with Serve.
 func (e *Engine) Wait() { e.calls.Wait() }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -122,7 +122,7 @@
 		r.failGroup(g, ReasonNoLeaf)
 		return
 	}
-	r.launch(i, r.withFreeConnection(candidates))
+	r.launch(i, r.usable(i, candidates))
 }
 
 // repeat sends a group's call to another leaf if the request, its attempts and the budget allow it. The group fails
@@ -151,7 +151,10 @@
 // tryRepeat sends the repeat, or leaves it pending until there is a free connection and budget for it.
 func (r *run) tryRepeat(i int) {
 	g := &r.groups[i]
-	candidates := r.withFreeConnection(r.candidates(g))
+	candidates := r.usable(i, r.candidates(g))
+	if g.failed {
+		return
+	}
 	if len(candidates) == 0 {
 		g.pending = true
 		return
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/replica"
@@ -79,6 +80,9 @@
 	abandoned int
 	lost      map[string]int
 	blocked   bool
+	// suspect makes all requests suspects, with the suspicion.
+	suspect   bool
+	suspicion crashguard.Suspicion
 	traces    []Trace
 	// coldLeft is how many requests each cold leaf still gets, and coldSent how many each got.
 	coldLeft, coldSent map[string]int
@@ -155,13 +159,19 @@
 }
 
 func (w *world) Blocked(uint64) bool { return w.blocked }
-func (w *world) Lost(_ uint64, leaf catalog.LeafID) {
+func (w *world) Lost(l crashguard.Loss) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lost[leaf.String()]++
+	w.lost[l.Leaf.String()]++
+}
+func (w *world) Answered(uint64)         {}
+func (w *world) Down(catalog.LeafID)     {}
+func (w *world) Replaced(catalog.LeafID) {}
+func (w *world) Suspect(uint64) (crashguard.Suspicion, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.suspicion, w.suspect
 }
-func (w *world) Answered(uint64)     {}
-func (w *world) Down(catalog.LeafID) {}
 func (w *world) Ended(_ *Request, _ *Answer, t *Trace) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -76,7 +76,7 @@
 }
 
 func (r *run) canHedge(g *group) bool {
-	return r.route.Idempotent && !g.hedged && g.inFlight == 1 && g.runs < r.route.MaxAttempts && g.refusals < maxRefusals
+	return r.route.Idempotent && !r.suspect && !g.hedged && g.inFlight == 1 && g.runs < r.route.MaxAttempts && g.refusals < maxRefusals
 }
 
 // hedgeDue returns when the hedge is due or is to be retried.
@@ -91,7 +91,10 @@
 // hedge sends the call to a second leaf in parallel.
 func (r *run) hedge(i int, now time.Time) {
 	g := &r.groups[i]
-	candidates := r.withFreeConnection(r.candidates(g))
+	candidates := r.usable(i, r.candidates(g))
+	if g.failed || r.suspect {
+		return
+	}
 	if len(candidates) == 0 || !r.takeExtraCall(g, r.hedgeUrgency(g, now)) {
 		g.retryAt = now.Add(retryPoll)
 		return
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -6,31 +6,50 @@
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/replica"
 )
 
-// recordCallEnd records what the end of a call shows about its leaf and its request.
-func (r *run) recordCallEnd(leaf catalog.Leaf, call *replica.Call, resp *leafcall.Response, err error) {
+// recordCallEnd records what the end of a call shows about its leaf and its request, which was a suspect already if
+// repeated is set.
+func (r *run) recordCallEnd(leaf catalog.Leaf, call *replica.Call, repeated bool, resp *leafcall.Response, err error) {
 	now := time.Now()
 	if resp != nil && resp.Load != nil {
 		r.e.table.Report(leaf.ID, *resp.Load, now)
 	}
 	call.End(resultOf(resp, err), now)
-	var failure *leafcall.Error
 	switch {
 	case resp != nil && resp.WrongIncarnation:
 		r.e.movedLeaves.add(leaf, now)
-	case resp != nil && !resp.NotRun:
-		r.answered.Store(true)
-		r.e.crashes.Answered(r.digest)
-	case errors.As(err, &failure) && failure.Cause == leafcall.ConnectionLost:
-		if !r.answered.Load() { // a request that a leaf has answered does not crash leaves
-			r.e.crashes.Lost(r.digest, leaf.ID)
+		r.e.crashes.Replaced(leaf.ID)
+	case resp != nil && resp.ShowsRun():
+		if !r.answered.Swap(true) {
+			r.e.crashes.Answered(r.digest)
 		}
-	case failure != nil && failure.Refused:
+	case err != nil:
+		r.recordLoss(leaf, err, repeated)
+	}
+}
+
+// recordLoss records what a call without an answer shows about the request and the leaf. A request that a leaf has
+// answered does not crash leaves.
+func (r *run) recordLoss(leaf catalog.Leaf, err error, repeated bool) {
+	var failure *leafcall.Error
+	if !errors.As(err, &failure) {
+		return
+	}
+	loss := crashguard.Loss{Digest: r.digest, Leaf: leaf.ID, Address: leaf.Address, Repeated: repeated}
+	switch {
+	case failure.Refused:
 		r.e.crashes.Down(leaf.ID)
+		return
+	case !failure.Sent || r.answered.Load():
+		return
+	case failure.Cause == leafcall.TimedOut, failure.Cause == leafcall.Abandoned, failure.Silent:
+		loss.Silent = true
 	}
+	r.e.crashes.Lost(loss)
 }
 
 // resultOf classifies the end of a call by what it shows about the leaf.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -78,6 +78,8 @@
 	// ran is true if a leaf may have run the request. answered is set by the calls once a leaf has answered it.
 	ran      bool
 	answered atomic.Bool
+	// suspect is true while the request may be crashing leaves.
+	suspect bool
 	// failure is the last failure response of a leaf.
 	failure *leafcall.Response
 	reason  Reason
@@ -259,8 +261,11 @@
 	switch {
 	case !r.ran:
 		after := retryRefused
-		if reason == ReasonNoLeaf {
+		switch reason {
+		case ReasonNoLeaf:
 			after = retryNoLeaf
+		case ReasonCrashedLeaves:
+			after = retryCrashing
 		}
 		return r.answer(&Answer{Outcome: NotRun, Reason: reason, RetryAfter: withJitter(after)})
 	case r.failure != nil && !r.route.Search():
--- /dev/null
+++ b/internal/dispatch/suspect.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/rendezvous"
+)
+
+// usable returns the leaves among the candidates that may get the group's call now. It fails the group if the request
+// is blocked, also for calls that waited meanwhile. All VMs send a suspect request to the same leaf, so that copies of it
+// that run at once end one leaf. A suspect search runs on one shard until a leaf has outlived it.
+func (r *run) usable(i int, candidates []catalog.Leaf) []catalog.Leaf {
+	g := &r.groups[i]
+	r.suspect = false
+	if r.answered.Load() {
+		return r.withFreeConnection(candidates)
+	}
+	suspicion, suspect := r.e.crashes.Suspect(r.digest)
+	if !suspect {
+		return r.withFreeConnection(candidates)
+	}
+	if r.e.crashes.Blocked(r.digest) {
+		r.failGroup(g, ReasonCrashedLeaves)
+		return nil
+	}
+	r.suspect = true
+	if suspicion.Undecided || i != r.trialGroup() {
+		return nil
+	}
+	candidates = slices.DeleteFunc(candidates, func(l catalog.Leaf) bool { return slices.Contains(suspicion.Ended, l.ID) })
+	if len(candidates) == 0 {
+		r.failGroup(g, ReasonNoLeaf)
+		return nil
+	}
+	first := slices.MaxFunc(candidates, func(a, b catalog.Leaf) int { return r.compareRank(a.ID.String(), b.ID.String()) })
+	return r.withFreeConnection([]catalog.Leaf{first})
+}
+
+// trialGroup returns the group on which a suspect request runs first. All VMs choose the same one.
+func (r *run) trialGroup() int {
+	trial := -1
+	for i := range r.groups {
+		if !r.groups[i].failed && (trial < 0 || r.compareRank(r.groups[i].service, r.groups[trial].service) > 0) {
+			trial = i
+		}
+	}
+	return trial
+}
+
+// compareRank compares the ranks of two names for the request.
+func (r *run) compareRank(a, b string) int {
+	return cmp.Compare(rendezvous.Rank(r.digest, a), rendezvous.Rank(r.digest, b))
+}
--- a/internal/leafcall/leafcall.go
+++ b/internal/leafcall/leafcall.go
@@ -36,6 +36,8 @@
 	NotRun bool
 	// WrongIncarnation is set if another incarnation of the leaf has the address.
 	WrongIncarnation bool
+	// EndsWithConnection is set if only the end of the connection showed the end of the answer.
+	EndsWithConnection bool
 	// Load is the load that the leaf reported; nil if it reported none.
 	Load *replica.Load
 }
@@ -45,6 +47,12 @@
 	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Signature != "" && !r.NotRun && !r.WrongIncarnation
 }
 
+// ShowsRun reports whether the answer shows that the leaf has run the request and outlived it. A leaf that fails part of
+// its requests answers with an error before it runs them, and the end of a connection may be that of the leaf.
+func (r *Response) ShowsRun() bool {
+	return r.Signature != "" && r.Status < http.StatusInternalServerError && !r.NotRun && !r.WrongIncarnation && !r.EndsWithConnection
+}
+
 // Conn is a connection to a leaf. It carries one call at a time.
 type Conn interface {
 	// Do sends the request and reads its answer. Any error is an *Error. The connection must not be used again
@@ -60,6 +68,21 @@
 	Dial(ctx context.Context, address string) (Conn, error)
 }
 
+// Reachability is the result of an attempt to connect to a leaf.
+type Reachability string
+
+// The results.
+const (
+	// Reached: the address took the connection.
+	Reached Reachability = "reached"
+	// Refused: the address refused the connection.
+	Refused Reachability = "refused"
+	// NoResponse: there was no response in time.
+	NoResponse Reachability = "no_response"
+	// NotTried: no further connection to the leaf is allowed now, or the leaf is not known.
+	NotTried Reachability = "not_tried"
+)
+
 // Cause is the reason why a call has no answer.
 type Cause string
 
@@ -88,7 +111,9 @@
 	Sent bool
 	// Refused is set if the address refused the connection, as after a crash.
 	Refused bool
-	Err     error
+	// Silent is set if the connection was lost because the leaf no longer acknowledged what was sent.
+	Silent bool
+	Err    error
 }
 
 // Error implements error.
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -251,6 +251,29 @@
 	}
 }
 
+// Probe opens a connection to the leaf and keeps it for a call. It returns without one if this VM's connections to the
+// leaf are all in use.
+func (p *Pool) Probe(ctx context.Context, id catalog.LeafID) leafcall.Reachability {
+	p.mu.Lock()
+	e := p.leaves[id]
+	if e == nil || e.open >= p.maxConns(e.leaf) {
+		p.mu.Unlock()
+		return leafcall.NotTried
+	}
+	e.open++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, e)
+	var failure *leafcall.Error
+	switch {
+	case err == nil:
+		p.release(e, c, true, false)
+		return leafcall.Reached
+	case errors.As(err, &failure) && failure.Refused:
+		return leafcall.Refused
+	}
+	return leafcall.NoResponse
+}
+
 // Dump returns the connection counts of each leaf.
 func (p *Pool) Dump() any {
 	p.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,7 @@
 	pool             *leafpool.Pool
 	table            *replica.Table
 	budgets          *retrybudget.Budgets
+	guard            *crashguard.Guard
 	coldLeaves       *warmup.Allowance
 	recorder         *decision.Recorder
 	engine           *dispatch.Engine
@@ -138,10 +139,10 @@
 	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.PeersAddress, s.Zone, slices.Contains(s.Seeds, s.PeersAddress), d.boundsColdLeaves, s.ConfigApplyBound, log, reg)
 	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
-	guard := crashguard.New(d.peers, time.Now, log, reg)
+	d.guard = crashguard.New(d.peers, time.Now, log, reg)
 	d.coldLeaves = warmup.New(s.PeersAddress, s.Zone, slices.Collect(maps.Keys(s.Regions)), s.Warmup, time.Now, reg)
 	at := dispatch.Location{Zone: s.Zone, Regions: s.Regions}
-	d.engine = dispatch.New(at, d.directory, d.pool, d.table, d.budgets, guard, d.coldLeaves, d.recorder)
+	d.engine = dispatch.New(at, d.directory, d.pool, d.table, d.budgets, d.guard, d.coldLeaves, d.recorder)
 	d.delegate = delegate.New(delegate.Config{
 		Self: s.PeersAddress, Local: d.engine, Directory: d.directory, Observer: d.recorder, Dial: dialGatherers(s.IP), OnNewerConfig: d.peers.Fetch, Lag: d.engine.Lag,
 		Log: log, Registry: reg,
@@ -204,6 +205,7 @@
 			{Name: "store reader", Run: d.reader.Run},
 			{Name: "directory", Run: d.directory.Run},
 			{Name: "pool", Run: d.pool.Run},
+			{Name: "crash guard", Run: func(ctx context.Context) error { return d.guard.Run(ctx, d.pool) }},
 			{Name: "follow", Run: d.follow},
 			{Name: "delegate", Run: d.delegate.Run},
 			{Name: "gatherer", Run: d.gatherer.Run},
@@ -220,6 +222,7 @@
 	dumps.Add("gatherers", d.delegate)
 	dumps.Add("connections", d.pool)
 	dumps.Add("cold leaves", d.coldLeaves)
+	dumps.Add("crashes", d.guard)
 	dumps.Add("store", operator.DumpFunc(func() any { return d.directory.StoreDump() }))
 	dumps.Add("evacuations", operator.DumpFunc(func() any { return d.directory.Current().Evacuations }))
 	dumps.Add("budgets", operator.DumpFunc(func() any { return d.budgets.Remaining() }))
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -127,6 +127,7 @@
 	if len(known) > 0 || !d.hasOtherSeeds() {
 		d.coldLeaves.SetCallers(coldLeafCallers(self, known), s.coldLeafKind)
 	}
+	d.guard.SetView(view)
 	d.pool.SetLeaves(callableLeaves(view), connectionLimits(view.Config), s.connectionShare)
 	return s.vmCount
 }
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -1,21 +1,41 @@
 package peers
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/catalog"
 )
 
+const (
+	// crashRetention is how long a crash is kept and told to others. That of a request that is refused for its crashes
+	// is kept for refusedRetention after the request last came.
+	crashRetention   = 2 * time.Minute
+	refusedRetention = 10 * time.Minute
+	// unconfirmedRetention is how long a crash is kept that nothing has confirmed.
+	unconfirmedRetention = 5 * time.Second
+)
+
 // Crash records that a leaf ended while it ran a request.
 type Crash struct {
 	Digest uint64
 	Leaf   catalog.LeafID
 	At     time.Time
+	// Repeated is set if the request was a suspect already when the leaf got it.
+	Repeated bool
+	// Unconfirmed is set if only the end of the leaf's connections speaks for its end so far.
+	Unconfirmed bool
+	// Answered is set if a VM that saw the crash knew an answer to the request.
+	Answered bool
 }
 
-type crashKey struct {
-	digest uint64
-	leaf   catalog.LeafID
+// suspect holds what the fleet knows of a request that was in flight at crashes.
+type suspect struct {
+	crashes map[catalog.LeafID]Crash
+	// answeredAt is when a leaf last answered it, refusedAt when it last came and was refused; zero for never.
+	answeredAt, refusedAt time.Time
 }
 
 // ReportCrash reports to the fleet a crash that this VM saw.
@@ -26,23 +46,148 @@
 	m.localEvents.Fire()
 }
 
-// recordCrash records a crash unless it is already known. The caller must hold mu.
-func (m *Manager) recordCrash(c Crash) {
-	k := crashKey{c.Digest, c.Leaf}
-	if _, ok := m.crashTimes[k]; !ok {
-		m.crashTimes[k] = c.At
+// ReportAnswer reports to the fleet that a leaf has answered the request at the time. It does nothing if no crash since
+// the last answer is known.
+func (m *Manager) ReportAnswer(digest uint64, at time.Time) {
+	m.mu.Lock()
+	s := m.suspects[digest]
+	news := s != nil && len(s.since(s.answeredAt)) > 0
+	if news {
+		s.answeredAt = at
+	}
+	m.mu.Unlock()
+	if news {
+		m.localEvents.Fire()
 	}
 }
 
-// Crashes returns the number of leaves that have ended since the given time while the request was in flight there.
-func (m *Manager) Crashes(digest uint64, since time.Time) int {
+// ReportRefusal records that the request came and was refused for its crashes, so that they are kept.
+func (m *Manager) ReportRefusal(digest uint64, at time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := 0
-	for k, at := range m.crashTimes {
-		if k.digest == digest && at.After(since) {
-			n++
+	if s := m.suspects[digest]; s != nil {
+		s.refusedAt = at
+	}
+}
+
+// Crashes returns the leaves that have ended while the request was in flight there, since the given time and since the
+// last answer to it. All crashes since that answer are returned where the request was refused since the given time.
+func (m *Manager) Crashes(digest uint64, since time.Time) []Crash {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.suspects[digest]
+	if s == nil {
+		return nil
+	}
+	if s.refusedAt.After(since) || s.answeredAt.After(since) {
+		since = s.answeredAt
+	}
+	return s.since(since)
+}
+
+// Suspects returns the digests of the requests that were in flight at crashes.
+func (m *Manager) Suspects() []uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Keys(m.suspects))
+}
+
+func (s *suspect) since(t time.Time) []Crash {
+	var out []Crash
+	for _, c := range s.crashes {
+		if c.At.After(t) {
+			out = append(out, c)
 		}
 	}
-	return n
+	return out
+}
+
+// suspectOf returns the entry of the request and creates it if necessary. The caller must hold mu.
+func (m *Manager) suspectOf(digest uint64) *suspect {
+	s := m.suspects[digest]
+	if s == nil {
+		s = &suspect{crashes: make(map[catalog.LeafID]Crash)}
+		m.suspects[digest] = s
+	}
+	return s
+}
+
+// recordCrash merges a crash into what is known of it. The caller must hold mu.
+func (m *Manager) recordCrash(c Crash) {
+	s := m.suspectOf(c.Digest)
+	if known, ok := s.crashes[c.Leaf]; ok {
+		c.At, c.Repeated, c.Answered = known.At, c.Repeated || known.Repeated, c.Answered || known.Answered
+		c.Unconfirmed = c.Unconfirmed && known.Unconfirmed
+	}
+	s.crashes[c.Leaf] = c
+}
+
+// dropCrashes drops what is older than its retention. The caller must hold mu.
+func (m *Manager) dropCrashes(now time.Time) {
+	for digest, s := range m.suspects {
+		for leaf, c := range s.crashes {
+			if now.Sub(c.At) > s.retention(c, now) {
+				delete(s.crashes, leaf)
+			}
+		}
+		if len(s.crashes) == 0 {
+			delete(m.suspects, digest)
+		}
+	}
+}
+
+// retention returns how long after it happened the crash is kept, as of now.
+func (s *suspect) retention(c Crash, now time.Time) time.Duration {
+	switch {
+	case c.Unconfirmed:
+		return unconfirmedRetention
+	case now.Sub(s.refusedAt) <= refusedRetention:
+		return now.Sub(c.At)
+	}
+	return crashRetention
+}
+
+// encodeCrashes adds the crashes and the answers to the message. The caller must hold mu.
+func (m *Manager) encodeCrashes(msg *pb.FleetExchange, now time.Time) {
+	for digest, s := range m.suspects {
+		refusedAge := int64(-1)
+		if !s.refusedAt.IsZero() {
+			refusedAge = now.Sub(s.refusedAt).Milliseconds()
+		}
+		for leaf, c := range s.crashes {
+			msg.Crashes = append(msg.Crashes, &pb.FleetCrash{
+				Digest: digest, Leaf: leaf.Name, LeafBorn: leaf.StartMillis, AgeMs: now.Sub(c.At).Milliseconds(),
+				Repeated: c.Repeated, Answered: c.Answered, Unconfirmed: c.Unconfirmed, RefusedAgeMs: refusedAge,
+			})
+		}
+		if !s.answeredAt.IsZero() {
+			msg.CrashAnswers = append(msg.CrashAnswers, &pb.FleetCrashAnswer{Digest: digest, AgeMs: now.Sub(s.answeredAt).Milliseconds()})
+		}
+	}
+}
+
+// mergeCrashes merges the crashes and the answers of a message. The caller must hold mu.
+func (m *Manager) mergeCrashes(msg *pb.FleetExchange, now time.Time) {
+	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	for _, c := range msg.GetCrashes() {
+		m.recordCrash(Crash{
+			Digest: c.GetDigest(), Leaf: catalog.LeafID{Name: c.GetLeaf(), StartMillis: c.GetLeafBorn()},
+			At: ago(c.GetAgeMs()), Repeated: c.GetRepeated(), Answered: c.GetAnswered(), Unconfirmed: c.GetUnconfirmed(),
+		})
+		if s := m.suspects[c.GetDigest()]; c.GetRefusedAgeMs() >= 0 {
+			s.refusedAt = later(s.refusedAt, ago(c.GetRefusedAgeMs()))
+		}
+	}
+	for _, a := range msg.GetCrashAnswers() {
+		if s := m.suspects[a.GetDigest()]; s != nil {
+			s.answeredAt = later(s.answeredAt, ago(a.GetAgeMs()))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -158,9 +158,7 @@
 	for _, t := range troubles {
 		msg.Troubles = append(msg.Troubles, &pb.FleetTrouble{Leaf: t.Leaf.Name, LeafBorn: t.Leaf.StartMillis, Calls: float32(t.Calls), Failed: float32(t.Failed), Slow: float32(t.Slow)})
 	}
-	for k, at := range m.crashTimes {
-		msg.Crashes = append(msg.Crashes, &pb.FleetCrash{Digest: k.digest, Leaf: k.leaf.Name, LeafBorn: k.leaf.StartMillis, AgeMs: now.Sub(at).Milliseconds()})
-	}
+	m.encodeCrashes(msg, now)
 	return msg
 }
 
@@ -171,12 +169,7 @@
 	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
 		e.progress = progress{progressOf(msg), now}
 	}
-	for _, c := range msg.GetCrashes() {
-		m.recordCrash(Crash{
-			Digest: c.GetDigest(), Leaf: catalog.LeafID{Name: c.GetLeaf(), StartMillis: c.GetLeafBorn()},
-			At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-		})
-	}
+	m.mergeCrashes(msg, now)
 	m.mu.Unlock()
 	m.forwardTroubles(msg, now)
 	m.cfg.Mirror.Merge(decodeDelta(msg), now)
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -61,11 +61,7 @@
 		m.cfg.Log.Info("peers silent", zap.Strings("peers", silent), zap.Duration("silent_for", silentAfter), zap.Int("live", live))
 	}
 	m.metrics.live.Set(float64(live))
-	for k, at := range m.crashTimes {
-		if now.Sub(at) > crashRetention {
-			delete(m.crashTimes, k)
-		}
-	}
+	m.dropCrashes(now)
 }
 
 // Leave announces to the peers, in all messages from now on, that this VM is about to end.
@@ -152,7 +148,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e := m.members[address]
-	return e == nil || e.progress.known.Lacks(own) || len(m.crashTimes) > 0 || m.self.GetLeaving()
+	return e == nil || e.progress.known.Lacks(own) || len(m.suspects) > 0 || m.self.GetLeaving()
 }
 
 // selfRecord returns this VM's own record. The caller must hold mu.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,8 +47,6 @@
 	announceMinBytes = 1 << 10
 	// maxQueuedPulls bounds the announced updates that wait to be requested.
 	maxQueuedPulls = 8
-	// crashRetention is how long a crash is reported.
-	crashRetention = 2 * time.Minute
 )
 
 // Dial returns the client of the peer at the address.
@@ -97,10 +95,11 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	members    map[string]*member
-	self       pb.FleetMember
-	contactAt  time.Time
-	crashTimes map[crashKey]time.Time
+	members   map[string]*member
+	self      pb.FleetMember
+	contactAt time.Time
+	// suspects holds, by digest, the requests that were in flight at crashes.
+	suspects map[uint64]*suspect
 	// fullStateSentAt is when a VM of the zone last got the full state from this one.
 	fullStateSentAt map[string]time.Time
 }
@@ -121,9 +120,9 @@
 	cfg.Registry.MustRegister(m.exchanges, m.live)
 	return &Manager{
 		cfg: cfg, metrics: m, members: make(map[string]*member), localEvents: notify.New(),
-		pulls:      make(chan pull, maxQueuedPulls),
-		self:       pb.FleetMember{Address: cfg.Self, Zone: cfg.Zone, Incarnation: cfg.Incarnation, Millicores: uint32(max(cfg.Millicores, 0))},
-		crashTimes: make(map[crashKey]time.Time), fullStateSentAt: make(map[string]time.Time),
+		pulls:    make(chan pull, maxQueuedPulls),
+		self:     pb.FleetMember{Address: cfg.Self, Zone: cfg.Zone, Incarnation: cfg.Incarnation, Millicores: uint32(max(cfg.Millicores, 0))},
+		suspects: make(map[uint64]*suspect), fullStateSentAt: make(map[string]time.Time),
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -380,10 +380,10 @@
 	a.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: "i-2"}, At: now})
 	b.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: "i-2"}, At: now}) // the same crash
 	a.exchange(t.Context(), "b", false)
-	is.Equal(a.Crashes(7, now.Add(-time.Minute)), 2)
-	is.Equal(b.Crashes(7, now.Add(-time.Minute)), 2)
-	is.Equal(b.Crashes(7, now.Add(time.Minute)), 0)
-	is.Equal(b.Crashes(8, now.Add(-time.Minute)), 0)
+	is.Equal(len(a.Crashes(7, now.Add(-time.Minute))), 2)
+	is.Equal(len(b.Crashes(7, now.Add(-time.Minute))), 2)
+	is.Equal(len(b.Crashes(7, now.Add(time.Minute))), 0)
+	is.Equal(len(b.Crashes(8, now.Add(-time.Minute))), 0)
 }
 
 // Crashes and troubles belong to one start of a leaf: one that restarts under its id is another leaf.
@@ -397,7 +397,7 @@
 	a.ReportCrash(Crash{Digest: 7, Leaf: first, At: now})
 	a.ReportCrash(Crash{Digest: 7, Leaf: second, At: now})
 	a.exchange(t.Context(), "b", false)
-	is.Equal(b.Crashes(7, now.Add(-time.Minute)), 2)
+	is.Equal(len(b.Crashes(7, now.Add(-time.Minute))), 2)
 
 	for _, at := range []catalog.LeafID{first, second} {
 		_, call := b.cfg.Evidence.(*replica.Table).Choose(now, "r", time.Millisecond, []replica.Candidate{{ID: at, Slots: 1}})
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -46,14 +46,3 @@
 	}
 	return h.Sum64()
 }
-
-// Rank returns the rank of a name for a digest by rendezvous hashing, so that every process computes
-// the same ranking.
-func Rank(digest uint64, name string) uint64 {
-	var b [8]byte
-	binary.LittleEndian.PutUint64(b[:], digest)
-	h := xxhash.New()
-	_, _ = h.Write(b[:])
-	_, _ = h.WriteString(name)
-	return h.Sum64()
-}
--- a/internal/search/ranking.go
+++ b/internal/search/ranking.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/burdockplank/burdockplank/internal/quarantine"
+	"github.com/burdockplank/burdockplank/internal/rendezvous"
 )
 
 // maxFirstRunLeaves is how many leaves in the whole fleet may get the first call of one request, and so the maximum
@@ -33,7 +33,7 @@
 				continue
 			}
 			seen[l] = true
-			byZone[leaf.Zone] = append(byZone[leaf.Zone], ranked{leaf: l, zone: leaf.Zone, rank: quarantine.Rank(r.key.Digest, l), shard: i})
+			byZone[leaf.Zone] = append(byZone[leaf.Zone], ranked{leaf: l, zone: leaf.Zone, rank: rendezvous.Rank(r.key.Digest, l), shard: i})
 		}
 	}
 	k := make(ranking, 0, len(byZone))
@@ -42,7 +42,7 @@
 		k = append(k, leaves)
 	}
 	slices.SortFunc(k, func(a, b []ranked) int {
-		ra, rb := quarantine.Rank(r.key.Digest, a[0].zone), quarantine.Rank(r.key.Digest, b[0].zone)
+		ra, rb := rendezvous.Rank(r.key.Digest, a[0].zone), rendezvous.Rank(r.key.Digest, b[0].zone)
 		return cmp.Or(cmp.Compare(rb, ra), cmp.Compare(a[0].zone, b[0].zone))
 	})
 	return k
