Soak: requests that crash leaves; crash guard: ends that are no evidence, and an index of the view

The stand-in leaves end under crashing requests (single, orders, searches) with connections closed or reset, half of an answer first, late in the run, down for up to 2 s, under the same id or a new one, with the entry kept or removed; such a request stops and comes back. Checked: no undisturbed VM ends a leaf later than 1.1 s after the third, nor sends it more than three times later than 4 s after it. Unit tests for each way in which the end of a leaf shows, for what clears a request, for calls that wait or are repeated, and for evidence between VMs. A connection that ends at once after it was opened shows nothing. Evidence against answered requests is dropped after 10 s.

--- a/internal/crashguard/check.go
+++ b/internal/crashguard/check.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
-	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/wait"
 )
@@ -17,9 +15,8 @@
 	maxQueuedChecks = 512
 	// maxConcurrentChecks bounds the checks at the same time.
 	maxConcurrentChecks = 16
-	// checkRetryDelay is the delay between two attempts to connect to a leaf.
-	checkRetryDelay = 20 * time.Millisecond
-	// answerGrace is how long the answer to a repeat may clear a request before other VMs are told of the loss.
+	// answerGrace is how long the answer to a repeat may clear a request before other VMs are told of the loss, and
+	// the delay between two attempts to connect to the leaf.
 	answerGrace = 30 * time.Millisecond
 	// silentAttempts is the number of attempts without any response after which a leaf counts as ended.
 	silentAttempts = 2
@@ -69,39 +66,46 @@
 	}
 }
 
-// check finds out whether the leaf has ended.
+// check finds out whether the leaf has ended, and tells the fleet of the losses if that takes long.
 func (g *Guard) check(ctx context.Context, p Prober, leaf catalog.LeafID) {
-	result := leafcall.NotTried
-	silent := 0
+	defer g.endCheck(leaf)
+	silent, reported := 0, false
 	for end := g.clock().Add(refusalWindow); g.clock().Before(end); {
-		result = p.Probe(ctx, leaf)
+		result := p.Probe(ctx, leaf)
+		g.metrics.checks.WithLabelValues(string(result)).Inc()
 		if result == leafcall.NoResponse {
 			silent++
 		}
-		if result == leafcall.Reached || result == leafcall.Refused || silent == silentAttempts || !wait.For(ctx, checkRetryDelay) {
-			break
+		switch {
+		case result == leafcall.Refused:
+			g.Down(leaf)
+			return
+		case silent == silentAttempts:
+			g.unresponsive(leaf)
+			return
+		case !wait.For(ctx, answerGrace):
+			return
 		}
-	}
-	g.metrics.checks.WithLabelValues(string(result)).Inc()
-	g.mu.Lock()
-	delete(g.checking, leaf)
-	g.mu.Unlock()
-	switch result {
-	case leafcall.Refused:
-		g.Down(leaf)
-	case leafcall.NoResponse:
-		g.unresponsive(leaf)
-	case leafcall.Reached, leafcall.NotTried:
-		if wait.For(ctx, answerGrace) {
+		if !reported {
+			reported = true
 			g.reportUnconfirmed(leaf, result == leafcall.Reached)
 		}
+		if result == leafcall.Reached {
+			return
+		}
 	}
 }
 
+func (g *Guard) endCheck(leaf catalog.LeafID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.checking, leaf)
+}
+
 // reportUnconfirmed tells the fleet of the losses at a leaf whose address still takes connections, perhaps those of
 // another start of a leaf. alive is set if it took one.
 func (g *Guard) reportUnconfirmed(leaf catalog.LeafID, alive bool) {
-	draining := g.view.Load().Draining[leaf]
+	draining := g.view.Load().view.Draining[leaf]
 	var open []loss
 	g.mu.Lock()
 	for i := range g.losses[leaf] {
@@ -116,50 +120,3 @@
 		g.report(&l, true)
 	}
 }
-
-// SetView takes a new view of the leaves, which may show that leaves have ended.
-func (g *Guard) SetView(v *directory.View) {
-	g.view.Store(v)
-	for _, l := range g.lostLeaves() {
-		g.compareWithView(v, l.id, l.address)
-	}
-}
-
-type lostLeaf struct {
-	id      catalog.LeafID
-	address string
-}
-
-// lostLeaves returns the leaves with recorded losses.
-func (g *Guard) lostLeaves() []lostLeaf {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := make([]lostLeaf, 0, len(g.losses))
-	for id, losses := range g.losses {
-		out = append(out, lostLeaf{id, losses[0].Address})
-	}
-	return out
-}
-
-// compareWithView records the end of the leaf if the view shows it.
-func (g *Guard) compareWithView(v *directory.View, leaf catalog.LeafID, address string) {
-	another := func(l catalog.Leaf) bool {
-		return l.ID != leaf && (l.ID.Name == leaf.Name || address != "" && l.Address == address)
-	}
-	switch {
-	case contains(v.Leaves, another) || contains(v.EvacuatedLeaves, another):
-		g.Replaced(leaf)
-	case contains(v.Expired, func(l catalog.Leaf) bool { return l.ID == leaf }):
-		g.expired(leaf)
-	}
-}
-
-// contains reports whether any of the leaves fulfils the condition.
-func contains(leaves map[string][]catalog.Leaf, f func(catalog.Leaf) bool) bool {
-	for _, list := range leaves {
-		if slices.ContainsFunc(list, f) {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/crashguard/check_test.go
@@ -0,0 +1,183 @@
+package crashguard
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/directory"
+	"github.com/burdockplank/burdockplank/internal/leafcall"
+)
+
+// fakeProber returns the results in turn, and the last one from then on.
+type fakeProber struct {
+	mu      sync.Mutex
+	results []leafcall.Reachability
+	probes  int
+}
+
+func (p *fakeProber) Probe(context.Context, catalog.LeafID) leafcall.Reachability {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.results[min(p.probes, len(p.results)-1)]
+	p.probes++
+	return r
+}
+
+// run calls f beside a guard that checks leaves, in virtual time.
+func run(t *testing.T, p Prober, f func(t *testing.T, g *Guard, fleet *fakeFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &fakeFleet{answered: make(map[uint64]time.Time)}
+		g := New(fleet, time.Now, zap.NewNop(), prometheus.NewRegistry())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- g.Run(ctx, p) }()
+		f(t, g, fleet)
+		cancel()
+		<-done
+	})
+}
+
+// leafAt returns a view with one leaf of the id and the address.
+func leafAt(name, address string) *directory.View {
+	return &directory.View{Leaves: map[string][]catalog.Leaf{"s": {{ID: leafID(name), Address: address}}}}
+}
+
+// The end of a leaf that nobody called again left no evidence: each case is a way in which the end shows.
+func TestEndOfALeafIsLookedFor(t *testing.T) {
+	const address = "10.0.0.1:80"
+	for name, tt := range map[string]struct {
+		results []leafcall.Reachability
+		silent  bool
+		view    *directory.View
+		crashes int
+	}{
+		"refused":                   {results: []leafcall.Reachability{leafcall.Refused}, crashes: 1},
+		"refused at the second try": {results: []leafcall.Reachability{leafcall.NotTried, leafcall.Refused}, crashes: 1},
+		"no response":               {results: []leafcall.Reachability{leafcall.NoResponse}, crashes: 1},
+		"alive":                     {results: []leafcall.Reachability{leafcall.Reached}},
+		"another leaf there":        {results: []leafcall.Reachability{leafcall.Reached}, view: leafAt("b", address), crashes: 1},
+		"its id at another address": {
+			results: []leafcall.Reachability{leafcall.Reached}, crashes: 1,
+			view: &directory.View{Leaves: map[string][]catalog.Leaf{"s": {{ID: catalog.LeafID{Name: "a", StartMillis: 7}, Address: "10.0.0.2:80"}}}},
+		},
+		"entry gone, not reached": {
+			results: []leafcall.Reachability{leafcall.NotTried}, crashes: 1,
+			view: &directory.View{Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: address}}}},
+		},
+		"entry gone, but alive": {
+			results: []leafcall.Reachability{leafcall.Reached},
+			view:    &directory.View{Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: address}}}},
+		},
+		"entry unchanged":                 {results: []leafcall.Reachability{leafcall.Reached}, view: leafAt("a", address)},
+		"connection silent, no response":  {results: []leafcall.Reachability{leafcall.NoResponse}, silent: true},
+		"connection silent, then another": {results: []leafcall.Reachability{leafcall.Reached}, silent: true, view: leafAt("b", address)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, &fakeProber{results: tt.results}, func(t *testing.T, g *Guard, fleet *fakeFleet) {
+				g.Lost(Loss{Digest: crashing, Leaf: leafID("a"), Address: address, Silent: tt.silent})
+				time.Sleep(time.Second)
+				if tt.view != nil {
+					g.SetView(tt.view)
+				}
+				time.Sleep(replacementWindow)
+				is.New(t).Equal(len(confirmed(fleet)), tt.crashes)
+				is.New(t).Equal(len(g.losses), 0)
+			})
+		})
+	}
+}
+
+// confirmed returns the crashes that count.
+func confirmed(f *fakeFleet) map[catalog.LeafID]bool {
+	out := make(map[catalog.LeafID]bool)
+	for _, c := range f.crashes {
+		if !c.Unconfirmed {
+			out[c.Leaf] = true
+		}
+	}
+	return out
+}
+
+// A release ends leaves with requests in flight. Those must not be refused for it.
+func TestEndAfterAnnouncedShutdownIsNoEvidence(t *testing.T) {
+	run(t, &fakeProber{results: []leafcall.Reachability{leafcall.Refused}}, func(t *testing.T, g *Guard, fleet *fakeFleet) {
+		g.SetView(&directory.View{Draining: map[catalog.LeafID]bool{leafID("a"): true}})
+		g.Lost(Loss{Digest: innocent, Leaf: leafID("a")})
+		time.Sleep(time.Second)
+		is.New(t).Equal(len(fleet.crashes), 0)
+	})
+}
+
+// Copies of a request came to a third leaf while nothing had shown yet whether two others had ended. Such a copy waits, and
+// goes on when nothing has.
+func TestThirdCopyWaitsForTheEvidence(t *testing.T) {
+	run(t, &fakeProber{results: []leafcall.Reachability{leafcall.Reached}}, func(t *testing.T, g *Guard, _ *fakeFleet) {
+		is := is.New(t)
+		for _, leaf := range []string{"a", "b", "c"} {
+			g.Lost(Loss{Digest: crashing, Leaf: leafID(leaf)})
+		}
+		s, suspect := g.Suspect(crashing)
+		is.True(suspect)
+		is.True(s.Undecided)
+		is.Equal(len(s.Ended), 3)
+		is.True(!g.Blocked(crashing))
+		time.Sleep(suspicionPeriod + 2*sweepInterval)
+		_, suspect = g.Suspect(crashing)
+		is.True(!suspect)
+	})
+}
+
+// Leaves of a popular request ended at the same moment for another reason. It is refused only if it ends one more as a
+// suspect.
+func TestAnsweredRequestAtCrashesAtOnceIsNotBlocked(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Answered(innocent)
+	f.now = f.now.Add(answerValidity + time.Second)
+	for _, leaf := range []string{"a", "b", "c"} {
+		f.Lost(innocent, leafID(leaf))
+		f.Guard.losses[leafID(leaf)][0].Repeated = false // all of them were in flight already
+	}
+	for _, leaf := range []string{"a", "b", "c"} {
+		f.Down(leafID(leaf))
+	}
+	is.Equal(len(f.fleet.(*fakeFleet).crashes), 3)
+	is.True(!f.Blocked(innocent))
+	f.now = f.now.Add(time.Second)
+	f.crash("d", innocent)
+	is.True(f.Blocked(innocent))
+}
+
+// A call that was given up may crash its leaf afterwards. It counts if the leaf refuses connections right after.
+func TestGivenUpCallCountsIfTheLeafEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.Guard.Lost(Loss{Digest: crashing, Leaf: leafID("a"), Silent: true})
+	_, suspect := f.Suspect(crashing)
+	is.True(!suspect)
+	f.now = f.now.Add(300 * time.Millisecond)
+	f.Down(leafID("a"))
+	is.Equal(len(f.fleet.(*fakeFleet).crashes), 1)
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := newAnswers()
+	now := time.Now()
+	for i := range 3 * rememberedAnswers {
+		a.add(uint64(i), now)
+		a.add(uint64(i), now)
+	}
+	is.Equal(len(a.times), rememberedAnswers)
+	is.True(a.at(0).IsZero())
+	is.Equal(a.at(3*rememberedAnswers-1), now)
+}
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -82,7 +82,7 @@
 	metrics *metrics
 	// checks holds the leaves that Run is to check.
 	checks chan catalog.LeafID
-	view   atomic.Pointer[directory.View]
+	view   atomic.Pointer[indexedView]
 	// logLimiter limits the lines about losses that do not count.
 	logLimiter *rate.Limiter
 
@@ -118,20 +118,20 @@
 		losses:     make(map[catalog.LeafID][]loss), suspects: make(map[uint64]map[catalog.LeafID]bool),
 		checking: make(map[catalog.LeafID]bool), answers: newAnswers(),
 	}
-	g.view.Store(&directory.View{})
+	g.view.Store(newIndexedView(&directory.View{}))
 	return g
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	m := &metrics{
 		lost: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "burdock_crash_losses_total", Help: "Requests in flight at lost connections to leaves.",
+			Name: "burdock_crash_losses_total", Help: "Calls without an answer whose leaf may have run the request.",
 		}),
 		blocked: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "burdock_crash_refusals_total", Help: "Requests and calls refused because the request crashes leaves.",
 		}),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "burdock_crash_evidence_total", Help: "Requests in flight at lost connections by what became of the loss: counted against the request, or why not.",
+			Name: "burdock_crash_evidence_total", Help: "Calls without an answer by what became of them: counted against the request, or why not.",
 		}, []string{"outcome"}),
 		checks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_crash_checks_total", Help: "Checks of leaves after a lost connection by result.",
@@ -202,7 +202,7 @@
 	g.metrics.lost.Inc()
 	g.record(l)
 	if !l.Silent {
-		g.compareWithView(g.view.Load(), l.Leaf, l.Address)
+		g.compareWithView(l.Leaf, l.Address)
 	}
 }
 
@@ -267,7 +267,7 @@
 // crashes unless the request was answered or the leaf had announced its shutdown.
 func (g *Guard) conclude(leaf catalog.LeafID, finding string, covered func(l *loss, age time.Duration) bool) {
 	now := g.clock()
-	draining := g.view.Load().Draining[leaf]
+	draining := g.view.Load().view.Draining[leaf]
 	var crashes []loss
 	g.mu.Lock()
 	for i := range g.losses[leaf] {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -99,6 +99,21 @@
 	is.Equal(ids(f.Current().Expired["x"]), "")
 }
 
+// A leaf that has announced its shutdown is known as such after its entry is gone: its end is no crash.
+func TestDrainingLeafIsKnownAsSuch(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.put("leaf/1", "x ready")
+	f.put("leaf/2", "x ready")
+	is.Equal(len(f.Current().Draining), 0)
+	f.put("leaf/1", "x draining")
+	is.True(f.Current().Draining[catalog.LeafID{Name: "1"}])
+	f.remove("leaf/1")
+	f.remove("leaf/2")
+	is.True(f.Current().Draining[catalog.LeafID{Name: "1"}])
+	is.Equal(len(f.Current().Draining), 1)
+}
+
 // An entry may expire while the store is unavailable, so its leaf stays a last resort for a while. The time is
 // shorter than the three seconds after which a leaf that is gone must get no work.
 func TestExpiredEntry(t *testing.T) {
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -79,7 +79,9 @@
 	full      map[string]bool
 	abandoned int
 	lost      map[string]int
-	blocked   bool
+	// blocked blocks all requests; cleared counts the requests that were reported as answered.
+	blocked bool
+	cleared int
 	// suspect makes all requests suspects, with the suspicion.
 	suspect   bool
 	suspicion crashguard.Suspicion
@@ -158,13 +160,21 @@
 	return true
 }
 
-func (w *world) Blocked(uint64) bool { return w.blocked }
+func (w *world) Blocked(uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.blocked
+}
 func (w *world) Lost(l crashguard.Loss) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lost[l.Leaf.String()]++
 }
-func (w *world) Answered(uint64)         {}
+func (w *world) Answered(uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cleared++
+}
 func (w *world) Down(catalog.LeafID)     {}
 func (w *world) Replaced(catalog.LeafID) {}
 func (w *world) Suspect(uint64) (crashguard.Suspicion, bool) {
--- a/internal/leafcall/leafcall.go
+++ b/internal/leafcall/leafcall.go
@@ -79,7 +79,7 @@
 	Refused Reachability = "refused"
 	// NoResponse: there was no response in time.
 	NoResponse Reachability = "no_response"
-	// NotTried: no further connection to the leaf is allowed now, or the leaf is not known.
+	// NotTried: no further connection to the leaf is allowed now, one ended at once, or the leaf is not known.
 	NotTried Reachability = "not_tried"
 )
 
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -65,7 +65,9 @@
 	// failedAt is when a connection last could not be opened, or ended right after it was opened in advance.
 	// resetAt is when the leaf last reset a new connection during a call.
 	failedAt, resetAt time.Time
-	gone              bool
+	// probeEndedAt is when the connection of a probe last ended right after it was opened.
+	probeEndedAt time.Time
+	gone         bool
 	// endedUnused is set when a connection ended without having carried a call, and cleared by the next call.
 	endedUnused bool
 }
@@ -251,29 +253,6 @@
 	}
 }
 
-// Probe opens a connection to the leaf and keeps it for a call. It returns without one if this VM's connections to the
-// leaf are all in use.
-func (p *Pool) Probe(ctx context.Context, id catalog.LeafID) leafcall.Reachability {
-	p.mu.Lock()
-	e := p.leaves[id]
-	if e == nil || e.open >= p.maxConns(e.leaf) {
-		p.mu.Unlock()
-		return leafcall.NotTried
-	}
-	e.open++
-	p.mu.Unlock()
-	c, err := p.dial(ctx, e)
-	var failure *leafcall.Error
-	switch {
-	case err == nil:
-		p.release(e, c, true, false)
-		return leafcall.Reached
-	case errors.As(err, &failure) && failure.Refused:
-		return leafcall.Refused
-	}
-	return leafcall.NoResponse
-}
-
 // Dump returns the connection counts of each leaf.
 func (p *Pool) Dump() any {
 	p.mu.Lock()
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -15,13 +15,15 @@
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 )
 
-// fakeDialer opens fake connections. dialErr is the error of Dial, callErr that of calls on new connections.
+// fakeDialer opens fake connections. dialErr is the error of Dial, callErr that of calls on new connections. endNew ends
+// new connections at once.
 type fakeDialer struct {
 	mu      sync.Mutex
 	opened  map[string]int
 	conns   []*fakeConn
 	dialErr error
 	callErr error
+	endNew  bool
 }
 
 func newDialer() *fakeDialer { return &fakeDialer{opened: make(map[string]int)} }
@@ -33,7 +35,7 @@
 	if d.dialErr != nil {
 		return nil, d.dialErr
 	}
-	c := &fakeConn{d: d, alive: true, callErr: d.callErr}
+	c := &fakeConn{d: d, alive: !d.endNew, callErr: d.callErr}
 	d.conns = append(d.conns, c)
 	return c, nil
 }
--- /dev/null
+++ b/internal/leafpool/probe.go
@@ -0,0 +1,54 @@
+package leafpool
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/wait"
+)
+
+// probeSettleTime is how long a new connection is watched. One that ends within it was taken by a leaf at its limit, or by
+// something that forwards connections to a leaf that has ended.
+const probeSettleTime = 10 * time.Millisecond
+
+// Probe opens a connection to the leaf and keeps it for a call. It opens none if this VM's connections to the leaf are all
+// in use or the one of the latest probe has just ended.
+func (p *Pool) Probe(ctx context.Context, id catalog.LeafID) leafcall.Reachability {
+	e := p.reserveProbe(id)
+	if e == nil {
+		return leafcall.NotTried
+	}
+	c, err := p.dial(ctx, e)
+	var failure *leafcall.Error
+	switch {
+	case err == nil:
+	case errors.As(err, &failure) && failure.Refused:
+		return leafcall.Refused
+	default:
+		return leafcall.NoResponse
+	}
+	lives := wait.For(ctx, probeSettleTime) && c.Alive()
+	p.release(e, c, lives, false)
+	if lives {
+		return leafcall.Reached
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.probeEndedAt, e.resetAt = time.Now(), time.Now()
+	return leafcall.NotTried
+}
+
+// reserveProbe counts a connection to the leaf as open and returns the leaf, or nil if none may be opened now.
+func (p *Pool) reserveProbe(id catalog.LeafID) *leafConns {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.leaves[id]
+	if e == nil || e.open >= p.maxConns(e.leaf) || time.Since(e.probeEndedAt) < resetBackoff {
+		return nil
+	}
+	e.open++
+	return e
+}
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -10,10 +10,14 @@
 )
 
 const (
-	// crashRetention is how long a crash is kept and told to others. That of a request that is refused for its crashes
-	// is kept for refusedRetention after the request last came.
-	crashRetention   = 2 * time.Minute
-	refusedRetention = 10 * time.Minute
+	// crashRetention is how long a crash is kept and told to others. Those of a request that was in flight at
+	// manyCrashes or more are kept for longRetention after the request last came.
+	crashRetention = 2 * time.Minute
+	longRetention  = 10 * time.Minute
+	manyCrashes    = 3
+	// answeredRetention is how long a request is kept whose latest crash was followed by an answer, so that all VMs
+	// learn of the answer.
+	answeredRetention = 10 * time.Second
 	// unconfirmedRetention is how long a crash is kept that nothing has confirmed.
 	unconfirmedRetention = 5 * time.Second
 )
@@ -139,10 +143,14 @@
 // retention returns how long after it happened the crash is kept, as of now.
 func (s *suspect) retention(c Crash, now time.Time) time.Duration {
 	switch {
+	case s.answeredAt.After(c.At):
+		return s.answeredAt.Sub(c.At) + answeredRetention
 	case c.Unconfirmed:
 		return unconfirmedRetention
-	case now.Sub(s.refusedAt) <= refusedRetention:
+	case now.Sub(s.refusedAt) <= longRetention:
 		return now.Sub(c.At)
+	case len(s.crashes) >= manyCrashes:
+		return longRetention
 	}
 	return crashRetention
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -386,6 +386,72 @@
 	is.Equal(len(b.Crashes(8, now.Add(-time.Minute))), 0)
 }
 
+// An answer at one VM clears the request at all VMs, and a crash after it counts again.
+func TestAnswerIsReported(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	a, _ := n.vm("a", "z", 1)
+	b, _ := n.vm("b", "z", 1)
+	now := time.Now()
+	since := now.Add(-time.Minute)
+	a.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: "i-1"}, At: now.Add(-2 * time.Second)})
+	a.exchange(t.Context(), "b", false)
+	is.Equal(len(b.Crashes(7, since)), 1)
+	b.ReportAnswer(7, now.Add(-time.Second))
+	b.ReportAnswer(8, now)
+	b.exchange(t.Context(), "a", false)
+	is.Equal(len(a.Crashes(7, since)), 0)
+	is.Equal(len(b.Crashes(7, since)), 0)
+	a.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: "i-2"}, At: now})
+	a.exchange(t.Context(), "b", false)
+	is.Equal(len(b.Crashes(7, since)), 1)
+	is.Equal(b.Suspects(), []uint64{7})
+}
+
+// A crash that one VM could not confirm is confirmed by another, and dropped if none does.
+func TestUnconfirmedCrashes(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	a, _ := n.vm("a", "z", 1)
+	b, _ := n.vm("b", "z", 1)
+	now := time.Now()
+	first, second := catalog.LeafID{Name: "i-1"}, catalog.LeafID{Name: "i-2"}
+	a.ReportCrash(Crash{Digest: 7, Leaf: first, At: now, Unconfirmed: true})
+	a.ReportCrash(Crash{Digest: 7, Leaf: second, At: now, Unconfirmed: true, Repeated: true})
+	a.exchange(t.Context(), "b", false)
+	b.ReportCrash(Crash{Digest: 7, Leaf: first, At: now, Answered: true})
+	b.exchange(t.Context(), "a", false)
+	for _, m := range []*Manager{a, b} {
+		m.advanceHeartbeat(now.Add(unconfirmedRetention+time.Second), time.Hour)
+		got := m.Crashes(7, now.Add(-time.Minute))
+		is.Equal(len(got), 1)
+		is.Equal(got[0].Leaf, first)
+		is.True(got[0].Answered && !got[0].Unconfirmed && !got[0].Repeated)
+	}
+}
+
+// The evidence against a request that went on coming was dropped two minutes after its crashes, and it ended leaves again.
+func TestCrashesOfARequestThatComesAgainAreKept(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	a, _ := n.vm("a", "z", 1)
+	b, _ := n.vm("b", "z", 1)
+	now := time.Now()
+	for _, leaf := range []string{"i-1", "i-2", "i-3"} {
+		a.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: leaf}, At: now.Add(-9 * time.Minute)})
+	}
+	a.ReportCrash(Crash{Digest: 8, Leaf: catalog.LeafID{Name: "i-1"}, At: now.Add(-3 * time.Minute)})
+	a.ReportRefusal(7, now)
+	a.exchange(t.Context(), "b", false) // a VM that has just started
+	for _, m := range []*Manager{a, b} {
+		m.advanceHeartbeat(now.Add(9*time.Minute), time.Hour)
+		is.Equal(len(m.Crashes(7, now.Add(-time.Minute))), 3)
+		is.Equal(m.Suspects(), []uint64{7})
+		m.advanceHeartbeat(now.Add(11*time.Minute), time.Hour)
+		is.Equal(len(m.Suspects()), 0)
+	}
+}
+
 // Crashes and troubles belong to one start of a leaf: one that restarts under its id is another leaf.
 func TestRestartedLeafIsDistinct(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -123,6 +123,11 @@
 	if out.Kind == Order {
 		body = "one of " + out.ID
 	}
+	return c.send(out, method, body)
+}
+
+// send sends the request of the call, fills in the answer and reports whether the connection stays usable.
+func (c *caller) send(out *Call, method, body string) (keep bool) {
 	_ = c.conn.SetDeadline(time.Now().Add(callTimeout + time.Second))
 	request := hosted.Request{ID: out.ID, Method: method, Host: host, Target: out.Target, Body: body, Timeout: callTimeout}
 	if err := request.Write(c.conn); err != nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -29,6 +29,7 @@
 	{"leaving leaves get no new work", checkDrain},
 	{"evacuated zones get no new work", checkEvacuations},
 	{"cold leaves get no more than they tolerate", checkCold},
+	{"crashing requests are refused", checkCrashing},
 	{"configuration in force in time", checkConfig},
 	{"configuration never goes back", checkRollback},
 	{"orderly ends cut nothing", checkUnanswered},
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -106,7 +106,9 @@
 	// Evacuations holds those that have ended.
 	Evacuations []Evacuation
 	Colds       []Cold
-	Ends        []End
+	// LeafEnds are the ends of leaves that requests caused, in the order of time.
+	LeafEnds []LeafEnd
+	Ends     []End
 	// Trapped describes what reached the address that only foreign entries name.
 	Trapped []string
 	// Disturbed holds, by VM, the periods in which it was killed, stopped, frozen or cut off, or in which the
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -59,6 +59,7 @@
 	ConfigReshard    Fault = "config_reshard"
 	ZoneEvacuate     Fault = "zone_evacuate"
 	StoreRestore     Fault = "store_restored_from_copy"
+	LeafCrashingText Fault = "leaf_crashing_text"
 )
 
 // faults lists the faults that a plan draws from, with their weights.
@@ -107,6 +108,7 @@
 	plan = append(plan, addedFaults(seed, size)...)
 	plan = append(plan, evacuations(seed, size)...)
 	plan = append(plan, restores(seed, size)...)
+	plan = append(plan, crashingTexts(seed, size)...)
 	for at := drawDuration(rng, configGap); at < size.Faults; at += drawDuration(rng, configGap) {
 		f := ConfigChange
 		if rng.IntN(5) == 0 {
@@ -162,6 +164,33 @@
 	return out
 }
 
+const (
+	// crashingTextGap is the mean time between requests that crash the leaves that run them, crashingTextPause that for
+	// which one of them stops before it comes again.
+	crashingTextGap, crashingTextPause = 5 * time.Second, time.Second
+	// crashingTextRounds is how often one of them comes.
+	crashingTextRounds = 3
+)
+
+// crashingTexts draws requests that crash leaves from a random source of their own, as addedFaults does. They are sent
+// until the end of the faults at the latest: those that end the faults may take the evidence of all VMs.
+func crashingTexts(seed uint64, size Size) []Event {
+	rng := rand.New(rand.NewPCG(seed, 6))
+	var out []Event
+	for first := drawDuration(rng, crashingTextGap); first < size.Faults; first += drawDuration(rng, crashingTextGap) {
+		at, pick := first, rng.Uint64()
+		for range crashingTextRounds {
+			d := min(drawDuration(rng, maxFaultTime/2), size.Faults-at)
+			if d <= 0 {
+				break
+			}
+			out = append(out, Event{At: at, For: d, Fault: LeafCrashingText, Pick: pick})
+			at += d + drawDuration(rng, crashingTextPause)
+		}
+	}
+	return out
+}
+
 // drawDuration returns a random duration between a tenth of the mean and nearly twice the mean.
 func drawDuration(rng *rand.Rand, mean time.Duration) time.Duration {
 	return mean/10 + time.Duration(rng.Float64()*float64(2*mean-mean/5))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -42,6 +42,8 @@
 	// trap listens at an address that only foreign entries name.
 	trap *hosted.Leaf
 	vms  []*vm
+	// calls are those of all callers.
+	calls callRecorder
 
 	// restoring serializes the store's returns from a copy.
 	restoring sync.Mutex
@@ -58,6 +60,9 @@
 	ends        []End
 	// reassigned holds the services that lost a placement to another service.
 	reassigned map[string]bool
+	// crashTexts holds the requests that crash leaves, by target, and leafEnds the leaves that they ended.
+	crashTexts map[string]crashText
+	leafEnds   []LeafEnd
 	// errs lists the faults that could not be injected.
 	errs []string
 }
@@ -95,12 +100,12 @@
 
 // newTestbed starts the store and the leaves, sets up the relay and publishes the first configuration. No VM is started.
 func newTestbed(o Options, dir string) (*testbed, error) {
-	tb := &testbed{o: o, dir: dir, store: hosted.NewStore(), reassigned: make(map[string]bool), evacuating: make(map[string]bool)}
+	tb := &testbed{o: o, dir: dir, store: hosted.NewStore(), reassigned: make(map[string]bool), evacuating: make(map[string]bool), crashTexts: make(map[string]crashText)}
 	forwards := []relay.Forward{{Listen: hostPort(tb.address(3, 1), entryPort), Target: tb.store.Address(), Networks: []relay.Network{relay.TCP}}}
 	number := 1
 	for _, service := range services() {
 		for i := range replicas {
-			p := &placement{listen: hostPort(tb.address(4, number), entryPort), entry: hostPort(tb.address(2, number), entryPort), zone: zone(i % o.Size.Zones)}
+			p := &placement{listen: hostPort(tb.address(4, number), entryPort), entry: hostPort(tb.address(2, number), entryPort), zone: zone(i % o.Size.Zones), crash: tb.crash}
 			number++
 			if _, err := p.startLeaf(&tb.started, service); err != nil {
 				return nil, err
@@ -209,14 +214,13 @@
 			return nil, err
 		}
 	}
-	var calls callRecorder
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var senders sync.WaitGroup
 	senders.Go(func() { tb.balance(callersCtx) })
 	for i := range callers {
 		c := &caller{number: i, balancer: tb, rng: rand.New(rand.NewPCG(tb.o.Seed, uint64(i)+1))}
-		senders.Go(func() { c.run(callersCtx, &calls) })
+		senders.Go(func() { c.run(callersCtx, &tb.calls) })
 	}
 	wait.For(ctx, startupTime)
 	tb.runPlan(ctx, plan)
@@ -227,7 +231,7 @@
 	tb.stopAll()
 	stopCallers()
 	senders.Wait()
-	h := tb.history(calls.all())
+	h := tb.history(tb.calls.all())
 	h.Calm, h.Closing = calm, closing
 	return h, ctx.Err()
 }
@@ -295,6 +299,6 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	h.Configs, h.Drains, h.Ends, h.Trapped = tb.configs, tb.drains, tb.ends, tb.trapped()
-	h.Evacuations, h.Colds = tb.evacuations, tb.colds
+	h.Evacuations, h.Colds, h.LeafEnds = tb.evacuations, tb.colds, tb.leafEnds
 	return h
 }
