Peers: word of a crash reported while another is being sent is not lost, and a large fleet passes it on

Callers saw one more leaf end: in a run of TestTwoCrashingRequestsThatComeBack (7 ends where 6 are the bound) the third crash of one text was reported 6 microseconds after that of the other; the push had begun, its successor waited for an event that had passed, and a copy 150 ms later at another VM ended a fourth leaf. The next event is awaited from before the messages are built. In a fleet above ten VMs a merged crash was passed on only with the exchanges of each VM's turn; a further crash of a request, or an answer to it, is now passed on at once. First crashes are not, and at most 100 of them go into a message. TestCrashReportedDuringAPushIsPushed and TestCrashesReachALargeFleet failed before.

--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -15,6 +15,9 @@
 	crashRetention = 2 * time.Minute
 	longRetention  = 10 * time.Minute
 	manyCrashes    = 3
+	// maxCrashesPerExchange bounds the crashes of requests in flight at one crash only that an exchange names, some 40
+	// bytes each.
+	maxCrashesPerExchange = 100
 	// answeredRetention is how long a request is kept whose latest crash was followed by an answer, so that all VMs
 	// learn of the answer.
 	answeredRetention = 10 * time.Second
@@ -116,14 +119,17 @@
 	return s
 }
 
-// recordCrash merges a crash into what is known of it. The caller must hold mu.
-func (m *Manager) recordCrash(c Crash) {
+// recordCrash merges a crash into what is known of it, and reports whether that is news: the crash was not known, or not
+// confirmed. The caller must hold mu.
+func (m *Manager) recordCrash(c Crash) (news bool) {
 	s := m.suspectOf(c.Digest)
-	if known, ok := s.crashes[c.Leaf]; ok {
+	known, ok := s.crashes[c.Leaf]
+	if ok {
 		c.At, c.Repeated, c.Answered = known.At, c.Repeated || known.Repeated, c.Answered || known.Answered
 		c.Unconfirmed = c.Unconfirmed && known.Unconfirmed
 	}
 	s.crashes[c.Leaf] = c
+	return !ok || known.Unconfirmed && !c.Unconfirmed
 }
 
 // dropCrashes drops what is older than its retention. The caller must hold mu.
@@ -155,42 +161,61 @@
 	return crashRetention
 }
 
-// encodeCrashes adds the crashes and the answers to the message. The caller must hold mu.
+// encodeCrashes adds the crashes and the answers to the message. If there are too many, those of requests that were in
+// flight at several go first. The caller must hold mu.
 func (m *Manager) encodeCrashes(msg *pb.FleetExchange, now time.Time) {
 	for digest, s := range m.suspects {
-		refusedAge := int64(-1)
-		if !s.refusedAt.IsZero() {
-			refusedAge = now.Sub(s.refusedAt).Milliseconds()
+		if len(s.crashes) > 1 {
+			s.encode(msg, digest, now)
 		}
-		for leaf, c := range s.crashes {
-			msg.Crashes = append(msg.Crashes, &pb.FleetCrash{
-				Digest: digest, Leaf: leaf.Name, LeafBorn: leaf.StartMillis, AgeMs: now.Sub(c.At).Milliseconds(),
-				Repeated: c.Repeated, Answered: c.Answered, Unconfirmed: c.Unconfirmed, RefusedAgeMs: refusedAge,
-			})
-		}
-		if !s.answeredAt.IsZero() {
-			msg.CrashAnswers = append(msg.CrashAnswers, &pb.FleetCrashAnswer{Digest: digest, AgeMs: now.Sub(s.answeredAt).Milliseconds()})
+	}
+	for digest, s := range m.suspects {
+		if len(s.crashes) == 1 && len(msg.Crashes) < maxCrashesPerExchange {
+			s.encode(msg, digest, now)
 		}
 	}
 }
 
-// mergeCrashes merges the crashes and the answers of a message. The caller must hold mu.
-func (m *Manager) mergeCrashes(msg *pb.FleetExchange, now time.Time) {
+func (s *suspect) encode(msg *pb.FleetExchange, digest uint64, now time.Time) {
+	refusedAge := int64(-1)
+	if !s.refusedAt.IsZero() {
+		refusedAge = now.Sub(s.refusedAt).Milliseconds()
+	}
+	for leaf, c := range s.crashes {
+		msg.Crashes = append(msg.Crashes, &pb.FleetCrash{
+			Digest: digest, Leaf: leaf.Name, LeafBorn: leaf.StartMillis, AgeMs: now.Sub(c.At).Milliseconds(),
+			Repeated: c.Repeated, Answered: c.Answered, Unconfirmed: c.Unconfirmed, RefusedAgeMs: refusedAge,
+		})
+	}
+	if !s.answeredAt.IsZero() {
+		msg.CrashAnswers = append(msg.CrashAnswers, &pb.FleetCrashAnswer{Digest: digest, AgeMs: now.Sub(s.answeredAt).Milliseconds()})
+	}
+}
+
+// mergeCrashes merges the crashes and the answers of a message, and reports whether they hold news that this VM has to
+// pass on at once: a further crash of a request, or an answer to it. A first crash spreads with the other exchanges: leaves
+// that end together leave many of them. The caller must hold mu.
+func (m *Manager) mergeCrashes(msg *pb.FleetExchange, now time.Time) (news bool) {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, c := range msg.GetCrashes() {
-		m.recordCrash(Crash{
+		isNew := m.recordCrash(Crash{
 			Digest: c.GetDigest(), Leaf: catalog.LeafID{Name: c.GetLeaf(), StartMillis: c.GetLeafBorn()},
 			At: ago(c.GetAgeMs()), Repeated: c.GetRepeated(), Answered: c.GetAnswered(), Unconfirmed: c.GetUnconfirmed(),
 		})
-		if s := m.suspects[c.GetDigest()]; c.GetRefusedAgeMs() >= 0 {
+		s := m.suspects[c.GetDigest()]
+		if c.GetRefusedAgeMs() >= 0 {
 			s.refusedAt = later(s.refusedAt, ago(c.GetRefusedAgeMs()))
 		}
+		news = news || isNew && len(s.crashes) > 1
 	}
 	for _, a := range msg.GetCrashAnswers() {
 		if s := m.suspects[a.GetDigest()]; s != nil {
+			before := len(s.since(s.answeredAt))
 			s.answeredAt = later(s.answeredAt, ago(a.GetAgeMs()))
+			news = news || len(s.crashes) > 1 && len(s.since(s.answeredAt)) < before
 		}
 	}
+	return news
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -169,8 +169,11 @@
 	if e := m.members[msg.GetSender().GetAddress()]; e != nil {
 		e.progress = progress{progressOf(msg), now}
 	}
-	m.mergeCrashes(msg, now)
+	news := m.mergeCrashes(msg, now)
 	m.mu.Unlock()
+	if news {
+		m.localEvents.Fire()
+	}
 	m.forwardTroubles(msg, now)
 	m.cfg.Mirror.Merge(decodeDelta(msg), now)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -151,16 +151,18 @@
 	}
 }
 
-// runPushes sends updates to peers at once when the mirror changes, a crash is reported or this VM is about to end.
+// runPushes sends updates to peers at once when the mirror changes, there is news of crashes or this VM is about to end.
 func (m *Manager) runPushes(ctx context.Context) {
+	localEvent := m.localEvents.Changed()
 	for {
-		changed, localEvent := m.cfg.Changed.Changed(), m.localEvents.Changed()
+		changed := m.cfg.Changed.Changed()
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case <-localEvent:
 		}
+		localEvent = m.localEvents.Changed() // before the messages are built, so that no later event is missed
 		for _, p := range m.pushTargets() {
 			if m.needsPush(p) {
 				go m.exchange(ctx, p, true)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -386,6 +386,53 @@
 	is.Equal(len(b.Crashes(8, now.Add(-time.Minute))), 0)
 }
 
+// Word of a second crash was lost that was reported while the first was being sent: a copy of the request 150 ms later at
+// another VM ended one more leaf.
+func TestCrashReportedDuringAPushIsPushed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		var vms []*Manager
+		for i := range 4 {
+			m, _ := n.vm(fmt.Sprintf("vm%d", i), "z", 1, "vm0")
+			vms = append(vms, m)
+			wg.Go(func() { _ = m.Run(ctx) })
+		}
+		time.Sleep(3 * time.Second)
+		for digest := range uint64(20) {
+			vms[0].ReportCrash(Crash{Digest: 2 * digest, Leaf: catalog.LeafID{Name: "i-1"}, At: time.Now()})
+			time.Sleep(time.Millisecond)
+			vms[0].ReportCrash(Crash{Digest: 2*digest + 1, Leaf: catalog.LeafID{Name: "i-1"}, At: time.Now()})
+			time.Sleep(2 * minPushInterval)
+			for _, m := range vms {
+				is.Equal(len(m.Crashes(2*digest+1, time.Now().Add(-time.Minute))), 1)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// In a large fleet word of crashes went with the exchanges of each VM's turn only, for seconds.
+func TestCrashesReachALargeFleet(t *testing.T) {
+	n := newNetwork()
+	vms, _ := runLargeFleet(t, n)
+	for i, leaf := range []string{"i-1", "i-2", "i-3"} {
+		vms[3*i].ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: leaf}, At: time.Now()})
+		time.Sleep(50 * time.Millisecond)
+	}
+	within(t, 800*time.Millisecond, "all VMs know of three crashes", func() bool {
+		return !slices.ContainsFunc(vms, func(m *Manager) bool { return len(m.Crashes(7, time.Now().Add(-time.Minute))) < 3 })
+	})
+	vms[5].ReportAnswer(7, time.Now())
+	within(t, 800*time.Millisecond, "all VMs know of the answer", func() bool {
+		return !slices.ContainsFunc(vms, func(m *Manager) bool { return len(m.Crashes(7, time.Now().Add(-time.Minute))) > 0 })
+	})
+}
+
 // An answer at one VM clears the request at all VMs, and a crash after it counts again.
 func TestAnswerIsReported(t *testing.T) {
 	is := is.New(t)
