--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -93,6 +93,8 @@
 	suspects map[uint64]map[catalog.LeafID]bool
 	checking map[catalog.LeafID]bool
 	answers  answers
+	// refusedAt is when each blocked request was last refused.
+	refusedAt map[uint64]time.Time
 	// lastSweep is when losses without an effect were last removed.
 	lastSweep time.Time
 }
@@ -116,7 +118,7 @@
 		fleet: f, clock: clock, log: log, metrics: newMetrics(reg), checks: make(chan catalog.LeafID, maxQueuedChecks),
 		logLimiter: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond),
 		losses:     make(map[catalog.LeafID][]loss), suspects: make(map[uint64]map[catalog.LeafID]bool),
-		checking: make(map[catalog.LeafID]bool), answers: newAnswers(),
+		checking: make(map[catalog.LeafID]bool), answers: newAnswers(), refusedAt: make(map[uint64]time.Time),
 	}
 	g.view.Store(newIndexedView(&directory.View{}))
 	return g
@@ -148,11 +150,29 @@
 	if !g.crashedTooMany(digest) {
 		return false
 	}
-	g.fleet.ReportRefusal(digest, g.clock())
+	now := g.clock()
+	g.fleet.ReportRefusal(digest, now)
 	g.metrics.blocked.Inc()
+	g.logRefusal(digest, now)
 	return true
 }
 
+// logRefusal logs the first of a series of refusals.
+func (g *Guard) logRefusal(digest uint64, now time.Time) {
+	g.mu.Lock()
+	_, known := g.refusedAt[digest]
+	g.refusedAt[digest] = now
+	g.mu.Unlock()
+	if known {
+		return
+	}
+	var leaves []string
+	for _, c := range g.fleet.Crashes(digest, now.Add(-blockPeriod)) {
+		leaves = append(leaves, c.Leaf.String())
+	}
+	g.log.Warn("request refused from now on: it crashes leaves", zap.Uint64("digest", digest), zap.Strings("leaves", leaves))
+}
+
 func (g *Guard) crashedTooMany(digest uint64) bool {
 	confirmed := 0
 	answered, repeated := false, false
--- a/internal/crashguard/outcome.go
+++ b/internal/crashguard/outcome.go
@@ -1,6 +1,7 @@
 package crashguard
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +38,7 @@
 // Requires mu.
 func (g *Guard) sweep(now time.Time) {
 	g.lastSweep = now
+	maps.DeleteFunc(g.refusedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > blockPeriod })
 	for leaf, losses := range g.losses {
 		kept := losses[:0]
 		for i := range losses {
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -10,7 +10,7 @@
 
 // usable returns the leaves among the candidates that may get the group's call now. It fails the group if the request
 // is blocked, also for calls that waited meanwhile. All VMs send a suspect request to the same leaf, so that copies of it
-// that run at once end one leaf. A suspect search runs on one shard until a leaf has outlived it.
+// that run at once end one leaf. A suspect search runs on one shard, beside no other, until a leaf has outlived it.
 func (r *run) usable(i int, candidates []catalog.Leaf) []catalog.Leaf {
 	g := &r.groups[i]
 	r.suspect = false
@@ -26,7 +26,7 @@
 		return nil
 	}
 	r.suspect = true
-	if suspicion.Undecided || i != r.trialGroup() {
+	if suspicion.Undecided || i != r.trialGroup() || r.othersInFlight(i) {
 		return nil
 	}
 	candidates = slices.DeleteFunc(candidates, func(l catalog.Leaf) bool { return slices.Contains(suspicion.Ended, l.ID) })
@@ -38,6 +38,16 @@
 	return r.withFreeConnection([]catalog.Leaf{first})
 }
 
+// othersInFlight reports whether another group has a call in flight, whose end may show what the request does.
+func (r *run) othersInFlight(i int) bool {
+	for j := range r.groups {
+		if j != i && r.groups[j].inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // trialGroup returns the group on which a suspect request runs first. All VMs choose the same one.
 func (r *run) trialGroup() int {
 	trial := -1
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -150,3 +150,95 @@
 		}
 	}
 }
+
+// sendCopies sends n copies of the crashing request, one after the other, each to the next VM.
+func (c *cluster) sendCopies(n int, text string) {
+	for i := range n {
+		_, _, _, _ = c.vms[i%len(c.vms)].get(http.MethodPost, "/y/"+text, fmt.Sprintf("%s-%d", text, i))
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+// Copies at all VMs at once can't know of each other: each may end one leaf, and no later one does.
+func TestCrashingRequestAtAllVMsAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	e := &leafEnds{delay: 50 * time.Millisecond}
+	c := startCrashing(t, e)
+	ctx, cancel := context.WithCancel(t.Context())
+	var innocent sync.WaitGroup
+	var sent, answered int
+	innocent.Go(func() { sent, answered = c.sendInnocent(ctx) })
+	for round := range 10 {
+		var copies sync.WaitGroup
+		for i, v := range c.vms {
+			copies.Go(func() { _, _, _, _ = v.get(http.MethodPost, "/y/"+crashMark, fmt.Sprintf("c%d-%d", round, i)) })
+		}
+		copies.Wait()
+		time.Sleep(100 * time.Millisecond)
+	}
+	cancel()
+	innocent.Wait()
+	t.Logf("%d leaves ended; %d of %d other requests were answered", e.ended.Load(), answered, sent)
+	is.True(e.ended.Load() <= int64(len(c.vms)))
+	is.True(float64(answered) >= 0.95*float64(sent))
+}
+
+// Two requests end three leaves each, also where they stop and come back, and where they come to a VM that has just started.
+func TestTwoCrashingRequestsThatComeBack(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	e := &leafEnds{delay: 20 * time.Millisecond}
+	c := startCrashing(t, e)
+	first, second := crashMark+"-1", crashMark+"-2"
+	var texts sync.WaitGroup
+	for _, text := range []string{first, second} {
+		texts.Go(func() { c.sendCopies(8, text) })
+	}
+	texts.Wait()
+	is.True(e.ended.Load() <= 6)
+	time.Sleep(2 * time.Second)
+	before := e.ended.Load()
+	started := c.start(true)
+	within(t, 3*time.Second, "ready", started.ready)
+	for i := range 3 {
+		for _, text := range []string{first, second} {
+			status, _, _, err := started.get(http.MethodPost, "/y/"+text, fmt.Sprintf("%s-again-%d", text, i))
+			is.NoErr(err)
+			is.Equal(status, http.StatusServiceUnavailable)
+		}
+	}
+	c.sendCopies(4, first)
+	is.Equal(e.ended.Load(), before)
+}
+
+// A search that crashes leaves ends one of each shard at once, and the repeats of its calls end no others.
+func TestCrashingSearchEndsOneLeafOfAShard(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t)
+	var ended atomic.Int64
+	for id, l := range c.leaves {
+		service, _, _ := strings.Cut(id, "-")
+		l.SetScript(func(_ int, r *http.Request) hosted.Reply {
+			reply := hosted.Reply{Delay: 20 * time.Millisecond, Body: []byte(fmt.Sprintf("%-16s", service))}
+			if strings.Contains(r.RequestURI, crashMark) {
+				reply.End = &hosted.End{Ended: func() { ended.Add(1) }}
+			}
+			return reply
+		})
+	}
+	for range 3 {
+		within(t, 3*time.Second, "ready", c.start(true).ready)
+	}
+	time.Sleep(500 * time.Millisecond) // the VMs meet
+	for i := range 6 {
+		_, _, _, _ = c.vms[i%len(c.vms)].get(http.MethodGet, "/s/"+crashMark, fmt.Sprintf("c%d", i))
+		time.Sleep(150 * time.Millisecond)
+	}
+	is.Equal(ended.Load(), int64(3)) // of the shards s0, s1 and s2
+	status, header, _, err := c.vms[0].get(http.MethodGet, "/s/1", "n1")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(header.Get("Missing-Parts"), "0")
+}
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -88,6 +88,14 @@
 	return s
 }
 
+// digest returns the digest of the request text that the line names, or "" if it names none.
+func (l *Line) digest() string {
+	if d, _ := l.Fields[decision.FieldDigest].(json.Number); d != "0" {
+		return d.String()
+	}
+	return ""
+}
+
 // UnknownError reports that no line names the request.
 type UnknownError struct{ ID string }
 
@@ -100,7 +108,8 @@
 // from margin before the first to margin after the last of those, two more kinds: lines of a VM that served
 // the request which name no leaf or service, and lines of any VM about a leaf or service that the request's
 // lines name. However long before, there are also the latest lines of a VM that served the request about its configuration
-// and about a return of the store from a copy. Each VM writes times by its own clock. It returns an *UnknownError if no
+// and about a return of the store from a copy, and the lines of any VM about leaves that were lost under the same request
+// text. Each VM writes times by its own clock. It returns an *UnknownError if no
 // line names the request.
 func Collect(lines []Line, id string, margin time.Duration) ([]Line, error) {
 	scope := newRequestScope(lines, id)
@@ -128,11 +137,13 @@
 	first, last time.Time
 	vms, leaves map[string]bool
 	services    map[string]bool
+	// digests are those of the request's text.
+	digests map[string]bool
 }
 
 // newRequestScope returns the scope of the request's own lines, or nil if there are none.
 func newRequestScope(lines []Line, id string) *requestScope {
-	s := &requestScope{vms: make(map[string]bool), leaves: make(map[string]bool), services: make(map[string]bool)}
+	s := &requestScope{vms: make(map[string]bool), leaves: make(map[string]bool), services: make(map[string]bool), digests: make(map[string]bool)}
 	for _, l := range lines {
 		if l.text(decision.FieldID) != id {
 			continue
@@ -145,6 +156,9 @@
 		}
 		s.vms[l.VM] = true
 		s.addCalls(&l)
+		if d := l.digest(); d != "" {
+			s.digests[d] = true
+		}
 	}
 	if len(s.vms) == 0 {
 		return nil
@@ -169,7 +183,12 @@
 // includes reports whether a line that names another request or none belongs to the request's story. Lines of
 // requests never do.
 func (s *requestScope) includes(l *Line, margin time.Duration) bool {
-	if l.Msg == decision.MsgRequest || l.At.Before(s.first.Add(-margin)) || l.At.After(s.last.Add(margin)) {
+	switch {
+	case l.Msg == decision.MsgRequest, l.At.After(s.last.Add(margin)):
+		return false
+	case s.digests[l.digest()]:
+		return true
+	case l.At.Before(s.first.Add(-margin)):
 		return false
 	}
 	leaf, service := l.text(decision.FieldLeaf), l.text(decision.FieldService)
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -87,6 +87,30 @@
 	is.Equal(numbers, []int{2, 3, 5})
 }
 
+// A request was refused because its text had ended leaves long before, at other VMs.
+func TestStoryNamesTheLeavesThatATextEnded(t *testing.T) {
+	is := is.New(t)
+	const log = `{"level":"warn","time":"2026-01-27T11:00:00.000Z","msg":"leaf crashed with a request in flight","vm":"vm-2","leaf":"i-1","digest":12883418958872613223}
+{"level":"warn","time":"2026-01-27T11:00:00.000Z","msg":"leaf crashed with a request in flight","vm":"vm-2","leaf":"i-1","digest":12883418958872613224}
+{"level":"info","time":"2026-01-27T11:00:01.000Z","msg":"lost connection does not count against its request","vm":"vm-3","leaf":"i-2","digest":12883418958872613223}
+{"level":"info","time":"2026-01-27T11:05:00.000Z","msg":"request","vm":"vm-1","id":"r-2","digest":0}
+{"level":"info","time":"2026-01-27T11:05:00.000Z","msg":"request","vm":"vm-1","id":"r-1","reason":"crashed_leaves","digest":12883418958872613223}
+{"level":"info","time":"2026-01-27T11:05:00.000Z","msg":"request","vm":"vm-1","id":"r-3","digest":12883418958872613223}
+`
+	read, err := Read("one", strings.NewReader(log))
+	is.NoErr(err)
+	got, err := Collect(read.Lines, "r-1", 0)
+	is.NoErr(err)
+	var numbers []int
+	for _, l := range got {
+		numbers = append(numbers, l.Number)
+	}
+	is.Equal(numbers, []int{1, 3, 5})
+	got, err = Collect(read.Lines, "r-2", 0)
+	is.NoErr(err)
+	is.Equal(len(got), 1)
+}
+
 func TestUnknownRequest(t *testing.T) {
 	is := is.New(t)
 	_, err := Collect(lines(t), "r-3", time.Second)
