Dispatch: a suspect search is held by its calls in flight alone

The choice of a first shard by rank added nothing: a group waits while another has a call in flight, so the first one runs alone.

--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	r.suspect = true
-	if suspicion.Undecided || i != r.trialGroup() || r.othersInFlight(i) {
+	if suspicion.Undecided || r.othersInFlight(i) {
 		return nil
 	}
 	candidates = slices.DeleteFunc(candidates, func(l catalog.Leaf) bool { return slices.Contains(suspicion.Ended, l.ID) })
@@ -34,7 +34,7 @@
 		r.failGroup(g, ReasonNoLeaf)
 		return nil
 	}
-	first := slices.MaxFunc(candidates, func(a, b catalog.Leaf) int { return r.compareRank(a.ID.String(), b.ID.String()) })
+	first := slices.MaxFunc(candidates, r.compareRank)
 	return r.withFreeConnection([]catalog.Leaf{first})
 }
 
@@ -48,18 +48,7 @@
 	return false
 }
 
-// trialGroup returns the group on which a suspect request runs first. All VMs choose the same one.
-func (r *run) trialGroup() int {
-	trial := -1
-	for i := range r.groups {
-		if !r.groups[i].failed && (trial < 0 || r.compareRank(r.groups[i].service, r.groups[trial].service) > 0) {
-			trial = i
-		}
-	}
-	return trial
-}
-
-// compareRank compares the ranks of two names for the request.
-func (r *run) compareRank(a, b string) int {
-	return cmp.Compare(rendezvous.Rank(r.digest, a), rendezvous.Rank(r.digest, b))
+// compareRank compares the ranks of two leaves for the request.
+func (r *run) compareRank(a, b catalog.Leaf) int {
+	return cmp.Compare(rendezvous.Rank(r.digest, a.ID.String()), rendezvous.Rank(r.digest, b.ID.String()))
 }
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,9 +17,11 @@
 func TestSuspectGoesToOneLeafFromAllVMs(t *testing.T) {
 	is := is.New(t)
 	chosen := make(map[catalog.LeafID]int)
-	for range 8 {
+	for i := range 9 {
 		play(t, func(t *testing.T, w *world) {
 			w.suspect = true
+			leaves := w.view.Leaves["x"] // each VM prefers another one
+			w.view.Leaves["x"] = slices.Concat(leaves[i%len(leaves):], leaves[:i%len(leaves)])
 			w.ask(t.Context(), "/i/crash")
 			for _, l := range w.view.Leaves["x"] {
 				chosen[l.ID] += w.callsTo(l.ID.String())
@@ -28,7 +31,7 @@
 	first := catalog.LeafID{}
 	for id, n := range chosen {
 		if n > 0 {
-			is.Equal(n, 8)
+			is.Equal(n, 9)
 			first = id
 		}
 	}
