--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -103,7 +103,8 @@
 	return hosted.Reply{Delay: text.delay, End: &end, Body: []byte("half of an answer")}, true
 }
 
-// followCrash records the end of the placement's leaf and starts the next one, as the text says.
+// followCrash records the end of the placement's leaf and starts the next one, as the text says. One that starts under the
+// same id is not cold, as in restartLeaves: until VMs read its entry they can't tell it from the one before.
 func (tb *testbed) followCrash(p *placement, target string, text crashText) {
 	leaf := p.takeLeaf()
 	if leaf == nil {
@@ -117,7 +118,10 @@
 	time.Sleep(text.down)
 	service := p.currentService()
 	if !text.sameID {
-		_, err := p.startLeaf(&tb.started, service)
+		next, err := p.startLeaf(&tb.started, service)
+		if err == nil {
+			tb.setCold(next)
+		}
 		tb.announce(p, err)
 		return
 	}
@@ -134,9 +138,6 @@
 		tb.fail("start after a crash at %s: %v", p.entry, err)
 		return
 	}
-	if leaf := p.current(); leaf != nil {
-		tb.setCold(leaf)
-	}
 	tb.writeEntry(p, "ready")
 }
 
