Peers: crashes that were dropped do not come back, and go round no more

A crash that a VM had dropped came back from one that was about to drop it, as news, and was pushed to all at once; those dropped it again. Two VMs and one old crash are enough. A crash that is too old to be kept is not taken any more.

--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -48,7 +48,7 @@
 // ReportCrash reports to the fleet a crash that this VM saw.
 func (m *Manager) ReportCrash(c Crash) {
 	m.mu.Lock()
-	m.recordCrash(c)
+	m.suspectOf(c.Digest).record(c)
 	m.mu.Unlock()
 	m.localEvents.Fire()
 }
@@ -119,10 +119,9 @@
 	return s
 }
 
-// recordCrash merges a crash into what is known of it, and reports whether that is news: the crash was not known, or not
-// confirmed. The caller must hold mu.
-func (m *Manager) recordCrash(c Crash) (news bool) {
-	s := m.suspectOf(c.Digest)
+// record merges a crash into what is known of the request, and reports whether that is news: the crash was not known, or
+// not confirmed.
+func (s *suspect) record(c Crash) (news bool) {
 	known, ok := s.crashes[c.Leaf]
 	if ok {
 		c.At, c.Repeated, c.Answered = known.At, c.Repeated || known.Repeated, c.Answered || known.Answered
@@ -196,26 +195,54 @@
 // pass on at once: a further crash of a request, or an answer to it. A first crash spreads with the other exchanges: leaves
 // that end together leave many of them. The caller must hold mu.
 func (m *Manager) mergeCrashes(msg *pb.FleetExchange, now time.Time) (news bool) {
+	told := decodeCrashes(msg, now)
+	for digest, t := range told {
+		s := m.suspects[digest]
+		if s == nil {
+			s = &suspect{crashes: make(map[catalog.LeafID]Crash)}
+		}
+		before := len(s.since(s.answeredAt))
+		s.answeredAt, s.refusedAt = later(s.answeredAt, t.answeredAt), later(s.refusedAt, t.refusedAt)
+		news = news || len(s.crashes) > 1 && len(s.since(s.answeredAt)) < before
+		for leaf, c := range t.crashes {
+			_, known := s.crashes[leaf]
+			if !known && now.Sub(c.At) > max(s.retention(c, now), t.retention(c, now)) {
+				continue // it has been dropped here, and the sender is about to
+			}
+			isNew := s.record(c)
+			news = news || isNew && len(s.crashes) > 1
+		}
+		if len(s.crashes) > 0 {
+			m.suspects[digest] = s
+		}
+	}
+	return news
+}
+
+// decodeCrashes returns the crashes and the answers of a message by digest.
+func decodeCrashes(msg *pb.FleetExchange, now time.Time) map[uint64]*suspect {
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	out := make(map[uint64]*suspect)
 	for _, c := range msg.GetCrashes() {
-		isNew := m.recordCrash(Crash{
+		s := out[c.GetDigest()]
+		if s == nil {
+			s = &suspect{crashes: make(map[catalog.LeafID]Crash)}
+			out[c.GetDigest()] = s
+		}
+		s.record(Crash{
 			Digest: c.GetDigest(), Leaf: catalog.LeafID{Name: c.GetLeaf(), StartMillis: c.GetLeafBorn()},
 			At: ago(c.GetAgeMs()), Repeated: c.GetRepeated(), Answered: c.GetAnswered(), Unconfirmed: c.GetUnconfirmed(),
 		})
-		s := m.suspects[c.GetDigest()]
 		if c.GetRefusedAgeMs() >= 0 {
-			s.refusedAt = later(s.refusedAt, ago(c.GetRefusedAgeMs()))
+			s.refusedAt = ago(c.GetRefusedAgeMs())
 		}
-		news = news || isNew && len(s.crashes) > 1
 	}
 	for _, a := range msg.GetCrashAnswers() {
-		if s := m.suspects[a.GetDigest()]; s != nil {
-			before := len(s.since(s.answeredAt))
-			s.answeredAt = later(s.answeredAt, ago(a.GetAgeMs()))
-			news = news || len(s.crashes) > 1 && len(s.since(s.answeredAt)) < before
+		if s := out[a.GetDigest()]; s != nil {
+			s.answeredAt = ago(a.GetAgeMs())
 		}
 	}
-	return news
+	return out
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -386,6 +386,46 @@
 	is.Equal(len(b.Crashes(8, now.Add(-time.Minute))), 0)
 }
 
+// A crash that some VMs had dropped came back from those that were about to, was news again, and went round for ever: in a
+// run of the soak fifty exchanges at a time waited at a VM.
+func TestDroppedCrashesDoNotComeBack(t *testing.T) {
+	for name, tt := range map[string]struct {
+		age, answered time.Duration // ago; 0 for never
+		unconfirmed   bool
+		crashes       int
+		taken         bool
+	}{
+		"fresh":                     {age: time.Second, unconfirmed: true, crashes: 2, taken: true},
+		"unconfirmed, old":          {age: unconfirmedRetention + time.Second, unconfirmed: true, crashes: 2},
+		"confirmed, old":            {age: crashRetention + time.Second, crashes: 2},
+		"many, as old":              {age: crashRetention + time.Second, crashes: 3, taken: true},
+		"many, older":               {age: longRetention + time.Second, crashes: 3},
+		"answered a moment ago":     {age: 20 * time.Second, answered: time.Second, crashes: 2, taken: true},
+		"answered some seconds ago": {age: 20 * time.Second, answered: answeredRetention + time.Second, crashes: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork()
+			a, _ := n.vm("a", "z", 1)
+			b, _ := n.vm("b", "z", 1)
+			now := time.Now()
+			for i := range tt.crashes {
+				b.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: fmt.Sprint(i)}, At: now.Add(-tt.age), Unconfirmed: tt.unconfirmed})
+			}
+			if tt.answered > 0 {
+				b.ReportAnswer(7, now.Add(-tt.answered))
+			}
+			events := a.localEvents.Epoch()
+			b.exchange(t.Context(), "a", false)
+			is.Equal(len(a.Suspects()) > 0, tt.taken)
+			is.Equal(a.localEvents.Epoch() > events, tt.taken)
+			events = a.localEvents.Epoch()
+			b.exchange(t.Context(), "a", false)
+			is.Equal(a.localEvents.Epoch(), events) // no news any more
+		})
+	}
+}
+
 // Word of a second crash was lost that was reported while the first was being sent: a copy of the request 150 ms later at
 // another VM ended one more leaf.
 func TestCrashReportedDuringAPushIsPushed(t *testing.T) {
