Crash guard: a finding that does not cover a loss leaves it to the next one

Losses stay until a finding covers them or their time is over; what may have ended holds the third copy back for 5 s, as long as an entry takes to expire; a new connection is watched for 25 ms. TestLaterFindingCounts failed before.

--- a/internal/crashguard/check_test.go
+++ b/internal/crashguard/check_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// The entry of a leaf was gone while something at its address still took connections. That showed nothing, and the loss was
+// dropped before another start of a leaf at the address showed the end (seed 47205 of the soak).
+func TestLaterFindingCounts(t *testing.T) {
+	run(t, &fakeProber{results: []leafcall.Reachability{leafcall.Reached}}, func(t *testing.T, g *Guard, fleet *fakeFleet) {
+		is := is.New(t)
+		g.Lost(Loss{Digest: crashing, Leaf: leafID("a"), Address: "10.0.0.1:80"})
+		time.Sleep(time.Second)
+		g.SetView(&directory.View{Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: "10.0.0.1:80"}}}})
+		time.Sleep(time.Second)
+		is.Equal(len(confirmed(fleet)), 0)
+		g.SetView(leafAt("b", "10.0.0.1:80"))
+		is.Equal(len(confirmed(fleet)), 1)
+	})
+}
+
 // confirmed returns the crashes that count.
 func confirmed(f *fakeFleet) map[catalog.LeafID]bool {
 	out := make(map[catalog.LeafID]bool)
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -32,12 +32,11 @@
 	// the loss to count as a crash.
 	refusalWindow = 1500 * time.Millisecond
 	// replacementWindow is how soon after a lost connection another start of a leaf must have the leaf's id or
-	// address, or its entry must be gone, for the loss to count as a crash. An entry expires after three
-	// heartbeats of some 1.2 s.
+	// address, or its entry must be gone, for the loss to count as a crash.
 	replacementWindow = 6 * time.Second
-	// suspicionPeriod is how long after a lost connection the leaf may still turn out to have ended: the store's
-	// entries take about a second to reach all VMs.
-	suspicionPeriod = 2500 * time.Millisecond
+	// suspicionPeriod is how long after a lost connection a leaf may still turn out to have ended: its entry expires
+	// after three heartbeats of some 1.2 s, which takes up to a second to reach all VMs.
+	suspicionPeriod = 5 * time.Second
 	// answerValidity is how long an answer clears a request. Losses within that time had another cause: those
 	// of a network partition come one after the other.
 	answerValidity = time.Second
@@ -102,8 +101,9 @@
 type loss struct {
 	Loss
 	at time.Time
-	// alive is set once the leaf's address has taken a connection after the loss.
-	alive bool
+	// alive is set once the leaf's address has taken a connection after the loss, decided once it is known whether the
+	// loss counts.
+	alive, decided bool
 }
 
 type metrics struct {
@@ -283,8 +283,8 @@
 	g.conclude(leaf, "replaced", func(l *loss, age time.Duration) bool { return !l.Silent && age <= replacementWindow })
 }
 
-// conclude takes the losses at a leaf that has ended off the list. Those that are covered by the finding count as
-// crashes unless the request was answered or the leaf had announced its shutdown.
+// conclude decides on the losses at a leaf that the finding of its end covers. They count as crashes unless the request was
+// answered or the leaf had announced its shutdown. Another finding may still cover the others.
 func (g *Guard) conclude(leaf catalog.LeafID, finding string, covered func(l *loss, age time.Duration) bool) {
 	now := g.clock()
 	draining := g.view.Load().view.Draining[leaf]
@@ -293,8 +293,8 @@
 	for i := range g.losses[leaf] {
 		l := &g.losses[leaf][i]
 		switch {
-		case !covered(l, now.Sub(l.at)):
-			g.dismiss(l, unconfirmed, now)
+		case l.decided || !covered(l, now.Sub(l.at)):
+			continue
 		case g.clearedByAnswer(l):
 			g.dismiss(l, cleared, now)
 		case draining:
@@ -302,14 +302,39 @@
 		default:
 			crashes = append(crashes, *l)
 		}
+		l.decided = true
 	}
 	g.mu.Unlock()
 	for _, l := range crashes {
 		g.count(&l, finding, now)
 	}
+	g.forgetDecided(leaf)
+}
+
+// forgetDecided drops the losses at a leaf that were decided on.
+func (g *Guard) forgetDecided(leaf catalog.LeafID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.forget(leaf)
+	g.keep(leaf, func(l *loss) bool {
+		if l.decided {
+			g.clearSuspicion(l.Digest, leaf)
+		}
+		return !l.decided
+	})
+}
+
+// keep drops the losses at a leaf that do not fulfil the condition. Requires mu.
+func (g *Guard) keep(leaf catalog.LeafID, f func(l *loss) bool) {
+	kept := g.losses[leaf][:0]
+	for _, l := range g.losses[leaf] {
+		if f(&l) {
+			kept = append(kept, l)
+		}
+	}
+	g.losses[leaf] = kept
+	if len(kept) == 0 {
+		delete(g.losses, leaf)
+	}
 }
 
 // clearedByAnswer reports whether an answer shows that the request did not cause the loss. Requires mu.
@@ -333,14 +358,6 @@
 	})
 }
 
-// forget drops the losses at a leaf. Requires mu.
-func (g *Guard) forget(leaf catalog.LeafID) {
-	for _, l := range g.losses[leaf] {
-		g.clearSuspicion(l.Digest, leaf)
-	}
-	delete(g.losses, leaf)
-}
-
 // clearSuspicion ends the suspicion of a request at one leaf. Requires mu.
 func (g *Guard) clearSuspicion(digest uint64, leaf catalog.LeafID) {
 	delete(g.suspects[digest], leaf)
--- a/internal/crashguard/outcome.go
+++ b/internal/crashguard/outcome.go
@@ -39,23 +39,17 @@
 func (g *Guard) sweep(now time.Time) {
 	g.lastSweep = now
 	maps.DeleteFunc(g.refusedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > blockPeriod })
-	for leaf, losses := range g.losses {
-		kept := losses[:0]
-		for i := range losses {
-			l := losses[i]
+	for leaf := range g.losses {
+		g.keep(leaf, func(l *loss) bool {
 			if now.Sub(l.at) > suspicionPeriod {
 				g.clearSuspicion(l.Digest, leaf)
 			}
 			if now.Sub(l.at) <= l.relevantFor() {
-				kept = append(kept, l)
-				continue
+				return true
 			}
-			g.dismiss(&l, unconfirmed, now)
-		}
-		g.losses[leaf] = kept
-		if len(kept) == 0 {
-			delete(g.losses, leaf)
-		}
+			g.dismiss(l, unconfirmed, now)
+			return false
+		})
 	}
 }
 
--- a/internal/leafpool/probe.go
+++ b/internal/leafpool/probe.go
@@ -12,7 +12,7 @@
 
 // probeSettleTime is how long a new connection is watched. One that ends within it was taken by a leaf at its limit, or by
 // something that forwards connections to a leaf that has ended.
-const probeSettleTime = 10 * time.Millisecond
+const probeSettleTime = 25 * time.Millisecond
 
 // Probe opens a connection to the leaf and keeps it for a call. It opens none if this VM's connections to the leaf are all
 // in use or the one of the latest probe has just ended.
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -22,7 +22,7 @@
 	// learn of the answer.
 	answeredRetention = 10 * time.Second
 	// unconfirmedRetention is how long a crash is kept that nothing has confirmed.
-	unconfirmedRetention = 5 * time.Second
+	unconfirmedRetention = 6 * time.Second
 )
 
 // Crash records that a leaf ended while it ran a request.
