--- a/internal/crashguard/check_test.go
+++ b/internal/crashguard/check_test.go
@@ -40,9 +40,11 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- g.Run(ctx, p) }()
+		defer func() {
+			cancel()
+			<-done
+		}()
 		f(t, g, fleet)
-		cancel()
-		<-done
 	})
 }
 
