Known red: an answer's date moves on with each exchange and passes the crashes after it

Callers would lose leaves to a text that was answered once and crashes leaves from then on: exchanges date the answer later by the time they take, VMs keep the latest date, and after 10 s of exchanges of 5 ms none of three crashes 0.3 s after the answer counts. The test fails each run.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -495,6 +495,32 @@
 	is.Equal(b.Suspects(), []uint64{7})
 }
 
+// Each exchange dates an answer later by the time that it takes, and VMs keep the latest date that they hear of. So an old
+// answer passes the crashes after it, and clears a request that crashes leaves.
+func TestAnswerDoesNotPassLaterCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		n.delay = 5 * time.Millisecond
+		a, _ := n.vm("a", "z", 1)
+		b, _ := n.vm("b", "z", 1)
+		now := time.Now()
+		a.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: "i-0"}, At: now.Add(-time.Second)})
+		a.ReportAnswer(7, now)
+		for _, leaf := range []string{"i-1", "i-2", "i-3"} {
+			a.ReportCrash(Crash{Digest: 7, Leaf: catalog.LeafID{Name: leaf}, At: now.Add(300 * time.Millisecond)})
+		}
+		time.Sleep(300 * time.Millisecond)
+		for range 200 { // ten seconds of exchanges
+			a.exchange(t.Context(), "b", false)
+			b.exchange(t.Context(), "a", false)
+			time.Sleep(40 * time.Millisecond)
+		}
+		is.Equal(len(a.Crashes(7, now.Add(-time.Minute))), 3)
+		is.Equal(len(b.Crashes(7, now.Add(-time.Minute))), 3)
+	})
+}
+
 // A crash that one VM could not confirm is confirmed by another, and dropped if none does.
 func TestUnconfirmedCrashes(t *testing.T) {
 	is := is.New(t)
