Search: logs tell at which leaf a first run was placed, and why

Cause: TestScenarios/crashing_again counts a fourth leaf that a text ended, and nothing told which gather had sent it there: neither the logs nor the dump name the place of a first run.

Change: a gather logs, at most 5 lines a second of each sort, a first run at a leaf that is none of the text's three places or of a suspect, with what it sees of the three, and each connection lost with an unproven text in flight.

--- a/cmd/burdock-gather/daemon.go
+++ b/cmd/burdock-gather/daemon.go
@@ -65,8 +65,8 @@
 	return quarantine.New(s.Quarantine, reporter, pool.State, time.Now, quarantine.NewMetrics(reg))
 }
 
-func newEngine(s *gather.Settings, source feed.Source, pool *upstream.Pool, b *gather.Balancers, guard *quarantine.Registry, reg prometheus.Registerer) *search.Engine {
-	return search.New(s.Search, source, pool, pool, b, guard, search.NewMetrics(reg))
+func newEngine(s *gather.Settings, source feed.Source, pool *upstream.Pool, b *gather.Balancers, guard *quarantine.Registry, log *zap.Logger, reg prometheus.Registerer) *search.Engine {
+	return search.New(s.Search, source, pool, pool, b, guard, log, search.NewMetrics(reg))
 }
 
 func newOrderManager(s *gather.Settings, inc incarnation, source feed.Source, pool *upstream.Pool, guard *quarantine.Registry, b *gather.Balancers, c *http.Client, p *process.PauseDetector, log *zap.Logger, reg prometheus.Registerer) *order.Manager {
--- a/cmd/burdock-gather/wire_gen.go
+++ b/cmd/burdock-gather/wire_gen.go
@@ -30,7 +30,7 @@
 	balancers := newBalancers(s, pool, registry)
 	quarantineRegistry := newQuarantine(s, manager, pool, registry)
 	orderManager := newOrderManager(s, mainIncarnation, manager, pool, quarantineRegistry, balancers, client, pauseDetector, logger, registry)
-	engine := newEngine(s, manager, pool, balancers, quarantineRegistry, registry)
+	engine := newEngine(s, manager, pool, balancers, quarantineRegistry, logger, registry)
 	ticketPeerServiceHandler := newPeerHandler(orderManager)
 	gatherManager := gather.NewManager(s, logger, registry, manager, manager, engine, orderManager, ticketPeerServiceHandler, pool)
 	mainDaemon := &daemon{
--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -121,6 +121,11 @@
 	LeafUnavailable
 )
 
+var eligibilityNames = [...]string{"eligible", "withheld", "unavailable"}
+
+// String returns the name used in log lines.
+func (e Eligibility) String() string { return eligibilityNames[e] }
+
 // Eligibility returns whether the leaf may take the first run of the request. If a quarantined request
 // explains the leaf's loss, the leaf is withheld from other requests only until it is known which of
 // them were also in flight at the loss.
--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -130,6 +130,7 @@
 		guard.RecordConnectionLoss(res.leaf, incarnation)
 	case res.failure == failLost:
 		guard.RecordUnprovenLoss(r.key.Digest, res.leaf, incarnation, alone)
+		r.e.log.lost(r.key, res.leaf, incarnation, alone)
 	case (res.failure == failDeadline || res.failure == failCancelled) && !proven && res.wrote:
 		guard.RecordAbandoned(r.key.Digest, res.leaf, incarnation)
 	}
--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -7,6 +7,7 @@
 	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/balance"
@@ -43,6 +44,7 @@
 	balancers   Balancers
 	guard       *quarantine.Registry
 	metrics     *Metrics
+	log         *firstRunLog
 	calls       sync.WaitGroup
 
 	mu sync.Mutex
@@ -66,9 +68,10 @@
 }
 
 // New returns an engine without any learned state. connections may be nil.
-func New(s Settings, source feed.Source, caller upstream.Caller, connections Connections, b Balancers, guard *quarantine.Registry, m *Metrics) *Engine {
+func New(s Settings, source feed.Source, caller upstream.Caller, connections Connections, b Balancers, guard *quarantine.Registry, log *zap.Logger, m *Metrics) *Engine {
 	return &Engine{
 		settings: s, source: source, caller: caller, connections: connections, balancers: b, guard: guard, metrics: m,
+		log:      newFirstRunLog(log),
 		services: make(map[string]*serviceState), missingSnapshots: make(map[leafSnapshot]time.Time),
 	}
 }
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/balance"
@@ -352,7 +353,7 @@
 	}
 	r.guard = quarantine.New(qs, r.feed, caller.State, time.Now, quarantine.NewMetrics(r.registry))
 	r.guard.ApplyView(r.feed.Current())
-	r.engine = New(DefaultSettings(), r.feed, caller, nil, r.replicas, r.guard, NewMetrics(r.registry))
+	r.engine = New(DefaultSettings(), r.feed, caller, nil, r.replicas, r.guard, zap.NewNop(), NewMetrics(r.registry))
 	return r
 }
 
--- a/internal/search/ranking.go
+++ b/internal/search/ranking.go
@@ -144,6 +144,11 @@
 	return leaves[found], true
 }
 
+// isAmong reports whether the leaf is one of the list.
+func isAmong(list []ranked, leaf string) bool {
+	return slices.ContainsFunc(list, func(l ranked) bool { return l.leaf == leaf })
+}
+
 // localFirst sorts leaves with those of the local availability zone in front.
 func localFirst(leaves []ranked, localZone string) []ranked {
 	slices.SortStableFunc(leaves, func(a, b ranked) int {
--- a/internal/search/sim_test.go
+++ b/internal/search/sim_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/admission"
@@ -103,7 +104,7 @@
 		replicas.SetCapacity(id, l.Slots, simGathers)
 		replicas.SetIncarnation(id, 1)
 	}
-	s.engines = append(s.engines, New(DefaultSettings(), f, s.fleet, nil, simBalancer{replicas}, guard, NewMetrics(reg)))
+	s.engines = append(s.engines, New(DefaultSettings(), f, s.fleet, nil, simBalancer{replicas}, guard, zap.NewNop(), NewMetrics(reg)))
 	s.admissions = append(s.admissions, admission.New(admission.DefaultSettings(), prometheus.NewRegistry(), time.Now, float))
 }
 
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -213,6 +213,7 @@
 	f.called[l.leaf] = true
 	f.inFlight++
 	f.r.setBlocked(false)
+	f.r.e.log.placed(f, l.leaf)
 	f.hedgeAt = time.Now().Add(f.r.hedgeDelay(&f.r.shards[l.shard], call))
 	f.r.launch(l.shard, call, l.leaf)
 }
