Search: the places of a first run change only when all three are lost

Cause: the place of a leaf that is out of use went to the next in rank. Gathers connect to a leaf that returns at different moments, up to 2.5 s apart after a long absence, so that some run a text on the leaf and others on its substitute: four leaves, within 15 ms. The leaves that the first text ended are just returning when the second one starts, and a refused text explains their loss, so that they are not held back.

Why the storms did not see it: their gathers noticed a return at once, both texts began together, and they ended after 3 s.

Change: a place moves on only while all three leaves are out of use.

A leaf that returns and is ended again before a gather notices is not held back there, where a refused text explains its first loss.

--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -53,6 +53,12 @@
 			rigs = append(rigs, newRigOver(z, service, view, fleet, nil))
 		}
 	}
+	connectGathers(ctx, rigs, delay, cut)
+	return rigs, fleet
+}
+
+// connectGathers passes the crashes that one gather reports to the others, and runs their guards until ctx ends.
+func connectGathers(ctx context.Context, rigs []*rig, delay time.Duration, cut func(from, to string) bool) {
 	for _, from := range rigs {
 		from.feed.onCrash = func(c *pb.Crash) {
 			for _, to := range rigs {
@@ -63,7 +69,6 @@
 		}
 		go func() { _ = from.guard.Run(ctx, from.feed) }()
 	}
-	return rigs, fleet
 }
 
 func neverCut(_, _ string) bool { return false }
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -34,6 +34,9 @@
 	errAnswered = connect.NewWireError(connect.CodeInternal, errors.New("no"))
 )
 
+// incarnationStep is by how much the incarnation of a leaf grows when it returns.
+const incarnationStep = 1000
+
 // fakeLeaf is one leaf of a fakeFleet. Tests set its fields before or between calls under the fleet's mutex.
 type fakeLeaf struct {
 	incarnation uint64
@@ -45,6 +48,8 @@
 	failing int
 	// down is closed when this incarnation crashes.
 	down chan struct{}
+	// wentDown and returned are when the leaf last crashed and last returned.
+	wentDown, returned time.Time
 	// calls, delivered and cancelled count the calls of the leaf, those answered and those cancelled.
 	calls, delivered, cancelled int
 }
@@ -53,9 +58,11 @@
 type fakeFleet struct {
 	mu     sync.Mutex
 	leaves map[string]*fakeLeaf
-	// crashes counts the leaves that each crashing text ended. restart is how long they stay down, 0 for ever.
-	crashes map[string]int
-	restart time.Duration
+	// crashes counts the leaves that each crashing text ended. restart is how long they stay down, 0 for ever, and
+	// restartAfter draws it for each crash if it is set.
+	crashes      map[string]int
+	restart      time.Duration
+	restartAfter func() time.Duration
 	// lastCrash is when a crashing text last ended a leaf.
 	lastCrash time.Time
 	// ran counts how often each text reached a leaf.
@@ -163,13 +170,17 @@
 	f.crashes[text]++
 	f.lastCrash = time.Now()
 	f.kill(l)
-	if f.restart > 0 {
-		time.AfterFunc(f.restart, func() { f.revive(id) })
+	restart := f.restart
+	if f.restartAfter != nil {
+		restart = f.restartAfter()
+	}
+	if restart > 0 {
+		time.AfterFunc(restart, func() { f.revive(id) })
 	}
 }
 
 func (f *fakeFleet) kill(l *fakeLeaf) {
-	l.up = false
+	l.up, l.wentDown = false, time.Now()
 	close(l.down)
 }
 
@@ -177,8 +188,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.leaves[id]
-	l.up, l.down = true, make(chan struct{})
-	l.incarnation += 1000
+	l.up, l.down, l.returned = true, make(chan struct{}), time.Now()
+	l.incarnation += incarnationStep
 }
 
 // stall answers only when the call is cancelled or times out.
--- a/internal/search/known_test.go
+++ b/internal/search/known_test.go
@@ -137,6 +137,8 @@
 	answered  map[string]time.Time
 	crashes   map[string]int
 	lastCrash time.Time
+	// requests counts the innocent requests, unserved those of them that were refused or failed for whatever reason.
+	requests, unserved int
 }
 
 // quarantinedRequest is a request refused as quarantined.
@@ -150,6 +152,10 @@
 // of a shard are down, or all that may run the text first when it is new with this number of hits.
 func (e *stormResult) record(text string, err error) {
 	now := time.Now()
+	e.requests++
+	if err != nil {
+		e.unserved++
+	}
 	if _, known := e.answered[text]; err == nil && !known {
 		e.answered[text] = now
 	}
--- a/internal/search/ranking.go
+++ b/internal/search/ranking.go
@@ -144,6 +144,11 @@
 	return leaves[found], true
 }
 
+// all reports whether the condition holds for each leaf of the list.
+func all(list []ranked, condition func(leaf string) bool) bool {
+	return !slices.ContainsFunc(list, func(l ranked) bool { return !condition(l.leaf) })
+}
+
 // isAmong reports whether the leaf is one of the list.
 func isAmong(list []ranked, leaf string) bool {
 	return slices.ContainsFunc(list, func(l ranked) bool { return l.leaf == leaf })
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -98,10 +98,11 @@
 	return true
 }
 
-// candidates returns the leaves that the first run may use, those of the local zone first. A leaf that is out of use
-// for long is replaced by the next in rank, but not beside a call in flight, nor if it crashed with the request. A
-// suspect whose text no leaf has answered is bound to the primaries: a leaf that is crashing at this moment may look
-// out of use.
+// candidates returns the leaves that the first run may use, those of the local zone first. These are the primaries. The
+// next in rank replace them only if all are out of use for long: gathers do not notice the return of a leaf at the same
+// moment, and while some call the leaf and others its substitute, the fleet calls a leaf more. There are no substitutes
+// beside a call in flight, nor for a leaf that crashed with the request. A suspect whose text no leaf has answered is
+// bound to the primaries: a leaf that is crashing at this moment may look out of use.
 func (f *firstRun) candidates() []ranked {
 	localZone := f.r.e.source.Current().Zone
 	if f.requestAnswered {
@@ -112,7 +113,7 @@
 	crashed := f.r.e.guard.CrashedLeaves(f.r.key.Digest)
 	absent := func(l string) bool { return f.status(l) == quarantine.LeafUnavailable && !slices.Contains(crashed, l) }
 	leaves := slices.Clone(f.primaries)
-	if f.inFlight == 0 && (f.textAnswered || !f.exclusive) {
+	if f.inFlight == 0 && (f.textAnswered || !f.exclusive) && all(f.primaries, absent) {
 		leaves = f.ranking.withSubstitutes(absent)
 	}
 	if f.exclusive {
