Search: a search that lost its leaf waits for places that may return

What callers saw: an innocent first-seen search failed as unreachable 21 ms after it came, of the 5 s that its caller gave it, "no leaf answered the first run of the request".

Cause: its leaf was ended by another text, which makes it a suspect, and a suspect gets no leaf but its three places. It waited for those that are held back, and not for those out of use for longer than 1.5 s.

Change: a suspect waits for places lost within the last 10 s, as long as its deadline allows, and outside the gate, as for those held back.

Measured: TestInnocentSuspectWaitsForPrimariesLostEarlier failed before ("unreachable at leaf-0-a").

--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -23,6 +23,8 @@
 	// Syncs that reconnect after a partition compare all their evidence once it has differed for 2 s.
 	// They run one exchange at a time, each taking up to 3 s.
 	partitionWithholdPeriod = 10 * time.Second
+	// restartPeriod is how long after its loss a leaf may still be restarting.
+	restartPeriod = 10 * time.Second
 	// maxAbandonedPerLeaf bounds the abandoned calls remembered for one leaf.
 	maxAbandonedPerLeaf = 64
 )
@@ -150,6 +152,15 @@
 	return remaining
 }
 
+// MayReturn reports whether the leaf was lost so recently, without having announced its departure, that it is probably
+// being restarted.
+func (r *Registry) MayReturn(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.leaf(id)
+	return !l.leaving && r.clock().Sub(l.lostAt) < restartPeriod
+}
+
 // eligibility also returns how much longer at most a withheld leaf stays so. Requires mu.
 func (r *Registry) eligibility(id string, digest uint64, now time.Time) (Eligibility, time.Duration) {
 	r.observe(id, now)
--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -369,6 +369,35 @@
 	})
 }
 
+// TestInnocentSuspectWaitsForPrimariesLostEarlier guards against failure of a request that was in flight at a crash caused
+// by another one, while its other primaries are still away after crashes of some seconds ago.
+func TestInnocentSuspectWaitsForPrimariesLostEarlier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(1)
+		r := newRig("az-a", service, fleet, nil)
+		r.guard.Refresh()
+		time.Sleep(time.Second)
+		var crashes []*pb.Crash
+		for _, down := range []string{"leaf-0-b", "leaf-0-c"} {
+			s, _ := fleet.State(down)
+			crashes = append(crashes, &pb.Crash{RequestDigest: 99, Leaf: down, Incarnation: s.Incarnation})
+			fleet.crash(down, s.Incarnation, "another")
+		}
+		r.guard.ApplyView(&feed.View{Bundle: r.feed.Current().Bundle, Crashes: crashes, Received: time.Now()})
+		for range 30 { // longer than the leaves are withheld
+			r.guard.Refresh()
+			time.Sleep(100 * time.Millisecond)
+		}
+		first, _ := fleet.State("leaf-0-a")
+		time.AfterFunc(serviceTime/2, func() { fleet.crash("leaf-0-a", first.Incarnation, "another") })
+		time.AfterFunc(300*time.Millisecond, func() { fleet.revive("leaf-0-b") })
+		a, err := r.search("r1", "claim", "innocent", 4*time.Second)
+		is.NoErr(err)
+		is.Equal(a.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+	})
+}
+
 // TestDoubtedSearchWaitsForItsCall guards against a loop that uses a whole core: while a call of the first run is
 // in flight, other VMs report two crashes, so that the request is in doubt, and the time for a hedge has come. The
 // search waits for its call, rather than look at the time for the hedge again at once.
--- a/internal/search/trial.go
+++ b/internal/search/trial.go
@@ -158,18 +158,23 @@
 	return p
 }
 
-// partition returns the leaves that may be called now, and the withheld leaves that are released before the deadline.
+// partition returns the leaves that may be called now, and those to wait for: the withheld ones that are released before
+// the deadline and, for a suspect, which gets no substitutes, the lost ones that may return.
 // Beside a call in flight, a leaf of another shard is one that the query needs anyway. One of the same shard is an
 // extra call, which the hedge budget has to allow, and is considered only if there is no other.
-func (f *firstRun) partition(candidates []ranked) (callable []ranked, withheld []string) {
+func (f *firstRun) partition(candidates []ranked) (callable []ranked, waitFor []string) {
 	var extra []ranked
 	for _, l := range candidates {
 		status := f.status(l.leaf)
 		switch {
-		case f.called[l.leaf], status == quarantine.LeafUnavailable:
+		case f.called[l.leaf]:
+		case status == quarantine.LeafUnavailable:
+			if f.exclusive && f.r.e.guard.MayReturn(l.leaf) {
+				waitFor = append(waitFor, l.leaf)
+			}
 		case status == quarantine.LeafWithheld:
 			if time.Until(f.r.q.deadline) > f.r.e.guard.WithheldFor(l.leaf, f.r.key.Digest) {
-				withheld = append(withheld, l.leaf)
+				waitFor = append(waitFor, l.leaf)
 			}
 		case f.r.shards[l.shard].inFlight > 0:
 			extra = append(extra, l)
@@ -178,9 +183,9 @@
 		}
 	}
 	if len(callable) == 0 && len(extra) > 0 && f.r.q.replicas.AllowHedge(f.r.q.kind.HedgeBudget) {
-		return extra, withheld
+		return extra, waitFor
 	}
-	return callable, withheld
+	return callable, waitFor
 }
 
 // tryLaunch sends the next call to the callable leaf that the balancer picks, so that a slow leaf is not called first
