Quarantine: a leaf that may have crashed twice unseen is held back

Cause: a leaf whose loss a refused text explains is held back for 1.1 s from the loss.

Change: gathers know for how long nothing was known of a leaf before a connection opened, since it last refused one. Where that is longer than the shortest restart, the 1.1 s begin at the return.

TestUnseenReturnWithholdsAnExplainedLeaf fails without the change.

--- a/internal/quarantine/leaves.go
+++ b/internal/quarantine/leaves.go
@@ -23,6 +23,8 @@
 	// Syncs that reconnect after a partition compare all their evidence once it has differed for 2 s.
 	// They run one exchange at a time, each taking up to 3 s.
 	partitionWithholdPeriod = 10 * time.Second
+	// shortestRestart is the shortest time in which a leaf that has returned crashes and returns again.
+	shortestRestart = 100 * time.Millisecond
 	// restartPeriod is how long after its loss a leaf may still be restarting.
 	restartPeriod = 10 * time.Second
 	// maxAbandonedPerLeaf bounds the abandoned calls remembered for one leaf.
@@ -269,7 +271,7 @@
 		}
 	}
 	if reconnected := !l.connected && l.disconnectedAt.IsZero() && l.incarnation != 0; (replaced || reconnected) && !l.leaving {
-		r.withholdReturned(l, now)
+		r.withholdReturned(l, s.UnseenFor, now)
 	}
 	if s.Incarnation != 0 {
 		l.incarnation = s.Incarnation
@@ -283,13 +285,17 @@
 // withholdReturned withholds from first runs a leaf that returned with another incarnation or with one
 // it has not shown yet. The leaf may have crashed just now, so the period starts now. If it was
 // unreachable for longer than evidence takes to spread, its crash may have been observed only on the
-// other side of a partition, and the period is at least partitionWithholdPeriod.
-func (r *Registry) withholdReturned(l *leaf, now time.Time) {
+// other side of a partition, and the period is at least partitionWithholdPeriod. If the leaf may have returned and crashed
+// once more in the time for which nothing was known of it, what explains the loss that was seen does not explain that one.
+func (r *Registry) withholdReturned(l *leaf, unseenFor time.Duration, now time.Time) {
 	hold := r.settings.Hold.D()
 	if !l.connected && now.Sub(l.lostAt) > hold {
 		hold = max(hold, partitionWithholdPeriod)
 	}
 	l.noteLoss(l.incarnation, now)
+	if unseenFor > shortestRestart {
+		l.lossFirstNotedAt = now
+	}
 	l.extendWithholding(now.Add(hold))
 }
 
--- a/internal/quarantine/leaves_test.go
+++ b/internal/quarantine/leaves_test.go
@@ -101,6 +101,35 @@
 	is.Equal(b.WithheldFor("a", testKey.Digest), evidencePropagationTime-doubtPeriod)
 }
 
+// TestUnseenReturnWithholdsAnExplainedLeaf guards against a second crashing text that ends a leaf twice: nothing was known
+// of the leaf for some time, in which it returned and the text crashed it. What explains the loss that was seen does not
+// explain that one, and evidence of it may be on its way.
+func TestUnseenReturnWithholdsAnExplainedLeaf(t *testing.T) {
+	const other = 99
+	for name, tt := range map[string]struct {
+		unseenFor time.Duration
+		want      Eligibility
+	}{
+		"refused until its return": {unseenFor: shortestRestart, want: LeafEligible},
+		"not tried for a second":   {unseenFor: time.Second, want: LeafWithheld},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTestbed(nil)
+			b.crash("a")
+			b.Refresh()
+			b.receiveCrash(other, "a", 1)
+			b.receiveCrash(other, "b", 1)
+			b.advance(evidencePropagationTime)
+			b.Refresh()
+			b.leaves["a"] = upstream.State{Incarnation: 3, Connected: true, UnseenFor: tt.unseenFor}
+			is.Equal(b.Eligibility("a", testKey.Digest), tt.want)
+			b.advance(evidencePropagationTime)
+			is.Equal(b.Eligibility("a", testKey.Digest), LeafEligible)
+		})
+	}
+}
+
 // TestNeverConnectedLeafIsWithheld: a gather that has just started does not know whether a leaf that it
 // cannot reach has just crashed. The next in rank must not be called instead.
 func TestNeverConnectedLeafIsWithheld(t *testing.T) {
--- a/internal/search/returns_test.go
+++ b/internal/search/returns_test.go
@@ -31,6 +31,7 @@
 	l := v.leaves[leaf]
 	returned, longest := l.returned, min(maxReconnectDelay, l.returned.Sub(l.wentDown))
 	v.mu.Unlock()
+	s.UnseenFor = longest
 	if !s.Connected || returned.IsZero() {
 		return s, ok
 	}
@@ -109,7 +110,9 @@
 func (s returnsStorm) newGathers(ctx context.Context) ([]*rig, *fakeFleet) {
 	service, fleet := groups(s.shards)
 	random := rand.New(rand.NewPCG(s.seed, 2))
-	fleet.restartAfter = func() time.Duration { return s.minReturn + time.Duration(random.Int64N(int64(s.maxReturn-s.minReturn))) }
+	fleet.restartAfter = func() time.Duration {
+		return s.minReturn + time.Duration(random.Int64N(int64(s.maxReturn-s.minReturn)))
+	}
 	var rigs []*rig
 	for i := range 6 {
 		share := func(leaf string, incarnation uint64) float64 {
@@ -135,7 +138,11 @@
 // another text that ended some: gathers notice the return of a leaf at different times, and those that had not ran the
 // text on a further leaf in its place.
 func TestCrashingTextsAreBoundWhileLeavesReturn(t *testing.T) {
+	seeds := []uint64{302, 412, 457, 557, 910, 965} // a leaf returned and crashed again before a gather noticed
 	for seed := range *storms {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("storm ", seed), func(t *testing.T) {
 			t.Parallel()
 			s := drawReturnsStorm(seed)
--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -55,8 +55,10 @@
 	// recoverBy is the time until which a leaf whose connection went silent still counts as
 	// connected while a new one is opened.
 	recoverBy time.Time
-	// brokeAt is when a connection last broke or went silent, zero if none did.
-	brokeAt time.Time
+	// brokeAt is when a connection last broke or went silent, refusedAt when one was last refused, zero if none was.
+	brokeAt, refusedAt time.Time
+	// unseenFor is State.UnseenFor.
+	unseenFor time.Duration
 	// polling is true while a status request is in flight; pollAt is when the next one is due.
 	polling bool
 	pollAt  time.Time
@@ -293,7 +295,8 @@
 	s := State{
 		Leaf: l.id, Incarnation: l.presence.incarnation, Leaving: l.isLeaving(),
 		Snapshots: append([]uint64(nil), l.snapshots...), Slots: l.slots,
-		Survived: !l.brokeAt.IsZero() && l.presence.lastConfirmed.After(l.brokeAt),
+		UnseenFor: l.unseenFor,
+		Survived:  !l.brokeAt.IsZero() && l.presence.lastConfirmed.After(l.brokeAt),
 	}
 	for _, c := range l.conns {
 		s.Connected = s.Connected || c.usable()
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -62,6 +62,7 @@
 		return
 	}
 	l.pool.metrics.openAttempts.WithLabelValues(l.service, "opened").Inc()
+	l.recordReturn(time.Now())
 	l.conns = append(l.conns, c)
 	l.notify()
 	if st != nil {
@@ -71,6 +72,17 @@
 	}
 }
 
+// recordReturn notes for how long nothing was known of a leaf that takes its first connection again. Requires mu.
+func (l *leaf) recordReturn(now time.Time) {
+	last := l.brokeAt
+	if l.refusedAt.After(last) {
+		last = l.refusedAt
+	}
+	if l.openConns() == 0 && !last.IsZero() {
+		l.unseenFor = now.Sub(last)
+	}
+}
+
 // openFailed records a failed attempt. A refused connection is evidence of departure. Requires mu.
 func (l *leaf) openFailed(err error) {
 	l.retryAt = time.Now().Add(l.backoff.next())
@@ -81,6 +93,7 @@
 		l.pool.metrics.openAttempts.WithLabelValues(l.service, "failed").Inc()
 		return
 	}
+	l.refusedAt = time.Now()
 	l.pool.metrics.openAttempts.WithLabelValues(l.service, "refused").Inc()
 	l.recordDeparture(0, pb.DepartureSource_DEPARTURE_SOURCE_CONNECT)
 }
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -251,6 +251,27 @@
 	})
 }
 
+// A leaf may have returned and ended again between two attempts to connect to it.
+func TestTimeWithoutKnowledgeOfALeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		p, _ := startPool(t, f.dial)
+		waitForConnections()
+		s, _ := p.State(testLeaf)
+		is.Equal(s.UnseenFor, time.Duration(0))
+		f.refuse.Store(true)
+		f.breakAll()
+		time.Sleep(3 * time.Second)
+		f.refuse.Store(false)
+		time.Sleep(2 * maxBackoff)
+		synctest.Wait()
+		s, _ = p.State(testLeaf)
+		is.True(s.Connected)
+		is.True(s.UnseenFor > minBackoff && s.UnseenFor <= 5*maxBackoff/4) // the last pause between two attempts
+	})
+}
+
 func errorOf[T any](_ T, err error) error { return err }
 
 func TestDeadlineAndCancelReachTheLeaf(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,6 +3,8 @@
 package upstream
 
 import (
+	"time"
+
 	"context"
 	"errors"
 	"fmt"
@@ -37,6 +39,9 @@
 	// incarnation. If the earlier connection belonged to this incarnation as well, the leaf did not
 	// crash in between.
 	Survived bool
+	// UnseenFor is the time from the last end or refusal of a connection to the opening of the first one after it. In that
+	// time the leaf may have returned and ended again. It is zero while no connection has ended.
+	UnseenFor time.Duration
 	// Snapshots lists the snapshots that the leaf reported, nil if it has not reported any.
 	Snapshots []uint64
 	Slots     int
