--- a/internal/search/known_test.go
+++ b/internal/search/known_test.go
@@ -43,7 +43,7 @@
 	}, notRefused)
 }
 
-func notRefused(t *testing.T, _ storm, e stormResult) {
+func notRefused(t *testing.T, _ storm, e *stormResult) {
 	for _, r := range e.refused {
 		t.Errorf("an innocent request was refused: %v", r.err)
 	}
@@ -58,7 +58,7 @@
 		s.unseen = true
 		s.calm = s.reportDelay() + time.Second
 		return s
-	}, func(t *testing.T, s storm, e stormResult) {
+	}, func(t *testing.T, s storm, e *stormResult) {
 		for _, r := range e.refused {
 			answered, ok := e.answered[r.text]
 			known := answered.Add(s.reportDelay())
@@ -82,7 +82,7 @@
 // TestCrashingTextsInAStormAreBound guards against a text that ends more than maxCrashes leaves while another one
 // crashes leaves, too.
 func TestCrashingTextsInAStormAreBound(t *testing.T) {
-	runStorms(t, drawStorm, func(t *testing.T, s storm, e stormResult) {
+	runStorms(t, drawStorm, func(t *testing.T, s storm, e *stormResult) {
 		for text, n := range e.crashes {
 			if s.maxDelay <= designedDelay && n > maxCrashes {
 				t.Errorf("text %s crashed %d leaves", text, n)
@@ -91,7 +91,7 @@
 	})
 }
 
-func runStorms(t *testing.T, draw func(seed uint64) storm, check func(t *testing.T, s storm, e stormResult)) {
+func runStorms(t *testing.T, draw func(seed uint64) storm, check func(t *testing.T, s storm, e *stormResult)) {
 	for seed := range *storms {
 		t.Run(fmt.Sprint("storm ", seed), func(t *testing.T) {
 			t.Parallel()
@@ -133,6 +133,8 @@
 // stormResult holds the innocent requests refused as quarantined, when each text was first answered, and the crashes by
 // text.
 type stormResult struct {
+	mu sync.Mutex
+	// mu guards the fields below while the storm runs.
 	refused   []quarantinedRequest
 	answered  map[string]time.Time
 	crashes   map[string]int
@@ -151,6 +153,8 @@
 // record adds the result of a request. Refusals for other reasons are not counted: a request is refused if all leaves
 // of a shard are down, or all that may run the text first when it is new with this number of hits.
 func (e *stormResult) record(text string, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := time.Now()
 	e.requests++
 	if err != nil {
@@ -165,7 +169,7 @@
 }
 
 // run runs the storm.
-func (s storm) run() stormResult {
+func (s storm) run() *stormResult {
 	ctx, cancel := context.WithCancel(context.Background())
 	rigs, fleet := newGathersOver(ctx, s.shards, 2, 0, neverCut)
 	s.delayEvidence(rigs)
@@ -175,8 +179,7 @@
 		s.askAll(rigs)
 	}
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	result := stormResult{answered: make(map[string]time.Time), crashes: fleet.crashes}
+	result := &stormResult{answered: make(map[string]time.Time), crashes: fleet.crashes}
 	end := time.Now().Add(3 * time.Second)
 	for i, r := range rigs {
 		random := rand.New(rand.NewPCG(s.seed, uint64(i)))
@@ -186,18 +189,7 @@
 				time.Sleep(s.pause)
 			}
 		})
-		wg.Go(func() {
-			for time.Now().Before(end.Add(s.calm)) {
-				text, topK := innocentText(random.IntN(s.innocent)), 1+random.IntN(s.maxTopK)
-				wg.Go(func() {
-					_, err := s.search(r, text, topK)
-					mu.Lock()
-					defer mu.Unlock()
-					result.record(text, err)
-				})
-				time.Sleep(time.Duration(random.Int64N(int64(s.pause))))
-			}
-		})
+		wg.Go(func() { s.sendInnocent(r, random, end.Add(s.calm), result) })
 	}
 	wg.Wait()
 	cancel()
@@ -206,6 +198,20 @@
 	return result
 }
 
+// sendInnocent sends innocent texts through the gather until the end, and waits for their results.
+func (s storm) sendInnocent(r *rig, random *rand.Rand, end time.Time, result *stormResult) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for time.Now().Before(end) {
+		text, topK := innocentText(random.IntN(s.innocent)), 1+random.IntN(s.maxTopK)
+		wg.Go(func() {
+			_, err := s.search(r, text, topK)
+			result.record(text, err)
+		})
+		time.Sleep(time.Duration(random.Int64N(int64(s.pause))))
+	}
+}
+
 // askAll sends each innocent text through each gather once.
 func (s storm) askAll(rigs []*rig) {
 	for n := range s.innocent {
--- a/internal/search/returns_test.go
+++ b/internal/search/returns_test.go
@@ -71,7 +71,7 @@
 }
 
 // run runs the storm.
-func (s returnsStorm) run() stormResult {
+func (s returnsStorm) run() *stormResult {
 	ctx, cancel := context.WithCancel(context.Background())
 	rigs, fleet := s.newGathers(ctx)
 	s.delayEvidence(rigs)
@@ -79,27 +79,15 @@
 	if !s.unseen {
 		s.askAll(rigs)
 	}
-	result := stormResult{answered: make(map[string]time.Time), crashes: fleet.crashes}
+	result := &stormResult{answered: make(map[string]time.Time), crashes: fleet.crashes}
 	end := time.Now().Add(s.starts[len(s.starts)-1] + s.duration)
 	var wg sync.WaitGroup
-	var mu sync.Mutex
 	for i, r := range rigs {
 		random := rand.New(rand.NewPCG(s.seed, uint64(i)))
 		for n, start := range s.starts {
 			wg.Go(func() { s.sendCrashing(r, n, start) })
 		}
-		wg.Go(func() {
-			for time.Now().Before(end) {
-				text, topK := innocentText(random.IntN(s.innocent)), 1+random.IntN(s.maxTopK)
-				wg.Go(func() {
-					_, err := s.search(r, text, topK)
-					mu.Lock()
-					defer mu.Unlock()
-					result.record(text, err)
-				})
-				time.Sleep(time.Duration(random.Int64N(int64(s.pause))))
-			}
-		})
+		wg.Go(func() { s.sendInnocent(r, random, end, result) })
 	}
 	wg.Wait()
 	cancel()
