Upstream: an attempt to connect that went silent does not hold up the next

Cause: a gather opened one connection to a leaf at a time. Where the new connection went silent as well, while it was opened, the attempt lasted its whole second, and the silent connections, found after 0.5 s, were not replaced before.

Change: a second attempt begins beside one that has taken 150 ms while the leaf has no usable connection.

Measured: TestSilentAttemptDoesNotHoldUpTheNext failed before ("not true: s.Connected").

--- a/internal/upstream/leaf.go
+++ b/internal/upstream/leaf.go
@@ -47,11 +47,12 @@
 	clock    leafClock
 	// snapshots that the leaf reported, nil if it has not reported any.
 	snapshots []uint64
-	// opening is true while a connection is being opened; retryAt is the earliest time of the next
-	// attempt.
-	opening bool
-	retryAt time.Time
-	backoff backoff
+	// opening is the number of connections being opened, openingSince when the latest of these
+	// attempts began. retryAt is the earliest time of the next attempt.
+	opening      int
+	openingSince time.Time
+	retryAt      time.Time
+	backoff      backoff
 	// recoverBy is the time until which a leaf whose connection went silent still counts as
 	// connected while a new one is opened.
 	recoverBy time.Time
--- a/internal/upstream/open.go
+++ b/internal/upstream/open.go
@@ -15,6 +15,11 @@
 const (
 	// openTimeout bounds opening a connection, including the first status request.
 	openTimeout = time.Second
+	// slowOpenTime is how long an attempt to open a connection may take until another one is made
+	// beside it while the leaf has no usable connection.
+	slowOpenTime = 150 * time.Millisecond
+	// maxAttemptsAtOnce is how many attempts may be under way at once.
+	maxAttemptsAtOnce = 2
 	// pollInterval is the mean time between two status requests to a leaf.
 	pollInterval = 2 * time.Second
 	// pollTimeout bounds one status request.
@@ -54,7 +59,8 @@
 	c, st, err := l.dial(ctx, opened)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.opening, l.attempted = false, true
+	l.opening--
+	l.attempted = true
 	l.openError = err
 	defer l.pool.wakeLoop()
 	if err != nil {
@@ -85,7 +91,9 @@
 
 // openFailed records a failed attempt. A refused connection is evidence of departure. Requires mu.
 func (l *leaf) openFailed(err error) {
-	l.retryAt = time.Now().Add(l.backoff.next())
+	if l.lastHeardUsable() == nil { // no attempt beside this one has succeeded
+		l.retryAt = time.Now().Add(l.backoff.next())
+	}
 	if l.pool.ctx.Err() != nil {
 		return
 	}
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +94,31 @@
 		})
 	}
 }
+
+// TestSilentAttemptDoesNotHoldUpTheNext guards against searches that fail while the silent connections of a leaf are
+// replaced: the new connection went silent as well, and for a second no other was tried.
+func TestSilentAttemptDoesNotHoldUpTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFakeLeaf(t)
+		var nextIsSilent atomic.Bool
+		p, _ := startPool(t, func(ctx context.Context, address string) (net.Conn, error) {
+			if nextIsSilent.Swap(false) {
+				near, far := net.Pipe()
+				t.Cleanup(func() { _ = far.Close() })
+				return near, nil
+			}
+			return f.dial(ctx, address)
+		})
+		waitForConnections()
+		nextIsSilent.Store(true)
+		f.breakAll()
+		time.Sleep(2 * slowOpenTime)
+		s, _ := p.State(testLeaf)
+		is.True(s.Connected)
+		is.NoErr(errorOf(search(t.Context(), p)))
+		time.Sleep(2 * openTimeout) // the silent attempt ends
+		is.NoErr(errorOf(search(t.Context(), p)))
+		is.True(f.open() <= 2)
+	})
+}
--- a/internal/upstream/tend.go
+++ b/internal/upstream/tend.go
@@ -17,7 +17,7 @@
 	}
 	l.openIfMissing(now)
 	l.pollIfDue(now)
-	alive := l.planned > 0 || len(l.conns) > 0 || l.opening || l.polling
+	alive := l.planned > 0 || len(l.conns) > 0 || l.opening > 0 || l.polling
 	l.mu.Unlock()
 	for _, c := range idle {
 		_ = c.h2.Close()
@@ -103,13 +103,25 @@
 
 // openIfMissing starts opening one connection if there are fewer than targetConns. Requires mu.
 func (l *leaf) openIfMissing(now time.Time) {
-	if l.opening || l.openConns() >= l.targetConns() || now.Before(l.retryAt) {
+	if !l.mayOpen(now) || l.openConns() >= l.targetConns() || now.Before(l.retryAt) {
 		return
 	}
-	l.opening = true
+	l.opening++
+	l.openingSince = now
 	l.pool.spawn(l.open)
 }
 
+// mayOpen reports whether another attempt may begin: none is under way, or the leaf has no usable
+// connection and the one under way is slow. The new connection itself may have gone silent, which
+// shows only at openTimeout. Requires mu.
+func (l *leaf) mayOpen(now time.Time) bool {
+	if l.opening == 0 {
+		return true
+	}
+	slow := now.Sub(l.openingSince) >= slowOpenTime
+	return slow && l.opening < maxAttemptsAtOnce && l.lastHeardUsable() == nil
+}
+
 // pollIfDue starts a status request over an open connection if one is due. Requires mu.
 func (l *leaf) pollIfDue(now time.Time) {
 	if l.polling || l.planned == 0 || now.Before(l.pollAt) {
