Search: calls wait for connections being replaced, whoever found them silent

Cause: a call that was not sent, as its leaf's silent connections were being replaced, was made again only if a call of the same shard had gone into a silent connection. After a first run that did, the other shards' calls met connections that were being replaced already: three replicas, 0.1 s each, and the shard was given up.

Change: the rule asks only whether the leaf counts as usable, which one without a connection does only while silent ones are replaced.

TestSearchThatComesWhileConnectionsAreReplacedWaits failed before.

--- a/internal/search/calls.go
+++ b/internal/search/calls.go
@@ -186,8 +186,6 @@
 	case failLost:
 		s.losses++
 		r.losses++
-	case failSilent:
-		s.silences++
 	case failNotSent:
 		s.unsent++
 	}
@@ -231,7 +229,7 @@
 
 func (r *run) facts(s *shard) shardFacts {
 	return shardFacts{
-		inFlight: s.inFlight, attempts: s.attempts, sheds: s.sheds, losses: s.losses, silences: s.silences, unsent: s.unsent, hedged: s.hedged,
+		inFlight: s.inFlight, attempts: s.attempts, sheds: s.sheds, losses: s.losses, unsent: s.unsent, hedged: s.hedged,
 		untried: len(r.usableReplicas(s, false)), usable: len(r.usableReplicas(s, true)),
 		mayCallMore: r.mayCallMore(),
 	}
--- a/internal/search/decide.go
+++ b/internal/search/decide.go
@@ -19,9 +19,8 @@
 	sheds int
 	// losses is the number of connections lost with a call of the shard.
 	losses int
-	// silences is the number of calls of the shard that went into a silent connection, unsent the number of those that
-	// were not sent.
-	silences, unsent int
+	// unsent is the number of calls of the shard that were not sent.
+	unsent int
 	// untried is the number of usable replicas that were not called yet.
 	untried int
 	// usable is the number of replicas that may be called, including those called before.
@@ -80,9 +79,10 @@
 const maxUnsentRetries = 4
 
 // awaitsReconnection reports whether a call was not sent because the connections of the shard's leaves have been found
-// silent and are being replaced. No leaf is at work on the request then, and all of them may have been called in vain.
+// silent, maybe by calls of other shards or searches, and are being replaced: a leaf without a connection counts as usable
+// only then. No leaf is at work on the request, and all of them may have been called in vain.
 func (s shardFacts) awaitsReconnection(f failure) bool {
-	return f == failNotSent && s.silences > 0 && s.untried == 0 && s.usable > 0 && s.unsent <= maxUnsentRetries && s.mayCallMore
+	return f == failNotSent && s.untried == 0 && s.usable > 0 && s.unsent <= maxUnsentRetries && s.mayCallMore
 }
 
 // mayHedge reports whether a second call may be made beside one that takes long. The hedge budget is asked only if it
--- a/internal/search/place.go
+++ b/internal/search/place.go
@@ -26,7 +26,7 @@
 	waitingSince                      time.Time
 	slotWait                          time.Duration
 	inFlight, attempts, sheds, losses int
-	silences, unsent                  int
+	unsent                            int
 	hedged                            bool
 	attempted                         []string
 	// anyReplica is true if a replica may be called a second time.
--- a/internal/search/silence_test.go
+++ b/internal/search/silence_test.go
@@ -137,3 +137,22 @@
 		})
 	}
 }
+
+// A search that came while the silent connections of all replicas were being replaced was answered without a shard: only
+// calls of the shard itself that had gone into a silent connection made it wait.
+func TestSearchThatComesWhileConnectionsAreReplacedWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service, fleet := groups(2)
+		r := newRig("az-a", service, fleet, anywhere)
+		begun := time.Now()
+		const open = 380 * time.Millisecond
+		for _, l := range fleet.leaves {
+			l.answer = replaced(begun, 0, open)
+		}
+		res, err := r.search("r", "claim", "q", time.Second)
+		is.NoErr(err)
+		is.Equal(res.GetOutcome().GetKind(), pb.OutcomeKind_OUTCOME_KIND_ANSWERED_WHOLE)
+		is.True(time.Since(begun) < open+200*time.Millisecond)
+	})
+}
