Overload: design page, and the interfaces of its parts

Above what the VMs or the leaves can do, goodput falls to a quarter and the most urgent route is hit hardest (observations in docs/design/overload.md). The page states what is required, the parts and their interfaces.

This commit brings the types only: the gate admits everything, the messages have new fields that nobody sets, and requests carry their caller's address. The tests of dispatch and delegate pass a gate that is turned off; nothing else in them changes.

--- a/api/burdock/v1/burdockv1connect/fleet.connect.go
+++ b/api/burdock/v1/burdockv1connect/fleet.connect.go
@@ -39,6 +39,8 @@
 	FleetServiceSearchProcedure = "/burdock.v1.FleetService/Search"
 	// FleetServicePingProcedure is the fully-qualified name of the FleetService's Ping RPC.
 	FleetServicePingProcedure = "/burdock.v1.FleetService/Ping"
+	// FleetServiceLoadProcedure is the fully-qualified name of the FleetService's Load RPC.
+	FleetServiceLoadProcedure = "/burdock.v1.FleetService/Load"
 )
 
 // FleetServiceClient is a client for the burdock.v1.FleetService service.
@@ -49,6 +51,8 @@
 	Search(context.Context, *v1.FleetSearch) (*v1.FleetSearchAnswer, error)
 	// Ping checks that the VM runs and returns its load.
 	Ping(context.Context, *v1.FleetPing) (*v1.FleetPong, error)
+	// Load sends the peer what the sender knows of the load of leaves and gatherers, and returns what the peer knows.
+	Load(context.Context, *v1.FleetLoad) (*v1.FleetLoad, error)
 }
 
 // NewFleetServiceClient constructs a client for the burdock.v1.FleetService service. By default, it
@@ -80,6 +84,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Ping")),
 			connect.WithClientOptions(opts...),
 		),
+		load: connect.NewClient[v1.FleetLoad, v1.FleetLoad](
+			httpClient,
+			baseURL+FleetServiceLoadProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("Load")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -88,6 +98,7 @@
 	exchange *connect.Client[v1.FleetExchange, v1.FleetExchange]
 	search   *connect.Client[v1.FleetSearch, v1.FleetSearchAnswer]
 	ping     *connect.Client[v1.FleetPing, v1.FleetPong]
+	load     *connect.Client[v1.FleetLoad, v1.FleetLoad]
 }
 
 // Exchange calls burdock.v1.FleetService.Exchange.
@@ -117,6 +128,15 @@
 	return nil, err
 }
 
+// Load calls burdock.v1.FleetService.Load.
+func (c *fleetServiceClient) Load(ctx context.Context, req *v1.FleetLoad) (*v1.FleetLoad, error) {
+	response, err := c.load.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // FleetServiceHandler is an implementation of the burdock.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange sends the peer the state that it lacks, and returns the state that the sender lacks.
@@ -125,6 +145,8 @@
 	Search(context.Context, *v1.FleetSearch) (*v1.FleetSearchAnswer, error)
 	// Ping checks that the VM runs and returns its load.
 	Ping(context.Context, *v1.FleetPing) (*v1.FleetPong, error)
+	// Load sends the peer what the sender knows of the load of leaves and gatherers, and returns what the peer knows.
+	Load(context.Context, *v1.FleetLoad) (*v1.FleetLoad, error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -152,6 +174,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Ping")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceLoadHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceLoadProcedure,
+		svc.Load,
+		connect.WithSchema(fleetServiceMethods.ByName("Load")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/burdock.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -160,6 +188,8 @@
 			fleetServiceSearchHandler.ServeHTTP(w, r)
 		case FleetServicePingProcedure:
 			fleetServicePingHandler.ServeHTTP(w, r)
+		case FleetServiceLoadProcedure:
+			fleetServiceLoadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -180,3 +210,7 @@
 func (UnimplementedFleetServiceHandler) Ping(context.Context, *v1.FleetPing) (*v1.FleetPong, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.v1.FleetService.Ping is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) Load(context.Context, *v1.FleetLoad) (*v1.FleetLoad, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.v1.FleetService.Load is not implemented"))
+}
--- a/internal/delegate/gatherer.go
+++ b/internal/delegate/gatherer.go
@@ -8,6 +8,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/overload"
 	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
@@ -35,6 +36,7 @@
 type Gatherer struct {
 	local      dispatch.Server
 	directory  dispatch.Directory
+	gate       Gate
 	leaving    func() bool
 	isGatherer atomic.Bool
 	lag        atomic.Int64
@@ -47,10 +49,17 @@
 	drained chan struct{}
 }
 
+// Gate admits searches by the processor of this VM, and says how much of it is free.
+type Gate interface {
+	dispatch.Gate
+	ObserveLag(now time.Time, lag time.Duration)
+	Room(now time.Time) overload.Room
+}
+
 // NewGatherer returns a gatherer that answers searches with local. leaving reports whether this VM is about to
 // stop.
-func NewGatherer(local dispatch.Server, d dispatch.Directory, leaving func() bool) *Gatherer {
-	return &Gatherer{local: local, directory: d, leaving: leaving, drained: make(chan struct{})}
+func NewGatherer(local dispatch.Server, d dispatch.Directory, gate Gate, leaving func() bool) *Gatherer {
+	return &Gatherer{local: local, directory: d, gate: gate, leaving: leaving, drained: make(chan struct{})}
 }
 
 // SetPlan records whether other VMs hand searches over to this one.
--- a/internal/delegate/gatherer_test.go
+++ b/internal/delegate/gatherer_test.go
@@ -13,6 +13,7 @@
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/overload"
 )
 
 // stubEngine gives every request the same answer after a delay.
@@ -52,7 +53,7 @@
 			Outcome: dispatch.Served, Reason: dispatch.ReasonPartial, Signatures: []string{"a", "b"}, Missing: 2, Records: []byte("records"),
 			RetryAfter: 70 * ms,
 		}}
-		g := NewGatherer(e, e, func() bool { return false })
+		g := NewGatherer(e, e, openGate(), func() bool { return false })
 		now := time.Now()
 		msg := g.Search(t.Context(), encodeSearch("w1", request(now), 4, now))
 		want := request(now)
@@ -80,7 +81,7 @@
 			e := &stubEngine{view: tt.view}
 			req := request(time.Now())
 			req.Target = tt.path
-			msg := NewGatherer(e, e, func() bool { return false }).Search(t.Context(), encodeSearch("w1", req, tt.minVersion, time.Now()))
+			msg := NewGatherer(e, e, openGate(), func() bool { return false }).Search(t.Context(), encodeSearch("w1", req, tt.minVersion, time.Now()))
 			is.Equal(msg.GetNotTaken(), tt.want)
 			is.Equal(len(e.received), 0)
 		})
@@ -92,7 +93,7 @@
 func TestSingleRequestAnswerIsUnknown(t *testing.T) {
 	is := is.New(t)
 	e := &stubEngine{view: testView(4), answer: &dispatch.Answer{Outcome: dispatch.Served, Leaf: &leafcall.Response{Status: 200}}}
-	msg := NewGatherer(e, e, func() bool { return false }).Search(t.Context(), encodeSearch("w1", request(time.Now()), 4, time.Now()))
+	msg := NewGatherer(e, e, openGate(), func() bool { return false }).Search(t.Context(), encodeSearch("w1", request(time.Now()), 4, time.Now()))
 	is.Equal(decodeAnswer(msg).Outcome, dispatch.Unknown)
 }
 
@@ -102,7 +103,7 @@
 		is := is.New(t)
 		leaving := false
 		e := &stubEngine{view: testView(4), delay: 100 * ms, answer: &dispatch.Answer{Outcome: dispatch.Served}}
-		g := NewGatherer(e, e, func() bool { return leaving })
+		g := NewGatherer(e, e, openGate(), func() bool { return leaving })
 		go g.Search(t.Context(), encodeSearch("w1", request(time.Now()), 4, time.Now()))
 		synctest.Wait()
 		leaving = true
@@ -121,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &stubEngine{view: testView(4), delay: 100 * ms, answer: &dispatch.Answer{Outcome: dispatch.Served}}
-		g := NewGatherer(e, e, func() bool { return false })
+		g := NewGatherer(e, e, openGate(), func() bool { return false })
 		for range maxSearches {
 			go g.Search(t.Context(), encodeSearch("w1", request(time.Now()), 4, time.Now()))
 		}
@@ -138,7 +139,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := &stubEngine{view: &directory.View{Config: catalog.New(1, nil, nil, catalog.Limits{})}}
-		g := NewGatherer(e, e, func() bool { return false })
+		g := NewGatherer(e, e, openGate(), func() bool { return false })
 		g.SetPlan(Plan{IsGatherer: true})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -146,3 +147,8 @@
 		is.Equal(g.Ping().GetLagUs(), int64(0))
 	})
 }
+
+// openGate returns a gate that is turned off.
+func openGate() *overload.Gate {
+	return overload.New(overload.Settings{}, func() time.Duration { return 0 }, func() float64 { return 0 })
+}
--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -35,6 +35,8 @@
 	Dial      func(address string) Client
 	// OnNewerConfig is called with the address of a VM that has a newer configuration.
 	OnNewerConfig func(address string)
+	// Gate admits the searches that are handed over by the processor of this VM.
+	Gate dispatch.Gate
 	// Lag returns how late this VM is with its work.
 	Lag      func() time.Duration
 	Log      *zap.Logger
--- a/internal/delegate/manager_test.go
+++ b/internal/delegate/manager_test.go
@@ -138,7 +138,7 @@
 			Self: "w1", Local: f, Directory: f, Observer: f, Log: zap.NewNop(), Registry: prometheus.NewRegistry(),
 			Dial:          func(address string) Client { return map[string]Client{"s1": f.s1, "s2": f.s2}[address] },
 			OnNewerConfig: func(address string) { f.newerConfigs = append(f.newerConfigs, address) },
-			Lag:           func() time.Duration { return 0 },
+			Lag:           func() time.Duration { return 0 }, Gate: openGate(),
 		})
 		f.m.SetPlan(Plan{ZoneGatherers: []string{"s1", "s2"}, GathererCount: 2, DelegatorCount: 1})
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/overload"
 	"github.com/burdockplank/burdockplank/internal/replica"
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
 )
@@ -44,6 +45,10 @@
 	// From is the address of the VM that received the request from the caller and handed it to this one; empty if
 	// this VM received it.
 	From string
+	// Caller is the IP address of the caller; empty if unknown.
+	Caller string
+	// Admitted is set if this VM has already admitted the request by its processor.
+	Admitted bool
 	// Declined says why the larger VMs that were offered the search did not take it; empty if none was offered it.
 	Declined string
 }
@@ -94,7 +99,13 @@
 	// ReasonNoBudget: leaves refused or lost the request, and the budget allows no extra call in time.
 	ReasonNoBudget Reason = "no_budget"
 	// ReasonBusyLeaves: the queues at the leaves are too long for an answer in time.
-	ReasonBusyLeaves     Reason = "busy_leaves"
+	ReasonBusyLeaves Reason = "busy_leaves"
+	// ReasonBusyGatherers: no VM that makes the calls of searches has room for the search.
+	ReasonBusyGatherers Reason = "busy_gatherers"
+	// ReasonBusyProcessor: the request would wait too long for the processor of this VM.
+	ReasonBusyProcessor Reason = "busy_processor"
+	// ReasonCallerShare: the caller has used its equal share of what its priority gets.
+	ReasonCallerShare    Reason = "caller_share"
 	ReasonTooFewShards   Reason = "too_few_shards"
 	ReasonDeadline       Reason = "deadline"
 	ReasonConnectionLost Reason = "connection_lost"
@@ -152,6 +163,11 @@
 	Take(leaf catalog.Leaf, rate float64) bool
 }
 
+// Gate admits requests by the processor of this VM.
+type Gate interface {
+	Admit(now time.Time, r overload.Request) overload.Decision
+}
+
 // Directory returns the latest view.
 type Directory interface {
 	Current() *directory.View
@@ -173,6 +189,7 @@
 	budgets      *retrybudget.Budgets
 	crashes      Crashes
 	coldLeaves   ColdLeaves
+	gate         Gate
 	regions      map[string]string
 	observer     Observer
 	calls        sync.WaitGroup
@@ -200,9 +217,9 @@
 }
 
 // New returns an engine for a VM at the location.
-func New(at Location, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, cold ColdLeaves, o Observer) *Engine {
+func New(at Location, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, cold ColdLeaves, g Gate, o Observer) *Engine {
 	return &Engine{
-		zone: at.Zone, regions: at.Regions, directory: d, leaves: l, table: t, budgets: b, crashes: c, coldLeaves: cold, observer: o,
+		zone: at.Zone, regions: at.Regions, directory: d, leaves: l, table: t, budgets: b, crashes: c, coldLeaves: cold, gate: g, observer: o,
 		started: time.Now(),
 	}
 }
@@ -282,6 +299,10 @@
 	Refusals, Failures, Denied int
 	// GivenUp counts the parts that were late and unlikely to arrive, so the answer did not wait for them.
 	GivenUp int
+	// Wait is the wait by which admission decided, and WaitLimit the longest one at which the request is admitted.
+	Wait, WaitLimit time.Duration
+	// Demand is the number of requests of the same priority per second that admission counted; 0 if it did not.
+	Demand float64
 	// BadCalls holds the first maxBadCalls calls that brought no part.
 	BadCalls []BadCall
 }
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -13,6 +13,7 @@
 	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/overload"
 	"github.com/burdockplank/burdockplank/internal/replica"
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
 )
@@ -256,7 +257,7 @@
 	}
 	w.view = &directory.View{Config: catalog.New(3, routes, nil, catalog.Limits{}), Leaves: leaves, Revision: 9}
 	w.budgets = retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, time.Now)
-	w.engine = New(Location{Zone: "z", Regions: map[string]string{"z": "home", "far": "abroad"}}, w, w, replica.New(), w.budgets, w, w, w)
+	w.engine = New(Location{Zone: "z", Regions: map[string]string{"z": "home", "far": "abroad"}}, w, w, replica.New(), w.budgets, w, w, openGate{}, w)
 	return w
 }
 
@@ -276,3 +277,10 @@
 	a := w.engine.Serve(ctx, &Request{ID: "r1", Method: "GET", Host: "h", Path: path, Target: path, Remaining: 2 * time.Second, Arrived: start})
 	return a, time.Since(start)
 }
+
+// openGate admits every request.
+type openGate struct{}
+
+func (openGate) Admit(time.Time, overload.Request) overload.Decision {
+	return overload.Decision{Admitted: true}
+}
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -45,7 +45,7 @@
 	}))
 	l.budgets = retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 162, Window: 10 * time.Second}, time.Now)
 	l.budgets.SetShare(func(string) float64 { return 0.1 })
-	l.engine = New(Location{Zone: "z"}, l, l, replica.New(), l.budgets, l, noColdLeaves{}, l)
+	l.engine = New(Location{Zone: "z"}, l, l, replica.New(), l.budgets, l, noColdLeaves{}, openGate{}, l)
 	return l
 }
 
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -60,8 +60,8 @@
 	return &replica.Load{Running: len(s.slots), Waiting: s.waiting, Slots: stationSlots}
 }
 
-// overload is several VMs that share the same leaves.
-type overload struct {
+// overloadedFleet is several VMs that share the same leaves.
+type overloadedFleet struct {
 	*world
 	rng      *rand.Rand
 	stations map[string]*station
@@ -71,7 +71,7 @@
 }
 
 // Do implements Leaves.
-func (o *overload) Do(_ context.Context, id catalog.LeafID, r *leafcall.Request) (*leafcall.Response, error) {
+func (o *overloadedFleet) Do(_ context.Context, id catalog.LeafID, r *leafcall.Request) (*leafcall.Response, error) {
 	s := o.stations[id.Name]
 	time.Sleep(ms / 2)
 	if o.float() < s.shed || !s.enter() {
@@ -84,7 +84,7 @@
 	return &leafcall.Response{Status: http.StatusOK, Signature: id.Name, Body: make([]byte, recordBytes), Load: load}, nil
 }
 
-func (o *overload) float() float64 {
+func (o *overloadedFleet) float() float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.rng.Float64()
@@ -96,8 +96,8 @@
 	quickSearch = &catalog.Route{Name: "quick", Host: "h", Prefix: "/quick/", Timeout: 400 * ms, Target: 60 * ms, Priority: 2, MinShare: 0.75}
 )
 
-func newOverload(seed uint64) *overload {
-	o := &overload{world: newWorld(), rng: rand.New(rand.NewPCG(seed, 3)), stations: make(map[string]*station)}
+func newOverload(seed uint64) *overloadedFleet {
+	o := &overloadedFleet{world: newWorld(), rng: rand.New(rand.NewPCG(seed, 3)), stations: make(map[string]*station)}
 	names := shardNames(shards)
 	leaves := replicasOf(names, stationSlots, func(_ int, id string) {
 		o.stations[id] = &station{slots: make(chan struct{}, stationSlots)}
@@ -112,7 +112,7 @@
 	for range overloadVMs {
 		b := retrybudget.New(retrybudget.Limit{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, time.Now)
 		b.SetShare(func(string) float64 { return 1. / overloadVMs })
-		o.engines = append(o.engines, New(Location{Zone: "z"}, o, o, replica.New(), b, o, noColdLeaves{}, o))
+		o.engines = append(o.engines, New(Location{Zone: "z"}, o, o, replica.New(), b, o, noColdLeaves{}, openGate{}, o))
 	}
 	return o
 }
@@ -133,7 +133,7 @@
 
 // press sends searches of both kinds at the given multiple of 180 a second for the given time. Three quarters of
 // them are full searches.
-func (o *overload) press(t *testing.T, multiple float64, d time.Duration) (full, quick tally) {
+func (o *overloadedFleet) press(t *testing.T, multiple float64, d time.Duration) (full, quick tally) {
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	const typicalRate = 180.
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -25,6 +25,11 @@
 	return s.gatherer.Search(ctx, req), nil
 }
 
+// Load implements burdockv1connect.FleetServiceHandler.
+func (s fleetService) Load(context.Context, *pb.FleetLoad) (*pb.FleetLoad, error) {
+	return &pb.FleetLoad{}, nil
+}
+
 // Ping implements burdockv1connect.FleetServiceHandler.
 func (s fleetService) Ping(context.Context, *pb.FleetPing) (*pb.FleetPong, error) {
 	return s.gatherer.Ping(), nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -35,6 +36,7 @@
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/notify"
 	"github.com/burdockplank/burdockplank/internal/operator"
+	"github.com/burdockplank/burdockplank/internal/overload"
 	"github.com/burdockplank/burdockplank/internal/peers"
 	"github.com/burdockplank/burdockplank/internal/process"
 	"github.com/burdockplank/burdockplank/internal/replica"
@@ -65,6 +67,8 @@
 	callerIdleTimeout = 75 * time.Second
 	// headerReadTimeout bounds the time to read the head of a request.
 	headerReadTimeout = 10 * time.Second
+	// maxRetryAfter bounds the delay after which a refused caller is asked to retry.
+	maxRetryAfter = 5 * time.Second
 	// logFlushTimeout bounds writing the remaining log lines at the exit.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -105,6 +109,7 @@
 	guard            *crashguard.Guard
 	coldLeaves       *warmup.Allowance
 	recorder         *decision.Recorder
+	gate             *overload.Gate
 	engine           *dispatch.Engine
 	delegate         *delegate.Manager
 	gatherer         *delegate.Gatherer
@@ -142,12 +147,13 @@
 	d.guard = crashguard.New(d.peers, time.Now, log, reg)
 	d.coldLeaves = warmup.New(s.PeersAddress, s.Zone, slices.Collect(maps.Keys(s.Regions)), s.Warmup, time.Now, reg)
 	at := dispatch.Location{Zone: s.Zone, Regions: s.Regions}
-	d.engine = dispatch.New(at, d.directory, d.pool, d.table, d.budgets, d.guard, d.coldLeaves, d.recorder)
+	d.gate = overload.New(overload.Settings{Cores: float64(s.Millicores) / 1000, MaxRetryAfter: maxRetryAfter}, processorTime, rand.Float64)
+	d.engine = dispatch.New(at, d.directory, d.pool, d.table, d.budgets, d.guard, d.coldLeaves, d.gate, d.recorder)
 	d.delegate = delegate.New(delegate.Config{
-		Self: s.PeersAddress, Local: d.engine, Directory: d.directory, Observer: d.recorder, Dial: dialGatherers(s.IP), OnNewerConfig: d.peers.Fetch, Lag: d.engine.Lag,
+		Self: s.PeersAddress, Local: d.engine, Directory: d.directory, Observer: d.recorder, Dial: dialGatherers(s.IP), OnNewerConfig: d.peers.Fetch, Lag: d.engine.Lag, Gate: d.gate,
 		Log: log, Registry: reg,
 	})
-	d.gatherer = delegate.NewGatherer(d.engine, d.directory, d.leaving.Load)
+	d.gatherer = delegate.NewGatherer(d.engine, d.directory, d.gate, d.leaving.Load)
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
@@ -222,6 +228,7 @@
 	dumps.Add("gatherers", d.delegate)
 	dumps.Add("connections", d.pool)
 	dumps.Add("cold leaves", d.coldLeaves)
+	dumps.Add("admission", d.gate)
 	dumps.Add("crashes", d.guard)
 	dumps.Add("store", operator.DumpFunc(func() any { return d.directory.StoreDump() }))
 	dumps.Add("evacuations", operator.DumpFunc(func() any { return d.directory.Current().Evacuations }))
