Soak: bursts of callers, half of them with callers that retry at once

The soak's callers asked for the same load throughout, so that no promise was checked while VMs or leaves refuse for load.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -42,6 +42,9 @@
 	number   int
 	balancer balancer
 	rng      *rand.Rand
+	// pause is the time between two requests, and retries how often a refused request is sent again without it.
+	pause   time.Duration
+	retries int
 
 	conn      net.Conn
 	reader    *bufio.Reader
@@ -70,11 +73,25 @@
 // run sends requests until ctx ends.
 func (c *caller) run(ctx context.Context, out *callRecorder) {
 	defer c.closeConn()
-	for n := 0; wait.For(ctx, callerPause); n++ {
-		if c.connect() {
-			out.add(c.call(fmt.Sprintf("%02x%06x", c.number, n)))
+	for n, again := 0, 0; wait.For(ctx, c.pauseAfter(again)); n++ {
+		if !c.connect() {
+			continue
 		}
+		call := c.call(fmt.Sprintf("%02x%06x", c.number, n))
+		out.add(call)
+		again++
+		if !call.refused() {
+			again = 0
+		}
+	}
+}
+
+// pauseAfter returns the pause before the next request, after the given number of refusals in a row.
+func (c *caller) pauseAfter(refusals int) time.Duration {
+	if refusals > 0 && refusals <= c.retries {
+		return time.Millisecond
 	}
+	return c.pause
 }
 
 // connect reports whether the caller has a connection. It opens one to a newly picked VM if there is none or if
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -63,6 +63,8 @@
 		tb.evacuate(ctx, zone(int(e.Pick%uint64(tb.o.Size.Zones))), e.For)
 	case LeafCrashingText:
 		tb.sendCrashing(ctx, &tb.calls, e)
+	case CallerBurst:
+		tb.burst(ctx, e)
 	case ConfigChange, ConfigReshard:
 		tb.publishConfig(e.Fault == ConfigReshard)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -60,6 +60,7 @@
 	ZoneEvacuate     Fault = "zone_evacuate"
 	StoreRestore     Fault = "store_restored_from_copy"
 	LeafCrashingText Fault = "leaf_crashing_text"
+	CallerBurst      Fault = "caller_burst"
 )
 
 // faults lists the faults that a plan draws from, with their weights.
@@ -109,6 +110,7 @@
 	plan = append(plan, evacuations(seed, size)...)
 	plan = append(plan, restores(seed, size)...)
 	plan = append(plan, crashingTexts(seed, size)...)
+	plan = append(plan, bursts(seed, size)...)
 	for at := drawDuration(rng, configGap); at < size.Faults; at += drawDuration(rng, configGap) {
 		f := ConfigChange
 		if rng.IntN(5) == 0 {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/deployment"
@@ -42,6 +43,8 @@
 	// trap listens at an address that only foreign entries name.
 	trap *hosted.Leaf
 	vms  []*vm
+	// burstCallers counts the callers that bursts have added.
+	burstCallers atomic.Int64
 	// calls are those of all callers.
 	calls callRecorder
 
@@ -219,7 +222,7 @@
 	var senders sync.WaitGroup
 	senders.Go(func() { tb.balance(callersCtx) })
 	for i := range callers {
-		c := &caller{number: i, balancer: tb, rng: rand.New(rand.NewPCG(tb.o.Seed, uint64(i)+1))}
+		c := &caller{number: i, balancer: tb, rng: rand.New(rand.NewPCG(tb.o.Seed, uint64(i)+1)), pause: callerPause}
 		senders.Go(func() { c.run(callersCtx, &tb.calls) })
 	}
 	wait.For(ctx, startupTime)
