Quota: the division of a capacity, event rates and retry schedules leave internal/admission

The gate of docs/design/overload.md needs the same decisions as the entry's admission, without its wire and bundle types. They move to internal/quota, which internal/admission now uses.

--- a/internal/admission/callers.go
+++ b/internal/admission/callers.go
@@ -9,6 +9,7 @@
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/bundle"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/quota"
 )
 
 // callers holds the rate limit of each caller at this entry. It is safe for concurrent use.
@@ -25,7 +26,7 @@
 // callers guards it.
 type allowance struct {
 	limiter *rate.Limiter
-	retries retrySchedule
+	retries quota.RetrySchedule
 }
 
 func newCallers(s Settings, random Random) *callers {
@@ -45,7 +46,7 @@
 		return nil
 	}
 	e := outcome.NotRun(pb.Reason_REASON_CALLER_LIMIT, step, "more than %g requests a second", caller.Rate)
-	return e.WithRetryAfter(a.retries.retryAfter(now, 0, caller.Rate, c.random()))
+	return e.WithRetryAfter(a.retries.RetryAfter(now, 0, caller.Rate, c.random()))
 }
 
 // allowanceOf returns the caller's allowance, updated to the rate and burst in the caller's present
@@ -53,7 +54,7 @@
 func (c *callers) allowanceOf(now time.Time, caller *bundle.Caller) *allowance {
 	a := c.byName[caller.Name]
 	if a == nil {
-		a = &allowance{limiter: rate.NewLimiter(rate.Limit(caller.Rate), caller.Burst), retries: retrySchedule{maxWait: c.maxRetryAfter}}
+		a = &allowance{limiter: rate.NewLimiter(rate.Limit(caller.Rate), caller.Burst), retries: quota.RetrySchedule{MaxWait: c.maxRetryAfter}}
 		c.byName[caller.Name] = a
 	}
 	if a.limiter.Limit() != rate.Limit(caller.Rate) {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -5,6 +5,7 @@
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/outcome"
+	"github.com/burdockplank/burdockplank/internal/quota"
 )
 
 const step = "entry.admission"
@@ -16,6 +17,9 @@
 	// overloadEndFactor times OverloadAfter is how long no request must be refused for load until the
 	// overload counts as over.
 	overloadEndFactor = 10
+	// capacitySwing is how far the rate at which requests are let in departs from the completion rate, as
+	// a share of it, to keep a few requests waiting and no more.
+	capacitySwing = 0.2
 )
 
 // Result says how an admitted request ended.
@@ -57,12 +61,12 @@
 	// completions counts the requests that ended, without those refused for load or cancelled.
 	// saturatedSince is when the requests in flight last reached the limit, zero while they are below
 	// it.
-	completions    eventRate
+	completions    quota.Rate
 	saturatedSince time.Time
-	retries        retrySchedule
+	retries        quota.RetrySchedule
 	// quotas apply under overload. overloadSince is when overload began, zero while there is none;
 	// lastLoadRefusal is when a request was last refused for load, or overload began if that is later.
-	quotas          quotaTable
+	quotas          quota.Table
 	overloadSince   time.Time
 	lastLoadRefusal time.Time
 }
@@ -70,7 +74,7 @@
 func newLimiter(s Settings, random Random) *limiter {
 	return &limiter{
 		settings: s, random: random, limit: newConcurrencyLimit(s), queue: &queue{},
-		byKind: make(map[string]*estimate), retries: retrySchedule{maxWait: s.MaxRetryAfter.D()},
+		byKind: make(map[string]*estimate), retries: quota.RetrySchedule{MaxWait: s.MaxRetryAfter.D()},
 	}
 }
 
@@ -93,13 +97,13 @@
 // refusal returns the refusal of a request on arrival, or nil. Where the queue is full, another request
 // may be refused in its place.
 func (l *limiter) refusal(now time.Time, w *waiter) *outcome.Error {
-	quota := l.quotas.record(now, w)
+	q := l.quotas.Record(now, w.quotaKey())
 	if l.inFlight < l.limit.slots() && l.queue.length == 0 {
 		return l.refuseTooLate(now, w, 0)
 	}
 	if l.overloaded() {
-		l.quotas.reallocate(now, l.capacity(now))
-		if !quota.take(now) {
+		l.quotas.Reallocate(now, l.capacity(now))
+		if !q.Take(now) {
 			return l.refuseForLoad(now, "more is asked for than can be done")
 		}
 	}
@@ -124,7 +128,7 @@
 // capacity returns how many requests per second are let in under overload: about as many as complete,
 // more while the queue is below its target length and fewer while it is above.
 func (l *limiter) capacity(now time.Time) float64 {
-	drain := l.completions.perSecond(now)
+	drain := l.completions.PerSecond(now)
 	target := max(minWaiting, drain*l.settings.OverloadWait.D().Seconds())
 	shortfall := (target - float64(l.queue.length)) / target
 	return drain * (1 + capacitySwing*max(-1, shortfall))
@@ -148,7 +152,7 @@
 
 // retryAfter returns the time after which a refused caller should retry.
 func (l *limiter) retryAfter(now time.Time) time.Duration {
-	return l.retries.retryAfter(now, l.queue.length, l.drainRate(now), l.random())
+	return l.retries.RetryAfter(now, l.queue.length, l.drainRate(now), l.random())
 }
 
 // admit admits waiting requests while there are free slots.
@@ -187,7 +191,7 @@
 		l.overall.add(now, elapsed)
 	}
 	if r != ResultOverload && r != ResultCancelled {
-		l.completions.add(now)
+		l.completions.Add(now)
 	}
 	l.limit.observe(now, r)
 	l.updateOverload(now)
@@ -265,11 +269,11 @@
 }
 
 // drainRate returns how many requests per second complete while all slots are in use: as counted where
-// they have been in use for rateTimeConstant, else at least the limit divided by the typical time of a
+// they have been in use for quota.RateTimeConstant, else at least the limit divided by the typical time of a
 // request. 0 means that the rate is not known.
 func (l *limiter) drainRate(now time.Time) float64 {
-	counted := l.completions.perSecond(now)
-	if !l.saturatedSince.IsZero() && now.Sub(l.saturatedSince) >= rateTimeConstant {
+	counted := l.completions.PerSecond(now)
+	if !l.saturatedSince.IsZero() && now.Sub(l.saturatedSince) >= quota.RateTimeConstant {
 		return counted
 	}
 	if t := l.overall.typical(); t > 0 {
--- a/internal/admission/line.go
+++ b/internal/admission/line.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/burdockplank/burdockplank/internal/quota"
+)
 
 // waiter is one request at a limiter.
 type waiter struct {
@@ -16,6 +20,11 @@
 	decision chan decision
 }
 
+// quotaKey returns the key of the quota that the request counts against.
+func (w *waiter) quotaKey() quota.Key {
+	return quota.Key{Caller: w.caller, Share: w.share, Weight: w.weight}
+}
+
 // callerQueue holds the waiting requests of one caller in a class, oldest first.
 type callerQueue struct {
 	caller  string
--- a/internal/admission/ration.go
+++ b/internal/quota/quota.go
@@ -1,4 +1,6 @@
-package admission
+// Package quota divides a capacity among priorities and callers, estimates event rates and spreads retries over time.
+// It has no clock and performs no I/O: callers pass the time in.
+package quota
 
 import (
 	"math"
@@ -9,61 +11,64 @@
 const (
 	// reallocateInterval is the time between two computations of the quotas.
 	reallocateInterval = 50 * time.Millisecond
-	// fairShare is the part of the capacity that is divided by the callers' shares alone, regardless of
+	// FairShare is the part of the capacity that is divided by the callers' shares alone, regardless of
 	// the weight of their requests, so that no caller starves.
-	fairShare = 0.1
-	// capacitySwing is how far the rate at which requests are let in departs from the completion rate, as
-	// a share of it, to keep a few requests waiting and no more.
-	capacitySwing = 0.2
+	FairShare = 0.1
 	// metShare is the share of a demand from which it counts as met; it allows for rounding errors.
 	metShare = 0.999
 	// minQuotaBurst is the least size of a quota's token bucket, in requests.
 	minQuotaBurst = 2
 )
 
-// demand is the rate at which one caller sends requests of one weight, and the rate that it is allowed.
+// Key identifies the requests of one weight of one caller, and holds the caller's share.
+type Key struct {
+	Caller string
+	Share  float64
+	// Weight is the priority of the requests; the heaviest go first.
+	Weight int
+}
+
+// Demand is the rate at which one caller sends requests of one weight, and the rate that it is allowed.
 // Both are in requests per second; an allowed rate of +Inf means no bound.
-type demand struct {
-	caller  string
-	share   float64
-	weight  int
-	rate    float64
-	allowed float64
+type Demand struct {
+	Key
+	Rate    float64
+	Allowed float64
 }
 
-// allocate divides the capacity, in requests per second, among the demands: the part fairShare by the
+// Allocate divides the capacity, in requests per second, among the demands: the part FairShare by the
 // callers' shares alone, the rest by weight, heaviest first, and by share within a weight. A demand that
 // is met in full is not bounded, so that its fluctuations aren't cut. The demands must be sorted heaviest
 // first.
-func allocate(capacity float64, demands []*demand) {
+func Allocate(capacity float64, demands []*Demand) {
 	for _, d := range demands {
-		d.allowed = 0
+		d.Allowed = 0
 	}
-	remaining := capacity - allotMaxMin(capacity*fairShare, groupByCaller(demands))
+	remaining := capacity - allotMaxMin(capacity*FairShare, groupByCaller(demands))
 	for i := 0; i < len(demands) && remaining > 0; {
 		j := i
-		for j < len(demands) && demands[j].weight == demands[i].weight {
+		for j < len(demands) && demands[j].Weight == demands[i].Weight {
 			j++
 		}
 		remaining -= allotMaxMin(remaining, groupSingly(demands[i:j]))
 		i = j
 	}
 	for _, d := range demands {
-		if d.allowed >= d.rate*metShare {
-			d.allowed = math.Inf(1)
+		if d.Allowed >= d.Rate*metShare {
+			d.Allowed = math.Inf(1)
 		}
 	}
 }
 
 // demandGroup holds demands that receive their part of a capacity together: those of one caller, heaviest
 // first.
-type demandGroup []*demand
+type demandGroup []*Demand
 
 // unmet returns the part of the group's demand that is not yet allowed, in requests per second.
 func (g demandGroup) unmet() float64 {
 	sum := 0.0
 	for _, d := range g {
-		sum += d.rate - d.allowed
+		sum += d.Rate - d.Allowed
 	}
 	return sum
 }
@@ -71,21 +76,21 @@
 // allot adds the amount, in requests per second, to the group's allowed rates, heaviest first.
 func (g demandGroup) allot(amount float64) {
 	for _, d := range g {
-		x := min(amount, d.rate-d.allowed)
-		d.allowed += x
+		x := min(amount, d.Rate-d.Allowed)
+		d.Allowed += x
 		amount -= x
 	}
 }
 
 // groupByCaller returns one group for each caller.
-func groupByCaller(demands []*demand) []demandGroup {
+func groupByCaller(demands []*Demand) []demandGroup {
 	var groups []demandGroup
 	index := make(map[string]int)
 	for _, d := range demands {
-		i, ok := index[d.caller]
+		i, ok := index[d.Caller]
 		if !ok {
 			i = len(groups)
-			index[d.caller] = i
+			index[d.Caller] = i
 			groups = append(groups, nil)
 		}
 		groups[i] = append(groups[i], d)
@@ -94,7 +99,7 @@
 }
 
 // groupSingly returns one group for each demand.
-func groupSingly(demands []*demand) []demandGroup {
+func groupSingly(demands []*Demand) []demandGroup {
 	groups := make([]demandGroup, len(demands))
 	for i := range demands {
 		groups[i] = demands[i : i+1]
@@ -106,7 +111,7 @@
 // weights, and returns how much of it was allotted.
 func allotMaxMin(capacity float64, groups []demandGroup) float64 {
 	slices.SortFunc(groups, func(a, b demandGroup) int {
-		x, y := a.unmet()/a[0].share, b.unmet()/b[0].share
+		x, y := a.unmet()/a[0].Share, b.unmet()/b[0].Share
 		switch {
 		case x < y:
 			return -1
@@ -117,33 +122,33 @@
 	})
 	shares := 0.0
 	for _, g := range groups {
-		shares += g[0].share
+		shares += g[0].Share
 	}
 	given := 0.0
 	for _, g := range groups {
-		x := min(g.unmet(), (capacity-given)*g[0].share/shares)
+		x := min(g.unmet(), (capacity-given)*g[0].Share/shares)
 		g.allot(x)
 		given += x
-		shares -= g[0].share
+		shares -= g[0].Share
 	}
 	return given
 }
 
-// quota is the measured demand of one caller and weight, with the token bucket of its allowed rate.
-type quota struct {
-	demand
-	arrivals   eventRate
+// Quota is the measured demand of one caller and weight, with the token bucket of its allowed rate.
+type Quota struct {
+	Demand
+	arrivals   Rate
 	tokens     float64
 	refilledAt time.Time
 }
 
-// take takes a token, and reports whether there was one. A quota without a bound always has one.
-func (q *quota) take(now time.Time) bool {
-	if math.IsInf(q.allowed, 1) {
+// Take takes a token, and reports whether there was one. A quota without a bound always has one.
+func (q *Quota) Take(now time.Time) bool {
+	if math.IsInf(q.Allowed, 1) {
 		return true
 	}
-	burst := max(minQuotaBurst, q.allowed*reallocateInterval.Seconds())
-	q.tokens = min(burst, q.tokens+q.allowed*now.Sub(q.refilledAt).Seconds())
+	burst := max(minQuotaBurst, q.Allowed*reallocateInterval.Seconds())
+	q.tokens = min(burst, q.tokens+q.Allowed*now.Sub(q.refilledAt).Seconds())
 	q.refilledAt = now
 	if q.tokens < 1 {
 		return false
@@ -152,49 +157,48 @@
 	return true
 }
 
-// quotaTable measures the demands and limits them to the capacity.
-type quotaTable struct {
+// Table measures the demands and limits them to the capacity. Its zero value is empty. The caller serializes its calls.
+type Table struct {
 	// demands are sorted by weight, heaviest first.
-	demands     []*quota
+	demands     []*Quota
 	allocatedAt time.Time
 }
 
 // idleRate, in requests per second, is the rate below which a demand is dropped.
 const idleRate = 0.05
 
-// quotaOf returns the quota of the request's caller and weight, and creates it without a bound on first
-// use.
-func (t *quotaTable) quotaOf(now time.Time, w *waiter) *quota {
+// quotaOf returns the quota of the caller and weight, and creates it without a bound on first use.
+func (t *Table) quotaOf(now time.Time, k Key) *Quota {
 	i := 0
-	for ; i < len(t.demands) && t.demands[i].weight >= w.weight; i++ {
-		if d := t.demands[i]; d.weight == w.weight && d.caller == w.caller {
-			d.share = w.share
+	for ; i < len(t.demands) && t.demands[i].Weight >= k.Weight; i++ {
+		if d := t.demands[i]; d.Weight == k.Weight && d.Caller == k.Caller {
+			d.Share = k.Share
 			return d
 		}
 	}
-	d := &quota{demand: demand{caller: w.caller, share: w.share, weight: w.weight, allowed: math.Inf(1)}, refilledAt: now}
+	d := &Quota{Demand: Demand{Key: k, Allowed: math.Inf(1)}, refilledAt: now}
 	t.demands = slices.Insert(t.demands, i, d)
 	return d
 }
 
-// record counts an arrival and returns its quota.
-func (t *quotaTable) record(now time.Time, w *waiter) *quota {
-	d := t.quotaOf(now, w)
-	d.arrivals.add(now)
+// Record counts an arrival and returns its quota.
+func (t *Table) Record(now time.Time, k Key) *Quota {
+	d := t.quotaOf(now, k)
+	d.arrivals.Add(now)
 	return d
 }
 
-// reallocate divides the capacity among the quotas again, at most once every reallocateInterval.
-func (t *quotaTable) reallocate(now time.Time, capacity float64) {
+// Reallocate divides the capacity among the quotas again, at most once every reallocateInterval.
+func (t *Table) Reallocate(now time.Time, capacity float64) {
 	if now.Sub(t.allocatedAt) < reallocateInterval {
 		return
 	}
 	t.allocatedAt = now
-	t.demands = slices.DeleteFunc(t.demands, func(d *quota) bool { return d.arrivals.perSecond(now) < idleRate })
-	demands := make([]*demand, len(t.demands))
+	t.demands = slices.DeleteFunc(t.demands, func(d *Quota) bool { return d.arrivals.PerSecond(now) < idleRate })
+	demands := make([]*Demand, len(t.demands))
 	for i, d := range t.demands {
-		d.rate = d.arrivals.perSecond(now)
-		demands[i] = &d.demand
+		d.Rate = d.arrivals.PerSecond(now)
+		demands[i] = &d.Demand
 	}
-	allocate(capacity, demands)
+	Allocate(capacity, demands)
 }
