delegate: choose gatherers by told capacity; ask the gate before a search is handed over or accepted

Callers saw late answers in a burst in one zone, since gatherers accepted searches while their processor was far behind and gatherers of other zones got none until those of the own zone were gone. A gatherer whose processor was behind counted as lost, and its searches were answered 502.

Gatherers decline what their gate refuses and tell their wait and limits. A ping gets the told wait in addition.

TestSearchRoundTrip now expects Admitted to be set at the engine of the gatherer; all else is compared as before.

--- /dev/null
+++ b/internal/delegate/choose.go
@@ -0,0 +1,161 @@
+package delegate
+
+import "time"
+
+const (
+	// calmWait is the expected wait up to which a gatherer counts as having free capacity whatever it told: the work of
+	// two searches.
+	calmWait = 2 * searchWork
+	// minRetryAfter and maxRetryAfter bound the delay, before the jitter, after which a refused caller is asked to retry.
+	minRetryAfter, maxRetryAfter = 50 * time.Millisecond, 5 * time.Second
+)
+
+// timeLeft is the time that a search has left.
+type timeLeft struct {
+	// toTarget is the time left to the target latency of its route; 0 or less if that has passed or there is none.
+	toTarget time.Duration
+	// toTimeout is the time left to the caller's timeout.
+	toTimeout time.Duration
+}
+
+// allows reports whether a search can wait that long.
+func (l timeLeft) allows(wait time.Duration) bool {
+	if l.toTarget > 0 {
+		return wait < l.toTarget
+	}
+	return wait < l.toTimeout
+}
+
+// option is a gatherer as the choice for one search sees it.
+type option struct {
+	address string
+	// reachable is set if the gatherer is neither lost nor about to stop.
+	reachable bool
+	// skip is set if the search must not be offered to it, or not again.
+	skip      bool
+	otherZone bool
+	inFlight  int
+	// wait is the expected wait of the search, and limit the longest one at which the gatherer accepts it; 0 if unknown.
+	wait, limit time.Duration
+	// age is the age of the report from which wait follows. Known is false if there is none that still counts.
+	age   time.Duration
+	known bool
+	// closedFor is how long the gatherer gets no search of this priority because it declined one.
+	closedFor time.Duration
+}
+
+// hasRoom reports whether the gatherer is expected to accept a search with this time left.
+func (o *option) hasRoom(left timeLeft) bool {
+	switch {
+	case o.closedFor > 0:
+		return false
+	case o.wait <= calmWait:
+		return true
+	}
+	return (o.limit == 0 || o.wait <= o.limit) && left.allows(o.wait)
+}
+
+// full reports whether the gatherer is reachable and known to have no room.
+func (o *option) full(left timeLeft) bool { return o.reachable && o.limit > 0 && !o.hasRoom(left) }
+
+// uncertainty is by how much the wait may be off: other VMs may have filled the gatherer for as long as the report is
+// old.
+func (o *option) uncertainty() time.Duration {
+	if !o.known {
+		return freshAge
+	}
+	return min(o.age, freshAge)
+}
+
+// choose returns the index of the gatherer that a search with this time left is offered to, or -1 if there is none.
+// Gatherers of other zones come after all of the own zone. random returns a number in [0,1).
+func choose(from []option, left timeLeft, random func() float64) int {
+	for _, otherZone := range []bool{false, true} {
+		var fit []int
+		for i := range from {
+			o := &from[i]
+			if o.reachable && !o.skip && o.otherZone == otherZone && o.hasRoom(left) {
+				fit = append(fit, i)
+			}
+		}
+		if len(fit) > 0 {
+			return chooseAmong(from, fit, random)
+		}
+	}
+	return -1
+}
+
+// chooseAmong returns one of the indexes in fit. Where all waits are near 0, the number of searches in flight decides.
+func chooseAmong(from []option, fit []int, random func() float64) int {
+	for _, i := range fit {
+		if from[i].wait > calmWait {
+			return shorterOfTwo(from, fit, random)
+		}
+	}
+	return fewestInFlight(from, fit, random)
+}
+
+// fewestInFlight returns the index of the gatherer with the fewest searches in flight, a random one among equals.
+func fewestInFlight(from []option, fit []int, random func() float64) int {
+	out, equal := fit[0], 1
+	for _, i := range fit[1:] {
+		switch {
+		case from[i].inFlight < from[out].inFlight:
+			out, equal = i, 1
+		case from[i].inFlight == from[out].inFlight:
+			equal++
+			if random()*float64(equal) < 1 {
+				out = i
+			}
+		}
+	}
+	return out
+}
+
+// shorterOfTwo returns the one of two random gatherers with the shorter wait. A random part of the uncertainty is added
+// to each wait: all VMs have the same old reports, and would otherwise move to the same gatherer together.
+func shorterOfTwo(from []option, fit []int, random func() float64) int {
+	if len(fit) == 1 {
+		return fit[0]
+	}
+	first := randomIndex(len(fit), random)
+	second := randomIndex(len(fit)-1, random)
+	if second >= first {
+		second++
+	}
+	a, b := &from[fit[first]], &from[fit[second]]
+	if a.perturbedWait(random) <= b.perturbedWait(random) {
+		return fit[first]
+	}
+	return fit[second]
+}
+
+func (o *option) perturbedWait(random func() float64) time.Duration {
+	return o.wait + time.Duration(random()*float64(o.uncertainty()))
+}
+
+func randomIndex(n int, random func() float64) int { return min(int(random()*float64(n)), n-1) }
+
+// soonest returns the index of the full gatherer that has room first, and when it does, or -1 if none is full.
+func soonest(from []option, left timeLeft) (index int, after time.Duration) {
+	index = -1
+	for i := range from {
+		o := &from[i]
+		if !o.full(left) {
+			continue
+		}
+		if d := o.untilRoom(); index < 0 || d < after {
+			index, after = i, d
+		}
+	}
+	return index, after
+}
+
+// untilRoom returns the time until the gatherer's wait has fallen to its limit and it is no longer closed.
+func (o *option) untilRoom() time.Duration { return max(0, o.closedFor, o.wait-o.limit) }
+
+// retryDelay returns the time after which to retry, with jitter of up to half of it.
+func retryDelay(after time.Duration, random func() float64) time.Duration {
+	after = min(max(after, minRetryAfter), maxRetryAfter)
+	return after + time.Duration(random()*float64(after)/2)
+}
--- a/internal/delegate/gatherer.go
+++ b/internal/delegate/gatherer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
 	"github.com/burdockplank/burdockplank/internal/overload"
 	"github.com/burdockplank/burdockplank/internal/wait"
@@ -18,6 +19,8 @@
 	notTakenConfig  = "older configuration"
 	notTakenRoute   = "no such search"
 	notTakenBusy    = "busy"
+	// notTakenNoConnection is not told by a gatherer: it never got the search.
+	notTakenNoConnection = "no connection"
 )
 
 const (
@@ -28,8 +31,9 @@
 	lagInterval = 20 * time.Millisecond
 	// lagWeight is the weight of a new measurement in the moving average of the lag.
 	lagWeight = 0.25
-	// idleInterval is how often a VM that is not a gatherer checks whether it has become one.
-	idleInterval = 500 * time.Millisecond
+	// idleInterval is the time between two measurements on a VM that is not a gatherer. Its gate has to react within
+	// 200 ms.
+	idleInterval = 100 * time.Millisecond
 )
 
 // Gatherer answers searches for other VMs. It is safe for concurrent use.
@@ -77,18 +81,32 @@
 	if config == nil || config.Version < msg.GetVersionLeast() {
 		return &pb.FleetSearchAnswer{NotTaken: notTakenConfig}
 	}
-	req := decodeSearch(msg, time.Now())
-	if route := dispatch.Match(config, req); route == nil || !route.Search() {
+	now := time.Now()
+	req := decodeSearch(msg, now)
+	route := dispatch.Match(config, req)
+	if route == nil || !route.Search() {
 		return &pb.FleetSearchAnswer{NotTaken: notTakenRoute}
 	}
 	if reason := g.admit(); reason != "" {
 		return &pb.FleetSearchAnswer{NotTaken: reason}
 	}
 	defer g.release()
+	if d := g.gate.Admit(now, gateRequest(route, req, overload.Work{Calls: len(route.Shards)}, now)); !d.Admitted {
+		return encodeDecline(d)
+	}
+	req.Admitted = true
 	a := g.local.Serve(ctx, req)
 	return encodeAnswer(a, config.Version)
 }
 
+// gateRequest returns what the gate needs to know of a search that causes the work.
+func gateRequest(route *catalog.Route, req *dispatch.Request, work overload.Work, now time.Time) overload.Request {
+	return overload.Request{
+		Route: route.Name, Priority: route.Priority, Caller: req.Caller,
+		Target: route.Target, Elapsed: now.Sub(req.Arrived), Work: work,
+	}
+}
+
 // admit counts a search as in flight, or returns the reason for declining it.
 func (g *Gatherer) admit() string {
 	g.mu.Lock()
@@ -131,10 +149,10 @@
 
 // Ping returns this VM's load.
 func (g *Gatherer) Ping() *pb.FleetPong {
-	return &pb.FleetPong{LagUs: g.lag.Load(), Leaving: g.leaving()}
+	return encodeLoad(g.lag.Load(), g.leaving(), g.gate.Room(time.Now()))
 }
 
-// Run measures how late timers fire on this VM's processor, until ctx ends.
+// Run measures how late timers fire on this VM's processor and reports it to the gate, until ctx ends.
 func (g *Gatherer) Run(ctx context.Context) error {
 	for {
 		tick := lagInterval
@@ -145,7 +163,10 @@
 		if !wait.For(ctx, tick) {
 			return nil
 		}
-		old, late := float64(g.lag.Load()), float64(time.Since(due).Microseconds())
-		g.lag.Store(int64(old + lagWeight*(max(0, late)-old)))
+		now := time.Now()
+		late := max(0, now.Sub(due))
+		g.gate.ObserveLag(now, late)
+		old := float64(g.lag.Load())
+		g.lag.Store(int64(old + lagWeight*(float64(late.Microseconds())-old)))
 	}
 }
--- a/internal/delegate/gatherer_test.go
+++ b/internal/delegate/gatherer_test.go
@@ -57,7 +57,7 @@
 		now := time.Now()
 		msg := g.Search(t.Context(), encodeSearch("w1", request(now), 4, now))
 		want := request(now)
-		want.From = "w1"
+		want.From, want.Admitted = "w1", true
 		is.Equal(e.received[0], want)
 		is.Equal(decodeAnswer(msg), e.answer)
 		is.Equal(msg.GetVersion(), uint64(4))
--- a/internal/delegate/health.go
+++ b/internal/delegate/health.go
@@ -15,13 +15,15 @@
 	// firstPingDelay is how long a search may be in flight at a gatherer before the gatherer is pinged. Half of
 	// the searches are answered by then or soon after; pinging for all of them would double the messages.
 	firstPingDelay = 40 * time.Millisecond
-	// pingTimeout bounds the answer to a ping. The round trip takes 0.2 ms within a zone; a gatherer that takes
-	// longer than this timeout serves no search in time.
+	// pingTimeout bounds the answer to a ping of a gatherer that told no long wait. The round trip takes 0.2 ms within
+	// a zone.
 	pingTimeout = 100 * time.Millisecond
 	// pingPeriod is the time between two pings while a search is in flight.
 	pingPeriod = 150 * time.Millisecond
 	// lostPingPeriod is the time between two pings of a gatherer that is marked lost.
 	lostPingPeriod = 250 * time.Millisecond
+	// longWait is the told wait above which a gatherer gets more time for a ping, and maxExtraPing bounds that time.
+	longWait, maxExtraPing = 20 * time.Millisecond, 400 * time.Millisecond
 )
 
 // pingWhileInFlight pings the gatherer until ctx, which is that of the search, ends.
@@ -32,6 +34,28 @@
 	}
 }
 
+// requestCheck has Run ping the gatherer.
+func (m *Manager) requestCheck(t *target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.checkPending = true
+	m.wakeRun()
+}
+
+// mayBeBehind reports whether the last report of the gatherer showed a long wait.
+func (m *Manager) mayBeBehind(t *target) bool { return m.pingTimeout(t) > pingTimeout }
+
+// pingTimeout returns how long the gatherer has to answer a ping: where its last report showed a long wait, that wait
+// in addition.
+func (m *Manager) pingTimeout(t *target) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !t.report.valid(time.Now()) || t.report.wait <= longWait {
+		return pingTimeout
+	}
+	return pingTimeout + min(t.report.wait, maxExtraPing)
+}
+
 // handleLoss marks the gatherer lost until it answers a ping, and requests pings of the others. A failure of
 // one gatherer often affects more of them, such as a cut between zones, and finding each through its own search
 // would cost another search.
@@ -62,8 +86,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, t := range m.targets {
-		t.checkPending = t.checkPending || t != lost && t.fallback == lost.fallback
+		t.checkPending = t.checkPending || t != lost && t.otherZone == lost.otherZone
 	}
+	m.wakeRun()
+}
+
+// wakeRun makes Run check the gatherers at once.
+func (m *Manager) wakeRun() {
 	select {
 	case m.wake <- struct{}{}:
 	default:
@@ -78,22 +107,37 @@
 	}
 }
 
-// probe pings a gatherer once and records its load.
+// probe pings a gatherer once and records its load. It returns no error where the ping timed out but the gatherer has
+// answered something else meanwhile.
 func (m *Manager) probe(ctx context.Context, t *target) error {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	start := time.Now()
+	pingCtx, cancel := context.WithTimeout(ctx, m.pingTimeout(t))
 	defer cancel()
-	pong, err := t.client.Ping(ctx, &pb.FleetPing{})
-	if err != nil {
-		return err
+	pong, err := t.client.Ping(pingCtx, &pb.FleetPing{})
+	if err == nil {
+		m.recordLoad(t, pong)
+		return nil
+	}
+	if pingCtx.Err() != nil && m.heardSince(t, start) {
+		return nil
 	}
-	m.recordLoad(t, pong)
-	return nil
+	return err
+}
+
+// heardSince reports whether the gatherer has answered this VM after the time.
+func (m *Manager) heardSince(t *target, start time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return t.heardAt.After(start)
 }
 
+// recordLoad records the load that the gatherer sent to this VM.
 func (m *Manager) recordLoad(t *target, load *pb.FleetPong) {
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t.setLoad(microseconds(load.GetLagUs()), load.GetLeaving(), time.Now())
+	t.heardAt = now
+	t.record(newReport(load, now))
 }
 
 // Run pings the gatherers that are lost or about to stop every lostPingPeriod, and those due for a check once,
@@ -120,7 +164,7 @@
 	defer m.mu.Unlock()
 	var out []*target
 	for _, t := range m.targets {
-		if t.lost || t.leaving || t.checkPending {
+		if !t.reachable() || t.checkPending {
 			out = append(out, t)
 		}
 		t.checkPending = false
@@ -139,7 +183,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if t.lost {
-		m.cfg.Log.Info("stronger VM regained", zap.String("peer", t.address), zap.Duration("lag", t.lag))
+		m.cfg.Log.Info("stronger VM regained", zap.String("peer", t.address),
+			zap.Duration("lag", t.report.lag), zap.Duration("wait", t.report.wait))
 	}
 	t.lost = false
 }
