--- a/internal/delegate/choose.go
+++ b/internal/delegate/choose.go
@@ -37,6 +37,8 @@
 	inFlight  int
 	// wait is the expected wait of the search, and limit the longest one at which the gatherer accepts it; 0 if unknown.
 	wait, limit time.Duration
+	// firstLimit is the limit of the most urgent priority.
+	firstLimit time.Duration
 	// told is the told wait as of the report, and sent the part of wait that this VM has sent since.
 	told, sent time.Duration
 	// age is the age of the report. Known is false if there is none that still counts.
@@ -149,6 +151,22 @@
 
 func randomIndex(n int, random func() float64) int { return min(int(random()*float64(n)), n-1) }
 
+// leastFull returns the index of the gatherer of the own zone with the shortest wait among those that the search can wait
+// for and that are full for its priority only, or -1 if there is none.
+func leastFull(from []option, left timeLeft) int {
+	out := -1
+	for i := range from {
+		o := &from[i]
+		if o.otherZone || o.skip || !o.full(left) || o.limit >= o.firstLimit || !left.allows(o.wait) {
+			continue
+		}
+		if out < 0 || o.wait < from[out].wait {
+			out = i
+		}
+	}
+	return out
+}
+
 // soonest returns the index of the full gatherer that has room first, and when it does, or -1 if none is full.
 func soonest(from []option, left timeLeft) (index int, after time.Duration) {
 	index = -1
--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -57,6 +57,8 @@
 	mu sync.Mutex
 	// targets holds the gatherers that searches may go to. It is guarded by mu.
 	targets []*target
+	// offeredFull holds, by priority, when a search was last offered to a full gatherer. It is guarded by mu.
+	offeredFull [maxLimits]time.Time
 	// otherLoads holds the loads of other gatherers by address, for passing them on. It is guarded by mu.
 	otherLoads map[string]report
 }
--- a/internal/delegate/offer.go
+++ b/internal/delegate/offer.go
@@ -16,6 +16,10 @@
 const (
 	// maxOffers bounds the gatherers that decline one search.
 	maxOffers = 2
+	// minimumPeriod is the time between two searches of a priority that are offered although all gatherers are full for
+	// it. A gatherer accepts some of these, so that no priority starves while more urgent ones fill it, and 65 VMs
+	// together offer its guaranteed minimum several times over.
+	minimumPeriod = 500 * time.Millisecond
 	// maxNamed bounds the gatherers that the line of a refused search names, 60 bytes each.
 	maxNamed = 8
 )
@@ -87,13 +91,31 @@
 	if left.toTimeout <= 0 {
 		return nil
 	}
-	i := choose(m.options(o, now), left, o.foundFull, m.random)
+	options := m.options(o, now)
+	i := choose(options, left, o.foundFull, m.random)
+	if i < 0 {
+		i = m.chooseForMinimum(o, options, left, now)
+	}
 	if i < 0 {
 		return nil
 	}
 	return m.targets[i]
 }
 
+// chooseForMinimum returns the index of a full gatherer where a search of this priority is due to be offered anyway, or
+// -1. Requires mu.
+func (m *Manager) chooseForMinimum(o *offering, options []option, left timeLeft, now time.Time) int {
+	priority := min(max(o.route.Priority, 0), maxLimits-1)
+	if o.declines > 0 || now.Sub(m.offeredFull[priority]) < minimumPeriod {
+		return -1
+	}
+	i := leastFull(options, left)
+	if i >= 0 {
+		m.offeredFull[priority] = now
+	}
+	return i
+}
+
 // options returns the gatherers as the choice for the search sees them, in the order of targets. Requires mu.
 func (m *Manager) options(o *offering, now time.Time) []option {
 	out := make([]option, len(m.targets))
--- a/internal/delegate/target.go
+++ b/internal/delegate/target.go
@@ -103,9 +103,11 @@
 
 // option returns the gatherer as the choice for a search of the priority sees it.
 func (t *target) option(priority int, now time.Time) option {
+	r := &t.report
 	return option{
 		address: t.address, reachable: t.reachable(), skip: t.behind(now), otherZone: t.otherZone, inFlight: len(t.inFlight),
-		wait: t.report.expectedWait(t.sent, now), told: t.report.toldWaitNow(now), sent: t.report.sentWait(t.sent, now), limit: t.report.limit(priority, now),
-		age: t.report.age(now), known: t.report.valid(now), closedFor: t.closedFor(priority, now),
+		wait: r.expectedWait(t.sent, now), told: r.toldWaitNow(now), sent: r.sentWait(t.sent, now),
+		limit: r.limit(priority, now), firstLimit: r.limit(0, now), closedFor: t.closedFor(priority, now),
+		age: r.age(now), known: r.valid(now),
 	}
 }
