delegate: a search that a gatherer's gate declined is refused in any case, with the gate's retry time

A gatherer whose gate declined without telling a limit for the priority left the search to the delegator's own calls.

--- a/internal/delegate/choose.go
+++ b/internal/delegate/choose.go
@@ -74,9 +74,9 @@
 	return o.told+o.sent+o.age <= o.limit/2
 }
 
-// rank returns the wait by which two gatherers are compared: the told one, off by a random time of up to half the age of
-// the report. Other VMs may have filled the gatherer since, or it may have worked off what it had. All VMs have the same
-// old reports, and would otherwise move to the same gatherer together.
+// rank returns the wait by which two gatherers are compared: the told one, off by a random time of up to half the age
+// of the report. Other VMs may have filled the gatherer since, or it may have worked off what it had. All VMs have the
+// same old reports, and would otherwise move to the same gatherer together.
 func (o *option) rank(random func() float64) time.Duration {
 	if !o.known {
 		return o.sent
@@ -85,8 +85,8 @@
 }
 
 // choose returns the index of the gatherer that a search with this time left is offered to, or -1 if there is none.
-// Gatherers of other zones come after all of the own zone. Where a gatherer was full already, the others of the zone may
-// be as well, and those come last that are not known to have room. random returns a number in [0,1).
+// Gatherers of other zones come after all of the own zone. Where a gatherer was full already, the others of the zone
+// may be as well, and those come last that are not known to have room. random returns a number in [0,1).
 func choose(from []option, left timeLeft, foundFull bool, random func() float64) int {
 	for _, fits := range []func(o *option) bool{
 		func(o *option) bool { return !o.otherZone && (!foundFull || o.spacious()) },
@@ -151,8 +151,8 @@
 
 func randomIndex(n int, random func() float64) int { return min(int(random()*float64(n)), n-1) }
 
-// leastFull returns the index of the gatherer of the own zone with the shortest wait among those that the search can wait
-// for and that are full for its priority only, or -1 if there is none.
+// leastFull returns the index of the gatherer of the own zone with the shortest wait among those that the search can
+// wait for and that are full for its priority only, or -1 if there is none.
 func leastFull(from []option, left timeLeft) int {
 	out := -1
 	for i := range from {
--- a/internal/delegate/fleet_test.go
+++ b/internal/delegate/fleet_test.go
@@ -48,7 +48,8 @@
 func (g *modelGatherer) load() *pb.FleetPong {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &pb.FleetPong{WaitUs: max(0, time.Until(g.free)).Microseconds(), WaitLimitsUs: []int64{modelLimit.Microseconds()}}
+	wait := max(0, time.Until(g.free))
+	return &pb.FleetPong{WaitUs: wait.Microseconds(), WaitLimitsUs: []int64{modelLimit.Microseconds()}}
 }
 
 func (g *modelGatherer) pause(d time.Duration) {
@@ -132,7 +133,8 @@
 func runFleet(t *testing.T, zones []string, delegators int, test func(f *modelFleet, is *is.I)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &modelFleet{fixture: &fixture{view: testView(3)}, delegators: make(map[string][]*Manager), rng: rand.New(rand.NewPCG(7, 11))}
+		f := &modelFleet{fixture: &fixture{view: testView(3)}, delegators: make(map[string][]*Manager)}
+		f.rng = rand.New(rand.NewPCG(7, 11))
 		for _, zone := range zones {
 			for _, n := range []string{"1", "2"} {
 				f.gatherers = append(f.gatherers, &modelGatherer{address: zone + n, work: 4 * ms, killed: make(chan struct{})})
@@ -277,6 +279,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				go f.gossip(ctx)
+				time.Sleep(250 * ms) // until all have reports
 				f.press(time.Second, tt.load*capacity)
 				first, second := f.gatherers[0].served, f.gatherers[1].served
 				for range 6 {
@@ -285,6 +288,7 @@
 					share := float64(a) / float64(a+b)
 					is.True(share > 250/capacity-0.1 && share < 250/capacity+0.1)
 				}
+				is.Equal(f.localSearches, 0)
 			})
 		})
 	}
--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -144,7 +144,8 @@
 	pingTimer := time.AfterFunc(firstPingDelay, func() { m.pingWhileInFlight(callCtx, t) })
 	defer pingTimer.Stop()
 	var sent atomic.Bool
-	traced := httptrace.WithClientTrace(callCtx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
+	connected := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	traced := httptrace.WithClientTrace(callCtx, connected)
 	minVersion := max(o.version, m.newestServedVersion.Load())
 	msg, err := t.client.Search(traced, encodeSearch(m.cfg.Self, o.req, minVersion, time.Now()))
 	if err != nil {
--- a/internal/delegate/offer.go
+++ b/internal/delegate/offer.go
@@ -38,8 +38,8 @@
 	foundFull bool
 	// leftZone is set once the search was offered to a gatherer of another zone.
 	leftZone bool
-	// callerShare is the refusal by a gatherer where the caller has used its share; nil if there is none.
-	callerShare *declined
+	// gateDecline is the refusal by a gatherer's gate with the shortest time to retry after; nil if there is none.
+	gateDecline *declined
 }
 
 // declined is why a gatherer has not run a search.
@@ -161,8 +161,8 @@
 		o.declines++
 		o.leftZone = o.leftZone || t.otherZone
 	}
-	if d.reason == dispatch.ReasonCallerShare {
-		o.callerShare = d
+	if d.reason != "" && (o.gateDecline == nil || d.retryAfter < o.gateDecline.retryAfter) {
+		o.gateDecline = d
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -187,21 +187,27 @@
 	if left.toTimeout <= 0 {
 		return nil
 	}
-	if d := o.callerShare; d != nil {
-		a := &dispatch.Answer{Outcome: dispatch.NotRun, Reason: d.reason, RetryAfter: max(d.retryAfter, minRetryAfter)}
-		return m.ended(o, a, &dispatch.Trace{Version: o.version})
-	}
 	m.mu.Lock()
 	options := m.options(o, now)
 	m.mu.Unlock()
 	i, after := soonest(options, left)
-	if i < 0 {
+	if i < 0 && o.gateDecline == nil {
 		return nil
 	}
-	o.req.Declined += describeAll(options)
+	o.req.Declined += describeAll(options, left)
 	retryAfter := retryDelay(after, m.random)
 	a := &dispatch.Answer{Outcome: dispatch.NotRun, Reason: dispatch.ReasonBusyGatherers, RetryAfter: retryAfter}
-	return m.ended(o, a, &dispatch.Trace{Version: o.version, Wait: options[i].wait, WaitLimit: options[i].limit})
+	if d := o.gateDecline; d != nil { // the gate gives its times in the order of its refusals
+		a.RetryAfter = max(d.retryAfter, minRetryAfter)
+		if d.reason == dispatch.ReasonCallerShare {
+			a.Reason = d.reason
+		}
+	}
+	trace := &dispatch.Trace{Version: o.version}
+	if i >= 0 {
+		trace.Wait, trace.WaitLimit = options[i].wait, options[i].limit
+	}
+	return m.ended(o, a, trace)
 }
 
 // ended reports the end of a search that this VM answers without its engine.
@@ -212,22 +218,27 @@
 }
 
 // describeAll describes up to maxNamed gatherers that a search did not go to.
-func describeAll(options []option) string {
+func describeAll(options []option, left timeLeft) string {
 	var out strings.Builder
 	for i := range options[:min(len(options), maxNamed)] {
-		o := &options[i]
-		switch {
-		case !o.reachable:
-			out.WriteString(o.describe("lost or leaving"))
-		case o.closedFor > 0:
-			out.WriteString(o.describe("closed"))
-		default:
-			out.WriteString(o.describe("full"))
-		}
+		out.WriteString(options[i].describe(options[i].state(left)))
 	}
 	return out.String()
 }
 
+// state says in a few words why the gatherer gets no search.
+func (o *option) state(left timeLeft) string {
+	switch {
+	case !o.reachable:
+		return "lost or leaving"
+	case o.closedFor > 0:
+		return "closed"
+	case o.full(left):
+		return "full"
+	}
+	return "not offered"
+}
+
 // describe describes the gatherer with the reason why it has not run a search, for the line of the request.
 func (o *option) describe(reason string) string {
 	if !o.known {
--- a/internal/delegate/refuse_test.go
+++ b/internal/delegate/refuse_test.go
@@ -31,7 +31,9 @@
 	return overload.Room{Wait: 70 * ms, Limits: []time.Duration{60 * ms, 30 * ms}}
 }
 
-var busyCaller = overload.Decision{Reason: overload.ReasonCallerShare, Wait: 70 * ms, Limit: 60 * ms, Demand: 9, RetryAfter: 80 * ms}
+var busyCaller = overload.Decision{
+	Reason: overload.ReasonCallerShare, Wait: 70 * ms, Limit: 60 * ms, Demand: 9, RetryAfter: 80 * ms,
+}
 
 // A search that the gate of either VM refuses causes no call, and its caller learns when to retry.
 func TestGatesRefuse(t *testing.T) {
@@ -40,7 +42,8 @@
 		e, gate := &stubEngine{view: testView(3)}, &fixedGate{Decision: busyCaller}
 		req := request(time.Now())
 		req.Caller = "10.1.1.1"
-		msg := NewGatherer(e, e, gate, func() bool { return false }).Search(t.Context(), encodeSearch("w1", req, 3, time.Now()))
+		g := NewGatherer(e, e, gate, func() bool { return false })
+		msg := g.Search(t.Context(), encodeSearch("w1", req, 3, time.Now()))
 		is.Equal(len(e.received), 0)
 		is.Equal(gate.asked[0], overload.Request{
 			Route: "s", Caller: "10.1.1.1", Target: 150 * ms, Elapsed: 5 * ms, Work: overload.Work{Calls: 2},
@@ -67,7 +70,8 @@
 
 // gathererLoads returns loads of both gatherers of the fixture.
 func gathererLoads(at time.Time, wait time.Duration, limits ...time.Duration) []GathererLoad {
-	return []GathererLoad{{Address: "s1", Wait: wait, Limits: limits, At: at}, {Address: "s2", Wait: wait + ms, Limits: limits, At: at}}
+	s1 := GathererLoad{Address: "s1", Wait: wait, Limits: limits, At: at}
+	return []GathererLoad{s1, {Address: "s2", Wait: wait + ms, Limits: limits, At: at}}
 }
 
 // Gatherers that others told to be full get no search, and the caller is told when one has room. One that declined is
@@ -109,7 +113,8 @@
 			f.view.Config.Match("h", "/s/1").Target = time.Second
 			f.m.RecordGatherers(gathererLoads(time.Now(), wait, time.Second))
 			f.s1.delay = 500 * ms
-			f.m.targets[0].client, f.m.targets[1].lost = slowPing{f.s1}, true
+			f.m.SetPlan(Plan{ZoneGatherers: []string{"s1"}})
+			f.m.targets[0].client = slowPing{f.s1}
 			a, _ := f.search(t.Context(), "/s/1")
 			is.Equal(a.Outcome, want)
 		})
