--- a/internal/delegate/choose_test.go
+++ b/internal/delegate/choose_test.go
@@ -41,6 +41,7 @@
 		"too late for the target":             {[]option{own(30*ms, 60*ms)}, timeLeft{25 * ms, 600 * ms}, false, -1},
 		"target has passed":                   {[]option{own(30*ms, 60*ms)}, timeLeft{-ms, 600 * ms}, false, 0},
 		"no report":                           {[]option{own(61*ms, 60*ms), unknown}, fresh, false, 1},
+		"previous version":                    {[]option{own(61*ms, 60*ms), own(0, 0)}, fresh, false, 1},
 		"calm whatever the limit":             {[]option{own(calmWait, ms), other(0, 60*ms)}, fresh, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/delegate/refuse_test.go
+++ b/internal/delegate/refuse_test.go
@@ -121,6 +121,20 @@
 	}
 }
 
+// A search may time out at a gatherer that is behind. The gatherer counted as lost, and its other searches were
+// answered 502.
+func TestTimeoutAtBusyGatherer(t *testing.T) {
+	runFixture(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		f.s1.delay, f.s2.delay = time.Hour, time.Hour
+		f.s1.pong = &pb.FleetPong{WaitUs: 100_000, WaitLimitsUs: []int64{200_000}}
+		f.s2.pong = f.s1.pong
+		a, _ := f.search(t.Context(), "/s/1")
+		is.Equal([]any{a.Outcome, a.Reason}, []any{dispatch.TimedOut, dispatch.ReasonDeadline})
+		is.True(f.m.targets[0].reachable() && f.m.targets[1].reachable())
+	})
+}
+
 // Loads that other VMs heard of count where they are newer, are passed on for at most a second, and are bounded.
 func TestLoadsOfOtherVMs(t *testing.T) {
 	runFixture(t, func(t *testing.T, f *fixture) {
