delegate: vary told waits by twice their age; count searches sent in the same instant; refuse after a full gatherer

Searches sent in the same instant counted as one.

The wait is varied by twice the age of the report. A search that a full gatherer has declined is refused also where its closure has ended meanwhile.

--- a/internal/delegate/choose.go
+++ b/internal/delegate/choose.go
@@ -6,6 +6,10 @@
 	// calmWait is the expected wait up to which a gatherer counts as having free capacity whatever it told: the work of
 	// two searches.
 	calmWait = 2 * searchWork
+	// rankSpread bounds by how much the wait of a gatherer is varied, as a multiple of the age of its report. All VMs
+	// have the same old reports. With a spread of half the age, they evened out a difference faster than new reports
+	// arrived, and overshot.
+	rankSpread = 2
 	// minRetryAfter and maxRetryAfter bound the delay, before the jitter, after which a refused caller is asked to retry.
 	minRetryAfter, maxRetryAfter = 50 * time.Millisecond, 5 * time.Second
 )
@@ -74,14 +78,13 @@
 	return o.told+o.sent+o.age <= o.limit/2
 }
 
-// rank returns the wait by which two gatherers are compared: the told one, off by a random time of up to half the age
-// of the report. Other VMs may have filled the gatherer since, or it may have worked off what it had. All VMs have the
-// same old reports, and would otherwise move to the same gatherer together.
+// rank returns the wait by which two gatherers are compared: the told one, off by a random time of up to rankSpread
+// times the age of the report. Other VMs may have filled the gatherer since, or it may have worked off what it had.
 func (o *option) rank(random func() float64) time.Duration {
 	if !o.known {
 		return o.sent
 	}
-	return o.told + o.sent + time.Duration((random()-0.5)*float64(min(o.age, freshAge)))
+	return o.told + o.sent + time.Duration((2*random()-1)*rankSpread*float64(min(o.age, freshAge)))
 }
 
 // choose returns the index of the gatherer that a search with this time left is offered to, or -1 if there is none.
--- a/internal/delegate/offer.go
+++ b/internal/delegate/offer.go
@@ -34,7 +34,8 @@
 	// tried holds the gatherers that declined the search or could not be reached, declines counts the former.
 	tried    []*target
 	declines int
-	// foundFull is set once a gatherer has declined the search because it has no room.
+	// foundFull is set once a gatherer has declined the search because it has no room. One of a previous version does
+	// not say so: it also declines where it has many searches of slow leaves.
 	foundFull bool
 	// leftZone is set once the search was offered to a gatherer of another zone.
 	leftZone bool
@@ -54,6 +55,11 @@
 // reached reports whether the gatherer got the search.
 func (d *declined) reached() bool { return d.notTaken != notTakenNoConnection }
 
+// full reports whether the gatherer has no room. Where the caller has used its share, others may still have theirs.
+func (d *declined) full() bool {
+	return d.notTaken == notTakenBusy && d.reason != dispatch.ReasonCallerShare
+}
+
 // left returns the time that the search has left.
 func (o *offering) left(now time.Time) timeLeft {
 	elapsed := now.Sub(o.req.Arrived)
@@ -167,7 +173,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	if d.notTaken == notTakenBusy && d.reason != dispatch.ReasonCallerShare { // others may still have their share
+	if d.full() && (d.reason != "" || t.report.limit(o.route.Priority, now) > 0) {
 		o.foundFull = true
 		t.close(o.route.Priority, now)
 	}
@@ -191,7 +197,7 @@
 	options := m.options(o, now)
 	m.mu.Unlock()
 	i, after := soonest(options, left)
-	if i < 0 && o.gateDecline == nil {
+	if i < 0 && !o.foundFull && o.gateDecline == nil {
 		return nil
 	}
 	o.req.Declined += describeAll(options, left)
--- a/internal/delegate/report.go
+++ b/internal/delegate/report.go
@@ -87,12 +87,13 @@
 
 // drained returns what is left now of a wait at the time of the report and the work sent since.
 func (r *report) drained(wait time.Duration, sent []time.Time, now time.Time) time.Duration {
-	at := now.Add(-reportExpiry)
+	start := now.Add(-reportExpiry)
 	if r.valid(now) {
-		at = r.at
+		start = r.at
 	}
+	at := start
 	for _, s := range sent {
-		if s.After(at) {
+		if s.After(start) {
 			wait = max(0, wait-s.Sub(at)) + searchWork
 			at = s
 		}
