delegate, node: shorter tests of the hand-over

The bounds of extra calls and of cold leaves are checked by one test, and the herd test takes its samples where the loads are passed on. All checks are kept.

--- a/internal/delegate/fleet_test.go
+++ b/internal/delegate/fleet_test.go
@@ -172,11 +172,11 @@
 	})
 	var p Plan
 	for _, g := range f.gatherers {
+		list := &p.OtherZoneGatherers
 		if g.address[:1] == zone {
-			p.ZoneGatherers = append(p.ZoneGatherers, g.address)
-		} else {
-			p.OtherZoneGatherers = append(p.OtherZoneGatherers, g.address)
+			list = &p.ZoneGatherers
 		}
+		*list = append(*list, g.address)
 	}
 	m.SetPlan(p)
 	return m
@@ -283,16 +283,13 @@
 				f.gatherers[1].work = tt.slower
 				f.gatherers[0].silentLoad, f.gatherers[1].silentLoad = true, true
 				capacity := 250 * (1 + float64(4*ms)/float64(tt.slower))
-				ctx, cancel := context.WithCancel(context.Background())
-				defer cancel()
-				go f.gossip(ctx)
-				time.Sleep(250 * ms) // until all have reports
-				f.press(time.Second, tt.load*capacity)
 				var shares []float64
-				var sampler sync.WaitGroup
-				sampler.Go(func() { shares = f.sample(4 * time.Second) })
-				f.press(4*time.Second, tt.load*capacity)
-				sampler.Wait()
+				var gossip sync.WaitGroup
+				gossip.Go(func() { shares = f.gossip(5 * time.Second) })
+				time.Sleep(250 * ms) // until all have reports
+				f.press(4700*ms, tt.load*capacity)
+				gossip.Wait()
+				shares = shares[10:] // until the queues have formed
 				mean, deviation := 0., 0.
 				for _, share := range shares {
 					mean += share / float64(len(shares))
@@ -309,22 +306,11 @@
 	}
 }
 
-// sample returns the share of the first gatherer in the searches of each 100 ms.
-func (f *modelFleet) sample(d time.Duration) []float64 {
-	var out []float64
-	for range d / (100 * ms) {
-		first, second := f.gatherers[0].count(), f.gatherers[1].count()
-		time.Sleep(100 * ms)
-		first, second = f.gatherers[0].count()-first, f.gatherers[1].count()-second
-		out = append(out, float64(first)/float64(max(1, first+second)))
-	}
-	return out
-}
-
-// gossip tells all delegators every 100 ms the loads of the gatherers of 100 ms before.
-func (f *modelFleet) gossip(ctx context.Context) {
+// gossip tells all delegators every 100 ms the loads of the gatherers of 100 ms before. It returns the share of the first
+// gatherer in the searches of each 100 ms.
+func (f *modelFleet) gossip(d time.Duration) (shares []float64) {
 	var old []GathererLoad
-	for f.gatherers[0].pass(ctx, 100*ms) == nil {
+	for range d / (100 * ms) {
 		for _, m := range f.delegators["a"] {
 			m.RecordGatherers(old)
 		}
@@ -333,7 +319,12 @@
 			r := newReport(g.load(), time.Now())
 			old = append(old, newGathererLoad(g.address, &r))
 		}
+		first, second := f.gatherers[0].count(), f.gatherers[1].count()
+		time.Sleep(100 * ms)
+		first, second = f.gatherers[0].count()-first, f.gatherers[1].count()-second
+		shares = append(shares, float64(first)/float64(max(1, first+second)))
 	}
+	return shares
 }
 
 // A gatherer that fails under load costs at most the searches that it gets until this is noticed, and the others take
--- a/internal/node/otherzone_test.go
+++ b/internal/node/otherzone_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -11,78 +12,45 @@
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/peers"
 	"github.com/burdockplank/burdockplank/internal/retrybudget"
-	"github.com/burdockplank/burdockplank/internal/roster"
 	"github.com/burdockplank/burdockplank/internal/warmup"
 )
 
-// othersOf returns the VMs of the fleet without one.
-func (f *cutFleet) othersOf(self peers.VM) []peers.VM {
-	return slices.DeleteFunc(slices.Clone(f.vms), func(v peers.VM) bool { return v == self })
-}
-
-// makers are the zones whose gatherers make the calls of the searches of zone a, in the two halves of a window.
-var makers = map[string][2]string{"stay": {"a", "a"}, "move": {"a", "b"}, "come back": {"b", "a"}}
-
-// Extra calls are spent by the VMs that make the calls. A burst that moves searches to another zone within a window must
-// not add the spent budget of one zone to that of the other beyond what the platform allows.
-func TestExtraCallsWhereSearchesMoveToAnotherZone(t *testing.T) {
+// Extra calls and requests to cold leaves belong to the VMs that make the calls. A burst that moves the searches of a zone
+// to the gatherers of another one must not add the parts of both beyond what the platform allows.
+func TestBoundsWhereSearchesMoveToAnotherZone(t *testing.T) {
 	limit := retrybudget.Limit{Ratio: 0.1, Slack: 30, Window: 10 * time.Second}
-	for name, zones := range makers {
+	coldLimit, coldRate := warmup.Limit{Overage: 1, Slack: 4}, 20.
+	cold := catalog.Leaf{ID: catalog.LeafID{Name: "cold"}, Service: "shard", Zone: "a"}
+	for name, makers := range map[string][]string{"stay": {"a", "a"}, "move": {"a", "b"}, "come back": {"b", "a"}} {
 		t.Run(name, func(t *testing.T) {
 			is, now := is.New(t), time.Now()
-			f, budgets := newCutFleet(), make(map[string]*retrybudget.Budgets)
+			clock := func() time.Time { return now }
+			f, budgets, allowances := newCutFleet(), make(map[string]*retrybudget.Budgets), make(map[string]*warmup.Allowance)
 			for _, self := range f.vms {
-				live := f.othersOf(self)
-				s := newShares(self, live, roster.New().Update(live, now), nil)
+				others := slices.DeleteFunc(slices.Clone(f.vms), func(v peers.VM) bool { return v == self })
+				s := newShares(self, others, others, nil)
 				s.shardServices = map[string]bool{"shard": true}
-				budgets[self.Address] = retrybudget.New(limit, func() time.Time { return now })
+				budgets[self.Address] = retrybudget.New(limit, clock)
 				budgets[self.Address].SetShare(s.extraCallShare)
-			}
-			now = now.Add(2 * limit.Window)
-			requests, extra := 0, 0
-			for _, zone := range zones {
-				for i := range 600 {
-					b := budgets[zone+string(rune('0'+i%2))]
-					b.Request("shard")
-					requests++
-					if b.Take("shard", retrybudget.Needed) {
-						extra++
-					}
-					now = now.Add(limit.Window / 2400)
-				}
-			}
-			is.True(extra > 0)
-			is.True(float64(extra) <= limit.Ratio*float64(requests)+limit.Slack)
-		})
-	}
-}
-
-// A cold leaf gets no more requests where the searches move to the gatherers of another zone: each VM has a part of its
-// own.
-func TestColdLeavesWhereSearchesMoveToAnotherZone(t *testing.T) {
-	limit := warmup.Limit{Overage: 1, Slack: 4}
-	const rate = 20.
-	for name, zones := range makers {
-		t.Run(name, func(t *testing.T) {
-			is, now := is.New(t), time.Now()
-			f, allowances := newCutFleet(), make(map[string]*warmup.Allowance)
-			for _, self := range f.vms {
-				a := warmup.New(self.Address, self.Zone, []string{"a", "b", "c"}, limit, func() time.Time { return now }, prometheus.NewRegistry())
-				a.SetCallers(coldLeafCallers(self, f.othersOf(self)), func(string) warmup.Kind { return warmup.Shards })
+				a := warmup.New(self.Address, self.Zone, []string{"a", "b", "c"}, coldLimit, clock, prometheus.NewRegistry())
+				a.SetCallers(coldLeafCallers(self, others), s.coldLeafKind)
 				allowances[self.Address] = a
 			}
 			now = now.Add(time.Minute)
-			leaf, sent := catalog.Leaf{ID: catalog.LeafID{Name: "cold"}, Service: "shard", Zone: "a"}, 0
-			for _, zone := range zones {
-				for i := range 100 {
-					if allowances[zone+string(rune('0'+i%2))].Take(leaf, rate) {
-						sent++
-					}
-					now = now.Add(time.Second / 200)
+			extra, toCold := 0, 0
+			for i := range 1000 { // within one second
+				gatherer := fmt.Sprint(makers[i/500], i%2)
+				budgets[gatherer].Request("shard")
+				if budgets[gatherer].Take("shard", retrybudget.Needed) {
+					extra++
+				}
+				if allowances[gatherer].Take(cold, coldRate) {
+					toCold++
 				}
+				now = now.Add(time.Second / 1000)
 			}
-			is.True(sent > 0)
-			is.True(float64(sent) <= limit.Overage*rate+limit.Slack)
+			is.True(extra > 0 && float64(extra) <= limit.Ratio*1000+limit.Slack)
+			is.True(toCold > 0 && float64(toCold) <= coldLimit.Overage*coldRate+coldLimit.Slack)
 		})
 	}
 }
