Overload: lower priorities yield to refusals of more urgent ones; the cost of a unit without background work

Cause: in a trial with 71 VMs at 22 times the usual load, VMs of 0.192 cores that used a quarter of their processor refused a quarter of their searches, and gatherers refused at waits of 1 to 5 ms with a fifth of their processor unused: limits of lower priorities were fixed at one or two requests, and the unit cost was learned from the busiest windows only.

Change: all priorities may find the wait of the most urgent one, or four of their own requests. Each refusal of a more urgent request halves what the lower ones may find, for a second, and it doubles back after that. Windows count by the units in them, background work is learned apart, and the limits that are told are those that decide.

--- a/internal/overload/backlog.go
+++ b/internal/overload/backlog.go
@@ -38,9 +38,6 @@
 	return time.Duration(work / b.cores * float64(time.Second))
 }
 
-// share returns the part of the draining rate that work at the given rate needs, in seconds of processor time per second.
-func (b *backlog) share(rate float64) float64 { return rate / (drainFraction * b.cores) }
-
 // untilBelow returns the time until the given wait has drained to the limit.
 func untilBelow(wait, limit time.Duration) time.Duration {
 	return time.Duration(float64(max(0, wait-limit)) / drainFraction)
--- a/internal/overload/cost.go
+++ b/internal/overload/cost.go
@@ -11,16 +11,22 @@
 	costWindow = 100 * time.Millisecond
 	// maxCostWindow is the longest one. A longer window has too few requests to explain the usage.
 	maxCostWindow = time.Second
-	// busyShare is the part of the processor share that must be used in a window for it to count. Below it,
-	// background work dominates.
-	busyShare = 0.2
+	// busyShare is the part of the processor share that the counted units must cost, by the present estimate, for a
+	// window to count. A choice by the usage would prefer the windows in which the units were expensive. At 0.2,
+	// few windows counted where a unit took four times as long as estimated.
+	busyShare = 0.1
+	// idleShare is the part up to which a window shows the usage of background work, maxBackground bounds that usage
+	// as a part of the share, and backgroundWeight is the weight of a window in it.
+	idleShare        = 0.01
+	maxBackground    = 0.1
+	backgroundWeight = 0.1
 	// costDecay is the factor by which the weight of earlier windows falls with each window.
 	costDecay = 0.8
 	// saturatedShare is the part of the processor share from which the processor counts as saturated. After
 	// maxSaturated the estimate rises by saturatedFactor with each window.
 	saturatedShare  = 0.97
-	maxSaturated    = 700 * time.Millisecond
-	saturatedFactor = 1.25
+	maxSaturated    = 1000 * time.Millisecond
+	saturatedFactor = 1.1
 	// maxUsageFactor bounds the usage that is plausible in a window, as a multiple of its length and of the cores (at
 	// least one). A greater increase follows a failed reading.
 	maxUsageFactor = 8
@@ -30,7 +36,7 @@
 const (
 	receiveUnits  = 4
 	handOverUnits = 4
-	refuseUnits   = 1.5
+	refuseUnits   = 0.5
 	// maxCalls bounds the number of calls of one request.
 	maxCalls = 4096
 )
@@ -51,6 +57,8 @@
 
 	// usedSeconds and countedUnits are sums over the busy windows, with weights that decay.
 	usedSeconds, countedUnits float64
+	// background is the usage without requests, in seconds per second.
+	background float64
 	// saturated is how long the processor has been saturated, in seconds.
 	saturated float64
 	// The current window: its start, the usage (0 if unknown) and the backlog, in seconds, at its start, and the units
@@ -100,14 +108,25 @@
 }
 
 // learn takes in a window of the given length, in seconds, in which the process used the given processor time for the
-// units. It ignores a window that was not busy, also where the usage stands still or jumps.
+// units. It ignores a window where the usage stands still or jumps.
 func (c *unitCost) learn(length, used, units float64) {
-	if used <= busyShare*c.cores*length || used > maxUsageFactor*max(1, c.cores)*length || units == 0 {
+	if used <= 0 || used > maxUsageFactor*max(1, c.cores)*length {
 		return
 	}
+	switch share := c.seconds(units) / (c.cores * length); {
+	case share <= idleShare:
+		usage := min(used/length, maxBackground*c.cores)
+		c.background += backgroundWeight * (usage - c.background)
+	case share >= busyShare:
+		c.learnUnit(units, used-c.background*length)
+		c.correct(length, used)
+	}
+}
+
+// learnUnit takes in the processor time used for the units.
+func (c *unitCost) learnUnit(units, used float64) {
 	c.usedSeconds = costDecay*c.usedSeconds + units*boundUnit(used/units)
 	c.countedUnits = costDecay*c.countedUnits + units
-	c.correct(length, used)
 }
 
 // correct raises the estimate if the processor stays saturated for longer than it takes to do the backlog. Work then
--- a/internal/overload/dump.go
+++ b/internal/overload/dump.go
@@ -22,6 +22,8 @@
 	Priority int    `json:"priority"`
 	Active   bool   `json:"active"`
 	Limit    string `json:"limit"`
+	// Part is the part of its whole limit that the priority may use while more urgent requests are refused.
+	Part float64 `json:"part"`
 	// Demand and Admitted are in requests per second.
 	Demand         float64 `json:"demand_per_second"`
 	Admitted       float64 `json:"admitted_per_second"`
@@ -52,7 +54,7 @@
 // levelState requires mu.
 func (g *Gate) levelState(p int, l *level) levelState {
 	return levelState{
-		Priority: p, Active: g.limits.limits[p].target > 0, Limit: text(g.limits.limits[p].wait),
+		Priority: p, Active: g.limits.limits[p].target > 0, Limit: text(g.limits.limits[p].wait), Part: l.yield.now(g.now),
 		Demand: l.demand.PerSecond(g.now), Admitted: l.admitted.PerSecond(g.now), Admissions: l.admissions,
 		BusyRefusals: l.busyRefusals, CallerRefusals: l.callerRefusals,
 	}
--- a/internal/overload/level.go
+++ b/internal/overload/level.go
@@ -37,15 +37,10 @@
 	f.at = now
 }
 
-// due reports whether the guaranteed part admits the work now. It must suffice for up to two more such requests: for one
-// if the work displaces requests of more urgent priorities, and for one by the debt, of 0 to 1, of a caller that has
-// had more than its share. Moments and callers for which that is not so go first.
-func (f *floor) due(work float64, displaces bool, debt float64) bool {
-	needed := work * (1 + debt)
-	if displaces {
-		needed += work
-	}
-	return f.seconds >= needed
+// due reports whether the guaranteed part admits the work now. It must suffice for up to two more such requests by the
+// debt, of 0 to 1, of a caller that has had more than its share, so that other callers go first.
+func (f *floor) due(work, debt float64) bool {
+	return f.seconds >= work*(1+(floorRequests-1)*debt)
 }
 
 // use uses the guaranteed part up for work. It leaves no debt.
@@ -58,6 +53,8 @@
 	// units is the mean work of the requests.
 	units float64
 	floor floor
+	// yield reduces the limit while more urgent requests are refused.
+	yield yield
 	// refusedAt is the time of the last refusal for load; zero if there was none.
 	refusedAt time.Time
 	// The requests since the start.
--- a/internal/overload/limits.go
+++ b/internal/overload/limits.go
@@ -1,30 +1,17 @@
 package overload
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// waitFraction is the part of a route's target that a request may wait for the processor. The rest is for the
-	// work itself, the leaves and the way back.
+	// work itself, the leaves and the way back. A refusal waits for the processor, too, and has a quarter of the target:
+	// at 0.35, refusals after a step in load took up to 0.26 of it.
 	waitFraction = 0.33
-	// priorityFactor reduces the limit with each more urgent priority.
-	priorityFactor = 0.7
-	// minRoom is the least distance of the limit of a priority from that of the next more urgent one, in requests of
-	// the latter. roomFactor increases it with the load of the more urgent priorities: in a queue with requests of
-	// equal size at the load r, one request in a hundred finds more than ln(100)/2 * r/(1-r) others. floorLoad is
-	// added to that load for the guaranteed parts of the others, and maxLoad bounds it.
-	minRoom    = 4
-	roomFactor = 2.3
-	floorLoad  = 0.1
-	maxLoad    = 0.95
-	// minRequests is the limit, in requests, that a priority keeps where the more urgent ones need all the room.
-	minRequests = 3
+	// wholeRequests is the least limit of a priority that does not yield to others, in its own requests. On a small VM a
+	// request takes several milliseconds, and a fraction of the target alone would refuse the second one of two.
+	wholeRequests = 4
 	// maxLimit bounds all limits, so that the backlog drains within a second after the end of an overload.
 	maxLimit = 500 * time.Millisecond
-	// unbounded is longer than any wait.
-	unbounded = time.Duration(math.MaxInt64)
 	// minOwnFraction is the part of the limit of its priority that a request keeps when its own time is used up.
 	minOwnFraction = 0.25
 
@@ -97,17 +84,13 @@
 	return largest
 }
 
-// limit is the wait limit of an active priority.
+// limit holds the wait limits of a priority.
 type limit struct {
-	// target is the smallest target of the priority's routes.
+	// target is the smallest target of the priority's routes; 0 if the priority is not active.
 	target time.Duration
-	// wait is the longest wait at which a request of the priority is admitted.
-	wait time.Duration
-	// room is the longest wait up to which a request of the priority may bring the processor, so that a request of
-	// the next more urgent priority is still admitted; unbounded for the most urgent one.
-	room time.Duration
-	// lower is the wait of the next less urgent priority, 0 if there is none.
-	lower time.Duration
+	// wait is the longest wait at which a request is admitted, and lower that of the next less urgent priority, 0 if there
+	// is none.
+	wait, lower time.Duration
 }
 
 // limitTable holds the limits of the active priorities.
@@ -119,46 +102,24 @@
 	limits [priorities]limit
 }
 
-// usage says what requests need of the processor.
-type usage interface {
-	// workTime returns the time that the processor takes for a request of the priority.
-	workTime(priority int) time.Duration
-	// load returns the part of the processor that all requests of the priority need, and refusals that of the
-	// refusals of all priorities.
-	load(priority int) float64
-	refusals() float64
-}
-
-// compute computes the limits for the routes.
-func (t *limitTable) compute(routes routeTable, u usage) {
+// compute computes the limits for the routes. work returns the time that the processor takes for a request of a
+// priority, and part the part of its limit that the priority may use. A priority has no higher limit than a more urgent
+// one.
+func (t *limitTable) compute(routes routeTable, work func(priority int) time.Duration, part func(priority int) float64) {
 	t.collect(routes)
-	load := floorLoad + u.refusals()
-	var formula time.Duration
-	for i, p := range t.active {
+	var upper *limit
+	for _, p := range t.active {
 		l := &t.limits[p]
-		own := min(maxLimit, scale(l.target, waitFraction))
-		if i == 0 {
-			formula, l.wait, l.room = own, own, unbounded
-			continue
+		whole := max(min(maxLimit, scale(l.target, waitFraction)), wholeRequests*work(p))
+		l.wait = scale(whole, part(p))
+		if upper != nil {
+			l.wait = min(l.wait, upper.wait)
+			upper.lower = l.wait
 		}
-		formula = min(own, scale(formula, priorityFactor))
-		q := t.active[i-1]
-		upper := &t.limits[q]
-		load += u.load(q)
-		below := upper.wait - scale(u.workTime(q), requestsAbove(load))
-		l.wait = min(formula, upper.wait, max(below, minRequests*u.workTime(p)))
-		l.room = upper.wait - minRoom*u.workTime(q)
-		upper.lower = l.wait
+		upper = l
 	}
 }
 
-// requestsAbove returns how many requests find room above the limit of the next priority, for the load of the more urgent
-// ones.
-func requestsAbove(load float64) float64 {
-	load = min(load, maxLoad)
-	return max(minRoom, roomFactor*load/(1-load))
-}
-
 // collect sets the active priorities and their targets.
 func (t *limitTable) collect(routes routeTable) {
 	t.largestTarget = routes.largestTarget()
@@ -194,17 +155,11 @@
 	return t.limits[t.active[0]].wait
 }
 
-// of returns the limit of a request whose work takes the processor the given time.
-func (t *limitTable) of(r *Request, work time.Duration) time.Duration {
+// of returns the limit of a request.
+func (t *limitTable) of(r *Request) time.Duration {
 	l := &t.limits[r.Priority]
 	own := scale(t.targetOf(r.Target)-r.Elapsed, waitFraction)
-	wait := min(l.wait, max(own, scale(l.wait, minOwnFraction)))
-	return min(wait, t.roomFor(r.Priority, work))
-}
-
-// roomFor returns the longest wait at which work that takes the given time leaves room to more urgent priorities.
-func (t *limitTable) roomFor(priority int, work time.Duration) time.Duration {
-	return max(0, t.limits[priority].room-work)
+	return min(l.wait, max(own, scale(l.wait, minOwnFraction)))
 }
 
 // withDebt returns the limit, of those of the request, for a caller that has had more than its share, by its debt of 0
@@ -215,22 +170,20 @@
 }
 
 // byPriority returns the limits of the priorities from 0 to the least urgent active one, at most count. A priority
-// that is not active gets what the formula gives it for its neighbours.
+// that is not active gets that of the next less urgent one that is.
 func (t *limitTable) byPriority(count int) []time.Duration {
 	if len(t.active) == 0 {
 		return nil
 	}
-	limits := make([]time.Duration, min(count, t.active[len(t.active)-1]+1))
-	upper := t.limits[t.active[0]]
-	for p := range limits {
-		switch {
-		case t.limits[p].target > 0:
-			upper = t.limits[p]
-			limits[p] = upper.wait
-		case p < t.active[0]:
-			limits[p] = upper.wait
-		default:
-			limits[p] = max(upper.lower, scale(upper.wait, priorityFactor))
+	last := t.active[len(t.active)-1]
+	limits := make([]time.Duration, min(count, last+1))
+	wait := time.Duration(0)
+	for p := last; p >= 0; p-- {
+		if t.limits[p].target > 0 {
+			wait = t.limits[p].wait
+		}
+		if p < len(limits) {
+			limits[p] = wait
 		}
 	}
 	return limits
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -80,11 +80,15 @@
 	// limit would not count as work; without a bound the wait would go on after the end of the overload.
 	refuseMargin = 100 * time.Millisecond
 	// overloadDelay is the least retry delay where more is refused than now and then. The backlog is under the limit
-	// again much sooner, but the load that has filled it is still there.
-	overloadDelay = 500 * time.Millisecond
+	// again much sooner, but the load that has filled it is still there: after 500 ms, up to 1 in 18 are refused again
+	// in bursts of a second.
+	overloadDelay = 600 * time.Millisecond
 	// retryShare is the part of the rate of admissions that is given to retries. The rest is for the requests that
 	// come for the first time; without it, the retries of a burst would be refused again.
 	retryShare = 0.4
+	// refusalsShare is the part of the processor share that refusals may take from what the backlog does not use. At
+	// ten times the load that can be served, they would otherwise displace an eighth of the requests.
+	refusalsShare = 0.05
 	// defaultMaxRetryAfter applies where the settings name no bound.
 	defaultMaxRetryAfter = 10 * time.Second
 )
@@ -107,8 +111,10 @@
 	limitsAt time.Time
 	levels   [priorities]level
 	// floors holds what is left of the guaranteed parts of all priorities together.
-	floors  floor
-	callers callerTable
+	floors floor
+	// refusals holds what is left of refusalsShare.
+	refusals floor
+	callers  callerTable
 }
 
 // New returns a gate. usage returns the processor time that the process has used so far, and random a number in
@@ -147,7 +153,7 @@
 	if d.Admitted {
 		g.admit(l, c, units)
 	} else {
-		g.refuse(l, c, &d)
+		g.refuse(&r, l, c, &d)
 	}
 	return d
 }
@@ -185,28 +191,25 @@
 func (g *Gate) updateLimits() {
 	g.limitsAt = g.now
 	g.routes.expire(g.now)
-	g.limits.compute(g.routes, g)
+	g.limits.compute(g.routes, g.workTime, g.partOf)
 }
 
-// workTime implements usage. It requires mu.
+// workTime returns the time that the processor takes for a request of the priority. It requires mu.
 func (g *Gate) workTime(priority int) time.Duration {
 	return g.backlog.timeFor(g.cost.seconds(g.levels[priority].units))
 }
 
-// load implements usage. It requires mu.
-func (g *Gate) load(priority int) float64 {
-	l := &g.levels[priority]
-	return g.backlog.share(l.demand.PerSecond(g.now) * g.cost.seconds(l.units))
-}
+// partOf returns the part of its limit that the priority may use. It requires mu.
+func (g *Gate) partOf(priority int) float64 { return g.levels[priority].yield.now(g.now) }
 
-// refusals implements usage. It requires mu.
-func (g *Gate) refusals() float64 {
-	refused := 0.0
+// yieldTo reduces the limits of the priorities below the given one, of which a request is refused. It requires mu.
+func (g *Gate) yieldTo(priority int) {
 	for _, p := range g.limits.active {
-		l := &g.levels[p]
-		refused += max(0, l.demand.PerSecond(g.now)-l.admitted.PerSecond(g.now))
+		if p > priority {
+			g.levels[p].yield.give(g.now)
+		}
 	}
-	return g.backlog.share(refused * g.cost.seconds(refuseUnits))
+	g.updateLimits()
 }
 
 // callerOf counts the request for its caller, and returns the caller while the level is being cut. It requires mu.
@@ -228,7 +231,7 @@
 
 // decide decides about a request with the given work, in seconds of processor time. It requires mu.
 func (g *Gate) decide(r *Request, l *level, c *caller, work float64) Decision {
-	d := Decision{Wait: g.wait(), Limit: g.limits.of(r, g.backlog.timeFor(work))}
+	d := Decision{Wait: g.wait(), Limit: g.limits.of(r)}
 	limit := g.limits.withDebt(r, d.Limit, c.debt())
 	if d.Wait > limit && d.Wait <= d.Limit {
 		d.Limit, d.Reason = limit, ReasonCallerShare
@@ -238,7 +241,7 @@
 	case d.Wait <= d.Limit:
 		d.Admitted = true
 		l.floor.use(work)
-	case g.floorDue(r, l, c, work):
+	case g.floorDue(l, c, work):
 		d.Admitted = true
 		l.floor.use(work)
 		g.floors.use(work)
@@ -249,9 +252,8 @@
 }
 
 // floorDue reports whether the guaranteed part of the level admits the work. It requires mu.
-func (g *Gate) floorDue(r *Request, l *level, c *caller, work float64) bool {
-	displaces := g.wait() > g.limits.roomFor(r.Priority, g.backlog.timeFor(work))
-	return l.floor.due(work, displaces, c.debt()) && g.floors.due(work, false, 0)
+func (g *Gate) floorDue(l *level, c *caller, work float64) bool {
+	return l.floor.due(work, c.debt()) && g.floors.due(work, 0)
 }
 
 // admit counts an admitted request. It requires mu.
@@ -266,18 +268,30 @@
 }
 
 // refuse counts a refused request and sets its retry delay. It requires mu.
-func (g *Gate) refuse(l *level, c *caller, d *Decision) {
-	g.cost.count(refuseUnits)
-	g.backlog.addUpTo(g.cost.seconds(refuseUnits), g.limits.largest()+refuseMargin)
+func (g *Gate) refuse(r *Request, l *level, c *caller, d *Decision) {
+	g.countRefusal()
 	l.refusedAt = g.now
 	if d.Reason == ReasonCallerShare {
 		l.callerRefusals++
 	} else {
 		l.busyRefusals++
+		g.yieldTo(r.Priority)
 	}
 	d.RetryAfter = g.retryAfter(l, c, d)
 }
 
+// countRefusal adds the work of a refusal to the backlog, unless it fits the part for refusals. It requires mu.
+func (g *Gate) countRefusal() {
+	work := g.cost.seconds(refuseUnits)
+	g.cost.count(refuseUnits)
+	g.refusals.earn(g.now, refusalsShare*g.backlog.cores, work)
+	if g.refusals.due(work, 0) {
+		g.refusals.use(work)
+		return
+	}
+	g.backlog.addUpTo(work, g.limits.largest()+refuseMargin)
+}
+
 // retryAfter returns the retry delay of a refused request: when the wait is under the limit and the overload is
 // probably over, after the requests refused before. It requires mu.
 func (g *Gate) retryAfter(l *level, c *caller, d *Decision) time.Duration {
@@ -290,8 +304,7 @@
 		// Its own schedule, so that a caller that asks for more than its share does not delay the others.
 		schedule, rate = &c.retries, c.Allowed
 	}
-	delay := schedule.RetryAfter(g.now.Add(until), 0, retryShare*rate, g.random())
-	return min(until+delay, g.maxRetryAfter)
+	return min(until+schedule.RetryAfter(g.now, 0, retryShare*rate, g.random()), g.maxRetryAfter)
 }
 
 // ObserveLag records how late a timer of this process fired.
--- a/internal/quota/retry.go
+++ b/internal/quota/retry.go
@@ -13,8 +13,10 @@
 // the queue drains, so that the retries don't arrive in one wave.
 type RetrySchedule struct {
 	MaxWait time.Duration
-	// latest is the time given to the request refused last.
-	latest time.Time
+	// waiting is the number of refused requests whose time was yet to come at updated. Unlike times, it follows a
+	// drain rate that changes.
+	waiting float64
+	updated time.Time
 }
 
 // RetryAfter returns the time after which to retry: after the requests ahead have completed, at a drain
@@ -22,16 +24,14 @@
 // jitter of up to one interval. Where the schedule is longer than MaxWait, the jitter spreads the time
 // over the later half of MaxWait.
 func (s *RetrySchedule) RetryAfter(now time.Time, ahead int, drain, random float64) time.Duration {
-	interval := time.Duration(float64(time.Second) / max(drain, minDrainRate))
-	earliest := now.Add(minRetryAfter + time.Duration(ahead)*interval)
-	if s.latest.Before(earliest) {
-		s.latest = earliest
-	}
-	s.latest = s.latest.Add(interval)
-	wait := s.latest.Sub(now) - time.Duration(random*float64(interval))
+	drain = max(drain, minDrainRate)
+	drained := now.Sub(s.updated).Seconds() * drain
+	s.waiting = max(s.waiting-drained, float64(ahead)) + 1
+	s.updated = now
+	wait := minRetryAfter + time.Duration((s.waiting-random)/drain*float64(time.Second))
 	if wait <= s.MaxWait {
 		return wait
 	}
-	s.latest = now.Add(s.MaxWait)
+	s.waiting = (s.MaxWait - minRetryAfter).Seconds() * drain
 	return s.MaxWait - time.Duration(random*float64(s.MaxWait)/2)
 }
