Load reports: VMs tell each other how busy leaves and gatherers are

A VM of a large fleet sees 2 answers a second of each leaf, so that single requests went to leaves whose queue other VMs had seen (observations in docs/design/overload.md).

VMs that use a service or gatherer which is at least half full now exchange reports with a hub of their zone every 200 ms, and hubs with those of other zones. Otherwise there are no messages.

--- /dev/null
+++ b/internal/fleetload/fleetload.go
@@ -0,0 +1,378 @@
+// Package fleetload lets the VMs report to each other how busy leaves and gatherers are. Each VM sees few answers of
+// each leaf, too few to know its queue. While a service or gatherer is at least half full, the VMs that use it exchange
+// reports with a hub of their zone, and the hubs with those of other zones. Otherwise there are no messages.
+package fleetload
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
+	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/delegate"
+	"github.com/burdockplank/burdockplank/internal/peers"
+	"github.com/burdockplank/burdockplank/internal/replica"
+	"github.com/burdockplank/burdockplank/internal/wait"
+)
+
+// gatewaysMaxAge is how long the gateways are kept before they are read again. Membership takes seconds to change.
+const gatewaysMaxAge = 500 * time.Millisecond
+
+// Client makes calls to another VM.
+type Client interface {
+	Load(ctx context.Context, req *pb.FleetLoad) (*pb.FleetLoad, error)
+}
+
+// Leaves holds the reports of leaves.
+type Leaves interface {
+	Loads(now time.Time, maxAge time.Duration, include func(catalog.LeafID) bool) []replica.LeafReport
+	ReportAt(id catalog.LeafID, load replica.Load, at, now time.Time)
+}
+
+// Gatherers holds the loads of gatherers.
+type Gatherers interface {
+	GathererLoads(now time.Time) []delegate.GathererLoad
+	RecordGatherers(loads []delegate.GathererLoad)
+}
+
+// Config holds the settings and dependencies of a Manager.
+type Config struct {
+	// Self is the address of this VM, Zone its availability zone.
+	Self, Zone string
+	// Gateways returns the gateways of each zone, the first one being preferred.
+	Gateways  func() map[string][]peers.VM
+	Leaves    Leaves
+	Gatherers Gatherers
+	// Own returns the load of this VM as a gatherer, or nil if it is none.
+	Own func() *pb.FleetPong
+	// Service returns the service of single requests that the leaf belongs to, or an empty string.
+	Service func(catalog.LeafID) string
+	Dial    func(address string) Client
+	// Random returns a number in [0,1).
+	Random   func() float64
+	Registry prometheus.Registerer
+}
+
+// Manager keeps the reports and runs the exchanges. It is safe for concurrent use.
+type Manager struct {
+	cfg       Config
+	exchanges *prometheus.CounterVec
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	leaves    *reports[catalog.LeafID, replica.Load]
+	gatherers *reports[string, delegate.GathererLoad]
+	// usedAt is when a service, or the gatherer at an address, last told this VM its load.
+	usedAt map[string]time.Time
+	// receivedAt is when another VM last sent a report of something busy.
+	receivedAt time.Time
+	// contacts are keyed by zone, clients and skippedUntil by the address of a hub.
+	contacts     map[string]*contact
+	clients      map[string]Client
+	skippedUntil map[string]time.Time
+	gateways     map[string][]peers.VM
+	gatewaysAt   time.Time
+	pauses       pauses
+}
+
+// New returns a manager without reports.
+func New(cfg Config) *Manager {
+	exchanges := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "burdock_load_exchanges_total", Help: "Exchanges of load reports with other VMs by their result.",
+	}, []string{"result"})
+	cfg.Registry.MustRegister(exchanges)
+	return &Manager{
+		cfg: cfg, exchanges: exchanges, leaves: newLeafReports(), gatherers: newGathererReports(),
+		usedAt: make(map[string]time.Time), contacts: make(map[string]*contact),
+		clients: make(map[string]Client), skippedUntil: make(map[string]time.Time),
+	}
+}
+
+// Run exchanges reports until ctx ends. It returns nil.
+func (m *Manager) Run(ctx context.Context) error {
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
+	for {
+		due, next := m.check(time.Now())
+		for _, e := range due {
+			exchanges.Go(func() { m.exchange(ctx, e) })
+		}
+		if !wait.For(ctx, next) {
+			return nil
+		}
+	}
+}
+
+// dueExchange is an exchange that is due.
+type dueExchange struct {
+	target
+	client Client
+	msg    *pb.FleetLoad
+}
+
+// check returns the exchanges that are due, and the time until the next check.
+func (m *Manager) check(now time.Time) ([]dueExchange, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pauses.check(now)
+	m.update(now)
+	next := checkInterval
+	var due []dueExchange
+	for _, t := range m.targets(now) {
+		c := m.contact(t.zone)
+		if c.isDue(now) {
+			c.begin(now, m.cfg.Random())
+			c.inFlight = true
+			maxBytes := maxHubBytes
+			if t.zone == m.cfg.Zone {
+				maxBytes = maxReportBytes
+			}
+			due = append(due, dueExchange{t, m.client(t.address), m.message(now, t.address, maxBytes)})
+		}
+		if wait := c.due.Sub(now); wait > 0 {
+			next = min(next, wait)
+		}
+	}
+	return due, next
+}
+
+// targets returns the hubs that this VM exchanges with now. Requires mu.
+func (m *Manager) targets(now time.Time) []target {
+	s := situation{
+		self: m.cfg.Self, zone: m.cfg.Zone, used: m.usesBusy(now),
+		received: !m.receivedAt.IsZero() && now.Sub(m.receivedAt) <= demandPeriod,
+		skipped:  func(address string) bool { return now.Before(m.skippedUntil[address]) },
+	}
+	if !s.used && !s.received {
+		return nil
+	}
+	s.gateways = m.currentGateways(now)
+	return s.targets()
+}
+
+// usesBusy reports whether this VM has just used a service or gatherer that is at least half full. Requires mu.
+func (m *Manager) usesBusy(now time.Time) bool {
+	if len(m.usedAt) == 0 {
+		return false
+	}
+	total := make(map[string]replica.Load)
+	for id, r := range m.leaves.byKey {
+		service := m.cfg.Service(id)
+		sum := total[service]
+		sum.Running, sum.Waiting, sum.Slots = sum.Running+r.load.Running, sum.Waiting+r.load.Waiting, sum.Slots+r.load.Slots
+		total[service] = sum
+	}
+	for name := range m.usedAt {
+		if leafBusy(total[name]) || gathererBusy(m.gatherers.byKey[name].load) {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange makes one exchange and merges the answer.
+func (m *Manager) exchange(ctx context.Context, e dueExchange) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	start := time.Now()
+	answer, err := e.client.Load(ctx, e.msg)
+	now := time.Now()
+	elapsed := now.Sub(start)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.contact(e.zone).inFlight = false
+	result := resultOf(err, elapsed)
+	m.exchanges.WithLabelValues(result).Inc()
+	if result != resultAnswered {
+		m.skippedUntil[e.address] = now.Add(hubSkipTime)
+		return
+	}
+	m.update(now)
+	m.merge(answer, e.address, now, elapsed/2)
+}
+
+// Results of exchanges. An exchange that another VM began counts as received.
+const (
+	resultAnswered = "answered"
+	resultFailed   = "failed"
+	resultLate     = "late"
+	resultReceived = "received"
+)
+
+// resultOf returns the result of an exchange that this VM began. An answer that took too long may have waited in a
+// socket while this process was paused, so its age is unknown.
+func resultOf(err error, elapsed time.Duration) string {
+	switch {
+	case err != nil:
+		return resultFailed
+	case elapsed > exchangeTimeout:
+		return resultLate
+	}
+	return resultAnswered
+}
+
+// Answer takes the reports of another VM over and returns those that this VM knows.
+func (m *Manager) Answer(msg *pb.FleetLoad) *pb.FleetLoad {
+	now := time.Now()
+	m.exchanges.WithLabelValues(resultReceived).Inc()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.update(now)
+	from := msg.GetFrom()
+	if m.merge(msg, from, now, m.pauses.wait(now)) {
+		m.receivedAt = now
+	}
+	for zone, gateways := range m.currentGateways(now) {
+		if zone != m.cfg.Zone && isGateway(gateways, from) {
+			m.contact(zone).begin(now, m.cfg.Random())
+			return m.message(now, from, maxHubBytes)
+		}
+	}
+	return m.message(now, from, maxAnswerBytes)
+}
+
+// merge takes over the reports of a message, which are older by extraAge than they say. It returns whether there is one
+// of a busy leaf or gatherer. Requires mu.
+func (m *Manager) merge(msg *pb.FleetLoad, from string, now time.Time, extraAge time.Duration) (busy bool) {
+	if from == m.cfg.Self {
+		return false
+	}
+	for _, l := range msg.GetLeaves()[:min(maxLeaves, len(msg.GetLeaves()))] {
+		id, load, age, ok := decodeLeaf(l)
+		if age += extraAge; !ok || age > maxAge {
+			continue
+		}
+		at := now.Add(-age)
+		busy = busy || leafBusy(load)
+		if m.leaves.merge(id, report[replica.Load]{load, at, from}) {
+			m.cfg.Leaves.ReportAt(id, load, at, now)
+		}
+	}
+	loads := m.mergeGatherers(msg, from, now, extraAge)
+	for _, load := range loads {
+		busy = busy || gathererBusy(load)
+	}
+	if len(loads) > 0 {
+		m.cfg.Gatherers.RecordGatherers(loads)
+	}
+	return busy
+}
+
+// mergeGatherers takes over the loads of gatherers of a message, also that of the sender, and returns those that are
+// news. Requires mu.
+func (m *Manager) mergeGatherers(msg *pb.FleetLoad, from string, now time.Time, extraAge time.Duration) []delegate.GathererLoad {
+	list := msg.GetGatherers()[:min(maxGatherers, len(msg.GetGatherers()))]
+	list = append([]*pb.FleetGathererLoad{{Address: from, Load: msg.GetOwn()}}, list...)
+	var news []delegate.GathererLoad
+	for _, g := range list {
+		age := time.Duration(g.GetAgeMs())*time.Millisecond + extraAge
+		load, ok := decodeGatherer(g.GetAddress(), g.GetLoad(), now.Add(-age))
+		if !ok || age > maxAge || load.Address == m.cfg.Self {
+			continue
+		}
+		if m.gatherers.merge(load.Address, report[delegate.GathererLoad]{load, load.At, from}) {
+			news = append(news, load)
+		}
+	}
+	return news
+}
+
+// message returns the message to a VM: what that VM did not send itself, the newest first. Requires mu.
+func (m *Manager) message(now time.Time, to string, maxBytes int) *pb.FleetLoad {
+	b := &builder{msg: &pb.FleetLoad{From: m.cfg.Self, Own: m.cfg.Own()}, now: now, maxBytes: maxBytes}
+	b.size = proto.Size(b.msg)
+	leaves, gatherers := m.leaves.newestFirst(), m.gatherers.newestFirst()
+	for added := true; added && len(leaves)+len(gatherers) > 0; {
+		nextLeaf := len(gatherers) == 0
+		if len(leaves) > 0 && len(gatherers) > 0 {
+			nextLeaf = !m.leaves.byKey[leaves[0]].at.Before(m.gatherers.byKey[gatherers[0]].at)
+		}
+		if nextLeaf {
+			r := m.leaves.byKey[leaves[0]]
+			added = r.from == to || b.addLeaf(leaves[0], r)
+			leaves = leaves[1:]
+			continue
+		}
+		r := m.gatherers.byKey[gatherers[0]]
+		added = r.from == to || gatherers[0] == to || b.addGatherer(gatherers[0], r)
+		gatherers = gatherers[1:]
+	}
+	return b.msg
+}
+
+// update drops old reports and takes over what this VM itself observed. Requires mu.
+func (m *Manager) update(now time.Time) {
+	m.leaves.expire(now)
+	m.gatherers.expire(now)
+	for name, at := range m.usedAt {
+		if now.Sub(at) > demandPeriod {
+			delete(m.usedAt, name)
+		}
+	}
+	for _, r := range m.cfg.Leaves.Loads(now, maxAge, func(id catalog.LeafID) bool { return m.cfg.Service(id) != "" }) {
+		if r.Own {
+			m.leaves.merge(r.Leaf, report[replica.Load]{load: r.Load, at: r.At})
+			m.use(m.cfg.Service(r.Leaf), r.At)
+		}
+	}
+	for _, load := range m.cfg.Gatherers.GathererLoads(now) {
+		known, ok := m.gatherers.byKey[load.Address]
+		if now.Sub(load.At) > maxAge || ok && !load.At.After(known.at) {
+			continue // too old, or received from another VM
+		}
+		m.gatherers.merge(load.Address, report[delegate.GathererLoad]{load: load, at: load.At})
+		m.use(load.Address, load.At)
+	}
+}
+
+// use records that this VM used the service, or the gatherer at an address. Requires mu.
+func (m *Manager) use(name string, at time.Time) {
+	if at.After(m.usedAt[name]) {
+		m.usedAt[name] = at
+	}
+}
+
+// currentGateways returns the gateways of each zone. Requires mu.
+func (m *Manager) currentGateways(now time.Time) map[string][]peers.VM {
+	if m.gateways != nil && now.Sub(m.gatewaysAt) < gatewaysMaxAge {
+		return m.gateways
+	}
+	m.gateways, m.gatewaysAt = m.cfg.Gateways(), now
+	for address := range m.clients {
+		if !m.isKnownHub(address) {
+			delete(m.clients, address)
+			delete(m.skippedUntil, address)
+		}
+	}
+	return m.gateways
+}
+
+// isKnownHub reports whether the address is that of a gateway of any zone. Requires mu.
+func (m *Manager) isKnownHub(address string) bool {
+	for _, gateways := range m.gateways {
+		if isGateway(gateways, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// contact returns the contact with a zone. Requires mu.
+func (m *Manager) contact(zone string) *contact {
+	if m.contacts[zone] == nil {
+		m.contacts[zone] = &contact{}
+	}
+	return m.contacts[zone]
+}
+
+// client returns the client of a hub. Requires mu.
+func (m *Manager) client(address string) Client {
+	if m.clients[address] == nil {
+		m.clients[address] = m.cfg.Dial(address)
+	}
+	return m.clients[address]
+}
--- a/internal/node/dial.go
+++ b/internal/node/dial.go
@@ -4,8 +4,11 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
 	"github.com/burdockplank/burdockplank/internal/delegate"
+	"github.com/burdockplank/burdockplank/internal/fleetload"
 	"github.com/burdockplank/burdockplank/internal/peers"
 	"github.com/burdockplank/burdockplank/internal/rpc"
 )
@@ -19,6 +22,8 @@
 	// gathererMaxIdleConns bounds the idle connections kept to each gatherer. A burst brings a smaller VM about
 	// 5 searches at once.
 	gathererMaxIdleConns = 8
+	// maxLoadAnswerBytes bounds the answer of a hub that is read. A valid one takes 1 KB.
+	maxLoadAnswerBytes = 16 << 10
 )
 
 // dialGatherers returns a function that creates clients for handing searches over. Their connections detect
@@ -48,3 +53,15 @@
 		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address, options...)
 	}
 }
+
+// dialLoads returns a function that creates clients for exchanges of load reports, which share one transport. As for
+// exchanges of peers, the timeout of an exchange closes a connection that has become silent.
+func dialLoads(bind string) func(address string) fleetload.Client {
+	shared := &http.Client{Transport: &http.Transport{
+		DialContext: rpc.Dialer(bind).DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
+	}}
+	options := append(searchClientOptions(), connect.WithReadMaxBytes(maxLoadAnswerBytes))
+	return func(address string) fleetload.Client {
+		return burdockv1connect.NewFleetServiceClient(shared, "http://"+address, options...)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/burdockplank/burdockplank/internal/deployment"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/fleetload"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/leafpool"
 	"github.com/burdockplank/burdockplank/internal/logging"
@@ -113,9 +114,11 @@
 	engine           *dispatch.Engine
 	delegate         *delegate.Manager
 	gatherer         *delegate.Gatherer
+	loads            *fleetload.Manager
 	refusals         *prometheus.CounterVec
 	server           *http.Server
 	leaving          atomic.Bool
+	isGatherer       atomic.Bool
 	seeds            atomic.Pointer[[]string]
 	// fleetSize and roster are used only by the goroutine of follow.
 	fleetSize fleetSize
@@ -154,6 +157,10 @@
 		Log: log, Registry: reg,
 	})
 	d.gatherer = delegate.NewGatherer(d.engine, d.directory, d.gate, d.leaving.Load)
+	d.loads = fleetload.New(fleetload.Config{
+		Self: s.PeersAddress, Zone: s.Zone, Gateways: d.peers.Gateways, Leaves: d.table, Gatherers: d.delegate, Own: d.gathererLoad,
+		Service: (&singleServices{directory: d.directory}).of, Dial: dialLoads(s.IP), Random: rand.Float64, Registry: reg,
+	})
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
@@ -215,6 +222,7 @@
 			{Name: "follow", Run: d.follow},
 			{Name: "delegate", Run: d.delegate.Run},
 			{Name: "gatherer", Run: d.gatherer.Run},
+			{Name: "load reports", Run: d.loads.Run},
 			{Name: "callers", Run: func(ctx context.Context) error { return serveUntil(ctx, d.server, callers) }},
 			{Name: "readiness", Run: d.serve(d.settings.ReadinessAddress, d.platform.NewReadinessHandler(d.ready))},
 		},
@@ -226,6 +234,7 @@
 	dumps := operator.NewDumps()
 	dumps.Add("peers", d.peers)
 	dumps.Add("gatherers", d.delegate)
+	dumps.Add("load reports", d.loads)
 	dumps.Add("connections", d.pool)
 	dumps.Add("cold leaves", d.coldLeaves)
 	dumps.Add("admission", d.gate)
@@ -238,7 +247,7 @@
 
 func (d *Daemon) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(burdockv1connect.NewFleetServiceHandler(fleetService{d.peers, d.gatherer}, fleetHandlerOptions()...))
+	mux.Handle(burdockv1connect.NewFleetServiceHandler(fleetService{d.peers, d.gatherer, d.loads}, fleetHandlerOptions()...))
 	return mux
 }
 
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -123,6 +123,7 @@
 	}
 	d.delegate.SetPlan(s.plan)
 	d.gatherer.SetPlan(s.plan)
+	d.isGatherer.Store(s.plan.IsGatherer)
 	d.budgets.SetShare(s.extraCallShare)
 	if len(known) > 0 || !d.hasOtherSeeds() {
 		d.coldLeaves.SetCallers(coldLeafCallers(self, known), s.coldLeafKind)
--- a/internal/peers/choose.go
+++ b/internal/peers/choose.go
@@ -91,6 +91,29 @@
 	return zone[:min(gatewaysPerZone, len(zone))]
 }
 
+// Gateways returns the gateways of each zone, the first one being preferred. VMs that are about to end, also this one,
+// are none.
+func (m *Manager) Gateways() map[string][]VM {
+	zones := make(map[string][]VM)
+	for _, vm := range m.VMs() {
+		zones[vm.Zone] = append(zones[vm.Zone], vm)
+	}
+	if self, leaving := m.selfVM(); !leaving {
+		zones[self.Zone] = append(zones[self.Zone], self)
+	}
+	for zone, vms := range zones {
+		zones[zone] = gatewaysOf(vms)
+	}
+	return zones
+}
+
+// selfVM returns this VM, and whether it is about to end.
+func (m *Manager) selfVM() (VM, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return vmOf(&m.self), m.self.GetLeaving()
+}
+
 // pickPeer returns a random peer for an exchange.
 func (m *Manager) pickPeer() (string, bool) {
 	v := m.currentView()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -60,6 +60,8 @@
 	// leaves are keyed by id and routes by name; guarded by mu.
 	leaves map[catalog.LeafID]*leaf
 	routes map[string]*routeTime
+	// uncalled holds the reports that other VMs received of leaves without an entry; guarded by mu.
+	uncalled map[catalog.LeafID]LeafReport
 }
 
 // routeTime is the typical call time of a route.
@@ -85,6 +87,8 @@
 	peerTallies map[string]tally
 	load        Load
 	loadAt      time.Time
+	// ownLoad is set where the leaf sent load to this VM, and not to another one.
+	ownLoad bool
 	// silence tracks calls that stay unanswered.
 	silence silence
 	// inFlight holds the calls in flight.
@@ -107,7 +111,10 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{leaves: make(map[catalog.LeafID]*leaf), routes: make(map[string]*routeTime)}
+	return &Table{
+		leaves: make(map[catalog.LeafID]*leaf), routes: make(map[string]*routeTime),
+		uncalled: make(map[catalog.LeafID]LeafReport),
+	}
 }
 
 // TypicalTime returns the typical call time of the route, or the estimate if no call has been measured yet.
@@ -133,6 +140,7 @@
 			l.timeFactor = warmUpFactor
 		}
 		t.leaves[c.ID] = l
+		t.takeUncalled(c.ID, l, now)
 	}
 	l.lastCandidate = now
 	return l
@@ -166,15 +174,6 @@
 	return n
 }
 
-// Report stores a leaf's report of its own load.
-func (t *Table) Report(id catalog.LeafID, load Load, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if l := t.leaves[id]; l != nil {
-		l.load, l.loadAt = load, now
-	}
-}
-
 // Elapsed returns the time since the call was sent.
 func (c *Call) Elapsed(now time.Time) time.Duration { return now.Sub(c.sentAt) }
 
@@ -189,6 +188,7 @@
 func (t *Table) Forget(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dropUncalled(now)
 	for id, l := range t.leaves {
 		if len(l.inFlight) == 0 && now.Sub(l.lastCandidate) > forgetAfter {
 			delete(t.leaves, id)
