--- a/internal/fleetload/fleetload.go
+++ b/internal/fleetload/fleetload.go
@@ -27,13 +27,14 @@
 	Load(ctx context.Context, req *pb.FleetLoad) (*pb.FleetLoad, error)
 }
 
-// Leaves holds the reports of leaves.
+// Leaves holds the reports of leaves. A Manager calls it while it holds its lock.
 type Leaves interface {
 	Loads(now time.Time, maxAge time.Duration, include func(catalog.LeafID) bool) []replica.LeafReport
 	ReportAt(id catalog.LeafID, load replica.Load, at, now time.Time)
 }
 
-// Gatherers holds the loads of gatherers.
+// Gatherers holds the loads of gatherers. A Manager calls it while it holds its lock. GathererLoads must return what
+// RecordGatherers brought with the same times: a load that is newer than the received one counts as this VM's own.
 type Gatherers interface {
 	GathererLoads(now time.Time) []delegate.GathererLoad
 	RecordGatherers(loads []delegate.GathererLoad)
@@ -236,9 +237,9 @@
 }
 
 // merge takes over the reports of a message, which are older by extraAge than they say. It returns whether there is one
-// of a busy leaf or gatherer. Requires mu.
+// of a busy leaf or gatherer. A message without a valid sender is ignored. Requires mu.
 func (m *Manager) merge(msg *pb.FleetLoad, from string, now time.Time, extraAge time.Duration) (busy bool) {
-	if from == m.cfg.Self {
+	if from == m.cfg.Self || !validName(from) {
 		return false
 	}
 	for _, l := range msg.GetLeaves()[:min(maxLeaves, len(msg.GetLeaves()))] {
--- a/internal/peers/members_test.go
+++ b/internal/peers/members_test.go
@@ -49,3 +49,22 @@
 		})
 	}
 }
+
+// Guards against VMs that take different gateways for those of a zone, or one that is about to end.
+func TestGateways(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	a, _ := n.vm("a", "z", 1)
+	b, _ := n.vm("b", "z", 1)
+	far, _ := n.vm("far", "y", 1)
+	for _, to := range []string{"b", "far", "b"} {
+		a.exchange(t.Context(), to, false)
+	}
+	is.Equal(len(a.Gateways()["z"]), 2)
+	is.Equal(a.Gateways(), b.Gateways())
+	is.Equal(far.Gateways()["y"], []VM{{Address: "far", Zone: "y"}})
+	b.Leave()
+	a.exchange(t.Context(), "b", false)
+	is.Equal(a.Gateways()["z"], []VM{{Address: "a", Zone: "z"}})
+	is.Equal(b.Gateways()["z"], []VM{{Address: "a", Zone: "z"}})
+}
