Load reports: only of what is busy; hubs look at their own observations every 20 ms at most

A VM that had called leaves of a calm service and used a full gatherer sent only reports of these leaves, since they were newer and the message was full: the gatherer's load never reached the hub. Leaves of services that are less than half full are left out now, and gatherers while all are.

--- a/internal/fleetload/fleetload.go
+++ b/internal/fleetload/fleetload.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -19,9 +18,6 @@
 	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
-// gatewaysMaxAge is how long the gateways are kept before they are read again. Membership takes seconds to change.
-const gatewaysMaxAge = 500 * time.Millisecond
-
 // Client makes calls to another VM.
 type Client interface {
 	Load(ctx context.Context, req *pb.FleetLoad) (*pb.FleetLoad, error)
@@ -71,6 +67,8 @@
 	usedAt map[string]time.Time
 	// receivedAt is when another VM last sent a report of something busy.
 	receivedAt time.Time
+	// observedAt is when observe last ran.
+	observedAt time.Time
 	// contacts are keyed by zone, clients and skippedUntil by the address of a hub.
 	contacts     map[string]*contact
 	clients      map[string]Client
@@ -144,7 +142,7 @@
 // targets returns the hubs that this VM exchanges with now. Requires mu.
 func (m *Manager) targets(now time.Time) []target {
 	s := situation{
-		self: m.cfg.Self, zone: m.cfg.Zone, used: m.usesBusy(now),
+		self: m.cfg.Self, zone: m.cfg.Zone, used: m.usesBusy(),
 		received: !m.receivedAt.IsZero() && now.Sub(m.receivedAt) <= demandPeriod,
 		skipped:  func(address string) bool { return now.Before(m.skippedUntil[address]) },
 	}
@@ -156,19 +154,41 @@
 }
 
 // usesBusy reports whether this VM has just used a service or gatherer that is at least half full. Requires mu.
-func (m *Manager) usesBusy(now time.Time) bool {
+func (m *Manager) usesBusy() bool {
 	if len(m.usedAt) == 0 {
 		return false
 	}
+	busy := m.busyServices()
+	for name := range m.usedAt {
+		if busy[name] || gathererBusy(m.gatherers.byKey[name].load) {
+			return true
+		}
+	}
+	return false
+}
+
+// busyServices returns the services that are at least half full. Requires mu.
+func (m *Manager) busyServices() map[string]bool {
 	total := make(map[string]replica.Load)
 	for id, r := range m.leaves.byKey {
 		service := m.cfg.Service(id)
 		sum := total[service]
-		sum.Running, sum.Waiting, sum.Slots = sum.Running+r.load.Running, sum.Waiting+r.load.Waiting, sum.Slots+r.load.Slots
+		sum.Running += r.load.Running
+		sum.Waiting += r.load.Waiting
+		sum.Slots += r.load.Slots
 		total[service] = sum
 	}
-	for name := range m.usedAt {
-		if leafBusy(total[name]) || gathererBusy(m.gatherers.byKey[name].load) {
+	busy := make(map[string]bool, len(total))
+	for service, load := range total {
+		busy[service] = leafBusy(load)
+	}
+	return busy
+}
+
+// anyGathererBusy reports whether a gatherer is at least half full. Requires mu.
+func (m *Manager) anyGathererBusy() bool {
+	for _, r := range m.gatherers.byKey {
+		if gathererBusy(r.load) {
 			return true
 		}
 	}
@@ -235,145 +255,3 @@
 	}
 	return m.message(now, from, maxAnswerBytes)
 }
-
-// merge takes over the reports of a message, which are older by extraAge than they say. It returns whether there is one
-// of a busy leaf or gatherer. A message without a valid sender is ignored. Requires mu.
-func (m *Manager) merge(msg *pb.FleetLoad, from string, now time.Time, extraAge time.Duration) (busy bool) {
-	if from == m.cfg.Self || !validName(from) {
-		return false
-	}
-	for _, l := range msg.GetLeaves()[:min(maxLeaves, len(msg.GetLeaves()))] {
-		id, load, age, ok := decodeLeaf(l)
-		if age += extraAge; !ok || age > maxAge {
-			continue
-		}
-		at := now.Add(-age)
-		busy = busy || leafBusy(load)
-		if m.leaves.merge(id, report[replica.Load]{load, at, from}) {
-			m.cfg.Leaves.ReportAt(id, load, at, now)
-		}
-	}
-	loads := m.mergeGatherers(msg, from, now, extraAge)
-	for _, load := range loads {
-		busy = busy || gathererBusy(load)
-	}
-	if len(loads) > 0 {
-		m.cfg.Gatherers.RecordGatherers(loads)
-	}
-	return busy
-}
-
-// mergeGatherers takes over the loads of gatherers of a message, also that of the sender, and returns those that are
-// news. Requires mu.
-func (m *Manager) mergeGatherers(msg *pb.FleetLoad, from string, now time.Time, extraAge time.Duration) []delegate.GathererLoad {
-	list := msg.GetGatherers()[:min(maxGatherers, len(msg.GetGatherers()))]
-	list = append([]*pb.FleetGathererLoad{{Address: from, Load: msg.GetOwn()}}, list...)
-	var news []delegate.GathererLoad
-	for _, g := range list {
-		age := time.Duration(g.GetAgeMs())*time.Millisecond + extraAge
-		load, ok := decodeGatherer(g.GetAddress(), g.GetLoad(), now.Add(-age))
-		if !ok || age > maxAge || load.Address == m.cfg.Self {
-			continue
-		}
-		if m.gatherers.merge(load.Address, report[delegate.GathererLoad]{load, load.At, from}) {
-			news = append(news, load)
-		}
-	}
-	return news
-}
-
-// message returns the message to a VM: what that VM did not send itself, the newest first. Requires mu.
-func (m *Manager) message(now time.Time, to string, maxBytes int) *pb.FleetLoad {
-	b := &builder{msg: &pb.FleetLoad{From: m.cfg.Self, Own: m.cfg.Own()}, now: now, maxBytes: maxBytes}
-	b.size = proto.Size(b.msg)
-	leaves, gatherers := m.leaves.newestFirst(), m.gatherers.newestFirst()
-	for added := true; added && len(leaves)+len(gatherers) > 0; {
-		nextLeaf := len(gatherers) == 0
-		if len(leaves) > 0 && len(gatherers) > 0 {
-			nextLeaf = !m.leaves.byKey[leaves[0]].at.Before(m.gatherers.byKey[gatherers[0]].at)
-		}
-		if nextLeaf {
-			r := m.leaves.byKey[leaves[0]]
-			added = r.from == to || b.addLeaf(leaves[0], r)
-			leaves = leaves[1:]
-			continue
-		}
-		r := m.gatherers.byKey[gatherers[0]]
-		added = r.from == to || gatherers[0] == to || b.addGatherer(gatherers[0], r)
-		gatherers = gatherers[1:]
-	}
-	return b.msg
-}
-
-// update drops old reports and takes over what this VM itself observed. Requires mu.
-func (m *Manager) update(now time.Time) {
-	m.leaves.expire(now)
-	m.gatherers.expire(now)
-	for name, at := range m.usedAt {
-		if now.Sub(at) > demandPeriod {
-			delete(m.usedAt, name)
-		}
-	}
-	for _, r := range m.cfg.Leaves.Loads(now, maxAge, func(id catalog.LeafID) bool { return m.cfg.Service(id) != "" }) {
-		if r.Own {
-			m.leaves.merge(r.Leaf, report[replica.Load]{load: r.Load, at: r.At})
-			m.use(m.cfg.Service(r.Leaf), r.At)
-		}
-	}
-	for _, load := range m.cfg.Gatherers.GathererLoads(now) {
-		known, ok := m.gatherers.byKey[load.Address]
-		if now.Sub(load.At) > maxAge || ok && !load.At.After(known.at) {
-			continue // too old, or received from another VM
-		}
-		m.gatherers.merge(load.Address, report[delegate.GathererLoad]{load: load, at: load.At})
-		m.use(load.Address, load.At)
-	}
-}
-
-// use records that this VM used the service, or the gatherer at an address. Requires mu.
-func (m *Manager) use(name string, at time.Time) {
-	if at.After(m.usedAt[name]) {
-		m.usedAt[name] = at
-	}
-}
-
-// currentGateways returns the gateways of each zone. Requires mu.
-func (m *Manager) currentGateways(now time.Time) map[string][]peers.VM {
-	if m.gateways != nil && now.Sub(m.gatewaysAt) < gatewaysMaxAge {
-		return m.gateways
-	}
-	m.gateways, m.gatewaysAt = m.cfg.Gateways(), now
-	for address := range m.clients {
-		if !m.isKnownHub(address) {
-			delete(m.clients, address)
-			delete(m.skippedUntil, address)
-		}
-	}
-	return m.gateways
-}
-
-// isKnownHub reports whether the address is that of a gateway of any zone. Requires mu.
-func (m *Manager) isKnownHub(address string) bool {
-	for _, gateways := range m.gateways {
-		if isGateway(gateways, address) {
-			return true
-		}
-	}
-	return false
-}
-
-// contact returns the contact with a zone. Requires mu.
-func (m *Manager) contact(zone string) *contact {
-	if m.contacts[zone] == nil {
-		m.contacts[zone] = &contact{}
-	}
-	return m.contacts[zone]
-}
-
-// client returns the client of a hub. Requires mu.
-func (m *Manager) client(address string) Client {
-	if m.clients[address] == nil {
-		m.clients[address] = m.cfg.Dial(address)
-	}
-	return m.clients[address]
-}
--- a/internal/fleetload/fleetload_test.go
+++ b/internal/fleetload/fleetload_test.go
@@ -160,3 +160,26 @@
 		is.True(ordinary <= maxBytesPerSecond)
 	})
 }
+
+// Guards against VMs that know only the gatherers that they use themselves, and against reports of idle gatherers.
+func TestGathererLoadsReachHubs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2, 3)
+		f.run(t, calm)
+		at := time.Now()
+		f.list["zone-0"][2].others.setOwn([]delegate.GathererLoad{gatherer(1, 9*time.Millisecond, at)})
+		time.Sleep(fleetBound)
+		is.Equal(f.bytes.Load(), int64(0)) // the gatherer is less than half full
+		at = time.Now()
+		f.list["zone-0"][2].others.setOwn([]delegate.GathererLoad{gatherer(1, 50*time.Millisecond, at)})
+		time.Sleep(fleetBound)
+		for _, zone := range []string{"zone-0", "zone-1"} {
+			got := f.list[zone][0].others.recorded
+			is.True(len(got) > 0)
+			is.True(got[0].At.Sub(at).Abs() <= 2*otherZoneTrip)
+			got[0].At = at
+			is.Equal(got[0], gatherer(1, 50*time.Millisecond, at))
+		}
+	})
+}
--- a/internal/node/reports_test.go
+++ b/internal/node/reports_test.go
@@ -40,8 +40,8 @@
 	return -1
 }
 
-// Guards against a VM that has to find out by its own requests which leaves are full: another VM found x-a full, so that
-// the single requests of this one all go to x-b, the first one included.
+// Guards against a VM that has to find out by its own requests which leaves are full: another VM found x-a full, so
+// that the single requests of this one all go to x-b, the first one included.
 func TestSingleRequestsAvoidLeafThatAnotherVMFoundFull(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
--- a/internal/replica/report.go
+++ b/internal/replica/report.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// ReportAt stores a leaf's report that another VM received at the given time, unless a newer one is known. A report that
-// is too old, of the future or out of range is ignored. The report of a leaf that this VM has not called is kept for
-// its first call.
+// ReportAt stores a leaf's report that another VM received at the given time, unless a newer one is known. A report
+// that is too old, of the future or out of range is ignored. The report of a leaf that this VM has not called is kept
+// for its first call.
 func (t *Table) ReportAt(id catalog.LeafID, load Load, at, now time.Time) {
 	if id.Name == "" || !load.Valid() || at.After(now) || now.Sub(at) > MaxReportAge {
 		return
@@ -71,24 +71,23 @@
 }
 
 // Loads returns the reports that are at most maxAge old, own and received, the newest first. It is limited to the
-// leaves for which include returns true.
+// leaves for which include returns true. include must not call the table.
 func (t *Table) Loads(now time.Time, maxAge time.Duration, include func(catalog.LeafID) bool) []LeafReport {
-	t.mu.Lock()
 	var out []LeafReport
+	t.mu.Lock()
 	for id, l := range t.leaves {
-		if !l.loadAt.IsZero() && now.Sub(l.loadAt) <= maxAge {
+		if !l.loadAt.IsZero() && now.Sub(l.loadAt) <= maxAge && include(id) {
 			out = append(out, LeafReport{id, l.load, l.loadAt, l.ownLoad})
 		}
 	}
-	for _, r := range t.uncalled {
-		if now.Sub(r.At) <= maxAge {
+	for id, r := range t.uncalled {
+		if now.Sub(r.At) <= maxAge && include(id) {
 			out = append(out, r)
 		}
 	}
 	t.mu.Unlock()
-	out = slices.DeleteFunc(out, func(r LeafReport) bool { return !include(r.Leaf) })
 	slices.SortFunc(out, func(a, b LeafReport) int {
-		return cmp.Or(b.At.Compare(a.At), strings.Compare(a.Leaf.Name, b.Leaf.Name), cmp.Compare(a.Leaf.StartMillis, b.Leaf.StartMillis))
+		return cmp.Or(b.At.Compare(a.At), strings.Compare(a.Leaf.String(), b.Leaf.String()))
 	})
 	return out
 }
