--- a/internal/fleetload/fleet_test.go
+++ b/internal/fleetload/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -74,6 +75,13 @@
 	g.recorded = append(g.recorded, l...)
 }
 
+// heard returns what other VMs told.
+func (g *fakeGatherers) heard() []delegate.GathererLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.recorded)
+}
+
 func (g *fakeGatherers) setOwn(l []delegate.GathererLoad) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fleetload/fleetload_test.go
+++ b/internal/fleetload/fleetload_test.go
@@ -175,7 +175,7 @@
 		f.list["zone-0"][2].others.setOwn([]delegate.GathererLoad{gatherer(1, 50*time.Millisecond, at)})
 		time.Sleep(fleetBound)
 		for _, zone := range []string{"zone-0", "zone-1"} {
-			got := f.list[zone][0].others.recorded
+			got := f.list[zone][0].others.heard()
 			is.True(len(got) > 0)
 			is.True(got[0].At.Sub(at).Abs() <= 2*otherZoneTrip)
 			got[0].At = at
--- a/internal/fleetload/message_test.go
+++ b/internal/fleetload/message_test.go
@@ -102,7 +102,7 @@
 			vm.Answer(nil)
 			change(l, g)
 			vm.Answer(&pb.FleetLoad{From: "b", Leaves: msg.GetLeaves(), Gatherers: msg.GetGatherers()})
-			is.Equal(len(vm.leaves.byKey)+len(vm.gatherers.byKey)+len(vm.others.recorded), 0)
+			is.Equal(len(vm.leaves.byKey)+len(vm.gatherers.byKey)+len(vm.others.heard()), 0)
 		})
 	}
 }
