--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,6 +117,15 @@
 	ReasonPartial Reason = "partial"
 )
 
+// Overload reports whether the reason is a refusal by admission control.
+func (r Reason) Overload() bool {
+	switch r {
+	case ReasonBusyLeaves, ReasonBusyGatherers, ReasonBusyProcessor, ReasonCallerShare:
+		return true
+	}
+	return false
+}
+
 // Answer is the result returned to the caller.
 type Answer struct {
 	Outcome Outcome
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -162,6 +162,9 @@
 	if a := r.refuseUnreachable(); a != nil {
 		return a
 	}
+	if a := r.refuseBusyProcessor(time.Now()); a != nil {
+		return a
+	}
 	if a := r.refuseOverload(); a != nil {
 		return a
 	}
