--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -138,9 +138,14 @@
 	if _, ok := fields[decision.FieldWaitLimit]; !ok {
 		return text + "."
 	}
-	return fmt.Sprintf("%s. The expected wait was %.0f ms; requests of priority %.0f are admitted up to %.0f ms. "+
-		"There were %.1f of them per second.", text, 1000*number(fields, decision.FieldWait), number(fields, decision.FieldPriority),
-		1000*number(fields, decision.FieldWaitLimit), number(fields, decision.FieldDemand))
+	if limit := number(fields, decision.FieldWaitLimit); limit > 0 {
+		text += fmt.Sprintf(". The expected wait was %.0f ms; requests of priority %.0f are admitted up to %.0f ms",
+			1000*number(fields, decision.FieldWait), number(fields, decision.FieldPriority), 1000*limit)
+	}
+	if demand := number(fields, decision.FieldDemand); demand > 0 {
+		text += fmt.Sprintf(". There were %.1f of them per second", demand)
+	}
+	return text + "."
 }
 
 // number returns the value of a field, or 0 if it is not a number.
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -145,7 +145,7 @@
 	r.log.Info(MsgRequest, append(fields, admissionFields(a, t)...)...)
 }
 
-// admissionFields returns what admission went by, if it saw a queue or refused the request.
+// admissionFields returns the values by which admission control decided, or nil if it was not asked.
 func admissionFields(a *dispatch.Answer, t *dispatch.Trace) []zap.Field {
 	if a.Route == nil || t.WaitLimit <= 0 && !a.Reason.Overload() {
 		return nil
--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -59,7 +59,7 @@
 	targets []*target
 	// offeredFull holds, by priority, when a search was last offered to a full gatherer. It is guarded by mu.
 	offeredFull [maxLimits]time.Time
-	// otherLoads holds the loads of other gatherers by address, for passing them on. It is guarded by mu.
+	// otherLoads holds reports of gatherers that are not in the plan by address, for use when they enter it. It is guarded by mu.
 	otherLoads map[string]report
 }
 
--- a/internal/delegate/report.go
+++ b/internal/delegate/report.go
@@ -17,7 +17,7 @@
 	searchWork = 4 * time.Millisecond
 	// maxToldWait bounds the waits and limits in a report. Targets of routes are capped at the same time.
 	maxToldWait = 60 * time.Second
-	// maxLimits is the number of priorities that have a limit of their own.
+	// maxLimits bounds the limits that are kept of a report.
 	maxLimits = 64
 )
 
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -106,6 +106,7 @@
 			g := &r.groups[x.group]
 			r.trace.addBadCall(BadCall{Service: g.service, Problem: fmt.Sprintf("expected to take %v of %v", x.duration, time.Duration(limit*float64(typical)))})
 		}
+		r.trace.Wait, r.trace.WaitLimit = expected[spare].duration, time.Duration(limit*float64(typical))
 		return r.answer(&Answer{Outcome: NotRun, Reason: ReasonBusyLeaves, RetryAfter: withJitter(max(expected[spare].duration, retryRefused))})
 	}
 	for _, x := range expected[:min(spare, len(expected))] {
--- a/internal/dispatch/gate.go
+++ b/internal/dispatch/gate.go
@@ -7,7 +7,7 @@
 	"github.com/burdockplank/burdockplank/internal/overload"
 )
 
-// maxPriority is the least urgent priority; those beyond it count as it.
+// maxPriority is the least urgent priority. Larger values are reduced to it.
 const maxPriority = 63
 
 // PriorityOf returns the priority of the route within its bounds.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -162,10 +162,10 @@
 	if a := r.refuseUnreachable(); a != nil {
 		return a
 	}
-	if a := r.refuseBusyProcessor(time.Now()); a != nil {
+	if a := r.refuseOverload(); a != nil {
 		return a
 	}
-	if a := r.refuseOverload(); a != nil {
+	if a := r.refuseBusyProcessor(time.Now()); a != nil {
 		return a
 	}
 	sendStart := time.Now()
--- a/internal/overload/cost.go
+++ b/internal/overload/cost.go
@@ -25,7 +25,7 @@
 	// saturatedShare is the part of the processor share from which the processor counts as saturated. After
 	// maxSaturated the estimate rises by saturatedFactor with each window.
 	saturatedShare  = 0.97
-	maxSaturated    = 1000 * time.Millisecond
+	maxSaturated    = time.Second
 	saturatedFactor = 1.1
 	// maxUsageFactor bounds the usage that is plausible in a window, as a multiple of its length and of the cores (at
 	// least one). A greater increase follows a failed reading.
--- a/internal/overload/lag.go
+++ b/internal/overload/lag.go
@@ -10,8 +10,9 @@
 	// and a half of them, 50 ms and 200 ms, nine tenths of the difference are gone.
 	lagRise = 20 * time.Millisecond
 	lagFall = 80 * time.Millisecond
-	// lagInterval is the time between two reports. A report that is late by more than the estimate, too, is missing.
-	lagInterval = 20 * time.Millisecond
+	// lagInterval is the longest time between two reports. A report counts as missing once it is overdue by more than the
+	// estimated lag.
+	lagInterval = 100 * time.Millisecond
 	// minLag is the lag below which timers are late without load.
 	minLag = 10 * time.Millisecond
 	// maxLag bounds a reported lag, so that a process that was suspended does not refuse requests afterwards.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -204,12 +204,15 @@
 
 // yieldTo reduces the limits of the priorities below the given one, of which a request is refused. It requires mu.
 func (g *Gate) yieldTo(priority int) {
+	changed := false
 	for _, p := range g.limits.active {
-		if p > priority {
-			g.levels[p].yield.give(g.now)
+		if p > priority && g.levels[p].yield.give(g.now) {
+			changed = true
 		}
 	}
-	g.updateLimits()
+	if changed {
+		g.updateLimits()
+	}
 }
 
 // callerOf counts the request for its caller, and returns the caller while the level is being cut. It requires mu.
--- a/internal/overload/yield.go
+++ b/internal/overload/yield.go
@@ -44,11 +44,12 @@
 	return min(1, max(y.part, minPart)*math.Exp2(doublings))
 }
 
-// give reduces the part because a more urgent request was refused.
-func (y *yield) give(now time.Time) {
+// give reduces the part because a more urgent request was refused. It reports whether the part has changed.
+func (y *yield) give(now time.Time) bool {
 	if !y.refusedAt.IsZero() && now.Sub(y.refusedAt) < yieldInterval {
-		return
+		return false
 	}
 	y.part = max(minPart, yieldFactor*y.now(now))
 	y.refusedAt = now
+	return true
 }
--- a/internal/soak/burst.go
+++ b/internal/soak/burst.go
@@ -18,6 +18,8 @@
 	// burstRetries is how often the callers of every other burst repeat a refused request at once, whatever
 	// Retry-After says.
 	burstRetries = 3
+	// retryPause is the pause before such a repeat.
+	retryPause = time.Millisecond
 )
 
 // bursts draws bursts of callers from a random source of their own, as addedFaults does.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -89,7 +89,7 @@
 // pauseAfter returns the pause before the next request, after the given number of refusals in a row.
 func (c *caller) pauseAfter(refusals int) time.Duration {
 	if refusals > 0 && refusals <= c.retries {
-		return time.Millisecond
+		return retryPause
 	}
 	return c.pause
 }
