Replica: expected wait for a slot by the mean slot time of the service; full leaves

Cause: a waiting call counted as one of the asking route, though the calls of another route on the same leaves take three times as long. A full leaf refused a call that another leaf had room for.

Change: for each service the mean time that a call holds a slot is learned over all routes. Wait returns the expected wait at the best leaf. A refusal with a load report shows at which number of requests a leaf is full, and it gets no call at that number while another leaf has room. Calls sent since a report count in addition to it. Load reports and slots are bounded.

--- a/internal/replica/cost.go
+++ b/internal/replica/cost.go
@@ -38,12 +38,15 @@
 	typicalWorkPercent = 100
 )
 
-// cheapest returns the index of the candidate with the lowest cost. Requires mu.
+// cheapest returns the index of the candidate with the lowest cost. A full leaf is chosen only if all are full.
+// Requires mu.
 func (t *Table) cheapest(now time.Time, typical time.Duration, candidates []Candidate) int {
-	best, lowest := 0, math.Inf(1)
+	best, lowest, bestFull := 0, math.Inf(1), true
 	for i, c := range candidates {
-		if cost := t.cost(t.leaf(c, now), now, typical, c); cost < lowest {
-			best, lowest = i, cost
+		l := t.leaf(c, now)
+		cost, full := t.cost(l, now, typical, c), l.full(now) || l.stalled(now) || l.unresponsiveFor(now) > 0
+		if bestFull && !full || bestFull == full && cost < lowest {
+			best, lowest, bestFull = i, cost, full
 		}
 	}
 	return best
@@ -56,9 +59,7 @@
 	defer t.mu.Unlock()
 	typical := t.typicalOf(route, estimate)
 	best := candidates[t.cheapest(now, typical, candidates)]
-	l := t.leaves[best.ID]
-	queueFactor = l.queueFactor(l.queue(now), best)
-	return l.expected(now, typical, queueFactor), queueFactor
+	return t.expected(t.leaves[best.ID], now, typical, best)
 }
 
 // decay moves a value exponentially toward its resting value according to its age.
@@ -67,18 +68,27 @@
 }
 
 // queue estimates the number of requests at the leaf from its load report, which ages, and this VM's calls in
-// flight.
-func (l *leaf) queue(now time.Time) float64 {
+// flight. Calls sent since the report are not included in it.
+func (l *leaf) queue(now time.Time) float64 { return l.queueAfter(now, now.Sub(l.loadAt)) }
+
+// queueAfter returns the queue at a leaf whose report counts as having the given age.
+func (l *leaf) queueAfter(now time.Time, age time.Duration) float64 {
 	own := float64(len(l.inFlight))
 	if l.loadAt.IsZero() {
 		return own
 	}
+	since := 0.0
+	for c := range l.inFlight {
+		if c.sentAt.After(l.loadAt) {
+			since++
+		}
+	}
 	reported := float64(l.load.Running + l.load.Waiting)
-	return max(own, decay(reported, own, now.Sub(l.loadAt), loadDecay))
+	return max(own, decay(reported, own-since, age, loadDecay)+since)
 }
 
-// expected returns how long a call to the leaf is expected to take with the given queue factor.
-func (l *leaf) expected(now time.Time, typical time.Duration, queueFactor float64) time.Duration {
+// speed returns how long a call currently holds a slot of the leaf, as a multiple of the typical time.
+func (l *leaf) speed(now time.Time) float64 {
 	factor := decay(l.timeFactor, 1, now.Sub(l.timeFactorAt), timeFactorDecay)
 	if l.recentSlow.now(now) > slowShareThreshold {
 		factor = max(factor, l.slowFactor)
@@ -86,22 +96,24 @@
 	if l.load.WorkTimePercent > 0 {
 		factor *= decay(float64(l.load.WorkTimePercent)/typicalWorkPercent, 1, now.Sub(l.loadAt), loadDecay)
 	}
-	return time.Duration(float64(typical) * factor * queueFactor)
+	return factor
 }
 
-// queueFactor returns how many times as long as on an idle leaf a call takes that finds the given queue.
-func (l *leaf) queueFactor(queue float64, c Candidate) float64 {
-	slots := float64(max(c.Slots, 1))
-	return 1 + max(0, queue+1-slots)/slots
+// expected returns how long a call to the leaf is expected to take, and how many times as long as on an idle leaf that
+// is. The calls of other routes that wait there count with the mean slot time of the service: they may take three
+// times as long as those of the asking route. Requires mu.
+func (t *Table) expected(l *leaf, now time.Time, typical time.Duration, c Candidate) (duration time.Duration, queueFactor float64) {
+	idle := max(1, float64(typical)*l.speed(now))
+	queueFactor = 1 + float64(t.waitAt(l, now, typical, c))/idle
+	return time.Duration(idle * queueFactor), queueFactor
 }
 
 // cost returns the expected time of a call, plus the cost of failures and slow calls and the time for which a
 // stalled leaf has not answered. Requires mu.
 func (t *Table) cost(l *leaf, now time.Time, typical time.Duration, c Candidate) float64 {
-	queue := l.queue(now)
-	queueFactor := l.queueFactor(queue, c)
-	cost := float64(l.expected(now, typical, queueFactor))
-	cost += float64(typical) * busyCost * queue / float64(max(c.Slots, 1))
+	expected, queueFactor := t.expected(l, now, typical, c)
+	cost := float64(expected)
+	cost += float64(typical) * busyCost * l.queue(now) / l.slots(c)
 	fail, slow := t.rates(l, now)
 	cost += float64(typical) * (failCost*fail/(1-min(fail, maxFailRate)) + slowCost*slow)
 	if stalled := l.overdue(now); stalled > 0 {
--- a/internal/replica/learn.go
+++ b/internal/replica/learn.go
@@ -71,6 +71,7 @@
 // times the real one. Requires mu.
 func (t *Table) learn(l *leaf, c *Call, elapsed time.Duration, now time.Time) {
 	elapsed = time.Duration(float64(elapsed) / c.queueFactor)
+	t.learnSlotTime(l.service, elapsed, now)
 	route := t.routes[c.route]
 	if route == nil {
 		t.routes[c.route] = &routeTime{typical: elapsed, lastUpdate: now}
--- a/internal/replica/mute.go
+++ b/internal/replica/mute.go
@@ -50,10 +50,13 @@
 func (t *Table) UnresponsiveFor(id catalog.LeafID, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.leaves[id]
-	if l == nil {
-		return 0
+	if l := t.leaves[id]; l != nil {
+		return l.unresponsiveFor(now)
 	}
+	return 0
+}
+
+func (l *leaf) unresponsiveFor(now time.Time) time.Duration {
 	s := l.silence
 	waited := now.Sub(s.since)
 	if s.calls < unresponsiveMinCalls || waited < unresponsiveAfter || len(l.inFlight) == 0 && now.Sub(s.latest) > unresponsiveKeep {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -44,8 +44,10 @@
 
 // Candidate is a leaf that may be selected.
 type Candidate struct {
-	ID    catalog.LeafID
-	Slots int
+	ID catalog.LeafID
+	// Service is the service of the leaf.
+	Service string
+	Slots   int
 	// WarmingUp is set while the leaf is in its warm-up.
 	WarmingUp bool
 	// SameZone is set if the leaf is in the availability zone of this VM.
@@ -57,9 +59,10 @@
 // Table holds the statistics of leaves and routes. It is safe for concurrent use.
 type Table struct {
 	mu sync.Mutex
-	// leaves are keyed by id and routes by name; guarded by mu.
-	leaves map[catalog.LeafID]*leaf
-	routes map[string]*routeTime
+	// leaves are keyed by id, routes by name and slotTimes by service; guarded by mu.
+	leaves    map[catalog.LeafID]*leaf
+	routes    map[string]*routeTime
+	slotTimes map[string]*slotTime
 }
 
 // routeTime is the typical call time of a route.
@@ -71,6 +74,7 @@
 }
 
 type leaf struct {
+	service string
 	// timeFactor is how long a call takes at the leaf without a queue, as a multiple of the typical time.
 	timeFactor   float64
 	timeFactorAt time.Time
@@ -85,6 +89,7 @@
 	peerTallies map[string]tally
 	load        Load
 	loadAt      time.Time
+	fullness    fullness
 	// silence tracks calls that stay unanswered.
 	silence silence
 	// inFlight holds the calls in flight.
@@ -107,7 +112,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{leaves: make(map[catalog.LeafID]*leaf), routes: make(map[string]*routeTime)}
+	return &Table{leaves: make(map[catalog.LeafID]*leaf), routes: make(map[string]*routeTime), slotTimes: make(map[string]*slotTime)}
 }
 
 // TypicalTime returns the typical call time of the route, or the estimate if no call has been measured yet.
@@ -134,7 +139,7 @@
 		}
 		t.leaves[c.ID] = l
 	}
-	l.lastCandidate = now
+	l.service, l.lastCandidate = c.Service, now
 	return l
 }
 
@@ -147,12 +152,17 @@
 	defer t.mu.Unlock()
 	typical := t.typicalOf(route, estimate)
 	best := t.cheapest(now, typical, candidates)
-	l := t.leaves[candidates[best].ID]
-	queueFactor := l.queueFactor(l.queue(now), candidates[best])
-	call := &Call{t: t, id: candidates[best].ID, route: route, sentAt: now, expected: l.expected(now, typical, queueFactor), queueFactor: queueFactor}
+	return best, t.begin(now, route, typical, candidates[best])
+}
+
+// begin starts a call to the candidate. Requires mu.
+func (t *Table) begin(now time.Time, route string, typical time.Duration, c Candidate) *Call {
+	l := t.leaf(c, now)
+	expected, queueFactor := t.expected(l, now, typical, c)
+	call := &Call{t: t, id: c.ID, route: route, sentAt: now, expected: expected, queueFactor: queueFactor}
 	l.inFlight[call] = struct{}{}
 	l.silence.begin(now)
-	return best, call
+	return call
 }
 
 // InFlight returns the number of calls in flight.
@@ -171,7 +181,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if l := t.leaves[id]; l != nil {
-		l.load, l.loadAt = load, now
+		l.load, l.loadAt = load.plausible(), now
+		l.accepted(l.load, now)
 	}
 }
 
@@ -199,4 +210,9 @@
 			delete(t.routes, name)
 		}
 	}
+	for service, s := range t.slotTimes {
+		if now.Sub(s.at) > forgetAfter {
+			delete(t.slotTimes, service)
+		}
+	}
 }
