Dispatch: admission control by the wait at the leaves, for searches and single requests

Cause: above the capacity of the leaves half of the answers were late, and single requests had no admission control at all. Callers got 502 and 504 for requests that no leaf had run.

Change: a request passes the gate, then its longest expected wait must fit its remaining time and the limit of its priority. While leaves are queued there are no hedges, and only the repeats without which a search would fail. A request whose calls were all refused, or did not leave this VM, ends as not run.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -5,142 +5,176 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/overload"
+	"github.com/burdockplank/burdockplank/internal/replica"
 )
 
-const (
-	// admitFraction is the fraction of a search's time that its calls may be expected to take when leaves have
-	// queues. A leaf does as much work with a short queue as with a long one, so searches admitted beyond this
-	// limit are late and make all others late. The remaining time covers what cannot be predicted: a pause, a
-	// repeat and the way back.
-	admitFraction = 0.9
-	// admitSpread is the range around the limit in which some searches are refused and some admitted, so that VMs
-	// that see the same queues do not all stop and resume admission together.
-	admitSpread = 0.35
-	// urgentBonus is the increase of the limit for each priority rank of a route above the least urgent route on
-	// the same shards.
-	urgentBonus = 0.15
-	// minQueueFactor is the queue factor from which a shard counts as queued: as many requests wait as there are
-	// slots.
-	minQueueFactor = 2
-	// routeExpiry is how long a route without searches still counts among the routes on its shards.
-	routeExpiry = 5 * time.Second
-)
-
-// sharedShards tracks which routes search the same shards and how much queueing each of them tolerates. It is safe
-// for concurrent use.
-type sharedShards struct {
-	mu sync.Mutex
-	// byShard is keyed by the first shard, then by route name. Guarded by mu.
-	byShard map[string]map[string]routeHeadroom
+// admit returns the answer of a request that is refused before its first call, or nil if its calls are to be sent.
+func (r *run) admit() *Answer {
+	if a := r.dropEnded(time.Now()); a != nil {
+		return a
+	}
+	if a := r.refuseUnreachable(); a != nil {
+		return a
+	}
+	if a := r.refuseBusyProcessor(time.Now()); a != nil {
+		return a
+	}
+	if a := r.refuseBusyLeaves(time.Now()); a != nil {
+		return a
+	}
+	return r.dropEnded(time.Now())
 }
 
-// routeHeadroom is how much queueing one route tolerates.
-type routeHeadroom struct {
-	// headroom is the time that the route's searches have, as a multiple of the typical call time.
-	headroom float64
-	priority int
-	at       time.Time
+// dropEnded returns the answer of a request whose caller is gone or whose time is over. It must be called before the
+// first call only.
+func (r *run) dropEnded(now time.Time) *Answer {
+	switch {
+	case r.caller.Err() != nil:
+		return r.answer(&Answer{Outcome: CallerGone, Reason: ReasonCallerGone})
+	case !now.Before(r.deadline):
+		return r.answer(&Answer{Outcome: NotRun, Reason: ReasonDeadline, RetryAfter: withJitter(retryRefused)})
+	}
+	return nil
 }
 
-// limit records a search of the route and returns the largest multiple of the typical call time that its calls may
-// be expected to take. The limit is that of the route with the least headroom on the same shards, because all
-// routes wait in the same queues. More urgent routes get a somewhat higher limit.
-func (s *sharedShards) limit(route *catalog.Route, headroom float64, now time.Time) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.byShard == nil {
-		s.byShard = make(map[string]map[string]routeHeadroom)
-	}
-	routes := s.byShard[route.Shards[0]]
-	if routes == nil {
-		s.dropOld(now)
-		routes = make(map[string]routeHeadroom)
-		s.byShard[route.Shards[0]] = routes
-	}
-	routes[route.Name] = routeHeadroom{headroom, route.Priority, now}
-	minHeadroom, leastUrgent := headroom, route.Priority
-	for name, other := range routes {
-		if now.Sub(other.at) > routeExpiry {
-			delete(routes, name)
-			continue
-		}
-		minHeadroom, leastUrgent = min(minHeadroom, other.headroom), max(leastUrgent, other.priority)
+// refuseBusyProcessor refuses a request that would wait too long for the processor of this VM.
+func (r *run) refuseBusyProcessor(now time.Time) *Answer {
+	if r.req.Admitted {
+		return nil
 	}
-	return admitFraction * minHeadroom * (1 + urgentBonus*float64(leastUrgent-route.Priority))
+	d := r.e.gate.Admit(now, overload.Request{
+		Route: r.route.Name, Priority: r.route.Priority, Caller: r.req.Caller, Target: r.route.Target,
+		Elapsed: now.Sub(r.req.Arrived), Work: overload.Work{Calls: len(r.groups)},
+	})
+	r.trace.Wait, r.trace.WaitLimit, r.trace.Demand = d.Wait, d.Limit, d.Demand
+	if d.Admitted {
+		return nil
+	}
+	reason := ReasonBusyProcessor
+	if d.Reason == overload.ReasonCallerShare {
+		reason = ReasonCallerShare
+	}
+	after := d.RetryAfter
+	if after <= 0 {
+		after = withJitter(retryRefused)
+	}
+	return r.answer(&Answer{Outcome: NotRun, Reason: reason, RetryAfter: after})
 }
 
-// dropOld drops shards that no route searches any more. Requires mu.
-func (s *sharedShards) dropOld(now time.Time) {
-	for shard, routes := range s.byShard {
-		for name, other := range routes {
-			if now.Sub(other.at) > routeExpiry {
-				delete(routes, name)
-			}
-		}
-		if len(routes) == 0 {
-			delete(s.byShard, shard)
-		}
-	}
+// expectedWait is the expected wait for a slot for a group's call.
+type expectedWait struct {
+	group int
+	replica.Wait
 }
 
-// refuseOverload refuses a search immediately if the queues at the leaves of too many shards would make it late.
-// If the search can do without the shards that cannot answer in time, it leaves these out instead. Both keep work
-// off leaves that cannot do it in time, so that admitted searches are in time.
-func (r *run) refuseOverload() *Answer {
-	if !r.route.Search() {
-		return nil
-	}
-	now := time.Now()
-	typical := r.typical
-	remaining := r.softDeadline.Sub(now)
-	limit := r.e.sharedShards.limit(r.route, float64(remaining)/float64(max(typical, 1)), now)
-	expected := r.queuedGroups(now)
-	slices.SortFunc(expected, func(a, b expectation) int { return cmp.Compare(b.duration, a.duration) })
+// refuseBusyLeaves refuses a request immediately if it would wait too long for slots at the leaves. If a search can do
+// without the shards that cannot answer in time, it leaves these out instead. Both keep work off leaves that cannot
+// do it in time, so that admitted requests are in time.
+func (r *run) refuseBusyLeaves(now time.Time) *Answer {
+	service := r.groups[0].service
+	r.usual = r.e.table.UsualTime(now, r.route.Name, service, r.estimate)
+	slack := slackOf(r.route.Target, r.e.transitTime(r.req, r.route.Target), r.usual)
+	limit := r.e.sharedLeaves.request(service, r.route, slack, now, rand.Float64())
+	waits := r.waits(now, limit.mostUrgent)
 	spare := len(r.groups) - r.needed
-	if spare < len(expected) && r.shouldShed(float64(expected[spare].duration)/float64(typical), limit) {
-		for _, x := range expected[:spare+1] {
-			g := &r.groups[x.group]
-			r.trace.addBadCall(BadCall{Service: g.service, Problem: fmt.Sprintf("expected to take %v of %v", x.duration, time.Duration(limit*float64(typical)))})
+	if spare < len(waits) {
+		longest := waits[spare]
+		r.traceWait(longest, limit)
+		if !r.fits(longest.Wait, limit.limit, now) {
+			r.noteBusy(waits[:spare+1], limit.limit)
+			after := r.e.sharedLeaves.retryAfter(service, r.route, now, longest.Expected)
+			return r.answer(&Answer{Outcome: NotRun, Reason: ReasonBusyLeaves, RetryAfter: after})
 		}
-		return r.answer(&Answer{Outcome: NotRun, Reason: ReasonBusyLeaves, RetryAfter: withJitter(max(expected[spare].duration, retryRefused))})
 	}
-	for _, x := range expected[:min(spare, len(expected))] {
-		if x.duration < remaining {
+	for _, w := range waits[:min(spare, len(waits))] {
+		if r.isInTime(w.Wait, now) {
 			break
 		}
-		r.failGroup(&r.groups[x.group], ReasonBusyLeaves)
+		r.failGroup(&r.groups[w.group], ReasonBusyLeaves)
 	}
+	r.e.sharedLeaves.admitted(service, r.route, now)
 	return nil
 }
 
-// shouldShed decides at random whether to refuse a search whose calls are expected to take the given multiple of
-// the typical call time.
-func (r *run) shouldShed(multiple, limit float64) bool {
-	return rand.Float64() < (multiple/limit-(1-admitSpread))/(2*admitSpread)
-}
-
-// expectation is the expected duration of a group's call.
-type expectation struct {
-	group    int
-	duration time.Duration
-}
-
-// queuedGroups returns the groups whose leaves have queues, with the expected duration of their calls. A shard
-// that is slow without a queue is not included, because fewer searches would not make it faster.
-func (r *run) queuedGroups(now time.Time) []expectation {
-	var out []expectation
+// waits returns the groups whose calls would wait for a slot, the longest wait first. What is unknown of the queues since
+// the latest reports counts against all but the most urgent priority: a VM that took an old report for a shorter queue
+// admitted them, and others then refused more urgent requests. A single request is never refused for an old report
+// alone, since its leaf may have a free slot by now.
+func (r *run) waits(now time.Time, mostUrgent bool) []expectedWait {
+	var out []expectedWait
 	for i := range r.groups {
 		candidates := r.candidates(&r.groups[i])
 		if len(candidates) == 0 {
 			continue
 		}
-		if duration, queueFactor := r.e.table.Expect(now, r.route.Name, r.estimate, r.replicaCandidates(candidates)); queueFactor >= minQueueFactor {
-			out = append(out, expectation{i, duration})
+		w := r.waitAt(now, candidates)
+		if !mostUrgent && (r.route.Search() || w.Expected > 0) {
+			w.Expected = w.Longest
+		}
+		if w.Full || w.Expected > 0 {
+			out = append(out, expectedWait{i, w})
 		}
 	}
+	slices.SortFunc(out, compareWaits)
 	return out
 }
+
+// compareWaits orders full leaves first, then the longest wait first.
+func compareWaits(a, b expectedWait) int {
+	switch {
+	case a.Full == b.Full:
+		return cmp.Compare(b.Expected, a.Expected)
+	case a.Full:
+		return -1
+	}
+	return 1
+}
+
+// waitAt returns the expected wait for a slot at the best of the leaves.
+func (r *run) waitAt(now time.Time, candidates []catalog.Leaf) replica.Wait {
+	return r.e.table.Wait(now, r.typical, r.replicaCandidates(candidates))
+}
+
+// fits reports whether a call with the wait is admitted.
+func (r *run) fits(w replica.Wait, limit time.Duration, now time.Time) bool {
+	return w.Expected <= limit && r.isInTime(w, now)
+}
+
+// isInTime reports whether a call with the wait can be answered in time. A call that finds a free slot always can.
+func (r *run) isInTime(w replica.Wait, now time.Time) bool {
+	if w.Full {
+		return false
+	}
+	return w.Expected <= 0 || w.Expected+r.usual <= r.inTimeUntil().Sub(now)
+}
+
+// inTimeUntil returns when an answer has to be made to be in time.
+func (r *run) inTimeUntil() time.Time {
+	if r.route.Target <= 0 {
+		return r.deadline
+	}
+	return r.softDeadline
+}
+
+// traceWait records the wait by which admission decides, unless the wait for the processor was longer.
+func (r *run) traceWait(w expectedWait, limit waitLimit) {
+	if !w.Full && w.Expected < r.trace.Wait {
+		return
+	}
+	r.trace.Wait, r.trace.WaitLimit, r.trace.Demand = w.Expected, limit.limit, limit.demand
+}
+
+// noteBusy records the shards whose leaves are too busy.
+func (r *run) noteBusy(waits []expectedWait, limit time.Duration) {
+	for _, w := range waits {
+		problem := fmt.Sprintf("expected to wait %v of %v", w.Expected, limit)
+		if w.Full {
+			problem = "all leaves are full"
+		}
+		r.trace.addBadCall(BadCall{Service: r.groups[w.group].service, Problem: problem})
+	}
+}
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -48,7 +49,7 @@
 		return
 	}
 	now := time.Now()
-	chosen, call := r.e.table.Choose(now, r.route.Name, r.estimate, r.replicaCandidates(candidates))
+	chosen, call := r.choose(now, candidates)
 	leaf := candidates[chosen]
 	if !r.takeCold(leaf, now) {
 		call.End(replica.Neutral, now)
@@ -67,11 +68,20 @@
 	go r.call(i, leaf, call, r.suspect)
 }
 
+// choose starts a call to one of the leaves. A VM hears less of the leaves of a single request than of those of a
+// search.
+func (r *run) choose(now time.Time, candidates []catalog.Leaf) (int, *replica.Call) {
+	if r.route.Search() {
+		return r.e.table.Choose(now, r.route.Name, r.estimate, r.replicaCandidates(candidates))
+	}
+	return r.e.table.ChooseSpread(now, r.route.Name, r.estimate, r.replicaCandidates(candidates), rand.Float64)
+}
+
 func (r *run) replicaCandidates(candidates []catalog.Leaf) []replica.Candidate {
 	out := make([]replica.Candidate, 0, len(candidates))
 	for _, l := range candidates {
 		_, open := r.e.leaves.Free(l.ID)
-		out = append(out, replica.Candidate{ID: l.ID, Slots: l.Slots, WarmingUp: l.Warmup > 0, SameZone: l.Zone == r.e.zone, Connected: open})
+		out = append(out, replica.Candidate{ID: l.ID, Service: l.Service, Slots: l.Slots, WarmingUp: l.Warmup > 0, SameZone: l.Zone == r.e.zone, Connected: open})
 	}
 	return out
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -117,6 +117,15 @@
 	ReasonPartial Reason = "partial"
 )
 
+// Overload reports whether the reason is a refusal by admission control.
+func (r Reason) Overload() bool {
+	switch r {
+	case ReasonBusyLeaves, ReasonBusyGatherers, ReasonBusyProcessor, ReasonCallerShare:
+		return true
+	}
+	return false
+}
+
 // Answer is the result returned to the caller.
 type Answer struct {
 	Outcome Outcome
@@ -197,7 +206,7 @@
 	splits       splits
 	probes       probes
 	lateArrivals lateArrivals
-	sharedShards sharedShards
+	sharedLeaves sharedLeaves
 	lag          lag
 	// started is when the engine was created.
 	started time.Time
@@ -220,7 +229,7 @@
 func New(at Location, d StartingDirectory, l Leaves, t *replica.Table, b *retrybudget.Budgets, c Crashes, cold ColdLeaves, g Gate, o Observer) *Engine {
 	return &Engine{
 		zone: at.Zone, regions: at.Regions, directory: d, leaves: l, table: t, budgets: b, crashes: c, coldLeaves: cold, gate: g, observer: o,
-		started: time.Now(),
+		started: time.Now(), sharedLeaves: sharedLeaves{newSchedule: newRetrySchedule},
 	}
 }
 
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// mayHaveRun reports whether the leaf may have run the request.
+func (ev event) mayHaveRun() bool {
+	if ev.err == nil {
+		return !ev.resp.NotRun
+	}
+	var e *leafcall.Error
+	return !errors.As(ev.err, &e) || e.Sent
+}
+
 // noteBadCall adds a bad call to the trace of the request.
 func (r *run) noteBadCall(ev event, problem string) {
 	r.trace.addBadCall(BadCall{Service: r.groups[ev.group].service, Leaf: ev.leaf, Problem: problem, After: time.Since(r.req.Arrived)})
@@ -118,7 +127,7 @@
 		return
 	}
 	candidates := r.candidates(g)
-	if len(candidates) == 0 {
+	if r.cannotSucceed() || len(candidates) == 0 {
 		r.failGroup(g, ReasonNoLeaf)
 		return
 	}
@@ -132,7 +141,7 @@
 	if g.part != nil || g.inFlight > 0 {
 		return
 	}
-	if !r.canRepeat(g) || len(r.candidates(g)) == 0 {
+	if r.cannotSucceed() || !r.canRepeat(g) || len(r.candidates(g)) == 0 {
 		r.failGroup(g, reason)
 		return
 	}
@@ -161,6 +170,9 @@
 	}
 	now := time.Now()
 	g.pending = true
+	if !r.allowsRepeat(g, candidates, now) {
+		return
+	}
 	urgency := r.repeatUrgency(now)
 	switch {
 	case r.takeExtraCall(g, urgency):
@@ -171,6 +183,27 @@
 	}
 }
 
+// allowsRepeat reports whether the queues at the leaves allow the group's repeat now. It fails the group if no repeat can
+// be answered in time any more. While leaves are queued, a search gets only the repeats without which it would fail.
+func (r *run) allowsRepeat(g *group, candidates []catalog.Leaf, now time.Time) bool {
+	w := r.waitAt(now, candidates)
+	remaining := r.deadline.Sub(now)
+	fits := !w.Full && (w.Expected <= 0 || w.Expected+r.typical <= remaining)
+	switch {
+	case !r.route.Search():
+		if !fits {
+			r.failGroup(g, ReasonBusyLeaves)
+		}
+		return fits
+	case !w.Queued && !w.Full:
+		return true
+	case r.shortfall(now) > 0 && r.typical > remaining:
+		r.failGroup(g, ReasonBusyLeaves)
+		return false
+	}
+	return fits && r.shortfall(now) > 0
+}
+
 // takeExtraCall takes an extra call for the group from the budget of its service.
 func (r *run) takeExtraCall(g *group, u retrybudget.Urgency) bool {
 	if r.e.budgets.Take(g.service, u) {
@@ -191,13 +224,16 @@
 	if !r.route.Search() {
 		return retrybudget.Needed
 	}
-	shortfall := r.countLacking(now) - (len(r.groups) - r.needed)
+	shortfall := r.shortfall(now)
 	if shortfall <= 0 || shortfall > maxShortfall || !now.Before(r.softDeadline) {
 		return retrybudget.Optional
 	}
 	return retrybudget.Needed
 }
 
+// shortfall returns how many parts a search lacks beyond those that it can do without; 0 or less if none.
+func (r *run) shortfall(now time.Time) int { return r.countLacking(now) - (len(r.groups) - r.needed) }
+
 // countLacking counts the groups without a part and without a call that is likely to bring one in time.
 func (r *run) countLacking(now time.Time) int {
 	n := 0
@@ -215,7 +251,7 @@
 	for i := range r.groups {
 		g := &r.groups[i]
 		switch {
-		case g.part != nil || g.failed:
+		case g.part != nil || g.failed || r.cannotSucceed():
 		case g.pending && g.refusals+g.runs > 0:
 			r.tryRepeat(i)
 		case g.pending:
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -76,7 +76,7 @@
 }
 
 func (r *run) canHedge(g *group) bool {
-	return r.route.Idempotent && !r.suspect && !g.hedged && g.inFlight == 1 && g.runs < r.route.MaxAttempts && g.refusals < maxRefusals
+	return !r.cannotSucceed() && r.route.Idempotent && !r.suspect && !g.hedged && g.inFlight == 1 && g.runs < r.route.MaxAttempts && g.refusals < maxRefusals
 }
 
 // hedgeDue returns when the hedge is due or is to be retried.
@@ -88,14 +88,14 @@
 	return at
 }
 
-// hedge sends the call to a second leaf in parallel.
+// hedge sends the call to a second leaf in parallel. A hedge in a queue would displace first calls.
 func (r *run) hedge(i int, now time.Time) {
 	g := &r.groups[i]
 	candidates := r.usable(i, r.candidates(g))
 	if g.failed || r.suspect {
 		return
 	}
-	if len(candidates) == 0 || !r.takeExtraCall(g, r.hedgeUrgency(g, now)) {
+	if len(candidates) == 0 || r.isQueued(g, now) || !r.takeExtraCall(g, r.hedgeUrgency(g, now)) {
 		g.retryAt = now.Add(retryPoll)
 		return
 	}
@@ -104,6 +104,11 @@
 	r.launch(i, candidates)
 }
 
+// isQueued reports whether all leaves of the group's service have more requests than slots.
+func (r *run) isQueued(g *group, now time.Time) bool {
+	return r.waitAt(now, r.e.directory.Current().Leaves[g.service]).Queued
+}
+
 // hedgeUrgency returns how much depends on a hedge. A hedge is deferrable until the last moment at which it is of
 // use. It is optional if the search is late already or the call is not slow for its leaf.
 func (r *run) hedgeUrgency(g *group, now time.Time) retrybudget.Urgency {
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -17,6 +17,9 @@
 	now := time.Now()
 	if resp != nil && resp.Load != nil {
 		r.e.table.Report(leaf.ID, *resp.Load, now)
+		if resp.NotRun {
+			r.e.table.Refused(leaf.ID, *resp.Load, now)
+		}
 	}
 	call.End(resultOf(resp, err), now)
 	switch {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -68,7 +68,9 @@
 	// shards.
 	typical time.Duration
 	needed  int
-	groups  []group
+	// usual is the typical call time by which the request was admitted.
+	usual  time.Duration
+	groups []group
 	// ratios are those of the parts received, by which the other calls of this request are judged.
 	ratios callRatios
 	events chan event
@@ -159,10 +161,7 @@
 	for i := range r.groups {
 		r.e.budgets.Request(r.groups[i].service)
 	}
-	if a := r.refuseUnreachable(); a != nil {
-		return a
-	}
-	if a := r.refuseOverload(); a != nil {
+	if a := r.admit(); a != nil {
 		return a
 	}
 	sendStart := time.Now()
@@ -179,6 +178,9 @@
 		if a := r.finalAnswer(time.Now()); a != nil {
 			return a
 		}
+		if r.caller.Err() != nil {
+			return r.abandon()
+		}
 		waitStart := time.Now()
 		wait := r.untilDue(waitStart)
 		timer.Reset(wait)
@@ -192,26 +194,36 @@
 			r.runDue(now, delay+sending)
 			sending = 0
 		case <-r.caller.Done():
-			r.cancel()
-			return r.answer(&Answer{Outcome: CallerGone, Reason: ReasonCallerGone})
+			return r.abandon()
 		}
 	}
 }
 
+// abandon ends a request whose caller is gone.
+func (r *run) abandon() *Answer {
+	r.cancel()
+	return r.answer(&Answer{Outcome: CallerGone, Reason: ReasonCallerGone})
+}
+
 // finish lets the calls in flight end on their own for the grace period, then cancels them.
 func (r *run) finish() {
 	close(r.ended)
-	inFlight := 0
-	for i := range r.groups {
-		inFlight += r.groups[i].inFlight
-	}
-	if inFlight == 0 {
+	if r.inFlight() == 0 {
 		r.cancel()
 		return
 	}
 	time.AfterFunc(lateCallGrace, r.cancel)
 }
 
+// inFlight returns the number of calls in flight.
+func (r *run) inFlight() int {
+	n := 0
+	for i := range r.groups {
+		n += r.groups[i].inFlight
+	}
+	return n
+}
+
 // finalAnswer returns the answer once waiting cannot improve it, and nil until then.
 func (r *run) finalAnswer(now time.Time) *Answer {
 	if !r.route.Search() {
@@ -221,7 +233,7 @@
 	switch {
 	case r.answeredGroups == len(r.groups), r.coversEnough() && (open == 0 || r.stopWaiting(now)):
 		return r.mergedAnswer()
-	case r.answeredGroups+open < r.needed:
+	case r.cannotSucceed() && !r.awaitsFirstEnd(now):
 		return r.failedAnswer(ReasonTooFewShards)
 	case !now.Before(r.deadline):
 		return r.failedAnswer(ReasonDeadline)
@@ -231,6 +243,17 @@
 	return nil
 }
 
+// cannotSucceed reports whether a search has lost too many shards. Nothing is sent for it any more.
+func (r *run) cannotSucceed() bool {
+	return r.route.Search() && len(r.groups)-r.failedGroups < r.needed
+}
+
+// awaitsFirstEnd reports whether a request of which nothing has run so far still has calls in flight. Their ends may show
+// that nothing has run at all, as where all leaves are full.
+func (r *run) awaitsFirstEnd(now time.Time) bool {
+	return !r.ran && r.inFlight() > 0 && now.Before(r.softDeadline)
+}
+
 func (r *run) finalSingleAnswer(now time.Time) *Answer {
 	g := &r.groups[0]
 	switch {
@@ -248,13 +271,34 @@
 	return nil
 }
 
+// awaitUnsent cancels the calls in flight at the deadline of a request that has not run so far, and waits for their
+// ends for a moment. The ends show whether the calls have left this VM.
+func (r *run) awaitUnsent() {
+	if r.ran || r.inFlight() == 0 {
+		return
+	}
+	r.cancel()
+	timer := time.NewTimer(answerMargin / 2)
+	defer timer.Stop()
+	for !r.ran && r.inFlight() > 0 {
+		select {
+		case ev := <-r.events:
+			r.groups[ev.group].inFlight--
+			r.ran = ev.mayHaveRun()
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // failedAnswer returns the final answer of a request that cannot be served. It says NotRun only if that is
 // certain.
 func (r *run) failedAnswer(reason Reason) *Answer {
 	r.noteOpenGroups()
-	for i := range r.groups {
-		r.ran = r.ran || r.groups[i].inFlight > 0
+	if reason == ReasonDeadline {
+		r.awaitUnsent()
 	}
+	r.ran = r.ran || r.inFlight() > 0
 	if r.reason != ReasonNone && reason == ReasonTooFewShards {
 		reason = r.reason
 	}
