Decision, story: what admission went by

Cause: the line of a refused request did not say what limit applied to it.

Change: fields wait, wait_limit, demand and priority, counter burdock_refused_total{reason,priority}, and a sentence in burdockctl story.

Measured: the tests of internal/decision, internal/ctl and internal/story pass, with -race.

--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/decision"
+	"github.com/burdockplank/burdockplank/internal/dispatch"
 	"github.com/burdockplank/burdockplank/internal/story"
 )
 
@@ -71,6 +72,8 @@
 	Own          bool           `json:"own"`
 	Fields       map[string]any `json:"fields"`
 	Where        string         `json:"where"`
+	// Refusal says in a sentence why admission control refused the request; empty if it did not.
+	Refusal string `json:"refusal,omitempty"`
 }
 
 // omittedFields are the fields that the report shows in columns of their own or that every line of a log has.
@@ -89,7 +92,8 @@
 		}
 		r.Lines = append(r.Lines, storyLine{
 			AfterSeconds: l.At.Sub(first).Seconds(), VM: l.VM, Msg: l.Msg, Own: own(l), Fields: fields,
-			Where: fmt.Sprintf("%s:%d", l.File, l.Number),
+			Where:   fmt.Sprintf("%s:%d", l.File, l.Number),
+			Refusal: refusalText(l.Fields),
 		})
 	}
 	return r
@@ -108,6 +112,45 @@
 		_, _ = fmt.Fprintf(t, "%s\t%+.3fs\t%s\t%s\t%s\n", mark, l.AfterSeconds, l.VM, l.Msg, fieldText(l.Fields))
 	}
 	_ = t.Flush()
+	for _, l := range r.Lines {
+		if l.Refusal != "" {
+			_, _ = fmt.Fprintf(w, "%s %s\n", l.VM, l.Refusal)
+		}
+	}
+}
+
+// refusedBy says for each reason of admission control what the request would have waited for.
+var refusedBy = map[dispatch.Reason]string{
+	dispatch.ReasonBusyLeaves:    "the leaves were too busy",
+	dispatch.ReasonBusyProcessor: "its processor was too busy",
+	dispatch.ReasonBusyGatherers: "the VMs that make the calls of searches were too busy",
+	dispatch.ReasonCallerShare:   "the caller had used its share",
+}
+
+// refusalText describes the refusal that a request's line reports, or returns "" if it reports none.
+func refusalText(fields map[string]any) string {
+	reason, _ := fields[decision.FieldReason].(string)
+	cause := refusedBy[dispatch.Reason(reason)]
+	if cause == "" || fields[decision.FieldOutcome] != string(dispatch.NotRun) {
+		return ""
+	}
+	text := "refused the request: " + cause
+	if _, ok := fields[decision.FieldWaitLimit]; !ok {
+		return text + "."
+	}
+	return fmt.Sprintf("%s. The expected wait was %.0f ms; requests of priority %.0f are admitted up to %.0f ms. "+
+		"There were %.1f of them per second.", text, 1000*number(fields, decision.FieldWait), number(fields, decision.FieldPriority),
+		1000*number(fields, decision.FieldWaitLimit), number(fields, decision.FieldDemand))
+}
+
+// number returns the value of a field, or 0 if it is not a number.
+func number(fields map[string]any, name string) float64 {
+	n, _ := fields[name].(json.Number)
+	f, err := n.Float64()
+	if err != nil {
+		return 0
+	}
+	return f
 }
 
 // fieldText formats the fields as name=value, sorted by name.
--- a/internal/ctl/story_test.go
+++ b/internal/ctl/story_test.go
@@ -42,6 +42,18 @@
 	is.Equal(burdockctl(t, "story", "r-1").code, ExitUsage)
 }
 
+// Operators could not see from a refusal by how much the leaves were too busy for which priority.
+func TestStoryExplainsRefusal(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "a")
+	text := `{"time":"2026-01-27T11:00:10.000Z","msg":"request","vm":"vm-1","id":"r-1","outcome":"not_run","reason":"busy_leaves","wait":0.084,"wait_limit":0.03,"demand":120.44,"priority":0}` + "\n"
+	is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	got := burdockctl(t, "story", "r-1", file)
+	is.Equal(got.code, ExitOK)
+	is.True(strings.Contains(got.out, "vm-1 refused the request: the leaves were too busy. The expected wait was 84 ms; "+
+		"requests of priority 0 are admitted up to 30 ms. There were 120.4 of them per second."))
+}
+
 func TestLosses(t *testing.T) {
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "a")
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	calls    *prometheus.CounterVec
+	refused  *prometheus.CounterVec
 	dropped  prometheus.CounterFunc
 }
 
@@ -69,11 +71,14 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_leaf_calls_total", Help: "Calls to leaves by route and sort.",
 		}, []string{"route", "sort"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_refused_total", Help: "Requests that were refused before they ran, by reason and priority of their route.",
+		}, []string{"reason", "priority"}),
 	}
 	r.dropped = prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "burdock_log_lines_dropped_total", Help: "Log lines that the volume limit left out or that found the buffer full.",
 	}, func() float64 { return float64(r.linesLeftOut.Load() + sink.Dropped()) })
-	reg.MustRegister(r.requests, r.latency, r.calls, r.dropped)
+	reg.MustRegister(r.requests, r.latency, r.calls, r.refused, r.dropped)
 	return r
 }
 
@@ -87,6 +92,9 @@
 	if req.From == "" { // otherwise the VM that received the request from the caller counts it
 		r.requests.WithLabelValues(route, string(a.Outcome), string(a.Reason)).Inc()
 		r.latency.WithLabelValues(kind).Observe(elapsed.Seconds())
+		if a.Outcome == dispatch.NotRun && a.Route != nil {
+			r.refused.WithLabelValues(string(a.Reason), strconv.Itoa(dispatch.PriorityOf(a.Route))).Inc()
+		}
 	}
 	r.calls.WithLabelValues(route, "first").Add(float64(t.Calls - t.Hedges - t.Repeats))
 	r.calls.WithLabelValues(route, "hedge").Add(float64(t.Hedges))
@@ -124,7 +132,7 @@
 }
 
 func (r *Recorder) write(req *dispatch.Request, a *dispatch.Answer, t *dispatch.Trace, elapsed time.Duration, route string) {
-	r.log.Info(MsgRequest,
+	fields := []zap.Field{
 		zap.String(FieldID, req.ID), zap.String("route", route), zap.String(FieldOutcome, string(a.Outcome)), zap.String(FieldReason, string(a.Reason)),
 		zap.String(FieldFrom, req.From), zap.String(FieldGatherer, t.Gatherer), zap.String(FieldDeclined, req.Declined),
 		zap.Duration(FieldTook, elapsed), zap.Duration(FieldTarget, targetOf(a.Route)), zap.Duration("remaining", req.Remaining),
@@ -132,7 +140,20 @@
 		zap.Uint64(FieldDigest, t.Digest),
 		zap.Int("calls", t.Calls), zap.Int("hedges", t.Hedges), zap.Int("repeats", t.Repeats),
 		zap.Int("refusals", t.Refusals), zap.Int("failures", t.Failures), zap.Int("denied", t.Denied), zap.Int("missing", a.Missing), zap.Int("given_up", t.GivenUp),
-		zap.Duration("retry_after", a.RetryAfter), zap.Array(FieldBadCalls, badCalls(t.BadCalls)))
+		zap.Duration("retry_after", a.RetryAfter), zap.Array(FieldBadCalls, badCalls(t.BadCalls)),
+	}
+	r.log.Info(MsgRequest, append(fields, admissionFields(a, t)...)...)
+}
+
+// admissionFields returns what admission went by, if it saw a queue or refused the request.
+func admissionFields(a *dispatch.Answer, t *dispatch.Trace) []zap.Field {
+	if a.Route == nil || t.WaitLimit <= 0 && !a.Reason.Overload() {
+		return nil
+	}
+	return []zap.Field{
+		zap.Duration(FieldWait, t.Wait), zap.Duration(FieldWaitLimit, t.WaitLimit), zap.Float64(FieldDemand, t.Demand),
+		zap.Int(FieldPriority, dispatch.PriorityOf(a.Route)),
+	}
 }
 
 // targetOf returns the target of a route; 0 if there is no route.
--- a/internal/decision/fields.go
+++ b/internal/decision/fields.go
@@ -22,6 +22,9 @@
 	// FieldBadCalls holds the bad calls of a request. FieldService and FieldLeaf are the destination of each call,
 	// and FieldWhat is what happened.
 	FieldBadCalls, FieldService, FieldLeaf, FieldWhat = "bad_calls", "service", "leaf", "what"
+	// FieldWait is the wait by which admission decided, and FieldWaitLimit the longest one at which the request is
+	// admitted. FieldDemand is the number of requests of its priority per second at this VM.
+	FieldWait, FieldWaitLimit, FieldDemand, FieldPriority = "wait", "wait_limit", "demand", "priority"
 	// MsgLeftOut is the message of a line that reports omitted lines, and FieldLines is their number.
 	MsgLeftOut, FieldLines = "log lines left out", "lines"
 )
--- a/internal/decision/record_test.go
+++ b/internal/decision/record_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
@@ -28,6 +29,22 @@
 	}})
 }
 
+// A refusal must show the wait, its limit, the demand and the priority in its line, and be counted by reason and priority.
+func TestRefusalsAreExplained(t *testing.T) {
+	is := is.New(t)
+	core, logs := observer.New(zap.InfoLevel)
+	r := New(zap.New(core), noDrops{}, DefaultLimits(), prometheus.NewRegistry())
+	busy := &catalog.Route{Name: "busy", Target: time.Second, Priority: 3}
+	refusal := &dispatch.Answer{Outcome: dispatch.NotRun, Reason: dispatch.ReasonBusyLeaves, Route: busy}
+	r.Ended(&dispatch.Request{Arrived: time.Now()}, refusal, &dispatch.Trace{Wait: 80 * time.Millisecond, WaitLimit: 30 * time.Millisecond, Demand: 12})
+	line := logs.All()[0].ContextMap()
+	is.Equal(line["wait"], 80*time.Millisecond)
+	is.Equal(line["wait_limit"], 30*time.Millisecond)
+	is.Equal(line["demand"], 12.0)
+	is.Equal(line["priority"], int64(3))
+	is.Equal(testutil.ToFloat64(r.refused.WithLabelValues("busy_leaves", "3")), 1.0)
+}
+
 // BenchmarkScrape measures one scrape of the request metrics by the number of routes in use.
 func BenchmarkScrape(b *testing.B) {
 	for _, routes := range []int{100, 400, 1400} {
