Replica: a leaf disturbed for a moment is told apart from a slow one

Callers saw a leaf that a neighbour on its host had slowed down for half a second found late, and avoided for seconds afterwards: both went into the same moving averages.

A leaf whose last answers (two above 2.5 times its usual time, or three above 1.7 times), or whose oldest call in flight, are slow while other leaves are not gets no first call, but a probe 100 ms after the end of its last one. After one call in its usual time the averages forget what was slow; after 2 s they keep it. A leaf that is slower when nearly full is learned as such.

--- a/internal/replica/cost.go
+++ b/internal/replica/cost.go
@@ -38,8 +38,43 @@
 	typicalWorkPercent = 100
 )
 
-// cheapest returns the index of the candidate with the lowest cost. Requires mu.
+// cheapest returns the index of the candidate with the lowest cost among those that are not disturbed, or of a
+// disturbed one that is to be probed. If none of the others has a free slot, it is the one with the lowest cost among
+// all: without the disturbed leaf, the queues at the others could grow as long as it is disturbed. Requires mu.
 func (t *Table) cheapest(now time.Time, typical time.Duration, candidates []Candidate) int {
+	best, lowest := -1, math.Inf(1)
+	probe, lowestProbe := -1, math.Inf(1)
+	anyDisturbed := false
+	for i, c := range candidates {
+		l := t.leaf(c, now)
+		cost := t.usualCost(l, now, typical, c)
+		if !t.disturbed(l, now) {
+			if best < 0 || cost < lowest {
+				best, lowest = i, cost
+			}
+			continue
+		}
+		anyDisturbed = true
+		if l.probeDue(now) && cost < lowestProbe {
+			probe, lowestProbe = i, cost
+		}
+	}
+	switch {
+	case best < 0, anyDisturbed && t.full(candidates[best], now):
+		return t.cheapestOfAll(now, typical, candidates)
+	case probe >= 0 && lowestProbe < probeCostFactor*lowest:
+		return probe
+	}
+	return best
+}
+
+// full reports whether a call to the leaf would wait for a slot. Requires mu.
+func (t *Table) full(c Candidate, now time.Time) bool {
+	return t.leaf(c, now).queue(now)+1 > float64(max(c.Slots, 1))
+}
+
+// cheapestOfAll returns the index of the candidate with the lowest cost, disturbed or not. Requires mu.
+func (t *Table) cheapestOfAll(now time.Time, typical time.Duration, candidates []Candidate) int {
 	best, lowest := 0, math.Inf(1)
 	for i, c := range candidates {
 		if cost := t.cost(t.leaf(c, now), now, typical, c); cost < lowest {
@@ -57,7 +92,7 @@
 	typical := t.typicalOf(route, estimate)
 	best := candidates[t.cheapest(now, typical, candidates)]
 	l := t.leaves[best.ID]
-	queueFactor = l.queueFactor(l.queue(now), best)
+	queueFactor = l.queueFactor(now, l.queue(now), best)
 	return l.expected(now, typical, queueFactor), queueFactor
 }
 
@@ -77,12 +112,18 @@
 	return max(own, decay(reported, own, now.Sub(l.loadAt), loadDecay))
 }
 
-// expected returns how long a call to the leaf is expected to take with the given queue factor.
-func (l *leaf) expected(now time.Time, typical time.Duration, queueFactor float64) time.Duration {
+// factor returns how long a call is expected to take at the leaf without a queue, as a multiple of the typical time.
+func (l *leaf) factor(now time.Time) float64 {
 	factor := decay(l.timeFactor, 1, now.Sub(l.timeFactorAt), timeFactorDecay)
 	if l.recentSlow.now(now) > slowShareThreshold {
 		factor = max(factor, l.slowFactor)
 	}
+	return factor
+}
+
+// expected returns how long a call to the leaf is expected to take with the given queue factor.
+func (l *leaf) expected(now time.Time, typical time.Duration, queueFactor float64) time.Duration {
+	factor := l.factor(now)
 	if l.load.WorkTimePercent > 0 {
 		factor *= decay(float64(l.load.WorkTimePercent)/typicalWorkPercent, 1, now.Sub(l.loadAt), loadDecay)
 	}
@@ -90,16 +131,20 @@
 }
 
 // queueFactor returns how many times as long as on an idle leaf a call takes that finds the given queue.
-func (l *leaf) queueFactor(queue float64, c Candidate) float64 {
+func (l *leaf) queueFactor(now time.Time, queue float64, c Candidate) float64 {
 	slots := float64(max(c.Slots, 1))
-	return 1 + max(0, queue+1-slots)/slots
+	factor := 1 + max(0, queue+1-slots)/slots
+	if fillsUp(queue, c) {
+		factor *= l.crowding.factor(now)
+	}
+	return factor
 }
 
 // cost returns the expected time of a call, plus the cost of failures and slow calls and the time for which a
 // stalled leaf has not answered. Requires mu.
 func (t *Table) cost(l *leaf, now time.Time, typical time.Duration, c Candidate) float64 {
 	queue := l.queue(now)
-	queueFactor := l.queueFactor(queue, c)
+	queueFactor := l.queueFactor(now, queue, c)
 	cost := float64(l.expected(now, typical, queueFactor))
 	cost += float64(typical) * busyCost * queue / float64(max(c.Slots, 1))
 	fail, slow := t.rates(l, now)
--- /dev/null
+++ b/internal/replica/crowding.go
@@ -0,0 +1,55 @@
+package replica
+
+import "time"
+
+const (
+	// nearlyFull is the fraction of a leaf's slots in use from which its calls may take longer.
+	nearlyFullFraction = 0.75
+	// minCrowdedSlots is the minimum number of slots of a leaf that can be nearly full without being full.
+	minCrowdedSlots = 3
+	// crowdingWeight is the weight of a new answer in the time at a nearly full leaf. The first answers have more.
+	crowdingWeight = 0.1
+	// minCrowdedAnswers is the number of answers from which the time at a nearly full leaf counts as known.
+	minCrowdedAnswers = 5
+	// minCrowdingFactor is the factor from which a leaf counts as slower when nearly full. Pauses of leaves alone
+	// lead to 1.2. maxCrowdingFactor bounds what one answer may contribute.
+	minCrowdingFactor, maxCrowdingFactor = 1.3, 4
+	// minFactor bounds the usual time of a leaf in a comparison, as a multiple of the typical time.
+	minFactor = 0.1
+	// crowdingDecay is the time constant by which the factor returns to 1, so that a leaf is tried again.
+	crowdingDecay = 30 * time.Second
+)
+
+// crowding is how many times as long as usual calls take at a leaf whose slots are nearly all in use.
+type crowding struct {
+	// excess is the factor minus 1.
+	excess  float64
+	answers int
+	at      time.Time
+}
+
+// fillsUp reports whether a call that finds the given queue leaves the leaf nearly full.
+func fillsUp(queue float64, c Candidate) bool {
+	return c.Slots >= minCrowdedSlots && queue+1 > nearlyFullFraction*float64(c.Slots)
+}
+
+// known reports whether the leaf's time when it is nearly full is known.
+func (c *crowding) known() bool { return c.answers >= minCrowdedAnswers }
+
+// factor returns how many times as long a call takes at the nearly full leaf; 1 if that is not known.
+func (c *crowding) factor(now time.Time) float64 {
+	factor := 1 + decay(c.excess, 0, now.Sub(c.at), crowdingDecay)
+	if !c.known() || factor < minCrowdingFactor {
+		return 1
+	}
+	return factor
+}
+
+// learn updates the factor with a call that took ratio times the usual time of the leaf when it is not nearly full.
+func (c *crowding) learn(ratio float64, now time.Time) {
+	c.answers++
+	previous := decay(c.excess, 0, now.Sub(c.at), crowdingDecay)
+	weight := max(crowdingWeight, 1/float64(c.answers))
+	excess := min(max(ratio, 1), maxCrowdingFactor) - 1
+	c.excess, c.at = previous+weight*(excess-previous), now
+}
--- a/internal/replica/learn.go
+++ b/internal/replica/learn.go
@@ -36,16 +36,20 @@
 	delete(l.inFlight, c)
 	elapsed := now.Sub(c.sentAt)
 	l.silence.end(r, elapsed)
+	l.noise.lastEnd = now
 	switch r {
 	case OK:
 		c.t.learn(l, c, elapsed, now)
 	case Late:
 		if ratio := float64(elapsed) / (c.queueFactor * float64(max(c.t.typicalOf(c.route, elapsed), 1))); ratio > slowThreshold {
-			l.countSlow(now, ratio)
+			l.recentFailed.add(now, 0)
+			l.learnBoth(now, true, func() { l.countSlow(now, ratio) })
+			c.t.noteLate(l, c, now)
 			c.t.routes[c.route].step(elapsed, now)
 		}
 	case Refused, Failed, Unreachable, ConnectRefused:
-		l.count(now, 1, 0)
+		l.recentFailed.add(now, 1)
+		l.learnBoth(now, true, func() { l.count(now, 1, 0) })
 	case Neutral:
 	}
 }
@@ -53,7 +57,6 @@
 // count counts a call that has ended.
 func (l *leaf) count(now time.Time, failed, slow float64) {
 	l.ownTally.add(now, failed, slow)
-	l.recentFailed.add(now, failed)
 	l.recentSlow.add(now, slow)
 }
 
@@ -70,6 +73,8 @@
 // a slot. A typical time that included the wait counted queues twice: after a burst the expected time was ten
 // times the real one. Requires mu.
 func (t *Table) learn(l *leaf, c *Call, elapsed time.Duration, now time.Time) {
+	l.recentFailed.add(now, 0)
+	usual := t.noteAnswer(l, c, elapsed, now)
 	elapsed = time.Duration(float64(elapsed) / c.queueFactor)
 	route := t.routes[c.route]
 	if route == nil {
@@ -80,6 +85,22 @@
 	typical := route.typical
 	route.step(elapsed, now)
 	ratio := float64(elapsed) / float64(max(typical, 1))
+	l.learnBoth(now, usual, func() { l.learn(c, ratio, now) })
+}
+
+// learnBoth applies a change to the leaf's averages and, if usual is set, to those without slow answers as well.
+func (l *leaf) learnBoth(now time.Time, usual bool, change func()) {
+	change()
+	if usual && l.hasUsual(now) {
+		l.withUsual(now, change)
+	}
+}
+
+// learn updates the averages with an answer that took ratio times the typical time.
+func (l *leaf) learn(c *Call, ratio float64, now time.Time) {
+	if c.nearlyFull && l.noise.held == 0 {
+		l.crowding.learn(ratio*l.crowding.factor(now)/max(l.factor(now), minFactor), now)
+	}
 	if ratio >= slowThreshold {
 		l.countSlow(now, ratio)
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -60,6 +60,8 @@
 	// leaves are keyed by id and routes by name; guarded by mu.
 	leaves map[catalog.LeafID]*leaf
 	routes map[string]*routeTime
+	// recent holds the latest answers; guarded by mu.
+	recent recentCalls
 }
 
 // routeTime is the typical call time of a route.
@@ -85,6 +87,9 @@
 	peerTallies map[string]tally
 	load        Load
 	loadAt      time.Time
+	// crowding is how much slower the leaf is when nearly full, and noise whether it is disturbed.
+	crowding crowding
+	noise    noise
 	// silence tracks calls that stay unanswered.
 	silence silence
 	// inFlight holds the calls in flight.
@@ -102,7 +107,9 @@
 	// queueFactor is how many times as long as on an idle leaf the call was expected to take because it waits for
 	// a slot.
 	queueFactor float64
-	ended       bool
+	// nearlyFull is set if the call took one of the last slots of its leaf.
+	nearlyFull bool
+	ended      bool
 }
 
 // New returns an empty table.
@@ -148,8 +155,9 @@
 	typical := t.typicalOf(route, estimate)
 	best := t.cheapest(now, typical, candidates)
 	l := t.leaves[candidates[best].ID]
-	queueFactor := l.queueFactor(l.queue(now), candidates[best])
+	queueFactor := l.queueFactor(now, l.queue(now), candidates[best])
 	call := &Call{t: t, id: candidates[best].ID, route: route, sentAt: now, expected: l.expected(now, typical, queueFactor), queueFactor: queueFactor}
+	call.nearlyFull = fillsUp(l.queue(now), candidates[best])
 	l.inFlight[call] = struct{}{}
 	l.silence.begin(now)
 	return best, call
--- a/internal/replica/tally.go
+++ b/internal/replica/tally.go
@@ -113,7 +113,7 @@
 	defer t.mu.Unlock()
 	var out []Trouble
 	for id, l := range t.leaves {
-		if a := t.observed(l, now); a.failed+a.slow >= minTroubleCalls {
+		if a := t.observedUsually(l, now); a.failed+a.slow >= minTroubleCalls {
 			out = append(out, Trouble{id, a.calls, a.failed, a.slow})
 		}
 	}
