Replica: slowness of nearly full leaves is learned from all crowded calls

A leaf that is slow only with all its slots in use counted as disturbed, and the detection then threw away what had been learned of it.

--- a/internal/replica/crowding.go
+++ b/internal/replica/crowding.go
@@ -33,6 +33,12 @@
 	return c.Slots >= minCrowdedSlots && queue+1 > nearlyFullFraction*float64(c.Slots)
 }
 
+// crowded reports whether the leaf was nearly full when the call was sent, or by a report since then.
+func (l *leaf) crowded(c *Call) bool {
+	reported := Candidate{Slots: l.load.Slots}
+	return c.nearlyFull || !l.loadAt.Before(c.sentAt) && fillsUp(float64(l.load.Running+l.load.Waiting), reported)
+}
+
 // known reports whether the leaf's time when it is nearly full is known.
 func (c *crowding) known() bool { return c.answers >= minCrowdedAnswers }
 
--- a/internal/replica/learn.go
+++ b/internal/replica/learn.go
@@ -85,7 +85,10 @@
 	typical := route.typical
 	route.step(elapsed, now)
 	ratio := float64(elapsed) / float64(max(typical, 1))
-	l.learnBoth(now, usual, func() { l.learn(c, ratio, now) })
+	if c.nearlyFull && (l.noise.held == 0 || l.noise.crowded) {
+		l.crowding.learn(ratio*l.crowding.factor(now)/max(l.factor(now), minFactor), now)
+	}
+	l.learnBoth(now, usual, func() { l.learn(ratio, now) })
 }
 
 // learnBoth applies a change to the leaf's averages and, if usual is set, to those without slow answers as well.
@@ -97,10 +100,7 @@
 }
 
 // learn updates the averages with an answer that took ratio times the typical time.
-func (l *leaf) learn(c *Call, ratio float64, now time.Time) {
-	if c.nearlyFull && l.noise.held == 0 {
-		l.crowding.learn(ratio*l.crowding.factor(now)/max(l.factor(now), minFactor), now)
-	}
+func (l *leaf) learn(ratio float64, now time.Time) {
 	if ratio >= slowThreshold {
 		l.countSlow(now, ratio)
 		return
--- a/internal/replica/noise.go
+++ b/internal/replica/noise.go
@@ -33,7 +33,6 @@
 	ownTally     tally
 	recentSlow   recentShare
 	slowFactor   float64
-	crowding     crowding
 }
 
 // noise distinguishes a leaf that is disturbed for a moment from one that is slow for good. While calls are slow the
@@ -44,6 +43,8 @@
 	held            int
 	usual           averages
 	since, lastHeld time.Time
+	// crowded is set if the leaf was nearly full during the first of these answers, and may be slow for that reason.
+	crowded bool
 	// evidence is the evidence of the held answers that the leaf is disturbed.
 	evidence int
 	// usualAt is when the latest call in the usual time ended, lastEnd when the latest call ended in any way.
@@ -65,12 +66,12 @@
 )
 
 func (l *leaf) averages() averages {
-	return averages{l.timeFactor, l.timeFactorAt, l.ownTally, l.recentSlow, l.slowFactor, l.crowding}
+	return averages{l.timeFactor, l.timeFactorAt, l.ownTally, l.recentSlow, l.slowFactor}
 }
 
 func (l *leaf) setAverages(a averages) {
 	l.timeFactor, l.timeFactorAt, l.ownTally = a.timeFactor, a.timeFactorAt, a.ownTally
-	l.recentSlow, l.slowFactor, l.crowding = a.recentSlow, a.slowFactor, a.crowding
+	l.recentSlow, l.slowFactor = a.recentSlow, a.slowFactor
 }
 
 // withUsual runs f while the leaf has its averages without the slow answers, including what f changes in them.
@@ -146,7 +147,7 @@
 	switch {
 	case !exceeds(elapsed, usualFactor, usual):
 		return inUsualTime
-	case l.noise.held == 0 && c.nearlyFull && !l.crowding.known():
+	case l.noise.held == 0 && l.crowded(c) && !l.crowding.known():
 		return slowWithOthers
 	}
 	shared := t.meanwhile(c, usual, now)
@@ -194,7 +195,7 @@
 	n := &l.noise
 	switch {
 	case !l.hasUsual(now):
-		n.held, n.evidence, n.since, n.usual = 1, evidence, c.sentAt, l.averages()
+		n.held, n.evidence, n.since, n.usual, n.crowded = 1, evidence, c.sentAt, l.averages(), l.crowded(c)
 	case now.Sub(n.since) >= disturbedLimit:
 		l.release()
 	default:
--- a/internal/replica/noise_test.go
+++ b/internal/replica/noise_test.go
@@ -221,7 +221,7 @@
 // Guards against a leaf that is disturbed by a neighbour being found late and avoided for seconds afterwards. At 10
 // calls a second to each of 3 leaves, the probes that find its end soon enough are more than 1 in 20 calls.
 func TestDisturbedLeafIsFoundAndUsedAgain(t *testing.T) {
-	const from, to, runs = 3 * time.Second, 3600 * time.Millisecond, 20
+	const from, to, runs = 3 * time.Second, 3600 * time.Millisecond, 40
 	for _, tt := range []struct {
 		leaves            int
 		rate, shareAtMost float64
