Holding: bounded memory for slow callers and leaves, and for requests in flight

Callers that did not read, leaves that sent slowly, and any number of requests in flight could take the memory of the process: nothing counted what is held for them.

--- a/cmd/burdock-node/providers.go
+++ b/cmd/burdock-node/providers.go
@@ -5,12 +5,14 @@
 	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/deployment"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/holding"
 	"github.com/burdockplank/burdockplank/internal/logging"
 	"github.com/burdockplank/burdockplank/internal/node"
 	"github.com/burdockplank/burdockplank/platform"
@@ -30,12 +32,14 @@
 
 // providePlatform returns the components of the platform's adapter.
 func providePlatform(s *deployment.Settings, path settingsPath) node.Platform {
+	holdings := holding.NewKeeper(s.MemoryBytes, time.Now)
 	return node.Platform{
-		Store:   platform.NewStore(s.StoreAddress, s.IP),
-		Decoder: platform.Decoder{},
-		Dialer:  platform.NewLeafDialer(s.IP),
+		Holdings: holdings,
+		Store:    platform.NewStore(s.StoreAddress, s.IP),
+		Decoder:  platform.Decoder{},
+		Dialer:   platform.NewLeafDialer(s.IP).WithHoldings(holdings),
 		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
-			return platform.NewEdge(s, limits, leaving, refused)
+			return platform.NewEdge(s, limits, leaving, refused).WithHoldings(holdings)
 		},
 		NewReadinessHandler: platform.NewReadinessHandler,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/burdockplank/burdockplank/internal/deployment"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/holding"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/leafpool"
 	"github.com/burdockplank/burdockplank/internal/logging"
@@ -78,6 +79,8 @@
 	Store   storeread.Store
 	Decoder directory.Decoder
 	Dialer  leafcall.Dialer
+	// Holdings bounds the memory held for requests and for slow peers; nil if nothing does.
+	Holdings *holding.Keeper
 	// NewCallerHandler returns the handler for callers, NewReadinessHandler the one for the balancer.
 	NewCallerHandler    func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(reason string)) http.Handler
 	NewReadinessHandler func(ready func() bool) http.Handler
@@ -154,6 +157,11 @@
 		Log: log, Registry: reg,
 	})
 	d.gatherer = delegate.NewGatherer(d.engine, d.directory, d.gate, d.leaving.Load)
+	if d.platform.Holdings == nil {
+		d.platform.Holdings = holding.NewKeeper(s.MemoryBytes, time.Now)
+	}
+	d.platform.Holdings.SetSearch(d.isSearch)
+	d.platform.Holdings.Register(reg)
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
@@ -186,6 +194,16 @@
 	return catalog.Limits{}
 }
 
+// isSearch reports whether the configuration in force routes the request to all shards of a search.
+func (d *Daemon) isSearch(host, path string) bool {
+	c := d.directory.Current().Config
+	if c == nil {
+		return false
+	}
+	route := dispatch.Match(c, &dispatch.Request{Host: host, Path: path})
+	return route != nil && route.Search()
+}
+
 // ready reports whether the balancer may send new connections.
 func (d *Daemon) ready() bool {
 	v := d.directory.Current()
@@ -211,6 +229,7 @@
 			{Name: "store reader", Run: d.reader.Run},
 			{Name: "directory", Run: d.directory.Run},
 			{Name: "pool", Run: d.pool.Run},
+			{Name: "holdings", Run: d.platform.Holdings.Run},
 			{Name: "crash guard", Run: func(ctx context.Context) error { return d.guard.Run(ctx, d.pool) }},
 			{Name: "follow", Run: d.follow},
 			{Name: "delegate", Run: d.delegate.Run},
