--- a/internal/holding/ledger.go
+++ b/internal/holding/ledger.go
@@ -6,7 +6,9 @@
 import "time"
 
 const (
-	// stallLimit is how long a caller may take or send no byte.
+	// stallLimit is how long a caller may take or send no byte. What a caller takes is known only as its kernel
+	// acknowledges it, in steps of half a receive buffer: on loopback, with steps of 100 KB and more, a caller that
+	// reads 80 KB/s gets its whole answer, and one that reads 20 KB/s is closed.
 	stallLimit = 5 * time.Second
 	// minPace is the pace, in bytes per second, from which a connection does not count as slow.
 	minPace = 64 << 10
