--- a/internal/delegate/offer.go
+++ b/internal/delegate/offer.go
@@ -17,7 +17,7 @@
 	// maxOffers bounds the gatherers that decline one search.
 	maxOffers = 2
 	// minimumPeriod is the time between two searches of a priority that are offered although all gatherers are full for
-	// it. A gatherer accepts some of these, so that no priority starves while more urgent ones fill it, and 65 VMs
+	// it. A gatherer accepts some of these, so that no priority starves while more urgent ones fill it, and all VMs
 	// together offer its guaranteed minimum several times over.
 	minimumPeriod = 500 * time.Millisecond
 	// maxNamed bounds the gatherers that the line of a refused search names, 60 bytes each.
