Crash guard: a line and a counter for crashes that an answer refutes

The users' record of a request that ended fourteen leaves doesn't show whether evidence was missing or was cleared again: an answer that refutes crashes left no trace. ReportAnswer now returns the leaves of the crashes it refutes, which are logged with the request's digest and counted in burdock_crash_refuted_total. No decision changes; tests of peers and crashguard pass.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -49,8 +49,9 @@
 // Fleet shares crashes with the other VMs.
 type Fleet interface {
 	ReportCrash(c peers.Crash)
-	// ReportAnswer reports that a leaf has answered the request, which refutes its crashes that are known here.
-	ReportAnswer(digest uint64, at time.Time)
+	// ReportAnswer reports that a leaf has answered the request, which refutes its crashes that are known here. It returns
+	// the leaves of those crashes.
+	ReportAnswer(digest uint64, at time.Time) []catalog.LeafID
 	// ReportRefusal records that the request came and was refused.
 	ReportRefusal(digest uint64, at time.Time)
 	// Crashes returns the leaves that crashed with the request in flight since the given time, and that no answer
@@ -107,9 +108,9 @@
 }
 
 type metrics struct {
-	lost, blocked prometheus.Counter
-	outcomes      *prometheus.CounterVec
-	checks        *prometheus.CounterVec
+	lost, blocked, refuted prometheus.Counter
+	outcomes               *prometheus.CounterVec
+	checks                 *prometheus.CounterVec
 }
 
 // New returns a guard without recorded losses that registers its metrics with reg.
@@ -132,6 +133,9 @@
 		blocked: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "burdock_crash_refusals_total", Help: "Requests and calls refused because the request crashes leaves.",
 		}),
+		refuted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "burdock_crash_refuted_total", Help: "Crashes that no longer count against their request, because leaves have answered it.",
+		}),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_crash_evidence_total", Help: "Calls without an answer by what became of them: counted against the request, or why not.",
 		}, []string{"outcome"}),
@@ -139,7 +143,7 @@
 			Name: "burdock_crash_checks_total", Help: "Checks of leaves after a lost connection by result.",
 		}, []string{"result"}),
 	}
-	reg.MustRegister(m.lost, m.blocked, m.outcomes, m.checks)
+	reg.MustRegister(m.lost, m.blocked, m.refuted, m.outcomes, m.checks)
 	return m
 }
 
@@ -254,7 +258,7 @@
 	g.answers.add(digest, now)
 	delete(g.suspects, digest)
 	g.mu.Unlock()
-	g.fleet.ReportAnswer(digest, now)
+	g.logRefuted(digest, g.fleet.ReportAnswer(digest, now))
 }
 
 func (g *Guard) hasAnswer(digest uint64) bool {
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -30,9 +30,15 @@
 	return out
 }
 
-func (f *fakeFleet) ReportAnswer(digest uint64, at time.Time) { f.answered[digest] = at }
-func (f *fakeFleet) Suspects() []uint64                       { return nil }
-func (f *fakeFleet) ReportRefusal(uint64, time.Time)          {}
+func (f *fakeFleet) ReportAnswer(digest uint64, at time.Time) (refuted []catalog.LeafID) {
+	for _, c := range f.Crashes(digest, time.Time{}) {
+		refuted = append(refuted, c.Leaf)
+	}
+	f.answered[digest] = at
+	return refuted
+}
+func (f *fakeFleet) Suspects() []uint64              { return nil }
+func (f *fakeFleet) ReportRefusal(uint64, time.Time) {}
 
 type fixture struct {
 	*Guard
--- a/internal/crashguard/outcome.go
+++ b/internal/crashguard/outcome.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/catalog"
 )
 
 // outcome says what became of a lost connection with a request in flight.
@@ -34,6 +36,17 @@
 	}
 }
 
+// logRefuted counts and logs the crashes that answers have refuted.
+func (g *Guard) logRefuted(digest uint64, leaves []catalog.LeafID) {
+	if len(leaves) == 0 {
+		return
+	}
+	g.metrics.refuted.Add(float64(len(leaves)))
+	if g.logLimiter.Allow() {
+		g.log.Info("crashes no longer count against a request that leaves have answered", zap.Uint64("digest", digest), zap.Stringers("leaves", leaves))
+	}
+}
+
 // sweep removes the losses that no longer have an effect. A loss that nothing explains in time ends its suspicion.
 // Requires mu.
 func (g *Guard) sweep(now time.Time) {
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -58,15 +58,19 @@
 }
 
 // ReportAnswer reports to the fleet that a leaf has answered the request at the time. The answer refutes the crashes that
-// are known here, and those only: dates of different VMs don't tell whether another crash came before it.
-func (m *Manager) ReportAnswer(digest uint64, at time.Time) {
+// are known here, and those only: dates of different VMs don't tell whether another crash came before it. It returns the
+// leaves of the crashes that it refuted.
+func (m *Manager) ReportAnswer(digest uint64, at time.Time) []catalog.LeafID {
 	m.mu.Lock()
-	s := m.suspects[digest]
-	news := s != nil && s.refute(at)
+	var refuted []catalog.LeafID
+	if s := m.suspects[digest]; s != nil {
+		refuted = s.refute(at)
+	}
 	m.mu.Unlock()
-	if news {
+	if len(refuted) > 0 {
 		m.localEvents.Fire()
 	}
+	return refuted
 }
 
 // ReportRefusal records that the request came and was refused for its crashes, so that they are kept.
@@ -100,16 +104,17 @@
 	return slices.Collect(maps.Keys(m.suspects))
 }
 
-// refute records that an answer has refuted the crashes that are known, and reports whether any stood.
-func (s *suspect) refute(at time.Time) (news bool) {
+// refute records that an answer has refuted the crashes that are known, and returns the leaves of those that stood.
+func (s *suspect) refute(at time.Time) []catalog.LeafID {
+	var refuted []catalog.LeafID
 	for leaf, c := range s.crashes {
 		if c.stands() {
 			c.refutedAt = at
 			s.crashes[leaf] = c
-			news = true
+			refuted = append(refuted, leaf)
 		}
 	}
-	return news
+	return refuted
 }
 
 // since returns the crashes after the time that stand.
