Crash guard: a leaf without an entry is asked, since a connection that is taken is no sign of life

Cause: the check after a lost connection took an open connection for a sign that the leaf lives, and nothing looked again once its entry was gone.

Once the entry is gone, the VM that lost the connection sends one health check there. No answer within a second is the end of the leaf. The losses of a leaf that is asked in vain count also if the request was answered elsewhere. Health checks carry no Request-Id.

TestLeafWithoutEntryIsAsked could not pass before: the guard had no health check.

--- a/internal/crashguard/check.go
+++ b/internal/crashguard/check.go
@@ -22,9 +22,12 @@
 	silentAttempts = 2
 )
 
-// Prober tries to open a connection to a leaf, which it keeps for later calls.
+// Prober finds out whether a leaf lives.
 type Prober interface {
+	// Probe tries to open a connection to the leaf, which it keeps for later calls.
 	Probe(ctx context.Context, leaf catalog.LeafID) leafcall.Reachability
+	// Ask sends the leaf a health check with the path.
+	Ask(ctx context.Context, leaf catalog.LeafID, path string) leafcall.Reachability
 }
 
 // enqueueCheck has the leaf checked unless that is under way. If too many checks wait, only the store's entries show
@@ -69,6 +72,10 @@
 // check finds out whether the leaf has ended, and tells the fleet of the losses if that takes long.
 func (g *Guard) check(ctx context.Context, p Prober, leaf catalog.LeafID) {
 	defer g.endCheck(leaf)
+	if path, ok := g.view.Load().healthPathOfExpired(leaf); ok {
+		g.ask(ctx, p, leaf, path)
+		return
+	}
 	silent, reported := 0, false
 	for end := g.clock().Add(refusalWindow); g.clock().Before(end); {
 		result := p.Probe(ctx, leaf)
@@ -96,6 +103,33 @@
 	}
 }
 
+// ask finds out whether a leaf whose entry is gone answers at its address, which has taken connections.
+func (g *Guard) ask(ctx context.Context, p Prober, leaf catalog.LeafID, path string) {
+	result := p.Ask(ctx, leaf, path)
+	g.metrics.checks.WithLabelValues(string(result)).Inc()
+	switch result {
+	case leafcall.TakenOver:
+		g.Replaced(leaf)
+	case leafcall.Refused, leafcall.NoResponse:
+		g.conclude(leaf, answersNothing)
+	}
+}
+
+// enqueueAsk has a leaf asked whose entry is gone, once for each loss, if its address has taken a connection since.
+func (g *Guard) enqueueAsk(leaf catalog.LeafID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	due := false
+	for i := range g.losses[leaf] {
+		l := &g.losses[leaf][i]
+		due = due || l.alive && !l.asked && !l.Silent
+		l.asked = true
+	}
+	if due {
+		g.enqueueCheck(leaf)
+	}
+}
+
 func (g *Guard) endCheck(leaf catalog.LeafID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/crashguard/check_test.go
+++ b/internal/crashguard/check_test.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	results []leafcall.Reachability
 	probes  int
+	// asked is the result of health checks.
+	asked leafcall.Reachability
 }
 
 func (p *fakeProber) Probe(context.Context, catalog.LeafID) leafcall.Reachability {
@@ -31,6 +33,10 @@
 	return r
 }
 
+func (p *fakeProber) Ask(context.Context, catalog.LeafID, string) leafcall.Reachability {
+	return p.asked
+}
+
 // run calls f beside a guard that checks leaves, in virtual time.
 func run(t *testing.T, p Prober, f func(t *testing.T, g *Guard, fleet *fakeFleet)) {
 	t.Helper()
@@ -98,6 +104,27 @@
 	}
 }
 
+// A connection that an address takes counted as a sign of life. A leaf whose entry is gone as well is asked.
+func TestLeafWithoutEntryIsAsked(t *testing.T) {
+	gone := &directory.View{
+		Config:  catalog.New(1, nil, []catalog.Service{{Name: "s", HealthPath: "/health"}}, catalog.Limits{}),
+		Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: "10.0.0.1:80", Service: "s"}}},
+	}
+	for asked, crashes := range map[leafcall.Reachability]int{
+		leafcall.Answered: 0, leafcall.NotTried: 0, leafcall.NoResponse: 1, leafcall.Refused: 1, leafcall.TakenOver: 1,
+	} {
+		t.Run(string(asked), func(t *testing.T) {
+			run(t, &fakeProber{results: []leafcall.Reachability{leafcall.Reached}, asked: asked}, func(t *testing.T, g *Guard, fleet *fakeFleet) {
+				g.Lost(Loss{Digest: crashing, Leaf: leafID("a"), Address: "10.0.0.1:80"})
+				time.Sleep(4 * time.Second)
+				g.SetView(gone)
+				time.Sleep(replacementWindow)
+				is.New(t).Equal(len(confirmedAt(fleet)), crashes)
+			})
+		})
+	}
+}
+
 // The entry of a leaf was gone while something at its address still took connections. That showed nothing, and the loss was
 // dropped before another start of a leaf at the address showed the end (seed 47205 of the soak).
 func TestLaterFindingCounts(t *testing.T) {
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -110,9 +110,9 @@
 type loss struct {
 	Loss
 	at time.Time
-	// alive is set once the leaf's address has taken a connection after the loss, decided once it is known whether the
-	// loss counts.
-	alive, decided bool
+	// alive is set once the leaf's address has taken a connection after the loss, asked once a health check is due because
+	// the leaf's entry is gone all the same. decided is set once it is known whether the loss counts.
+	alive, asked, decided bool
 }
 
 type metrics struct {
@@ -341,6 +341,9 @@
 	hasNoEntry = finding{"has no entry", false, func(l *loss, age time.Duration) bool {
 		return !l.alive && !l.Silent && age <= replacementWindow
 	}}
+	answersNothing = finding{"has no entry and answers nothing", true, func(l *loss, age time.Duration) bool {
+		return !l.Silent && age <= replacementWindow
+	}}
 	replaced = finding{"replaced", true, func(l *loss, age time.Duration) bool {
 		return !l.Silent && age <= replacementWindow
 	}}
--- a/internal/crashguard/fleet_test.go
+++ b/internal/crashguard/fleet_test.go
@@ -247,7 +247,7 @@
 		Split: []catalog.Weighted{{Service: service, Weight: 1}},
 	}
 	v := &directory.View{
-		Config: catalog.New(1, []*catalog.Route{route}, nil, catalog.Limits{}),
+		Config: catalog.New(1, []*catalog.Route{route}, []catalog.Service{{Name: "x", HealthPath: "/health"}, {Name: "later", HealthPath: "/health"}}, catalog.Limits{}),
 		Leaves: make(map[string][]catalog.Leaf), Expired: make(map[string][]catalog.Leaf),
 	}
 	for _, l := range f.leaves {
@@ -407,6 +407,24 @@
 	return leafcall.Refused
 }
 
+// Ask implements crashguard.Prober.
+func (v *modelVM) Ask(_ context.Context, id catalog.LeafID, _ string) leafcall.Reachability {
+	v.f.mu.Lock()
+	l := v.f.leaves[id]
+	down, cut := l.down(), l.cut
+	v.f.mu.Unlock()
+	switch {
+	case down && v.taken(l):
+		return leafcall.TakenOver
+	case down && !v.f.plan.unresponsive:
+		return leafcall.Refused
+	case down, cut:
+		time.Sleep(time.Second)
+		return leafcall.NoResponse
+	}
+	return leafcall.Answered
+}
+
 // taken reports whether another start of a leaf has the address of the leaf, which has ended.
 func (v *modelVM) taken(l *modelLeaf) bool {
 	v.f.mu.Lock()
--- a/internal/crashguard/view.go
+++ b/internal/crashguard/view.go
@@ -15,7 +15,8 @@
 
 type viewIndex struct {
 	byName, byAddress map[string]catalog.LeafID
-	expired           map[catalog.LeafID]bool
+	// expired holds the services of the leaves whose entry is gone.
+	expired map[catalog.LeafID]string
 }
 
 func newIndexedView(v *directory.View) *indexedView {
@@ -23,7 +24,7 @@
 }
 
 func indexOf(v *directory.View) viewIndex {
-	x := viewIndex{byName: make(map[string]catalog.LeafID), byAddress: make(map[string]catalog.LeafID), expired: make(map[catalog.LeafID]bool)}
+	x := viewIndex{byName: make(map[string]catalog.LeafID), byAddress: make(map[string]catalog.LeafID), expired: make(map[catalog.LeafID]string)}
 	for _, leaves := range []map[string][]catalog.Leaf{v.Leaves, v.EvacuatedLeaves} {
 		for _, list := range leaves {
 			for _, l := range list {
@@ -33,7 +34,7 @@
 	}
 	for _, list := range v.Expired {
 		for _, l := range list {
-			x.expired[l.ID] = true
+			x.expired[l.ID] = l.Service
 		}
 	}
 	return x
@@ -46,7 +47,19 @@
 	named, hasName := x.byName[leaf.Name]
 	at, hasAddress := x.byAddress[address]
 	replaced = hasName && named != leaf || hasAddress && at != leaf && address != ""
-	return replaced, x.expired[leaf]
+	_, expired = x.expired[leaf]
+	return replaced, expired
+}
+
+// healthPathOfExpired returns the path of the health check of a leaf whose entry is gone. ok is false if the leaf has an entry,
+// or its service no health check.
+func (v *indexedView) healthPathOfExpired(leaf catalog.LeafID) (path string, ok bool) {
+	service, expired := v.index().expired[leaf]
+	if !expired || v.view.Config == nil {
+		return "", false
+	}
+	path = v.view.Config.Services[service].HealthPath
+	return path, path != ""
 }
 
 // SetView takes a new view of the leaves, which may show that leaves have ended.
@@ -81,5 +94,6 @@
 		g.Replaced(leaf)
 	case expired:
 		g.expired(leaf)
+		g.enqueueAsk(leaf)
 	}
 }
--- a/internal/leafcall/leafcall.go
+++ b/internal/leafcall/leafcall.go
@@ -12,7 +12,7 @@
 
 // Request is one call to a leaf.
 type Request struct {
-	// ID of the caller's attempt, passed on unchanged.
+	// ID of the caller's attempt, passed on unchanged; empty for a health check.
 	ID string
 	// Method, Target (path and query, unchanged) and Host of the caller's request.
 	Method, Target, Host string
@@ -79,6 +79,10 @@
 	Refused Reachability = "refused"
 	// NoResponse: there was no response in time.
 	NoResponse Reachability = "no_response"
+	// Answered: the leaf answered.
+	Answered Reachability = "answered"
+	// TakenOver: another incarnation of a leaf answered at the address.
+	TakenOver Reachability = "taken_over"
 	// NotTried: no further connection to the leaf is allowed now, one ended at once, or the leaf is not known.
 	NotTried Reachability = "not_tried"
 )
--- a/internal/leafpool/probe.go
+++ b/internal/leafpool/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -41,6 +42,38 @@
 	return leafcall.NotTried
 }
 
+// askTimeout is how long a leaf may take to answer a health check. It waits for a slot like any other request.
+const askTimeout = time.Second
+
+// Ask sends the leaf a health check, a GET request for the path.
+func (p *Pool) Ask(ctx context.Context, id catalog.LeafID, path string) leafcall.Reachability {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	resp, err := p.Do(ctx, id, &leafcall.Request{Method: http.MethodGet, Target: path, Host: p.addressOf(id), Remaining: askTimeout, Leaf: id.Name})
+	var failure *leafcall.Error
+	switch {
+	case err == nil && resp.WrongIncarnation:
+		return leafcall.TakenOver
+	case err == nil:
+		return leafcall.Answered
+	case errors.As(err, &failure) && failure.Refused:
+		return leafcall.Refused
+	case errors.As(err, &failure) && failure.Cause == leafcall.ConnectionFull, ctx.Err() == nil:
+		return leafcall.NotTried
+	}
+	return leafcall.NoResponse
+}
+
+// addressOf returns the address of the leaf, or the name of one that is not known.
+func (p *Pool) addressOf(id catalog.LeafID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.leaves[id]; e != nil {
+		return e.address
+	}
+	return id.Name
+}
+
 // reserveProbe counts a connection to the leaf as open and returns the leaf, or nil if none may be opened now.
 func (p *Pool) reserveProbe(id catalog.LeafID) *leafConns {
 	p.mu.Lock()
--- a/internal/leafpool/probe_test.go
+++ b/internal/leafpool/probe_test.go
@@ -67,3 +67,26 @@
 	is.Equal(p.Probe(t.Context(), nearLeaf.ID), leafcall.NotTried)
 	is.Equal(d.count("near"), 1)
 }
+
+// Only a leaf that was reached and did not answer counts as ended.
+func TestAsk(t *testing.T) {
+	for name, tt := range map[string]struct {
+		dialErr error
+		unknown bool
+		want    leafcall.Reachability
+	}{
+		"answered": {want: leafcall.Answered},
+		"refused":  {dialErr: &leafcall.Error{Cause: leafcall.NoConnection, Refused: true}, want: leafcall.Refused},
+		"unknown":  {unknown: true, want: leafcall.NotTried},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDialer()
+			d.dialErr = tt.dialErr
+			p := New(d, "z", prometheus.NewRegistry())
+			if !tt.unknown {
+				p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 4}, sharedBy(1))
+			}
+			is.New(t).Equal(p.Ask(t.Context(), nearLeaf.ID, "/health"), tt.want)
+		})
+	}
+}
