Node: tests of a request that ends some of its leaves, and of an address that goes on taking connections

Four VMs over sockets, orders and idempotent requests that end their leaf in 15, 50 and 85 of 100 runs, beside others; and the address of a leaf that ended, which takes connections on which nothing answers.

--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,6 +30,8 @@
 	c     *cluster
 	how   hosted.End
 	delay time.Duration
+	// share of the runs that end their leaf; 0 for all of them.
+	share float64
 	// next is the service of the leaf that starts at once at the address of one that ended; empty for none. With
 	// sameID it starts under the same id.
 	next   string
@@ -40,7 +43,7 @@
 func (e *leafEnds) script(id, service string) hosted.Script {
 	return func(_ int, r *http.Request) hosted.Reply {
 		reply := hosted.Reply{Delay: 5 * time.Millisecond, Body: []byte(fmt.Sprintf("%-16s", service))}
-		if strings.Contains(r.RequestURI, crashMark) && service == "y" {
+		if strings.Contains(r.RequestURI, crashMark) && service == "y" && e.crashes(r) {
 			end := e.how
 			end.Ended = func() { e.afterEnd(id) }
 			reply.Delay, reply.End = e.delay, &end
@@ -49,6 +52,13 @@
 	}
 }
 
+// crashes reports whether the run of the request ends its leaf, the same for the same attempt in each play.
+func (e *leafEnds) crashes(r *http.Request) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(hosted.RequestID(r)))
+	return e.share == 0 || float64(h.Sum32()%1000) < e.share*1000
+}
+
 // start starts a leaf. An empty address stands for a free one.
 func (e *leafEnds) start(address, id, service string) {
 	if address == "" {
@@ -126,6 +136,7 @@
 		"address taken by another service":   {delay: 20 * time.Millisecond, next: "x"},
 		"started again under another id":     {delay: 20 * time.Millisecond, next: "y"},
 		"started again at once under its id": {delay: 20 * time.Millisecond, next: "y", sameID: true},
+		"address goes on taking connections": {delay: 20 * time.Millisecond, how: hosted.End{Unresponsive: true}},
 	} {
 		for kind, method := range map[string]string{"/y/": http.MethodPost, "/i/": http.MethodGet} {
 			t.Run(name+" "+strings.Trim(kind, "/"), func(t *testing.T) {
@@ -151,6 +162,34 @@
 	}
 }
 
+// A request that ends some of its leaves was cleared by the answers of the others, and ended leaves for as long as it came
+// (issue 57).
+func TestPartlyCrashingRequestEndsThreeLeaves(t *testing.T) {
+	for _, share := range []float64{0.15, 0.5, 0.85} {
+		for kind, method := range map[string]string{"/y/": http.MethodPost, "/i/": http.MethodGet} {
+			t.Run(fmt.Sprintf("%s %v", strings.Trim(kind, "/"), share), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				e := &leafEnds{delay: 20 * time.Millisecond, share: share}
+				c := startCrashing(t, e)
+				ctx, cancel := context.WithCancel(t.Context())
+				var innocent sync.WaitGroup
+				var sent, answered int
+				innocent.Go(func() { sent, answered = c.sendInnocent(ctx) })
+				for i := range 100 {
+					_, _, _, _ = c.vms[i%len(c.vms)].get(method, kind+crashMark, fmt.Sprintf("c%d", i))
+					time.Sleep(50 * time.Millisecond)
+				}
+				cancel()
+				innocent.Wait()
+				t.Logf("%d leaves ended; %d of %d other requests were answered", e.ended.Load(), answered, sent)
+				is.True(e.ended.Load() <= 3)
+				is.True(float64(answered) >= 0.95*float64(sent))
+			})
+		}
+	}
+}
+
 // sendCopies sends n copies of the crashing request, one after the other, each to the next VM.
 func (c *cluster) sendCopies(n int, text string) {
 	for i := range n {
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -76,6 +76,8 @@
 
 // End is how a leaf ends that a request crashes. Nothing listens at its address afterwards.
 type End struct {
+	// Unresponsive makes the address go on taking connections, on which nothing answers.
+	Unresponsive bool
 	// Reset resets the leaf's connections in place of closing them.
 	Reset bool
 	// HalfAnswer sends half of the answer first.
@@ -214,8 +216,13 @@
 // answer serves one request and reports whether the connection stays open.
 func (l *Leaf) answer(c net.Conn, r *http.Request) bool {
 	l.mu.Lock()
+	ended := l.ended
 	reply := l.script(len(l.received), r)
 	l.mu.Unlock()
+	if ended {
+		_, _ = io.Copy(io.Discard, c) // until the caller gives up
+		return false
+	}
 	var body []byte
 	if !reply.BeforeBody {
 		body, _ = io.ReadAll(r.Body)
@@ -260,7 +267,9 @@
 		answer := l.Answer(seen.ID, reply)
 		_, _ = c.Write(answer[:len(answer)-len(reply.Body)/2])
 	}
-	_ = l.listener.Close()
+	if !reply.End.Unresponsive {
+		_ = l.listener.Close()
+	}
 	if reply.End.Reset {
 		l.resetConns()
 	}
