--- a/internal/crashguard/fleet_test.go
+++ b/internal/crashguard/fleet_test.go
@@ -56,6 +56,9 @@
 	harmlessFor time.Duration
 	// backAfter is how long a leaf is down until another start of it takes its address; negative for never.
 	backAfter time.Duration
+	// patience is how long the callers of the crashing request wait; 0 for as long as others. Leaves run it to its end all
+	// the same.
+	patience time.Duration
 	// unresponsive is set if the address of a leaf that ended takes connections and answers nothing.
 	unresponsive bool
 	// events happen to the leaves for reasons of their own.
@@ -363,27 +366,27 @@
 		f.runs = append(f.runs, time.Now())
 	}
 	f.mu.Unlock()
-	work := workTime
 	if crashes {
-		work = timeToCrash
+		time.AfterFunc(timeToCrash, func() { f.crashBy(l) })
 	}
 	select {
 	case <-ctx.Done():
 		return nil, callError(l, leafcall.Abandoned)
 	case <-l.ended:
 		return nil, callError(l, leafcall.ConnectionLost)
-	case <-time.After(work):
-	}
-	if !crashes {
+	case <-time.After(workTime):
 		return &leafcall.Response{Status: http.StatusOK, Signature: "s-" + l.ID.Name, Body: []byte("body")}, nil
 	}
+}
+
+// crashBy ends the leaf by the crashing request.
+func (f *modelFleet) crashBy(l *modelLeaf) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !l.down() {
 		f.ends = append(f.ends, time.Now())
 		f.crash(l)
 	}
-	return nil, callError(l, leafcall.ConnectionLost)
 }
 
 // callError returns the end of a call that reached the leaf and has no answer.
@@ -446,9 +449,15 @@
 // Await implements dispatch.StartingDirectory.
 func (v *modelVM) Await(context.Context, time.Duration) *directory.View { return v.view.Load() }
 
-// ask serves a request at the VM.
-func (v *modelVM) ask(path, id string) *dispatch.Answer {
-	return v.engine.Serve(context.Background(), &dispatch.Request{
+// ask serves a request at the VM. Its caller leaves after patience; 0 for never.
+func (v *modelVM) ask(path, id string, patience time.Duration) *dispatch.Answer {
+	ctx := context.Background()
+	if patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, patience)
+		defer cancel()
+	}
+	return v.engine.Serve(ctx, &dispatch.Request{
 		ID: id, Method: http.MethodGet, Host: "h", Path: path, Target: path, Remaining: 4 * time.Second, Arrived: time.Now(),
 	})
 }
--- a/internal/crashguard/model_test.go
+++ b/internal/crashguard/model_test.go
@@ -71,7 +71,7 @@
 	for n := 0; time.Since(f.started) < tr.lasts; n++ {
 		v, path, id := f.vms[rng.IntN(len(f.vms))], fmt.Sprintf("/i/%d", rng.IntN(tr.texts)), fmt.Sprint("n", n)
 		calls.Go(func() {
-			a := v.ask(path, id)
+			a := v.ask(path, id, 0)
 			mu.Lock()
 			defer mu.Unlock()
 			out.sent++
@@ -95,7 +95,7 @@
 	for n := 0; time.Since(f.started) < tr.lasts; n++ {
 		for i := range tr.copies {
 			v, id := f.vms[rng.IntN(len(f.vms))], fmt.Sprintf("c%d-%d", n, i)
-			calls.Go(func() { v.ask(crashMark, id) })
+			calls.Go(func() { v.ask(crashMark, id, f.plan.patience) })
 			time.Sleep(copyGap)
 		}
 		time.Sleep(tr.pause)
@@ -143,6 +143,20 @@
 	}
 }
 
+// Callers that leave before the request has crashed its leaf. Its connection has been closed by then, and nobody looked for the
+// end of the leaf.
+func TestCrashingRequestOfCallersThatLeaveIsBound(t *testing.T) {
+	for seed := range uint64(8) {
+		plan := fleetPlan{vms: 4, leaves: 15, share: 1, backAfter: 3 * time.Second, patience: timeToCrash / 2, seed: seed}
+		got := play(t, plan, traffic{copies: 1, pause: 300 * ms, lasts: 14 * time.Second, texts: 1000, rate: 45})
+		t.Logf("seed %d: %v", seed, got)
+		is := is.New(t)
+		is.True(got.runsTooLate <= 3)
+		is.Equal(got.blocked, 0)
+		is.True(got.served() >= 0.95)
+	}
+}
+
 // drawFleet draws a fleet and its traffic.
 func drawFleet(rt *rapid.T) (fleetPlan, traffic) {
 	between := func(label string, least, most time.Duration) time.Duration {
--- a/internal/search/crashing_test.go
+++ b/internal/search/crashing_test.go
@@ -181,6 +181,31 @@
 	})
 }
 
+// A text that crashes some of the leaves that run it is answered by the others. Each answer refutes the crashes before it, and
+// a lost connection is no evidence against a text that leaves have answered, so that it ends leaves for as long as it comes.
+func TestPartlyCrashingTextIsBound(t *testing.T) {
+	for _, crashEvery := range []int{2, 7, 20} {
+		t.Run(fmt.Sprintf("1 of %d runs", crashEvery), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				rigs, fleet := newGathers(ctx, 2, 50*time.Millisecond, neverCut)
+				fleet.restart = 2 * time.Second
+				fleet.harmless = func(n int) bool { return n%crashEvery != crashEvery-1 }
+				time.Sleep(time.Second)
+				for k := range 100 {
+					_, _ = rigs[k%len(rigs)].search(fmt.Sprint("bad", k), "claim", crashMark, time.Second)
+					time.Sleep(100 * time.Millisecond)
+				}
+				cancel()
+				synctest.Wait()
+				t.Logf("%d leaves ended", fleet.crashes[crashMark])
+				is.True(fleet.crashes[crashMark] <= maxCrashes)
+			})
+		})
+	}
+}
+
 // A text to whose first run leaves answer with an error is answered by others, also where half of the leaves do so.
 func TestErrorsOfLeavesDoNotKeepATextFromOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/search/fakes_test.go
+++ b/internal/search/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -63,6 +64,8 @@
 	crashes      map[string]int
 	restart      time.Duration
 	restartAfter func() time.Duration
+	// harmless, if set, reports whether the n-th run of a crashing text is answered, counted from 0 over all leaves.
+	harmless func(n int) bool
 	// lastCrash is when a crashing text last ended a leaf.
 	lastCrash time.Time
 	// ran counts how often each text reached a leaf.
@@ -112,6 +115,7 @@
 		return nil, &upstream.CallError{Leaf: id, Err: errRefused}
 	}
 	l.calls++
+	harmless := f.harmless != nil && f.harmless(f.ran[req.GetQuery()])
 	f.ran[req.GetQuery()]++
 	incarnation, down, answer := l.incarnation, l.down, l.answer
 	if l.failing > 0 {
@@ -120,7 +124,7 @@
 		return nil, &upstream.CallError{Leaf: id, Incarnation: incarnation, Wrote: true, Err: errAnswered}
 	}
 	f.mu.Unlock()
-	if len(req.GetQuery()) >= len(crashMark) && req.GetQuery()[:len(crashMark)] == crashMark {
+	if strings.HasPrefix(req.GetQuery(), crashMark) && !harmless {
 		time.AfterFunc(serviceTime/2, func() { f.crash(id, incarnation, req.GetQuery()) })
 		answer = stall
 	}
