--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -41,16 +42,29 @@
 	down, keepEntry time.Duration
 	// sameID starts the leaf again under its id; otherwise a new one starts.
 	sameID bool
+	// percent of the runs end their leaf.
+	percent uint32
 }
 
 // drawCrashText draws the details of a crashing request.
 func drawCrashText(rng *rand.Rand) crashText {
-	return crashText{
+	text := crashText{
 		end:   hosted.End{Reset: rng.IntN(2) == 0, HalfAnswer: rng.IntN(3) == 0},
 		delay: time.Duration(rng.IntN(int(100 * time.Millisecond))),
 		down:  time.Duration(rng.IntN(int(2 * time.Second))), keepEntry: time.Duration(rng.IntN(int(2 * entryTTL))),
-		sameID: rng.IntN(4) == 0,
+		sameID: rng.IntN(4) == 0, percent: 100,
 	}
+	if rng.IntN(3) == 0 {
+		text.percent = uint32(10 + rng.IntN(90))
+	}
+	return text
+}
+
+// ends reports whether the run of the request at the leaf ends it.
+func (t *crashText) ends(leaf, request string) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(leaf + " " + request))
+	return h.Sum32()%100 < t.percent
 }
 
 // sendCrashing sends copies of one crashing request through VMs of all zones while the event lasts.
@@ -88,14 +102,15 @@
 }
 
 // crash returns how the leaf at the placement ends under the request; ok is false if the request is harmless.
-func (tb *testbed) crash(p *placement, target string) (reply hosted.Reply, ok bool) {
+func (tb *testbed) crash(p *placement, r *http.Request) (reply hosted.Reply, ok bool) {
+	target := r.RequestURI
 	if !strings.Contains(target, crashMark) {
 		return hosted.Reply{}, false
 	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	text, ok := tb.crashTexts[target]
-	if !ok {
+	if !ok || !text.ends(p.entry, hosted.RequestID(r)) {
 		return hosted.Reply{}, false
 	}
 	end := text.end
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -35,7 +35,7 @@
 	leafFault
 
 	// crash returns how a request ends the placement's leaf; ok is false if it does not.
-	crash func(p *placement, target string) (reply hosted.Reply, ok bool)
+	crash func(p *placement, r *http.Request) (reply hosted.Reply, ok bool)
 }
 
 // leafFault is a fault that a leaf shows until the given time, for the given share of its requests.
@@ -134,7 +134,7 @@
 // script returns the answers of a leaf of the service, including the placement's current fault.
 func (p *placement) script(service string) hosted.Script {
 	return func(_ int, r *http.Request) hosted.Reply {
-		if reply, ok := p.crash(p, r.RequestURI); ok {
+		if reply, ok := p.crash(p, r); ok {
 			return reply
 		}
 		reply := hosted.Reply{Delay: leafWork, Body: []byte(answer(service, hosted.RequestID(r), r.RequestURI))}
