--- a/internal/crashguard/model_test.go
+++ b/internal/crashguard/model_test.go
@@ -197,6 +197,20 @@
 	})
 }
 
+// Forty copies come at once, five seconds apart: those of the first lump end three leaves or more at about one moment, as an
+// outage does, and the next lump runs as a whole.
+func TestLumpsOfPartlyCrashingRequestAreBound(t *testing.T) {
+	for _, share := range []float64{0.05, 0.1, 0.25} {
+		for seed := range uint64(40) {
+			plan := fleetPlan{vms: 3, leaves: 14, share: share, backAfter: 3 * time.Second, seed: seed}
+			got := play(t, plan, traffic{copies: 40, pause: 5 * time.Second, lasts: 14 * time.Second, texts: 1000, rate: 20})
+			if got.runsTooLate > 3 {
+				t.Errorf("share %v, seed %d: %v", share, seed, got)
+			}
+		}
+	}
+}
+
 // Requests were in flight when leaves ended for another reason: several at once and twice, or an availability zone that was
 // cut off. Refusing those is no bound.
 func TestRequestsAtOtherEndsAreNotBlocked(t *testing.T) {
