Crash guard: the verdict takes crashes in the order in which they came

They came in the order of a map, on which it depended which of the ends that came together was counted, and whether the others came long enough after it.

--- a/internal/crashguard/suspicion.go
+++ b/internal/crashguard/suspicion.go
@@ -51,6 +51,7 @@
 	others := g.fleet.OtherCrashes(digest)
 	ended := endedLeaves(crashes, others)
 	e.crashes = confirmed(crashes, ended)
+	slices.SortFunc(e.crashes, func(a, b peers.Crash) int { return a.At.Compare(b.At) })
 	for _, c := range confirmed(others, ended) {
 		e.others[c.Digest] = append(e.others[c.Digest], c)
 	}
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -1,7 +1,6 @@
 package crashguard
 
 import (
-	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
@@ -24,7 +23,7 @@
 
 // evidence is what the fleet knows of the leaves that ended while a request was in flight there.
 type evidence struct {
-	// crashes of the request that are confirmed and stand.
+	// crashes of the request that are confirmed and stand, the first one first.
 	crashes []peers.Crash
 	// answered is set if a leaf has ever answered the request.
 	answered bool
@@ -43,10 +42,13 @@
 func (e *evidence) counted() []peers.Crash {
 	var out []peers.Crash
 	for _, c := range e.crashes {
-		if e.explainedByOther(c.Leaf) || e.answered && (e.partOfOutage(c) || e.endedTogether(c) && slices.ContainsFunc(out, func(o peers.Crash) bool { return together(c, o) })) {
-			continue
+		switch {
+		case e.explainedByOther(c.Leaf):
+		case e.answered && e.partOfOutage(c):
+		case e.answered && e.endedTogether(c) && len(out) > 0 && together(c, out[len(out)-1]):
+		default:
+			out = append(out, c)
 		}
-		out = append(out, c)
 	}
 	return out
 }
