--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -495,6 +495,28 @@
 	is.Equal(b.Suspects(), []uint64{7})
 }
 
+// An answer at one VM lets the request be sent as any other at all VMs, and its crashes still count. Of the copies at a leaf,
+// the longest run is kept, whichever VM tells it first.
+func TestCrashIsOutlivedAtAllVMs(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	a, _ := n.vm("a", "z", 1)
+	b, _ := n.vm("b", "z", 1)
+	now := time.Now()
+	leaf := catalog.LeafID{Name: "i-1"}
+	a.ReportCrash(Crash{Digest: 7, Leaf: leaf, At: now, Ran: 5 * time.Millisecond})
+	b.ReportCrash(Crash{Digest: 7, Leaf: leaf, At: now, Ran: 70 * time.Millisecond})
+	a.exchange(t.Context(), "b", false)
+	b.ReportAnswer(7)
+	b.exchange(t.Context(), "a", false)
+	for _, m := range []*Manager{a, b} {
+		crashes := m.Crashes(7, now.Add(-time.Minute))
+		is.Equal(len(crashes), 1)
+		is.True(crashes[0].Outlived)
+		is.Equal(crashes[0].Ran, 70*time.Millisecond)
+	}
+}
+
 // Each exchange dates an answer later by the time that it takes, and VMs keep the latest date that they hear of. So an old
 // answer passes the crashes after it, and clears a request that crashes leaves.
 func TestAnswerDoesNotPassLaterCrashes(t *testing.T) {
