Crash guard: a suspicion lasts until a leaf that is asked can have answered

Cause: where the address of a leaf that ended takes connections, its end is known after the entry has expired (3.6 s), all VMs have learnt so (up to 1 s) and the leaf has been asked in vain (1 s), 5.6 s in all, and the suspicion that holds a further copy back lasted 5 s. VMs keep an unconfirmed crash for a second longer.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -32,8 +32,9 @@
 	// address, or its entry must be gone, for the loss to count as a crash.
 	replacementWindow = 6 * time.Second
 	// suspicionPeriod is how long after a lost connection a leaf may still turn out to have ended: its entry expires
-	// after three heartbeats of some 1.2 s, which takes up to a second to reach all VMs.
-	suspicionPeriod = 5 * time.Second
+	// after three heartbeats of some 1.2 s, which takes up to a second to reach all VMs, and a leaf that is asked then
+	// has another second.
+	suspicionPeriod = replacementWindow
 	// answerValidity is how long after an answer a lost connection does not count against the request if its leaf was not
 	// seen to refuse connections: those of a network partition are lost one after the other.
 	answerValidity = time.Second
--- a/internal/crashguard/fleet_test.go
+++ b/internal/crashguard/fleet_test.go
@@ -61,6 +61,8 @@
 	patience time.Duration
 	// unresponsive is set if the address of a leaf that ended takes connections and answers nothing.
 	unresponsive bool
+	// slowStore makes changes of the store reach the VMs after a second.
+	slowStore bool
 	// events happen to the leaves for reasons of their own.
 	events []fleetEvent
 	seed   uint64
@@ -231,7 +233,11 @@
 		f.view = f.currentView()
 		view := f.view
 		f.mu.Unlock()
-		time.Sleep(viewDelay)
+		delay := viewDelay
+		if f.plan.slowStore {
+			delay = time.Second
+		}
+		time.Sleep(delay)
 		for _, v := range f.vms {
 			v.view.Store(view)
 			v.guard.SetView(view)
--- a/internal/crashguard/model_test.go
+++ b/internal/crashguard/model_test.go
@@ -129,7 +129,7 @@
 			for seed := range uint64(8) {
 				plan := fleetPlan{vms: 4, leaves: 15, share: tt.share, harmlessFor: tt.harmlessFor, backAfter: 3 * time.Second, seed: seed}
 				if tt.unresponsive {
-					plan.unresponsive, plan.backAfter = true, -1
+					plan.unresponsive, plan.slowStore, plan.backAfter = true, true, -1
 				}
 				got := play(t, plan, traffic{copies: tt.copies, pause: tt.pause, lasts: 14 * time.Second, texts: 1000, rate: 45})
 				t.Logf("seed %d: %v", seed, got)
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -20,7 +20,7 @@
 	// answeredRetention is how long a VM tells others of a crash that is refuted, so that all learn of it.
 	answeredRetention = 10 * time.Second
 	// unconfirmedRetention is how long a crash is kept that nothing has confirmed.
-	unconfirmedRetention = 6 * time.Second
+	unconfirmedRetention = 7 * time.Second
 )
 
 // Crash records that a leaf ended while it ran a request.
