--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,7 +21,8 @@
 
 // scenarios holds the scenarios by name.
 var scenarios = map[string]func(ctx context.Context, w *world, trouble bool) error{
-	"drain": drainAfterLostReaders,
+	"drain":    drainAfterLostReaders,
+	"unsigned": unsignedSuccess,
 }
 
 // scenarioTimeout ends a scenario that takes longer than a script may.
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -288,6 +288,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	sent    int
+	// stamps are the leafs' signatures in the latest answer.
+	stamps string
 }
 
 // send sends one request, waits for its answer and records both. A status of 0 means that there was no answer.
@@ -315,7 +317,8 @@
 		c.drop()
 		return id, 0
 	}
-	c.w.note("request %s answered %d by %s", id, a.Status, strings.Join(a.Stamps, ","))
+	c.stamps = strings.Join(a.Stamps, ",")
+	c.w.note("request %s answered %d by %s", id, a.Status, c.stamps)
 	if !a.KeepAlive {
 		c.drop()
 	}
