--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,4 +7,4 @@
 [ -x target/burdock-node ] && [ -x target/review-stand ] || { echo "build first: the build line of deploy/system.toml, review/build.sh" >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-target/review-stand --scenario drain --record "$here/record.txt" --trouble=$trouble
+exec target/review-stand --scenario drain --record "$here/record.txt" --trouble=$trouble
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -51,6 +51,9 @@
 	}
 	defer w.close()
 	err = scenario(ctx, w, *trouble)
+	if ctx.Err() != nil {
+		err = ctx.Err() // cut short: it says nothing
+	}
 	switch {
 	case err == nil:
 		w.note("result: the rule held")
