--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -51,6 +51,7 @@
 	}
 	defer w.close()
 	err = scenario(ctx, w, *trouble)
+	w.noteRuns()
 	if ctx.Err() != nil {
 		err = ctx.Err() // cut short: it says nothing
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -94,6 +94,15 @@
 	fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.begun).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// noteRuns writes to the record which requests reached the leafs, when, and whether they were run.
+func (w *world) noteRuns() {
+	for _, l := range w.leaves {
+		for _, r := range l.Requests() {
+			w.note("leaf %s at %.3f: request %s, run %v", l.ID, r.At.Sub(w.begun).Seconds(), r.ID, r.Ran)
+		}
+	}
+}
+
 // close ends everything that was started.
 func (w *world) close() {
 	w.mu.Lock()
