dispatch: an answer with wrong bytes is not passed on as the leaf's own failure

Cause: dispatch took every answer that is no refusal and no signed success for the leaf's own failure. One below 500 is passed on at once, and on a non-idempotent route any. The record of a run shows the leaf's spoiled answer and, as the next line, the caller's 200 without a signature, with no call to another leaf. The same held for a 4xx without a signature, and for a 500 whose digit was spoiled to 503, which promises that the request has not run.

Change: leafcall.Response.Invalid names an answer that no leaf gives: below 500 without a signature, or a status that promises that the request has not run where the leaf does not state it. Idempotent requests are repeated as after a lost connection, others end as unknown (502, reason invalid_answer). It counts as a failed call of the leaf, and not as evidence that the request crashes leaves.

Tests: TestInvalidAnswerIsNotPassedOn, TestOnlyInvalidAnswers, TestSpoiledAnswersAreNotPassedOn (sockets) were seen to fail before the change: leaf_failure in place of served and unknown, a 200 without a signature, a 503 of a request that had run.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -109,8 +109,10 @@
 	ReasonTooFewShards   Reason = "too_few_shards"
 	ReasonDeadline       Reason = "deadline"
 	ReasonConnectionLost Reason = "connection_lost"
-	ReasonCrashedLeaves  Reason = "crashed_leaves"
-	ReasonCallerGone     Reason = "caller_gone"
+	// ReasonInvalidAnswer: a leaf's answer arrived with wrong bytes.
+	ReasonInvalidAnswer Reason = "invalid_answer"
+	ReasonCrashedLeaves Reason = "crashed_leaves"
+	ReasonCallerGone    Reason = "caller_gone"
 	// ReasonGathererLost: the VM that was to answer a search for this one was lost.
 	ReasonGathererLost Reason = "gatherer_lost"
 	// ReasonPartial: served without some of the shards.
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -27,6 +27,11 @@
 		g.runs--
 		g.refusals++
 		r.repeat(ev.group, ReasonRefused)
+	case resp.Invalid():
+		r.noteBadCall(ev, "invalid answer: "+http.StatusText(resp.Status))
+		r.trace.Failures++
+		r.ran = true
+		r.repeat(ev.group, ReasonInvalidAnswer)
 	case !resp.Success():
 		r.noteBadCall(ev, http.StatusText(resp.Status))
 		r.trace.Failures++
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -25,9 +26,12 @@
 type reply struct {
 	after  time.Duration
 	status int
-	refuse bool
-	moved  bool
-	cause  leafcall.Cause
+	// unsigned leaves the signature out. promise sets the status to one that promises that the request has not run, which the
+	// leaf does not state.
+	unsigned, promise bool
+	refuse            bool
+	moved             bool
+	cause             leafcall.Cause
 	// closed is set if nothing listens at the leaf's address.
 	closed bool
 	body   string
@@ -134,6 +138,10 @@
 		return &leafcall.Response{Status: http.StatusServiceUnavailable, NotRun: true, Signature: "s"}, nil
 	case b.moved:
 		return &leafcall.Response{Status: http.StatusMisdirectedRequest, NotRun: true, WrongIncarnation: true}, nil
+	case b.unsigned:
+		return &leafcall.Response{Status: cmp.Or(b.status, http.StatusOK), Body: []byte("spoiled")}, nil
+	case b.promise:
+		return &leafcall.Response{Status: http.StatusServiceUnavailable, PromisesNotRun: true, Signature: "bad-" + id}, nil
 	case b.status != 0:
 		return &leafcall.Response{Status: b.status, Signature: "bad-" + id, Body: []byte("why")}, nil
 	}
--- a/internal/dispatch/learn.go
+++ b/internal/dispatch/learn.go
@@ -61,7 +61,7 @@
 		switch {
 		case resp.WrongIncarnation, resp.NotRun:
 			return replica.Refused
-		case resp.Status >= http.StatusInternalServerError:
+		case resp.Invalid(), resp.Status >= http.StatusInternalServerError:
 			return replica.Failed
 		}
 		return replica.OK
--- a/internal/leafcall/leafcall.go
+++ b/internal/leafcall/leafcall.go
@@ -34,6 +34,8 @@
 	Signature string
 	// NotRun is set if the leaf states that it did not run the request.
 	NotRun bool
+	// PromisesNotRun is set if the status promises a caller that the request has not run, whether the leaf states it or not.
+	PromisesNotRun bool
 	// WrongIncarnation is set if another incarnation of the leaf has the address.
 	WrongIncarnation bool
 	// EndsWithConnection is set if only the end of the connection showed the end of the answer.
@@ -47,10 +49,19 @@
 	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Signature != "" && !r.NotRun && !r.WrongIncarnation
 }
 
+// Invalid reports whether no leaf gives such an answer, so that its bytes were spoiled on the way: its status is below 500
+// and it has no signature, or its status promises that the request has not run and the leaf does not state it.
+func (r *Response) Invalid() bool {
+	if r.NotRun || r.WrongIncarnation {
+		return false
+	}
+	return r.PromisesNotRun || r.Signature == "" && r.Status < http.StatusInternalServerError
+}
+
 // ShowsRun reports whether the answer shows that the leaf has run the request and outlived it. A leaf that fails part of
 // its requests answers with an error before it runs them, and the end of a connection may be that of the leaf.
 func (r *Response) ShowsRun() bool {
-	return r.Signature != "" && r.Status < http.StatusInternalServerError && !r.NotRun && !r.WrongIncarnation && !r.EndsWithConnection
+	return r.Status < http.StatusInternalServerError && !r.NotRun && !r.WrongIncarnation && !r.EndsWithConnection && !r.Invalid()
 }
 
 // Conn is a connection to a leaf. It carries one call at a time.
