directory: the grace period of a leaf without an entry counts from its removal

Cause: the others read the store once the zone's newest contact is 2.25 s old, so that they hear of the removal up to 2.4 s late, and the 2.2 s for which such a leaf may be called counted from then on.

Change: a deletion is dated by the last read of the store before it, by any VM whose state has come here, unless reads have failed since: entries that expire while the store is unavailable come back, and count from their arrival as before. The date and the time of the last read travel with the exchanges (FleetItem.deleted_age_ms, FleetExchange.read_age_ms; an older VM ignores them and sends none). View.Removed keeps what the crash guard looks at for as long as before; View.Expired, which may be called, ends with the date. The guard's tests put removed leaves in Removed now, with the same checks.

New: TestDeletionsKeepTheirDate, TestExpiredEntryHeardOfLate.

--- a/internal/crashguard/check_test.go
+++ b/internal/crashguard/check_test.go
@@ -79,11 +79,11 @@
 		},
 		"entry gone, not reached": {
 			results: []leafcall.Reachability{leafcall.NotTried}, crashes: 1,
-			view: &directory.View{Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: address}}}},
+			view: &directory.View{Removed: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: address}}}},
 		},
 		"entry gone, but alive": {
 			results: []leafcall.Reachability{leafcall.Reached},
-			view:    &directory.View{Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: address}}}},
+			view:    &directory.View{Removed: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: address}}}},
 		},
 		"entry unchanged":                 {results: []leafcall.Reachability{leafcall.Reached}, view: leafAt("a", address)},
 		"connection silent, no response":  {results: []leafcall.Reachability{leafcall.NoResponse}, silent: true},
@@ -108,7 +108,7 @@
 func TestLeafWithoutEntryIsAsked(t *testing.T) {
 	gone := &directory.View{
 		Config:  catalog.New(1, nil, []catalog.Service{{Name: "s", HealthPath: "/health"}}, catalog.Limits{}),
-		Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: "10.0.0.1:80", Service: "s"}}},
+		Removed: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: "10.0.0.1:80", Service: "s"}}},
 	}
 	for asked, crashes := range map[leafcall.Reachability]int{
 		leafcall.Answered: 0, leafcall.NotTried: 0, leafcall.NoResponse: 1, leafcall.Refused: 1, leafcall.TakenOver: 1,
@@ -132,7 +132,7 @@
 		is := is.New(t)
 		g.Lost(Loss{Digest: crashing, Leaf: leafID("a"), Address: "10.0.0.1:80"})
 		time.Sleep(time.Second)
-		g.SetView(&directory.View{Expired: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: "10.0.0.1:80"}}}})
+		g.SetView(&directory.View{Removed: map[string][]catalog.Leaf{"s": {{ID: leafID("a"), Address: "10.0.0.1:80"}}}})
 		time.Sleep(time.Second)
 		is.Equal(len(confirmedAt(fleet)), 0)
 		g.SetView(leafAt("b", "10.0.0.1:80"))
--- a/internal/crashguard/fleet_test.go
+++ b/internal/crashguard/fleet_test.go
@@ -257,7 +257,7 @@
 	}
 	v := &directory.View{
 		Config: catalog.New(1, []*catalog.Route{route}, []catalog.Service{{Name: "x", HealthPath: "/health"}, {Name: "later", HealthPath: "/health"}}, catalog.Limits{}),
-		Leaves: make(map[string][]catalog.Leaf), Expired: make(map[string][]catalog.Leaf),
+		Leaves: make(map[string][]catalog.Leaf), Expired: make(map[string][]catalog.Leaf), Removed: make(map[string][]catalog.Leaf),
 	}
 	for _, l := range f.leaves {
 		switch l.entry {
@@ -265,6 +265,7 @@
 			v.Leaves[l.Service] = append(v.Leaves[l.Service], l.Leaf)
 		case entryExpired:
 			v.Expired[l.Service] = append(v.Expired[l.Service], l.Leaf)
+			v.Removed[l.Service] = append(v.Removed[l.Service], l.Leaf)
 		}
 	}
 	return v
--- a/internal/crashguard/view.go
+++ b/internal/crashguard/view.go
@@ -32,7 +32,7 @@
 			}
 		}
 	}
-	for _, list := range v.Expired {
+	for _, list := range v.Removed {
 		for _, l := range list {
 			x.expired[l.ID] = l.Service
 		}
--- a/internal/directory/carryover.go
+++ b/internal/directory/carryover.go
@@ -143,7 +143,7 @@
 		return known
 	}
 	deletion := known
-	deletion.Deleted, deletion.ReceivedAt = true, gone
+	deletion.Deleted, deletion.ReceivedAt, deletion.DeletedSince = true, gone, gone
 	return c.until(limit, known, deletion)
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,7 +23,7 @@
 	MsgStoreRestored = "store came back from a copy"
 )
 
-// ExpiryGracePeriod is how long a leaf whose entry was removed without draining first may still be called if its
+// ExpiryGracePeriod is how long after the removal of its entry, without draining first, a leaf may still be called if its
 // group has no other leaf. Entries expire while the store is unavailable and are back about 2 s after its return. A
 // leaf that is really leaving gets no work beyond the 3 s that the platform allows.
 const ExpiryGracePeriod = 2200 * time.Millisecond
@@ -45,8 +45,11 @@
 	Config *catalog.Config
 	// Leaves that may take work, by service, in no particular order.
 	Leaves map[string][]catalog.Leaf
-	// Expired leaves by service: their entry was removed less than ExpiryGracePeriod ago.
+	// Expired leaves by service: their entry was certainly removed less than ExpiryGracePeriod ago.
 	Expired map[string][]catalog.Leaf
+	// Removed leaves by service: this VM learned of the removal of their entry less than ExpiryGracePeriod ago. They are the
+	// Expired ones, and others that must not be called any more.
+	Removed map[string][]catalog.Leaf
 	// EvacuatedLeaves are leaves by service: they may take no work because their zone is evacuated.
 	EvacuatedLeaves map[string][]catalog.Leaf
 	// Draining holds the leaves that have announced their shutdown, until they are forgotten.
@@ -144,7 +147,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := &View{
-		Leaves: make(map[string][]catalog.Leaf), Expired: make(map[string][]catalog.Leaf), EvacuatedLeaves: make(map[string][]catalog.Leaf),
+		Leaves: make(map[string][]catalog.Leaf), Expired: make(map[string][]catalog.Leaf), Removed: make(map[string][]catalog.Leaf), EvacuatedLeaves: make(map[string][]catalog.Leaf),
 		Draining: make(map[catalog.LeafID]bool),
 	}
 	eras := d.mirror.State(now)
@@ -175,8 +178,9 @@
 	return next
 }
 
-// addExpired adds a removed leaf to the view as expired while its grace period lasts, and returns the time until
-// the view changes. The caller must hold mu.
+// addExpired adds a removed leaf to the view: as expired while its grace period lasts, which counts from the earliest time at
+// which the entry may have been removed, and as removed for as long after this VM learned of it. It returns the time until the
+// view changes. The caller must hold mu.
 func (d *Directory) addExpired(v *View, it mirror.ReceivedItem, zones zoneStates, now time.Time) time.Duration {
 	l, ok := d.leaves[it.Key]
 	if ok && l.leaf.Draining {
@@ -186,13 +190,18 @@
 		return maxRefreshInterval
 	}
 	remaining := ExpiryGracePeriod - now.Sub(it.ReceivedAt)
+	callable := ExpiryGracePeriod - now.Sub(it.DeletedSince)
 	if remaining <= 0 {
 		delete(d.leaves, it.Key)
 		d.log.Info("leaf gone", zap.Stringer("leaf", l.leaf.ID), zap.String("service", l.leaf.Service), zap.Uint64("revision", it.Revision))
 		return maxRefreshInterval
 	}
+	d.addTo(v, v.Removed, l, zones)
+	if _, evacuated := zones.evacuated[l.leaf.Zone]; evacuated || callable <= 0 {
+		return remaining
+	}
 	d.addTo(v, v.Expired, l, zones)
-	return remaining
+	return min(remaining, callable)
 }
 
 // addLeaf adds an item to the view if it is the entry of a leaf that may be called. The caller must hold mu.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -131,6 +131,24 @@
 	is.Equal(ids(f.Current().Leaves["x"]), "1")
 }
 
+// A VM that hears late of a removal must not call the leaf for as long again. The end of the leaf is still looked for.
+func TestExpiredEntryHeardOfLate(t *testing.T) {
+	const late = 2 * time.Second
+	is := is.New(t)
+	f := newFixture()
+	f.put("leaf/1", "x ready")
+	f.revision++
+	removal := mirror.Item{Key: "leaf/1", Revision: f.revision, Deleted: true, DeletedSince: f.now.Add(-late)}
+	f.m.Merge(mirror.Delta{Items: []mirror.Item{removal}, CompleteFrom: f.revision - 1, CompleteTo: f.revision}, f.now)
+	is.Equal(f.Refresh(f.now), ExpiryGracePeriod-late)
+	is.Equal(ids(f.Current().Expired["x"]), "1")
+	f.advance(ExpiryGracePeriod - late)
+	is.Equal(ids(f.Current().Expired["x"]), "")
+	is.Equal(ids(f.Current().Removed["x"]), "1")
+	f.advance(late)
+	is.Equal(ids(f.Current().Removed["x"]), "")
+}
+
 func TestConfigVersionNeverDecreases(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/mirror/layer.go
+++ b/internal/mirror/layer.go
@@ -17,6 +17,8 @@
 	base uint64
 	// learnedAt is when any VM first learned of the era, by this VM's clock and as far as this VM knows.
 	learnedAt time.Time
+	// readAt is when the store was last known to have nothing after completeTo; zero for never.
+	readAt time.Time
 }
 
 type stored struct {
@@ -37,7 +39,8 @@
 func (l *layer) since(p Progress, now time.Time) Delta {
 	revision, _ := p.in(l.era)
 	d := Delta{
-		Era: l.era, CompleteFrom: revision, CompleteTo: l.completeTo, Full: revision < l.deletionsUnknownTo,
+		ReadAt: l.readAt,
+		Era:    l.era, CompleteFrom: revision, CompleteTo: l.completeTo, Full: revision < l.deletionsUnknownTo,
 		Base: l.base, EraAge: now.Sub(l.learnedAt),
 	}
 	if l.completeTo < revision {
@@ -57,6 +60,7 @@
 	changed := false
 	for _, it := range d.Items {
 		if h, ok := l.items[it.Key]; ok && h.item.Revision >= it.Revision {
+			changed = l.dateDeletion(h, it) || changed
 			continue
 		} else if !ok && it.Revision <= l.completeTo {
 			continue // it has been deleted since, and the deletion is pruned
@@ -72,6 +76,9 @@
 	if d.Full || l.completeTo >= d.CompleteFrom {
 		l.completeTo = max(l.completeTo, d.CompleteTo)
 	}
+	if l.completeTo >= d.CompleteTo && d.ReadAt.After(l.readAt) {
+		l.readAt = d.ReadAt
+	}
 	l.pruneTombstones(now)
 	return changed
 }
@@ -90,11 +97,30 @@
 	}
 }
 
-// put stores an item that is newer than the known one. A deletion keeps the value that it deleted, if that is known.
+// deletionPrecision is by how much a deletion must be dated more precisely for that to count as a change.
+const deletionPrecision = 100 * time.Millisecond
+
+// dateDeletion takes over from another report of a known deletion a later time before which it did not happen. It reports whether
+// that changed anything.
+func (l *layer) dateDeletion(known stored, told Item) bool {
+	same := known.item.Deleted && told.Deleted && known.item.Revision == told.Revision
+	if !same || told.DeletedSince.Sub(known.item.DeletedSince) < deletionPrecision {
+		return false
+	}
+	known.item.DeletedSince = told.DeletedSince
+	l.items[told.Key] = known
+	return true
+}
+
+// put stores an item that is newer than the known one. A deletion keeps the value that it deleted, if that is known. One that
+// has no date counts from now.
 func (l *layer) put(it Item, now time.Time) {
 	if it.Deleted && it.Value == nil {
 		it.Value = l.items[it.Key].item.Value
 	}
+	if it.Deleted && (it.DeletedSince.IsZero() || it.DeletedSince.After(now)) {
+		it.DeletedSince = now
+	}
 	l.items[it.Key] = stored{it, now}
 }
 
@@ -109,7 +135,7 @@
 		if present[key] || h.item.Deleted || h.item.Revision > d.CompleteTo {
 			continue
 		}
-		l.put(Item{Key: key, Revision: d.CompleteTo, Deleted: true}, now)
+		l.put(Item{Key: key, Revision: d.CompleteTo, Deleted: true, DeletedSince: d.DeletedSince}, now)
 		changed = true
 	}
 	return changed
@@ -131,7 +157,7 @@
 	for key, h := range l.items {
 		b, ok := before.items[key]
 		if ok && h.item.Deleted == b.item.Deleted && bytes.Equal(h.item.Value, b.item.Value) {
-			h.receivedAt = b.receivedAt
+			h.receivedAt, h.item.DeletedSince = b.receivedAt, b.item.DeletedSince
 			l.items[key] = h
 		}
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -35,6 +35,8 @@
 	// Value of the item. That of a deletion is the value that was deleted, or nil if that is unknown.
 	Value   []byte
 	Deleted bool
+	// DeletedSince is the earliest time at which the item may have been deleted; zero if that is unknown or it exists.
+	DeletedSince time.Time
 }
 
 // Delta is what one copy sends to another.
@@ -50,6 +52,10 @@
 	Base uint64
 	// EraAge is how long ago any VM first learned of the era, as far as the sender knows.
 	EraAge time.Duration
+	// ReadAt is when the store was last known to have nothing after CompleteTo; zero if unknown.
+	ReadAt time.Time
+	// DeletedSince is the earliest time at which items may have been deleted that a full delta lacks; zero if unknown.
+	DeletedSince time.Time
 	// Earlier holds what the receiver lacks of each earlier era that the sender keeps, the newest first.
 	Earlier []Delta
 	// Skipped counts the items that were left out because they don't belong to this system. It is not sent to other
@@ -82,6 +88,13 @@
 	return m.eras[0].position()
 }
 
+// LastRead returns the position of this copy and when the store was last known to have nothing after it; zero for never.
+func (m *Mirror) LastRead() (at Position, readAt time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.eras[0].position(), m.eras[0].readAt
+}
+
 // Progress returns the position of this copy in each era that it holds.
 func (m *Mirror) Progress() Progress {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/node/removal_test.go
@@ -0,0 +1,116 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/burdockplank/burdockplank/internal/directory"
+	"github.com/burdockplank/burdockplank/internal/mirror"
+	"github.com/burdockplank/burdockplank/internal/notify"
+	"github.com/burdockplank/burdockplank/internal/readers"
+	"github.com/burdockplank/burdockplank/internal/storeread"
+	"github.com/burdockplank/burdockplank/platform"
+)
+
+// removalStore is a store from which the entry of a leaf is removed once removed is closed.
+type removalStore struct{ removed chan struct{} }
+
+const leafEntry = `{"service":"x","address":"127.0.0.1:1","zone":"z","version":"v1","slots":4,"state":"ready","warmup_remaining_ms":0,"sequence":1,"born":1}`
+
+func (s *removalStore) Snapshot(context.Context) (mirror.Delta, error) {
+	return mirror.Delta{}, errors.New("no snapshot is needed")
+}
+
+func (s *removalStore) Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error) {
+	removed := s.removed
+	if after > 1 {
+		removed = nil // the watch has reported it
+	}
+	select {
+	case <-ctx.Done():
+		return mirror.Delta{}, ctx.Err()
+	case <-time.After(wait):
+		return mirror.Delta{CompleteFrom: after, CompleteTo: after}, nil
+	case <-removed:
+		removal := mirror.Item{Key: "servers/i-1", Revision: 2, Deleted: true}
+		return mirror.Delta{Items: []mirror.Item{removal}, CompleteFrom: after, CompleteTo: 2}, nil
+	}
+}
+
+func (s *removalStore) EndedEvacuations(context.Context, mirror.Position) ([]mirror.Item, error) {
+	return nil, nil
+}
+
+// lostReaders is a fleet whose only reader, the first by rank, was lost right after the store had answered it.
+type lostReaders struct {
+	mu sync.Mutex
+	// contactAt is when the store last answered a VM of the zone; guarded by mu.
+	contactAt time.Time
+}
+
+// zoneMembers are the VMs of the zone.
+var zoneMembers = []string{"vm1", "vm2"}
+
+func (f *lostReaders) ZoneStatus(now time.Time) ([]string, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return zoneMembers, now.Sub(f.contactAt)
+}
+
+func (f *lostReaders) RecordStoreContact(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.contactAt = now
+}
+
+func (f *lostReaders) Zones() []string { return []string{"z"} }
+func (f *lostReaders) LiveCount() int  { return 1 }
+
+// drainTimeout is how long after its removal a leaf may get requests.
+const drainTimeout = 3 * time.Second
+
+// The VM that reads the store in place of a lost one learns of a removal up to 2.4 s late. The grace period for leaves without an
+// entry counted from then on, so that the leaf got requests for more than 4 s.
+func TestLeafRemovedWhileReadersAreLostIsNotCalledLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		changed := notify.New()
+		m := mirror.New(changed)
+		d := directory.New(m, changed, notify.New(), platform.Decoder{}, zap.NewNop(), prometheus.NewRegistry())
+		fleet := &lostReaders{contactAt: time.Now().Add(time.Hour)}
+		store := &removalStore{removed: make(chan struct{})}
+		self := readers.ByRank("z", zoneMembers)[1]
+		r := storeread.New(store, m, fleet, self, "z", false, func([]mirror.Item) bool { return false }, 3*time.Second, zap.NewNop(), prometheus.NewRegistry())
+		m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
+		wg.Go(func() { _ = r.Run(ctx) })
+		wg.Go(func() { _ = d.Run(ctx) })
+		time.Sleep(3 * time.Second)
+		fleet.RecordStoreContact(time.Now())
+		m.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last word
+		removedAt := time.Now()
+		close(store.removed)
+		latest := time.Duration(0)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			v := d.Current()
+			if len(v.Leaves["x"])+len(v.Expired["x"]) > 0 {
+				latest = time.Since(removedAt)
+			}
+		}
+		t.Logf("callable until %v after its removal", latest)
+		is.True(latest > 0)
+		is.True(latest <= drainTimeout)
+	})
+}
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -133,11 +133,11 @@
 	return s.vmCount
 }
 
-// callableLeaves returns the leaves that may be called. It includes those that no route names yet, so that
-// their connections are open when one does.
+// callableLeaves returns the leaves that may be called, and those whose end is looked for. It includes those that no route
+// names yet, so that their connections are open when one does.
 func callableLeaves(v *directory.View) []catalog.Leaf {
 	var out []catalog.Leaf
-	for _, lists := range []map[string][]catalog.Leaf{v.Leaves, v.Expired} {
+	for _, lists := range []map[string][]catalog.Leaf{v.Leaves, v.Removed} {
 		for _, list := range lists {
 			out = append(out, list...)
 		}
--- a/internal/peers/delta.go
+++ b/internal/peers/delta.go
@@ -3,50 +3,66 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/mirror"
 )
 
 // encodeDelta writes the delta into the message.
-func encodeDelta(msg *pb.FleetExchange, d *mirror.Delta) {
+func encodeDelta(msg *pb.FleetExchange, d *mirror.Delta, now time.Time) {
 	msg.Era, msg.EraAgeMs, msg.EraBase = d.Era, d.EraAge.Milliseconds(), d.Base
 	msg.CompleteFrom, msg.CompleteTo, msg.Full = d.CompleteFrom, d.CompleteTo, d.Full
-	msg.Items = encodeItems(d.Items)
+	msg.Items = encodeItems(d.Items, now)
+	if !d.ReadAt.IsZero() {
+		msg.ReadAgeMs = proto.Int64(now.Sub(d.ReadAt).Milliseconds())
+	}
 	for _, e := range d.Earlier {
 		msg.Earlier = append(msg.Earlier, &pb.FleetEra{
 			Era: e.Era, EraAgeMs: e.EraAge.Milliseconds(), EraBase: e.Base,
-			CompleteFrom: e.CompleteFrom, CompleteTo: e.CompleteTo, Full: e.Full, Items: encodeItems(e.Items),
+			CompleteFrom: e.CompleteFrom, CompleteTo: e.CompleteTo, Full: e.Full, Items: encodeItems(e.Items, now),
 		})
 	}
 }
 
 // decodeDelta returns the delta of a message.
-func decodeDelta(msg *pb.FleetExchange) mirror.Delta {
+func decodeDelta(msg *pb.FleetExchange, now time.Time) mirror.Delta {
 	d := mirror.Delta{
 		Era: msg.GetEra(), EraAge: milliseconds(msg.GetEraAgeMs()), Base: msg.GetEraBase(),
-		CompleteFrom: msg.GetCompleteFrom(), CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull(), Items: decodeItems(msg.GetItems()),
+		CompleteFrom: msg.GetCompleteFrom(), CompleteTo: msg.GetCompleteTo(), Full: msg.GetFull(), Items: decodeItems(msg.GetItems(), now),
+	}
+	if msg.ReadAgeMs != nil {
+		d.ReadAt = now.Add(-milliseconds(msg.GetReadAgeMs()))
 	}
 	for _, e := range msg.GetEarlier() {
 		d.Earlier = append(d.Earlier, mirror.Delta{
 			Era: e.GetEra(), EraAge: milliseconds(e.GetEraAgeMs()), Base: e.GetEraBase(),
-			CompleteFrom: e.GetCompleteFrom(), CompleteTo: e.GetCompleteTo(), Full: e.GetFull(), Items: decodeItems(e.GetItems()),
+			CompleteFrom: e.GetCompleteFrom(), CompleteTo: e.GetCompleteTo(), Full: e.GetFull(), Items: decodeItems(e.GetItems(), now),
 		})
 	}
 	return d
 }
 
-func encodeItems(items []mirror.Item) []*pb.FleetItem {
+func encodeItems(items []mirror.Item, now time.Time) []*pb.FleetItem {
 	var out []*pb.FleetItem
 	for _, it := range items {
-		out = append(out, &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted})
+		item := &pb.FleetItem{Key: it.Key, Revision: it.Revision, Value: it.Value, Deleted: it.Deleted}
+		if it.Deleted {
+			item.DeletedAgeMs = now.Sub(it.DeletedSince).Milliseconds()
+		}
+		out = append(out, item)
 	}
 	return out
 }
 
-func decodeItems(items []*pb.FleetItem) []mirror.Item {
+func decodeItems(items []*pb.FleetItem, now time.Time) []mirror.Item {
 	var out []mirror.Item
 	for _, it := range items {
-		out = append(out, mirror.Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Deleted: it.GetDeleted()})
+		item := mirror.Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Deleted: it.GetDeleted()}
+		if item.Deleted {
+			item.DeletedSince = now.Add(-milliseconds(it.GetDeletedAgeMs()))
+		}
+		out = append(out, item)
 	}
 	return out
 }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -151,7 +151,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	msg := &pb.FleetExchange{Sender: m.selfRecord(now), Brief: brief}
-	encodeDelta(msg, &d)
+	encodeDelta(msg, &d, now)
 	if !brief {
 		msg.Members = m.sampleMembers(now, to)
 	}
@@ -175,7 +175,7 @@
 		m.localEvents.Fire()
 	}
 	m.forwardTroubles(msg, now)
-	m.cfg.Mirror.Merge(decodeDelta(msg), now)
+	m.cfg.Mirror.Merge(decodeDelta(msg, now), now)
 }
 
 // mergeRecords merges the records of the sender and of the members in its message. The caller must hold mu.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -279,6 +279,44 @@
 	is.Equal(len(copyNew.State(time.Now())[0].Items), 2)
 }
 
+// A VM that hears of a deletion late, from another VM, counts it from when it may have happened, and goes by the latest such time
+// that it hears of. It learns when the store was last read, too.
+func TestDeletionsKeepTheirDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		a, copyA := n.vm("a", "z", 1)
+		_, copyB := n.vm("b", "z", 1)
+		deleted := func(since time.Time) mirror.Delta {
+			return mirror.Delta{Items: []mirror.Item{{Key: "k", Revision: 6, Deleted: true, DeletedSince: since}}, CompleteFrom: 5, CompleteTo: 6, ReadAt: time.Now()}
+		}
+		for _, m := range []*mirror.Mirror{copyA, copyB} {
+			m.Merge(item(5), time.Now())
+		}
+		a.exchange(t.Context(), "b", false)
+		begun := time.Now()
+		copyA.Merge(deleted(begun), begun)
+		time.Sleep(2 * time.Second)
+		a.exchange(t.Context(), "b", false)
+		dateAtB := func() time.Time {
+			for _, it := range copyB.State(time.Now())[0].Items {
+				if it.Deleted {
+					return it.DeletedSince
+				}
+			}
+			return time.Time{}
+		}
+		is.Equal(dateAtB(), begun)
+		_, readAt := copyB.LastRead()
+		is.Equal(readAt, begun)
+		later := begun.Add(time.Second)
+		is.True(copyB.Merge(deleted(later), time.Now()))
+		is.Equal(dateAtB(), later)
+		is.True(!copyB.Merge(deleted(begun), time.Now()))
+		is.Equal(dateAtB(), later)
+	})
+}
+
 // A peer gets nothing that it already has, even in the first exchange.
 func TestOnlyDifferencesAreSent(t *testing.T) {
 	is := is.New(t)
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -81,6 +81,8 @@
 	// its latest failure.
 	startupEnd time.Time
 	answered   bool
+	// failedAt is when the store last failed to answer; zero for never.
+	failedAt time.Time
 	// needSnapshot is set if the history from the mirror's position on is gone. newestEra is the newest era that an answer
 	// named.
 	needSnapshot bool
@@ -129,7 +131,7 @@
 // readAndMerge makes the next call, merges its result into the mirror and returns the pause before the call after
 // it.
 func (r *Reader) readAndMerge(ctx context.Context) time.Duration {
-	asked := r.mirror.Position()
+	asked, lastRead := r.mirror.LastRead()
 	kind, d, err := r.callStore(ctx, asked)
 	now := time.Now()
 	var gone *HistoryGoneError
@@ -151,6 +153,7 @@
 	if kind == kindWatch && d.Era != asked.Era {
 		return 0 // the answer doesn't continue the era that the mirror was in; a newer one is read as a whole
 	}
+	r.dateDeletions(&d, lastRead, now)
 	changed := r.mirror.Merge(d, now)
 	if behind && kind == kindSnapshot {
 		return r.backoff.Next()
@@ -162,6 +165,22 @@
 	return 0
 }
 
+// dateDeletions dates the deletions of an answer, and the answer itself. They happened after the store had last been read, which
+// may be a while ago if the VMs that read it were lost. Entries that the store removed while it was unavailable come back: their
+// deletions have no date, and count from now.
+func (r *Reader) dateDeletions(d *mirror.Delta, lastRead, now time.Time) {
+	d.ReadAt = now
+	if r.failedAt.After(lastRead) {
+		return
+	}
+	d.DeletedSince = lastRead
+	for i := range d.Items {
+		if d.Items[i].Deleted {
+			d.Items[i].DeletedSince = lastRead
+		}
+	}
+}
+
 // noteHistoryGone records that the store doesn't hold the history from the position on, and returns the pause before the
 // next call.
 func (r *Reader) noteHistoryGone(kind string, asked mirror.Position, gone *HistoryGoneError) time.Duration {
@@ -269,7 +288,7 @@
 	if r.reachable {
 		r.log.Warn("store lost", zap.Error(err))
 	}
-	r.reachable, r.answered = false, false
+	r.reachable, r.answered, r.failedAt = false, false, time.Now()
 }
 
 // noteAnswer records that the store answered, and a takeover if the zone's contact was too old.
