--- a/internal/leafcall/leafcall.go
+++ b/internal/leafcall/leafcall.go
@@ -46,22 +46,27 @@
 
 // Success reports whether the answer is a signed success.
 func (r *Response) Success() bool {
-	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Signature != "" && !r.NotRun && !r.WrongIncarnation
+	return r.succeeded() && r.Signature != "" && !r.NotRun && !r.WrongIncarnation
 }
 
-// Invalid reports whether no leaf gives such an answer, so that its bytes were spoiled on the way: its status is below 500
-// and it has no signature, or its status promises that the request has not run and the leaf does not state it.
+// succeeded reports whether the status is that of a success.
+func (r *Response) succeeded() bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+}
+
+// Invalid reports whether no leaf gives such an answer, so that its bytes were spoiled on the way: it is a success without a
+// signature, or its status promises that the request has not run and the leaf does not state it.
 func (r *Response) Invalid() bool {
 	if r.NotRun || r.WrongIncarnation {
 		return false
 	}
-	return r.PromisesNotRun || r.Signature == "" && r.Status < http.StatusInternalServerError
+	return r.PromisesNotRun || r.Signature == "" && r.succeeded()
 }
 
 // ShowsRun reports whether the answer shows that the leaf has run the request and outlived it. A leaf that fails part of
 // its requests answers with an error before it runs them, and the end of a connection may be that of the leaf.
 func (r *Response) ShowsRun() bool {
-	return r.Status < http.StatusInternalServerError && !r.NotRun && !r.WrongIncarnation && !r.EndsWithConnection && !r.Invalid()
+	return r.Signature != "" && r.Status < http.StatusInternalServerError && !r.NotRun && !r.WrongIncarnation && !r.EndsWithConnection && !r.PromisesNotRun
 }
 
 // Conn is a connection to a leaf. It carries one call at a time.
--- /dev/null
+++ b/internal/node/endless_test.go
@@ -0,0 +1,48 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/burdockplank/burdockplank/internal/standin/hosted"
+)
+
+// A leaf answers with bytes that never end, and another one does so to orders. Idempotent requests are answered by the other
+// leaf, and an order gets its failure at once, where it waited for its deadline while the memory of the VM filled up.
+func TestEndlessAnswersAreNotWaitedFor(t *testing.T) {
+	for name, reply := range map[string]hosted.Reply{
+		"head": {Raw: []byte("HTTP/1.1 200 OK\r\nRequest-Id: "), Endless: []byte("r")},
+		"body": {Raw: []byte("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"), Endless: []byte("4\r\nbody\r\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t)
+			c.leaves["x-a"].SetScript(func(int, *http.Request) hosted.Reply { return reply })
+			c.leaves["x-b"].SetScript(func(_ int, r *http.Request) hosted.Reply {
+				if r.Method == http.MethodPost {
+					return reply
+				}
+				return hosted.Reply{Body: []byte("whole")}
+			})
+			c.configureKinds()
+			v := c.start(true)
+			within(t, 3*time.Second, "ready", v.ready)
+			time.Sleep(1500 * time.Millisecond) // a VM makes no extra calls until it knows the size of its fleet
+			for i := range 5 {
+				start := time.Now()
+				status, _, _, err := v.get(http.MethodGet, "/i/1", fmt.Sprintf("i%d", i))
+				is.NoErr(err)
+				is.Equal(status, http.StatusOK)
+				status, _, _, err = v.get(http.MethodPost, "/x/1", fmt.Sprintf("o%d", i))
+				is.NoErr(err)
+				is.True(status == http.StatusBadGateway || i > 0 && status == http.StatusServiceUnavailable) // later ones may not be sent
+				is.True(time.Since(start) < 1500*time.Millisecond)
+			}
+			is.True(c.leaves["x-a"].EndlessBytes() > 0)
+		})
+	}
+}
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -35,8 +35,8 @@
 	coldUntil time.Time
 	// ended is set once a request has ended the leaf; guarded by mu.
 	ended bool
-	// writes counts the entries that were made of the leaf.
-	writes atomic.Int64
+	// writes counts the entries that were made of the leaf, endlessBytes the bytes written of endless replies.
+	writes, endlessBytes atomic.Int64
 }
 
 // ReceivedRequest is a request that reached the leaf. Ran reports whether the leaf ran it.
@@ -61,6 +61,8 @@
 	Refuse bool
 	// Raw, if set, is written in place of an answer. Trailing is written after the answer.
 	Raw, Trailing []byte
+	// Endless, if set, is written over and over after Raw, until the caller closes the connection.
+	Endless []byte
 	// Close closes the connection after the answer or Raw. Reset resets it in place of an answer.
 	Close, Reset bool
 	// Truncate, if above 0, cuts the body to this many bytes; Content-Length still announces the
@@ -307,6 +309,10 @@
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return false
 	}
+	if reply.Endless != nil {
+		l.writeEndless(c, reply)
+		return false
+	}
 	if reply.Raw != nil {
 		_, _ = c.Write(reply.Raw)
 		return !reply.Close
@@ -315,6 +321,23 @@
 	return err == nil && !reply.Close && !reply.NoLength && reply.Truncate == 0
 }
 
+// endlessBlock is the least number of bytes of an endless reply that are written at once.
+const endlessBlock = 16 << 10
+
+// writeEndless writes until the caller closes the connection.
+func (l *Leaf) writeEndless(c net.Conn, reply Reply) {
+	block := bytes.Repeat(reply.Endless, 1+endlessBlock/len(reply.Endless))
+	n, err := c.Write(reply.Raw)
+	l.endlessBytes.Add(int64(n))
+	for err == nil {
+		n, err = c.Write(block)
+		l.endlessBytes.Add(int64(n))
+	}
+}
+
+// EndlessBytes returns how many bytes of endless replies the callers' connections have taken.
+func (l *Leaf) EndlessBytes() int64 { return l.endlessBytes.Load() }
+
 // Answer returns the encoded HTTP answer to the attempt.
 func (l *Leaf) Answer(id string, reply Reply) []byte {
 	status := reply.Status
