dispatch: nothing is sent for a caller that has left

A VM that is short of processor time reads the close of a caller late. A request that had waited to be read was passed on to leaves though its caller had closed the connection meanwhile, and a repeat or a hedge that was due at the moment of the close was sent at random.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,8 @@
 	// From is the address of the VM that received the request from the caller and handed it to this one; empty if
 	// this VM received it.
 	From string
+	// CallerLeft reports whether the caller has closed its connection, by asking the connection; nil if that is unknown.
+	CallerLeft func() bool
 	// Caller is the IP address of the caller; empty if unknown.
 	Caller string
 	// Admitted is set if this VM has already admitted the request by its processor.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -16,6 +16,38 @@
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 )
 
+// A VM that was short of processor time sent requests on whose callers had left before it read them.
+func TestNothingIsSentForACallerThatLeft(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for _, path := range []string{"/s/q", "/i/1", "/o/1"} {
+			a, elapsed := w.ask(ctx, path)
+			is.Equal(a.Outcome, CallerGone)
+			is.Equal(elapsed, time.Duration(0))
+		}
+		is.Equal(len(w.requests), 0)
+	})
+}
+
+// A close that has not been read yet counts once the VM lags behind: a busy one reads it too late.
+func TestLaggingVMAsksForTheCallersClose(t *testing.T) {
+	for name, lag := range map[string]time.Duration{"idle": 0, "lagging": 2 * callerCheckLag} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(t *testing.T, w *world) {
+				is := is.New(t)
+				w.engine.lag.estimate = lag
+				w.oddFirst("x", reply{after: 10 * ms, cause: leafcall.ConnectionLost})
+				left := func() bool { return true }
+				a := w.engine.Serve(t.Context(), &Request{ID: "r1", Method: "GET", Host: "h", Path: "/i/1", Target: "/i/1", Arrived: time.Now(), CallerLeft: left})
+				is.Equal(a.Outcome == CallerGone, lag > 0)
+				is.Equal(w.callsTo("x-a", "x-b", "x-c") == 1, lag > 0)
+			})
+		})
+	}
+}
+
 func TestCompleteSearch(t *testing.T) {
 	play(t, func(t *testing.T, w *world) {
 		is := is.New(t)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -158,6 +158,9 @@
 // serve runs the request until it is answered.
 func (r *run) serve() *Answer {
 	defer r.finish()
+	if r.caller.Err() != nil {
+		return r.callerGone()
+	}
 	for i := range r.groups {
 		r.e.budgets.Request(r.groups[i].service)
 	}
@@ -189,20 +192,43 @@
 		timer.Reset(wait)
 		select {
 		case ev := <-r.events:
+			if r.callerLeft() {
+				return r.callerGone()
+			}
 			r.handle(ev)
 		case <-timer.C:
 			now := time.Now()
 			delay := now.Sub(waitStart) - wait
 			r.e.lag.observe(delay)
+			if r.callerLeft() {
+				return r.callerGone()
+			}
 			r.runDue(now, delay+sending)
 			sending = 0
 		case <-r.caller.Done():
-			r.cancel()
-			return r.answer(&Answer{Outcome: CallerGone, Reason: ReasonCallerGone})
+			return r.callerGone()
 		}
 	}
 }
 
+// callerCheckLag is the scheduling lag from which the caller's connection is asked whether it has been closed: the close may
+// have been waiting to be read for as long.
+const callerCheckLag = 50 * time.Millisecond
+
+// callerLeft reports whether the caller has left, before anything more is sent for it.
+func (r *run) callerLeft() bool {
+	if r.caller.Err() != nil {
+		return true
+	}
+	return r.req.CallerLeft != nil && r.e.lag.now() >= callerCheckLag && r.req.CallerLeft()
+}
+
+// callerGone ends the calls and returns the outcome of a request whose caller has left.
+func (r *run) callerGone() *Answer {
+	r.cancel()
+	return r.answer(&Answer{Outcome: CallerGone, Reason: ReasonCallerGone})
+}
+
 // finish lets the calls in flight end on their own for the grace period, then cancels them.
 func (r *run) finish() {
 	close(r.ended)
