dispatch: a waiting search is judged once for all its shards

While a search waits until it is known which leaves have ended, each of its shards asked the crash guard every 4 ms, twice: 5,000 judgements a second for a search of ten shards.

Change: a run keeps the judgement for the event at which it was made.

Test: TestWaitingSearchIsJudgedOnceForAllShards; it fails with the kept judgement taken out.

--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -90,7 +90,9 @@
 	// suspect makes all requests suspects, with the suspicion.
 	suspect   bool
 	suspicion crashguard.Suspicion
-	traces    []Trace
+	// judged counts the questions whether a request is a suspect.
+	judged int
+	traces []Trace
 	// coldLeft is how many requests each cold leaf still gets, and coldSent how many each got.
 	coldLeft, coldSent map[string]int
 }
@@ -189,6 +191,7 @@
 func (w *world) Suspect(uint64) (crashguard.Suspicion, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.judged++
 	return w.suspicion, w.suspect
 }
 func (w *world) Ended(_ *Request, _ *Answer, t *Trace) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -82,6 +82,8 @@
 	// suspect is true while the request may be crashing leaves. repeated is true once it is known to have been in flight
 	// at the end of a leaf, whether a leaf has answered it since or not.
 	suspect, repeated bool
+	// judgement is that of the crash guard as of the latest event; nil if it was not needed since.
+	judgement *judgement
 	// failure is the last failure response of a leaf.
 	failure *leafcall.Response
 	reason  Reason
@@ -184,6 +186,7 @@
 	defer timer.Stop()
 	for {
 		r.refreshTypical()
+		r.judgement = nil
 		if a := r.finalAnswer(time.Now()); a != nil {
 			return a
 		}
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/rendezvous"
 )
 
@@ -17,15 +18,16 @@
 	if r.answered.Load() {
 		return r.withFreeConnection(candidates)
 	}
-	suspicion, suspect := r.e.crashes.Suspect(r.digest)
-	if !suspect {
+	j := r.judge()
+	if !j.suspect {
 		return r.withFreeConnection(candidates)
 	}
-	if r.e.crashes.Blocked(r.digest) {
+	if j.blocked {
 		r.failGroup(g, ReasonCrashedLeaves)
 		return nil
 	}
 	r.repeated = true
+	suspicion := j.suspicion
 	if suspicion.Outlived {
 		return r.withFreeConnection(candidates)
 	}
@@ -42,6 +44,24 @@
 	return r.withFreeConnection([]catalog.Leaf{first})
 }
 
+// judgement is what the crash guard says of a request.
+type judgement struct {
+	suspicion        crashguard.Suspicion
+	suspect, blocked bool
+}
+
+// judge returns the judgement of the request, which is made once for all groups that are due at the same event.
+func (r *run) judge() *judgement {
+	if r.judgement != nil {
+		return r.judgement
+	}
+	j := new(judgement)
+	j.suspicion, j.suspect = r.e.crashes.Suspect(r.digest)
+	j.blocked = j.suspect && r.e.crashes.Blocked(r.digest)
+	r.judgement = j
+	return j
+}
+
 // othersInFlight reports whether another group has a call in flight, whose end may show what the request does.
 func (r *run) othersInFlight(i int) bool {
 	for j := range r.groups {
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -9,9 +9,22 @@
 	"github.com/matryer/is"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 )
 
+// While a search waits until it is known which leaves have ended, each shard asked the crash guard every few milliseconds.
+func TestWaitingSearchIsJudgedOnceForAllShards(t *testing.T) {
+	play(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.suspect, w.suspicion = true, crashguard.Suspicion{Undecided: true}
+		a, elapsed := w.ask(t.Context(), "/s/q")
+		is.Equal(a.Outcome, NotRun)
+		is.True(elapsed > 100*ms)
+		is.True(w.judged <= int(2*elapsed/retryPoll))
+	})
+}
+
 // Copies of a crashing request that run at once at several VMs ended a leaf each. A suspect goes to the same leaf from all
 // VMs, and to none at which it was in flight when that ended.
 func TestSuspectGoesToOneLeafFromAllVMs(t *testing.T) {
