soak: leaves spoil the name of their signature, or answer without end

Existing checks judge them: a success bears the signature of a leaf that ran the request, and orders are answered in time and run once.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -195,6 +195,6 @@
 			is.True(e.At <= DefaultSize().Faults && e.For <= maxFaultTime)
 		}
 	}
-	added := map[Fault]bool{LeafRestart: true, LeafSwap: true, StoreForeign: true, ZoneEvacuate: true, StoreRestore: true, LeafCrashingText: true, CallerBurst: true}
+	added := map[Fault]bool{LeafRestart: true, LeafSwap: true, StoreForeign: true, ZoneEvacuate: true, StoreRestore: true, LeafCrashingText: true, CallerBurst: true, LeafUnsigned: true, LeafEndless: true}
 	is.Equal(len(seen), len(faults)+len(added)+3) // plus the two kinds of configuration change and the kill of all VMs
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -35,7 +35,7 @@
 // inject injects one event and returns at its end.
 func (tb *testbed) inject(ctx context.Context, e Event) {
 	switch e.Fault {
-	case LeafSlow, LeafHang, LeafRefuse, LeafErrors, LeafLoseAnswers, LeafGarble, LeafExtraAnswers:
+	case LeafSlow, LeafHang, LeafRefuse, LeafErrors, LeafLoseAnswers, LeafGarble, LeafExtraAnswers, LeafUnsigned, LeafEndless:
 		for _, p := range sample(tb.placements, e) {
 			p.setFault(leafFault{fault: e.Fault, until: time.Now().Add(e.For), share: 0.1 + e.Share})
 		}
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -145,14 +145,21 @@
 		m := p.leafFault
 		p.mu.Unlock()
 		if time.Now().Before(m.until) && rand.Float64() < m.share {
-			m.apply(&reply)
+			m.apply(&reply, p.currentLeaf(), hosted.RequestID(r))
 		}
 		return reply
 	}
 }
 
-// apply changes the reply as the fault requires.
-func (m *leafFault) apply(reply *hosted.Reply) {
+// currentLeaf returns the placement's leaf, or nil if there is none.
+func (p *placement) currentLeaf() *hosted.Leaf {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaf
+}
+
+// apply changes the leaf's reply to the request with the id as the fault requires.
+func (m *leafFault) apply(reply *hosted.Reply, leaf *hosted.Leaf, id string) {
 	switch m.fault {
 	case LeafSlow:
 		reply.Delay *= 20
@@ -168,5 +175,11 @@
 		reply.Truncate = max(1, len(reply.Body)/2)
 	case LeafExtraAnswers:
 		reply.Trailing = hosted.ForeignAnswer()
+	case LeafUnsigned:
+		if leaf != nil {
+			spoilSignature(leaf, id, reply)
+		}
+	case LeafEndless:
+		neverEnd(reply)
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,8 @@
 	LeafLoseAnswers  Fault = "leaf_lose_answers"
 	LeafGarble       Fault = "leaf_garble"
 	LeafExtraAnswers Fault = "leaf_extra_answers"
+	LeafUnsigned     Fault = "leaf_unsigned_answers"
+	LeafEndless      Fault = "leaf_endless_answers"
 	LeafCrash        Fault = "leaf_crash"
 	LeafDrain        Fault = "leaf_drain"
 	LeafAddressReuse Fault = "leaf_address_reused"
@@ -107,6 +109,7 @@
 		plan = append(plan, Event{At: at, For: min(drawDuration(rng, maxFaultTime/2), size.Faults-at), Fault: drawFault(rng), Share: rng.Float64() / 2, Pick: rng.Uint64()})
 	}
 	plan = append(plan, addedFaults(seed, size)...)
+	plan = append(plan, spoiledAnswers(seed, size)...)
 	plan = append(plan, evacuations(seed, size)...)
 	plan = append(plan, restores(seed, size)...)
 	plan = append(plan, crashingTexts(seed, size)...)
