storeread: an answer below the known revision dates nothing

Such an answer is not the store's newest state, so it says neither that nothing came after it nor since when something is deleted.

--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -153,7 +153,9 @@
 	if kind == kindWatch && d.Era != asked.Era {
 		return 0 // the answer doesn't continue the era that the mirror was in; a newer one is read as a whole
 	}
-	r.dateDeletions(&d, lastRead, now)
+	if !behind {
+		r.dateDeletions(&d, lastRead, now)
+	}
 	changed := r.mirror.Merge(d, now)
 	if behind && kind == kindSnapshot {
 		return r.backoff.Next()
