--- a/internal/node/removal_test.go
+++ b/internal/node/removal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -49,7 +50,7 @@
 	return nil, nil
 }
 
-// lostReaders is a fleet whose only reader, the first by rank, was lost right after the store had answered it.
+// lostReaders is a fleet whose reader, the first by rank, and perhaps others were lost right after the store had answered it.
 type lostReaders struct {
 	mu sync.Mutex
 	// contactAt is when the store last answered a VM of the zone; guarded by mu.
@@ -57,7 +58,7 @@
 }
 
 // zoneMembers are the VMs of the zone.
-var zoneMembers = []string{"vm1", "vm2"}
+var zoneMembers = []string{"vm1", "vm2", "vm3"}
 
 func (f *lostReaders) ZoneStatus(now time.Time) ([]string, time.Duration) {
 	f.mu.Lock()
@@ -72,7 +73,7 @@
 }
 
 func (f *lostReaders) Zones() []string { return []string{"z"} }
-func (f *lostReaders) LiveCount() int  { return 1 }
+func (f *lostReaders) LiveCount() int  { return len(zoneMembers) - 1 }
 
 // drainTimeout is how long after its removal a leaf may get requests.
 const drainTimeout = 3 * time.Second
@@ -80,37 +81,45 @@
 // The VM that reads the store in place of a lost one learns of a removal up to 2.4 s late. The grace period for leaves without an
 // entry counted from then on, so that the leaf got requests for more than 4 s.
 func TestLeafRemovedWhileReadersAreLostIsNotCalledLate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		defer wg.Wait()
-		defer cancel()
-		changed := notify.New()
-		m := mirror.New(changed)
-		d := directory.New(m, changed, notify.New(), platform.Decoder{}, zap.NewNop(), prometheus.NewRegistry())
-		fleet := &lostReaders{contactAt: time.Now().Add(time.Hour)}
-		store := &removalStore{removed: make(chan struct{})}
-		self := readers.ByRank("z", zoneMembers)[1]
-		r := storeread.New(store, m, fleet, self, "z", false, func([]mirror.Item) bool { return false }, 3*time.Second, zap.NewNop(), prometheus.NewRegistry())
-		m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
-		wg.Go(func() { _ = r.Run(ctx) })
-		wg.Go(func() { _ = d.Run(ctx) })
-		time.Sleep(3 * time.Second)
-		fleet.RecordStoreContact(time.Now())
-		m.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last word
-		removedAt := time.Now()
-		close(store.removed)
-		latest := time.Duration(0)
-		for range 60 {
-			time.Sleep(100 * time.Millisecond)
-			v := d.Current()
-			if len(v.Leaves["x"])+len(v.Expired["x"]) > 0 {
-				latest = time.Since(removedAt)
-			}
+	for lost := 1; lost < len(zoneMembers); lost++ {
+		t.Run(fmt.Sprintf("%d lost", lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playRemoval(t, lost) })
+		})
+	}
+}
+
+// playRemoval removes the leaf's entry right after the first VMs of the zone by rank are lost, and checks for how long the next
+// one may call the leaf.
+func playRemoval(t *testing.T, lost int) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	changed := notify.New()
+	m := mirror.New(changed)
+	d := directory.New(m, changed, notify.New(), platform.Decoder{}, zap.NewNop(), prometheus.NewRegistry())
+	fleet := &lostReaders{contactAt: time.Now().Add(time.Hour)}
+	store := &removalStore{removed: make(chan struct{})}
+	self := readers.ByRank("z", zoneMembers)[lost]
+	r := storeread.New(store, m, fleet, self, "z", false, func([]mirror.Item) bool { return false }, 3*time.Second, zap.NewNop(), prometheus.NewRegistry())
+	m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
+	wg.Go(func() { _ = r.Run(ctx) })
+	wg.Go(func() { _ = d.Run(ctx) })
+	time.Sleep(3 * time.Second)
+	fleet.RecordStoreContact(time.Now())
+	m.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last word
+	removedAt := time.Now()
+	close(store.removed)
+	latest := time.Duration(0)
+	for range 60 {
+		time.Sleep(100 * time.Millisecond)
+		v := d.Current()
+		if len(v.Leaves["x"])+len(v.Expired["x"]) > 0 {
+			latest = time.Since(removedAt)
 		}
-		t.Logf("callable until %v after its removal", latest)
-		is.True(latest > 0)
-		is.True(latest <= drainTimeout)
-	})
+	}
+	t.Logf("callable until %v after its removal", latest)
+	is.True(latest > 0)
+	is.True(latest <= drainTimeout)
 }
