--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -37,4 +37,5 @@
 fi
 # Drawn tests draw the same cases in every run. RAPID_SEED=0 draws others.
 export RAPID_SEED=${RAPID_SEED:-1}
-go test -count=1 "${skip[@]}" ./...
+# Fewer packages at once than cores: many tests start processes and judge by time.
+go test -count=1 -p 4 "${skip[@]}" ./...
