standin: the stand-in leaf knows how to answer without a signature or without end

internal/soak named a header of the platform, and the same endless answers stood in three places. No check is changed.

--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -14,10 +14,9 @@
 // A leaf answers with bytes that never end, and another one does so to orders. Idempotent requests are answered by the other
 // leaf, and an order gets its failure at once, where it waited for its deadline while the memory of the VM filled up.
 func TestEndlessAnswersAreNotWaitedFor(t *testing.T) {
-	for name, reply := range map[string]hosted.Reply{
-		"head": {Raw: []byte("HTTP/1.1 200 OK\r\nRequest-Id: "), Endless: []byte("r")},
-		"body": {Raw: []byte("HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"), Endless: []byte("4\r\nbody\r\n")},
-	} {
+	replies := hosted.EndlessReplies("any")
+	for _, name := range []string{"header", "chunks"} {
+		reply := replies[name]
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(t)
--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -145,21 +145,14 @@
 		m := p.leafFault
 		p.mu.Unlock()
 		if time.Now().Before(m.until) && rand.Float64() < m.share {
-			m.apply(&reply, p.currentLeaf(), hosted.RequestID(r))
+			m.apply(hosted.RequestID(r), &reply)
 		}
 		return reply
 	}
 }
 
-// currentLeaf returns the placement's leaf, or nil if there is none.
-func (p *placement) currentLeaf() *hosted.Leaf {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.leaf
-}
-
-// apply changes the leaf's reply to the request with the id as the fault requires.
-func (m *leafFault) apply(reply *hosted.Reply, leaf *hosted.Leaf, id string) {
+// apply changes the reply to the attempt as the fault requires.
+func (m *leafFault) apply(id string, reply *hosted.Reply) {
 	switch m.fault {
 	case LeafSlow:
 		reply.Delay *= 20
@@ -176,10 +169,8 @@
 	case LeafExtraAnswers:
 		reply.Trailing = hosted.ForeignAnswer()
 	case LeafUnsigned:
-		if leaf != nil {
-			spoilSignature(leaf, id, reply)
-		}
+		reply.Unsigned = true
 	case LeafEndless:
-		neverEnd(reply)
+		neverEnd(id, reply)
 	}
 }
--- a/internal/soak/spoiled.go
+++ b/internal/soak/spoiled.go
@@ -1,8 +1,9 @@
 package soak
 
 import (
-	"bytes"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/standin/hosted"
@@ -23,21 +24,10 @@
 	return out
 }
 
-// spoilSignature replaces the reply by one in which a byte of the signature's name is wrong.
-func spoilSignature(leaf *hosted.Leaf, id string, reply *hosted.Reply) {
-	reply.Raw = bytes.Replace(leaf.Answer(id, *reply), []byte("Server-Stamp"), []byte("Server-Stbmp"), 1)
-}
-
-// endlessReplies are the beginnings of answers and the bytes that follow without end.
-var endlessReplies = []hosted.Reply{
-	{Raw: []byte{0}, Endless: []byte("\x00\x01\x02")},
-	{Raw: []byte("HTTP/1.1 200 OK\r\nRequest-Id: "), Endless: []byte("r")},
-	{Raw: []byte("HTTP/1.1 200 OK\r\n"), Endless: []byte("X-Name: value\r\n")},
-	{Raw: []byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"), Endless: []byte("4\r\nbody\r\n")},
-}
-
-// neverEnd replaces the reply by one of the endless ones.
-func neverEnd(reply *hosted.Reply) {
-	*reply = endlessReplies[rand.N(len(endlessReplies))]
+// neverEnd replaces the reply to the attempt by one that never ends.
+func neverEnd(id string, reply *hosted.Reply) {
+	replies := hosted.EndlessReplies(id)
+	names := slices.Sorted(maps.Keys(replies))
+	*reply = replies[names[rand.N(len(names))]]
 	reply.Delay = leafWork
 }
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -57,6 +57,8 @@
 	Status int
 	Body   []byte
 	Header http.Header
+	// Unsigned spoils a byte in the name of the signature's header.
+	Unsigned bool
 	// Refuse answers 503 without running the request.
 	Refuse bool
 	// Raw, if set, is written in place of an answer. Trailing is written after the answer.
@@ -344,8 +346,12 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
+	signature := "Server-Stamp"
+	if reply.Unsigned {
+		signature = "Server-Stbmp"
+	}
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n", status, http.StatusText(status), id, l.Stamp(id))
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%s: %s\r\n", status, http.StatusText(status), id, signature, l.Stamp(id))
 	fmt.Fprintf(&b, "Server-Load: %d,0,%d\r\n", l.running.Load(), cap(l.slots))
 	_ = reply.Header.Write(&b)
 	body := reply.Body
