--- a/internal/node/removal_test.go
+++ b/internal/node/removal_test.go
@@ -108,7 +108,7 @@
 	wg.Go(func() { _ = d.Run(ctx) })
 	time.Sleep(3 * time.Second)
 	fleet.RecordStoreContact(time.Now())
-	m.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last word
+	m.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last answer
 	removedAt := time.Now()
 	close(store.removed)
 	latest := time.Duration(0)
