crashguard: a connection lost during a check has its leaf checked anew

The logs of a failing play show a loss of the crashing request that was found to be a crash 3.65 s late, by the leaf's next start: until then it had two crashes and the innocent one, in flight at the same ends, three.

Cause: a check of a leaf that was under way stood for losses that were recorded after it had asked the leaf: between its conclusion and its end, or in the 30 ms that it waits after a connection was taken. Those were not checked, and a connection taken before them counted as a sign of life after them.

Change: a check ends before its conclusion is drawn, so that a later loss has the leaf checked anew; a leaf that answered is asked again for losses since it was asked; and only losses before that count as survived.

Test: TestLossDuringACheckIsChecked, both cases seen to fail before.

--- a/internal/crashguard/check.go
+++ b/internal/crashguard/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,13 +72,17 @@
 
 // check finds out whether the leaf has ended, and tells the fleet of the losses if that takes long.
 func (g *Guard) check(ctx context.Context, p Prober, leaf catalog.LeafID) {
-	defer g.endCheck(leaf)
+	begun := g.clock()
 	if path, ok := g.view.Load().healthPathOfExpired(leaf); ok {
-		g.ask(ctx, p, leaf, path)
+		result := g.ask(ctx, p, leaf, path)
+		g.endCheck(leaf)
+		g.concludeAnswer(leaf, result)
+		g.recheck(leaf, begun)
 		return
 	}
 	silent, reported := 0, false
-	for end := g.clock().Add(refusalWindow); g.clock().Before(end); {
+	for end := begun.Add(refusalWindow); g.clock().Before(end); {
+		begun = g.clock()
 		result := p.Probe(ctx, leaf)
 		g.metrics.checks.WithLabelValues(string(result)).Inc()
 		if result == leafcall.NoResponse {
@@ -85,28 +90,39 @@
 		}
 		switch {
 		case result == leafcall.Refused:
+			g.endCheck(leaf)
 			g.Down(leaf)
 			return
 		case silent == silentAttempts:
+			g.endCheck(leaf)
 			g.unresponsive(leaf)
 			return
 		case !wait.For(ctx, answerGrace):
+			g.endCheck(leaf)
 			return
 		}
+		reached := result == leafcall.Reached
 		if !reported {
 			reported = true
-			g.reportUnconfirmed(leaf, result == leafcall.Reached)
+			g.reportUnconfirmed(leaf, reached, begun)
 		}
-		if result == leafcall.Reached {
-			return
+		if reached {
+			break
 		}
 	}
+	g.endCheck(leaf)
+	g.recheck(leaf, begun)
 }
 
 // ask finds out whether a leaf whose entry is gone answers at its address, which has taken connections.
-func (g *Guard) ask(ctx context.Context, p Prober, leaf catalog.LeafID, path string) {
+func (g *Guard) ask(ctx context.Context, p Prober, leaf catalog.LeafID, path string) leafcall.Reachability {
 	result := p.Ask(ctx, leaf, path)
 	g.metrics.checks.WithLabelValues(string(result)).Inc()
+	return result
+}
+
+// concludeAnswer decides on the losses at a leaf by the result of a health check.
+func (g *Guard) concludeAnswer(leaf catalog.LeafID, result leafcall.Reachability) {
 	switch result {
 	case leafcall.TakenOver:
 		g.Replaced(leaf)
@@ -130,21 +146,33 @@
 	}
 }
 
+// endCheck notes that the leaf is no longer being checked. It precedes the conclusion from the check: a loss that is recorded
+// later has the leaf checked anew.
 func (g *Guard) endCheck(leaf catalog.LeafID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.checking, leaf)
 }
 
+// recheck has the leaf checked anew if a connection to it was lost since the time, at which the check that has ended last asked
+// the leaf.
+func (g *Guard) recheck(leaf catalog.LeafID, since time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slices.ContainsFunc(g.losses[leaf], func(l loss) bool { return !l.Silent && l.at.After(since) }) {
+		g.enqueueCheck(leaf)
+	}
+}
+
 // reportUnconfirmed tells the fleet of the losses at a leaf whose address still takes connections, perhaps those of
-// another start of a leaf. alive is set if it took one.
-func (g *Guard) reportUnconfirmed(leaf catalog.LeafID, alive bool) {
+// another start of a leaf. reached is set if it took one that this VM began to open at the time asked.
+func (g *Guard) reportUnconfirmed(leaf catalog.LeafID, reached bool, asked time.Time) {
 	draining := g.view.Load().view.Draining[leaf]
 	var open []loss
 	g.mu.Lock()
 	for i := range g.losses[leaf] {
 		l := &g.losses[leaf][i]
-		l.alive = l.alive || alive
+		l.alive = l.alive || reached && !l.at.After(asked)
 		if !l.Silent && !draining {
 			open = append(open, *l)
 		}
--- a/internal/crashguard/check_test.go
+++ b/internal/crashguard/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/leafcall"
+	"github.com/burdockplank/burdockplank/internal/peers"
 )
 
 // fakeProber returns the results in turn, and the last one from then on.
@@ -225,3 +227,35 @@
 	is.True(a.at(0).IsZero())
 	is.Equal(a.at(3*rememberedAnswers-1), now)
 }
+
+// A connection that was lost while its leaf was being checked, after the leaf had been asked, was never checked itself: the end of
+// the leaf did not count against the request that had crashed it, and another one was refused in its place.
+func TestLossDuringACheckIsChecked(t *testing.T) {
+	const first, second = 1, 2
+	confirmed := func(fleet *fakeFleet, digest uint64) bool {
+		return slices.ContainsFunc(fleet.crashes, func(c peers.Crash) bool { return c.Digest == digest && !c.Unconfirmed })
+	}
+	t.Run("while the check waits", func(t *testing.T) {
+		p := &fakeProber{results: []leafcall.Reachability{leafcall.Reached, leafcall.Refused}}
+		run(t, p, func(t *testing.T, g *Guard, fleet *fakeFleet) {
+			g.Lost(Loss{Digest: first, Leaf: leafID("a")})
+			time.Sleep(answerGrace / 2)
+			g.Lost(Loss{Digest: second, Leaf: leafID("a")})
+			time.Sleep(refusalWindow)
+			is.New(t).True(confirmed(fleet, second))
+		})
+	})
+	t.Run("while the end is counted", func(t *testing.T) {
+		p := &fakeProber{results: []leafcall.Reachability{leafcall.Refused}}
+		run(t, p, func(t *testing.T, g *Guard, fleet *fakeFleet) {
+			fleet.reported = func(c peers.Crash) {
+				if c.Digest == first {
+					g.Lost(Loss{Digest: second, Leaf: leafID("a")})
+				}
+			}
+			g.Lost(Loss{Digest: first, Leaf: leafID("a")})
+			time.Sleep(refusalWindow)
+			is.New(t).True(confirmed(fleet, second))
+		})
+	})
+}
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -14,9 +14,18 @@
 )
 
 // fakeFleet records crashes like a fleet with a single VM.
-type fakeFleet struct{ crashes []peers.Crash }
+type fakeFleet struct {
+	crashes []peers.Crash
+	// reported, if set, is called after each report.
+	reported func(c peers.Crash)
+}
 
-func (f *fakeFleet) ReportCrash(c peers.Crash) { f.crashes = append(f.crashes, c) }
+func (f *fakeFleet) ReportCrash(c peers.Crash) {
+	f.crashes = append(f.crashes, c)
+	if f.reported != nil {
+		f.reported(c)
+	}
+}
 
 func (f *fakeFleet) Crashes(digest uint64, since time.Time) []peers.Crash {
 	var out []peers.Crash
