node: the test of searches that go to the larger VM uses VMs larger than its process

Cause: that VM has 0.2 of a core and admits requests by the processor time of its process, in which the test runs both VMs, the leaves and the callers. In a deployment a process is one VM.

Change: 8 and 2 cores in place of 0.8 and 0.2; a VM is larger by the same factor, and all checks are as they were.

--- a/internal/node/delegate_test.go
+++ b/internal/node/delegate_test.go
@@ -37,8 +37,9 @@
 func TestSearchesGoToTheLargerVM(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
-	larger := c.startSized(800)
-	smaller := c.startSized(200)
+	// A VM takes all processor time of the process for its own, in which the other VM, the leaves and the callers run, too.
+	larger := c.startSized(8000)
+	smaller := c.startSized(2000)
 	const answered = `burdock_handed_over_total{end="answered"}`
 	n := 0
 	search := func() {
