node: three tests of crashing requests share their check

Each ran requests that crash no leaf beside its own, and then checked the leaves that ended and the answers.

--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -125,6 +125,23 @@
 	return sent, answered
 }
 
+// checkCrashes sends crashing requests beside innocent ones, and checks that at most maxEnded leaves end and that nearly all
+// innocent ones are answered.
+func (e *leafEnds) checkCrashes(t *testing.T, maxEnded int, sendCrashing func()) {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var innocent sync.WaitGroup
+	var sent, answered int
+	innocent.Go(func() { sent, answered = e.c.sendInnocent(ctx) })
+	sendCrashing()
+	cancel()
+	innocent.Wait()
+	t.Logf("%d leaves ended; %d of %d other requests were answered", e.ended.Load(), answered, sent)
+	is.True(e.ended.Load() <= int64(maxEnded))
+	is.True(float64(answered) >= 0.95*float64(sent))
+}
+
 // A request that crashes each leaf that runs it came again and again, at any VM. The end of a leaf counted only if the same
 // VM soon called its address again and was refused, so that fourteen leaves ended before the request was (incident inc1 of
 // issue 46).
@@ -141,22 +158,14 @@
 		for kind, method := range map[string]string{"/y/": http.MethodPost, "/i/": http.MethodGet} {
 			t.Run(name+" "+strings.Trim(kind, "/"), func(t *testing.T) {
 				t.Parallel()
-				is := is.New(t)
 				e := &leafEnds{how: e.how, delay: e.delay, next: e.next, sameID: e.sameID}
 				c := startCrashing(t, e)
-				ctx, cancel := context.WithCancel(t.Context())
-				var innocent sync.WaitGroup
-				var sent, answered int
-				innocent.Go(func() { sent, answered = c.sendInnocent(ctx) })
-				for i := range 14 {
-					_, _, _, _ = c.vms[i%len(c.vms)].get(method, kind+crashMark, fmt.Sprintf("c%d", i))
-					time.Sleep(150 * time.Millisecond)
-				}
-				cancel()
-				innocent.Wait()
-				t.Logf("%d leaves ended; %d of %d other requests were answered", e.ended.Load(), answered, sent)
-				is.True(e.ended.Load() <= 3)
-				is.True(float64(answered) >= 0.95*float64(sent))
+				e.checkCrashes(t, 3, func() {
+					for i := range 14 {
+						_, _, _, _ = c.vms[i%len(c.vms)].get(method, kind+crashMark, fmt.Sprintf("c%d", i))
+						time.Sleep(150 * time.Millisecond)
+					}
+				})
 			})
 		}
 	}
@@ -169,22 +178,14 @@
 		for kind, method := range map[string]string{"/y/": http.MethodPost, "/i/": http.MethodGet} {
 			t.Run(fmt.Sprintf("%s %v", strings.Trim(kind, "/"), share), func(t *testing.T) {
 				t.Parallel()
-				is := is.New(t)
 				e := &leafEnds{delay: 20 * time.Millisecond, share: share}
 				c := startCrashing(t, e)
-				ctx, cancel := context.WithCancel(t.Context())
-				var innocent sync.WaitGroup
-				var sent, answered int
-				innocent.Go(func() { sent, answered = c.sendInnocent(ctx) })
-				for i := range 100 {
-					_, _, _, _ = c.vms[i%len(c.vms)].get(method, kind+crashMark, fmt.Sprintf("c%d", i))
-					time.Sleep(50 * time.Millisecond)
-				}
-				cancel()
-				innocent.Wait()
-				t.Logf("%d leaves ended; %d of %d other requests were answered", e.ended.Load(), answered, sent)
-				is.True(e.ended.Load() <= 3)
-				is.True(float64(answered) >= 0.95*float64(sent))
+				e.checkCrashes(t, 3, func() {
+					for i := range 100 {
+						_, _, _, _ = c.vms[i%len(c.vms)].get(method, kind+crashMark, fmt.Sprintf("c%d", i))
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
 			})
 		}
 	}
@@ -201,26 +202,18 @@
 // Copies at all VMs at once can't know of each other: each may end one leaf, and no later one does.
 func TestCrashingRequestAtAllVMsAtOnce(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
 	e := &leafEnds{delay: 50 * time.Millisecond}
 	c := startCrashing(t, e)
-	ctx, cancel := context.WithCancel(t.Context())
-	var innocent sync.WaitGroup
-	var sent, answered int
-	innocent.Go(func() { sent, answered = c.sendInnocent(ctx) })
-	for round := range 10 {
-		var copies sync.WaitGroup
-		for i, v := range c.vms {
-			copies.Go(func() { _, _, _, _ = v.get(http.MethodPost, "/y/"+crashMark, fmt.Sprintf("c%d-%d", round, i)) })
+	e.checkCrashes(t, len(c.vms), func() {
+		for round := range 10 {
+			var copies sync.WaitGroup
+			for i, v := range c.vms {
+				copies.Go(func() { _, _, _, _ = v.get(http.MethodPost, "/y/"+crashMark, fmt.Sprintf("c%d-%d", round, i)) })
+			}
+			copies.Wait()
+			time.Sleep(100 * time.Millisecond)
 		}
-		copies.Wait()
-		time.Sleep(100 * time.Millisecond)
-	}
-	cancel()
-	innocent.Wait()
-	t.Logf("%d leaves ended; %d of %d other requests were answered", e.ended.Load(), answered, sent)
-	is.True(e.ended.Load() <= int64(len(c.vms)))
-	is.True(float64(answered) >= 0.95*float64(sent))
+	})
 }
 
 // Two requests end three leaves each, also where they stop and come back, and where they come to a VM that has just started.
