soak: health checks are no requests of callers

Cause: the stand-in leaf answers health checks as any request, and the soak took them for runs that no caller had asked for. The trace: all eight are GET /health without a Request-Id, within 0.25 s, at a leaf that had ended and started again at its address 0.15 s before, while the store came back from a copy. The crash guard asks leaves without an entry that take connections (internal/crashguard/check.go).

A GET of the health path without an ID no longer counts as a run, and any other request as before.

--- a/internal/soak/leaves.go
+++ b/internal/soak/leaves.go
@@ -58,13 +58,16 @@
 	service, zone string
 }
 
-// runs returns the requests that all leaves observed.
+// runs returns the requests that all leaves observed, without health checks.
 func (p *startedLeaves) runs() []Run {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Run
 	for _, l := range p.leaves {
 		for _, s := range l.leaf.Requests() {
+			if s.HealthCheck() {
+				continue
+			}
 			out = append(out, Run{
 				ID: s.ID, Leaf: l.leaf.ID, Born: l.leaf.Born, Service: l.service, Zone: l.zone, Target: s.Target, At: s.At, Ran: s.Ran,
 				Misdirected: s.ExpectedInstance != "" && s.ExpectedInstance != l.leaf.ID,
--- /dev/null
+++ b/internal/soak/leaves_test.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/burdockplank/burdockplank/internal/standin/hosted"
+)
+
+// The soak took health checks, which burdock-node sends to leaves whose entry is gone, for requests that nobody asked for (seed
+// 63041). A request to their path that has an ID is none, and neither is one without an ID to another path.
+func TestRunsLeaveOutHealthChecks(t *testing.T) {
+	is := is.New(t)
+	leaf := hosted.NewLeaf("x", 1, func(int, *http.Request) hosted.Reply { return hosted.Reply{} })
+	defer leaf.Close()
+	send := func(path, id string) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+leaf.Address()+path, nil)
+		is.NoErr(err)
+		if id != "" {
+			r.Header.Set("Request-Id", id)
+		}
+		resp, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+	}
+	send(hosted.HealthPath, "")
+	send(hosted.HealthPath, "a")
+	send("/v/b", "")
+	started := startedLeaves{leaves: []startedLeaf{{leaf: leaf, service: "v0"}}}
+	runs := started.runs()
+	is.Equal(len(runs), 2)
+	is.Equal(runs[0].ID, "a")
+	is.Equal(runs[1].Target, "/v/b")
+}
--- a/internal/standin/hosted/leaf.go
+++ b/internal/standin/hosted/leaf.go
@@ -49,6 +49,11 @@
 	At                                         time.Time
 }
 
+// HealthCheck reports whether the request is a health check, which belongs to no caller.
+func (r *ReceivedRequest) HealthCheck() bool {
+	return r.Method == http.MethodGet && r.Target == HealthPath && r.ID == ""
+}
+
 // Reply is a leaf's reaction to a request.
 type Reply struct {
 	// Delay is the service time.
--- a/internal/standin/hosted/operator.go
+++ b/internal/standin/hosted/operator.go
@@ -37,6 +37,9 @@
 	WarmupRate float64
 }
 
+// HealthPath is the path of the health checks of all services.
+const HealthPath = "/health"
+
 // Configure writes the configuration to the store under op/config.
 func (s *Store) Configure(c Config) {
 	var routes, services []map[string]any
@@ -45,7 +48,7 @@
 	}
 	for _, name := range c.Services {
 		services = append(services, map[string]any{
-			"name": name, "health_check_path": "/health", "connection_limit": c.Connections, "protocol": "h1",
+			"name": name, "health_check_path": HealthPath, "connection_limit": c.Connections, "protocol": "h1",
 			"warmup_s": c.Warmup.Seconds(), "warmup_per_s": c.WarmupRate,
 		})
 	}
