--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -142,8 +142,8 @@
 
 // All leaves of a service ended within a second. A request that was in flight at four of the five ends and was never answered
 // took the blame, and the one that crashes them, answered between two of its crashes, ended the next leaf that came.
-func TestUnansweredRequestDoesNotTakeTheBlameOfACollapse(t *testing.T) {
-	collapse := func(pause time.Duration) *fixture {
+func TestUnansweredRequestIsNotBlamedForServiceOutage(t *testing.T) {
+	outage := func(pause time.Duration) *fixture {
 		f := newFixture()
 		both := []uint64{crashing, innocent}
 		for i, inFlight := range [][]uint64{both, {crashing}, both, both, both} {
@@ -158,8 +158,8 @@
 		return f
 	}
 	is := is.New(t)
-	is.True(collapse(200 * time.Millisecond).Blocked(crashing))
-	is.True(!collapse(time.Minute).Blocked(crashing)) // the other end may be a chance
+	is.True(outage(200 * time.Millisecond).Blocked(crashing))
+	is.True(!outage(time.Minute).Blocked(crashing)) // the other end may be a chance
 }
 
 func TestStateIsBounded(t *testing.T) {
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -20,9 +20,9 @@
 	longestOutage = 100 * time.Millisecond
 	// outageSpread is by how much the times have to differ for which a request had run at leaves that ended together.
 	outageSpread = 10 * time.Millisecond
-	// longestCollapse is the longest time in which a request that comes often ends all leaves of a service. Leaves seldom end in
+	// serviceOutageWindow is the longest time in which a request that comes often ends all leaves of a service. Leaves seldom end in
 	// it for another reason.
-	longestCollapse = time.Second
+	serviceOutageWindow = time.Second
 )
 
 // evidence is what the fleet knows of the leaves that ended while a request was in flight there.
@@ -130,7 +130,7 @@
 func (e *evidence) endedAmid(crashes []peers.Crash) bool {
 	first := slices.MinFunc(crashes, compareTimes)
 	last := slices.MaxFunc(crashes, compareTimes)
-	if last.At.Sub(first.At) > longestCollapse {
+	if last.At.Sub(first.At) > serviceOutageWindow {
 		return false
 	}
 	return slices.ContainsFunc(e.crashes, func(c peers.Crash) bool {
