--- a/review/stand-2/silent.go
+++ b/review/stand-2/silent.go
@@ -5,12 +5,13 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/burdockplank/burdockplank/internal/standin/hosted"
 )
 
-// playSilent: the open connections of the VMs to the store go silent for good, while new ones work. Right after that the
+// playSilent: one VM of each zone is lost. Later the open connections of the VMs to the store go silent for good, while new ones work. Right after that the
 // entries of two leaves are removed, which go on serving. Rule DRAIN.
 func playSilent(w *world, trouble bool) (bool, error) {
 	const (
@@ -48,12 +49,20 @@
 		defer p.close()
 		proxies = append(proxies, p)
 	}
-	if err := w.addVMs(3, func(i int) string { return proxies[i].address() }); err != nil {
+	if err := w.addVMs(6, func(i int) string { return proxies[i%len(proxies)].address() }); err != nil {
 		return false, err
 	}
 	if err := w.startAll(); err != nil {
 		return false, err
 	}
+	up := w.vms
+	if trouble {
+		for _, v := range w.vms[3:] {
+			v.signal(syscall.SIGKILL)
+		}
+		up = w.vms[:3]
+		w.note("one VM of each zone is lost and stays down")
+	}
 	stop := make(chan struct{})
 	var senders sync.WaitGroup
 	counts, sentAt := make(map[string]int), make(map[string]time.Time)
@@ -67,7 +76,7 @@
 				case <-time.After(period):
 				}
 				senders.Go(func() {
-					r := sendNew(w.vms[i%len(w.vms)].callers, &hosted.Request{ID: newID(), Method: "GET", Host: host, Target: fmt.Sprintf("/goka902/%d", i), Timeout: deadline})
+					r := sendNew(up[i%len(up)].callers, &hosted.Request{ID: newID(), Method: "GET", Host: host, Target: fmt.Sprintf("/goka902/%d", i), Timeout: deadline})
 					mu.Lock()
 					defer mu.Unlock()
 					counts[fmt.Sprint(r.status)]++
@@ -77,7 +86,7 @@
 		})
 	}
 	begin()
-	time.Sleep(6 * time.Second)
+	time.Sleep(8 * time.Second)
 	// A heartbeat of another leaf, which all VMs read.
 	w.store.PutLeaf(other, "school-portal", zones[2], "ready", other.Address())
 	w.note("a leaf of another service wrote its entry again")
