--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -15,6 +15,7 @@
 // cases by name. Each plays its case, with the disruption if trouble is set, and reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"silent": playSilent,
+	"seeds":  playSeeds,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
