--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"silent": playSilent,
 	"seeds":  playSeeds,
+	"idle":   playIdle,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -281,7 +281,7 @@
 
 // result of a request of a caller.
 type result struct {
-	id       string
+	id, at   string
 	sent     time.Time
 	ended    time.Time
 	status   int
