--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -17,6 +17,7 @@
 	"silent": playSilent,
 	"seeds":  playSeeds,
 	"idle":   playIdle,
+	"crash":  playCrash,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
