--- a/review/stand-2/crash.go
+++ b/review/stand-2/crash.go
@@ -26,6 +26,8 @@
 
 	mu     sync.Mutex
 	leaves []*hosted.Leaf
+	// alive holds the leaves that have not ended.
+	alive map[*hosted.Leaf]bool
 	// ends holds the ends of leaves by the target of the request.
 	ends map[string][]time.Time
 }
@@ -44,12 +46,14 @@
 		return hosted.Reply{End: &hosted.End{Reset: true, Ended: func() {
 			x.mu.Lock()
 			defer x.mu.Unlock()
+			delete(x.alive, l)
 			x.ends[target] = append(x.ends[target], time.Now())
 			x.w.note("leaf %s ended under %s", id, target)
 			go x.replace(l, zone)
 		}}}
 	})
 	x.leaves = append(x.leaves, l)
+	x.alive[l] = true
 	x.w.store.PutLeaf(l, "school-portal", zones[zone], "ready", l.Address())
 	return l
 }
@@ -63,15 +67,18 @@
 }
 
 // crash ends a leaf that runs, without any request that does so.
-func (x *crashWorld) crash(round int) {
+func (x *crashWorld) crash(zone int) {
 	x.mu.Lock()
-	l := x.leaves[len(x.leaves)-1-round]
-	x.mu.Unlock()
-	x.w.note("leaf %s crashes by itself", l.ID)
-	go func() {
-		l.Close()
-		x.replace(l, round)
-	}()
+	defer x.mu.Unlock()
+	for _, l := range x.leaves {
+		if x.alive[l] {
+			delete(x.alive, l)
+			x.w.note("leaf %s crashes by itself", l.ID)
+			go l.Close()
+			go x.replace(l, zone)
+			return
+		}
+	}
 }
 
 // arrivals returns when requests for the target reached leaves.
@@ -104,7 +111,7 @@
 		crashes     = 3
 		retries     = 3
 	)
-	x := &crashWorld{w: w, ends: make(map[string][]time.Time)}
+	x := &crashWorld{w: w, alive: make(map[*hosted.Leaf]bool), ends: make(map[string][]time.Time)}
 	for i := range 10 {
 		x.startLeaf(i % len(zones))
 	}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -33,6 +35,13 @@
 		return notRun
 	}
 	defer w.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		w.close()
+		os.Exit(notRun)
+	}()
 	isBroken, err := cases[args[0]](w, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
