--- a/review/stand-2/idle.go
+++ b/review/stand-2/idle.go
@@ -29,6 +29,11 @@
 		late      = 500 * time.Millisecond
 		minimum   = 8
 	)
+	const ownSockets = 8000 // of the stand-ins: the callers' ends, the leaves' and the store's
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil || own.Cur < ownSockets {
+		return false, fmt.Errorf("the stand-ins need %d descriptors, %d are allowed", ownSockets, own.Cur)
+	}
 	record := func(int, *http.Request) hosted.Reply {
 		var b bytes.Buffer
 		for range 12 {
