node: close callers' idle connections by the configuration and the descriptors

Each caller left its connection open, and an idle connection was kept for 75 s whatever idle_timeout_ms says.

The new package callerconn tracks the connections of callers. It closes those that have been idle for the configured time, and the longest idle ones where callers have more than the descriptors of the settings leave room for. It ends the server's wait by a read deadline, which is cleared if a request has been read meanwhile: no request that was read loses its connection. The number of connections, idle ones, and closed ones by reason are metrics now.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -30,6 +30,8 @@
 	Millicores int
 	// MemoryBytes is the process's memory limit.
 	MemoryBytes int64
+	// FileDescriptors is the process's limit of open file descriptors, or 0 where it is unknown.
+	FileDescriptors int
 	// RetryBudget limits the extra calls of the whole fleet to a service.
 	RetryBudget retrybudget.Limit
 	// Warmup limits the requests of the whole fleet to a cold leaf.
@@ -56,6 +58,7 @@
 	}
 	c.Require(s.Millicores >= 0 && s.Millicores <= maxMillicores, "processor", "want 0 to %d millicores, got %d", maxMillicores, s.Millicores)
 	c.Require(s.MemoryBytes >= minMemoryBytes, "memory", "want at least %d bytes, got %d", minMemoryBytes, s.MemoryBytes)
+	c.Require(s.FileDescriptors >= 0, "file descriptors", "want 0 or more, got %d", s.FileDescriptors)
 	c.Require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Ratio <= 1, "retry budget's ratio", "want 0 to 1, got %g", s.RetryBudget.Ratio)
 	c.Require(s.RetryBudget.Slack >= 0, "retry budget's slack", "want 0 or more, got %g", s.RetryBudget.Slack)
 	c.Require(s.RetryBudget.Window >= minRetryWindow, "retry budget's window", "want at least %v, got %v", minRetryWindow, s.RetryBudget.Window)
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -253,6 +253,17 @@
 	}
 }
 
+// Open returns the number of connections that are open or being opened.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, e := range p.leaves {
+		n += e.open
+	}
+	return n
+}
+
 // Dump returns the connection counts of each leaf.
 func (p *Pool) Dump() any {
 	p.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,10 +19,10 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
-	"github.com/urfave/negroni/v3"
 	"go.uber.org/zap"
 
 	"github.com/burdockplank/burdockplank/api/burdock/v1/burdockv1connect"
+	"github.com/burdockplank/burdockplank/internal/callerconn"
 	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/crashguard"
 	"github.com/burdockplank/burdockplank/internal/decision"
@@ -62,12 +62,6 @@
 	exitMargin = 400 * time.Millisecond
 	// fleetPollInterval is how often the number of VMs is checked.
 	fleetPollInterval = 500 * time.Millisecond
-	// callerIdleTimeout is how long a caller's idle connection is kept, also where the configuration sets a
-	// shorter idle timeout or none. It is longer than the time within which callers reuse connections, so that
-	// no request crosses the close.
-	callerIdleTimeout = 75 * time.Second
-	// headerReadTimeout bounds the time to read the head of a request.
-	headerReadTimeout = 10 * time.Second
 	// maxRetryAfter bounds the delay after which a refused caller is asked to retry.
 	maxRetryAfter = 5 * time.Second
 	// logFlushTimeout bounds writing the remaining log lines at the exit.
@@ -116,6 +110,7 @@
 	gatherer         *delegate.Gatherer
 	loads            *fleetload.Manager
 	refusals         *prometheus.CounterVec
+	callers          *callerconn.Manager
 	server           *http.Server
 	leaving          atomic.Bool
 	isGatherer       atomic.Bool
@@ -161,6 +156,9 @@
 		Self: s.PeersAddress, Zone: s.Zone, Gateways: d.peers.Gateways, Leaves: d.table, Gatherers: d.delegate, Own: d.gathererLoad,
 		Service: (&singleServices{directory: d.directory}).of, Dial: dialLoads(s.IP), Random: rand.Float64, Registry: reg,
 	})
+	d.callers = callerconn.New(callerconn.Config{
+		IdleTimeout: func() time.Duration { return d.limits().IdleTimeout }, MaxOpen: d.maxCallerConns, Registry: reg,
+	})
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
@@ -177,14 +175,6 @@
 	return false
 }
 
-// newCallerServer returns the HTTP server for callers.
-func (d *Daemon) newCallerServer() *http.Server {
-	edge := d.platform.NewCallerHandler(d.delegate, d.limits, d.leaving.Load, func(reason string) { d.refusals.WithLabelValues(reason).Inc() })
-	n := negroni.New()
-	n.UseHandler(edge)
-	return &http.Server{Handler: n, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout, ConnContext: d.platform.ConnContext}
-}
-
 // limits returns the limits of the configuration in force, or none before the first one.
 func (d *Daemon) limits() catalog.Limits {
 	if c := d.directory.Current().Config; c != nil {
@@ -223,6 +213,7 @@
 			{Name: "delegate", Run: d.delegate.Run},
 			{Name: "gatherer", Run: d.gatherer.Run},
 			{Name: "load reports", Run: d.loads.Run},
+			{Name: "callers' connections", Run: d.callers.Run},
 			{Name: "callers", Run: func(ctx context.Context) error { return serveUntil(ctx, d.server, callers) }},
 			{Name: "readiness", Run: d.serve(d.settings.ReadinessAddress, d.platform.NewReadinessHandler(d.ready))},
 		},
@@ -236,6 +227,7 @@
 	dumps.Add("gatherers", d.delegate)
 	dumps.Add("load reports", d.loads)
 	dumps.Add("connections", d.pool)
+	dumps.Add("callers' connections", d.callers)
 	dumps.Add("cold leaves", d.coldLeaves)
 	dumps.Add("admission", d.gate)
 	dumps.Add("crashes", d.guard)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -47,6 +47,8 @@
 	leaves   map[string]*hosted.Leaf
 	vms      []*vm
 	version  int
+	// idleTimeout is the limit of callers' idle connections in the configuration; 0 for the default of the stand-in.
+	idleTimeout time.Duration
 }
 
 // The ports of a VM under test, below those that the kernel gives to outgoing connections.
@@ -89,7 +91,7 @@
 func (c *cluster) configure(single string) {
 	c.version++
 	c.store.Configure(hosted.Config{
-		Version: c.version, Services: []string{"s0", "s1", "s2", "x", "later"}, Connections: 30,
+		Version: c.version, Services: []string{"s0", "s1", "s2", "x", "later"}, Connections: 30, IdleTimeout: c.idleTimeout,
 		Routes: []hosted.Route{
 			{Name: "s", Host: "h", Prefix: "/s/", Idempotent: true, Timeout: 800 * time.Millisecond, TargetLatency: 150 * time.Millisecond,
 				Shards: []string{"s0", "s1", "s2"}, Priority: 1, MaxAttempts: 2, TopK: 2, MinShardShare: 0.6},
--- a/internal/standin/hosted/operator.go
+++ b/internal/standin/hosted/operator.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strings"
@@ -35,8 +36,13 @@
 	// 0 for no limit.
 	Warmup     time.Duration
 	WarmupRate float64
+	// IdleTimeout is how long a caller's connection may be idle; 0 for defaultIdleTimeout.
+	IdleTimeout time.Duration
 }
 
+// defaultIdleTimeout is the limit of the users' deployments.
+const defaultIdleTimeout = 15 * time.Second
+
 // HealthPath is the path of the health checks of all services.
 const HealthPath = "/health"
 
@@ -54,7 +60,7 @@
 	}
 	s.PutJSON("op/config", map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": cmp.Or(c.IdleTimeout, defaultIdleTimeout).Milliseconds()},
 	})
 }
 
@@ -111,6 +117,7 @@
 [limits]
 cpu_share = %g
 memory_mb = %d
+file_descriptors = %d
 [bounds]
 grace_period_s = %g
 retry_budget_ratio = %g
@@ -122,7 +129,7 @@
 [platform]
 address = %q
 `, s.VMName, s.IP, s.Zone, strings.Join(s.Seeds, `", "`), s.CallersAddress, s.ReadinessAddress, s.PeersAddress,
-		float64(s.Millicores)/1000, s.MemoryBytes>>20,
+		float64(s.Millicores)/1000, s.MemoryBytes>>20, s.FileDescriptors,
 		s.GracePeriod.Seconds(), s.RetryBudget.Ratio, s.RetryBudget.Slack, s.RetryBudget.Window.Seconds(), s.ConfigApplyBound.Milliseconds(),
 		s.Warmup.Overage, s.Warmup.Slack, s.StoreAddress)
 	if len(s.Regions) > 0 {
