callerconn: never run out of descriptors, and cut off no caller for it

To follow idle_timeout_ms alone leaves no descriptor for leaves, peers, the store and the readiness check where one VM of six is left: 264 requests a second, each on a connection that its caller keeps for 15 s, are 3,960 of 3,900.

Callers now get the descriptors of the settings less what the process needs itself; with three quarters of that in use each answer closes its connection, beyond it requests are refused with 503, far beyond it connections are closed unread. Connections to leaves are bounded by what callers leave. The head of a request may take header_timeout_ms, which was read and not used. While a connection waits, its read deadline is the manager's, so that a limit that changes counts for connections that are idle already; a shorter one only once the one of before is over.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,171 +1,210 @@
-// Package callerconn closes connections of callers that have been idle for longer than the configuration allows, and
-// those that have been idle for longest where the process has no room for more connections.
+// Package callerconn bounds the connections of callers: how long they may be idle or take for the head of a request, by the
+// configuration in force, and how many there may be, by the descriptors of the process.
 package callerconn
 
 import (
-	"container/list"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
+	"github.com/burdockplank/burdockplank/internal/catalog"
 	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
 const (
-	// defaultIdleTimeout is how long a connection may be idle where the configuration sets no limit.
-	defaultIdleTimeout = 75 * time.Second
-	// sweepInterval is how often the idle connections are checked.
-	sweepInterval = 500 * time.Millisecond
+	// defaultIdleTimeout and defaultHeaderTimeout apply where the configuration sets no limit.
+	defaultIdleTimeout   = 75 * time.Second
+	defaultHeaderTimeout = 10 * time.Second
+	// refreshInterval is how often the limits are asked for.
+	refreshInterval = 500 * time.Millisecond
+	// keptFraction is the fraction of the room for connections up to which connections are kept after an answer. The rest is
+	// for those with a request. No idle connection is closed for want of room, as its caller may be about to use it again.
+	keptFraction = 0.75
+	// refusalFraction is the number of connections beyond the room, as a fraction of it, whose request is read and refused.
+	refusalFraction = 1. / 16
+	// clearedFraction is the fraction of the kept connections below which a shortage counts as over, in the log.
+	clearedFraction = 0.9
 )
 
-// The reasons for which connections are closed, in metrics.
+// The ways in which a connection is turned away, in metrics.
 const (
-	reasonIdle = "idle_timeout"
-	reasonRoom = "no_room"
+	turnedAwayAnswered = "answered"
+	turnedAwayClosed   = "closed"
 )
 
 // Config holds what a Manager needs.
 type Config struct {
-	// IdleTimeout returns how long a connection may be idle; 0 where the configuration sets no limit.
-	IdleTimeout func() time.Duration
-	// MaxOpen returns how many connections may be open while some are idle; 0 for no limit. It is asked at each sweep.
-	MaxOpen func() int
-	// Registry registers the metrics.
+	// Limits returns the limits of the configuration in force.
+	Limits func() catalog.Limits
+	// Room returns how many connections of callers the process has descriptors for; 0 for no limit.
+	Room     func() int
+	Log      *zap.Logger
 	Registry prometheus.Registerer
 }
 
-// Manager tracks the connections of an http.Server, which must have neither an IdleTimeout nor a ReadTimeout. It ends
-// an idle connection by its read deadline, so that a request that has been read is never cut off. It is safe for
-// concurrent use.
+// Manager tracks the connections of an http.Server, which accepts them from Listener, has ConnState as its hook, and
+// sets no read timeouts of its own. It is safe for concurrent use.
 type Manager struct {
-	config Config
-	closed *prometheus.CounterVec
+	config     Config
+	turnedAway *prometheus.CounterVec
+	// idleTimeout and headerTimeout are the limits in use in nanoseconds, room is the newest answer of Config.Room.
+	idleTimeout, headerTimeout, room atomic.Int64
+	// open is the number of connections, peak its highest value since the last refresh.
+	open, peak atomic.Int64
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	conns   map[net.Conn]*conn
-	maxOpen int
-	// idle holds the *conn that wait for a request, longest idle first. expired holds those of them that are to be
-	// closed.
-	idle, expired *list.List
-}
-
-// conn is a connection. element is its place in a list of the manager; nil while a request is read or answered.
-type conn struct {
-	net.Conn
-	element   *list.Element
-	idleSince time.Time
-	expired   bool
+	conns        map[*conn]struct{}
+	idle, header timeLimit
+	// short is set while connections are closed after an answer for want of room.
+	short bool
 }
 
 // New returns a manager without connections.
 func New(c Config) *Manager {
-	m := &Manager{config: c, conns: make(map[net.Conn]*conn), maxOpen: c.MaxOpen(), idle: list.New(), expired: list.New(),
-		closed: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "burdock_caller_connections_closed_total", Help: "Idle connections of callers that this VM closed by reason.",
-		}, []string{"reason"}),
+	m := &Manager{config: c, conns: make(map[*conn]struct{}),
+		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_caller_connections_turned_away_total", Help: "Connections of callers that there was no room for, by how they were turned away.",
+		}, []string{"how"}),
+	}
+	gauge := func(name, help string, value func() int) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
 	}
-	c.Registry.MustRegister(m.closed,
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_caller_connections", Help: "Open connections of callers."}, func() float64 {
-			return float64(m.counts().Open)
-		}),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "burdock_caller_connections_idle", Help: "Connections of callers without a request."}, func() float64 {
-			return float64(m.counts().Idle)
-		}))
+	c.Registry.MustRegister(m.turnedAway,
+		gauge("burdock_caller_connections", "Open connections of callers.", func() int { return m.counts().Open }),
+		gauge("burdock_caller_connections_idle", "Connections of callers without a request.", func() int { return m.counts().Idle }),
+		gauge("burdock_caller_connections_room", "Connections of callers that the process has descriptors for; 0 for no limit.", func() int { return m.counts().Room }))
+	m.refresh(time.Now())
 	return m
 }
 
-// ConnState records the state of a connection. It is the http.Server's ConnState.
-func (m *Manager) ConnState(c net.Conn, state http.ConnState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		m.conns[c] = &conn{Conn: c}
-		m.makeRoom()
-	case http.StateActive:
-		m.activate(m.conns[c])
-	case http.StateIdle:
-		k := m.conns[c]
-		k.idleSince = time.Now()
-		k.element = m.idle.PushBack(k)
-		m.makeRoom()
-	case http.StateClosed, http.StateHijacked:
-		m.unlink(m.conns[c])
-		delete(m.conns, c)
+// Run keeps to the limits of the configuration as they change until ctx ends. It returns nil.
+func (m *Manager) Run(ctx context.Context) error {
+	for wait.For(ctx, refreshInterval) {
+		m.refresh(time.Now())
 	}
+	return nil
 }
 
-// activate records that a request has been read. It clears the read deadline if the connection was about to be closed.
-// The caller must hold mu.
-func (m *Manager) activate(k *conn) {
-	wasExpired := k.expired
-	m.unlink(k)
-	if wasExpired {
-		_ = k.SetReadDeadline(time.Time{})
+// refresh asks for the limits. One that has changed counts for the connections that are idle already, too.
+func (m *Manager) refresh(now time.Time) {
+	limits, room := m.config.Limits(), m.config.Room()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.room.Store(int64(room))
+	m.header.set(limits.HeaderTimeout, now)
+	m.idle.set(limits.IdleTimeout, now)
+	m.headerTimeout.Store(int64(cmp.Or(m.header.inUse(now), defaultHeaderTimeout)))
+	idle := cmp.Or(m.idle.inUse(now), defaultIdleTimeout)
+	if before := m.idleTimeout.Swap(int64(idle)); int64(idle) != before {
+		for c := range m.conns {
+			c.setIdleTimeout(idle)
+		}
 	}
+	m.noteShortage()
 }
 
-// unlink removes the connection from its list. The caller must hold mu.
-func (m *Manager) unlink(k *conn) {
-	if k == nil || k.element == nil {
-		return
+// noteShortage logs when a shortage of room begins and when it is over. The caller must hold mu.
+func (m *Manager) noteShortage() {
+	peak := m.peak.Swap(m.open.Load())
+	kept := float64(m.maxKept())
+	fields := []zap.Field{zap.Int64("open", peak), zap.Int64("room", m.room.Load())}
+	switch {
+	case !m.short && kept > 0 && float64(peak) > kept:
+		m.short = true
+		m.config.Log.Warn("many connections of callers; closing them after each answer", fields...)
+	case m.short && float64(peak) <= clearedFraction*kept:
+		m.short = false
+		m.config.Log.Info("connections of callers are kept again", fields...)
 	}
-	if k.expired {
-		m.expired.Remove(k.element)
-	} else {
-		m.idle.Remove(k.element)
-	}
-	k.element, k.expired = nil, false
 }
 
-// makeRoom expires the longest idle connection where more are open than there is room for. The caller must hold mu.
-func (m *Manager) makeRoom() {
-	if m.maxOpen > 0 && len(m.conns)-m.expired.Len() > m.maxOpen && m.idle.Len() > 0 {
-		m.expire(m.idle.Front().Value.(*conn), reasonRoom)
-	}
-}
+// maxKept returns the number of connections up to which they are kept after an answer; 0 for no limit.
+func (m *Manager) maxKept() int64 { return int64(keptFraction * float64(m.room.Load())) }
 
-// expire ends the wait for a request. The caller must hold mu.
-func (m *Manager) expire(k *conn, reason string) {
-	m.unlink(k)
-	k.expired = true
-	k.element = m.expired.PushBack(k)
-	m.closed.WithLabelValues(reason).Inc()
-	endWait(k)
+// Crowded reports whether connections are to be closed after their next answer, so that there is room for others.
+func (m *Manager) Crowded() bool {
+	kept := m.maxKept()
+	return kept > 0 && m.open.Load() > kept
 }
 
-// endWait makes the server's read of the next request fail, after which the server closes the connection.
-func endWait(c net.Conn) { _ = c.SetReadDeadline(time.Unix(1, 0)) }
+// Open returns the number of open connections.
+func (m *Manager) Open() int { return int(m.open.Load()) }
 
-// Run closes connections that are idle for too long until ctx ends. It returns nil.
-func (m *Manager) Run(ctx context.Context) error {
-	for wait.For(ctx, sweepInterval) {
-		m.sweep(time.Now())
+// Listener returns a listener whose connections the manager tracks. It closes those that there is no room for.
+func (m *Manager) Listener(l *net.TCPListener) net.Listener { return &listener{l, m} }
+
+type listener struct {
+	*net.TCPListener
+	m *Manager
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if c, ok := l.m.add(tcp); ok {
+			return c, nil
+		}
+		_ = tcp.Close()
 	}
-	return nil
 }
 
-// sweep expires the connections that have been idle for too long. It ends the wait again of those that are still open: the
-// server sets a read deadline of its own when a connection becomes idle, which may replace one set at the same moment.
-func (m *Manager) sweep(now time.Time) {
-	limit := m.config.IdleTimeout()
-	if limit <= 0 {
-		limit = defaultIdleTimeout
+// add tracks a new connection, unless there is no room even to refuse its request.
+func (m *Manager) add(tcp *net.TCPConn) (*conn, bool) {
+	open, room := m.open.Add(1), m.room.Load()
+	if peak := m.peak.Load(); open > peak {
+		m.peak.CompareAndSwap(peak, open)
+	}
+	c := &conn{TCPConn: tcp, manager: m, refused: room > 0 && open > room}
+	if c.refused && float64(open) > (1+refusalFraction)*float64(room) {
+		m.open.Add(-1)
+		m.turnedAway.WithLabelValues(turnedAwayClosed).Inc()
+		return nil, false
+	}
+	if c.refused {
+		m.turnedAway.WithLabelValues(turnedAwayAnswered).Inc()
 	}
-	maxOpen := m.config.MaxOpen()
+	timeout := &m.idleTimeout
+	if m.Crowded() {
+		timeout = &m.headerTimeout
+	}
+	c.await(time.Duration(timeout.Load()))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns[c] = struct{}{}
+	return c, true
+}
+
+// remove forgets a closed connection.
+func (m *Manager) remove(c *conn) {
+	m.open.Add(-1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.maxOpen = maxOpen
-	for e := m.expired.Front(); e != nil; e = e.Next() {
-		endWait(e.Value.(*conn))
+	delete(m.conns, c)
+}
+
+// ConnState records the state of a connection. It is the http.Server's ConnState.
+func (m *Manager) ConnState(c net.Conn, state http.ConnState) {
+	k, ok := c.(*conn)
+	if !ok {
+		return
 	}
-	for e := m.idle.Front(); e != nil && now.Sub(e.Value.(*conn).idleSince) >= limit; e = m.idle.Front() {
-		m.expire(e.Value.(*conn), reasonIdle)
+	switch state {
+	case http.StateActive:
+		k.activate()
+	case http.StateIdle:
+		k.await(time.Duration(m.idleTimeout.Load()))
 	}
 }
 
@@ -174,14 +213,21 @@
 	// Open counts all connections, Idle those that wait for a request.
 	Open int `json:"open"`
 	Idle int `json:"idle"`
-	// MaxOpen is how many may be open while some are idle; 0 for no limit.
-	MaxOpen int `json:"max_open"`
+	// Kept is how many are kept after an answer, Room how many there may be; 0 for no limit.
+	Kept int `json:"kept_after_answer"`
+	Room int `json:"room"`
 }
 
 func (m *Manager) counts() counts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return counts{Open: len(m.conns), Idle: m.idle.Len() + m.expired.Len(), MaxOpen: m.maxOpen}
+	n := counts{Open: len(m.conns), Kept: int(m.maxKept()), Room: int(m.room.Load())}
+	for c := range m.conns {
+		if c.isIdle() {
+			n.Idle++
+		}
+	}
+	return n
 }
 
 // Dump returns the numbers of connections.
--- a/internal/leafpool/ahead.go
+++ b/internal/leafpool/ahead.go
@@ -77,7 +77,7 @@
 				p.noteEndedUnused(e, now.Sub(c.since), now)
 			}
 			out = append(out, c)
-			e.open--
+			p.addOpen(e, -1)
 		}
 		e.idle = kept
 	}
@@ -104,8 +104,8 @@
 	defer p.mu.Unlock()
 	var out []*leafConns
 	for _, e := range p.leaves {
-		if e.open == 0 && !e.gone && !e.endedUnused && p.keepsOpen(e.leaf) && now.Sub(e.failedAt) >= preopenRetryDelay && now.Sub(e.resetAt) >= preopenRetryDelay {
-			e.open++
+		if e.open == 0 && p.hasRoom(e) && !e.gone && !e.endedUnused && p.keepsOpen(e.leaf) && now.Sub(e.failedAt) >= preopenRetryDelay && now.Sub(e.resetAt) >= preopenRetryDelay {
+			p.addOpen(e, 1)
 			out = append(out, e)
 		}
 	}
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -32,7 +32,7 @@
 // Errors of a call that finds no connection.
 var (
 	errUnknownLeaf      = errors.New("leaf is unknown")
-	errNoFreeConnection = errors.New("this VM's connection quota is used up, or the leaf has just reset a new connection")
+	errNoFreeConnection = errors.New("this VM's connection quota or its descriptors are used up, or the leaf has just reset a new connection")
 )
 
 // Pool holds the connections to the leaves. It is safe for concurrent use.
@@ -50,6 +50,9 @@
 	leaves map[catalog.LeafID]*leafConns
 	share  func(service string) Share
 	limits map[string]int
+	// open is the number of connections to all leaves, maxOpen returns how many there may be; 0 for no limit.
+	open    int
+	maxOpen func() int
 	// anyCall is set once this VM has made a call to any leaf.
 	anyCall bool
 }
@@ -84,8 +87,9 @@
 	open   prometheus.Gauge
 }
 
-// New returns a pool without connections for a VM in the zone.
-func New(d leafcall.Dialer, zone string, reg prometheus.Registerer) *Pool {
+// New returns a pool without connections for a VM in the zone. maxOpen returns how many connections the process has
+// descriptors for; 0 for no limit.
+func New(d leafcall.Dialer, zone string, maxOpen func() int, reg prometheus.Registerer) *Pool {
 	m := &metrics{
 		opened: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_leaf_connections_opened_total", Help: "Connections to leaves by how opening them ended.",
@@ -94,7 +98,7 @@
 	}
 	reg.MustRegister(m.opened, m.open)
 	return &Pool{
-		dialer: d, zone: zone, metrics: m, started: time.Now(), startupStagger: rand.Float64(),
+		dialer: d, zone: zone, maxOpen: maxOpen, metrics: m, started: time.Now(), startupStagger: rand.Float64(),
 		leaves: make(map[catalog.LeafID]*leafConns), limits: make(map[string]int), share: func(string) Share { return Share{VMs: 1} },
 	}
 }
@@ -114,7 +118,7 @@
 			continue
 		}
 		if e != nil {
-			drop = append(drop, e.retire()...)
+			drop = append(drop, p.retire(e)...)
 		}
 		p.leaves[l.ID] = &leafConns{address: l.Address, leaf: l}
 	}
@@ -122,7 +126,7 @@
 		if known[id] {
 			continue
 		}
-		drop = append(drop, e.retire()...)
+		drop = append(drop, p.retire(e)...)
 		if e.open == 0 {
 			delete(p.leaves, id)
 		}
@@ -133,10 +137,10 @@
 
 // retire removes and returns the idle connections of a leaf that is no longer called. Those in use are closed when
 // they are released. The caller must hold the pool's mu.
-func (e *leafConns) retire() []idleConn {
+func (p *Pool) retire(e *leafConns) []idleConn {
 	idle := e.idle
 	e.gone, e.idle = true, nil
-	e.open -= len(idle)
+	p.addOpen(e, -len(idle))
 	return idle
 }
 
@@ -158,7 +162,7 @@
 	if len(e.idle) > 0 {
 		return true, true
 	}
-	return e.open < p.maxConns(e.leaf) && time.Since(e.resetAt) >= resetBackoff, false
+	return p.hasRoom(e) && time.Since(e.resetAt) >= resetBackoff, false
 }
 
 // Do makes the call. Any error is a *leafcall.Error.
@@ -202,15 +206,15 @@
 			p.mu.Unlock()
 			return c.Conn, e, false, nil
 		}
-		e.open--
+		p.addOpen(e, -1)
 		p.metrics.open.Dec()
 		c.Close()
 	}
-	if e.open >= p.maxConns(e.leaf) || time.Since(e.resetAt) < resetBackoff {
+	if !p.hasRoom(e) || time.Since(e.resetAt) < resetBackoff {
 		p.mu.Unlock()
 		return nil, nil, false, &leafcall.Error{Cause: leafcall.ConnectionFull, Step: Step, Peer: id.String(), Err: errNoFreeConnection}
 	}
-	e.open++
+	p.addOpen(e, 1)
 	p.mu.Unlock()
 	c, err = p.dial(ctx, e)
 	return c, e, true, err
@@ -228,7 +232,7 @@
 	}
 	p.metrics.opened.WithLabelValues("failed").Inc()
 	p.mu.Lock()
-	e.open--
+	p.addOpen(e, -1)
 	e.failedAt = time.Now()
 	p.mu.Unlock()
 	return nil, err
@@ -241,7 +245,7 @@
 	if keep {
 		e.idle = append(e.idle, idleConn{c, time.Now(), used})
 	} else {
-		e.open--
+		p.addOpen(e, -1)
 	}
 	if e.gone && e.open == 0 && p.leaves[e.leaf.ID] == e {
 		delete(p.leaves, e.leaf.ID)
@@ -253,13 +257,25 @@
 	}
 }
 
-// Open returns the number of connections that are open or being opened.
-func (p *Pool) Open() int {
+// addOpen counts n more connections to the leaf. The caller must hold mu.
+func (p *Pool) addOpen(e *leafConns, n int) {
+	e.open += n
+	p.open += n
+}
+
+// hasRoom reports whether a connection to the leaf may be opened. The caller must hold mu.
+func (p *Pool) hasRoom(e *leafConns) bool {
+	limit := p.maxOpen()
+	return e.open < p.maxConns(e.leaf) && (limit <= 0 || p.open < limit)
+}
+
+// Capacity returns how many connections this VM may have to all leaves together.
+func (p *Pool) Capacity() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
 	for _, e := range p.leaves {
-		n += e.open
+		n += max(e.open, p.maxConns(e.leaf))
 	}
 	return n
 }
--- a/internal/leafpool/leafpool_test.go
+++ b/internal/leafpool/leafpool_test.go
@@ -83,6 +83,33 @@
 	farLeaf  = catalog.Leaf{ID: leafID("far"), Service: "x", Address: "far", Zone: "other"}
 )
 
+// noLimit is the limit of a process whose descriptors are not known.
+func noLimit() int { return 0 }
+
+// Connections to leaves would use up the descriptors that other VMs, the store and the readiness check need. Those that have
+// been closed count no more.
+func TestConnectionsStayBelowTheProcessLimit(t *testing.T) {
+	is := is.New(t)
+	d := newDialer()
+	p := newPool(d, 6)
+	limit := 1
+	p.maxOpen = func() int { return limit }
+	_, err := p.Do(t.Context(), leafID("near"), &leafcall.Request{})
+	is.NoErr(err)
+	_, err = p.Do(t.Context(), leafID("far"), &leafcall.Request{})
+	var failure *leafcall.Error
+	is.True(errors.As(err, &failure) && failure.Cause == leafcall.ConnectionFull)
+	free, _ := p.Free(leafID("far"))
+	is.True(!free)
+	is.Equal(len(p.reserveUnconnected(time.Now())), 0)
+	d.conns[0].alive = false
+	p.closeAll(p.removeUnneeded(time.Now()))
+	_, err = p.Do(t.Context(), leafID("far"), &leafcall.Request{})
+	is.NoErr(err)
+	p.SetLeaves(nil, nil, sharedBy(6))
+	is.Equal(p.open, 0)
+}
+
 // sharedBy returns the share of one VM in the given number of VMs.
 func sharedBy(vms int) func(string) Share { return func(string) Share { return Share{VMs: vms} } }
 
@@ -91,7 +118,7 @@
 func TestOnDemandLeaf(t *testing.T) {
 	is := is.New(t)
 	d := newDialer()
-	p := New(d, "z", prometheus.NewRegistry())
+	p := New(d, "z", noLimit, prometheus.NewRegistry())
 	p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 30}, func(string) Share { return Share{VMs: 6, OnDemand: true} })
 	is.Equal(len(p.reserveUnconnected(time.Now())), 0)
 	_, err := p.Do(t.Context(), leafID("near"), &leafcall.Request{})
@@ -107,7 +134,7 @@
 
 // newPool returns a pool with both leaves, each with a limit of 30 connections that the given number of VMs share.
 func newPool(d *fakeDialer, vms int) *Pool {
-	p := New(d, "z", prometheus.NewRegistry())
+	p := New(d, "z", noLimit, prometheus.NewRegistry())
 	p.started, p.startupStagger = p.started.Add(-startupPeriod), 0 // after the startup period
 	p.SetLeaves([]catalog.Leaf{nearLeaf, farLeaf}, map[string]int{"x": 30}, sharedBy(vms))
 	return p
@@ -269,7 +296,7 @@
 		const vms = 300
 		var fleet []*Pool
 		for range vms {
-			p := New(newDialer(), "z", prometheus.NewRegistry())
+			p := New(newDialer(), "z", noLimit, prometheus.NewRegistry())
 			p.SetLeaves([]catalog.Leaf{farLeaf}, map[string]int{"x": 1800}, sharedBy(vms))
 			fleet = append(fleet, p)
 		}
--- a/internal/leafpool/probe.go
+++ b/internal/leafpool/probe.go
@@ -79,9 +79,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.leaves[id]
-	if e == nil || e.open >= p.maxConns(e.leaf) || time.Since(e.probeEndedAt) < resetBackoff {
+	if e == nil || !p.hasRoom(e) || time.Since(e.probeEndedAt) < resetBackoff {
 		return nil
 	}
-	e.open++
+	p.addOpen(e, 1)
 	return e
 }
--- a/internal/leafpool/probe_test.go
+++ b/internal/leafpool/probe_test.go
@@ -30,7 +30,7 @@
 				is := is.New(t)
 				d := newDialer()
 				d.dialErr, d.endNew = tt.dialErr, tt.ends
-				p := New(d, "z", prometheus.NewRegistry())
+				p := New(d, "z", noLimit, prometheus.NewRegistry())
 				if !tt.unknown {
 					p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 4}, sharedBy(1))
 				}
@@ -48,7 +48,7 @@
 		is := is.New(t)
 		d := newDialer()
 		d.endNew = true
-		p := New(d, "z", prometheus.NewRegistry())
+		p := New(d, "z", noLimit, prometheus.NewRegistry())
 		p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 4}, sharedBy(1))
 		for range 5 {
 			is.Equal(p.Probe(t.Context(), nearLeaf.ID), leafcall.NotTried)
@@ -61,7 +61,7 @@
 func TestProbeKeepsTheLimit(t *testing.T) {
 	is := is.New(t)
 	d := newDialer()
-	p := New(d, "z", prometheus.NewRegistry())
+	p := New(d, "z", noLimit, prometheus.NewRegistry())
 	p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 1}, sharedBy(1))
 	is.Equal(p.Probe(t.Context(), nearLeaf.ID), leafcall.Reached)
 	is.Equal(p.Probe(t.Context(), nearLeaf.ID), leafcall.NotTried)
@@ -82,7 +82,7 @@
 		t.Run(name, func(t *testing.T) {
 			d := newDialer()
 			d.dialErr = tt.dialErr
-			p := New(d, "z", prometheus.NewRegistry())
+			p := New(d, "z", noLimit, prometheus.NewRegistry())
 			if !tt.unknown {
 				p.SetLeaves([]catalog.Leaf{nearLeaf}, map[string]int{"x": 4}, sharedBy(1))
 			}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -1,38 +1,88 @@
 package node
 
 import (
+	"context"
+	"net"
 	"net/http"
-	"time"
+	"strconv"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/negroni/v3"
+
+	"github.com/burdockplank/burdockplank/internal/callerconn"
 )
 
 const (
-	// headerReadTimeout bounds the time to read the head of a request.
-	headerReadTimeout = 10 * time.Second
 	// fileDescriptorReserve is the number of descriptors that are not for sockets.
 	fileDescriptorReserve = 200
-	// otherConnsFraction is the fraction of the sockets that is kept for connections to other VMs, the store and operators.
+	// otherConnsFraction is the fraction of the sockets that is kept for connections to other VMs, the store, the balancer and
+	// operators, and to refuse callers that there is no room for.
 	otherConnsFraction = 0.125
-	// minCallerConnsFraction is the fraction of the sockets that callers get in any case.
+	// minCallerConnsFraction is the fraction of the sockets that callers get in any case, maxCallerConnsFraction the one
+	// that they get at most. Leaves get minLeafConnsFraction in any case. The last two and otherConnsFraction stay below 1.
 	minCallerConnsFraction = 0.25
+	maxCallerConnsFraction = 0.625
+	minLeafConnsFraction   = 0.125
+	// noRoomRetryAfterS is after how many seconds a caller without room may come back. Connections with a request end in less.
+	noRoomRetryAfterS = 1
+	// reasonNoRoom is the reason of refusals for want of descriptors, in metrics.
+	reasonNoRoom = "no room for the connection"
 )
 
-// newCallerServer returns the HTTP server for callers. Idle connections are left to d.callers.
+// newCallerServer returns the HTTP server for callers. How long connections may be idle is left to d.callers.
 func (d *Daemon) newCallerServer() *http.Server {
-	edge := d.platform.NewCallerHandler(d.delegate, d.limits, d.leaving.Load, func(reason string) { d.refusals.WithLabelValues(reason).Inc() })
-	n := negroni.New()
+	closeAfterAnswer := func() bool { return d.leaving.Load() || d.callers.Crowded() }
+	edge := d.platform.NewCallerHandler(d.delegate, d.limits, closeAfterAnswer, func(reason string) { d.refusals.WithLabelValues(reason).Inc() })
+	n := negroni.New(negroni.HandlerFunc(d.refuseWithoutRoom))
 	n.UseHandler(edge)
-	return &http.Server{Handler: n, ReadHeaderTimeout: headerReadTimeout, ConnContext: d.platform.ConnContext, ConnState: d.callers.ConnState}
+	connContext := func(ctx context.Context, c net.Conn) context.Context {
+		return callerconn.ConnContext(d.platform.ConnContext(ctx, c), c)
+	}
+	return &http.Server{Handler: n, ConnContext: connContext, ConnState: d.callers.ConnState}
+}
+
+// listenForCallers returns the listener for callers.
+func (d *Daemon) listenForCallers() (net.Listener, error) {
+	address, err := net.ResolveTCPAddr("tcp", d.settings.CallersAddress)
+	if err != nil {
+		return nil, eris.Wrapf(err, "node: callers' address %s", d.settings.CallersAddress)
+	}
+	l, err := net.ListenTCP("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, "node: listen for callers")
+	}
+	return d.callers.Listener(l), nil
 }
 
-// maxCallerConns returns how many connections of callers there is room for beside those to leaves; 0 if no limit is known.
-// Without room for a socket, this VM could neither take a connection nor open one to a leaf.
-func (d *Daemon) maxCallerConns() int {
-	if d.settings.FileDescriptors == 0 {
-		return 0
+// refuseWithoutRoom refuses the request of a connection that there is no room for, which has not run.
+func (d *Daemon) refuseWithoutRoom(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	if !callerconn.Refused(r.Context()) {
+		next(w, r)
+		return
 	}
-	sockets := float64(d.settings.FileDescriptors - fileDescriptorReserve)
-	room := (1-otherConnsFraction)*sockets - float64(d.pool.Open())
-	return int(max(room, minCallerConnsFraction*sockets))
+	d.refusals.WithLabelValues(reasonNoRoom).Inc()
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.Itoa(noRoomRetryAfterS))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// sockets returns how many descriptors there are for sockets; 0 if no limit is known.
+func (d *Daemon) sockets() float64 {
+	return float64(max(d.settings.FileDescriptors-fileDescriptorReserve, 0))
+}
+
+// callerRoom returns how many connections of callers there are descriptors for beside those to leaves; 0 if no limit is
+// known.
+func (d *Daemon) callerRoom() int {
+	sockets := d.sockets()
+	room := (1-otherConnsFraction)*sockets - float64(d.pool.Capacity())
+	return int(min(max(room, minCallerConnsFraction*sockets), maxCallerConnsFraction*sockets))
+}
+
+// leafConnRoom returns how many connections to leaves there are descriptors for beside those of callers; 0 if no limit
+// is known.
+func (d *Daemon) leafConnRoom() int {
+	sockets := d.sockets()
+	room := (1-otherConnsFraction)*sockets - float64(d.callers.Open())
+	return int(max(room, minLeafConnsFraction*sockets))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,7 +140,7 @@
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
 	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.PeersAddress, s.Zone, slices.Contains(s.Seeds, s.PeersAddress), d.boundsColdLeaves, s.ConfigApplyBound, log, reg)
-	d.pool = leafpool.New(p.Dialer, s.Zone, reg)
+	d.pool = leafpool.New(p.Dialer, s.Zone, d.leafConnRoom, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
 	d.guard = crashguard.New(d.peers, time.Now, log, reg)
 	d.coldLeaves = warmup.New(s.PeersAddress, s.Zone, slices.Collect(maps.Keys(s.Regions)), s.Warmup, time.Now, reg)
@@ -156,9 +156,7 @@
 		Self: s.PeersAddress, Zone: s.Zone, Gateways: d.peers.Gateways, Leaves: d.table, Gatherers: d.delegate, Own: d.gathererLoad,
 		Service: (&singleServices{directory: d.directory}).of, Dial: dialLoads(s.IP), Random: rand.Float64, Registry: reg,
 	})
-	d.callers = callerconn.New(callerconn.Config{
-		IdleTimeout: func() time.Duration { return d.limits().IdleTimeout }, MaxOpen: d.maxCallerConns, Registry: reg,
-	})
+	d.callers = callerconn.New(callerconn.Config{Limits: d.limits, Room: d.callerRoom, Log: log, Registry: reg})
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
@@ -193,9 +191,9 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(float64(d.settings.MemoryBytes) * memoryTargetRatio))
 	defer d.sink.Close(logFlushTimeout)
-	callers, err := net.Listen("tcp", d.settings.CallersAddress)
+	callers, err := d.listenForCallers()
 	if err != nil {
-		return eris.Wrap(err, "node: listen for callers")
+		return err
 	}
 	runner := process.Runner{
 		Log: d.log, DrainLimit: d.settings.GracePeriod - exitMargin, Drain: d.drain,
