storeread: repeat an overdue poll on another connection

Cause: a poll on a silent connection failed after 2.2 s, and after a failed read removals counted from their arrival, as entries that expire while the store is unavailable come back. A play in virtual time shows it for each moment of the poll: 4.6 s with the arrival, 2.2 s with the last answer.

A poll that is not answered 0.2 s after its wait is repeated on another connection. An answer to that at once shows that the store was there, 1.95 s after the last answer at most, sooner than a live leaf's entry can expire. So removals are dated by the last answer. If neither is answered, or only late, they count from their arrival as before. Reads that the store refuses as too many (429) are no sign that it is unavailable either.

--- a/internal/storeread/metrics.go
+++ b/internal/storeread/metrics.go
@@ -4,7 +4,7 @@
 
 // metrics are the metrics of a Reader.
 type metrics struct {
-	reads                 *prometheus.CounterVec
+	reads, overduePolls   *prometheus.CounterVec
 	answersBehind         prometheus.Counter
 	era, answeredRevision prometheus.Gauge
 }
@@ -14,6 +14,9 @@
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "burdock_store_reads_total", Help: "Reads of the platform's store by kind and end.",
 		}, []string{"kind", "result"}),
+		overduePolls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_store_overdue_polls_total", Help: "Polls repeated on another connection by the call that the store answered.",
+		}, []string{"answered"}),
 		answersBehind: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "burdock_store_answers_behind_total", Help: "Answers of the store whose revision is below the one that this VM knows.",
 		}),
@@ -24,6 +27,6 @@
 			Name: "burdock_store_answered_revision", Help: "Revision of the store in its latest answer to this VM.",
 		}),
 	}
-	reg.MustRegister(m.reads, m.answersBehind, m.era, m.answeredRevision)
+	reg.MustRegister(m.reads, m.overduePolls, m.answersBehind, m.era, m.answeredRevision)
 	return m
 }
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -33,13 +33,17 @@
 // Is implements the interface of errors.Is.
 func (e *HistoryGoneError) Is(target error) bool { return target == ErrHistoryGone }
 
+// ErrRateLimited means that the store takes no more reads at the moment. It is available, so that no entries expire.
+var ErrRateLimited = errors.New("the store's limit of reads is reached")
+
 // Store is the platform's store.
 type Store interface {
 	// Snapshot reads everything, in one era of the store. It reads nothing that may be seconds old: the answer could name
 	// the present era with the state of the one before.
 	Snapshot(ctx context.Context) (mirror.Delta, error)
 	// Watch returns what changed after the revision, as soon as something has changed or the wait is over. An error
-	// wraps a *HistoryGoneError if the store doesn't hold the history from the revision on.
+	// wraps a *HistoryGoneError if the store doesn't hold the history from the revision on. Two calls at once use a
+	// connection each.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error)
 	// EndedEvacuations returns the deletions of evacuations up to the position, as far back as the store's history goes
 	// in its era. With an error it returns those that it has found.
@@ -81,7 +85,7 @@
 	// its latest failure.
 	startupEnd time.Time
 	answered   bool
-	// failedAt is when the store last failed to answer; zero for never.
+	// failedAt is when the store last seemed to be unavailable; zero for never.
 	failedAt time.Time
 	// needSnapshot is set if the history from the mirror's position on is gone. newestEra is the newest era that an answer
 	// named.
@@ -89,8 +93,8 @@
 	newestEra    uint64
 	// eraUnnamed is set once it is logged that the store names no era.
 	eraUnnamed bool
-	// lastPause is the pause before the next call.
-	lastPause time.Duration
+	// lastPause is the pause before the next call, pollDelay how long after its wait the last poll was answered.
+	lastPause, pollDelay time.Duration
 	// historyGone is set from an answer that the history is gone until a watch is answered, behind from an answer whose
 	// revision is below what this VM knows until one that is not.
 	historyGone, behind bool
@@ -245,9 +249,7 @@
 	if !r.answered {
 		pollWait = firstPollWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollWait+answerTimeout)
-	defer cancel()
-	d, err := r.store.Watch(ctx, at.Revision, pollWait)
+	d, err := r.poll(ctx, at.Revision, pollWait)
 	return kindWatch, d, err
 }
 
@@ -290,7 +292,10 @@
 	if r.reachable {
 		r.log.Warn("store lost", zap.Error(err))
 	}
-	r.reachable, r.answered, r.failedAt = false, false, time.Now()
+	r.reachable, r.answered = false, false
+	if !errors.Is(err, ErrRateLimited) {
+		r.failedAt = time.Now()
+	}
 }
 
 // noteAnswer records that the store answered, and a takeover if the zone's contact was too old.
