storeread: bound how late a VM takes over reading

A zone that lost its first four VMs by rank at once, the first two in a zone of 20 or more, heard of removals and configurations only 3.1 s after the store's acknowledgement, where 3 s are allowed: each further VM by rank waited 0.3 s longer.

The age of the zone's contact from which a VM reads is 14/15 of the bound at most, which leaves room for a check and an answer. In a zone of 20 VMs or more the second by rank reads from 0.85 of the bound in place of 0.9; so that nobody takes over because word of a contact takes long there, the reader has an answer every 5/12 of the bound in place of 7/12.

--- a/internal/storeread/selection.go
+++ b/internal/storeread/selection.go
@@ -58,11 +58,19 @@
 	return r.takeoverAge
 }
 
+// maxContactInterval returns the longest time between two answers to a reader of the zone.
+func (r *Reader) maxContactInterval() time.Duration {
+	if members, _ := r.fleet.ZoneStatus(time.Now()); len(members) >= largeZoneSize {
+		return r.largeZoneContactInterval
+	}
+	return r.contactInterval
+}
+
 // shouldRead reports whether a VM of the rank reads, given the age of its zone's newest contact and the age from
 // which the second by rank takes over.
 func (r *Reader) shouldRead(rank int, contact, takeover time.Duration, now time.Time) bool {
 	if rank == 0 || !r.takeoverAt.IsZero() && now.Sub(r.takeoverAt) < takeoverDuration {
 		return true
 	}
-	return contact > takeover+time.Duration(rank-1)*takeoverStagger
+	return contact > min(takeover+time.Duration(rank-1)*takeoverStagger, r.maxTakeoverAge)
 }
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -245,7 +245,7 @@
 		}
 		return kindSnapshot, d, err
 	}
-	pollWait := min(r.pollWait, r.contactInterval-r.lastPause)
+	pollWait := min(r.pollWait, r.maxContactInterval()-r.lastPause)
 	if !r.answered {
 		pollWait = firstPollWait
 	}
--- a/internal/storeread/timing.go
+++ b/internal/storeread/timing.go
@@ -13,11 +13,16 @@
 	// the time in which a contact becomes known.
 	takeoverFraction = 0.75
 	takeoverStagger  = 300 * time.Millisecond
+	// maxTakeoverFraction bounds that age for all VMs, however many of the first by rank are lost. The rest of the bound is
+	// for standbyInterval and an answer.
+	maxTakeoverFraction = 14. / 15
 	// largeZoneSize is the number of VMs of a zone from which a contact takes more than a second to become known to
-	// all of them. largeZoneTakeoverFraction then replaces takeoverFraction: of 60 VMs that check ten times a
-	// second there is always one that knows only of a somewhat older contact, and would read beside the first.
-	largeZoneSize             = 20
-	largeZoneTakeoverFraction = 0.9
+	// all of them: of 60 VMs that check ten times a second there is always one that knows only of a somewhat older
+	// contact, and would read beside the first. The two fractions below then replace takeoverFraction and
+	// contactIntervalFraction.
+	largeZoneSize                    = 20
+	largeZoneTakeoverFraction        = 0.85
+	largeZoneContactIntervalFraction = 5. / 12
 	// firstPollWait is the wait of the first poll after the start or a failure. It is short because the others of
 	// the zone wait to learn of a contact, and take over one after the other without one.
 	firstPollWait = 100 * time.Millisecond
@@ -59,16 +64,19 @@
 
 // timing holds the durations that follow from the bound within which a change must be in force everywhere.
 type timing struct {
-	pollWait, contactInterval         time.Duration
-	takeoverAge, largeZoneTakeoverAge time.Duration
-	batchPause, secondaryPause        time.Duration
+	pollWait                                          time.Duration
+	contactInterval, largeZoneContactInterval         time.Duration
+	takeoverAge, largeZoneTakeoverAge, maxTakeoverAge time.Duration
+	batchPause, secondaryPause                        time.Duration
 }
 
 func newTiming(bound time.Duration) timing {
 	return timing{
-		pollWait: fraction(pollWaitFraction, bound), contactInterval: fraction(contactIntervalFraction, bound),
+		pollWait:        fraction(pollWaitFraction, bound),
+		contactInterval: fraction(contactIntervalFraction, bound), largeZoneContactInterval: fraction(largeZoneContactIntervalFraction, bound),
 		takeoverAge: fraction(takeoverFraction, bound), largeZoneTakeoverAge: fraction(largeZoneTakeoverFraction, bound),
-		batchPause: fraction(batchPauseFraction, bound), secondaryPause: fraction(secondaryPauseFraction, bound),
+		maxTakeoverAge: fraction(maxTakeoverFraction, bound),
+		batchPause:     fraction(batchPauseFraction, bound), secondaryPause: fraction(secondaryPauseFraction, bound),
 	}
 }
 
