Act on the drain timeout and the heartbeat interval of the settings

Constants that fit the known deployments stood in place of two keys that bound how late a removed leaf may be called: with a shorter drain_timeout_ms it would have been called for longer than allowed, with a shorter heartbeat_interval_ms a live leaf's removal could have been dated before its entry had expired.

The readers of the store go by the shorter of config_apply_ms and drain_timeout_ms, and a removed leaf may be called for nine tenths of that at most (2.2 s where it is 3 s, as before). A removal that a repeated poll tells of is dated by the last read only if fewer than two heartbeats have passed since.

TestExpiredEntryWithAnotherDrainTimeout (1s, 2s) and TestRemovalsOfARepeatedPollAreDatedByTheHeartbeat (100ms) fail without the two changes.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -40,6 +40,19 @@
 	GracePeriod time.Duration
 	// ConfigApplyBound is the time within which a change of the configuration must be in force on all VMs.
 	ConfigApplyBound time.Duration
+	// DrainTimeout is how long after its removal, or the announcement of its shutdown, a leaf may get requests; 0 where it is
+	// unknown.
+	DrainTimeout time.Duration
+	// HeartbeatInterval is how often a leaf writes its entry; 0 where it is unknown.
+	HeartbeatInterval time.Duration
+}
+
+// ChangeBound returns the time within which a change of what the store holds must be known to all VMs.
+func (s *Settings) ChangeBound() time.Duration {
+	if s.DrainTimeout > 0 {
+		return min(s.ConfigApplyBound, s.DrainTimeout)
+	}
+	return s.ConfigApplyBound
 }
 
 // Check implements settings.Checked.
@@ -65,6 +78,8 @@
 	c.Require(s.Warmup.Overage >= 0, "cold leaves' overage", "want 0 or more, got %g", s.Warmup.Overage)
 	c.Require(s.Warmup.Slack >= 0, "cold leaves' slack", "want 0 or more, got %g", s.Warmup.Slack)
 	c.Require(s.ConfigApplyBound >= minConfigApplyBound, "configuration's bound", "want at least %v, got %v", minConfigApplyBound, s.ConfigApplyBound)
+	c.Require(s.DrainTimeout == 0 || s.DrainTimeout >= minConfigApplyBound, "drain timeout", "want 0 or at least %v, got %v", minConfigApplyBound, s.DrainTimeout)
+	c.Require(s.HeartbeatInterval >= 0, "heartbeat interval", "want 0 or more, got %v", s.HeartbeatInterval)
 	c.Require(s.GracePeriod >= minGracePeriod && s.GracePeriod <= maxGracePeriod, "grace period", "want %v to %v, got %v", minGracePeriod, maxGracePeriod, s.GracePeriod)
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -25,8 +25,12 @@
 
 // ExpiryGracePeriod is how long after the removal of its entry, without draining first, a leaf may still be called if its
 // group has no other leaf. Entries expire while the store is unavailable and are back about 2 s after its return. A
-// leaf that is really leaving gets no work beyond the 3 s that the platform allows.
-const ExpiryGracePeriod = 2200 * time.Millisecond
+// leaf that is really leaving gets no work beyond the time that the platform allows: where that is shorter than is usual,
+// expiryGraceFraction of it replaces this.
+const (
+	ExpiryGracePeriod   = 2200 * time.Millisecond
+	expiryGraceFraction = 0.9
+)
 
 // Decoder decodes items in the platform's format.
 type Decoder interface {
@@ -71,6 +75,8 @@
 	// ignoredLogLimiter limits the rate of log lines about ignored entries.
 	ignoredLogLimiter *rate.Limiter
 	current           atomic.Pointer[View]
+	// expiryGrace is how long a leaf may be called after the removal of its entry.
+	expiryGrace time.Duration
 
 	mu sync.Mutex
 	// leaves holds the registrations of leaves by key. config is the configuration in force, and examinedConfigs the
@@ -93,15 +99,23 @@
 const maxStartAhead = time.Hour
 
 // New returns a directory of the mirror. The mirror fires changed when an item changes; the directory fires updated
-// when it has a new view.
-func New(m *mirror.Mirror, changed, updated *notify.Notifier, d Decoder, log *zap.Logger, reg prometheus.Registerer) *Directory {
+// when it has a new view. A leaf may get requests until drainTimeout after its removal; 0 where that is unknown.
+func New(m *mirror.Mirror, changed, updated *notify.Notifier, d Decoder, drainTimeout time.Duration, log *zap.Logger, reg prometheus.Registerer) *Directory {
 	dir := &Directory{
-		metrics: newMetrics(reg), ignoredLogLimiter: rate.NewLimiter(maxIgnoredLogsPerSecond, maxIgnoredLogsPerSecond),
+		expiryGrace: expiryGrace(drainTimeout),
+		metrics:     newMetrics(reg), ignoredLogLimiter: rate.NewLimiter(maxIgnoredLogsPerSecond, maxIgnoredLogsPerSecond),
 		mirror: m, changed: changed, updated: updated, decoder: d, log: log, leaves: make(map[string]registration)}
 	dir.current.Store(&View{})
 	return dir
 }
 
+func expiryGrace(drainTimeout time.Duration) time.Duration {
+	if drainTimeout <= 0 {
+		return ExpiryGracePeriod
+	}
+	return min(ExpiryGracePeriod, time.Duration(expiryGraceFraction*float64(drainTimeout)))
+}
+
 // Current returns the newest view.
 func (d *Directory) Current() *View { return d.current.Load() }
 
@@ -190,7 +204,7 @@
 		return maxRefreshInterval
 	}
 	remaining := ExpiryGracePeriod - now.Sub(it.ReceivedAt)
-	callable := ExpiryGracePeriod - now.Sub(it.DeletedSince)
+	callable := d.expiryGrace - now.Sub(it.DeletedSince)
 	if remaining <= 0 {
 		delete(d.leaves, it.Key)
 		d.log.Info("leaf gone", zap.Stringer("leaf", l.leaf.ID), zap.String("service", l.leaf.Service), zap.Uint64("revision", it.Revision))
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -57,10 +57,13 @@
 	now      time.Time
 }
 
-func newFixture() *fixture {
+func newFixture() *fixture { return newFixtureWith(3 * time.Second) }
+
+// newFixtureWith returns a fixture of a deployment with the drain timeout.
+func newFixtureWith(drainTimeout time.Duration) *fixture {
 	n := notify.New()
 	m := mirror.New(n)
-	return &fixture{Directory: New(m, n, notify.New(), textDecoder{}, zap.NewNop(), prometheus.NewRegistry()), m: m, now: time.Now()}
+	return &fixture{Directory: New(m, n, notify.New(), textDecoder{}, drainTimeout, zap.NewNop(), prometheus.NewRegistry()), m: m, now: time.Now()}
 }
 
 func (f *fixture) put(key, value string) {
@@ -131,6 +134,25 @@
 	is.Equal(ids(f.Current().Leaves["x"]), "1")
 }
 
+// A leaf that is gone would get work for longer than a deployment with a shorter drain timeout allows. One that allows more, or
+// names none, gets no more than what an entry needs to be back.
+func TestExpiredEntryWithAnotherDrainTimeout(t *testing.T) {
+	for drainTimeout, want := range map[time.Duration]time.Duration{
+		0: ExpiryGracePeriod, time.Second: 900 * time.Millisecond, 2 * time.Second: 1800 * time.Millisecond, 10 * time.Second: ExpiryGracePeriod,
+	} {
+		t.Run(drainTimeout.String(), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixtureWith(drainTimeout)
+			f.put("leaf/1", "x ready")
+			f.remove("leaf/1")
+			f.advance(want - time.Millisecond)
+			is.Equal(ids(f.Current().Expired["x"]), "1")
+			f.advance(time.Millisecond)
+			is.Equal(ids(f.Current().Expired["x"]), "")
+		})
+	}
+}
+
 // A VM that hears late of a removal must not call the leaf for as long again. The end of the leaf is still looked for.
 func TestExpiredEntryHeardOfLate(t *testing.T) {
 	const late = 2 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,13 +133,16 @@
 	}
 	reg.MustRegister(d.refusals)
 	d.seeds.Store(&s.Seeds)
-	d.directory = directory.New(d.mirror, changed, updated, p.Decoder, log, reg)
+	d.directory = directory.New(d.mirror, changed, updated, p.Decoder, s.DrainTimeout, log, reg)
 	d.peers = peers.New(peers.Config{
 		Self: s.PeersAddress, Zone: s.Zone, Millicores: s.Millicores, Incarnation: uint64(time.Now().UnixNano()),
 		Seeds: func() []string { return *d.seeds.Load() }, Mirror: d.mirror, Evidence: d.table, Changed: changed,
 		Dial: dialPeers(s.IP), Log: log, Registry: reg,
 	})
-	d.reader = storeread.New(p.Store, d.mirror, d.peers, s.PeersAddress, s.Zone, slices.Contains(s.Seeds, s.PeersAddress), d.boundsColdLeaves, s.ConfigApplyBound, log, reg)
+	d.reader = storeread.New(p.Store, d.mirror, d.peers, storeread.Config{
+		Self: s.PeersAddress, Zone: s.Zone, Seed: slices.Contains(s.Seeds, s.PeersAddress), NeedsHistory: d.boundsColdLeaves,
+		Bound: s.ChangeBound(), HeartbeatInterval: s.HeartbeatInterval,
+	}, log, reg)
 	d.pool = leafpool.New(p.Dialer, s.Zone, d.leafConnRoom, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
 	d.guard = crashguard.New(d.peers, time.Now, log, reg)
--- a/internal/node/removal_test.go
+++ b/internal/node/removal_test.go
@@ -77,6 +77,13 @@
 // drainTimeout is how long after its removal a leaf may get requests.
 const drainTimeout = 3 * time.Second
 
+// readerConfig returns the configuration of the reader of the VM self.
+func readerConfig(self string) storeread.Config {
+	return storeread.Config{
+		Self: self, Zone: "z", NeedsHistory: func([]mirror.Item) bool { return false }, Bound: 3 * time.Second, HeartbeatInterval: 1200 * time.Millisecond,
+	}
+}
+
 // The VM that reads the store in place of a lost one learns of a removal up to 2.4 s late. The grace period for leaves without an
 // entry counted from then on, so that the leaf got requests for more than 4 s.
 func TestLeafRemovedWhileReadersAreLostIsNotCalledLate(t *testing.T) {
@@ -104,14 +111,14 @@
 	defer cancel()
 	changed := notify.New()
 	m := mirror.New(changed)
-	d := directory.New(m, changed, notify.New(), platform.Decoder{}, zap.NewNop(), prometheus.NewRegistry())
+	d := directory.New(m, changed, notify.New(), platform.Decoder{}, drainTimeout, zap.NewNop(), prometheus.NewRegistry())
 	fleet := &lostReaders{contactAt: time.Now().Add(time.Hour)}
 	for i := range zoneSize {
 		fleet.members = append(fleet.members, fmt.Sprint("vm", i))
 	}
 	store := &removalStore{removed: make(chan struct{})}
 	self := readers.ByRank("z", fleet.members)[lost]
-	r := storeread.New(store, m, fleet, self, "z", false, func([]mirror.Item) bool { return false }, 3*time.Second, zap.NewNop(), prometheus.NewRegistry())
+	r := storeread.New(store, m, fleet, readerConfig(self), zap.NewNop(), prometheus.NewRegistry())
 	m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
 	wg.Go(func() { _ = r.Run(ctx) })
 	wg.Go(func() { _ = d.Run(ctx) })
--- a/internal/node/silent_store_test.go
+++ b/internal/node/silent_store_test.go
@@ -57,11 +57,13 @@
 // A poll on a silent connection failed, after which removals counted from when the next poll told of them, as if the store had
 // been unavailable: a leaf without an entry got requests until 4.6 s after its removal.
 func TestLeafRemovedWhileStoreConnectionIsSilentIsNotCalledLate(t *testing.T) {
-	for _, silentAfter := range []time.Duration{0, 400 * time.Millisecond, 1400 * time.Millisecond} {
-		for _, removedAfter := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, time.Second, 2 * time.Second} {
-			t.Run(fmt.Sprintf("silent after %v, removed %v later", silentAfter, removedAfter), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { playSilentStore(t, silentAfter, removedAfter) })
-			})
+	for _, allowed := range []time.Duration{drainTimeout, 2 * time.Second} {
+		for _, silentAfter := range []time.Duration{0, 400 * time.Millisecond, 1400 * time.Millisecond} {
+			for _, removedAfter := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, time.Second, 2 * time.Second} {
+				t.Run(fmt.Sprintf("%v allowed, silent after %v, removed %v later", allowed, silentAfter, removedAfter), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { playSilentStore(t, allowed, silentAfter, removedAfter) })
+				})
+			}
 		}
 	}
 }
@@ -72,13 +74,15 @@
 	directory *directory.Directory
 }
 
-// startStoreView runs the reader of the store, which holds one leaf, until ctx ends.
-func startStoreView(ctx context.Context, wg *sync.WaitGroup, store storeread.Store) *storeView {
+// startStoreView runs the reader of the store, which holds one leaf, on a deployment with the drain timeout until ctx ends.
+func startStoreView(ctx context.Context, wg *sync.WaitGroup, store storeread.Store, drainTimeout time.Duration) *storeView {
 	changed := notify.New()
 	m := mirror.New(changed)
-	v := &storeView{m, directory.New(m, changed, notify.New(), platform.Decoder{}, zap.NewNop(), prometheus.NewRegistry())}
+	v := &storeView{m, directory.New(m, changed, notify.New(), platform.Decoder{}, drainTimeout, zap.NewNop(), prometheus.NewRegistry())}
 	fleet := &lostReaders{members: []string{"vm0"}, contactAt: time.Now()}
-	r := storeread.New(store, m, fleet, "vm0", "z", false, func([]mirror.Item) bool { return false }, 3*time.Second, zap.NewNop(), prometheus.NewRegistry())
+	c := readerConfig("vm0")
+	c.Bound = min(c.Bound, drainTimeout)
+	r := storeread.New(store, m, fleet, c, zap.NewNop(), prometheus.NewRegistry())
 	m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
 	wg.Go(func() { _ = r.Run(ctx) })
 	wg.Go(func() { _ = v.directory.Run(ctx) })
@@ -101,14 +105,14 @@
 
 // playSilentStore lets the connection of a reader go silent, some time after the start of a poll, removes the leaf's entry, and
 // checks for how long the leaf may be called.
-func playSilentStore(t *testing.T, silentAfter, removedAfter time.Duration) {
+func playSilentStore(t *testing.T, drainTimeout, silentAfter, removedAfter time.Duration) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
 	store := &silencedStore{removalStore{removed: make(chan struct{})}, make(chan struct{})}
-	v := startStoreView(ctx, &wg, store)
+	v := startStoreView(ctx, &wg, store, drainTimeout)
 	v.awaitAnswer()
 	time.Sleep(silentAfter)
 	silentAt := time.Now()
@@ -176,7 +180,7 @@
 				defer wg.Wait()
 				defer cancel()
 				store := &awayStore{removalStore: removalStore{removed: make(chan struct{})}}
-				v := startStoreView(ctx, &wg, store)
+				v := startStoreView(ctx, &wg, store, drainTimeout)
 				v.awaitAnswer()
 				begun := time.Now()
 				store.leave(away)
--- a/internal/storeread/poll.go
+++ b/internal/storeread/poll.go
@@ -1,6 +1,7 @@
 package storeread
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -18,6 +19,10 @@
 	overdueDelayFactor = 2
 	// repeatWait is the wait of a repeated poll: what has happened is asked for.
 	repeatWait = time.Millisecond
+	// expiryHeartbeats is after how many heartbeats without a write a leaf's entry expires. defaultHeartbeatInterval applies
+	// where the settings name none.
+	expiryHeartbeats         = 3
+	defaultHeartbeatInterval = 1200 * time.Millisecond
 )
 
 // The connection on which an overdue poll was answered, in metrics.
@@ -40,8 +45,8 @@
 func (a pollAnswer) isAnswer() bool { return a.err == nil || errors.Is(a.err, ErrHistoryGone) }
 
 // poll makes a long poll. Once it is overdue, it is repeated on another connection, as the open one may have gone silent,
-// and the first answer counts. A removal is thus heard of before the entries of live leaves can have expired, so that it
-// can be dated.
+// and the first answer counts. A removal is thus mostly heard of before the entries of live leaves can have expired, so that
+// it can be dated.
 func (r *Reader) poll(ctx context.Context, after uint64, wait time.Duration) (mirror.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
@@ -65,12 +70,19 @@
 	if a.isAnswer() {
 		r.pollDelay = a.delay
 	}
-	if a.repeated && a.delay > overdueAfter {
+	if a.repeated && (a.delay > overdueAfter || r.entriesMayHaveExpired()) {
 		r.failedAt = time.Now() // the store may have been unavailable until now
 	}
 	return a.delta, a.err
 }
 
+// entriesMayHaveExpired reports whether entries of live leaves may have expired if the store has been unavailable since it was
+// last read: a leaf wrote its entry up to a heartbeat before that.
+func (r *Reader) entriesMayHaveExpired() bool {
+	_, lastRead := r.mirror.LastRead()
+	return time.Since(lastRead) >= (expiryHeartbeats-1)*cmp.Or(r.HeartbeatInterval, defaultHeartbeatInterval)
+}
+
 // overdueAfter returns how long after the end of its wait the next poll counts as overdue.
 func (r *Reader) overdueAfter() time.Duration {
 	return max(overdueAfter, overdueDelayFactor*r.pollDelay)
--- a/internal/storeread/poll_test.go
+++ b/internal/storeread/poll_test.go
@@ -86,3 +86,39 @@
 		})
 	}
 }
+
+// Where leaves write their entries more often, those of live leaves can have expired by the time at which the repeat of a poll is
+// answered: their removal must count from then on, or live leaves are called no more.
+func TestRemovalsOfARepeatedPollAreDatedByTheHeartbeat(t *testing.T) {
+	for interval, dated := range map[time.Duration]bool{0: true, heartbeatInterval: true, 100 * time.Millisecond: false} {
+		t.Run(interval.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &fakeStore{}
+				r, m := newReader(&silentFirst{fakeStore: store}, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
+				r.HeartbeatInterval = interval
+				lastRead := time.Now()
+				m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "a", Revision: 4}}, CompleteTo: 5, Full: true, ReadAt: lastRead}, lastRead)
+				r.readOnce(t.Context())
+				for _, it := range m.State(time.Now())[0].Items {
+					is.True(it.Deleted)
+					is.Equal(it.DeletedSince.Equal(lastRead), dated)
+				}
+			})
+		})
+	}
+}
+
+// silentFirst is a store whose first watch is never answered. Later ones tell of a removal.
+type silentFirst struct {
+	*fakeStore
+	asked atomic.Bool
+}
+
+func (s *silentFirst) Watch(ctx context.Context, after uint64, _ time.Duration) (mirror.Delta, error) {
+	if !s.asked.Swap(true) {
+		<-ctx.Done()
+		return mirror.Delta{}, ctx.Err()
+	}
+	return mirror.Delta{Items: []mirror.Item{{Key: "a", Revision: after + 1, Deleted: true}}, CompleteFrom: after, CompleteTo: after + 1}, nil
+}
--- a/internal/storeread/selection.go
+++ b/internal/storeread/selection.go
@@ -25,7 +25,7 @@
 	switch {
 	case r.mirror.CompleteTo() > 0:
 		return withStateStartupDelay
-	case r.seed:
+	case r.Seed:
 		return seedStartupDelay
 	case r.fleet.LiveCount() == 0:
 		return aloneStartupDelay + fraction(jitter, aloneStartupJitter)
@@ -36,7 +36,7 @@
 // active reports whether this VM reads now.
 func (r *Reader) active(now time.Time) bool {
 	members, contact := r.contactAge(now)
-	rank := readers.Rank(r.zone, members, r.self)
+	rank := readers.Rank(r.Zone, members, r.Self)
 	return r.shouldRead(rank, contact, r.takeoverAgeFor(members), now)
 }
 
--- a/internal/storeread/storeread.go
+++ b/internal/storeread/storeread.go
@@ -68,11 +68,7 @@
 	store  Store
 	mirror *mirror.Mirror
 	fleet  Fleet
-	self   string
-	zone   string
-	seed   bool
-	// needsHistory reports whether the items of a snapshot make it matter which evacuations ended before it.
-	needsHistory func(items []mirror.Item) bool
+	Config
 	timing
 	log     *zap.Logger
 	metrics *metrics
@@ -100,12 +96,23 @@
 	historyGone, behind bool
 }
 
-// New returns a reader for the VM self. seed is set if the other VMs ask this one first. needsHistory reports whether the
-// items of a snapshot make it matter which evacuations ended before it.
-func New(s Store, m *mirror.Mirror, f Fleet, self, zone string, seed bool, needsHistory func(items []mirror.Item) bool,
-	bound time.Duration, log *zap.Logger, reg prometheus.Registerer) *Reader {
+// Config holds what a Reader needs to know of its VM and the deployment.
+type Config struct {
+	// Self is the VM's address, Zone its availability zone. Seed is set if the other VMs ask this one first.
+	Self, Zone string
+	Seed       bool
+	// NeedsHistory reports whether the items of a snapshot make it matter which evacuations ended before it.
+	NeedsHistory func(items []mirror.Item) bool
+	// Bound is the time within which a change must be known to all VMs.
+	Bound time.Duration
+	// HeartbeatInterval is how often a leaf writes its entry, which expires after three of them.
+	HeartbeatInterval time.Duration
+}
+
+// New returns a reader that has read nothing.
+func New(s Store, m *mirror.Mirror, f Fleet, c Config, log *zap.Logger, reg prometheus.Registerer) *Reader {
 	return &Reader{
-		store: s, mirror: m, fleet: f, self: self, zone: zone, seed: seed, needsHistory: needsHistory, timing: newTiming(bound), log: log, metrics: newMetrics(reg),
+		store: s, mirror: m, fleet: f, Config: c, timing: newTiming(c.Bound), log: log, metrics: newMetrics(reg),
 		reachable: true, backoff: platform.Backoff{Max: maxRetryDelay},
 	}
 }
@@ -217,7 +224,7 @@
 
 // pauseAfterChange returns the pause after a change.
 func (r *Reader) pauseAfterChange() time.Duration {
-	if readers.Rank(zoneRankKey, r.fleet.Zones(), r.zone) == 0 {
+	if readers.Rank(zoneRankKey, r.fleet.Zones(), r.Zone) == 0 {
 		return r.batchPause
 	}
 	return r.secondaryPause
@@ -257,7 +264,7 @@
 // all have just started. A store that is slow or lossy may leave some out; the leaves' entries then say later that they
 // are cold. A VM that knew an earlier era remembers them.
 func (r *Reader) addEndedEvacuations(ctx context.Context, known mirror.Position, d *mirror.Delta) {
-	if known.Revision > 0 && known.Era < d.Era || !r.needsHistory(d.Items) {
+	if known.Revision > 0 && known.Era < d.Era || !r.NeedsHistory(d.Items) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
@@ -306,7 +313,7 @@
 	r.reachable = true
 	r.answered = true
 	members, contact := r.contactAge(now)
-	if contact > r.takeoverAgeFor(members) && readers.Rank(r.zone, members, r.self) > 0 {
+	if contact > r.takeoverAgeFor(members) && readers.Rank(r.Zone, members, r.Self) > 0 {
 		r.log.Info("reading in place of the first by rank", zap.Duration("contact_age", contact))
 		r.takeoverAt = now
 	}
--- a/internal/storeread/storeread_test.go
+++ b/internal/storeread/storeread_test.go
@@ -60,9 +60,16 @@
 
 const bound = 3 * time.Second
 
+// heartbeatInterval is that of the users' deployments.
+const heartbeatInterval = 1200 * time.Millisecond
+
+func testConfig(self string) Config {
+	return Config{Self: self, Zone: "z", NeedsHistory: func([]mirror.Item) bool { return false }, Bound: bound, HeartbeatInterval: heartbeatInterval}
+}
+
 func newReader(s Store, f Fleet, self string) (*Reader, *mirror.Mirror) {
 	m := mirror.New(notify.New())
-	return New(s, m, f, self, "z", false, func([]mirror.Item) bool { return false }, bound, zap.NewNop(), prometheus.NewRegistry()), m
+	return New(s, m, f, testConfig(self), zap.NewNop(), prometheus.NewRegistry()), m
 }
 
 func TestSnapshotThenWatch(t *testing.T) {
@@ -96,7 +103,7 @@
 				return mirror.Delta{Items: []mirror.Item{{Key: "a", Revision: 4}}, CompleteTo: 5, Full: true}, nil
 			}}
 			r, m := newReader(store, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
-			r.needsHistory = func(items []mirror.Item) bool { return len(items) == 1 && items[0].Key == "a" }
+			r.NeedsHistory = func(items []mirror.Item) bool { return len(items) == 1 && items[0].Key == "a" }
 			r.readOnce(t.Context())
 			is.Equal(store.calls, []string{"snapshot", "ended"})
 			is.Equal(m.CompleteTo(), uint64(5))
@@ -136,7 +143,7 @@
 			return mirror.Delta{Items: []mirror.Item{{Key: "b", Revision: after + 1}}, CompleteFrom: after, CompleteTo: after + 1, Full: after == 0}, nil
 		}}
 		r, _ := newReader(store, &fakeFleet{members: []string{"one"}, zones: zones}, "one")
-		r.zone = zone
+		r.Zone = zone
 		pause := time.Duration(0)
 		for range 5 {
 			pause = r.readOnce(t.Context())
@@ -258,7 +265,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r, m := newReader(&fakeStore{}, &fakeFleet{members: make([]string, tt.live+1)}, "one")
-			r.seed = tt.seed
+			r.Seed = tt.seed
 			if tt.hasState {
 				m.Merge(mirror.Delta{CompleteTo: 7, Full: true}, time.Now())
 			}
@@ -353,7 +360,7 @@
 	is := is.New(t)
 	store := restoredStore()
 	r, m := newReader(store, &fakeFleet{members: []string{"one"}, zones: []string{"z"}}, "one")
-	r.needsHistory = func([]mirror.Item) bool { return true } // known from the era before
+	r.NeedsHistory = func([]mirror.Item) bool { return true } // known from the era before
 	m.Merge(knownEra1(), time.Now())
 	for range 4 {
 		r.readOnce(t.Context())
