node: a VM that knows no other one takes no part of the fleet's slack

A VM that knows no other one though its settings name some takes nothing of the slack, the rule that cold leaves have. Its ratio to the requests that it sees itself stays, which adds up for any number of VMs.

--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -25,12 +25,15 @@
 	singleServices, shardServices map[string]bool
 	// unsettled is set while the number of VMs is still changing after the start.
 	unsettled bool
+	// isolated is set while this VM knows no other one though the settings name some: it may be cut off from them, or they
+	// may be down and others be up that can't find it either.
+	isolated bool
 }
 
 // extraCallShare returns the fraction of a service's allowance of extra calls that this VM may use. It is 0 while the
 // fleet is not known: the other VMs use all of the allowance.
 func (s shares) extraCallShare(service string) float64 {
-	if s.unsettled {
+	if s.unsettled || s.isolated {
 		return 0
 	}
 	if s.shardServices[service] {
@@ -57,8 +60,7 @@
 	return warmup.Single
 }
 
-// hasOtherSeeds reports whether the settings name another VM. One that knows none of its fleet then may be cut off
-// from it.
+// hasOtherSeeds reports whether the settings name another VM.
 func (d *Daemon) hasOtherSeeds() bool {
 	return slices.ContainsFunc(*d.seeds.Load(), func(seed string) bool { return seed != d.settings.PeersAddress })
 }
@@ -118,6 +120,7 @@
 	self := peers.VM{Address: d.settings.PeersAddress, Zone: d.settings.Zone, Millicores: d.settings.Millicores}
 	s := newShares(self, live, known, d.settings.Regions)
 	s.unsettled = d.fleetSize.observe(s.vmCount, now)
+	s.isolated = len(known) == 0 && d.hasOtherSeeds()
 	if view.Config != nil {
 		s.singleServices, s.shardServices = view.Config.UsedServices()
 	}
@@ -125,7 +128,7 @@
 	d.gatherer.SetPlan(s.plan)
 	d.isGatherer.Store(s.plan.IsGatherer)
 	d.budgets.SetShare(s.extraCallShare)
-	if len(known) > 0 || !d.hasOtherSeeds() {
+	if !s.isolated {
 		d.coldLeaves.SetCallers(coldLeafCallers(self, known), s.coldLeafKind)
 	}
 	d.guard.SetView(view)
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -50,6 +50,17 @@
 	is.Equal(shares{knownCount: 4}.extraCallShare("x"), 0.25)
 }
 
+// VMs that can't find each other, as those that the settings name are down, each took the whole slack of the fleet.
+func TestIsolatedVMTakesNoShareOfTheSlack(t *testing.T) {
+	is := is.New(t)
+	s := shares{knownCount: 1, isolated: true, shardServices: map[string]bool{"s0": true}, knownPlan: delegate.Plan{IsGatherer: true, GathererCount: 1}}
+	is.Equal(s.extraCallShare("x"), 0.0)
+	is.Equal(s.extraCallShare("s0"), 0.0)
+	s.isolated = false
+	is.Equal(s.extraCallShare("x"), 1.0) // a fleet of one VM
+	is.True(s.extraCallShare("s0") > 0)
+}
+
 // cutFleet is a fleet of three zones of two larger and four smaller VMs each, in which each VM remembers the others.
 type cutFleet struct {
 	vms     []peers.VM
