crashguard: an answered request does not explain ends that come again and again

An answered request no longer explains the ends of one that was never answered once leaves have ended under that one at four different times. That is one more than a crashing request gets before it is blocked, so that requests in flight at the same ends as one are judged as before.

--- a/internal/crashguard/fleet_test.go
+++ b/internal/crashguard/fleet_test.go
@@ -1,6 +1,7 @@
 package crashguard_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -59,6 +60,9 @@
 	// patience is how long the callers of the crashing request wait; 0 for as long as others. Leaves run it to its end all
 	// the same.
 	patience time.Duration
+	// work is how long a leaf works on a request, 0 for workTime; crashesAt how long before a request crashes it, 0 for
+	// timeToCrash.
+	work, crashesAt time.Duration
 	// unresponsive is set if the address of a leaf that ended takes connections and answers nothing.
 	unresponsive bool
 	// slowStore makes changes of the store reach the VMs after a second.
@@ -374,14 +378,14 @@
 	}
 	f.mu.Unlock()
 	if crashes {
-		time.AfterFunc(timeToCrash, func() { f.crashBy(l) })
+		time.AfterFunc(cmp.Or(f.plan.crashesAt, timeToCrash), func() { f.crashBy(l) })
 	}
 	select {
 	case <-ctx.Done():
 		return nil, callError(l, leafcall.Abandoned)
 	case <-l.ended:
 		return nil, callError(l, leafcall.ConnectionLost)
-	case <-time.After(workTime):
+	case <-time.After(cmp.Or(f.plan.work, workTime)):
 		return &leafcall.Response{Status: http.StatusOK, Signature: "s-" + l.ID.Name, Body: []byte("body")}, nil
 	}
 }
--- a/internal/crashguard/verdict.go
+++ b/internal/crashguard/verdict.go
@@ -14,6 +14,10 @@
 	// recurrentCrashes is the number of crashes from which a request may explain the crashes of others: a request that was
 	// in flight at a single one is as likely to be innocent.
 	recurrentCrashes = 2
+	// occasionsToBlame is at how many different times leaves must have ended under a request that was never answered, for those
+	// ends to count though another request that has been answered was in flight at all of them. It is above crashesToBlock, as an
+	// innocent request may be in flight at the ends of one that crashes leaves until that one is blocked.
+	occasionsToBlame = crashesToBlock + 1
 	// outageWindow is how close in time leaves end that end together.
 	outageWindow = 5 * time.Millisecond
 	// longestOutage is how far apart VMs may notice the ends of leaves that end together.
@@ -113,18 +117,32 @@
 // lessSuspectThan reports whether another request with the crashes is more suspect than this one. One that has been answered
 // is less suspect than any that was in flight at as many ends, or at one less if that one is blocked and was never answered,
 // unless the leaf in question ended between the others.
-// One that has never been answered is less suspect only than one that was in flight at all its ends and at others.
+// One that has never been answered is less suspect only than one that was in flight at all its ends and at others, and not even
+// then if leaves have outlived that one while each that ran this one has ended, again and again.
 func (e *evidence) lessSuspectThan(crashes []peers.Crash) bool {
 	n := len(crashes)
 	switch {
 	case !e.answered:
-		return n > len(e.crashes) && e.allEndedAt(crashes)
+		return n > len(e.crashes) && e.allEndedAt(crashes) && !(answered(crashes) && occasions(e.crashes) >= occasionsToBlame)
 	case n >= crashesToBlock && !answered(crashes):
 		return n >= len(e.crashes) || n+1 == len(e.crashes) && !e.endedAmid(crashes)
 	}
 	return n >= len(e.crashes)
 }
 
+// occasions returns at how many different times the leaves ended. The crashes are in the order of their times.
+func occasions(crashes []peers.Crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.At.Sub(last) > longestOutage {
+			n++
+		}
+		last = c.At
+	}
+	return n
+}
+
 // endedAmid reports whether a leaf at which only this request was in flight ended between the first and the last of the other
 // crashes, which followed each other soon.
 func (e *evidence) endedAmid(crashes []peers.Crash) bool {
