--- a/internal/node/removal_test.go
+++ b/internal/node/removal_test.go
@@ -77,10 +77,37 @@
 // drainTimeout is how long after its removal a leaf may get requests.
 const drainTimeout = 3 * time.Second
 
-// readerConfig returns the configuration of the reader of the VM self.
-func readerConfig(self string) storeread.Config {
-	return storeread.Config{
-		Self: self, Zone: "z", NeedsHistory: func([]mirror.Item) bool { return false }, Bound: 3 * time.Second, HeartbeatInterval: 1200 * time.Millisecond,
+// storeView is a VM that reads the store, and the directory that it has of it.
+type storeView struct {
+	mirror    *mirror.Mirror
+	directory *directory.Directory
+}
+
+// startStoreView runs the reader of the VM self, which knows one leaf, on a deployment with the drain timeout until ctx ends.
+func startStoreView(ctx context.Context, wg *sync.WaitGroup, store storeread.Store, fleet storeread.Fleet, self string, drainTimeout time.Duration) *storeView {
+	changed := notify.New()
+	m := mirror.New(changed)
+	v := &storeView{m, directory.New(m, changed, notify.New(), platform.Decoder{}, drainTimeout, zap.NewNop(), prometheus.NewRegistry())}
+	r := storeread.New(store, m, fleet, storeread.Config{
+		Self: self, Zone: "z", NeedsHistory: func([]mirror.Item) bool { return false }, Bound: min(3*time.Second, drainTimeout), HeartbeatInterval: 1200 * time.Millisecond,
+	}, zap.NewNop(), prometheus.NewRegistry())
+	m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
+	wg.Go(func() { _ = r.Run(ctx) })
+	wg.Go(func() { _ = v.directory.Run(ctx) })
+	return v
+}
+
+// callable reports whether the leaf may be called.
+func (v *storeView) callable() bool {
+	view := v.directory.Current()
+	return len(view.Leaves["x"])+len(view.Expired["x"]) > 0
+}
+
+// awaitAnswer waits for the next answer of the store.
+func (v *storeView) awaitAnswer() {
+	_, before := v.mirror.LastRead()
+	for readAt := before; readAt == before; _, readAt = v.mirror.LastRead() {
+		time.Sleep(time.Millisecond)
 	}
 }
 
@@ -109,29 +136,21 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	changed := notify.New()
-	m := mirror.New(changed)
-	d := directory.New(m, changed, notify.New(), platform.Decoder{}, drainTimeout, zap.NewNop(), prometheus.NewRegistry())
 	fleet := &lostReaders{contactAt: time.Now().Add(time.Hour)}
 	for i := range zoneSize {
 		fleet.members = append(fleet.members, fmt.Sprint("vm", i))
 	}
 	store := &removalStore{removed: make(chan struct{})}
-	self := readers.ByRank("z", fleet.members)[lost]
-	r := storeread.New(store, m, fleet, readerConfig(self), zap.NewNop(), prometheus.NewRegistry())
-	m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
-	wg.Go(func() { _ = r.Run(ctx) })
-	wg.Go(func() { _ = d.Run(ctx) })
+	view := startStoreView(ctx, &wg, store, fleet, readers.ByRank("z", fleet.members)[lost], drainTimeout)
 	time.Sleep(3 * time.Second)
 	fleet.RecordStoreContact(time.Now())
-	m.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last answer
+	view.mirror.Merge(mirror.Delta{CompleteFrom: 1, CompleteTo: 1, ReadAt: time.Now()}, time.Now()) // the lost reader's last answer
 	removedAt := time.Now()
 	close(store.removed)
 	latest := time.Duration(0)
 	for range 60 {
 		time.Sleep(100 * time.Millisecond)
-		v := d.Current()
-		if len(v.Leaves["x"])+len(v.Expired["x"]) > 0 {
+		if view.callable() {
 			latest = time.Since(removedAt)
 		}
 	}
--- a/internal/node/silent_store_test.go
+++ b/internal/node/silent_store_test.go
@@ -9,14 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
-	"go.uber.org/zap"
 
-	"github.com/burdockplank/burdockplank/internal/directory"
 	"github.com/burdockplank/burdockplank/internal/mirror"
-	"github.com/burdockplank/burdockplank/internal/notify"
-	"github.com/burdockplank/burdockplank/internal/storeread"
-	"github.com/burdockplank/burdockplank/platform"
 )
 
 // silencedStore is a removalStore whose open connections go silent once silenced is closed: watches that wait then are never
@@ -51,6 +45,9 @@
 	}
 }
 
+// oneVM is a fleet of the VM vm0.
+func oneVM() *lostReaders { return &lostReaders{members: []string{"vm0"}, contactAt: time.Now()} }
+
 // contactTimeout is how long a VM counts as out of touch after connections went silent.
 const contactTimeout = 4 * time.Second
 
@@ -68,41 +65,6 @@
 	}
 }
 
-// storeView is a VM that reads the store, and the directory that it has of it.
-type storeView struct {
-	mirror    *mirror.Mirror
-	directory *directory.Directory
-}
-
-// startStoreView runs the reader of the store, which holds one leaf, on a deployment with the drain timeout until ctx ends.
-func startStoreView(ctx context.Context, wg *sync.WaitGroup, store storeread.Store, drainTimeout time.Duration) *storeView {
-	changed := notify.New()
-	m := mirror.New(changed)
-	v := &storeView{m, directory.New(m, changed, notify.New(), platform.Decoder{}, drainTimeout, zap.NewNop(), prometheus.NewRegistry())}
-	fleet := &lostReaders{members: []string{"vm0"}, contactAt: time.Now()}
-	c := readerConfig("vm0")
-	c.Bound = min(c.Bound, drainTimeout)
-	r := storeread.New(store, m, fleet, c, zap.NewNop(), prometheus.NewRegistry())
-	m.Merge(mirror.Delta{Items: []mirror.Item{{Key: "servers/i-1", Revision: 1, Value: []byte(leafEntry)}}, CompleteTo: 1, Full: true, ReadAt: time.Now()}, time.Now())
-	wg.Go(func() { _ = r.Run(ctx) })
-	wg.Go(func() { _ = v.directory.Run(ctx) })
-	return v
-}
-
-// callable reports whether the leaf may be called.
-func (v *storeView) callable() bool {
-	view := v.directory.Current()
-	return len(view.Leaves["x"])+len(view.Expired["x"]) > 0
-}
-
-// awaitAnswer waits for the next answer of the store.
-func (v *storeView) awaitAnswer() {
-	_, before := v.mirror.LastRead()
-	for readAt := before; readAt == before; _, readAt = v.mirror.LastRead() {
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // playSilentStore lets the connection of a reader go silent, some time after the start of a poll, removes the leaf's entry, and
 // checks for how long the leaf may be called.
 func playSilentStore(t *testing.T, drainTimeout, silentAfter, removedAfter time.Duration) {
@@ -112,7 +74,7 @@
 	defer wg.Wait()
 	defer cancel()
 	store := &silencedStore{removalStore{removed: make(chan struct{})}, make(chan struct{})}
-	v := startStoreView(ctx, &wg, store, drainTimeout)
+	v := startStoreView(ctx, &wg, store, oneVM(), "vm0", drainTimeout)
 	v.awaitAnswer()
 	time.Sleep(silentAfter)
 	silentAt := time.Now()
@@ -180,7 +142,7 @@
 				defer wg.Wait()
 				defer cancel()
 				store := &awayStore{removalStore: removalStore{removed: make(chan struct{})}}
-				v := startStoreView(ctx, &wg, store, drainTimeout)
+				v := startStoreView(ctx, &wg, store, oneVM(), "vm0", drainTimeout)
 				v.awaitAnswer()
 				begun := time.Now()
 				store.leave(away)
