callerconn: the usual terms for connections above the limit

Read as a newcomer, "turned away", "room" and "crowded" needed explaining: they are rejected, the limit, and near the limit now, in names, metrics and pages. Nothing else changed.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -24,27 +24,27 @@
 	defaultHeaderTimeout = 10 * time.Second
 	// refreshInterval is how often the limits are asked for.
 	refreshInterval = 500 * time.Millisecond
-	// keptFraction is the fraction of the room for connections up to which connections are kept after an answer. The rest is
-	// for those with a request. No idle connection is closed for want of room, as its caller may be about to use it again.
+	// keptFraction is the fraction of the most connections up to which they are kept after an answer. The rest is for those with
+	// a request. No idle connection is closed to make way for others, as its caller may be about to use it again.
 	keptFraction = 0.75
-	// refusalFraction is the number of connections beyond the room, as a fraction of it, whose request is read and refused.
+	// refusalFraction is the number of connections above the limit, as a fraction of it, whose request is read and refused.
 	refusalFraction = 1. / 16
-	// clearedFraction is the fraction of the kept connections below which a shortage counts as over, in the log.
+	// clearedFraction is the fraction of the kept connections below which they count as kept again, in the log.
 	clearedFraction = 0.9
 )
 
-// The ways in which a connection is turned away, in metrics.
+// The ways in which a connection above the limit is rejected, in metrics.
 const (
-	turnedAwayAnswered = "answered"
-	turnedAwayClosed   = "closed"
+	rejectedAnswered = "answered"
+	rejectedClosed   = "closed"
 )
 
 // Config holds what a Manager needs.
 type Config struct {
 	// Limits returns the limits of the configuration in force.
 	Limits func() catalog.Limits
-	// Room returns how many connections of callers the process has descriptors for; 0 for no limit.
-	Room     func() int
+	// MaxConns returns how many connections of callers the process has descriptors for; 0 for no limit.
+	MaxConns func() int
 	Log      *zap.Logger
 	Registry prometheus.Registerer
 }
@@ -52,10 +52,10 @@
 // Manager tracks the connections of an http.Server, which accepts them from Listener, has ConnState as its hook, and
 // sets no read timeouts of its own. It is safe for concurrent use.
 type Manager struct {
-	config     Config
-	turnedAway *prometheus.CounterVec
-	// idleTimeout and headerTimeout are the limits in use in nanoseconds, room is the newest answer of Config.Room.
-	idleTimeout, headerTimeout, room atomic.Int64
+	config   Config
+	rejected *prometheus.CounterVec
+	// idleTimeout and headerTimeout are the limits in use in nanoseconds, maxConns is the newest answer of Config.MaxConns.
+	idleTimeout, headerTimeout, maxConns atomic.Int64
 	// open is the number of connections, peak its highest value since the last refresh.
 	open, peak atomic.Int64
 
@@ -63,24 +63,24 @@
 	// The fields below are guarded by mu.
 	conns        map[*conn]struct{}
 	idle, header timeLimit
-	// short is set while connections are closed after an answer for want of room.
-	short bool
+	// nearLimit is set while connections are closed after an answer, in the log.
+	nearLimit bool
 }
 
 // New returns a manager without connections.
 func New(c Config) *Manager {
 	m := &Manager{config: c, conns: make(map[*conn]struct{}),
-		turnedAway: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "burdock_caller_connections_turned_away_total", Help: "Connections of callers that there was no room for, by how they were turned away.",
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "burdock_caller_connections_rejected_total", Help: "Connections of callers above the limit, by how they were rejected.",
 		}, []string{"how"}),
 	}
 	gauge := func(name, help string, value func() int) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) })
 	}
-	c.Registry.MustRegister(m.turnedAway,
+	c.Registry.MustRegister(m.rejected,
 		gauge("burdock_caller_connections", "Open connections of callers.", func() int { return m.counts().Open }),
 		gauge("burdock_caller_connections_idle", "Connections of callers without a request.", func() int { return m.counts().Idle }),
-		gauge("burdock_caller_connections_room", "Connections of callers that the process has descriptors for; 0 for no limit.", func() int { return m.counts().Room }))
+		gauge("burdock_caller_connections_max", "Connections of callers that the process has descriptors for; 0 for no limit.", func() int { return m.counts().MaxConns }))
 	m.refresh(time.Now())
 	return m
 }
@@ -95,10 +95,10 @@
 
 // refresh asks for the limits. One that has changed counts for the connections that are idle already, too.
 func (m *Manager) refresh(now time.Time) {
-	limits, room := m.config.Limits(), m.config.Room()
+	limits, maxConns := m.config.Limits(), m.config.MaxConns()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.room.Store(int64(room))
+	m.maxConns.Store(int64(maxConns))
 	m.header.set(limits.HeaderTimeout, now)
 	m.idle.set(limits.IdleTimeout, now)
 	m.headerTimeout.Store(int64(cmp.Or(m.header.inUse(now), defaultHeaderTimeout)))
@@ -108,29 +108,29 @@
 			c.setIdleTimeout(idle)
 		}
 	}
-	m.noteShortage()
+	m.logNearLimit()
 }
 
-// noteShortage logs when a shortage of room begins and when it is over. The caller must hold mu.
-func (m *Manager) noteShortage() {
+// logNearLimit logs when connections begin to be closed after an answer and when they are kept again. The caller must hold mu.
+func (m *Manager) logNearLimit() {
 	peak := m.peak.Swap(m.open.Load())
 	kept := float64(m.maxKept())
-	fields := []zap.Field{zap.Int64("open", peak), zap.Int64("room", m.room.Load())}
+	fields := []zap.Field{zap.Int64("open", peak), zap.Int64("max", m.maxConns.Load())}
 	switch {
-	case !m.short && kept > 0 && float64(peak) > kept:
-		m.short = true
+	case !m.nearLimit && kept > 0 && float64(peak) > kept:
+		m.nearLimit = true
 		m.config.Log.Warn("many connections of callers; closing them after each answer", fields...)
-	case m.short && float64(peak) <= clearedFraction*kept:
-		m.short = false
+	case m.nearLimit && float64(peak) <= clearedFraction*kept:
+		m.nearLimit = false
 		m.config.Log.Info("connections of callers are kept again", fields...)
 	}
 }
 
 // maxKept returns the number of connections up to which they are kept after an answer; 0 for no limit.
-func (m *Manager) maxKept() int64 { return int64(keptFraction * float64(m.room.Load())) }
+func (m *Manager) maxKept() int64 { return int64(keptFraction * float64(m.maxConns.Load())) }
 
-// Crowded reports whether connections are to be closed after their next answer, so that there is room for others.
-func (m *Manager) Crowded() bool {
+// NearLimit reports whether connections are to be closed after their next answer, as there are nearly as many as there may be.
+func (m *Manager) NearLimit() bool {
 	kept := m.maxKept()
 	return kept > 0 && m.open.Load() > kept
 }
@@ -138,7 +138,7 @@
 // Open returns the number of open connections.
 func (m *Manager) Open() int { return int(m.open.Load()) }
 
-// Listener returns a listener whose connections the manager tracks. It closes those that there is no room for.
+// Listener returns a listener whose connections the manager tracks. It closes those that are far above the limit.
 func (m *Manager) Listener(l *net.TCPListener) net.Listener { return &listener{l, m} }
 
 type listener struct {
@@ -160,23 +160,23 @@
 	}
 }
 
-// add tracks a new connection, unless there is no room even to refuse its request.
+// add tracks a new connection, unless it is too far above the limit even to refuse its request.
 func (m *Manager) add(tcp *net.TCPConn) (*conn, bool) {
-	open, room := m.open.Add(1), m.room.Load()
+	open, limit := m.open.Add(1), m.maxConns.Load()
 	if peak := m.peak.Load(); open > peak {
 		m.peak.CompareAndSwap(peak, open)
 	}
-	c := &conn{TCPConn: tcp, manager: m, refused: room > 0 && open > room}
-	if c.refused && float64(open) > (1+refusalFraction)*float64(room) {
+	c := &conn{TCPConn: tcp, manager: m, refused: limit > 0 && open > limit}
+	if c.refused && float64(open) > (1+refusalFraction)*float64(limit) {
 		m.open.Add(-1)
-		m.turnedAway.WithLabelValues(turnedAwayClosed).Inc()
+		m.rejected.WithLabelValues(rejectedClosed).Inc()
 		return nil, false
 	}
 	if c.refused {
-		m.turnedAway.WithLabelValues(turnedAwayAnswered).Inc()
+		m.rejected.WithLabelValues(rejectedAnswered).Inc()
 	}
 	timeout := &m.idleTimeout
-	if m.Crowded() {
+	if m.NearLimit() {
 		timeout = &m.headerTimeout
 	}
 	c.await(time.Duration(timeout.Load()))
@@ -213,15 +213,15 @@
 	// Open counts all connections, Idle those that wait for a request.
 	Open int `json:"open"`
 	Idle int `json:"idle"`
-	// Kept is how many are kept after an answer, Room how many there may be; 0 for no limit.
-	Kept int `json:"kept_after_answer"`
-	Room int `json:"room"`
+	// Kept is how many are kept after an answer, MaxConns how many there may be; 0 for no limit.
+	Kept     int `json:"kept_after_answer"`
+	MaxConns int `json:"max"`
 }
 
 func (m *Manager) counts() counts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	n := counts{Open: len(m.conns), Kept: int(m.maxKept()), Room: int(m.room.Load())}
+	n := counts{Open: len(m.conns), Kept: int(m.maxKept()), MaxConns: int(m.maxConns.Load())}
 	for c := range m.conns {
 		if c.isIdle() {
 			n.Idle++
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -24,18 +24,18 @@
 type server struct {
 	*Manager
 	address string
-	// limits are those of the configuration, room is the room for connections.
-	limits atomic.Pointer[catalog.Limits]
-	room   atomic.Int64
+	// limits are those of the configuration, maxConns is the most connections.
+	limits   atomic.Pointer[catalog.Limits]
+	maxConns atomic.Int64
 }
 
-func newServer(t *testing.T, limits catalog.Limits, room int64) *server {
+func newServer(t *testing.T, limits catalog.Limits, maxConns int64) *server {
 	t.Helper()
 	s := &server{}
 	s.limits.Store(&limits)
-	s.room.Store(room)
+	s.maxConns.Store(maxConns)
 	s.Manager = New(Config{
-		Limits: func() catalog.Limits { return *s.limits.Load() }, Room: func() int { return int(s.room.Load()) },
+		Limits: func() catalog.Limits { return *s.limits.Load() }, MaxConns: func() int { return int(s.maxConns.Load()) },
 		Log: zap.NewNop(), Registry: prometheus.NewRegistry(),
 	})
 	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -57,7 +57,7 @@
 	return s
 }
 
-// serve answers with 503 where there is no room for the connection, and else with the length of the body, which it reads to
+// serve answers with 503 where the connection is above the limit, and else with the length of the body, which it reads to
 // its end.
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
 	if Refused(r.Context()) {
@@ -65,7 +65,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if s.Crowded() {
+	if s.NearLimit() {
 		w.Header().Set("Connection", "close")
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -198,53 +198,53 @@
 	}
 }
 
-// Callers that leave more connections idle than there is room for must be answered, and none of those that are kept may be cut
+// Callers that leave more connections idle than there may be must be answered, and none of those that are kept may be cut
 // off while its caller may use it again.
-func TestNoIdleConnectionIsCutForWantOfRoom(t *testing.T) {
+func TestNoIdleConnectionIsCutNearTheLimit(t *testing.T) {
 	is := is.New(t)
-	const room, all, keptRoom = 40, 200, 30
-	s := newServer(t, catalog.Limits{IdleTimeout: 10 * time.Second}, room)
+	const most, all, minKept = 40, 200, 30
+	s := newServer(t, catalog.Limits{IdleTimeout: 10 * time.Second}, most)
 	var kept []*caller
 	for range all {
 		c := s.connect(t)
 		if c.mustAnswer(t) {
 			kept = append(kept, c)
 		}
-		is.True(s.Open() <= room)
+		is.True(s.Open() <= most)
 	}
-	is.True(len(kept) >= keptRoom)
+	is.True(len(kept) >= minKept)
 	for _, c := range kept {
 		c.mustAnswer(t)
 	}
 }
 
-// Connections that callers open within a moment, more than there is room for, are refused once their request is read or, far
-// above it, closed at once, so that the process keeps descriptors for its own work. Those with room are served.
-func TestConnectionsBeyondTheRoomAreRefused(t *testing.T) {
+// Connections that callers open within a moment, more than there may be, are refused once their request is read or, far
+// above it, closed at once, so that the process keeps descriptors for its own work. Those below the limit are served.
+func TestConnectionsAboveTheLimitAreRefused(t *testing.T) {
 	is := is.New(t)
-	const room, refused, more = 32, 2, 20
-	s := newServer(t, catalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Minute}, room)
+	const most, refused, more = 32, 2, 20
+	s := newServer(t, catalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Minute}, most)
 	var callers []*caller
-	for range room + refused {
+	for range most + refused {
 		callers = append(callers, s.connect(t))
 		callers[len(callers)-1].awaitTracked(t, s)
 	}
 	for range more {
 		is.True(s.connect(t).closedWithin(time.Second))
 	}
-	is.Equal(s.Open(), room+refused)
-	for _, c := range callers[room:] {
+	is.Equal(s.Open(), most+refused)
+	for _, c := range callers[most:] {
 		status, kept, err := c.request()
 		is.NoErr(err)
 		is.Equal(status, http.StatusServiceUnavailable)
 		is.True(!kept)
 	}
-	for _, c := range callers[:room] {
+	for _, c := range callers[:most] {
 		c.mustAnswer(t)
 	}
-	is.Equal(testutil.ToFloat64(s.turnedAway.WithLabelValues(turnedAwayAnswered)), float64(refused))
-	is.Equal(testutil.ToFloat64(s.turnedAway.WithLabelValues(turnedAwayClosed)), float64(more))
-	s.connect(t).mustAnswer(t) // there is room again
+	is.Equal(testutil.ToFloat64(s.rejected.WithLabelValues(rejectedAnswered)), float64(refused))
+	is.Equal(testutil.ToFloat64(s.rejected.WithLabelValues(rejectedClosed)), float64(more))
+	s.connect(t).mustAnswer(t) // there are fewer again
 }
 
 // awaitTracked waits until the server has accepted the connection.
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -22,7 +22,7 @@
 type conn struct {
 	*net.TCPConn
 	manager *Manager
-	// refused is set if there is no room for the connection.
+	// refused is set if the connection is above the limit.
 	refused bool
 	removed sync.Once
 
@@ -102,7 +102,7 @@
 
 type refusedKey struct{}
 
-// ConnContext records in the context of a connection's requests whether there is room for it. It is for the
+// ConnContext records in the context of a connection's requests whether it is above the limit. It is for the
 // http.Server.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	if k, ok := c.(*conn); ok && k.refused {
@@ -111,8 +111,8 @@
 	return ctx
 }
 
-// Refused reports whether there was no room for the connection of the request with this context. The request is to be refused
-// at once.
+// Refused reports whether the connection of the request with this context is above the limit. The request is to be refused at
+// once.
 func Refused(ctx context.Context) bool {
 	refused, _ := ctx.Value(refusedKey{}).(bool)
 	return refused
--- a/internal/leafpool/ahead.go
+++ b/internal/leafpool/ahead.go
@@ -104,7 +104,7 @@
 	defer p.mu.Unlock()
 	var out []*leafConns
 	for _, e := range p.leaves {
-		if e.open == 0 && p.hasRoom(e) && !e.gone && !e.endedUnused && p.keepsOpen(e.leaf) && now.Sub(e.failedAt) >= preopenRetryDelay && now.Sub(e.resetAt) >= preopenRetryDelay {
+		if e.open == 0 && p.mayOpen(e) && !e.gone && !e.endedUnused && p.keepsOpen(e.leaf) && now.Sub(e.failedAt) >= preopenRetryDelay && now.Sub(e.resetAt) >= preopenRetryDelay {
 			p.addOpen(e, 1)
 			out = append(out, e)
 		}
--- a/internal/leafpool/leafpool.go
+++ b/internal/leafpool/leafpool.go
@@ -162,7 +162,7 @@
 	if len(e.idle) > 0 {
 		return true, true
 	}
-	return p.hasRoom(e) && time.Since(e.resetAt) >= resetBackoff, false
+	return p.mayOpen(e) && time.Since(e.resetAt) >= resetBackoff, false
 }
 
 // Do makes the call. Any error is a *leafcall.Error.
@@ -210,7 +210,7 @@
 		p.metrics.open.Dec()
 		c.Close()
 	}
-	if !p.hasRoom(e) || time.Since(e.resetAt) < resetBackoff {
+	if !p.mayOpen(e) || time.Since(e.resetAt) < resetBackoff {
 		p.mu.Unlock()
 		return nil, nil, false, &leafcall.Error{Cause: leafcall.ConnectionFull, Step: Step, Peer: id.String(), Err: errNoFreeConnection}
 	}
@@ -263,8 +263,8 @@
 	p.open += n
 }
 
-// hasRoom reports whether a connection to the leaf may be opened. The caller must hold mu.
-func (p *Pool) hasRoom(e *leafConns) bool {
+// mayOpen reports whether a connection to the leaf may be opened. The caller must hold mu.
+func (p *Pool) mayOpen(e *leafConns) bool {
 	limit := p.maxOpen()
 	return e.open < p.maxConns(e.leaf) && (limit <= 0 || p.open < limit)
 }
--- a/internal/leafpool/probe.go
+++ b/internal/leafpool/probe.go
@@ -79,7 +79,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.leaves[id]
-	if e == nil || !p.hasRoom(e) || time.Since(e.probeEndedAt) < resetBackoff {
+	if e == nil || !p.mayOpen(e) || time.Since(e.probeEndedAt) < resetBackoff {
 		return nil
 	}
 	p.addOpen(e, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 		Self: s.PeersAddress, Zone: s.Zone, Seed: slices.Contains(s.Seeds, s.PeersAddress), NeedsHistory: d.boundsColdLeaves,
 		Bound: s.ChangeBound(), HeartbeatInterval: s.HeartbeatInterval,
 	}, log, reg)
-	d.pool = leafpool.New(p.Dialer, s.Zone, d.leafConnRoom, reg)
+	d.pool = leafpool.New(p.Dialer, s.Zone, d.maxLeafConns, reg)
 	d.recorder = decision.New(log, sink, logLimits, reg)
 	d.guard = crashguard.New(d.peers, time.Now, log, reg)
 	d.coldLeaves = warmup.New(s.PeersAddress, s.Zone, slices.Collect(maps.Keys(s.Regions)), s.Warmup, time.Now, reg)
@@ -159,7 +159,7 @@
 		Self: s.PeersAddress, Zone: s.Zone, Gateways: d.peers.Gateways, Leaves: d.table, Gatherers: d.delegate, Own: d.gathererLoad,
 		Service: (&singleServices{directory: d.directory}).of, Dial: dialLoads(s.IP), Random: rand.Float64, Registry: reg,
 	})
-	d.callers = callerconn.New(callerconn.Config{Limits: d.limits, Room: d.callerRoom, Log: log, Registry: reg})
+	d.callers = callerconn.New(callerconn.Config{Limits: d.limits, MaxConns: d.maxCallerConns, Log: log, Registry: reg})
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
