--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// PID returns the process ID of the newest start, or 0 before the first start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.newest == nil {
+		return 0
+	}
+	return p.newest.cmd.Process.Pid
+}
+
 // Done returns a channel that is closed when the newest start has exited, or nil before the first start.
 func (p *Process) Done() <-chan struct{} {
 	p.mu.Lock()
