Bound what callers make a VM hold in bytes

What callers saw: none of them was answered once a crowd had ended the process. Crowds of 400 clients made a VM of 96 MB hold 111 to 960 MB: heads without an end, bodies at once, piece by piece and in chunks that stop short of their end, whole bodies to slow leaves and of searches, bytes sent ahead. Such a process ends on a VM.

Cause: what a caller sends was bounded by a number of connections, a time and a size of each, and the product of these is many times the memory. A head was held up to net/http's 1 MB with a map entry for each header, whatever max_header_bytes says. Bodies were read before it was known whether they have a route, and copied for every call of a search. What came ahead lay in windows of the kernel that grow to megabytes.

Change: internal/membudget is a budget in bytes, a fifth of memory_mb. A connection counts what comes (the head and its lines, the body with its framing) and what is being written, and takes what goes beyond 12 KB from the budget. When it is used up, those make way first whose caller moves nothing, then those that hold less and are further from their end; what the VM works on keeps its memory until it is answered. Refusals are 503 before the request has run. The number of connections is bounded by a quarter of memory_mb. Heads end at max_header_bytes while they arrive. Bodies of refused requests are not read, those of searches not copied for each shard, and a body is waited for no longer than its caller waits. The kernel takes at most 32 KB of a connection before it is read.

Tests that fail before: TestCrowdsLeaveTheNodeWithinItsMemory, TestBodiesOfRefusedRequestsAreNotWaitedFor; new ones of membudget and callerconn.

--- a/cmd/burdock-node/providers.go
+++ b/cmd/burdock-node/providers.go
@@ -34,8 +34,8 @@
 		Store:   platform.NewStore(s.StoreAddress, s.IP),
 		Decoder: platform.Decoder{},
 		Dialer:  platform.NewLeafDialer(s.IP),
-		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
-			return platform.NewEdge(s, limits, leaving, refused)
+		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, routed func(*dispatch.Request) bool, leaving func() bool, refused func(string)) http.Handler {
+			return platform.NewEdge(s, limits, routed, leaving, refused)
 		},
 		NewReadinessHandler: platform.NewReadinessHandler,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -1,5 +1,6 @@
 // Package callerconn bounds the connections of callers: how long they may be idle or take for the head of a request, by the
-// configuration in force, and how many there may be, by the descriptors of the process.
+// configuration in force, how many there may be, by the descriptors of the process, and what they make the process hold, by
+// a budget of memory.
 package callerconn
 
 import (
@@ -15,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/burdockplank/burdockplank/internal/catalog"
+	"github.com/burdockplank/burdockplank/internal/membudget"
 	"github.com/burdockplank/burdockplank/internal/wait"
 )
 
@@ -43,8 +45,12 @@
 type Config struct {
 	// Limits returns the limits of the configuration in force.
 	Limits func() catalog.Limits
-	// MaxConns returns how many connections of callers the process has descriptors for; 0 for no limit.
+	// MaxConns returns how many connections of callers the process has room for; 0 for no limit.
 	MaxConns func() int
+	// Memory bounds what requests and answers take beyond what is included in a connection; nil for no limit.
+	Memory *membudget.Budget
+	// Refused is called with the reason of each request that is refused before the server has read its head; nil if nobody asks.
+	Refused  func(reason string)
 	Log      *zap.Logger
 	Registry prometheus.Registerer
 }
@@ -56,6 +62,8 @@
 	rejected *prometheus.CounterVec
 	// idleTimeout and headerTimeout are the limits in use in nanoseconds, maxConns is the newest answer of Config.MaxConns.
 	idleTimeout, headerTimeout, maxConns atomic.Int64
+	// maxHeadBytes is the longest head that the configuration allows.
+	maxHeadBytes atomic.Int64
 	// open is the number of connections, peak its highest value since the last refresh.
 	open, peak atomic.Int64
 
@@ -65,6 +73,9 @@
 	idle, header timeLimit
 	// nearLimit is set while connections are closed after an answer, in the log.
 	nearLimit bool
+	// memoryEnds is how many requests had ended for want of memory at the last refresh, and lowMemory is set while they do, in the log.
+	memoryEnds int64
+	lowMemory  bool
 }
 
 // New returns a manager without connections.
@@ -81,6 +92,9 @@
 		gauge("burdock_caller_connections", "Open connections of callers.", func() int { return m.counts().Open }),
 		gauge("burdock_caller_connections_idle", "Connections of callers without a request.", func() int { return m.counts().Idle }),
 		gauge("burdock_caller_connections_max", "Connections of callers that the process has descriptors for; 0 for no limit.", func() int { return m.counts().MaxConns }))
+	if c.Memory != nil {
+		m.registerMemory(gauge)
+	}
 	m.refresh(time.Now())
 	return m
 }
@@ -89,6 +103,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	for wait.For(ctx, refreshInterval) {
 		m.refresh(time.Now())
+		m.closeStalledWrites(time.Now())
 	}
 	return nil
 }
@@ -99,6 +114,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.maxConns.Store(int64(maxConns))
+	m.maxHeadBytes.Store(m.currentMaxHeadBytes())
 	m.header.set(limits.HeaderTimeout, now)
 	m.idle.set(limits.IdleTimeout, now)
 	m.headerTimeout.Store(int64(cmp.Or(m.header.inUse(now), defaultHeaderTimeout)))
@@ -109,6 +125,7 @@
 		}
 	}
 	m.logNearLimit()
+	m.logLowMemory()
 }
 
 // logNearLimit logs when connections begin to be closed after an answer and when they are kept again. The caller must hold mu.
@@ -216,6 +233,8 @@
 	// Kept is how many are kept after an answer, MaxConns how many there may be; 0 for no limit.
 	Kept     int `json:"kept_after_answer"`
 	MaxConns int `json:"max"`
+	// Memory is what requests and answers take beyond what is included in a connection; nil where it is not bounded.
+	Memory *membudget.Usage `json:"memory,omitempty"`
 }
 
 func (m *Manager) counts() counts {
@@ -227,6 +246,10 @@
 			n.Idle++
 		}
 	}
+	if m.config.Memory != nil {
+		usage := m.config.Memory.Usage()
+		n.Memory = &usage
+	}
 	return n
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -10,6 +10,8 @@
 	"github.com/urfave/negroni/v3"
 
 	"github.com/burdockplank/burdockplank/internal/callerconn"
+	"github.com/burdockplank/burdockplank/internal/dispatch"
+	"github.com/burdockplank/burdockplank/internal/rpc"
 )
 
 const (
@@ -23,6 +25,14 @@
 	minCallerConnsFraction = 0.25
 	maxCallerConnsFraction = 0.625
 	minLeafConnsFraction   = 0.125
+	// connMemoryFraction is the fraction of the memory that the connections of callers may take, and requestMemoryFraction the one
+	// that their requests and answers may take beyond what is included in a connection. Both count towards memoryTargetRatio,
+	// beside what the process itself needs.
+	connMemoryFraction    = 0.25
+	requestMemoryFraction = 0.2
+	// receiveBufferBytes bounds what the kernel receives on a connection of a caller before the process reads it. The kernel
+	// doubles it, for its own use.
+	receiveBufferBytes = 32 << 10
 	// tooManyConnsRetryAfterS is after how many seconds a caller that is refused so may come back. Connections with a request end in less.
 	tooManyConnsRetryAfterS = 1
 	// reasonTooManyConns is the reason of refusals for want of descriptors, in metrics.
@@ -32,7 +42,7 @@
 // newCallerServer returns the HTTP server for callers. How long connections may be idle is left to d.callers.
 func (d *Daemon) newCallerServer() *http.Server {
 	closeAfterAnswer := func() bool { return d.leaving.Load() || d.callers.NearLimit() }
-	edge := d.platform.NewCallerHandler(d.delegate, d.limits, closeAfterAnswer, func(reason string) { d.refusals.WithLabelValues(reason).Inc() })
+	edge := d.platform.NewCallerHandler(d.delegate, d.limits, d.mayHaveRoute, closeAfterAnswer, d.countRefusal)
 	n := negroni.New(negroni.HandlerFunc(d.refuseAboveLimit))
 	n.UseHandler(edge)
 	connContext := func(ctx context.Context, c net.Conn) context.Context {
@@ -41,17 +51,27 @@
 	return &http.Server{Handler: n, ConnContext: connContext, ConnState: d.callers.ConnState}
 }
 
+// countRefusal counts a request that is refused before it reaches the engine.
+func (d *Daemon) countRefusal(reason string) { d.refusals.WithLabelValues(reason).Inc() }
+
+// mayHaveRoute reports whether the configuration in force has a route for the request, or there is none yet.
+func (d *Daemon) mayHaveRoute(r *dispatch.Request) bool {
+	c := d.directory.Current().Config
+	return c == nil || dispatch.Match(c, r) != nil
+}
+
 // listenForCallers returns the listener for callers.
-func (d *Daemon) listenForCallers() (net.Listener, error) {
-	address, err := net.ResolveTCPAddr("tcp", d.settings.CallersAddress)
+func (d *Daemon) listenForCallers(ctx context.Context) (net.Listener, error) {
+	config := net.ListenConfig{Control: rpc.ReceiveBuffer(receiveBufferBytes)}
+	l, err := config.Listen(ctx, "tcp", d.settings.CallersAddress)
 	if err != nil {
-		return nil, eris.Wrapf(err, "node: callers' address %s", d.settings.CallersAddress)
+		return nil, eris.Wrapf(err, "node: listen for callers at %s", d.settings.CallersAddress)
 	}
-	l, err := net.ListenTCP("tcp", address)
-	if err != nil {
-		return nil, eris.Wrap(err, "node: listen for callers")
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, eris.Errorf("node: listener for callers is a %T", l)
 	}
-	return d.callers.Listener(l), nil
+	return d.callers.Listener(tcp), nil
 }
 
 // refuseAboveLimit refuses the request of a connection above the limit, which has not run.
@@ -71,12 +91,16 @@
 	return float64(max(d.settings.FileDescriptors-fileDescriptorReserve, 0))
 }
 
-// maxCallerConns returns how many connections of callers there are descriptors for beside those to leaves; 0 if no limit is
-// known.
+// maxCallerConns returns how many connections of callers there is room for: memory, and descriptors beside those to leaves
+// where their number is known.
 func (d *Daemon) maxCallerConns() int {
+	byMemory := connMemoryFraction * float64(d.settings.MemoryBytes) / callerconn.ConnBytes
 	sockets := d.sockets()
+	if sockets == 0 {
+		return int(byMemory)
+	}
 	left := (1-otherConnsFraction)*sockets - float64(d.pool.Capacity())
-	return int(min(max(left, minCallerConnsFraction*sockets), maxCallerConnsFraction*sockets))
+	return int(min(max(left, minCallerConnsFraction*sockets), maxCallerConnsFraction*sockets, byMemory))
 }
 
 // maxLeafConns returns how many connections to leaves there are descriptors for beside those of callers; 0 if no limit
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/burdockplank/burdockplank/internal/leafcall"
 	"github.com/burdockplank/burdockplank/internal/leafpool"
 	"github.com/burdockplank/burdockplank/internal/logging"
+	"github.com/burdockplank/burdockplank/internal/membudget"
 	"github.com/burdockplank/burdockplank/internal/mirror"
 	"github.com/burdockplank/burdockplank/internal/notify"
 	"github.com/burdockplank/burdockplank/internal/operator"
@@ -74,7 +75,7 @@
 	Decoder directory.Decoder
 	Dialer  leafcall.Dialer
 	// NewCallerHandler returns the handler for callers, NewReadinessHandler the one for the balancer.
-	NewCallerHandler    func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(reason string)) http.Handler
+	NewCallerHandler    func(s dispatch.Server, limits func() catalog.Limits, routed func(*dispatch.Request) bool, leaving func() bool, refused func(reason string)) http.Handler
 	NewReadinessHandler func(ready func() bool) http.Handler
 	ConnContext         func(ctx context.Context, c net.Conn) context.Context
 	// ReloadSeeds reads the seeds again from the settings, where they may have changed.
@@ -111,6 +112,7 @@
 	loads            *fleetload.Manager
 	refusals         *prometheus.CounterVec
 	callers          *callerconn.Manager
+	callerMemory     *membudget.Budget
 	server           *http.Server
 	leaving          atomic.Bool
 	isGatherer       atomic.Bool
@@ -159,7 +161,10 @@
 		Self: s.PeersAddress, Zone: s.Zone, Gateways: d.peers.Gateways, Leaves: d.table, Gatherers: d.delegate, Own: d.gathererLoad,
 		Service: (&singleServices{directory: d.directory}).of, Dial: dialLoads(s.IP), Random: rand.Float64, Registry: reg,
 	})
-	d.callers = callerconn.New(callerconn.Config{Limits: d.limits, MaxConns: d.maxCallerConns, Log: log, Registry: reg})
+	d.callerMemory = membudget.New(int64(requestMemoryFraction*float64(s.MemoryBytes)), time.Now)
+	d.callers = callerconn.New(callerconn.Config{
+		Limits: d.limits, MaxConns: d.maxCallerConns, Memory: d.callerMemory, Refused: d.countRefusal, Log: log, Registry: reg,
+	})
 	d.server = d.newCallerServer()
 	reg.MustRegister(newStateMetrics(d))
 	return d
@@ -194,7 +199,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(float64(d.settings.MemoryBytes) * memoryTargetRatio))
 	defer d.sink.Close(logFlushTimeout)
-	callers, err := d.listenForCallers()
+	callers, err := d.listenForCallers(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -145,8 +145,8 @@
 func (c *cluster) run(v *vm) {
 	p := node.Platform{
 		Store: platform.NewStore(v.settings.StoreAddress, v.settings.IP), Decoder: platform.Decoder{}, Dialer: platform.NewLeafDialer(v.settings.IP),
-		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, leaving func() bool, refused func(string)) http.Handler {
-			return platform.NewEdge(s, limits, leaving, refused)
+		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, routed func(*dispatch.Request) bool, leaving func() bool, refused func(string)) http.Handler {
+			return platform.NewEdge(s, limits, routed, leaving, refused)
 		},
 		NewReadinessHandler: platform.NewReadinessHandler, ConnContext: platform.ConnContext,
 		ReloadSeeds: func() ([]string, error) { return v.settings.Seeds, nil },
--- a/internal/rpc/silent.go
+++ b/internal/rpc/sockets.go
@@ -20,3 +20,14 @@
 		return errors.Join(err, failed)
 	}
 }
+
+// ReceiveBuffer returns a net.ListenConfig's Control that bounds what the kernel receives on each connection before it is read.
+func ReceiveBuffer(size int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+		})
+		return errors.Join(err, failed)
+	}
+}
