Bodies of leaves share bytes, not places

When the budget is used up, a body that has stalled makes way, which ends its call; then the one that holds less, or as much and began later. The others wait until bytes are given back. The one that holds most never waits for others that wait too, so that several without an end don't block each other.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -4,6 +4,7 @@
 package membudget
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -26,8 +27,8 @@
 	// The fields below are guarded by mu. used is the sum of the holders' bytes.
 	limit, used, peak int64
 	holders           map[*Holder]struct{}
-	// evicted and refused count holders over all time.
-	evicted, refused int64
+	// begun, evicted and refused count holders over all time.
+	begun, evicted, refused int64
 	// freed is closed when bytes are given back; nil while nobody waits for them.
 	freed chan struct{}
 }
@@ -74,6 +75,10 @@
 	bytes int64
 	// waits is set while the other end is waited for. A holder that the process itself works on is not evicted.
 	waits, isEvicted bool
+	// queued is set while the holder waits for more bytes of the budget, and not for its other end.
+	queued bool
+	// number counts the holders in the order in which they began.
+	number int64
 	// moved counts the bytes that the other end has sent or taken since mark.
 	moved int64
 	mark  time.Time
@@ -85,14 +90,58 @@
 	h := &Holder{budget: b, evict: evict, waits: true, mark: b.now()}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.begun++
+	h.number = b.begun
 	b.holders[h] = struct{}{}
 	return h
 }
 
 // Grow takes n more bytes and reports whether they may be held. Stalled holders make way, and then those that hold less than
-// this one and are further from their end. A holder that is alone gets what it needs.
+// this one, or as much and began later. A holder that is alone gets what it needs.
 func (h *Holder) Grow(n int64) bool { return h.take(n, false) }
 
+// AwaitGrow is like Grow, and waits until there are n more bytes. It returns false when ctx ends or the holder is evicted. As the
+// holder that holds most never waits for others that wait too, one of them goes on at any time.
+func (h *Holder) AwaitGrow(ctx context.Context, n int64) bool {
+	for !h.Grow(n) {
+		freed, ok := h.queue()
+		if !ok {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-freed:
+		case <-time.After(stallTimeout): // others may have stalled
+		}
+	}
+	h.leaveQueue()
+	return true
+}
+
+// queue marks the holder as waiting for bytes and returns a channel that is closed when some are given back. It returns false if
+// the holder is evicted.
+func (h *Holder) queue() (freed <-chan struct{}, ok bool) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.queued = true
+	if b.freed == nil {
+		b.freed = make(chan struct{})
+	}
+	return b.freed, !h.isEvicted
+}
+
+// leaveQueue marks the holder as waiting for its other end again.
+func (h *Holder) leaveQueue() {
+	now := h.budget.now()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.queued {
+		h.queued, h.moved, h.mark = false, 0, now
+	}
+}
+
 // Add takes n bytes that are held already. Holders that wait make way for them, this one included.
 func (h *Holder) Add(n int64) { h.take(n, true) }
 
@@ -147,10 +196,10 @@
 		if o == h || !o.waits || o.bytes == 0 {
 			continue
 		}
-		if now.Sub(o.mark) > stallTimeout && (stalled == nil || o.bytes > stalled.bytes) {
+		if !o.queued && now.Sub(o.mark) > stallTimeout && (stalled == nil || o.bytes > stalled.bytes) {
 			stalled = o
 		}
-		if o.bytes < h.bytes && (smaller == nil || o.bytes < smaller.bytes) {
+		if o.before(h) && (smaller == nil || o.before(smaller)) {
 			smaller = o
 		}
 		if oldest == nil || o.mark.Before(oldest.mark) {
@@ -168,6 +217,14 @@
 	return nil
 }
 
+// before reports whether the holder makes way for o where neither stalls.
+func (h *Holder) before(o *Holder) bool {
+	if h.bytes != o.bytes {
+		return h.bytes < o.bytes
+	}
+	return h.number > o.number
+}
+
 // Progress records that the other end has sent or taken n bytes.
 func (h *Holder) Progress(n int64) {
 	now := h.budget.now()
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -1,8 +1,11 @@
 package membudget
 
 import (
+	"bytes"
+	"context"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -141,3 +144,72 @@
 	is.Equal(u.Used, int64(0))
 	is.Equal(u.Holders, 0)
 }
+
+// Bodies that all need more than there is waited for each other until their deadlines. The one that holds most, or began first, goes
+// on, and the others make way or wait for its end.
+func TestThoseThatWaitForBytesDoNotWaitForEachOther(t *testing.T) {
+	is := is.New(t)
+	b := New(100, time.Now)
+	var later evicted
+	first, second := b.Hold(func() {}), b.Hold(later.evict)
+	is.True(first.Grow(50))
+	is.True(second.Grow(50))
+	waiting := make(chan bool)
+	go func() { waiting <- second.AwaitGrow(t.Context(), 50) }()
+	time.Sleep(20 * time.Millisecond)
+	is.True(first.AwaitGrow(t.Context(), 50))
+	is.Equal(later.n, 1)
+	is.True(!<-waiting)
+	third := b.Hold(func() {})
+	go func() { waiting <- third.AwaitGrow(t.Context(), 50) }()
+	time.Sleep(20 * time.Millisecond)
+	first.Release()
+	is.True(<-waiting)
+}
+
+// A holder that waits for bytes is not stalled: its other end is not asked for more.
+func TestHoldersThatWaitForBytesDoNotStall(t *testing.T) {
+	is := is.New(t)
+	b := New(100, time.Now)
+	var waits evicted
+	w, other := b.Hold(waits.evict), b.Hold(func() {})
+	is.True(w.Grow(60))
+	is.True(other.Grow(40))
+	other.Work()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*stallTimeout)
+	defer cancel()
+	is.True(!w.AwaitGrow(ctx, 10))
+	is.True(!b.Hold(func() {}).Grow(10))
+	is.Equal(waits.n, 0)
+}
+
+// The bytes of a reader are the same with any limit that suffices, whether their number is announced or not.
+func TestReadAll(t *testing.T) {
+	data := bytes.Repeat([]byte("0123456789"), 1000)
+	for name, tt := range map[string]struct {
+		declared, limit, memory int64
+		err                     error
+	}{
+		"announced":       {10000, 10000, 20000, nil},
+		"not announced":   {-1, 10000, 20000, nil},
+		"longer":          {-1, 9999, 20000, ErrTooLong},
+		"without memory":  {-1, 10000, 5000, ErrNoMemory},
+		"fewer announced": {3, 10000, 20000, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := New(tt.memory, time.Now)
+			other := b.Hold(func() {}) // it is not alone
+			is.True(other.Grow(1))
+			is.True(other.Work())
+			h := b.Hold(func() {})
+			got, err := h.ReadAll(iotest.OneByteReader(bytes.NewReader(data)), tt.declared, tt.limit, 1000)
+			is.Equal(err, tt.err)
+			if tt.err == nil {
+				is.Equal(got, data)
+			}
+			h.Release()
+			is.Equal(b.Usage().Used, int64(1))
+		})
+	}
+}
--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"context"
 	"errors"
 	"io"
 )
@@ -19,6 +20,15 @@
 // ReadAll reads all of r, at most limit bytes, and makes h hold its buffer beyond free bytes. declared is how many bytes are
 // announced; below 0 if that is unknown. It returns what it has read also with an error.
 func (h *Holder) ReadAll(r io.Reader, declared, limit, free int64) ([]byte, error) {
+	return h.readAll(r, declared, limit, free, h.Grow)
+}
+
+// AwaitReadAll is like ReadAll, and waits until there is memory, until ctx ends.
+func (h *Holder) AwaitReadAll(ctx context.Context, r io.Reader, declared, limit, free int64) ([]byte, error) {
+	return h.readAll(r, declared, limit, free, func(n int64) bool { return h.AwaitGrow(ctx, n) })
+}
+
+func (h *Holder) readAll(r io.Reader, declared, limit, free int64, grow func(n int64) bool) ([]byte, error) {
 	size := int64(firstReadBytes)
 	if declared >= 0 {
 		size = min(size, declared+1)
@@ -38,8 +48,8 @@
 		case len(body) < cap(body):
 			continue
 		}
-		next := GrownSize(int64(cap(body)), declared)
-		if next > free && !h.Grow(next-max(int64(cap(body)), free)) {
+		next := min(GrownSize(int64(cap(body)), declared), limit+1)
+		if next > free && !grow(next-max(int64(cap(body)), free)) {
 			return body, ErrNoMemory
 		}
 		body = append(make([]byte, 0, next), body...)
