callerconn: silent connections make way near the limit

What callers saw: beside 1,000 connections on which nothing ever came, on a VM with 600 descriptors, or 2,000 on one of 64 MB, an ordinary caller was refused for 15 s, until the idle timeout of the others.

Cause: a connection that had never been used was kept like one whose caller may be about to use it again; only those opened near the limit were given the time of a head.

Change: near the limit, all connections that have never been used are closed once the head of their request is due. Used ones are kept as before.

TestSilentConnectionsMakeWayNearTheLimit failed before.

--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -124,6 +124,11 @@
 			c.setIdleTimeout(idle)
 		}
 	}
+	if m.NearLimit() {
+		for c := range m.conns {
+			c.limitFirstWait(time.Duration(m.headerTimeout.Load()))
+		}
+	}
 	m.logNearLimit()
 	m.logLowMemory()
 }
@@ -192,11 +197,10 @@
 	if c.refused {
 		m.rejected.WithLabelValues(rejectedAnswered).Inc()
 	}
-	timeout := &m.idleTimeout
+	c.await(time.Duration(m.idleTimeout.Load()))
 	if m.NearLimit() {
-		timeout = &m.headerTimeout
+		c.limitFirstWait(time.Duration(m.headerTimeout.Load()))
 	}
-	c.await(time.Duration(timeout.Load()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.conns[c] = struct{}{}
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -218,6 +218,25 @@
 	}
 }
 
+// Connections on which nothing ever came kept the room for others until the idle timeout. Near the limit they are closed once the head
+// of their request is due; one that has been used is kept.
+func TestSilentConnectionsMakeWayNearTheLimit(t *testing.T) {
+	is := is.New(t)
+	const most = 20
+	s := newServer(t, catalog.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Second}, most)
+	used := s.connect(t)
+	used.mustAnswer(t)
+	var silent []*caller
+	for range most - 1 {
+		silent = append(silent, s.connect(t))
+	}
+	for _, c := range silent {
+		is.True(c.closedWithin(5 * time.Second))
+	}
+	s.connect(t).mustAnswer(t)
+	used.mustAnswer(t)
+}
+
 // Connections that callers open within a moment, more than there may be, are refused once their request is read or, far
 // above it, closed at once, so that the process keeps descriptors for its own work. Those below the limit are served.
 func TestConnectionsAboveTheLimitAreRefused(t *testing.T) {
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -39,6 +39,8 @@
 	// The fields below are guarded by mu. idleSince is when the connection became idle.
 	phase     phase
 	idleSince time.Time
+	// used is set once a request has come.
+	used bool
 	// received is what the present request takes.
 	received requestSize
 	// holder holds the memory of the present request beyond includedBytes; nil while it takes less.
@@ -69,10 +71,19 @@
 func (c *conn) activate() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phaseActive
+	c.phase, c.used = phaseActive, true
 	c.setDeadline(time.Time{})
 }
 
+// limitFirstWait lets a connection that has never been used wait for d from when it was opened.
+func (c *conn) limitFirstWait(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseIdle && !c.used {
+		c.setDeadline(c.idleSince.Add(d))
+	}
+}
+
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
