node: one division of a VM's memory, which follows the settings

More crowds: other sizes of memory and descriptors, clients that come again at once for 6 s, and a VM whose memory changes by SIGHUP. Each checks readiness beside the crowd, too.

--- a/cmd/burdock-node/providers.go
+++ b/cmd/burdock-node/providers.go
@@ -30,10 +30,11 @@
 
 // providePlatform returns the components of the platform's adapter.
 func providePlatform(s *deployment.Settings, path settingsPath) node.Platform {
+	dialer := platform.NewLeafDialer(s.IP)
 	return node.Platform{
 		Store:   platform.NewStore(s.StoreAddress, s.IP),
 		Decoder: platform.Decoder{},
-		Dialer:  platform.NewLeafDialer(s.IP),
+		Dialer:  dialer,
 		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, routed func(*dispatch.Request) bool, leaving func() bool, refused func(string)) http.Handler {
 			return platform.NewEdge(s, limits, routed, leaving, refused)
 		},
@@ -41,12 +42,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return platform.ConnContext(ctx, c)
 		},
-		ReloadSeeds: func() ([]string, error) {
-			current, err := platform.LoadSettings(string(path))
-			if err != nil {
-				return nil, err
-			}
-			return current.Seeds, nil
-		},
+		SetAnswerMemory: dialer.SetAnswerMemory,
+		ReloadSettings:  func() (*deployment.Settings, error) { return platform.LoadSettings(string(path)) },
 	}
 }
--- a/crowd/client_test.go
+++ b/crowd/client_test.go
@@ -151,6 +151,29 @@
 	return c
 }
 
+// sendAgain is like sendCrowd, and each client opens another connection whenever its last one has been answered or closed, until the
+// time. It returns then.
+func sendAgain(t *testing.T, address string, n int, send client, until time.Time) *crowd {
+	t.Helper()
+	var clients sync.WaitGroup
+	for i := range n {
+		clients.Go(func() {
+			for round := 0; time.Now().Before(until); round++ {
+				conn, err := net.DialTimeout("tcp", address, patience)
+				if err != nil {
+					continue
+				}
+				_ = conn.SetDeadline(until)
+				send(conn, fmt.Sprintf("crowd-%d-%d", i, round))
+				_, _ = conn.Read(make([]byte, 1)) // until it is answered or closed
+				_ = conn.Close()
+			}
+		})
+	}
+	clients.Wait()
+	return &crowd{}
+}
+
 func (c *crowd) close() {
 	for _, conn := range c.conns {
 		_ = conn.Close()
--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,10 +43,13 @@
 	monitor *monitor
 	callers string
 	ready   string
+	// settings are those of its settings file.
+	settings *deployment.Settings
+	file     string
 }
 
-// startVM runs burdock-node and waits until it is ready.
-func startVM(t *testing.T) *vm {
+// startVM runs burdock-node with the memory and the descriptors, and waits until it is ready.
+func startVM(t *testing.T, memory int64, descriptors int) *vm {
 	t.Helper()
 	store := hosted.NewStore()
 	t.Cleanup(store.Close)
@@ -60,7 +65,7 @@
 	address := func(port string) string { return net.JoinHostPort(ip, port) }
 	s := &deployment.Settings{
 		VMName: "vm", Zone: "a", IP: ip, CallersAddress: address("7001"), ReadinessAddress: address("7002"), PeersAddress: address("7003"),
-		Seeds: []string{address("7003")}, StoreAddress: store.Address(), MemoryBytes: memoryBytes, FileDescriptors: fileDescriptors,
+		Seeds: []string{address("7003")}, StoreAddress: store.Address(), MemoryBytes: memory, FileDescriptors: descriptors,
 		RetryBudget: retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, GracePeriod: 6 * time.Second, ConfigApplyBound: 3 * time.Second,
 	}
 	dir := t.TempDir()
@@ -68,7 +73,7 @@
 	if err := hosted.WriteSettings(file, s); err != nil {
 		t.Fatal(err)
 	}
-	v := &vm{t: t, process: child.New("vm", dir, filepath.Join(binDir, "burdock-node"), "--settings", file), callers: s.CallersAddress, ready: s.ReadinessAddress}
+	v := &vm{t: t, settings: s, file: file, process: child.New("vm", dir, filepath.Join(binDir, "burdock-node"), "--settings", file), callers: s.CallersAddress, ready: s.ReadinessAddress}
 	if err := v.process.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -186,20 +191,90 @@
 		{"silent connections", silent},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			v := startVM(t)
-			v.mustAnswer("calm", ordinary)
-			v.mustAnswer("calm-large", largest)
-			before := v.monitor.highest()
-			c := sendCrowd(t, v.callers, crowdSize, tt.client)
-			v.mustAnswer("beside", ordinary)
-			c.close()
-			v.mustAnswer("afterwards", ordinary)
-			v.mustAnswer("afterwards-large", largest)
-			v.checkUsage(before)
+			v := startVM(t, memoryBytes, fileDescriptors)
+			v.bear(func() *crowd { return sendCrowd(t, v.callers, crowdSize, tt.client) })
 		})
 	}
 }
 
+// bear requires that ordinary callers are answered in calm, beside the crowd, which stays open, and after it has left, and that
+// the VM stays within its limits.
+func (v *vm) bear(send func() *crowd) {
+	v.t.Helper()
+	v.mustAnswer("calm", ordinary)
+	v.mustAnswer("calm-large", largest)
+	before := v.monitor.highest()
+	c := send()
+	v.mustAnswer("beside", ordinary)
+	v.await("ready beside the crowd", func() bool { return hosted.Ready(http.DefaultClient, v.ready) })
+	c.close()
+	v.mustAnswer("afterwards", ordinary)
+	v.mustAnswer("afterwards-large", largest)
+	v.checkUsage(before)
+}
+
+// The limits follow from the settings: on a VM with little memory or few descriptors a smaller crowd is too much.
+func TestCrowdsLeaveOtherNodesWithinTheirMemory(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		memory      int64
+		descriptors int
+		clients     int
+		client      client
+	}{
+		{"little memory", 64 << 20, fileDescriptors, 300, unendedBody(maxBodyBytes, maxBodyBytes)},
+		{"little memory, heads", 64 << 20, fileDescriptors, 300, differentHeaders(maxRequestBytes)},
+		{"little memory, silent", 64 << 20, fileDescriptors, 2000, silent},
+		{"few descriptors", memoryBytes, 600, crowdSize, unendedBody(maxBodyBytes, pieceBytes)},
+		{"few descriptors, silent", memoryBytes, 600, 1000, silent},
+		{"much memory", 2000 << 20, 8192, 2000, unendedBody(maxBodyBytes, maxBodyBytes)},
+		{"users' VM, bodies", 284 << 20, fileDescriptors, 1100, unendedBody(maxBodyBytes, maxBodyBytes)},
+		{"users' VM, heads", 284 << 20, fileDescriptors, 1100, differentHeaders(1 << 20)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v := startVM(t, tt.memory, tt.descriptors)
+			v.bear(func() *crowd { return sendCrowd(t, v.callers, tt.clients, tt.client) })
+		})
+	}
+}
+
+// comebackTime is how long clients come again.
+const comebackTime = 6 * time.Second
+
+// Clients that come again at once, whenever they are answered or closed, leave as little room as those that stay.
+func TestCrowdsThatComeAgainLeaveTheNodeWithinItsMemory(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		client client
+	}{
+		{"unended bodies", unendedBody(maxBodyBytes, maxBodyBytes)},
+		{"unended tiny chunks", unendedChunks(maxBodyBytes, 1)},
+		{"whole bodies", whole("POST", "/i/1", maxBodyBytes, false)},
+		{"different headers", differentHeaders(maxRequestBytes)},
+		{"bodies without a route", whole("POST", "/none/1", maxBodyBytes, false)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v := startVM(t, memoryBytes, fileDescriptors)
+			v.bear(func() *crowd { return sendAgain(t, v.callers, crowdSize, tt.client, time.Now().Add(comebackTime)) })
+		})
+	}
+}
+
+// A VM whose settings name less memory from now on, told by SIGHUP, keeps to that.
+func TestCrowdsAfterTheMemoryHasChanged(t *testing.T) {
+	v := startVM(t, 2000<<20, fileDescriptors)
+	v.mustAnswer("before", ordinary)
+	v.settings.MemoryBytes = memoryBytes
+	if err := hosted.WriteSettings(v.file, v.settings); err != nil {
+		t.Fatal(err)
+	}
+	if err := v.process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	v.await("the settings are reloaded", func() bool { return strings.Contains(v.process.LogTail(), "memory of the VM has changed") })
+	v.bear(func() *crowd { return sendCrowd(t, v.callers, crowdSize, unendedBody(maxBodyBytes, maxBodyBytes)) })
+}
+
 // differentHeaders sends headers of different names, of the size together.
 func differentHeaders(size int) client {
 	return func(c net.Conn, id string) {
@@ -227,10 +302,10 @@
 	v.monitor.observe()
 	peak := v.monitor.highest()
 	v.t.Logf("at the peak %d MB resident (%d before the crowd), %d KB unread, %d descriptors", peak.resident>>20, before.resident>>20, peak.unread>>10, peak.descriptors)
-	if held := peak.resident + peak.unread; held > memoryBytes {
-		v.t.Errorf("the VM held %d MB of its %d", held>>20, memoryBytes>>20)
+	if held := int64(peak.resident + peak.unread); held > v.settings.MemoryBytes {
+		v.t.Errorf("the VM held %d MB of its %d", held>>20, v.settings.MemoryBytes>>20)
 	}
-	if peak.descriptors > fileDescriptors {
-		v.t.Errorf("the VM had %d descriptors of its %d", peak.descriptors, fileDescriptors)
+	if peak.descriptors > v.settings.FileDescriptors {
+		v.t.Errorf("the VM had %d descriptors of its %d", peak.descriptors, v.settings.FileDescriptors)
 	}
 }
--- a/internal/callerconn/memory.go
+++ b/internal/callerconn/memory.go
@@ -12,7 +12,7 @@
 
 const (
 	// ConnBytes is what a connection takes: its buffers, the stacks of its goroutines, and includedBytes.
-	ConnBytes = 32 << 10
+	ConnBytes = 28 << 10
 	// includedBytes is what a request may take without a place in the budget. Ordinary requests take less.
 	includedBytes = 12 << 10
 	// headerFieldBytes is what a header takes beside its text.
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -25,11 +25,6 @@
 	minCallerConnsFraction = 0.25
 	maxCallerConnsFraction = 0.625
 	minLeafConnsFraction   = 0.125
-	// connMemoryFraction is the fraction of the memory that the connections of callers may take, and requestMemoryFraction the one
-	// that their requests and answers may take beyond what is included in a connection. Both count towards memoryTargetRatio,
-	// beside what the process itself needs.
-	connMemoryFraction    = 0.25
-	requestMemoryFraction = 0.2
 	// receiveBufferBytes bounds what the kernel receives on a connection of a caller before the process reads it. The kernel
 	// doubles it, for its own use.
 	receiveBufferBytes = 32 << 10
@@ -88,13 +83,13 @@
 
 // sockets returns how many descriptors there are for sockets; 0 if no limit is known.
 func (d *Daemon) sockets() float64 {
-	return float64(max(d.settings.FileDescriptors-fileDescriptorReserve, 0))
+	return float64(max(d.fileDescriptors.Load()-fileDescriptorReserve, 0))
 }
 
 // maxCallerConns returns how many connections of callers there is room for: memory, and descriptors beside those to leaves
 // where their number is known.
 func (d *Daemon) maxCallerConns() int {
-	byMemory := connMemoryFraction * float64(d.settings.MemoryBytes) / callerconn.ConnBytes
+	byMemory := float64(fractionOf(d.memoryBytes.Load(), connMemoryFraction) / callerconn.ConnBytes)
 	sockets := d.sockets()
 	if sockets == 0 {
 		return int(byMemory)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -53,9 +52,6 @@
 const (
 	// Name is the name of the program in logs.
 	Name = "burdock-node"
-	// memoryTargetRatio is the fraction of the memory limit that is set as the Go runtime's soft limit. The
-	// rest is for bytes in sockets.
-	memoryTargetRatio = 0.6
 	// balancerLag is how long the balancer may continue to send new connections after this VM reports that it
 	// is not ready: two checks, a second apart, with a margin.
 	balancerLag = 2800 * time.Millisecond
@@ -78,8 +74,10 @@
 	NewCallerHandler    func(s dispatch.Server, limits func() catalog.Limits, routed func(*dispatch.Request) bool, leaving func() bool, refused func(reason string)) http.Handler
 	NewReadinessHandler func(ready func() bool) http.Handler
 	ConnContext         func(ctx context.Context, c net.Conn) context.Context
-	// ReloadSeeds reads the seeds again from the settings, where they may have changed.
-	ReloadSeeds func() ([]string, error)
+	// SetAnswerMemory bounds the bytes of answers of leaves that are held while they are read.
+	SetAnswerMemory func(bytes int64)
+	// ReloadSettings reads the settings again, which may have changed.
+	ReloadSettings func() (*deployment.Settings, error)
 }
 
 // MetricsAddress is the address (IP:PORT) that serves the metrics and the dump of the state.
@@ -113,10 +111,12 @@
 	refusals         *prometheus.CounterVec
 	callers          *callerconn.Manager
 	callerMemory     *membudget.Budget
-	server           *http.Server
-	leaving          atomic.Bool
-	isGatherer       atomic.Bool
-	seeds            atomic.Pointer[[]string]
+	// memoryBytes and fileDescriptors are those of the newest settings.
+	memoryBytes, fileDescriptors atomic.Int64
+	server                       *http.Server
+	leaving                      atomic.Bool
+	isGatherer                   atomic.Bool
+	seeds                        atomic.Pointer[[]string]
 	// fleetSize and roster are used only by the goroutine of follow.
 	fleetSize fleetSize
 	roster    *roster.Roster
@@ -161,7 +161,9 @@
 		Self: s.PeersAddress, Zone: s.Zone, Gateways: d.peers.Gateways, Leaves: d.table, Gatherers: d.delegate, Own: d.gathererLoad,
 		Service: (&singleServices{directory: d.directory}).of, Dial: dialLoads(s.IP), Random: rand.Float64, Registry: reg,
 	})
-	d.callerMemory = membudget.New(int64(requestMemoryFraction*float64(s.MemoryBytes)), time.Now)
+	d.memoryBytes.Store(s.MemoryBytes)
+	d.fileDescriptors.Store(int64(s.FileDescriptors))
+	d.callerMemory = membudget.New(fractionOf(s.MemoryBytes, requestMemoryFraction), time.Now)
 	d.callers = callerconn.New(callerconn.Config{
 		Limits: d.limits, MaxConns: d.maxCallerConns, Memory: d.callerMemory, Refused: d.countRefusal, Log: log, Registry: reg,
 	})
@@ -197,7 +199,7 @@
 
 // Run runs the process until it is stopped or a duty fails.
 func (d *Daemon) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(float64(d.settings.MemoryBytes) * memoryTargetRatio))
+	d.setMemory(d.settings.MemoryBytes)
 	defer d.sink.Close(logFlushTimeout)
 	callers, err := d.listenForCallers(ctx)
 	if err != nil {
@@ -293,7 +295,7 @@
 		vms := d.applyPlan()
 		d.table.Forget(time.Now())
 		if vms == 1 {
-			d.reloadSeeds() // no peer is known, and the seeds may have changed without a signal
+			d.reloadSettings() // no peer is known, and the seeds may have changed without a signal
 		}
 		select {
 		case <-ctx.Done():
@@ -304,8 +306,7 @@
 	}
 }
 
-// reloadOnSignal reads the settings again at each SIGHUP until ctx ends. Requests are served meanwhile: only
-// the seeds may change in a running process.
+// reloadOnSignal reads the settings again at each SIGHUP until ctx ends. Requests are served meanwhile.
 func (d *Daemon) reloadOnSignal(ctx context.Context) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -315,19 +316,19 @@
 		case <-ctx.Done():
 			return nil
 		case <-hup:
-			d.log.Info("settings reloaded", zap.Bool("taken", d.reloadSeeds()))
+			d.log.Info("settings reloaded", zap.Bool("taken", d.reloadSettings()))
 		}
 	}
 }
 
-// reloadSeeds replaces the seeds with those of the settings and reports whether that succeeded. After a failure
-// the previous seeds stay in use.
-func (d *Daemon) reloadSeeds() bool {
-	seeds, err := d.platform.ReloadSeeds()
+// reloadSettings applies the settings as they are now and reports whether that succeeded. After a failure the
+// previous ones stay in use.
+func (d *Daemon) reloadSettings() bool {
+	s, err := d.platform.ReloadSettings()
 	if err != nil {
-		d.log.Warn("settings not reloaded; keeping the previous seeds", zap.Error(err))
+		d.log.Warn("settings not reloaded; keeping the previous ones", zap.Error(err))
 		return false
 	}
-	d.seeds.Store(&seeds)
+	d.applySettings(s)
 	return true
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -143,13 +143,15 @@
 
 // run runs the VM until the test ends.
 func (c *cluster) run(v *vm) {
+	dialer := platform.NewLeafDialer(v.settings.IP)
 	p := node.Platform{
-		Store: platform.NewStore(v.settings.StoreAddress, v.settings.IP), Decoder: platform.Decoder{}, Dialer: platform.NewLeafDialer(v.settings.IP),
+		Store: platform.NewStore(v.settings.StoreAddress, v.settings.IP), Decoder: platform.Decoder{}, Dialer: dialer,
 		NewCallerHandler: func(s dispatch.Server, limits func() catalog.Limits, routed func(*dispatch.Request) bool, leaving func() bool, refused func(string)) http.Handler {
 			return platform.NewEdge(s, limits, routed, leaving, refused)
 		},
 		NewReadinessHandler: platform.NewReadinessHandler, ConnContext: platform.ConnContext,
-		ReloadSeeds: func() ([]string, error) { return v.settings.Seeds, nil },
+		SetAnswerMemory: dialer.SetAnswerMemory,
+		ReloadSettings:  func() (*deployment.Settings, error) { return v.settings, nil },
 	}
 	d := node.New(v.settings, p, node.MetricsAddress(v.metrics), zap.NewNop(), logging.NewAsync(io.Discard), decision.DefaultLimits(), operator.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
