delegate: searches with long bodies are not handed over

Cause: a crowd of searches with bodies of 256 KB at one VM was a crowd at those that it hands over to: each message is held by both, and the VM that takes it had no budget for what callers of others send, 96 searches of any size.

Change: a search whose body is longer than 16 KB is made by the VM that has its caller, whose budget bounds it.

Test: TestSearchesWithLongBodiesAreServedLocally failed before. Not played with real processes: a crowd at a fleet of unequal VMs.

--- a/internal/delegate/manager.go
+++ b/internal/delegate/manager.go
@@ -16,6 +16,10 @@
 	"github.com/burdockplank/burdockplank/internal/dispatch"
 )
 
+// maxBodyBytes is the longest body of a search that is handed over. A message is held by both VMs, and the one that takes it has no
+// budget for what callers of others send.
+const maxBodyBytes = 16 << 10
+
 // Client calls a gatherer.
 type Client interface {
 	Search(ctx context.Context, req *pb.FleetSearch) (*pb.FleetSearchAnswer, error)
@@ -124,7 +128,7 @@
 		return m.cfg.Local.Serve(ctx, req)
 	}
 	route := dispatch.Match(config, req)
-	if route == nil || !route.Search() {
+	if route == nil || !route.Search() || len(req.Body) > maxBodyBytes {
 		return m.cfg.Local.Serve(ctx, req)
 	}
 	req.Lag = m.cfg.Lag()
--- a/internal/delegate/manager_test.go
+++ b/internal/delegate/manager_test.go
@@ -197,6 +197,20 @@
 	})
 }
 
+// Searches with long bodies, which a crowd sends to one VM, were held by the VMs that it hands over to as well, outside of any budget.
+func TestSearchesWithLongBodiesAreServedLocally(t *testing.T) {
+	runFixture(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		for _, size := range []int{0, maxBodyBytes, maxBodyBytes + 1} {
+			f.m.Serve(t.Context(), &dispatch.Request{
+				ID: "r", Method: "POST", Host: "h", Path: "/s/1", Target: "/s/1", Body: make([]byte, size), Remaining: 800 * ms, Arrived: time.Now(),
+			})
+		}
+		is.Equal(f.localSearches, 1)
+		is.Equal(len(f.s1.searches)+len(f.s2.searches), 2)
+	})
+}
+
 // A search that a gatherer has certainly not started is offered to the other gatherer, and then served locally.
 func TestUnstartedSearchIsOfferedAgain(t *testing.T) {
 	for name, set := range map[string]func(g *fakeGatherer){
