rpc: bound the header of calls between processes

Cause: the servers of the peers', readiness and metrics ports took headers of 1 MB, net/http's own bound. None of them is open to callers; a header of theirs takes some hundred bytes.

Change: 64 KB.

Not played: crowds at these ports.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,6 +19,8 @@
 	dialTimeout = time.Second
 	// readHeaderTimeout bounds reading a request's header.
 	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds a request's header, some hundred bytes as a rule.
+	maxHeaderBytes = 64 << 10
 )
 
 // Dialer returns a dialer that binds outgoing connections to the given IP address. If it is empty
@@ -46,7 +48,8 @@
 }
 
 // NewServer returns a server that accepts HTTP/1.1 and HTTP/2 without TLS. The caller sets the
-// handler's limits; a request whose header is incomplete is ended after readHeaderTimeout.
+// handler's limits; a request whose header is incomplete is ended after readHeaderTimeout, and one whose header is longer than
+// maxHeaderBytes is refused.
 func NewServer(h http.Handler) *http.Server {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -55,6 +58,7 @@
 		Handler:           h,
 		Protocols:         &protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: 5 * time.Second, PingTimeout: 5 * time.Second, MaxConcurrentStreams: 1000},
 	}
 }
