--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -112,16 +110,6 @@
 	return 0, errHeadRefused
 }
 
-// errHeadRefused ends the reading of a head. It is a net.OpError, upon which the server writes nothing itself.
-var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head of the request was refused")}
-
-// answerHead answers a head that is refused. The server has written all earlier answers.
-func (c *conn) answerHead(s headStatus) {
-	c.manager.countRefusal(s)
-	_ = c.TCPConn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = io.WriteString(c.TCPConn, headAnswers[s]) // an error means that the caller has disconnected
-}
-
 func (c *conn) inBody() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/callerconn/memory.go
+++ b/internal/callerconn/memory.go
@@ -17,40 +17,13 @@
 	includedBytes = 12 << 10
 	// headerFieldBytes is what a header takes beside its text.
 	headerFieldBytes = 256
-	// bodyCopies is how often a byte of a body is held: the buffer of a body that arrives is up to twice as large as what has come,
-	// and another VM gets a copy.
+	// bodyCopies is how often a byte of a body is held while its buffer grows: the new buffer is twice as large as the old one, which
+	// is still there.
 	bodyCopies = 3
 	// chargeStep is the unit in which memory is taken from the budget.
 	chargeStep = 8 << 10
-	// headSlack is how much more than a head may be read with it: the server reads by its buffer, and a body may follow.
-	headSlack = 4 << 10
-	// defaultMaxHeadBytes bounds a head where the configuration sets no limit.
-	defaultMaxHeadBytes = 1 << 20
-	// writePieceBytes is how much of an answer is written at a time, and writeTimeout how long the caller may take for it.
-	writePieceBytes = 64 << 10
-	writeTimeout    = 30 * time.Second
-	// refusalTimeout bounds writing the answer to a head that is refused.
-	refusalTimeout = 10 * time.Millisecond
 )
 
-// headStatus says whether a request may go on after some more bytes of it.
-type headStatus int
-
-const (
-	statusOK headStatus = iota
-	statusHeadTooLong
-	statusNoMemory
-)
-
-// headAnswers are the answers to requests that are refused before the server has read their head.
-var headAnswers = map[headStatus]string{
-	statusHeadTooLong: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-	statusNoMemory:    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
-}
-
-// refusalReasons are the reasons of these refusals, in metrics.
-var refusalReasons = map[headStatus]string{statusHeadTooLong: "head too long", statusNoMemory: "no memory"}
-
 // requestSize is what has come of a request.
 type requestSize struct {
 	headBytes, headLines, bodyBytes int64
@@ -70,22 +43,6 @@
 	return s.headBytes + s.headLines*headerFieldBytes + s.bodyBytes*bodyCopies
 }
 
-// headTooLong reports whether a head of n bytes is longer than the configuration in force allows.
-func (m *Manager) headTooLong(n int64) bool {
-	if n <= m.maxHeadBytes.Load()+headSlack {
-		return false
-	}
-	m.maxHeadBytes.Store(m.currentMaxHeadBytes()) // a new limit may be in force
-	return n > m.maxHeadBytes.Load()+headSlack
-}
-
-func (m *Manager) currentMaxHeadBytes() int64 {
-	if n := m.config.Limits().MaxHeaderBytes; n > 0 {
-		return int64(n)
-	}
-	return defaultMaxHeadBytes
-}
-
 // charge makes the request hold the bytes beyond includedBytes, of which the caller has just sent n. It reports whether there is
 // memory for them.
 func (c *conn) charge(total, n int64) bool {
@@ -127,61 +84,6 @@
 	_ = c.TCPConn.SetReadDeadline(longAgo)
 }
 
-// abort closes the connection and drops what the caller has not taken.
-func (c *conn) abort() {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
-// Write implements net.Conn. A long answer takes memory until the caller has taken it.
-func (c *conn) Write(p []byte) (int, error) {
-	c.writeSince.Store(time.Now().UnixNano())
-	defer c.writeSince.Store(0)
-	if len(p) <= includedBytes || c.manager.config.Memory == nil {
-		return c.TCPConn.Write(p)
-	}
-	h := c.manager.config.Memory.Hold(c.abort)
-	defer h.Release()
-	h.Add(int64(len(p)))
-	written := 0
-	for written < len(p) {
-		n, err := c.TCPConn.Write(p[written:min(len(p), written+writePieceBytes)])
-		written += n
-		if err != nil {
-			return written, err
-		}
-		h.Progress(int64(n))
-		c.writeSince.Store(time.Now().UnixNano())
-	}
-	return written, nil
-}
-
-// closeStalledWrites closes the connections whose caller has taken nothing for writeTimeout.
-func (m *Manager) closeStalledWrites(now time.Time) {
-	for _, c := range m.all() {
-		if since := c.writeSince.Load(); since != 0 && now.UnixNano()-since > int64(writeTimeout) {
-			c.abort()
-		}
-	}
-}
-
-func (m *Manager) all() []*conn {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]*conn, 0, len(m.conns))
-	for c := range m.conns {
-		out = append(out, c)
-	}
-	return out
-}
-
-// countRefusal counts a request that is refused before the server has read its head.
-func (m *Manager) countRefusal(s headStatus) {
-	if m.config.Refused != nil {
-		m.config.Refused(refusalReasons[s])
-	}
-}
-
 // registerMemory registers the metrics of the budget.
 func (m *Manager) registerMemory(gauge func(name, help string, value func() int) prometheus.Collector) {
 	usage := m.config.Memory.Usage
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -20,17 +20,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(t)
-			c.leaves["x-a"].SetScript(func(int, *http.Request) hosted.Reply { return reply })
-			c.leaves["x-b"].SetScript(func(_ int, r *http.Request) hosted.Reply {
-				if r.Method == http.MethodPost {
-					return reply
-				}
-				return hosted.Reply{Body: []byte("whole")}
-			})
-			c.configureKinds()
-			v := c.start(true)
-			within(t, 3*time.Second, "ready", v.ready)
-			time.Sleep(1500 * time.Millisecond) // a VM makes no extra calls until it knows the size of its fleet
+			v := c.startBesideBadLeaf(func(int, *http.Request) hosted.Reply { return reply })
 			for i := range 5 {
 				status, _, _, err := v.get(http.MethodGet, "/i/1", fmt.Sprintf("i%d", i))
 				is.NoErr(err)
--- a/internal/node/spoiled_test.go
+++ b/internal/node/spoiled_test.go
@@ -87,3 +87,21 @@
 	idempotent.Name, idempotent.Prefix, idempotent.Idempotent = "i", "/i/", true
 	c.store.Configure(hosted.Config{Version: c.version, Services: []string{"x"}, Connections: 30, Routes: []hosted.Route{route, idempotent}})
 }
+
+// startBesideBadLeaf runs a VM with the routes of configureKinds, one of whose two leaves gives the bad reply to everything, the other to
+// orders only. The VM is ready to make extra calls.
+func (c *cluster) startBesideBadLeaf(bad hosted.Script) *vm {
+	c.t.Helper()
+	c.leaves["x-a"].SetScript(bad)
+	c.leaves["x-b"].SetScript(func(n int, r *http.Request) hosted.Reply {
+		if r.Method == http.MethodPost {
+			return bad(n, r)
+		}
+		return hosted.Reply{Body: []byte("whole")}
+	})
+	c.configureKinds()
+	v := c.start(true)
+	within(c.t, 3*time.Second, "ready", v.ready)
+	time.Sleep(1500 * time.Millisecond) // a VM makes no extra calls until it knows the size of its fleet
+	return v
+}
--- a/internal/node/status_test.go
+++ b/internal/node/status_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -18,21 +17,10 @@
 		t.Run(invalid, func(t *testing.T) {
 			is := is.New(t)
 			c := newCluster(t)
-			answer := func(r *http.Request) hosted.Reply {
+			v := c.startBesideBadLeaf(func(_ int, r *http.Request) hosted.Reply {
 				id := hosted.RequestID(r)
 				return hosted.Reply{Raw: fmt.Appendf(nil, "HTTP/1.1 %s\r\nRequest-Id: %s\r\nServer-Stamp: x-a.%s\r\nContent-Length: 0\r\n\r\n", invalid, id, id)}
-			}
-			c.leaves["x-a"].SetScript(func(_ int, r *http.Request) hosted.Reply { return answer(r) })
-			c.leaves["x-b"].SetScript(func(_ int, r *http.Request) hosted.Reply {
-				if r.Method == http.MethodPost {
-					return answer(r)
-				}
-				return hosted.Reply{Body: []byte("whole")}
 			})
-			c.configureKinds()
-			v := c.start(true)
-			within(t, 3*time.Second, "ready", v.ready)
-			time.Sleep(1500 * time.Millisecond) // a VM makes no extra calls until it knows the size of its fleet
 			for i := range 5 {
 				status, _, body, err := v.get(http.MethodGet, "/i/1", fmt.Sprintf("i%d", i))
 				is.NoErr(err)
