node: callers above the limit don't stay

What callers saw: a connection above the limit whose request was refused, and whose body stops short of its end, stayed open for as long as its caller wished, and counted towards the limit.

Cause: the server reads on after the refusal, to use the connection again, and nothing ended that. Refusals of the edge set a deadline since, this one did not.

Change: the same as there, callerconn.DiscardBody.

Test: TestCallersAboveTheLimitDoNotStay failed before (a connection was open after 10 s).

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -75,8 +75,8 @@
 		next(w, r)
 		return
 	}
-	d.refusals.WithLabelValues(reasonTooManyConns).Inc()
-	w.Header().Set("Connection", "close")
+	d.countRefusal(reasonTooManyConns)
+	_ = callerconn.DiscardBody(w) // it fails only on a closed connection
 	w.Header().Set("Retry-After", strconv.Itoa(tooManyConnsRetryAfterS))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -156,3 +158,25 @@
 	is.True(served > 0 && refused > 0 && closed > 0)
 	v.connect(t).mustServe(t, "d") // there is room again
 }
+
+// A caller above the limit whose body stops short of its end kept its connection, which nothing ended.
+func TestCallersAboveTheLimitDoNotStay(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	v := c.startWithFewDescriptors()
+	var conns []*callerConn
+	for range 2 * fewSockets {
+		conn := v.connect(t)
+		_, err := io.WriteString(conn, "POST /s/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nContent-Length: 100\r\n\r\nbody")
+		if err == nil {
+			conns = append(conns, conn)
+		}
+	}
+	end := time.Now().Add(10 * time.Second) // twice as long as a body may take
+	for _, conn := range conns {
+		is.NoErr(conn.SetReadDeadline(end))
+		if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("a connection is still open")
+		}
+	}
+}
