entry: a refusal is not held back by a body that stops; log lines

What callers saw: a request that is refused before its body is read, say for a wrong token, got no answer while its body was not complete, and held a connection without a time limit.

Change: the deadline is set first. Refusals for want of memory are logged, once in 10 s.

--- a/internal/entry/door.go
+++ b/internal/entry/door.go
@@ -67,14 +67,15 @@
 
 // discard sends the refusal and keeps reading for a while. A connection that is closed with unread
 // bytes is reset, and a caller that is still writing would see the reset instead of the refusal.
-// HTTP/2 can end a stream early without this. The deadline stays where the body has not ended: the server, which reads on
-// to use the connection again, would wait for it without a limit.
+// HTTP/2 can end a stream early without this. The deadline is set first and stays where the body has not
+// ended: the server reads on by itself, before it sends the refusal and to use the connection again, and
+// would wait for the rest without a limit.
 func discard(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor > 1 || r.ContentLength == 0 {
 		return
 	}
 	rc := http.NewResponseController(w)
-	if rc.Flush() != nil || rc.SetReadDeadline(time.Now().Add(maxDiscardTime)) != nil {
+	if rc.SetReadDeadline(time.Now().Add(maxDiscardTime)) != nil || rc.Flush() != nil {
 		return
 	}
 	if _, err := io.CopyN(io.Discard, r.Body, maxDiscardBytes); errors.Is(err, io.EOF) {
@@ -85,7 +86,7 @@
 // checkRequest returns the reason to refuse the request, or nil.
 func (m *Manager) checkRequest(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
 	if !c.memory.holder.Grow(requestBytes) {
-		return noMemory()
+		return m.refuseForMemory()
 	}
 	if e := m.checkAccepting(c); e != nil {
 		return e
@@ -169,7 +170,7 @@
 	kept := callOf(r.Context()).memory.holder.Work()
 	switch {
 	case errors.Is(err, membudget.ErrNoMemory), !kept:
-		return noMemory()
+		return m.refuseForMemory()
 	case errors.Is(err, membudget.ErrTooLong):
 		return tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/entry/manager.go
+++ b/internal/entry/manager.go
@@ -46,8 +46,10 @@
 	drainer   *drainer
 	conns     *connTracker
 	memory    *membudget.Budget
-	server    *http.Server
-	now       func() time.Time
+	// lowMemoryLogged is when refusals for want of memory were last logged, in Unix nanoseconds; 0 if never.
+	lowMemoryLogged atomic.Int64
+	server          *http.Server
+	now             func() time.Time
 	// allServicesReached is true once every service had a gather that accepts work.
 	allServicesReached atomic.Bool
 	// answeredVersion is the highest bundle version of the searches answered through this entry.
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
 
 	pb "github.com/burdockplank/burdockplank/api/burdock/v1"
 	"github.com/burdockplank/burdockplank/internal/membudget"
@@ -21,6 +22,8 @@
 	ownMemoryBytes = 64 << 20
 	// noMemoryRetryAfter is after how long a caller may come back that was refused for want of memory.
 	noMemoryRetryAfter = time.Second
+	// lowMemoryLogInterval is the least time between two lines on refusals for want of memory.
+	lowMemoryLogInterval = 10 * time.Second
 )
 
 // requestMemory is what the process holds of a request.
@@ -54,8 +57,9 @@
 	r.holder.Release()
 }
 
-// noMemory is the outcome of a request for which there is no memory.
-func noMemory() *outcome.Error {
+// refuseForMemory returns the outcome of a request for which there is no memory.
+func (m *Manager) refuseForMemory() *outcome.Error {
+	m.logLowMemory()
 	return outcome.NotRun(pb.Reason_REASON_OVERLOAD, checkRequestStep, "callers use all the memory that requests may take").WithRetryAfter(noMemoryRetryAfter)
 }
 
@@ -65,3 +69,14 @@
 		Name: "burdock_entry_memory_bytes", Help: "Bytes that requests of callers take, of half of entry.memory_bytes.",
 	}, func() float64 { return float64(b.Usage().Used) })
 }
+
+// logLowMemory logs that requests are refused for want of memory, unless it has done so within lowMemoryLogInterval.
+func (m *Manager) logLowMemory() {
+	now, last := m.now().UnixNano(), m.lowMemoryLogged.Load()
+	if last != 0 && now-last < int64(lowMemoryLogInterval) || !m.lowMemoryLogged.CompareAndSwap(last, now) {
+		return
+	}
+	u := m.memory.Usage()
+	m.log.Warn("callers use all the memory that requests may take; refusing some",
+		zap.Int64("held", u.Used), zap.Int64("max", u.Limit), zap.Int64("evicted", u.Evicted), zap.Int64("refused", u.Refused))
+}
