--- a/internal/callerconn/body.go
+++ b/internal/callerconn/body.go
@@ -1,7 +1,6 @@
 package callerconn
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -101,6 +100,3 @@
 	}
 	return nil
 }
-
-// RefusedForMemory reports whether the request with this context is to be refused, as there is no memory for it.
-func RefusedForMemory(ctx context.Context) bool { return connOf(ctx).outOfMemory() }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -235,21 +235,12 @@
 	}
 }
 
-// Wait records that the holder waits for its other end from now on, and reports whether it still has its bytes.
-func (h *Holder) Wait() bool { return h.setWaits(true) }
-
-// Work records that the process works on what is held, and reports whether the holder still has its bytes. It is not evicted until
-// it waits again.
-func (h *Holder) Work() bool { return h.setWaits(false) }
-
-func (h *Holder) setWaits(waits bool) bool {
-	now := h.budget.now()
+// Work records that the other end has sent all and the process works on it, and reports whether the holder still has its bytes. It is not
+// evicted from then on.
+func (h *Holder) Work() bool {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	if waits && !h.waits {
-		h.moved, h.mark = 0, now
-	}
-	h.waits = waits
+	h.waits = false
 	return !h.isEvicted
 }
 
