--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// Add takes n bytes that are held already. Holders that wait make way for them, this one included.
+// Add takes n bytes that are held already. Others that wait make way for them, also where they go on.
 func (h *Holder) Add(n int64) { h.take(n, true) }
 
 func (h *Holder) take(n int64, held bool) bool {
