crowd: a crowd of searches at one VM and the one that it hands over to

Guards against a crowd at one VM that is one at those that it hands its searches over to. 400 clients that come again for 6 s with searches of 16 and 256 KB, at a VM of 96 MB whose neighbour has the larger processor.

--- a/crowd/node_test.go
+++ b/crowd/node_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -31,6 +32,8 @@
 	// largeAnswerBytes is the size of the answers of the route /large/, and slowAnswer the time that those of /slow/ take.
 	largeAnswerBytes = 1 << 20
 	slowAnswer       = 2 * time.Second
+	// metricsPort is the port of the metrics where the command line names none.
+	metricsPort = "9464"
 )
 
 // services are the services of the leaves, two leaves each.
@@ -48,8 +51,8 @@
 	file     string
 }
 
-// startVM runs burdock-node with the memory and the descriptors, and waits until it is ready.
-func startVM(t *testing.T, memory int64, descriptors int) *vm {
+// startStore runs a store with the leaves of all services and the configuration.
+func startStore(t *testing.T) *hosted.Store {
 	t.Helper()
 	store := hosted.NewStore()
 	t.Cleanup(store.Close)
@@ -61,19 +64,36 @@
 		}
 	}
 	store.Configure(configuration())
+	return store
+}
+
+// newSettings returns the settings of a VM with the memory and the descriptors, which is its own seed.
+func newSettings(name string, store *hosted.Store, memory int64, descriptors int) *deployment.Settings {
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
 	address := func(port string) string { return net.JoinHostPort(ip, port) }
-	s := &deployment.Settings{
-		VMName: "vm", Zone: "a", IP: ip, CallersAddress: address("7001"), ReadinessAddress: address("7002"), PeersAddress: address("7003"),
+	return &deployment.Settings{
+		VMName: name, Zone: "a", IP: ip, CallersAddress: address("7001"), ReadinessAddress: address("7002"), PeersAddress: address("7003"),
 		Seeds: []string{address("7003")}, StoreAddress: store.Address(), MemoryBytes: memory, FileDescriptors: descriptors,
 		RetryBudget: retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, GracePeriod: 6 * time.Second, ConfigApplyBound: 3 * time.Second,
 	}
+}
+
+// startVM runs burdock-node alone, with the memory and the descriptors, and waits until it is ready.
+func startVM(t *testing.T, memory int64, descriptors int) *vm {
+	t.Helper()
+	return run(t, newSettings("vm", startStore(t), memory, descriptors))
+}
+
+// run runs burdock-node with the settings and waits until it is ready.
+func run(t *testing.T, s *deployment.Settings) *vm {
+	t.Helper()
 	dir := t.TempDir()
 	file := filepath.Join(dir, "settings.toml")
 	if err := hosted.WriteSettings(file, s); err != nil {
 		t.Fatal(err)
 	}
-	v := &vm{t: t, settings: s, file: file, process: child.New("vm", dir, filepath.Join(binDir, "burdock-node"), "--settings", file), callers: s.CallersAddress, ready: s.ReadinessAddress}
+	process := child.New(s.VMName, dir, filepath.Join(binDir, "burdock-node"), "--settings", file)
+	v := &vm{t: t, settings: s, file: file, process: process, callers: s.CallersAddress, ready: s.ReadinessAddress}
 	if err := v.process.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -143,6 +163,20 @@
 	})
 }
 
+// metrics returns the text of the VM's metrics; empty if they can't be read.
+func (v *vm) metrics() string {
+	resp, err := http.Get("http://" + net.JoinHostPort(v.settings.IP, metricsPort) + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
 // ask sends a request on a connection of its own.
 func ask(address string, r hosted.Request) (*hosted.Answer, error) {
 	c, err := net.DialTimeout("tcp", address, patience)
@@ -275,6 +309,32 @@
 	v.bear(func() *crowd { return sendCrowd(t, v.callers, crowdSize, unendedBody(maxBodyBytes, maxBodyBytes)) })
 }
 
+// The VMs to which one hands its searches over have no budget for what its callers send: a crowd at the small VM must not be one at the
+// large one.
+func TestCrowdsOfSearchesLeaveLargerNodesWithinTheirMemory(t *testing.T) {
+	for _, size := range []int{16 << 10, maxBodyBytes} {
+		t.Run(fmt.Sprintf("%d KB", size>>10), func(t *testing.T) {
+			store := startStore(t)
+			settings := newSettings("large", store, memoryBytes, fileDescriptors)
+			settings.Millicores = 8000
+			large := run(t, settings)
+			settings = newSettings("small", store, memoryBytes, fileDescriptors)
+			settings.Millicores, settings.Seeds = 2000, large.settings.Seeds
+			small := run(t, settings)
+			search := hosted.Request{Method: http.MethodGet, Target: "/s/1"}
+			small.await("searches are handed over", func() bool {
+				small.mustAnswer("search", search)
+				return strings.Contains(small.metrics(), `burdock_handed_over_total{end="answered"}`)
+			})
+			before := large.monitor.highest()
+			small.bear(func() *crowd {
+				return sendAgain(t, small.callers, crowdSize, whole("POST", "/s/1", size, false), time.Now().Add(comebackTime))
+			})
+			large.checkUsage(before)
+		})
+	}
+}
+
 // differentHeaders sends headers of different names, of the size together.
 func differentHeaders(size int) client {
 	return func(c net.Conn, id string) {
