--- a/scenarios/verbs_crowd_test.go
+++ b/scenarios/verbs_crowd_test.go
@@ -33,10 +33,12 @@
 	crowdTimeout = 20 * time.Second
 	// endlessHeadBytes is how much a client sends of a head without an end.
 	endlessHeadBytes = 1 << 20
+	// unreadBufferBytes is how much a client takes of an answer that it does not read.
+	unreadBufferBytes = 4 << 10
 )
 
 // crowdClients maps the ways of the verb crowd to how one connection sends.
-var crowdClients = map[string]func(c *crowd){"streams": (*crowd).sendStreams, "bodies": (*crowd).sendBody, "heads": (*crowd).sendHead, "silent": (*crowd).sendNothing}
+var crowdClients = map[string]func(c *crowd){"streams": (*crowd).sendStreams, "bodies": (*crowd).sendBody, "heads": (*crowd).sendHead, "silent": (*crowd).sendNothing, "unread": (*crowd).sendUnread}
 
 // crowd is one connection of a crowd, which stays open until ctx ends.
 type crowd struct {
@@ -48,7 +50,7 @@
 	sent sync.WaitGroup
 }
 
-// verbCrowd is: crowd streams|bodies|heads|silent conns=N [streams=N] [size=N] [via=VM]. It returns when the clients have sent what they
+// verbCrowd is: crowd streams|bodies|heads|silent|unread conns=N [streams=N] [size=N] [via=VM]. It returns when the clients have sent what they
 // send. They stay until the end of the scenario, or until the verb disperse.
 func verbCrowd(f *fleet, a *arguments) error {
 	entry, err := f.vm(a.text("via", f.vms[0].name))
@@ -182,6 +184,24 @@
 
 func (c *crowd) sendNothing() { c.open() }
 
+// sendUnread sends whole searches over HTTP/1.1, one for each stream, and reads the first bytes of the first answer only.
+func (c *crowd) sendUnread() {
+	conn, ok := c.open()
+	if !ok {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(unreadBufferBytes)
+	}
+	body := fmt.Sprintf(`{"service":%q,"kind":"roster","query":"a long answer","topK":100}`, serviceName)
+	head := &bytes.Buffer{}
+	_ = crowdHeader().Write(head) // writes to memory
+	for range c.streams {
+		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", burdockv1connect.QueryServiceSearchProcedure, head, len(body), body)
+	}
+	_, _ = io.ReadFull(conn, make([]byte, unreadBufferBytes)) // the answer is there, or the process has closed the connection
+}
+
 // verbMemory is: memory PROCESS most=MB. It fails if the process has ever taken more.
 func verbMemory(f *fleet, a *arguments) error {
 	most := a.number("most", 0)
